--- /dev/null
+++ b/internal/cli/standalone.go
@@ -0,0 +1,148 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"guavapier/internal/config"
+	"guavapier/internal/entry"
+	"guavapier/internal/record"
+	"guavapier/internal/server"
+	"guavapier/internal/session"
+	"guavapier/internal/settings"
+	"guavapier/internal/standin"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+)
+
+// The sample team of a standalone run.
+const (
+	sampleTeam     = "sample"
+	sampleKey      = "sample:secret"
+	sampleOperator = "operator-secret"
+	sampleTokens   = 1_000_000
+	sampleModel    = "small"
+	standaloneAddr = "127.0.0.1:8080"
+	operatorsAddr  = "127.0.0.1:8081"
+)
+
+// runStandalone runs an instance and all its stand-ins in this process.
+func runStandalone(ctx context.Context, o output) error {
+	group, ctx := errgroup.WithContext(ctx)
+	url, err := startStandins(ctx, group)
+	if err != nil {
+		return err
+	}
+	s := settings.Default()
+	s.Instance = settings.Instance{Name: "standalone", Zone: "local", Callers: standaloneAddr, Operators: operatorsAddr, Peers: "127.0.0.1:8082"}
+	s.Platform.URL = url
+	s.Log = settings.Log{Level: "info", Format: "console"}
+	secrets := server.Secrets{
+		Sessions: session.Keyring{Current: "k1", Keys: map[string][]byte{"k1": []byte("standalone-only")}},
+		Operator: sampleOperator,
+	}
+	srv, err := server.New(s, secrets, newLogger(s.Log, o.err))
+	if err != nil {
+		return err
+	}
+	group.Go(func() error { return srv.Run(ctx) })
+	if err := seedSample(ctx, srv.OperatorsAddr()); err != nil {
+		return err
+	}
+	printExamples(o, srv.CallersAddr(), srv.OperatorsAddr())
+	return group.Wait()
+}
+
+func startStandins(ctx context.Context, group *errgroup.Group) (platformURL string, err error) {
+	p := standin.NewPlatform(standin.PlatformOptions{AppendsPerSecond: 300, InstanceTTL: 5 * time.Second})
+	if platformURL, err = serveLoopback(ctx, group, p.Handler()); err != nil {
+		return "", err
+	}
+	var endpoints []standin.ListedEndpoint
+	for _, name := range []string{"engine-1", "engine-2"} {
+		url, err := serveLoopback(ctx, group, standin.NewEngine(standin.EngineOptions{Name: name, Model: sampleModel, Step: 3 * time.Millisecond}).Handler())
+		if err != nil {
+			return "", err
+		}
+		endpoints = append(endpoints, standin.ListedEndpoint{Name: name, Zone: "local", URL: url, Model: sampleModel})
+	}
+	url, err := serveLoopback(ctx, group, standin.NewService().Handler())
+	if err != nil {
+		return "", err
+	}
+	endpoints = append(endpoints, standin.ListedEndpoint{Name: "service-1", Zone: "local", URL: url, Service: "rig"})
+	p.SetEndpoints(endpoints)
+	return platformURL, nil
+}
+
+func serveLoopback(ctx context.Context, group *errgroup.Group, h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", eris.Wrap(err, "cli: listen")
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	context.AfterFunc(ctx, func() { _ = srv.Close() })
+	group.Go(func() error {
+		if err := srv.Serve(l); !eris.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	return "http://" + l.Addr().String(), nil
+}
+
+// seedSample creates the sample team and its prepaid budget.
+func seedSample(ctx context.Context, operators string) error {
+	change := record.Change{ID: "sample", By: "standalone", Ops: []record.ChangeOp{
+		{Path: config.APIKeyPath(sampleTeam, sampleKey), Value: "sample key"},
+	}}
+	if err := operatorCall(ctx, http.MethodPut, "http://"+operators+"/settings", change); err != nil {
+		return err
+	}
+	topUp := entry.TopUpRequest{Team: sampleTeam, Budget: "main", Tokens: sampleTokens, ID: "sample", By: "standalone"}
+	return operatorCall(ctx, http.MethodPost, "http://"+operators+"/topups", topUp)
+}
+
+func operatorCall(ctx context.Context, method, url string, body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return eris.Wrap(err, "cli: encode")
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(data))
+	if err != nil {
+		return eris.Wrap(err, "cli: build request")
+	}
+	req.Header.Set("Authorization", "Bearer "+sampleOperator)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return eris.Wrap(err, "cli: call operators' interface")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return eris.Errorf("cli: operators' interface answered %s", resp.Status)
+	}
+	return nil
+}
+
+func printExamples(o output, callers, operators string) {
+	fmt.Fprintf(o.out, `Ready. Try:
+
+  curl -s http://%[1]s/v1/chat/completions -H 'Authorization: Bearer %[3]s' \
+    -d '{"model":"%[4]s","max_tokens":8,"messages":[{"role":"user","content":"hello"}]}'
+
+  curl -sN http://%[1]s/v1/chat/completions -H 'Authorization: Bearer %[3]s' \
+    -d '{"model":"%[4]s","stream":true,"max_tokens":8,"messages":[{"role":"user","content":"hello"}]}'
+
+  curl -s http://%[1]s/v1/services/rig/setpoint -H 'Authorization: Bearer %[3]s' \
+    -H 'Idempotency-Key: call-1' -d '{"g":0.5}'
+
+  curl -s http://%[2]s/budgets/%[5]s/main -H 'Authorization: Bearer %[6]s'
+
+`, callers, operators, sampleKey, sampleModel, sampleTeam, sampleOperator)
+}
--- /dev/null
+++ b/internal/cli/standin.go
@@ -0,0 +1,92 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"guavapier/internal/standin"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rotisserie/eris"
+)
+
+func standinCommand(o output) *ffcli.Command {
+	return &ffcli.Command{
+		Name: "standin", ShortUsage: "guavapier standin platform|engine|service [flags]",
+		ShortHelp: "Run a stand-in of an outside system, for tests and first runs.",
+		LongHelp:  "Example:\n  guavapier standin platform -listen 127.0.0.1:9000",
+		FlagSet:   newFlagSet("standin"),
+		Subcommands: []*ffcli.Command{
+			standinPlatform(o), standinEngine(o), standinService(o),
+		},
+		Exec: func(context.Context, []string) error {
+			return usagef("standin needs one of platform, engine, service")
+		},
+	}
+}
+
+func standinPlatform(o output) *ffcli.Command {
+	fs := newFlagSet("platform")
+	listen := fs.String("listen", "127.0.0.1:9000", "IP:port to listen on")
+	rate := fs.Float64("appends", 300, "append rate limit per second")
+	retain := fs.Int("retain", 0, "entries kept in each stream; 0 keeps all")
+	lag := fs.Duration("lag", time.Second, "lag of the instance list")
+	return leaf(fs, "platform", "Run the log and the instance list.", func(ctx context.Context) error {
+		p := standin.NewPlatform(standin.PlatformOptions{
+			AppendsPerSecond: *rate, Retain: *retain, ListLag: *lag, InstanceTTL: 5 * time.Second,
+		})
+		return serveHTTP(ctx, o, *listen, p.Handler())
+	})
+}
+
+func standinEngine(o output) *ffcli.Command {
+	fs := newFlagSet("engine")
+	listen := fs.String("listen", "127.0.0.1:9100", "IP:port to listen on")
+	model := fs.String("model", "small", "model that it serves")
+	step := fs.Duration("step", 3*time.Millisecond, "time of one step")
+	return leaf(fs, "engine", "Run a model engine.", func(ctx context.Context) error {
+		return serveHTTP(ctx, o, *listen, standin.NewEngine(standin.EngineOptions{Model: *model, Step: *step}).Handler())
+	})
+}
+
+func standinService(o output) *ffcli.Command {
+	fs := newFlagSet("service")
+	listen := fs.String("listen", "127.0.0.1:9200", "IP:port to listen on")
+	return leaf(fs, "service", "Run a plain service.", func(ctx context.Context) error {
+		return serveHTTP(ctx, o, *listen, standin.NewService().Handler())
+	})
+}
+
+func leaf(fs *flag.FlagSet, name, help string, exec func(context.Context) error) *ffcli.Command {
+	return &ffcli.Command{
+		Name: name, ShortUsage: "guavapier standin " + name + " [flags]", ShortHelp: help, FlagSet: fs,
+		LongHelp: "Example:\n  guavapier standin " + name,
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) > 0 {
+				return usagef("standin %s takes no arguments, got %q", name, args[0])
+			}
+			return exec(ctx)
+		},
+	}
+}
+
+// serveHTTP serves until ctx ends and prints the bound address first.
+func serveHTTP(ctx context.Context, o output, listen string, h http.Handler) error {
+	l, err := net.Listen("tcp", listen)
+	if err != nil {
+		return eris.Wrap(err, "cli: listen")
+	}
+	fmt.Fprintln(o.out, "listening on "+l.Addr().String())
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
+	defer stop()
+	if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,159 @@
+// Package dispatch runs the decisions of package decide against the clock: it
+// owns a Decider, ticks it, and hands each decision to the goroutine that
+// waits for it.
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"guavapier/internal/decide"
+
+	"github.com/rotisserie/eris"
+)
+
+// TickEvery is the pause between two ticks. A request waits half of it on
+// average before its first decision; every Submit also ticks at once.
+const TickEvery = 2 * time.Millisecond
+
+// ErrStopped is returned by Submit after Close.
+var ErrStopped = eris.New("dispatch: stopped")
+
+// Refusal is the final answer to a request that did not run.
+type Refusal struct {
+	Code       decide.Code
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (r *Refusal) Error() string { return "dispatch: refused: " + string(r.Code) }
+
+// Placement is a started request. Done must be called once.
+type Placement struct {
+	Endpoint string
+	id       decide.RequestID
+	d        *Dispatcher
+}
+
+// Done tells how the attempt ended and frees its slot.
+func (p *Placement) Done(result decide.Result) {
+	p.d.mu.Lock()
+	defer p.d.mu.Unlock()
+	p.d.decider.Finish(p.id, result)
+	p.d.tick()
+}
+
+// Dispatcher is safe for concurrent use.
+type Dispatcher struct {
+	mu      sync.Mutex
+	decider *decide.Decider
+	waiting map[decide.RequestID]chan decide.Decision
+	lastID  decide.RequestID
+	origin  time.Time
+	stop    chan struct{}
+	stopped sync.WaitGroup
+}
+
+// New starts a Dispatcher.
+func New() *Dispatcher {
+	d := &Dispatcher{
+		decider: decide.New(),
+		waiting: map[decide.RequestID]chan decide.Decision{},
+		origin:  time.Now(),
+		stop:    make(chan struct{}),
+	}
+	d.stopped.Add(1)
+	go d.run()
+	return d
+}
+
+// Close stops the ticks. Waiting requests get ErrStopped.
+func (d *Dispatcher) Close() {
+	close(d.stop)
+	d.stopped.Wait()
+}
+
+// Now returns the Decider's time.
+func (d *Dispatcher) Now() decide.Time { return time.Since(d.origin) }
+
+// Update changes the Decider's tables.
+func (d *Dispatcher) Update(change func(*decide.Decider)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	change(d.decider)
+	d.tick()
+}
+
+// Submit waits for the request's decision. It sets r.ID. The error is a
+// *Refusal, ErrStopped, or that of ctx; in each case the request did not run.
+func (d *Dispatcher) Submit(ctx context.Context, r decide.Request) (*Placement, error) {
+	decision := make(chan decide.Decision, 1)
+	d.mu.Lock()
+	d.lastID++
+	r.ID = d.lastID
+	d.waiting[r.ID] = decision
+	d.decider.Submit(r)
+	d.tick()
+	d.mu.Unlock()
+	select {
+	case got := <-decision:
+		return d.placement(got)
+	case <-ctx.Done():
+		return nil, d.abandon(r.ID, decision, ctx.Err())
+	case <-d.stop:
+		return nil, d.abandon(r.ID, decision, ErrStopped)
+	}
+}
+
+func (d *Dispatcher) placement(got decide.Decision) (*Placement, error) {
+	if got.Kind == decide.Refuse {
+		return nil, &Refusal{Code: got.Code, RetryAfter: got.RetryAfter}
+	}
+	return &Placement{Endpoint: got.Endpoint, id: got.Request, d: d}, nil
+}
+
+// abandon withdraws a request. If its start was decided meanwhile, the slot
+// is given back unused.
+func (d *Dispatcher) abandon(id decide.RequestID, decision <-chan decide.Decision, err error) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.waiting, id)
+	select {
+	case got := <-decision:
+		if got.Kind == decide.Start {
+			d.decider.Finish(id, decide.Result{})
+		}
+	default:
+		d.decider.Cancel(id)
+	}
+	return err
+}
+
+func (d *Dispatcher) run() {
+	defer d.stopped.Done()
+	ticker := time.NewTicker(TickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			d.mu.Lock()
+			d.tick()
+			d.mu.Unlock()
+		case <-d.stop:
+			return
+		}
+	}
+}
+
+// tick runs the systems and delivers their decisions. d.mu is held.
+func (d *Dispatcher) tick() {
+	for _, decision := range d.decider.Tick(d.Now()) {
+		waiting, ok := d.waiting[decision.Request]
+		if !ok {
+			continue
+		}
+		delete(d.waiting, decision.Request)
+		waiting <- decision
+	}
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,94 @@
+// Package entry is the callers' and operators' HTTP interface.
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"guavapier/internal/config"
+	"guavapier/internal/fold"
+	"guavapier/internal/record"
+	"guavapier/internal/replica"
+	"guavapier/internal/run"
+	"guavapier/internal/session"
+
+	"github.com/go-chi/chi/v5"
+)
+
+// The headers of the callers' interface.
+const (
+	HeaderSession = "X-Session"
+	HeaderKey     = "Idempotency-Key"
+	// HeaderFirst is the caller's promise that this is its first attempt.
+	HeaderFirst    = "X-First-Attempt"
+	HeaderPriority = "X-Priority"
+)
+
+// Limits bound what callers may send and how long they wait.
+type Limits struct {
+	BodyBytes     int64
+	MaxTokens     int
+	FirstToken    time.Duration
+	ServiceAnswer time.Duration
+}
+
+// Appender appends records to the log; see platform.Publisher.
+type Appender interface {
+	Append(ctx context.Context, stream record.Stream, records ...record.Record) (uint64, error)
+}
+
+// Callers serves the callers' interface.
+type Callers struct {
+	Zone     record.Zone
+	Config   *replica.Replica[*fold.Config]
+	Sessions session.Keyring
+	Runner   *run.Runner
+	Limits   Limits
+	// Ready says whether the instance takes new requests.
+	Ready func() bool
+}
+
+// Handler returns the callers' routes.
+func (c *Callers) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/readyz", c.handleReady)
+	r.Group(func(r chi.Router) {
+		r.Use(c.authenticate)
+		r.Post("/v1/chat/completions", c.handleChat)
+		r.Post("/v1/sessions", c.handleOpenSession)
+		r.HandleFunc("/v1/services/{service}/*", c.handleService)
+	})
+	return r
+}
+
+func (c *Callers) handleReady(w http.ResponseWriter, _ *http.Request) {
+	if !c.Ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+type teamKey struct{}
+
+// authenticate finds the team of the request's bearer key.
+func (c *Callers) authenticate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var team config.Team
+		ok := false
+		c.Config.View(func(f *fold.Config) { team, ok = config.Authenticate(f, bearer(r)) })
+		if !ok {
+			writeProblem(w, http.StatusUnauthorized, problem{
+				Type: typeAuthentication, Code: "invalid_api_key", Message: "The API key is missing or not valid.", Outcome: record.OutcomeNotRun,
+			})
+			return
+		}
+		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), teamKey{}, team)))
+	})
+}
+
+func teamOf(r *http.Request) config.Team {
+	team, _ := r.Context().Value(teamKey{}).(config.Team)
+	return team
+}
--- /dev/null
+++ b/internal/entry/problem.go
@@ -0,0 +1,103 @@
+package entry
+
+import (
+	"encoding/json"
+	"errors"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"guavapier/internal/record"
+	"guavapier/internal/run"
+)
+
+// The error types that clients of the chat completions interface know.
+const (
+	typeInvalid        = "invalid_request_error"
+	typeAuthentication = "authentication_error"
+	typeQuota          = "insufficient_quota"
+	typeServer         = "server_error"
+	typeRateLimit      = "rate_limit_error"
+)
+
+// problem is the body of every refusal.
+type problem struct {
+	Type    string
+	Code    string
+	Message string
+	Outcome record.Outcome
+	// RetryAfter in seconds; 0 where coming back does not help.
+	RetryAfter int
+}
+
+type problemBody struct {
+	Error problemError `json:"error"`
+}
+
+type problemError struct {
+	Message    string  `json:"message"`
+	Type       string  `json:"type"`
+	Param      *string `json:"param"`
+	Code       string  `json:"code"`
+	Outcome    string  `json:"outcome"`
+	RetryAfter int     `json:"retry_after,omitempty"`
+}
+
+func (p problem) body() problemBody {
+	return problemBody{Error: problemError{
+		Message: p.Message, Type: p.Type, Code: p.Code, Outcome: p.Outcome.String(), RetryAfter: p.RetryAfter,
+	}}
+}
+
+func writeProblem(w http.ResponseWriter, status int, p problem) {
+	w.Header().Set("Content-Type", "application/json")
+	if p.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(p.RetryAfter))
+	}
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(p.body())
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// invalid is a request that can never run as it stands.
+func invalid(code, message string) problem {
+	return problem{Type: typeInvalid, Code: code, Message: message, Outcome: record.OutcomeNotRun}
+}
+
+// fromFailure returns the status and body for a failed run.
+func fromFailure(err error) (int, problem) {
+	var f *run.Failure
+	if !errors.As(err, &f) {
+		return http.StatusInternalServerError, problem{Type: typeServer, Code: string(run.CodeInternal), Message: err.Error(), Outcome: record.OutcomeUnknown}
+	}
+	p := problem{
+		Type: typeServer, Code: string(f.Code), Message: f.Message, Outcome: f.Outcome,
+		RetryAfter: int(math.Ceil(f.RetryAfter.Seconds())),
+	}
+	status := http.StatusServiceUnavailable
+	switch f.Code {
+	case run.CodeBudgetExhausted, run.CodeNoBudget:
+		status, p.Type = http.StatusPaymentRequired, typeQuota
+	case run.CodeKeyReused:
+		status, p.Type = http.StatusUnprocessableEntity, typeInvalid
+	case run.CodeOutcomeUnknown:
+		status = http.StatusConflict
+	case run.CodeEndpointFailed:
+		status = http.StatusBadGateway
+	}
+	return status, p
+}
+
+func bearer(r *http.Request) string {
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return ""
+	}
+	return key
+}
--- /dev/null
+++ b/internal/entry/service.go
@@ -0,0 +1,57 @@
+package entry
+
+import (
+	"io"
+	"net/http"
+
+	"guavapier/internal/decide"
+	"guavapier/internal/run"
+
+	"github.com/go-chi/chi/v5"
+)
+
+func (c *Callers) handleService(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, c.Limits.BodyBytes))
+	if err != nil {
+		writeProblem(w, http.StatusRequestEntityTooLarge, invalid("body_too_large", "The body is larger than allowed."))
+		return
+	}
+	if r.Header.Get(HeaderKey) == "" {
+		writeProblem(w, http.StatusBadRequest, invalid("idempotency_key_missing", "A call that may not be repeated needs an Idempotency-Key."))
+		return
+	}
+	common, p, ok := c.common(r, body)
+	if !ok {
+		writeProblem(w, http.StatusForbidden, p)
+		return
+	}
+	common.Wait = c.Limits.ServiceAnswer
+	common.Priority = decide.PriorityCall
+	answer, err := c.Runner.Call(r.Context(), run.Call{
+		Request: common, Service: chi.URLParam(r, "service"), Method: r.Method,
+		Path: "/call/" + chi.URLParam(r, "*"), ContentType: r.Header.Get("Content-Type"), Body: body,
+	})
+	if err != nil {
+		status, p := fromFailure(err)
+		writeProblem(w, status, p)
+		return
+	}
+	w.Header().Set("Content-Type", answer.ContentType)
+	w.WriteHeader(answer.Status)
+	_, _ = w.Write(answer.Body)
+}
+
+type sessionBody struct {
+	ID    string `json:"id"`
+	Token string `json:"token"`
+	Home  string `json:"home"`
+}
+
+func (c *Callers) handleOpenSession(w http.ResponseWriter, r *http.Request) {
+	id, token, err := c.Sessions.Open(teamOf(r).Name, c.Zone)
+	if err != nil {
+		writeProblem(w, http.StatusInternalServerError, problem{Type: typeServer, Code: "no_signing_key", Message: err.Error()})
+		return
+	}
+	writeJSON(w, http.StatusCreated, sessionBody{ID: string(id.ID), Token: token, Home: string(id.Home)})
+}
--- /dev/null
+++ b/internal/record/codec.go
@@ -0,0 +1,103 @@
+package record
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+)
+
+// MaxBatchBytes bounds one encoded batch. The platform's log takes entries of
+// up to one mebibyte.
+const MaxBatchBytes = 1 << 20
+
+// ErrMalformed is returned for bytes that are not a batch or a record.
+var ErrMalformed = eris.New("record: malformed")
+
+// Envelope is an encoded record with its kind.
+type Envelope struct {
+	Kind Kind            `cbor:"1,keyasint"`
+	Body cbor.RawMessage `cbor:"2,keyasint"`
+}
+
+// Batch is what one append carries: the records that one writer committed
+// together. Writer and Seq make an append idempotent: a writer sends batch
+// Seq+1 only when it has read batch Seq back, and folds skip a Seq that they
+// have seen from that writer.
+type Batch struct {
+	Writer  InstanceID `cbor:"1,keyasint"`
+	Seq     uint64     `cbor:"2,keyasint"`
+	Records []Envelope `cbor:"3,keyasint"`
+}
+
+// Encode returns the envelope of r.
+func Encode(r Record) (Envelope, error) {
+	if u, ok := r.(Unknown); ok {
+		return Envelope{Kind: u.Of, Body: u.Body}, nil
+	}
+	body, err := cbor.Marshal(r)
+	if err != nil {
+		return Envelope{}, eris.Wrapf(err, "record: encode kind %d", r.Kind())
+	}
+	return Envelope{Kind: r.Kind(), Body: body}, nil
+}
+
+// Decode returns the typed record in e. A kind that this version does not
+// know comes back as Unknown, without an error.
+func Decode(e Envelope) (Record, error) {
+	decode, ok := decoders[e.Kind]
+	if !ok {
+		return Unknown{Of: e.Kind, Body: e.Body}, nil
+	}
+	return decode(e.Body)
+}
+
+// EncodeBatch returns the bytes of b.
+func EncodeBatch(b Batch) ([]byte, error) {
+	data, err := cbor.Marshal(b)
+	if err != nil {
+		return nil, eris.Wrap(err, "record: encode batch")
+	}
+	return data, nil
+}
+
+// DecodeBatch reads a batch. It returns ErrMalformed for anything else.
+func DecodeBatch(data []byte) (Batch, error) {
+	var b Batch
+	if err := cbor.Unmarshal(data, &b); err != nil {
+		return Batch{}, eris.Wrap(ErrMalformed, err.Error())
+	}
+	return b, nil
+}
+
+// EncodeEnvelope returns the bytes of one envelope.
+func EncodeEnvelope(e Envelope) ([]byte, error) { return cbor.Marshal(e) }
+
+// DecodeEnvelope reads one envelope.
+func DecodeEnvelope(data []byte) (Envelope, error) {
+	var e Envelope
+	if err := cbor.Unmarshal(data, &e); err != nil {
+		return Envelope{}, eris.Wrap(ErrMalformed, err.Error())
+	}
+	return e, nil
+}
+
+var decoders = map[Kind]func([]byte) (Record, error){
+	KindTopUp:         decodeAs[TopUp],
+	KindGrant:         decodeAs[Grant],
+	KindClose:         decodeAs[Close],
+	KindBill:          decodeAs[Bill],
+	KindShard:         decodeAs[Shard],
+	KindClaim:         decodeAs[Claim],
+	KindClaimEnd:      decodeAs[ClaimEnd],
+	KindSessionOpened: decodeAs[SessionOpened],
+	KindSessionEnded:  decodeAs[SessionEnded],
+	KindChange:        decodeAs[Change],
+	KindSnapshot:      decodeAs[Snapshot],
+}
+
+func decodeAs[R Record](body []byte) (Record, error) {
+	var r R
+	if err := cbor.Unmarshal(body, &r); err != nil {
+		return nil, eris.Wrap(ErrMalformed, err.Error())
+	}
+	return r, nil
+}
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,222 @@
+// Package server puts one instance together, starts it and drains it.
+package server
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"guavapier/internal/claim"
+	"guavapier/internal/dispatch"
+	"guavapier/internal/endpoint"
+	"guavapier/internal/entry"
+	"guavapier/internal/fold"
+	"guavapier/internal/ledger"
+	"guavapier/internal/platform"
+	"guavapier/internal/record"
+	"guavapier/internal/replica"
+	"guavapier/internal/run"
+	"guavapier/internal/session"
+	"guavapier/internal/settings"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+)
+
+// Secrets are the contents of the secrets files.
+type Secrets struct {
+	Sessions session.Keyring
+	Operator string
+}
+
+const (
+	maxAttempts      = 3
+	publisherRetry   = 50 * time.Millisecond
+	publisherRecords = 1000
+	listEvery        = 500 * time.Millisecond
+	shutdownPatience = 24 * time.Hour // Long reports are never cut off by a drain.
+)
+
+// Server is one instance.
+type Server struct {
+	id       record.InstanceID
+	settings settings.Settings
+	secrets  Secrets
+	log      zerolog.Logger
+
+	client     *platform.Client
+	publisher  *platform.Publisher
+	config     *replica.Replica[*fold.Config]
+	partitions ledger.Partitions
+	dispatcher *dispatch.Dispatcher
+	members    *members
+	runner     *run.Runner
+	draining   atomic.Bool
+
+	callers   net.Listener
+	operators net.Listener
+}
+
+// New puts an instance together and binds its addresses.
+func New(s settings.Settings, secrets Secrets, log zerolog.Logger) (*Server, error) {
+	srv := &Server{id: record.NewInstanceID(s.Instance.Name), settings: s, secrets: secrets, log: log}
+	if err := srv.listen(); err != nil {
+		return nil, err
+	}
+	srv.client = platform.NewClient(s.Platform.URL, s.Platform.Timeout.D())
+	srv.publisher = platform.NewPublisher(srv.client, srv.id, platform.PublisherOptions{
+		Linger: s.Ledger.Linger.D(), RetryEvery: publisherRetry, MaxRecords: publisherRecords,
+	})
+	srv.config = replica.New(record.ConfigStream, fold.NewConfig())
+	for n := range s.Ledger.Partitions {
+		srv.partitions = append(srv.partitions, replica.New(record.LedgerStream(n), fold.NewLedger()))
+	}
+	srv.dispatcher = dispatch.New()
+	srv.members = newMembers(srv.client, srv.dispatcher)
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.MaxIdleConnsPerHost = 64
+	srv.runner = &run.Runner{
+		Claims: claim.NewLocal(srv.id),
+		Accounts: ledger.New(srv.id, record.Zone(s.Instance.Zone), srv.publisher, srv.partitions, ledger.Options{
+			GrantTokens: s.Ledger.GrantTokens, Patience: s.Ledger.Patience.D(),
+		}),
+		Placer: srv.dispatcher, Endpoints: srv.members,
+		Engines:     endpoint.NewHTTPEngines(transport),
+		Services:    endpoint.NewHTTPServices(transport, s.Limits.AnswerBytes),
+		MaxAttempts: maxAttempts,
+		OnError:     func(err error) { log.Error().Err(err).Msg("run: background error") },
+	}
+	return srv, nil
+}
+
+func (s *Server) listen() error {
+	var err error
+	if s.callers, err = net.Listen("tcp", s.settings.Instance.Callers); err != nil {
+		return eris.Wrap(err, "server: listen for callers")
+	}
+	if s.operators, err = net.Listen("tcp", s.settings.Instance.Operators); err != nil {
+		return eris.Wrap(err, "server: listen for operators")
+	}
+	return nil
+}
+
+// CallersAddr returns the bound callers' address.
+func (s *Server) CallersAddr() string { return s.callers.Addr().String() }
+
+// OperatorsAddr returns the bound operators' address.
+func (s *Server) OperatorsAddr() string { return s.operators.Addr().String() }
+
+// Run serves until ctx ends, then drains: it finishes every request in flight.
+func (s *Server) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	callers := &http.Server{Handler: s.callersHandler(), ReadHeaderTimeout: 10 * time.Second}
+	operators := &http.Server{Handler: s.operatorsHandler(), ReadHeaderTimeout: 10 * time.Second}
+	var group errgroup.Group
+	group.Go(func() error { return s.follow(background) })
+	group.Go(func() error { s.members.run(background, s.self); return nil })
+	group.Go(func() error { return ignoreClosed(callers.Serve(s.callers)) })
+	group.Go(func() error { return ignoreClosed(operators.Serve(s.operators)) })
+	s.log.Info().Str("id", string(s.id)).Str("callers", s.CallersAddr()).Str("operators", s.OperatorsAddr()).Msg("server: serving")
+	<-ctx.Done()
+	s.drain(callers, operators)
+	stop()
+	s.dispatcher.Close()
+	err := group.Wait()
+	_ = s.publisher.Close()
+	s.log.Info().Msg("server: stopped")
+	return err
+}
+
+func (s *Server) drain(callers, operators *http.Server) {
+	s.draining.Store(true)
+	s.log.Info().Msg("server: draining")
+	patience, cancel := context.WithTimeout(context.Background(), shutdownPatience)
+	defer cancel()
+	_ = callers.Shutdown(patience)
+	_ = operators.Shutdown(patience)
+}
+
+func (s *Server) self() platform.Instance {
+	return platform.Instance{
+		ID: s.id, Zone: record.Zone(s.settings.Instance.Zone), Peer: s.settings.Instance.Peers, Leaving: s.draining.Load(),
+	}
+}
+
+func (s *Server) follow(ctx context.Context) error {
+	onError := func(err error) { s.log.Error().Err(err).Msg("replica: batch passed over") }
+	sources := []replica.Source{{Stream: record.ConfigStream, Handler: s.config.Handle(onError)}}
+	for _, p := range s.partitions {
+		sources = append(sources, replica.Source{Stream: p.Stream(), Handler: p.Handle(onError)})
+	}
+	trimmed := func(stream record.Stream, first uint64) {
+		s.log.Error().Str("stream", string(stream)).Uint64("first", first).Msg("replica: records aged out unread")
+	}
+	sub := platform.NewSubscriber(s.client, func(record.Stream) uint64 { return 0 }, trimmed)
+	return replica.Follow(ctx, sub, sources)
+}
+
+func (s *Server) callersHandler() http.Handler {
+	limits := s.settings.Limits
+	c := &entry.Callers{
+		Zone: record.Zone(s.settings.Instance.Zone), Config: s.config, Sessions: s.secrets.Sessions, Runner: s.runner,
+		Limits: entry.Limits{
+			BodyBytes: limits.BodyBytes, MaxTokens: limits.MaxTokens,
+			FirstToken: limits.FirstToken.D(), ServiceAnswer: limits.ServiceAnswer.D(),
+		},
+		Ready: func() bool { return !s.draining.Load() && s.members.ready() },
+	}
+	return c.Handler()
+}
+
+func (s *Server) operatorsHandler() http.Handler {
+	o := &entry.Operators{
+		Token: s.secrets.Operator, Log: s.publisher, Config: s.config, Ledgers: s.partitions, State: s.state,
+	}
+	return o.Handler()
+}
+
+// StateDump is the answer to a request for this process's state.
+type StateDump struct {
+	ID       record.InstanceID `json:"id"`
+	Zone     string            `json:"zone"`
+	Draining bool              `json:"draining"`
+	Applied  map[string]uint64 `json:"applied"`
+	Budgets  []fold.Budget     `json:"budgets"`
+	Members  platform.List     `json:"members"`
+}
+
+func (s *Server) state() any {
+	dump := StateDump{ID: s.id, Zone: s.settings.Instance.Zone, Draining: s.draining.Load(), Applied: map[string]uint64{}, Members: s.members.list()}
+	dump.Applied[string(record.ConfigStream)] = s.config.Next()
+	for _, p := range s.partitions {
+		dump.Applied[string(p.Stream())] = p.Next()
+		p.View(func(f *fold.Ledger) { dump.Budgets = append(dump.Budgets, f.Budgets()...) })
+	}
+	return dump
+}
+
+func ignoreClosed(err error) error {
+	if eris.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// members follows the platform's instance list.
+type members struct {
+	directory  platform.Directory
+	dispatcher *dispatch.Dispatcher
+
+	mu   sync.Mutex
+	last platform.List
+	seen bool
+}
+
+func newMembers(directory platform.Directory, dispatcher *dispatch.Dispatcher) *members {
+	return &members{directory: directory, dispatcher: dispatcher}
+}
--- /dev/null
+++ b/internal/standin/directory.go
@@ -0,0 +1,99 @@
+package standin
+
+import (
+	"net/http"
+	"sort"
+	"time"
+)
+
+type listedInstance struct {
+	ID      string `json:"id"`
+	Zone    string `json:"zone"`
+	Peer    string `json:"peer"`
+	Leaving bool   `json:"leaving"`
+}
+
+// ListedEndpoint is one endpoint of the instance list.
+type ListedEndpoint struct {
+	Name    string `json:"name"`
+	Zone    string `json:"zone"`
+	URL     string `json:"url"`
+	Service string `json:"service,omitempty"`
+	Model   string `json:"model,omitempty"`
+	Leaving bool   `json:"leaving"`
+}
+
+type directoryList struct {
+	Instances []listedInstance `json:"instances"`
+	Endpoints []ListedEndpoint `json:"endpoints"`
+}
+
+type announcement struct {
+	listedInstance
+	at time.Time
+}
+
+// directory is the instance list. Readers see it as it was up to lag ago.
+type directory struct {
+	lag, ttl  time.Duration
+	instances map[string]announcement
+	endpoints []ListedEndpoint
+	shown     directoryList
+	shownAt   time.Time
+}
+
+func newDirectory(opts PlatformOptions) directory {
+	return directory{lag: opts.ListLag, ttl: opts.InstanceTTL, instances: map[string]announcement{}}
+}
+
+func (d *directory) view(now time.Time) directoryList {
+	if now.Sub(d.shownAt) < d.lag {
+		return d.shown
+	}
+	list := directoryList{Instances: []listedInstance{}, Endpoints: append([]ListedEndpoint{}, d.endpoints...)}
+	for id, a := range d.instances {
+		if now.Sub(a.at) > d.ttl {
+			delete(d.instances, id)
+			continue
+		}
+		list.Instances = append(list.Instances, a.listedInstance)
+	}
+	sort.Slice(list.Instances, func(i, j int) bool { return list.Instances[i].ID < list.Instances[j].ID })
+	d.shown, d.shownAt = list, now
+	return list
+}
+
+func (p *Platform) handleAnnounce(w http.ResponseWriter, r *http.Request) {
+	var a announcement
+	if !readJSON(w, r, &a.listedInstance) {
+		return
+	}
+	a.at = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.list.instances[a.ID] = a
+	writeJSON(w, a.listedInstance)
+}
+
+func (p *Platform) handleList(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	list := p.list.view(time.Now())
+	p.mu.Unlock()
+	writeJSON(w, list)
+}
+
+func (p *Platform) handleEndpoints(w http.ResponseWriter, r *http.Request) {
+	var endpoints []ListedEndpoint
+	if !readJSON(w, r, &endpoints) {
+		return
+	}
+	p.SetEndpoints(endpoints)
+	writeJSON(w, endpoints)
+}
+
+// SetEndpoints replaces the endpoints of the instance list.
+func (p *Platform) SetEndpoints(endpoints []ListedEndpoint) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.list.endpoints = endpoints
+}
--- /dev/null
+++ b/test/process/harness_test.go
@@ -0,0 +1,301 @@
+package process_test
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"guavapier/internal/config"
+	"guavapier/internal/record"
+)
+
+// binary is the program under test, built once by TestMain.
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "guavapier")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "guavapier")
+	build := exec.Command("go", "build", "-race", "-o", binary, "guavapier/cmd/guavapier")
+	build.Stderr = os.Stderr
+	code := 1
+	if build.Run() == nil {
+		code = m.Run()
+	}
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+const (
+	operatorToken = "operator-secret"
+	waitLimit     = 30 * time.Second
+	pollEvery     = 20 * time.Millisecond
+)
+
+// process is one running process of the binary.
+type process struct {
+	t    *testing.T
+	cmd  *exec.Cmd
+	out  *bytes.Buffer
+	done chan struct{}
+}
+
+// start runs the binary and returns when it has printed a line with the
+// marker; that line comes back.
+func start(t *testing.T, marker string, args ...string) (*process, string) {
+	t.Helper()
+	p := &process{t: t, cmd: exec.Command(binary, args...), out: &bytes.Buffer{}, done: make(chan struct{})}
+	reader, writer := io.Pipe()
+	p.cmd.Stdout, p.cmd.Stderr = writer, writer
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	lines := make(chan string, 1)
+	go p.scan(reader, marker, lines)
+	go func() {
+		_ = p.cmd.Wait()
+		_ = writer.Close()
+		close(p.done)
+	}()
+	t.Cleanup(p.kill)
+	select {
+	case line := <-lines:
+		return p, line
+	case <-p.done:
+		t.Fatalf("%v ended before it was ready", args)
+	case <-time.After(waitLimit):
+		t.Fatalf("%v was not ready in time", args)
+	}
+	return nil, ""
+}
+
+func (p *process) scan(r io.Reader, marker string, lines chan<- string) {
+	scanner := bufio.NewScanner(r)
+	found := false
+	for scanner.Scan() {
+		if !found && strings.Contains(scanner.Text(), marker) {
+			found = true
+			lines <- scanner.Text()
+		}
+	}
+}
+
+func (p *process) signal(s os.Signal) { _ = p.cmd.Process.Signal(s) }
+
+func (p *process) kill() {
+	p.signal(syscall.SIGCONT)
+	p.signal(os.Kill)
+	<-p.done
+}
+
+// exitCode waits for the process to end by itself.
+func (p *process) exitCode() int {
+	select {
+	case <-p.done:
+	case <-time.After(waitLimit):
+		p.t.Fatal("process did not end in time")
+	}
+	return p.cmd.ProcessState.ExitCode()
+}
+
+// startStandin runs a stand-in and returns its base URL.
+func startStandin(t *testing.T, kind string, args ...string) (*process, string) {
+	t.Helper()
+	const marker = "listening on "
+	p, line := start(t, marker, append([]string{"standin", kind, "-listen", "127.0.0.1:0"}, args...)...)
+	return p, "http://" + line[strings.Index(line, marker)+len(marker):]
+}
+
+// instance is one running instance.
+type instance struct {
+	*process
+	callers   string
+	operators string
+}
+
+type serving struct {
+	Callers   string `json:"callers"`
+	Operators string `json:"operators"`
+}
+
+// startInstance runs an instance and waits until it is ready. extra is TOML
+// appended to its settings.
+func startInstance(t *testing.T, name, zone, platform, extra string) *instance {
+	t.Helper()
+	dir := t.TempDir()
+	write := func(file, text string) string {
+		path := filepath.Join(dir, file)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	text := fmt.Sprintf(`
+[instance]
+name = %q
+zone = %q
+callers = "127.0.0.1:0"
+operators = "127.0.0.1:0"
+peers = "127.0.0.1:0"
+[platform]
+url = %q
+[sessions]
+current_key = "k1"
+key_files = { k1 = %q }
+[operator]
+token_file = %q
+%s`, name, zone, platform, write("session.key", "0123456789abcdef0123456789abcdef"), write("operator.token", operatorToken), extra)
+	p, line := start(t, "server: serving", "serve", "-settings", write("settings.toml", text))
+	var at serving
+	if err := json.Unmarshal([]byte(line), &at); err != nil {
+		t.Fatal(err)
+	}
+	in := &instance{process: p, callers: "http://" + at.Callers, operators: "http://" + at.Operators}
+	eventually(t, name+" ready", func() bool {
+		resp, err := http.Get(in.callers + "/readyz")
+		if err != nil {
+			return false
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+	return in
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(waitLimit)
+	for !ok() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not in time: %s", what)
+		}
+		time.Sleep(pollEvery)
+	}
+}
+
+// answer is an HTTP answer read whole.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func call(method, url, token string, body any, headers ...string) answer {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return answer{err: err}
+	}
+	req, err := http.NewRequest(method, url, bytes.NewReader(data))
+	if err != nil {
+		return answer{err: err}
+	}
+	req.Header.Set("Authorization", "Bearer "+token)
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(text), err: err}
+}
+
+func mustCall(t *testing.T, method, url, token string, body any, headers ...string) answer {
+	t.Helper()
+	got := call(method, url, token, body, headers...)
+	if got.err != nil || got.status >= 300 {
+		t.Fatalf("%s %s: %d %v: %s", method, url, got.status, got.err, got.body)
+	}
+	return got
+}
+
+// seedTeam gives a team an API key (team:secret) and tops up its main budget.
+func seedTeam(t *testing.T, operators, team string, tokens int64) string {
+	t.Helper()
+	key := team + ":secret"
+	mustCall(t, http.MethodPut, operators+"/settings", operatorToken, record.Change{ID: "seed-" + team, By: "test", Ops: []record.ChangeOp{
+		{Path: config.APIKeyPath(record.Team(team), key), Value: "test key"},
+	}})
+	topUp(t, operators, team, "seed", tokens)
+	return key
+}
+
+func topUp(t *testing.T, operators, team, id string, tokens int64) {
+	t.Helper()
+	mustCall(t, http.MethodPost, operators+"/topups", operatorToken, map[string]any{
+		"team": team, "budget": "main", "tokens": tokens, "id": id, "by": "test",
+	})
+}
+
+type budgetRow struct {
+	Prepaid   int64 `json:"prepaid"`
+	Committed int64 `json:"committed"`
+	Billed    int64 `json:"billed"`
+}
+
+func budget(t *testing.T, operators, team string) budgetRow {
+	t.Helper()
+	var row budgetRow
+	got := mustCall(t, http.MethodGet, operators+"/budgets/"+team+"/main", operatorToken, nil)
+	if err := json.Unmarshal([]byte(got.body), &row); err != nil {
+		t.Fatal(err)
+	}
+	return row
+}
+
+func chatBody(maxTokens int, stream bool) map[string]any {
+	return map[string]any{
+		"model": "small", "max_tokens": maxTokens, "stream": stream,
+		"messages": []map[string]string{{"role": "user", "content": "hello"}},
+	}
+}
+
+// wholeText is the stand-in engine's whole answer of n tokens.
+func wholeText(n int) string {
+	var b strings.Builder
+	for i := range n {
+		fmt.Fprintf(&b, "w%d ", i)
+	}
+	return b.String()
+}
+
+// streamText joins the tokens of a streamed answer; whole says whether the
+// closing event came.
+func streamText(body string) (text string, whole bool) {
+	var b strings.Builder
+	for _, line := range strings.Split(body, "\n") {
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return b.String(), true
+		}
+		var chunk struct {
+			Choices []struct {
+				Delta struct {
+					Content string `json:"content"`
+				} `json:"delta"`
+			} `json:"choices"`
+		}
+		if json.Unmarshal([]byte(data), &chunk) == nil && len(chunk.Choices) > 0 {
+			b.WriteString(chunk.Choices[0].Delta.Content)
+		}
+	}
+	return b.String(), false
+}
