Carry calls between instances over net/rpc with deadlines and heartbeats

Cause: instances had no way to ask each other. net/rpc has no deadlines, no heartbeats, no bounds and blocks its callers in a write.

Ruled out: gob (cannot be bounded per message), a connection per call.

Change: internal/peer (CBOR codec with a length before each message, one connection per peer, probes, identity greeting, bounded server), internal/membership (takes over internal/server/members.go: announces the bound peers address, follows the list, Live, heartbeats at a constant rate), internal/server/peers.go; "server: serving" prints peers.

Seen red on broken variants: probe never abandons: TestSilentConnectionIsReplaced "not in time: a call comes through" (4 of 5 cases; that the fifth, both directions, failed too was cut from the output); greeting not compared: TestCallThatCannotBeSentSaysSo; frame bound off: TestServerDropsOversizedMessage; any late call closes the connection: TestSlowMethodLeavesTheConnection; writes made by the caller itself with no write deadline: TestBlockedWriteIsBounded ends in the test timeout. Either of these two broken alone stays green: queue and deadline each bound the caller. The deadline at the serving end has no test of its own.

--- /dev/null
+++ b/internal/membership/membership.go
@@ -0,0 +1,191 @@
+// Package membership follows the platform's lagging instance list and knows
+// which peers answer. Both are hints: they decide whom to ask first, never who
+// holds a right.
+package membership
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"guavapier/internal/peer"
+	"guavapier/internal/platform"
+	"guavapier/internal/record"
+)
+
+const (
+	// ListEvery is the time between two reads of the instance list.
+	ListEvery = 500 * time.Millisecond
+	// ProbeEvery is the time between two rounds of heartbeats.
+	ProbeEvery = 500 * time.Millisecond
+	// probesPerRound bounds the heartbeats of one round, so that their cost
+	// does not grow with the fleet. Peers take turns; peers in use are watched
+	// by their own connections.
+	probesPerRound = 4
+	// probeTimeout is how long a peer has to answer a heartbeat.
+	probeTimeout = 500 * time.Millisecond
+)
+
+// Pinger sends a heartbeat to a peer; see peer.Pool.
+type Pinger interface {
+	Ping(ctx context.Context, to record.InstanceID) error
+}
+
+// Members is this instance's view of the fleet. It is safe for concurrent use.
+type Members struct {
+	directory platform.Directory
+	self      func() platform.Instance
+	log       zerolog.Logger
+
+	mu sync.Mutex
+	// list is the last list that was read; it stays while the platform is away.
+	list        platform.List
+	seen        bool
+	addresses   map[record.InstanceID]string
+	unreachable map[record.InstanceID]struct{}
+	turn        int
+	watchers    []func(platform.List)
+}
+
+var _ peer.Addresses = (*Members)(nil)
+
+// New returns a view without any list. self is announced as it is at the time.
+func New(directory platform.Directory, self func() platform.Instance, log zerolog.Logger) *Members {
+	return &Members{
+		directory: directory, self: self, log: log,
+		addresses: map[record.InstanceID]string{}, unreachable: map[record.InstanceID]struct{}{},
+	}
+}
+
+// OnList adds a function that is called with each list that is read. Add all
+// of them before Run.
+func (m *Members) OnList(f func(platform.List)) { m.watchers = append(m.watchers, f) }
+
+// Run announces this instance, follows the list and sends heartbeats until ctx
+// ends.
+func (m *Members) Run(ctx context.Context, pinger Pinger) {
+	var running sync.WaitGroup
+	defer running.Wait()
+	running.Go(func() { every(ctx, ListEvery, func() { m.refresh(ctx) }) })
+	running.Go(func() { every(ctx, ProbeEvery, func() { m.probe(ctx, pinger) }) })
+}
+
+func every(ctx context.Context, period time.Duration, do func()) {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		do()
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// refresh keeps the last list that was read while the platform is away.
+func (m *Members) refresh(ctx context.Context) {
+	_ = m.directory.Announce(ctx, m.self())
+	list, err := m.directory.List(ctx)
+	if err != nil {
+		return
+	}
+	m.take(list)
+	for _, watch := range m.watchers {
+		watch(list)
+	}
+}
+
+func (m *Members) take(list platform.List) {
+	addresses := make(map[record.InstanceID]string, len(list.Instances))
+	for _, in := range list.Instances {
+		addresses[in.ID] = in.Peer
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.list, m.seen, m.addresses = list, true, addresses
+	for id := range m.unreachable {
+		if _, listed := addresses[id]; !listed {
+			delete(m.unreachable, id)
+		}
+	}
+}
+
+// List returns the last list that was read.
+func (m *Members) List() platform.List {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.list
+}
+
+// Seen says whether a list has been read.
+func (m *Members) Seen() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.seen
+}
+
+// PeerAddr implements peer.Addresses.
+func (m *Members) PeerAddr(id record.InstanceID) (string, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	address, ok := m.addresses[id]
+	return address, ok && address != ""
+}
+
+// Live returns the listed instances that are not leaving and not known to be
+// unreachable, this one included: its own zone first, each zone by identity.
+func (m *Members) Live() []platform.Instance {
+	self := m.self()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return live(m.list.Instances, self, m.unreachable)
+}
+
+// Reachable says whether a listed peer's last heartbeat was answered, or none
+// was sent yet.
+func (m *Members) Reachable(id record.InstanceID) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, bad := m.unreachable[id]
+	_, listed := m.addresses[id]
+	return listed && !bad
+}
+
+// Mark notes whether a peer answered.
+func (m *Members) Mark(id record.InstanceID, reachable bool) {
+	m.mu.Lock()
+	_, was := m.unreachable[id]
+	if reachable {
+		delete(m.unreachable, id)
+	} else {
+		m.unreachable[id] = struct{}{}
+	}
+	m.mu.Unlock()
+	if was == reachable {
+		m.log.Info().Str("peer", string(id)).Bool("reachable", reachable).Msg("membership: peer changed")
+	}
+}
+
+// probe sends one round of heartbeats.
+func (m *Members) probe(ctx context.Context, pinger Pinger) {
+	self := m.self().ID
+	m.mu.Lock()
+	targets, turn := pick(m.list.Instances, self, m.unreachable, m.turn)
+	m.turn = turn
+	m.mu.Unlock()
+	bounded, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var running sync.WaitGroup
+	defer running.Wait()
+	for _, id := range targets {
+		running.Go(func() {
+			err := pinger.Ping(bounded, id)
+			if ctx.Err() == nil {
+				m.Mark(id, err == nil)
+			}
+		})
+	}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -5,7 +5,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +14,8 @@
 	"guavapier/internal/entry"
 	"guavapier/internal/fold"
 	"guavapier/internal/ledger"
+	"guavapier/internal/membership"
+	"guavapier/internal/peer"
 	"guavapier/internal/platform"
 	"guavapier/internal/record"
 	"guavapier/internal/replica"
@@ -37,7 +38,6 @@
 	maxAttempts      = 3
 	publisherRetry   = 50 * time.Millisecond
 	publisherRecords = 1000
-	listEvery        = 500 * time.Millisecond
 	shutdownPatience = 24 * time.Hour // Long reports are never cut off by a drain.
 )
 
@@ -53,12 +53,15 @@
 	config     *replica.Replica[*fold.Config]
 	partitions ledger.Partitions
 	dispatcher *dispatch.Dispatcher
-	members    *members
+	members    *membership.Members
+	pool       *peer.Pool
+	peerServer *peer.Server
 	runner     *run.Runner
 	draining   atomic.Bool
 
 	callers   net.Listener
 	operators net.Listener
+	peers     net.Listener
 }
 
 // New puts an instance together and binds its addresses.
@@ -76,7 +79,7 @@
 		srv.partitions = append(srv.partitions, replica.New(record.LedgerStream(n), fold.NewLedger()))
 	}
 	srv.dispatcher = dispatch.New()
-	srv.members = newMembers(srv.client, srv.dispatcher)
+	srv.joinPeers()
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.MaxIdleConnsPerHost = 64
 	srv.runner = &run.Runner{
@@ -84,7 +87,7 @@
 		Accounts: ledger.New(srv.id, record.Zone(s.Instance.Zone), srv.publisher, srv.partitions, ledger.Options{
 			GrantTokens: s.Ledger.GrantTokens, Patience: s.Ledger.Patience.D(),
 		}),
-		Placer: srv.dispatcher, Endpoints: srv.members,
+		Placer: srv.dispatcher, Endpoints: endpoints{srv.members},
 		Engines:     endpoint.NewHTTPEngines(transport),
 		Services:    endpoint.NewHTTPServices(transport, s.Limits.AnswerBytes),
 		MaxAttempts: maxAttempts,
@@ -101,7 +104,7 @@
 	if s.operators, err = net.Listen("tcp", s.settings.Instance.Operators); err != nil {
 		return eris.Wrap(err, "server: listen for operators")
 	}
-	return nil
+	return s.listenPeers()
 }
 
 // CallersAddr returns the bound callers' address.
@@ -118,13 +121,16 @@
 	operators := &http.Server{Handler: s.operatorsHandler(), ReadHeaderTimeout: 10 * time.Second}
 	var group errgroup.Group
 	group.Go(func() error { return s.follow(background) })
-	group.Go(func() error { s.members.run(background, s.self); return nil })
+	group.Go(func() error { s.members.Run(background, s.pool); return nil })
+	group.Go(func() error { return s.peerServer.Serve(s.peers) })
 	group.Go(func() error { return ignoreClosed(callers.Serve(s.callers)) })
 	group.Go(func() error { return ignoreClosed(operators.Serve(s.operators)) })
-	s.log.Info().Str("id", string(s.id)).Str("callers", s.CallersAddr()).Str("operators", s.OperatorsAddr()).Msg("server: serving")
+	s.log.Info().Str("id", string(s.id)).Str("callers", s.CallersAddr()).Str("operators", s.OperatorsAddr()).
+		Str("peers", s.PeersAddr()).Msg("server: serving")
 	<-ctx.Done()
 	s.drain(callers, operators)
 	stop()
+	s.leavePeers()
 	s.dispatcher.Close()
 	err := group.Wait()
 	_ = s.publisher.Close()
@@ -143,7 +149,7 @@
 
 func (s *Server) self() platform.Instance {
 	return platform.Instance{
-		ID: s.id, Zone: record.Zone(s.settings.Instance.Zone), Peer: s.settings.Instance.Peers, Leaving: s.draining.Load(),
+		ID: s.id, Zone: record.Zone(s.settings.Instance.Zone), Peer: s.PeersAddr(), Leaving: s.draining.Load(),
 	}
 }
 
@@ -168,7 +174,7 @@
 			BodyBytes: limits.BodyBytes, MaxTokens: limits.MaxTokens,
 			FirstToken: limits.FirstToken.D(), ServiceAnswer: limits.ServiceAnswer.D(),
 		},
-		Ready: func() bool { return !s.draining.Load() && s.members.ready() },
+		Ready: func() bool { return !s.draining.Load() && s.members.Seen() },
 	}
 	return c.Handler()
 }
@@ -191,7 +197,7 @@
 }
 
 func (s *Server) state() any {
-	dump := StateDump{ID: s.id, Zone: s.settings.Instance.Zone, Draining: s.draining.Load(), Applied: map[string]uint64{}, Members: s.members.list()}
+	dump := StateDump{ID: s.id, Zone: s.settings.Instance.Zone, Draining: s.draining.Load(), Applied: map[string]uint64{}, Members: s.members.List()}
 	dump.Applied[string(record.ConfigStream)] = s.config.Next()
 	for _, p := range s.partitions {
 		dump.Applied[string(p.Stream())] = p.Next()
@@ -206,17 +212,3 @@
 	}
 	return err
 }
-
-// members follows the platform's instance list.
-type members struct {
-	directory  platform.Directory
-	dispatcher *dispatch.Dispatcher
-
-	mu   sync.Mutex
-	last platform.List
-	seen bool
-}
-
-func newMembers(directory platform.Directory, dispatcher *dispatch.Dispatcher) *members {
-	return &members{directory: directory, dispatcher: dispatcher}
-}
