Bound the ledger fold and let holders return part of a grant

Cause: Apply stopped at the first malformed record of a batch, a bill above the rest of its grant vanished, sums could overflow and no map was bounded. Ruled out: stopping at a malformed record (the rest of the batch, of other callers, would be lost for good); a window of bills alone (a witness may close a grant long after the bill of one of its uses left the window, so the bills of open grants are kept with the grant). Change: malformed records are passed over and reported; MaxTokens bounds every sum; a charge is cut to the rest of the grant; windows by log order for bills, top-up identities, writers and closed grants; record.Return (kind 20, additive) gives part of a grant back, numbered per right so that a late copy has no effect; Close.Spent is a floor.

--- a/internal/fold/ledger.go
+++ b/internal/fold/ledger.go
@@ -4,106 +4,95 @@
 package fold
 
 import (
+	"github.com/rotisserie/eris"
+
 	"guavapier/internal/record"
 )
 
-// Budget is one row of the budget table. All sums are tokens.
-type Budget struct {
-	ID record.BudgetID `json:"id"`
-	// Prepaid is the sum of top-ups.
-	Prepaid int64 `json:"prepaid"`
-	// Committed is the sum over grants of what each may still cost: its whole
-	// amount while open, its final spend once closed. Invariant: Committed
-	// never exceeds Prepaid.
-	Committed int64 `json:"committed"`
-	// Billed is the sum of counted bills. Invariant: never above Committed.
-	Billed int64 `json:"billed"`
+// MaxTokens is the most that one budget can hold. Every sum in the tables
+// stays at or below it, so that none can overflow.
+const MaxTokens int64 = 1 << 53
+
+// Windows bound what the tables remember. All instances must have the same
+// ones: they are part of what a record means.
+type Windows struct {
+	// Bills is how many bills of closed grants a partition remembers to tell a
+	// second bill of the same key. Bills of open grants are remembered as well.
+	Bills int
+	// TopUps is how many top-up identities each budget remembers.
+	TopUps int
+	// Writers is for how many offsets a writer's last sequence number is
+	// remembered. After it a late copy of a batch is told by the identities in
+	// its records: bills by key, grants by right, returns by sequence.
+	Writers uint64
+	// Grants is for how many offsets a closed grant is remembered.
+	Grants uint64
 }
 
-// Grant is one row of the grant table.
-type Grant struct {
-	record.Grant
-	Offset uint64 `json:"offset"`
-	Billed int64  `json:"billed"`
-	Closed bool   `json:"closed"`
-}
+// DefaultWindows are the windows of the product; docs/adr/0010 has the reason
+// of each.
+var DefaultWindows = Windows{Bills: 1 << 18, TopUps: 64, Writers: 1 << 20, Grants: 1 << 16}
 
 // Ledger holds the tables of one ledger partition. It is not safe for
 // concurrent use.
 type Ledger struct {
-	budgets map[record.BudgetID]*Budget
+	windows Windows
+	budgets map[record.BudgetID]*budget
 	grants  map[record.RightID]*Grant
-	topUps  map[topUpKey]struct{}
-	bills   map[record.RequestKey]int64
-	writers map[record.InstanceID]uint64
+	held    grantIndex // Open grants by holder.
+	watched grantIndex // Open grants by witness.
+	closed  queue[closedGrant]
+	bills   billTable
+	writers writerTable
 	next    uint64
 }
 
-type topUpKey struct {
-	budget record.BudgetID
-	id     string
-}
-
 // NewLedger returns the empty tables.
-func NewLedger() *Ledger {
+func NewLedger() *Ledger { return NewLedgerWith(DefaultWindows) }
+
+// NewLedgerWith returns empty tables with other windows.
+func NewLedgerWith(w Windows) *Ledger {
 	return &Ledger{
-		budgets: map[record.BudgetID]*Budget{},
+		windows: w,
+		budgets: map[record.BudgetID]*budget{},
 		grants:  map[record.RightID]*Grant{},
-		topUps:  map[topUpKey]struct{}{},
-		bills:   map[record.RequestKey]int64{},
-		writers: map[record.InstanceID]uint64{},
+		held:    grantIndex{},
+		watched: grantIndex{},
+		bills:   billTable{seen: map[billKey]struct{}{}},
+		writers: writerTable{last: map[record.InstanceID]writer{}},
 	}
 }
 
 // Next returns the offset after the last applied batch.
 func (l *Ledger) Next() uint64 { return l.next }
 
-// Budget returns a budget's row.
-func (l *Ledger) Budget(id record.BudgetID) (Budget, bool) {
-	b, ok := l.budgets[id]
-	if !ok {
-		return Budget{}, false
-	}
-	return *b, true
-}
-
-// Budgets returns a copy of the budget table in no fixed order.
-func (l *Ledger) Budgets() []Budget {
-	rows := make([]Budget, 0, len(l.budgets))
-	for _, b := range l.budgets {
-		rows = append(rows, *b)
-	}
-	return rows
-}
-
-// Grant returns a grant's row. A void grant has none.
-func (l *Ledger) Grant(id record.RightID) (Grant, bool) {
-	g, ok := l.grants[id]
-	if !ok {
-		return Grant{}, false
-	}
-	return *g, true
-}
-
 // Apply applies the batch at an offset. Batches that were applied before, and
-// copies of a batch by the same writer, have no effect.
+// copies of a batch by the same writer, have no effect. A record that cannot
+// be decoded is passed over and the others of its batch take effect: every
+// instance decodes the same bytes alike, so all of them agree. The error names
+// the first such record.
 func (l *Ledger) Apply(offset uint64, batch record.Batch) error {
 	if offset < l.next {
 		return nil
 	}
 	l.next = offset + 1
-	if batch.Seq <= l.writers[batch.Writer] {
+	l.writers.forget(offset, l.windows.Writers)
+	l.forgetGrants(offset)
+	if !l.writers.advance(batch, offset) {
 		return nil
 	}
-	l.writers[batch.Writer] = batch.Seq
-	for _, env := range batch.Records {
+	var first error
+	for n, env := range batch.Records {
 		rec, err := record.Decode(env)
-		if err != nil {
-			return err
+		if err == nil {
+			l.applyRecord(offset, rec)
+			continue
+		}
+		if first == nil {
+			first = eris.Wrapf(err, "fold: record %d of kind %d passed over", n, env.Kind)
 		}
-		l.applyRecord(offset, rec)
 	}
-	return nil
+	return first
 }
 
 func (l *Ledger) applyRecord(offset uint64, rec record.Record) {
@@ -112,69 +101,11 @@
 		l.applyTopUp(r)
 	case record.Grant:
 		l.applyGrant(offset, r)
+	case record.Return:
+		l.applyReturn(r)
 	case record.Bill:
 		l.applyBill(r)
 	case record.Close:
-		l.applyClose(r)
-	}
-}
-
-func (l *Ledger) applyTopUp(r record.TopUp) {
-	key := topUpKey{budget: r.Budget, id: r.ID}
-	if _, seen := l.topUps[key]; seen || r.Tokens <= 0 {
-		return
-	}
-	l.topUps[key] = struct{}{}
-	b, ok := l.budgets[r.Budget]
-	if !ok {
-		b = &Budget{ID: r.Budget}
-		l.budgets[r.Budget] = b
-	}
-	b.Prepaid += r.Tokens
-}
-
-func (l *Ledger) applyGrant(offset uint64, r record.Grant) {
-	b, ok := l.budgets[r.Budget]
-	if !ok || r.Tokens <= 0 || r.Tokens > b.Prepaid-b.Committed {
-		return
-	}
-	if _, taken := l.grants[r.Right]; taken {
-		return
-	}
-	b.Committed += r.Tokens
-	l.grants[r.Right] = &Grant{Grant: r, Offset: offset}
-}
-
-func (l *Ledger) applyBill(r record.Bill) {
-	g, ok := l.grants[r.Right]
-	if !ok || g.Closed {
-		return
-	}
-	l.charge(g, r.Key, r.Tokens)
-}
-
-// charge counts one bill: the first of its key, and within the grant.
-func (l *Ledger) charge(g *Grant, key record.RequestKey, tokens int64) {
-	if _, billed := l.bills[key]; billed || tokens < 0 || tokens > g.Tokens-g.Billed {
-		return
-	}
-	l.bills[key] = tokens
-	g.Billed += tokens
-	l.budgets[g.Budget].Billed += tokens
-}
-
-func (l *Ledger) applyClose(r record.Close) {
-	g, ok := l.grants[r.Right]
-	if !ok || g.Closed {
-		return
-	}
-	if r.By != g.Holder && r.By != g.Witness && !r.Forced {
-		return
-	}
-	for _, o := range r.Outstanding {
-		l.charge(g, o.Key, o.Tokens)
+		l.applyClose(offset, r)
 	}
-	g.Closed = true
-	b := l.budgets[g.Budget]
-	b.Committed += g.Billed - g.Tokens
 }
--- /dev/null
+++ b/internal/fold/ledger_grants.go
@@ -0,0 +1,142 @@
+package fold
+
+import "guavapier/internal/record"
+
+// Budget is one row of the budget table. All sums are tokens.
+type Budget struct {
+	ID record.BudgetID `json:"id"`
+	// Prepaid is the sum of top-ups.
+	Prepaid int64 `json:"prepaid"`
+	// Committed is the sum over grants of what each may still cost: its whole
+	// amount while open, its final spend once closed. Invariant: Committed
+	// never exceeds Prepaid.
+	Committed int64 `json:"committed"`
+	// Billed is the sum of counted bills. Invariant: never above Committed.
+	Billed int64 `json:"billed"`
+}
+
+// Grant is one row of the grant table. Tokens is the amount less what was
+// returned.
+type Grant struct {
+	record.Grant
+	Offset uint64 `json:"offset"`
+	Billed int64  `json:"billed"`
+	Closed bool   `json:"closed"`
+	// Returns is the sequence number of the last return that took effect.
+	Returns uint64 `json:"returns,omitempty"`
+
+	// bills are those that left the bill window while the grant was open.
+	bills []billKey
+}
+
+// budget is a row with what only the fold needs.
+type budget struct {
+	Budget
+	topUps queue[billKey]
+	open   map[record.RightID]*Grant
+}
+
+type closedGrant struct {
+	right  record.RightID
+	offset uint64
+}
+
+// grantIndex finds open grants by an instance.
+type grantIndex map[record.InstanceID]map[record.RightID]*Grant
+
+func (x grantIndex) add(id record.InstanceID, g *Grant) {
+	if id == "" {
+		return
+	}
+	rows, ok := x[id]
+	if !ok {
+		rows = map[record.RightID]*Grant{}
+		x[id] = rows
+	}
+	rows[g.Right] = g
+}
+
+func (x grantIndex) remove(id record.InstanceID, right record.RightID) {
+	delete(x[id], right)
+	if len(x[id]) == 0 {
+		delete(x, id)
+	}
+}
+
+func (l *Ledger) applyTopUp(r record.TopUp) {
+	b, ok := l.budgets[r.Budget]
+	if !ok {
+		b = &budget{Budget: Budget{ID: r.Budget}, open: map[record.RightID]*Grant{}}
+	}
+	id := hashStrings(r.ID)
+	if r.Tokens <= 0 || r.Tokens > MaxTokens-b.Prepaid || b.topUps.contains(id) {
+		return
+	}
+	l.budgets[r.Budget] = b
+	b.topUps.push(id)
+	if b.topUps.len() > l.windows.TopUps {
+		b.topUps.pop()
+	}
+	b.Prepaid += r.Tokens
+}
+
+// applyGrant voids a grant that would raise the committed sum above the
+// prepaid one.
+func (l *Ledger) applyGrant(offset uint64, r record.Grant) {
+	b, ok := l.budgets[r.Budget]
+	if !ok || r.Right == "" || r.Holder == "" || r.Tokens <= 0 || r.Tokens > b.Prepaid-b.Committed {
+		return
+	}
+	if _, taken := l.grants[r.Right]; taken {
+		return
+	}
+	b.Committed += r.Tokens
+	g := &Grant{Grant: r, Offset: offset}
+	l.grants[r.Right] = g
+	b.open[r.Right] = g
+	l.held.add(r.Holder, g)
+	l.watched.add(r.Witness, g)
+}
+
+func (l *Ledger) applyReturn(r record.Return) {
+	g, ok := l.grants[r.Right]
+	if !ok || g.Closed || r.By != g.Holder || r.Seq != g.Returns+1 {
+		return
+	}
+	if r.Tokens <= 0 || r.Tokens > g.Tokens-g.Billed {
+		return
+	}
+	g.Returns = r.Seq
+	g.Tokens -= r.Tokens
+	l.budgets[g.Budget].Committed -= r.Tokens
+}
+
+func (l *Ledger) applyClose(offset uint64, r record.Close) {
+	g, ok := l.grants[r.Right]
+	if !ok || g.Closed {
+		return
+	}
+	witness := g.Witness != "" && r.By == g.Witness
+	if r.By != g.Holder && !witness && !r.Forced {
+		return
+	}
+	for _, o := range r.Outstanding {
+		l.charge(g, o.Key, o.Tokens)
+	}
+	b := l.budgets[g.Budget]
+	g.Closed = true
+	spent := max(g.Billed, min(r.Spent, g.Tokens))
+	b.Committed += spent - g.Tokens
+	delete(b.open, g.Right)
+	l.held.remove(g.Holder, g.Right)
+	l.watched.remove(g.Witness, g.Right)
+	l.closed.push(closedGrant{right: g.Right, offset: offset})
+	l.bills.settle(g, l)
+}
+
+// forgetGrants drops grants that were closed a window ago.
+func (l *Ledger) forgetGrants(offset uint64) {
+	for l.closed.len() > 0 && l.closed.front().offset+l.windows.Grants < offset {
+		delete(l.grants, l.closed.pop().right)
+	}
+}
--- /dev/null
+++ b/internal/fold/ledger_test.go
@@ -0,0 +1,171 @@
+package fold_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"guavapier/internal/fold"
+	"guavapier/internal/record"
+)
+
+var (
+	main  = record.BudgetID{Team: "dala", Name: "main"}
+	small = fold.Windows{Bills: 4, TopUps: 3, Writers: 8, Grants: 2}
+)
+
+func batchOf(t testing.TB, writer record.InstanceID, seq uint64, records ...record.Record) record.Batch {
+	t.Helper()
+	b := record.Batch{Writer: writer, Seq: seq}
+	for _, r := range records {
+		env, err := record.Encode(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Records = append(b.Records, env)
+	}
+	return b
+}
+
+func checkBudget(t interface{ Fatalf(string, ...any) }, l *fold.Ledger, id record.BudgetID) {
+	b, ok := l.Budget(id)
+	if !ok {
+		return
+	}
+	var open int64
+	for _, g := range l.OpenGrants(id) {
+		if g.Billed < 0 || g.Billed > g.Tokens {
+			t.Fatalf("grant billed %d of %d", g.Billed, g.Tokens)
+		}
+		open += g.Tokens
+	}
+	if b.Billed < 0 || b.Billed > b.Committed || b.Committed > b.Prepaid || b.Prepaid > fold.MaxTokens || open > b.Committed {
+		t.Fatalf("budget %+v with %d in open grants", b, open)
+	}
+}
+
+func key(n int) record.RequestKey {
+	return record.RequestKey{Team: "dala", Key: fmt.Sprint(n)}
+}
+
+// drawRecord draws any record that moves tokens, with amounts that may be
+// negative or close to overflow.
+func drawRecord(t *rapid.T) record.Record {
+	tokens := rapid.OneOf(rapid.Int64Range(-5, 200), rapid.SampledFrom([]int64{math.MaxInt64, math.MinInt64, fold.MaxTokens, fold.MaxTokens - 1})).Draw(t, "tokens")
+	right := record.RightID(fmt.Sprint("r", rapid.IntRange(0, 5).Draw(t, "right")))
+	by := record.InstanceID(rapid.SampledFrom([]string{"a", "b", ""}).Draw(t, "by"))
+	k := key(rapid.IntRange(0, 9).Draw(t, "key"))
+	switch rapid.IntRange(0, 4).Draw(t, "kind") {
+	case 0:
+		return record.TopUp{Budget: main, ID: fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "id")), Tokens: tokens}
+	case 1:
+		return record.Grant{Right: right, Budget: main, Tokens: tokens, Holder: by, Witness: "b"}
+	case 2:
+		return record.Return{Right: right, By: by, Seq: rapid.Uint64Range(0, 3).Draw(t, "seq"), Tokens: tokens}
+	case 3:
+		return record.Bill{Key: k, Right: right, Tokens: tokens}
+	default:
+		return record.Close{Right: right, By: by, Spent: tokens, Forced: rapid.Bool().Draw(t, "forced"),
+			Outstanding: []record.Outstanding{{Key: k, Tokens: tokens}, {Key: key(3), Tokens: 7}}}
+	}
+}
+
+// TestLedgerInvariantsHoldForAnyRecords: whatever stands on the log, sums stay
+// in bounds. A copy of a batch changes nothing, and neither does the same
+// record in a batch whose writer the fold has forgotten.
+func TestLedgerInvariantsHoldForAnyRecords(t *testing.T) {
+	rapid.Check(t, ledgerInvariants)
+}
+
+func ledgerInvariants(t *rapid.T) {
+	l := fold.NewLedgerWith(small)
+	records := append([]record.Record{
+		record.TopUp{Budget: main, ID: "first", Tokens: 1000},
+		record.Grant{Right: "r0", Budget: main, Tokens: 300, Holder: "a", Witness: "b"},
+	}, rapid.SliceOfN(rapid.Custom(drawRecord), 1, 60).Draw(t, "records")...)
+	for n, r := range records {
+		env, err := record.Encode(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b := record.Batch{Writer: "w", Seq: uint64(n + 1), Records: []record.Envelope{env}}
+		if err := l.Apply(uint64(2*n), b); err != nil {
+			t.Fatal(err)
+		}
+		checkBudget(t, l, main)
+		before, _ := l.Budget(main)
+		b.Writer = rapid.SampledFrom([]record.InstanceID{"w", record.InstanceID(fmt.Sprint("forgotten", n))}).Draw(t, "writer")
+		_ = l.Apply(uint64(2*n+1), b)
+		if after, _ := l.Budget(main); after != before {
+			t.Fatalf("a copy of %+v changed %+v to %+v", r, before, after)
+		}
+	}
+}
+
+// FuzzLedgerApply: no bytes on the log panic the fold or break its sums.
+func FuzzLedgerApply(f *testing.F) {
+	budget, right := main, record.RightID("r0")
+	seed := func(seq uint64, records ...record.Record) {
+		data, err := record.EncodeBatch(batchOf(f, "x", seq, records...))
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	seed(1, record.TopUp{Budget: budget, ID: "t2", Tokens: math.MaxInt64})
+	seed(1, record.Bill{Key: key(1), Right: right, Tokens: 5}, record.Return{Right: right, By: "a", Seq: 1, Tokens: 10})
+	seed(2, record.Close{Right: right, By: "b", Spent: math.MinInt64, Outstanding: []record.Outstanding{{Key: key(2), Tokens: math.MaxInt64}}})
+	seed(3, record.Unknown{Of: 60_000, Body: []byte{0xa0}}, record.Unknown{Of: record.KindGrant, Body: []byte{0x01}})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		l := fold.NewLedgerWith(small)
+		_ = l.Apply(0, batchOf(t, "w", 1, record.TopUp{Budget: budget, ID: "t1", Tokens: 100},
+			record.Grant{Right: right, Budget: budget, Tokens: 60, Holder: "a", Witness: "b"}))
+		batch, err := record.DecodeBatch(data)
+		if err != nil {
+			return
+		}
+		_ = l.Apply(1, batch)
+		_ = l.Apply(2, batch)
+		for _, b := range l.Budgets() {
+			checkBudget(t, l, b.ID)
+		}
+	})
+}
+
+// TestMalformedRecordIsPassedOver: the others of its batch still take effect.
+func TestMalformedRecordIsPassedOver(t *testing.T) {
+	l := fold.NewLedger()
+	b := batchOf(t, "w", 1, record.TopUp{Budget: main, ID: "1", Tokens: 5}, record.Unknown{Of: record.KindGrant, Body: []byte{0x01}},
+		record.Unknown{Of: 60_000, Body: []byte{0xa0}}, record.TopUp{Budget: main, ID: "2", Tokens: 6})
+	if err := l.Apply(0, b); err == nil {
+		t.Fatal("a malformed record is not reported")
+	}
+	if row, _ := l.Budget(main); row.Prepaid != 11 {
+		t.Fatalf("prepaid %d", row.Prepaid)
+	}
+}
+
+// TestCloseOfOldGrantKnowsItsBills: a witness closes long after the bill left
+// the window; the outstanding use is not billed again.
+func TestCloseOfOldGrantKnowsItsBills(t *testing.T) {
+	l := fold.NewLedgerWith(small)
+	records := []record.Record{
+		record.TopUp{Budget: main, ID: "1", Tokens: 1000},
+		record.Grant{Right: "old", Budget: main, Tokens: 100, Holder: "a", Witness: "b"},
+		record.Grant{Right: "new", Budget: main, Tokens: 100, Holder: "c"},
+		record.Bill{Key: key(1), Right: "old", Tokens: 10},
+	}
+	for n := range 3 * small.Bills {
+		records = append(records, record.Bill{Key: key(100 + n), Right: "new", Tokens: 1})
+	}
+	records = append(records, record.Close{Right: "old", By: "b", Outstanding: []record.Outstanding{{Key: key(1), Tokens: 90}}})
+	if err := l.Apply(0, batchOf(t, "w", 1, records...)); err != nil {
+		t.Fatal(err)
+	}
+	row, _ := l.Budget(main)
+	if want := int64(10 + 3*small.Bills); row.Billed != want || row.Committed != 10+100 {
+		t.Fatalf("billed %d, committed %d", row.Billed, row.Committed)
+	}
+}
--- a/internal/record/codec.go
+++ b/internal/record/codec.go
@@ -92,6 +92,7 @@
 	KindSessionEnded:  decodeAs[SessionEnded],
 	KindChange:        decodeAs[Change],
 	KindSnapshot:      decodeAs[Snapshot],
+	KindReturn:        decodeAs[Return],
 }
 
 func decodeAs[R Record](body []byte) (Record, error) {
--- a/internal/record/records.go
+++ b/internal/record/records.go
@@ -16,6 +16,7 @@
 	KindSessionEnded  Kind = 9
 	KindChange        Kind = 10
 	KindSnapshot      Kind = 11
+	KindReturn        Kind = 20
 )
 
 // Record is one typed entry of a batch.
@@ -43,6 +44,16 @@
 	Zone    Zone       `cbor:"6,keyasint"`
 }
 
+// Return gives part of an open grant back to its budget. Only the holder may
+// do so, after it has taken the tokens out of what it reserves from. Seq counts
+// the returns of one right from 1, so that a late copy has no effect.
+type Return struct {
+	Right  RightID    `cbor:"1,keyasint"`
+	By     InstanceID `cbor:"2,keyasint"`
+	Seq    uint64     `cbor:"3,keyasint"`
+	Tokens int64      `cbor:"4,keyasint"`
+}
+
 // Outstanding is a reservation whose final usage the closer does not know.
 type Outstanding struct {
 	Key    RequestKey `cbor:"1,keyasint"`
@@ -50,10 +61,11 @@
 	Tokens int64      `cbor:"3,keyasint"`
 }
 
-// Close ends a right. The first close in log order wins. For a grant, Spent
-// is the sum that stays charged, and each Outstanding reservation becomes a
-// bill of its reserved amount. For a claim shard, Claims are the counted
-// claims that may not have reached the log yet.
+// Close ends a right. The first close in log order wins. For a grant, each
+// Outstanding reservation becomes a bill of its amount unless its key has one,
+// and Spent is the least sum that stays charged whatever was billed. For a
+// claim shard, Claims are the counted claims that may not have reached the log
+// yet.
 type Close struct {
 	Right       RightID       `cbor:"1,keyasint"`
 	By          InstanceID    `cbor:"2,keyasint"`
@@ -64,8 +76,9 @@
 	Forced bool `cbor:"6,keyasint,omitempty"`
 }
 
-// Bill charges one request's tokens to a grant. The fold counts the first
-// bill of each key and ignores bills to a closed grant.
+// Bill charges one request's tokens to a grant, at most what is left of the
+// grant. The fold counts the first bill of each key and ignores bills to a
+// closed grant.
 type Bill struct {
 	Key    RequestKey `cbor:"1,keyasint"`
 	Right  RightID    `cbor:"2,keyasint"`
@@ -211,5 +224,8 @@
 // Kind implements Record.
 func (Snapshot) Kind() Kind { return KindSnapshot }
 
+// Kind implements Record.
+func (Return) Kind() Kind { return KindReturn }
+
 // Kind implements Record.
 func (u Unknown) Kind() Kind { return u.Of }
