Claim requests at a shard's holder, counted by witness or log

Cause: claims stood in one instance's memory, so a retry elsewhere, or after a restart, ran a call again.

Change: fold tables for claim shards, claims, ends and ended sessions (internal/fold/claims*.go); internal/claim: Holder (take, close, seal, hand over), Fleet (asks the holder; implements Claims), wired in internal/server/claims.go. Edits outside my packages: internal/run (End takes a claim.End, service calls wait for and return a joined run's answer), entry (a request without a session has no home zone, since the shard must not depend on the instance that a retry reaches; Minted keys skip the claim), record.Shard's comment.

Found on the way: a holder that can't reach log and witness may have been sealed and superseded, so it says "not run" only by the caller's promise or with the witness's word of that moment; else "unknown".

Not measured.

--- /dev/null
+++ b/internal/claim/service.go
@@ -0,0 +1,153 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"guavapier/internal/fold"
+	"guavapier/internal/record"
+	"guavapier/internal/right"
+)
+
+// Status is a Begin's result on the wire.
+type Status uint8
+
+// The statuses.
+const (
+	StatusOK Status = iota
+	StatusKeyReused
+	StatusNotCounted
+	StatusUnknown
+	StatusNotHolder
+)
+
+var statuses = map[Status]error{
+	StatusKeyReused:  ErrKeyReused,
+	StatusNotCounted: ErrNotCounted,
+	StatusUnknown:    ErrUnknown,
+	StatusNotHolder:  errNotHolder,
+}
+
+func (s Status) err() error {
+	if s == StatusOK {
+		return nil
+	}
+	if err, ok := statuses[s]; ok {
+		return err
+	}
+	return ErrUnknown
+}
+
+func statusOf(err error) Status {
+	if err == nil {
+		return StatusOK
+	}
+	for status, known := range statuses {
+		if errors.Is(err, known) {
+			return status
+		}
+	}
+	return StatusUnknown
+}
+
+// BeginArgs ask a shard's holder. Attempt names one attempt of the request, so
+// that a second copy of the call gets the same ticket.
+type BeginArgs struct {
+	Request Request
+	Attempt string
+	Runner  record.InstanceID
+	// Timeout bounds the holder's work on it.
+	Timeout time.Duration
+}
+
+// BeginReply is the holder's answer.
+type BeginReply struct {
+	Status Status
+	Ticket Ticket
+}
+
+// PlaceArgs tell the holder a run's endpoint.
+type PlaceArgs struct {
+	Home     record.Zone
+	Key      record.RequestKey
+	Run      record.RunID
+	Endpoint string
+}
+
+// EndArgs tell the holder a run's outcome. Attempt is for an attempt that
+// does not know its run, since the answer to Begin was lost.
+type EndArgs struct {
+	Home    record.Zone
+	Key     record.RequestKey
+	Attempt string
+	End     End
+}
+
+// EndReply says whether the holder knows the run.
+type EndReply struct{ Known bool }
+
+// Empty is no answer.
+type Empty struct{}
+
+// Service is the holder's side over net/rpc, registered as ServiceName.
+type Service struct{ holder *Holder }
+
+// NewService returns the service of a holder.
+func NewService(h *Holder) *Service { return &Service{holder: h} }
+
+// Begin is the net/rpc method.
+func (s *Service) Begin(args BeginArgs, reply *BeginReply) error {
+	ctx, cancel := context.WithTimeout(s.holder.ctx, min(max(args.Timeout, 0), s.holder.opts.Patience))
+	defer cancel()
+	ticket, err := s.holder.begin(ctx, args.Request, args.Attempt, args.Runner)
+	reply.Ticket, reply.Status = ticket, statusOf(err)
+	return nil
+}
+
+// Place is the net/rpc method.
+func (s *Service) Place(args PlaceArgs, _ *Empty) error {
+	held, err := s.holder.shard(s.holder.shardOf(Request{Key: args.Key, Home: args.Home}))
+	if err == nil {
+		held.place(args.Key, args.Run, args.Endpoint)
+	}
+	return nil
+}
+
+// End is the net/rpc method.
+func (s *Service) End(args EndArgs, reply *EndReply) error {
+	held, err := s.holder.shard(s.holder.shardOf(Request{Key: args.Key, Home: args.Home}))
+	if err == nil {
+		reply.Known = held.end(args.Key, args.Attempt, args.End)
+	}
+	return nil
+}
+
+// validator looks claim shards up in the fold, for right.Service.
+type validator struct{ partitions []*Replica }
+
+// validatePoll is the time between two looks for a right. It is rare: once
+// for each epoch, and only while this instance's fold is behind.
+const validatePoll = 5 * time.Millisecond
+
+// Validate implements right.Validator.
+func (v validator) Validate(ctx context.Context, t right.Terms) error {
+	for {
+		for _, part := range v.partitions {
+			var s fold.Shard
+			var ok bool
+			part.View(func(f *fold.Ledger) { s, ok = f.ClaimRight(t.Right) })
+			if !ok {
+				continue
+			}
+			if s.Closed || termsOf(s) != t {
+				return right.ErrUnknownRight
+			}
+			return nil
+		}
+		if ctx.Err() != nil {
+			return right.ErrUnknownRight
+		}
+		pause(ctx, validatePoll)
+	}
+}
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -90,7 +90,9 @@
 	team := teamOf(r)
 	q := run.Request{
 		Team: team, Digest: xxhash.Sum64(body), First: r.Header.Get(HeaderFirst) == "true", Priority: decide.PriorityInteractive,
-		Session: session.Identity{Team: team.Name, Home: c.Zone},
+		// Without a session there is no home zone: the claim's shard must not
+		// depend on the instance that a retry reaches.
+		Session: session.Identity{Team: team.Name},
 	}
 	if token := r.Header.Get(HeaderSession); token != "" {
 		id, err := c.Sessions.Verify(token)
@@ -102,7 +104,7 @@
 	key := r.Header.Get(HeaderKey)
 	if key == "" {
 		// No retry can name this request again, so the key needs no memory.
-		key, q.First = string(record.NewRunID()), true
+		key, q.First, q.Minted = string(record.NewRunID()), true, true
 	}
 	q.Key = record.RequestKey{Team: team.Name, Session: q.Session.ID, Key: key}
 	if p, err := strconv.Atoi(r.Header.Get(HeaderPriority)); err == nil {
--- a/internal/entry/problem.go
+++ b/internal/entry/problem.go
@@ -86,7 +86,7 @@
 		status, p.Type = http.StatusPaymentRequired, typeQuota
 	case run.CodeKeyReused:
 		status, p.Type = http.StatusUnprocessableEntity, typeInvalid
-	case run.CodeOutcomeUnknown:
+	case run.CodeOutcomeUnknown, run.CodeAnswerGone:
 		status = http.StatusConflict
 	case run.CodeEndpointFailed:
 		status = http.StatusBadGateway
--- a/internal/fold/ledger.go
+++ b/internal/fold/ledger.go
@@ -44,6 +44,7 @@
 	closed  queue[closedGrant]
 	bills   billTable
 	writers writerTable
+	claims  claimTables
 	next    uint64
 }
 
@@ -60,6 +61,7 @@
 		watched: grantIndex{},
 		bills:   billTable{seen: map[billKey]struct{}{}},
 		writers: writerTable{last: map[record.InstanceID]writer{}},
+		claims:  newClaimTables(),
 	}
 }
 
@@ -96,6 +98,7 @@
 }
 
 func (l *Ledger) applyRecord(offset uint64, rec record.Record) {
+	l.claims.apply(offset, rec)
 	switch r := rec.(type) {
 	case record.TopUp:
 		l.applyTopUp(r)
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,6 +27,8 @@
 	probesPerRound = 4
 	// probeTimeout is how long a peer has to answer a heartbeat.
 	probeTimeout = 500 * time.Millisecond
+	// upFor is how long the platform counts as up after it answered.
+	upFor = 2 * time.Second
 )
 
 // Pinger sends a heartbeat to a peer; see peer.Pool.
@@ -43,6 +46,7 @@
 	// list is the last list that was read; it stays while the platform is away.
 	list        platform.List
 	seen        bool
+	answered    time.Time // The platform's last answer.
 	addresses   map[record.InstanceID]string
 	unreachable map[record.InstanceID]struct{}
 	turn        int
@@ -105,7 +109,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.list, m.seen, m.addresses = list, true, addresses
+	m.list, m.seen, m.addresses, m.answered = list, true, addresses, time.Now()
 	for id := range m.unreachable {
 		if _, listed := addresses[id]; !listed {
 			delete(m.unreachable, id)
@@ -127,6 +131,23 @@
 	return m.seen
 }
 
+// PlatformUp says whether the platform answered lately.
+func (m *Members) PlatformUp() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.seen && time.Since(m.answered) < upFor
+}
+
+// ZoneListed says whether the list has an instance of a zone that is not
+// leaving, reachable or not.
+func (m *Members) ZoneListed(zone record.Zone) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.ContainsFunc(m.list.Instances, func(in platform.Instance) bool {
+		return in.Zone == zone && !in.Leaving
+	})
+}
+
 // PeerAddr implements peer.Addresses.
 func (m *Members) PeerAddr(id record.InstanceID) (string, bool) {
 	m.mu.Lock()
--- a/internal/record/records.go
+++ b/internal/record/records.go
@@ -87,8 +87,8 @@
 }
 
 // Shard makes an instance the holder of a claim shard for one epoch. It is
-// valid only if Epoch is the shard's last epoch plus one and that last epoch
-// is closed.
+// valid only if Epoch is the shard's last epoch plus one, and that last epoch
+// is closed or had no witness: then its claims count by the log alone.
 type Shard struct {
 	Right   RightID    `cbor:"1,keyasint"`
 	Zone    Zone       `cbor:"2,keyasint"`
--- a/internal/run/failure.go
+++ b/internal/run/failure.go
@@ -26,9 +26,11 @@
 	CodeKeyReused       Code = "idempotency_key_reused"
 	CodeClaimNotCounted Code = "claim_not_counted"
 	CodeOutcomeUnknown  Code = "outcome_unknown"
-	CodeEndpointFailed  Code = "endpoint_failed"
-	CodeAbandoned       Code = "abandoned"
-	CodeInternal        Code = "internal"
+	// CodeAnswerGone goes with the outcome answered.
+	CodeAnswerGone     Code = "answer_not_kept"
+	CodeEndpointFailed Code = "endpoint_failed"
+	CodeAbandoned      Code = "abandoned"
+	CodeInternal       Code = "internal"
 )
 
 // Failure is a request's final outcome where it has no answer.
--- a/internal/run/runner.go
+++ b/internal/run/runner.go
@@ -50,11 +50,13 @@
 
 // Request is what chat requests and service calls have in common.
 type Request struct {
-	Key      record.RequestKey
-	Digest   uint64
-	Team     config.Team
-	Session  session.Identity
-	First    bool
+	Key     record.RequestKey
+	Digest  uint64
+	Team    config.Team
+	Session session.Identity
+	First   bool
+	// Minted says that the entry drew the key; see claim.Request.
+	Minted   bool
 	Priority decide.Priority
 	// Wait is how long the caller waits for the first token or the answer.
 	Wait time.Duration
@@ -95,14 +97,19 @@
 	if err != nil {
 		return result, r.end(ctx, c.Key, err)
 	}
-	r.Claims.End(ctx, c.Key, record.OutcomeAnswered)
+	r.Claims.End(ctx, c.Key, claim.End{Outcome: record.OutcomeAnswered})
 	return result, nil
 }
 
+// claim returns what package claim needs to know of the request.
+func (q Request) claim(repeatable bool) claim.Request {
+	return claim.Request{
+		Key: q.Key, Digest: q.Digest, Home: q.Session.Home, Repeatable: repeatable, First: q.First, Minted: q.Minted,
+	}
+}
+
 func (r *Runner) begin(ctx context.Context, q Request, repeatable bool) (claim.Ticket, error) {
-	ticket, err := r.Claims.Begin(ctx, claim.Request{
-		Key: q.Key, Digest: q.Digest, Home: q.Session.Home, Repeatable: repeatable, First: q.First,
-	})
+	ticket, err := r.Claims.Begin(ctx, q.claim(repeatable))
 	if err != nil {
 		return ticket, notRun(err)
 	}
@@ -118,7 +125,7 @@
 	if !errors.As(err, &f) {
 		f = unknown(err)
 	}
-	r.Claims.End(context.WithoutCancel(ctx), key, f.Outcome)
+	r.Claims.End(context.WithoutCancel(ctx), key, claim.End{Outcome: f.Outcome})
 	return f
 }
 
--- a/internal/run/service.go
+++ b/internal/run/service.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"guavapier/internal/claim"
 	"guavapier/internal/decide"
 	"guavapier/internal/endpoint"
 	"guavapier/internal/record"
@@ -23,18 +24,49 @@
 
 // Call runs a service call. The error is a *Failure.
 func (r *Runner) Call(ctx context.Context, c Call) (endpoint.Answer, error) {
-	ticket, err := r.begin(ctx, c.Request, c.Repeatable)
+	ticket, err := r.beginCall(ctx, c)
 	if err != nil {
 		return endpoint.Answer{}, err
 	}
+	if ticket.Join {
+		return joined(ticket)
+	}
 	answer, err := r.callAttempts(ctx, c, ticket.Run)
 	if err != nil {
 		return endpoint.Answer{}, r.end(ctx, c.Key, err)
 	}
-	r.Claims.End(ctx, c.Key, record.OutcomeAnswered)
+	r.Claims.End(ctx, c.Key, claim.End{
+		Outcome: record.OutcomeAnswered,
+		Answer:  &claim.Answer{Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body},
+	})
 	return answer, nil
 }
 
+// beginCall claims the call, or waits for the run that it joins.
+func (r *Runner) beginCall(ctx context.Context, c Call) (claim.Ticket, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.Wait)
+	defer cancel()
+	ticket, err := claim.BeginOrJoin(ctx, r.Claims, c.claim(c.Repeatable))
+	if err != nil {
+		return ticket, notRun(err)
+	}
+	return ticket, nil
+}
+
+// joined returns the answer of a run that another attempt has begun.
+func joined(t claim.Ticket) (endpoint.Answer, error) {
+	if t.Outcome != record.OutcomeAnswered {
+		return endpoint.Answer{}, notRun(claim.ErrUnknown)
+	}
+	if t.Answer == nil {
+		return endpoint.Answer{}, &Failure{
+			Outcome: record.OutcomeAnswered, Code: CodeAnswerGone,
+			Message: "The call ran once and was answered; no copy of the answer is kept.",
+		}
+	}
+	return endpoint.Answer{Status: t.Answer.Status, ContentType: t.Answer.ContentType, Body: t.Answer.Body}, nil
+}
+
 // callAttempts tries again only while nothing has run, or where the call may
 // be repeated.
 func (r *Runner) callAttempts(ctx context.Context, c Call, run record.RunID) (endpoint.Answer, error) {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -56,6 +56,8 @@
 	members    *membership.Members
 	pool       *peer.Pool
 	peerServer *peer.Server
+	holder     *claim.Holder
+	claims     *claim.Fleet
 	runner     *run.Runner
 	draining   atomic.Bool
 
@@ -80,10 +82,13 @@
 	}
 	srv.dispatcher = dispatch.New()
 	srv.joinPeers()
+	if err := srv.joinClaims(); err != nil {
+		return nil, err
+	}
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.MaxIdleConnsPerHost = 64
 	srv.runner = &run.Runner{
-		Claims: claim.NewLocal(srv.id),
+		Claims: srv.claims,
 		Accounts: ledger.New(srv.id, record.Zone(s.Instance.Zone), srv.publisher, srv.partitions, ledger.Options{
 			GrantTokens: s.Ledger.GrantTokens, Patience: s.Ledger.Patience.D(),
 		}),
@@ -122,6 +127,7 @@
 	var group errgroup.Group
 	group.Go(func() error { return s.follow(background) })
 	group.Go(func() error { s.members.Run(background, s.pool); return nil })
+	group.Go(func() error { s.holder.Run(background); return nil })
 	group.Go(func() error { return s.peerServer.Serve(s.peers) })
 	group.Go(func() error { return ignoreClosed(callers.Serve(s.callers)) })
 	group.Go(func() error { return ignoreClosed(operators.Serve(s.operators)) })
@@ -129,8 +135,10 @@
 		Str("peers", s.PeersAddr()).Msg("server: serving")
 	<-ctx.Done()
 	s.drain(callers, operators)
+	s.leaveClaims()
 	stop()
 	s.leavePeers()
+	s.holder.Close()
 	s.dispatcher.Close()
 	err := group.Wait()
 	_ = s.publisher.Close()
