--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -57,6 +57,8 @@
 	pool       *peer.Pool
 	peerServer *peer.Server
 	budgets    *ledger.Ledger
+	holder     *claim.Holder
+	claims     *claim.Fleet
 	runner     *run.Runner
 	draining   atomic.Bool
 
@@ -84,10 +86,13 @@
 	if err := srv.joinBudgets(); err != nil {
 		return nil, err
 	}
+	if err := srv.joinClaims(); err != nil {
+		return nil, err
+	}
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.MaxIdleConnsPerHost = 64
 	srv.runner = &run.Runner{
-		Claims:   claim.NewLocal(srv.id),
+		Claims:   srv.claims,
 		Accounts: srv.budgets,
 		Placer:   srv.dispatcher, Endpoints: endpoints{srv.members},
 		Engines:     endpoint.NewHTTPEngines(transport),
@@ -124,6 +129,7 @@
 	var group errgroup.Group
 	group.Go(func() error { return s.follow(background) })
 	group.Go(func() error { s.members.Run(background, s.pool); return nil })
+	group.Go(func() error { s.holder.Run(background); return nil })
 	group.Go(func() error { return s.peerServer.Serve(s.peers) })
 	group.Go(func() error { return ignoreClosed(callers.Serve(s.callers)) })
 	group.Go(func() error { return ignoreClosed(operators.Serve(s.operators)) })
@@ -132,9 +138,11 @@
 	group.Go(func() error { return s.budgets.Run(background) })
 	<-ctx.Done()
 	s.drain(callers, operators)
+	s.leaveClaims()
 	s.leaveBudgets()
 	stop()
 	s.leavePeers()
+	s.holder.Close()
 	s.dispatcher.Close()
 	err := group.Wait()
 	_ = s.publisher.Close()
