--- /dev/null
+++ b/internal/decide/admit.go
@@ -0,0 +1,112 @@
+package decide
+
+import "time"
+
+// admitMargin is the share of the remaining time that the predicted wait may
+// take. Predictions are off by a third in a burst; a request refused at once
+// can go elsewhere, one that waits in vain can not.
+const admitMargin = 0.7
+
+// admit serves a queue that grows faster than it drains. It refuses at once
+// each new request whose predicted wait its deadline can't meet, and queues
+// the others. Without it every caller would wait, and most in vain. The
+// prediction counts only what is before the request in its team's fair share,
+// so that one team's flood is refused and the others' requests are not.
+func (d *Decider) admit() {
+	for i, row := range d.incoming {
+		d.incoming[i] = nil
+		if row.cancelled {
+			d.freeRow(row)
+			continue
+		}
+		d.admitRow(row)
+	}
+	d.incoming = d.incoming[:0]
+}
+
+func (d *Decider) admitRow(row *requestRow) {
+	row.submitted = d.now
+	p := d.find(&row.Request)
+	if p == nil || !d.anyFor(p, row) {
+		d.refuseRow(row, CodeNoEndpoint)
+		return
+	}
+	row.pool = p
+	p.lastSeen[row.class] = d.now
+	if !d.retry.allow(row.attempt(), p) {
+		row.pool = nil
+		d.refuseNew(row, p, CodeRetryBudget, 0)
+		return
+	}
+	first := d.expectedFirst(row)
+	ahead := p.ahead(row, d.teamWeight(row.Team))
+	wait := p.predictedWait(row.class, ahead)
+	remaining := row.Deadline - d.now
+	if remaining <= first {
+		row.pool = nil
+		d.refuseNew(row, p, CodeDeadline, wait)
+		return
+	}
+	if wait > 0 && float64(wait+first) > admitMargin*float64(remaining) {
+		row.pool = nil
+		d.refuseNew(row, p, CodeOverloaded, wait)
+		return
+	}
+	row.latestStart = row.Deadline - first
+	row.ahead, row.startedThen = ahead, p.startedFrom(row.class)
+	d.enqueue(row)
+}
+
+// anyFor tells whether an endpoint of the pool may take the request at all.
+func (d *Decider) anyFor(p *pool, row *requestRow) bool {
+	for _, e := range p.endpoints {
+		if !e.out() && !row.avoids(e) {
+			return true
+		}
+	}
+	return false
+}
+
+// expectedFirst returns the learned time from start to first token, the prefix
+// where it is thought to be.
+func (d *Decider) expectedFirst(row *requestRow) time.Duration {
+	p := row.pool
+	uncached := float64(row.PromptTokens)
+	if row.Session != "" {
+		uncached *= unknownUncached
+		if _, tokens := d.prefixes.get(row.sessionHash); tokens > 0 {
+			uncached = max(0, float64(row.PromptTokens-tokens))
+		}
+	}
+	s := known(p.base, 0) + uncached*known(p.perTok, 0)
+	return seconds(s)
+}
+
+// ahead returns how many requests of the pool start before the row.
+func (p *pool) ahead(row *requestRow, weight float64) float64 {
+	ahead := p.classes[row.class].shareAhead(row.Team, weight)
+	for class := row.class + 1; class < classCount; class++ {
+		ahead += float64(p.classes[class].count)
+	}
+	return ahead
+}
+
+// predictedWait returns the wait for a slot with so many requests ahead.
+func (p *pool) predictedWait(class int, ahead float64) time.Duration {
+	if ahead < p.free[class] {
+		return 0
+	}
+	if p.drain <= 0 {
+		return seconds(known(p.hold, unknownHold) * (ahead + 1))
+	}
+	return seconds((ahead - p.free[class] + 1) / p.drain)
+}
+
+// startedFrom counts the pool's starts of the class and those above.
+func (p *pool) startedFrom(class int) uint64 {
+	n := uint64(0)
+	for ; class < classCount; class++ {
+		n += p.started[class]
+	}
+	return n
+}
--- /dev/null
+++ b/internal/decide/baselines_test.go
@@ -0,0 +1,101 @@
+package decide
+
+import "math/rand/v2"
+
+// baseline places each request the moment it comes, by one simple rule, at an
+// endpoint with room: fewer than its slots and a short queue, as far as this
+// instance knows. With no room anywhere it refuses.
+type baseline struct {
+	pick      func(b *baseline, r *Request) int
+	rng       *rand.Rand
+	endpoints []Endpoint
+	own       map[string]int
+	reports   map[string]Report
+	running   map[RequestID]string
+	out       []Decision
+	next      int
+}
+
+func newBaseline(seed uint64, pick func(*baseline, *Request) int) *baseline {
+	return &baseline{
+		pick: pick, rng: rand.New(rand.NewPCG(seed, 2)), own: map[string]int{},
+		reports: map[string]Report{}, running: map[RequestID]string{},
+	}
+}
+
+func (b *baseline) SetEndpoints(e []Endpoint)           { b.endpoints = e }
+func (b *baseline) SetReport(endpoint string, r Report) { b.reports[endpoint] = r }
+func (b *baseline) SetLeaving(string)                   {}
+func (b *baseline) Cancel(RequestID)                    {}
+func (b *baseline) Finish(id RequestID, _ Result)       { b.own[b.running[id]]--; delete(b.running, id) }
+func (b *baseline) load(i int) float64 {
+	e := b.endpoints[i]
+	r := b.reports[e.Name]
+	return float64(max(b.own[e.Name], r.Running+r.Queued)) / float64(e.Slots)
+}
+
+func (b *baseline) room(i int, r *Request) bool {
+	e := b.endpoints[i]
+	avoided := false
+	for _, a := range r.Avoid {
+		avoided = avoided || a == e.Name
+	}
+	rep := b.reports[e.Name]
+	return !avoided && !e.Leaving && max(b.own[e.Name], rep.Running+rep.Queued) < e.Slots+defaultQueue
+}
+
+func (b *baseline) Submit(r Request) {
+	i := b.pick(b, &r)
+	if i < 0 {
+		b.out = append(b.out, Decision{Kind: Refuse, Request: r.ID, Code: CodeOverloaded, RetryAfter: seconds(0.5 + b.rng.Float64())})
+		return
+	}
+	name := b.endpoints[i].Name
+	b.own[name]++
+	b.running[r.ID] = name
+	b.out = append(b.out, Decision{Kind: Start, Request: r.ID, Endpoint: name})
+}
+
+func (b *baseline) Tick(Time) []Decision {
+	out := b.out
+	b.out = nil
+	return out
+}
+
+// best returns the endpoint with room of the lowest value, or -1.
+func (b *baseline) best(r *Request, value func(i int) float64) int {
+	best, bestValue := -1, 0.0
+	for i := range b.endpoints {
+		if !b.room(i, r) {
+			continue
+		}
+		if v := value(i); best < 0 || v < bestValue {
+			best, bestValue = i, v
+		}
+	}
+	return best
+}
+
+func roundRobin(b *baseline, r *Request) int {
+	b.next++
+	return b.best(r, func(i int) float64 {
+		return float64((i - b.next%len(b.endpoints) + len(b.endpoints)) % len(b.endpoints))
+	})
+}
+
+func leastInFlight(b *baseline, r *Request) int { return b.best(r, b.load) }
+
+func powerOfTwo(b *baseline, r *Request) int {
+	one, two := b.rng.IntN(len(b.endpoints)), b.rng.IntN(len(b.endpoints))
+	return b.best(r, func(i int) float64 {
+		if i == one || i == two {
+			return b.load(i)
+		}
+		return 1e3 // Only if neither has room.
+	})
+}
+
+func plainAffinity(b *baseline, r *Request) int {
+	key := hashString(string(r.Session))
+	return b.best(r, func(i int) float64 { return -rendezvous(key, hashString(b.endpoints[i].Name), 1) })
+}
--- a/internal/decide/decider.go
+++ b/internal/decide/decider.go
@@ -1,162 +1,215 @@
 package decide
 
 import (
-	"math"
-	"slices"
+	"container/heap"
+	"math/rand/v2"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"guavapier/internal/record"
 )
 
-const defaultRetryAfter = time.Second
-
-type endpointRow struct {
-	Endpoint
-	inFlight int
-	report   Report
-}
-
-type requestRow struct {
-	Request
-	endpoint string // Set while it runs.
-}
-
 // Decider holds the tables and runs the systems over them. It is not safe for
-// concurrent use.
+// concurrent use. Request identities must be unique among those not finished.
 type Decider struct {
-	endpoints map[string]*endpointRow
-	queue     []*requestRow
-	running   map[RequestID]*requestRow
+	opts Options
+	rng  *rand.Rand
+	now  Time // Of the last Tick.
+
+	endpoints  []*endpointRow // Sorted by name.
+	generation uint64         // Counts the changes of the endpoint table.
+	pools      []*pool        // In the order of their keys.
+	poolByKey  map[poolKey]*pool
+	weights    map[record.Team]float64
+	prefixes   prefixTable
+
+	incoming []*requestRow // Submitted since the last Tick.
+	queued   map[RequestID]*requestRow
+	expiry   rowHeap // All queued rows, the latest useful start first.
+	running  map[RequestID]*requestRow
+	spare    []*requestRow
+
+	retry  retryBudget
+	cursor int // Where system refuse goes on in the expiry heap.
+	out    []Decision
 }
 
 // New returns a Decider with empty tables.
-func New() *Decider {
+func New(opts Options) *Decider {
+	opts = opts.withDefaults()
 	return &Decider{
-		endpoints: map[string]*endpointRow{},
+		opts:      opts,
+		rng:       rand.New(rand.NewPCG(opts.Seed, seedStream)),
+		poolByKey: map[poolKey]*pool{},
+		weights:   map[record.Team]float64{},
+		prefixes:  newPrefixTable(),
+		queued:    map[RequestID]*requestRow{},
+		expiry:    rowHeap{index: expiryIndex},
 		running:   map[RequestID]*requestRow{},
+		retry:     newRetryBudget(),
+	}
+}
+
+const seedStream = 0x67756176 // Any constant: the PCG wants two words.
+
+// The bounds of a team's weight: a smaller one would make its turn come after
+// thousands of rounds, a larger one would be the same as a higher class.
+const minTeamWeight, maxTeamWeight = 0.01, 100
+
+// SetTeamWeight sets a team's fair share against others; 1 is the default, and
+// a weight that is not positive restores it.
+func (d *Decider) SetTeamWeight(team record.Team, weight float64) {
+	if weight <= 0 {
+		delete(d.weights, team)
+		return
 	}
+	d.weights[team] = min(max(weight, minTeamWeight), maxTeamWeight)
 }
 
-// SetEndpoints replaces the endpoint table. Rows that stay keep their state.
-func (d *Decider) SetEndpoints(endpoints []Endpoint) {
-	next := make(map[string]*endpointRow, len(endpoints))
-	for _, e := range endpoints {
-		row, ok := d.endpoints[e.Name]
-		if !ok {
-			row = &endpointRow{}
-		}
-		row.Endpoint = e
-		next[e.Name] = row
+func (d *Decider) teamWeight(team record.Team) float64 {
+	if w, ok := d.weights[team]; ok {
+		return w
 	}
-	d.endpoints = next
+	return 1
 }
 
-// SetReport takes an endpoint's load report.
+// SetReport takes an endpoint's load report. Reports may lag, be lost or come
+// out of order; an older one than the last is dropped.
 func (d *Decider) SetReport(endpoint string, r Report) {
-	if row, ok := d.endpoints[endpoint]; ok {
-		row.report = r
+	if e := d.endpoint(endpoint); e != nil {
+		e.setReport(r, d.now)
 	}
 }
 
-// SetLeaving takes an endpoint out of placement on its own word.
+// SetLeaving takes an endpoint out of placement on its own word, at once. The
+// word outlives a lagging list that does not know of it yet.
 func (d *Decider) SetLeaving(endpoint string) {
-	if row, ok := d.endpoints[endpoint]; ok {
-		row.Leaving = true
+	if e := d.endpoint(endpoint); e != nil {
+		e.leavingSaid, e.leavingSaidAt = true, d.now
+	}
+}
+
+// SetCached takes a cache event: endpoint holds so many tokens of the
+// session's prefix, or none. It is a hint; events may be late or missing.
+func (d *Decider) SetCached(endpoint string, session record.SessionID, tokens int) {
+	if e := d.endpoint(endpoint); e != nil && session != "" {
+		d.prefixes.set(hashString(string(session)), e, tokens)
 	}
 }
 
 // Submit queues a request. Its decision comes from a later Tick.
 func (d *Decider) Submit(r Request) {
-	d.queue = append(d.queue, &requestRow{Request: r})
+	row := d.newRow()
+	row.Request = r
+	row.sessionHash = hashString(string(r.Session))
+	row.class = int(min(max(r.Priority, PriorityBatch), PriorityCall))
+	d.queued[r.ID] = row
+	d.incoming = append(d.incoming, row)
 }
 
 // Cancel forgets a request whose caller is gone. It has no effect on one that
 // was started; that one ends with Finish.
 func (d *Decider) Cancel(id RequestID) {
-	d.queue = slices.DeleteFunc(d.queue, func(r *requestRow) bool { return r.ID == id })
+	row, ok := d.queued[id]
+	if !ok {
+		return
+	}
+	if row.pool == nil {
+		row.cancelled = true // Still incoming: admit drops it.
+		delete(d.queued, id)
+		return
+	}
+	d.dequeue(row)
+	d.freeRow(row)
 }
 
-// Finish ends a started request.
-func (d *Decider) Finish(id RequestID, _ Result) {
+// Finish ends a started request, gives back its slot and learns from the
+// result. An unknown identity has no effect.
+func (d *Decider) Finish(id RequestID, result Result) {
 	row, ok := d.running[id]
 	if !ok {
 		return
 	}
 	delete(d.running, id)
-	if e, ok := d.endpoints[row.endpoint]; ok {
-		e.inFlight--
+	e := row.endpoint
+	e.inFlight--
+	e.inFlightBy[row.class]--
+	if e.probe == id {
+		e.probe = 0
+	}
+	if result != (Result{}) { // The zero Result gives back an unused slot.
+		d.learn(row, result)
 	}
+	d.freeRow(row)
 }
 
-// Tick runs all systems once and returns their decisions.
+// Tick runs all systems once, in fixed order, and returns their decisions. The
+// slice is valid until the next Tick. Time never goes back: an earlier now
+// counts as the last one.
 func (d *Decider) Tick(now Time) []Decision {
-	var out []Decision
-	kept := d.queue[:0]
-	for _, r := range d.queue {
-		decision, decided := d.decide(now, r)
-		if !decided {
-			kept = append(kept, r)
-			continue
-		}
-		out = append(out, decision)
-	}
-	d.queue = kept
-	return out
+	d.now = max(d.now, now)
+	d.out = d.out[:0]
+	d.refreshPools()
+	d.expire()
+	d.admit()
+	d.order()
+	d.place()
+	d.shift()
+	d.refuse()
+	return d.out
 }
 
-func (d *Decider) decide(now Time, r *requestRow) (Decision, bool) {
-	if now >= r.Deadline {
-		return Decision{Kind: Refuse, Request: r.ID, Code: CodeDeadline, RetryAfter: defaultRetryAfter}, true
-	}
-	e, any := d.place(r)
-	if !any {
-		return Decision{Kind: Refuse, Request: r.ID, Code: CodeNoEndpoint, RetryAfter: defaultRetryAfter}, true
-	}
-	if e == nil {
-		return Decision{}, false
-	}
-	e.inFlight++
-	r.endpoint = e.Name
-	d.running[r.ID] = r
-	return Decision{Kind: Start, Request: r.ID, Endpoint: e.Name}, true
-}
-
-// place returns the free endpoint with the highest weighted rendezvous score
-// for the session, and whether any endpoint can serve the request at all.
-func (d *Decider) place(r *requestRow) (best *endpointRow, any bool) {
-	bestScore := math.Inf(-1)
-	for _, e := range d.endpoints {
-		if !e.serves(&r.Request) {
-			continue
-		}
-		any = true
-		if e.inFlight >= e.Slots {
-			continue
-		}
-		score := rendezvous(string(r.Session), e.Name, e.Weight)
-		if score > bestScore {
-			best, bestScore = e, score
-		}
+// Queued returns how many requests wait.
+func (d *Decider) Queued() int { return len(d.queued) }
+
+// Running returns how many requests were started and not finished.
+func (d *Decider) Running() int { return len(d.running) }
+
+func (d *Decider) start(row *requestRow, e *endpointRow) {
+	p := row.pool
+	d.dequeue(row)
+	p.started[row.class]++
+	for class := range p.free {
+		p.free[class] = max(0, p.free[class]-1)
 	}
-	return best, any
+	p.charge(row)
+	e.start(row, d)
+	d.running[row.ID] = row
+	d.prefixes.set(row.sessionHash, e, row.PromptTokens+row.MaxTokens)
+	d.out = append(d.out, Decision{Kind: Start, Request: row.ID, Endpoint: e.Name})
 }
 
-func (e *endpointRow) serves(r *Request) bool {
-	if e.Leaving || e.Service != r.Service || slices.Contains(r.Avoid, e.Name) {
-		return false
+func (d *Decider) newRow() *requestRow {
+	n := len(d.spare)
+	if n == 0 {
+		return &requestRow{}
 	}
-	if e.Team != "" && e.Team != r.Team {
-		return false
+	row := d.spare[n-1]
+	d.spare = d.spare[:n-1]
+	return row
+}
+
+// maxSpareRows bounds the rows kept for use again after a burst.
+const maxSpareRows = 1 << 14
+
+func (d *Decider) freeRow(row *requestRow) {
+	*row = requestRow{}
+	if len(d.spare) < maxSpareRows {
+		d.spare = append(d.spare, row)
 	}
-	return r.Service != "" || slices.Contains(e.Models, r.Model)
 }
 
-// rendezvous returns the weighted rendezvous score of a key at a node.
-func rendezvous(key, node string, weight float64) float64 {
-	h := xxhash.New()
-	_, _ = h.WriteString(key)
-	_, _ = h.WriteString("\x00")
-	_, _ = h.WriteString(node)
-	unit := (float64(h.Sum64()>>11) + 0.5) / (1 << 53)
-	return -weight / math.Log(unit)
+// enqueue puts an admitted row into its pool's queue.
+func (d *Decider) enqueue(row *requestRow) {
+	row.pool.push(row, d.teamWeight(row.Team))
+	heap.Push(&d.expiry, row)
+}
+
+// dequeue takes a row out of all queue tables.
+func (d *Decider) dequeue(row *requestRow) {
+	delete(d.queued, row.ID)
+	heap.Remove(&d.expiry, row.index[expiryIndex])
+	row.pool.remove(row)
 }
+
+// seconds converts a float to a duration.
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/decide/endpoints.go
@@ -0,0 +1,189 @@
+package decide
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+// endpointRow is one endpoint as configured, reported and learned.
+type endpointRow struct {
+	Endpoint
+	hash          uint64
+	gone          bool // No longer listed; kept while requests run there.
+	leavingSaid   bool // On its own word; see SetLeaving.
+	leavingSaidAt Time
+
+	inFlight   int // Started here by this Decider, at most Slots.
+	inFlightBy [classCount]int
+	ownLagged  float64 // inFlight as a report of now would have seen it.
+	ownAt      Time
+
+	report     Report
+	reported   bool
+	reportedAt Time    // When the last report came.
+	others     float64 // Damped load by other instances.
+
+	pending   float64 // Own prompt tokens not yet computed, as a fluid.
+	pendingAt Time
+	learned   learned
+	health    health
+	probe     RequestID // The probe in flight; 0 for none.
+}
+
+const (
+	// leavingHold is how long an endpoint's own word that it leaves outlives a
+	// list that does not say so: the list lags by seconds.
+	leavingHold = 30 * time.Second
+	// reportLag is the time by which reports are taken to lag.
+	reportLag = 200 * time.Millisecond
+	// reportGain damps what reports say of the others: with several instances
+	// each moves half the way, so that they do not all jump at once on the
+	// same news.
+	reportGain = 0.5
+	// reportStale is the age from which a report loses its weight by half each
+	// reportHalfLife: a high load that was never taken back must not keep an
+	// endpoint empty for ever.
+	reportStale    = 2 * time.Second
+	reportHalfLife = 5 * time.Second
+	// defaultQueue bounds an endpoint's own queue: what overshoots while
+	// reports lag may wait there, no more.
+	defaultQueue = 4
+)
+
+// SetEndpoints replaces the endpoint table. Rows that stay keep their state.
+func (d *Decider) SetEndpoints(endpoints []Endpoint) {
+	changed := false
+	listed := make(map[string]bool, len(endpoints))
+	for i := range endpoints {
+		listed[endpoints[i].Name] = true
+		changed = d.setEndpoint(&endpoints[i]) || changed
+	}
+	kept := d.endpoints[:0]
+	for _, e := range d.endpoints {
+		if !listed[e.Name] {
+			changed = changed || !e.gone
+			e.gone = true
+			if e.inFlight == 0 {
+				d.prefixes.forget(e)
+				changed = true
+				continue
+			}
+		}
+		kept = append(kept, e)
+	}
+	clear(d.endpoints[len(kept):])
+	d.endpoints = kept
+	if changed {
+		d.generation++
+		d.buildPools()
+	}
+}
+
+// setEndpoint takes one listed endpoint and tells whether the pools change.
+func (d *Decider) setEndpoint(listed *Endpoint) bool {
+	at, found := d.search(listed.Name)
+	if !found {
+		e := &endpointRow{Endpoint: *listed, hash: hashString(listed.Name)}
+		e.Models = slices.Clone(listed.Models)
+		d.endpoints = slices.Insert(d.endpoints, at, e)
+		return true
+	}
+	e := d.endpoints[at]
+	if e.leavingSaid && d.now-e.leavingSaidAt >= leavingHold {
+		e.leavingSaid = false
+	}
+	same := !e.gone && e.Service == listed.Service && e.Team == listed.Team &&
+		e.Weight == listed.Weight && e.Zone == listed.Zone && slices.Equal(e.Models, listed.Models)
+	models := e.Models
+	if !same {
+		models = slices.Clone(listed.Models)
+	}
+	e.Endpoint, e.gone = *listed, false
+	e.Models = models
+	return !same
+}
+
+func (d *Decider) search(name string) (int, bool) {
+	return slices.BinarySearchFunc(d.endpoints, name, func(e *endpointRow, name string) int {
+		return strings.Compare(e.Name, name)
+	})
+}
+
+func (d *Decider) endpoint(name string) *endpointRow {
+	at, found := d.search(name)
+	if !found {
+		return nil
+	}
+	return d.endpoints[at]
+}
+
+// out tells whether the endpoint takes no new work at all.
+func (e *endpointRow) out() bool { return e.gone || e.Leaving || e.leavingSaid }
+
+// setReport separates the others' load from the own. Own starts since the
+// report was made are not in it, so the own part is taken as it was then.
+func (e *endpointRow) setReport(r Report, now Time) {
+	if e.reported && r.At < e.report.At {
+		return
+	}
+	e.followOwn(now)
+	sample := max(0, float64(r.Running+r.Queued)-e.ownLagged)
+	if !e.reported {
+		e.others = sample
+	}
+	e.others += reportGain * (sample - e.others)
+	e.report, e.reported, e.reportedAt = r, true, now
+}
+
+// followOwn moves ownLagged after inFlight; call it before inFlight changes.
+func (e *endpointRow) followOwn(now Time) {
+	passed := float64(now - e.ownAt)
+	e.ownLagged += (float64(e.inFlight) - e.ownLagged) * (1 - math.Exp(-passed/float64(reportLag)))
+	e.ownAt = now
+}
+
+// load returns the requests at the endpoint: its own exactly, the others' as
+// last reported.
+func (e *endpointRow) load(now Time) float64 {
+	return float64(e.inFlight) + e.othersNow(now)
+}
+
+func (e *endpointRow) othersNow(now Time) float64 {
+	age := now - e.reportedAt
+	if age <= reportStale {
+		return e.others
+	}
+	return e.others * math.Exp2(-float64(age-reportStale)/float64(reportHalfLife))
+}
+
+// queueFull tells whether the endpoint's own queue is at its bound.
+func (e *endpointRow) queueFull(now Time) bool {
+	bound := e.Queue
+	if bound == 0 {
+		bound = defaultQueue
+	}
+	return e.reported && e.report.Queued > bound && now-e.reportedAt <= reportStale
+}
+
+// pendingTokens returns the own prompt tokens that the endpoint has still to
+// compute, as a fluid that drains at the learned rate.
+func (e *endpointRow) pendingTokens(now Time) float64 {
+	drained := (now - e.pendingAt).Seconds() / e.learned.prefill()
+	return max(0, e.pending-drained)
+}
+
+func (e *endpointRow) start(row *requestRow, d *Decider) {
+	e.followOwn(d.now)
+	e.inFlight++
+	e.inFlightBy[row.class]++
+	row.endpoint, row.startedAt = e, d.now
+	row.uncached = d.uncached(row, e)
+	e.pending = e.pendingTokens(d.now) + row.uncached
+	e.pendingAt = d.now
+	row.prefillDue = e.pending
+	if e.health.state == ejected {
+		e.probe = row.ID
+	}
+}
--- /dev/null
+++ b/internal/decide/learn.go
@@ -0,0 +1,85 @@
+package decide
+
+// learned is what finished requests told about an endpoint, as moving averages
+// in seconds. A zero average is unknown.
+type learned struct {
+	base    float64 // To the first token, the prompt in the cache.
+	perTok  float64 // For each prompt token that is not in the cache.
+	pace    float64 // For each generated token; a plain service's answer.
+	hold    float64 // A slot's time for one request.
+	samples int
+}
+
+const (
+	// gain of the moving averages: about the last ten results count, enough
+	// against a single long prompt, few enough to follow a change in seconds.
+	gain = 0.1
+	// fewUncached and manyUncached bound the prompts that teach base and
+	// perTok: what lies between would mix the two.
+	fewUncached, manyUncached = 256, 512
+	// The values before anything was learned; any engine teaches its own in a
+	// few requests.
+	unknownPerToken = 100e-6
+	unknownBase     = 50e-3
+	unknownHold     = 1.0
+)
+
+func average(old *float64, sample float64) {
+	if *old == 0 {
+		*old = sample
+		return
+	}
+	*old += gain * (sample - *old)
+}
+
+func (l *learned) prefill() float64 { return known(l.perTok, unknownPerToken) }
+
+func known(v, unknown float64) float64 {
+	if v <= 0 {
+		return unknown
+	}
+	return v
+}
+
+// learn takes a finished request's result into the tables.
+func (d *Decider) learn(row *requestRow, result Result) {
+	e := row.endpoint
+	if result.Abandoned {
+		if result.Tokens == 0 && row.Service == "" {
+			e.learned.learnFirst(row, result.Total.Seconds()) // At least.
+		}
+		return
+	}
+	if result.Failed {
+		d.learnFailure(row, result)
+		return
+	}
+	if result.Cached > 0 {
+		row.uncached = max(0, float64(row.PromptTokens-result.Cached))
+	}
+	total, first := result.Total.Seconds(), result.FirstToken.Seconds()
+	l := &e.learned
+	l.samples++
+	average(&l.hold, total)
+	average(&row.pool.hold, total)
+	pace := total
+	if result.Tokens > 0 {
+		pace = max(0, total-first) / float64(result.Tokens)
+		l.learnFirst(row, first)
+	} else {
+		average(&l.base, total)
+	}
+	average(&l.pace, pace)
+	average(&row.pool.base, known(l.base, unknownBase))
+	average(&row.pool.perTok, l.prefill())
+	d.learnSuccess(row, pace)
+}
+
+func (l *learned) learnFirst(row *requestRow, first float64) {
+	switch {
+	case row.prefillDue <= fewUncached:
+		average(&l.base, first)
+	case row.prefillDue >= manyUncached:
+		average(&l.perTok, max(1e-7, (first-l.base)/row.prefillDue))
+	}
+}
--- /dev/null
+++ b/internal/decide/place.go
@@ -0,0 +1,279 @@
+package decide
+
+import "slices"
+
+const (
+	// rankSize is how many endpoints of its rendezvous order a session uses
+	// before any other: the second keeps a spilled prefix in one place.
+	rankSize = 3
+	// samples is how many more endpoints are looked at, by chance. Two are
+	// enough to avoid the worst; the global best would draw every instance to
+	// the same endpoint until the next report.
+	samples = 2
+	// parkLimit bounds the rows of one class that one tick passes over while
+	// they wait for their endpoint.
+	parkLimit = 32
+	// unknownUncached is the share of a prompt that is taken as not cached at
+	// the session's first endpoint while nothing is known: another instance
+	// may have sent the last turn there.
+	unknownUncached = 0.25
+	// zoneCost is a round trip between zones: another zone must be better by
+	// more than that.
+	zoneCost = 3e-3
+	// loadCost is what a full batch adds to a first token, in seconds, against
+	// an empty one: it spreads work while no endpoint is full.
+	loadCost = 20e-3
+	// A session moves only if its endpoint is worse by this much: a move costs
+	// each later turn, for other instances do not know of it.
+	moveFactor, moveSlack = 2.0, 50e-3
+)
+
+// place serves requests in their order until slots run out. For each pool it
+// starts what can start; a request that waits for its own endpoint is passed
+// over, so that it holds up nobody.
+func (d *Decider) place() {
+	for _, p := range d.pools {
+		if p.queuedCount() > 0 && len(p.endpoints) > 0 {
+			d.placePool(p)
+		}
+	}
+}
+
+func (d *Decider) placePool(p *pool) {
+	for i := 0; i < p.aged; i++ { // One start each, out of turn.
+		d.placeClass(p, p.classOrder[i], 1)
+	}
+	for i := p.aged; i < p.aged+classCount-1; i++ {
+		d.placeClass(p, p.classOrder[i], p.classes[p.classOrder[i]].count)
+	}
+}
+
+// placeClass starts up to n requests of a class.
+func (d *Decider) placeClass(p *pool, class, n int) {
+	q := &p.classes[class]
+	var parked [parkLimit]*requestRow
+	parks := 0
+	aged := q.credit >= 1
+	for n > 0 && parks < parkLimit {
+		t := q.turnOf()
+		if t == nil {
+			break
+		}
+		row := t.rows.rows[0]
+		e, full := d.choose(p, row, aged)
+		if full {
+			break
+		}
+		if e == nil {
+			q.hide(row)
+			parked[parks] = row
+			parks++
+			continue
+		}
+		t.deficit -= row.cost()
+		q.credit = 0
+		aged = false
+		d.start(row, e)
+		n--
+	}
+	for _, row := range parked[:parks] {
+		q.show(row)
+	}
+}
+
+// choose returns the endpoint to start the row at. A nil one means that the
+// row waits; full means that no row of its class can start in the pool.
+func (d *Decider) choose(p *pool, row *requestRow, aged bool) (e *endpointRow, full bool) {
+	if probe := d.probeFor(p, row); probe != nil {
+		return probe, false
+	}
+	d.rankRow(p, row)
+	home := d.home(p, row)
+	other, otherCost := d.sample(p, row, home, aged)
+	if home == nil {
+		return d.fallback(p, row, other, aged)
+	}
+	cost := d.firstToken(row, home)
+	if d.open(p, home, row, aged) {
+		if other == nil || cost <= moveFactor*otherCost+moveSlack {
+			return home, false
+		}
+		return other, false
+	}
+	if other == nil {
+		other, full = d.fallback(p, row, nil, aged)
+		if other == nil {
+			return nil, full
+		}
+		otherCost = d.firstToken(row, other)
+	}
+	if d.waitsFor(row, home, cost, otherCost) {
+		return nil, false
+	}
+	return other, false
+}
+
+// waitsFor tells whether the row waits for its full endpoint while another one
+// has a slot: only if it is still sooner there, and not for long.
+func (d *Decider) waitsFor(row *requestRow, home *endpointRow, cost, otherCost float64) bool {
+	waited := d.now - row.submitted
+	if waited >= d.opts.AffinityWait || home.health.state != healthy {
+		return false
+	}
+	return cost < otherCost && d.now+seconds(2*cost) < row.Deadline
+}
+
+// home returns the endpoint that the session's prefix is thought to be at, or
+// else the first of its rendezvous order that takes work.
+func (d *Decider) home(p *pool, row *requestRow) *endpointRow {
+	if row.Session == "" || row.Service != "" {
+		return nil
+	}
+	for _, e := range row.rank {
+		if e != nil && p.takes(e) && !row.avoids(e) {
+			return e
+		}
+	}
+	return nil
+}
+
+// sample returns the best of the session's next endpoints and some random ones
+// that are open, and its cost. Where nothing else differs the own zone wins.
+func (d *Decider) sample(p *pool, row *requestRow, home *endpointRow, aged bool) (*endpointRow, float64) {
+	var best *endpointRow
+	bestCost := 0.0
+	consider := func(e *endpointRow) {
+		if e == nil || e == home || e == best || !d.open(p, e, row, aged) {
+			return
+		}
+		cost := d.firstToken(row, e)
+		if best == nil || cost < bestCost {
+			best, bestCost = e, cost
+		}
+	}
+	if holder, _ := d.prefixes.get(row.sessionHash); holder != nil && row.Session != "" && holder.serves(p.key) {
+		consider(holder)
+	}
+	if home != nil {
+		for _, e := range row.rank[1:] {
+			consider(e)
+		}
+	}
+	for range samples {
+		consider(p.endpoints[d.rng.IntN(len(p.endpoints))])
+	}
+	if len(p.own) > 0 {
+		consider(p.own[d.rng.IntN(len(p.own))])
+	}
+	return best, bestCost
+}
+
+// fallback looks through the whole pool from a random place, so that a single
+// free slot is found, and the pool is known to be full if there is none.
+func (d *Decider) fallback(p *pool, row *requestRow, found *endpointRow, aged bool) (e *endpointRow, full bool) {
+	if found != nil {
+		return found, false
+	}
+	offset := d.rng.IntN(len(p.endpoints))
+	avoided := false
+	for i := range p.endpoints {
+		e := p.endpoints[(offset+i)%len(p.endpoints)]
+		if d.open(p, e, row, aged) {
+			return e, false
+		}
+		avoided = avoided || row.avoids(e)
+	}
+	return nil, !avoided
+}
+
+// open tells whether the row may start at the endpoint now.
+func (d *Decider) open(p *pool, e *endpointRow, row *requestRow, aged bool) bool {
+	if !p.takes(e) || e.inFlight >= e.Slots || row.avoids(e) {
+		return false
+	}
+	limit := d.limit(p, e, row.class)
+	if aged {
+		limit = e.rampedSlots()
+	}
+	if e.load(d.now)+1 > limit+0.5 || e.queueFull(d.now) {
+		return false
+	}
+	return d.withinShare(p, e, row.class)
+}
+
+// withinShare holds a class to its share of the slots while a higher class is
+// in use.
+func (d *Decider) withinShare(p *pool, e *endpointRow, class int) bool {
+	for higher := class + 1; higher < classCount; higher++ {
+		if p.inUse(higher, d.now) {
+			return float64(e.inFlightBy[class]) < max(1, d.opts.Share[class]*float64(e.Slots))
+		}
+	}
+	return true
+}
+
+// firstToken predicts the seconds to the row's first token at the endpoint:
+// the wait for a slot, the prompts before it, its own prompt's part that is not
+// in the cache, and a little for a full batch and another zone.
+func (d *Decider) firstToken(row *requestRow, e *endpointRow) float64 {
+	l := &e.learned
+	load, slots := e.load(d.now), float64(max(1, e.Slots))
+	cost := known(l.base, known(row.pool.base, unknownBase))
+	cost += (e.pendingTokens(d.now) + d.uncached(row, e)) * known(l.perTok, known(row.pool.perTok, unknownPerToken))
+	cost += loadCost * load / slots
+	if over := load + 1 - slots; over > 0 {
+		cost += over * known(l.hold, known(row.pool.hold, unknownHold)) / slots
+	}
+	if d.opts.Zone != "" && e.Zone != d.opts.Zone {
+		cost += zoneCost
+	}
+	return cost
+}
+
+// uncached guesses how many of the row's prompt tokens the endpoint has to
+// compute.
+func (d *Decider) uncached(row *requestRow, e *endpointRow) float64 {
+	prompt := float64(max(0, row.PromptTokens))
+	if row.Session == "" {
+		return prompt
+	}
+	holder, tokens := d.prefixes.get(row.sessionHash)
+	switch {
+	case holder == e:
+		return max(0, prompt-float64(tokens))
+	case row.rank[0] == e:
+		return unknownUncached * prompt
+	default:
+		return prompt
+	}
+}
+
+// rankRow finds the session's first endpoints by weighted rendezvous: each
+// instance finds the same ones without a word to the others.
+func (d *Decider) rankRow(p *pool, row *requestRow) {
+	if row.Session == "" || row.rankGeneration == d.generation {
+		return
+	}
+	var scores [rankSize]float64
+	row.rank = [rankSize]*endpointRow{}
+	row.rankGeneration = d.generation
+	for _, e := range p.endpoints {
+		if e.out() {
+			continue
+		}
+		e, score := e, rendezvous(row.sessionHash, e.hash, e.Weight)
+		for i := range row.rank {
+			if row.rank[i] == nil || score > scores[i] {
+				row.rank[i], e = e, row.rank[i]
+				scores[i], score = score, scores[i]
+			}
+			if e == nil {
+				break
+			}
+		}
+	}
+}
+
+func (r *requestRow) avoids(e *endpointRow) bool {
+	return len(r.Avoid) > 0 && slices.Contains(r.Avoid, e.Name)
+}
--- /dev/null
+++ b/internal/decide/pool.go
@@ -0,0 +1,206 @@
+package decide
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"guavapier/internal/record"
+)
+
+// poolKey names what a request asks for. Team is set where the team has
+// endpoints of its own for it; those pools hold the shared ones too.
+type poolKey struct {
+	service string
+	model   string
+	team    record.Team
+}
+
+// pool is all endpoints that can serve a kind of request, with its queue.
+type pool struct {
+	key       poolKey
+	endpoints []*endpointRow // By name.
+	own       []*endpointRow // Those in the instance's own zone.
+	classes   [classCount]classQueue
+	started   [classCount]uint64
+
+	classOrder [2 * classCount]int // Classes in the order of this tick; see order.
+	aged       int                 // How many entries at its start go first by age.
+
+	hold, base, perTok float64             // Averages over the endpoints.
+	lastSeen           [classCount]Time    // When the class last came; 0 for never.
+	free               [classCount]float64 // Free slots by class, at refreshedAt.
+	drain              float64             // Starts a second when all slots are busy.
+	usable             int                 // Endpoints that take work.
+	probes             int                 // Endpoints that want a probe.
+	refreshedAt        Time
+	refreshed          bool
+	checkedAt          Time
+	scratch            []float64
+	nextReturn         Time // When the next refused caller may come back.
+}
+
+const (
+	// refreshEvery bounds how often a pool's sums are made: an engine's step is
+	// about that long, nothing moves faster.
+	refreshEvery = 5 * time.Millisecond
+	// classInUse is how long a class counts as in use after its last request.
+	// Slots stay reserved that long; without the class nothing is reserved.
+	classInUse = time.Minute
+)
+
+// buildPools makes the pools of the endpoint table anew. Pools keep their
+// queues; one that lost all its endpoints stays until its queue is refused.
+func (d *Decider) buildPools() {
+	for _, p := range d.pools {
+		p.endpoints, p.own, p.refreshed = p.endpoints[:0], p.own[:0], false
+	}
+	for _, e := range d.endpoints {
+		if e.gone {
+			continue
+		}
+		for _, key := range e.poolKeys() {
+			d.poolOf(key)
+		}
+	}
+	for _, p := range d.pools {
+		for _, e := range d.endpoints {
+			if !e.gone && e.serves(p.key) {
+				p.add(e, d.opts.Zone)
+			}
+		}
+	}
+	d.pools = slices.DeleteFunc(d.pools, func(p *pool) bool {
+		unused := len(p.endpoints) == 0 && p.queuedCount() == 0
+		if unused {
+			delete(d.poolByKey, p.key)
+		}
+		return unused
+	})
+	slices.SortFunc(d.pools, func(a, b *pool) int {
+		return cmp.Or(cmp.Compare(a.key.service, b.key.service), cmp.Compare(a.key.model, b.key.model), cmp.Compare(a.key.team, b.key.team))
+	})
+}
+
+func (p *pool) add(e *endpointRow, own record.Zone) {
+	p.endpoints = append(p.endpoints, e)
+	if own != "" && e.Zone == own {
+		p.own = append(p.own, e)
+	}
+}
+
+func (d *Decider) poolOf(key poolKey) *pool {
+	if p, ok := d.poolByKey[key]; ok {
+		return p
+	}
+	p := &pool{key: key}
+	for class := range p.classes {
+		p.classes[class].byTeam = map[record.Team]*teamQueue{}
+		p.lastSeen[class] = -classInUse
+	}
+	d.poolByKey[key] = p
+	d.pools = append(d.pools, p)
+	return p
+}
+
+func (e *endpointRow) poolKeys() []poolKey {
+	if e.Service != "" {
+		return []poolKey{{service: e.Service, team: e.Team}}
+	}
+	keys := make([]poolKey, 0, len(e.Models))
+	for _, model := range e.Models {
+		keys = append(keys, poolKey{model: model, team: e.Team})
+	}
+	return keys
+}
+
+func (e *endpointRow) serves(key poolKey) bool {
+	if e.Service != key.service || e.Team != "" && e.Team != key.team {
+		return false
+	}
+	return e.Service != "" || slices.Contains(e.Models, key.model)
+}
+
+// find returns the pool of a request, or nil if no endpoint serves it.
+func (d *Decider) find(r *Request) *pool {
+	key := poolKey{service: r.Service, model: r.Model, team: r.Team}
+	if r.Service != "" {
+		key.model = ""
+	}
+	if p, ok := d.poolByKey[key]; ok && len(p.endpoints) > 0 {
+		return p
+	}
+	key.team = ""
+	if p, ok := d.poolByKey[key]; ok && len(p.endpoints) > 0 {
+		return p
+	}
+	return nil
+}
+
+func (p *pool) queuedCount() int {
+	n := 0
+	for class := range p.classes {
+		n += p.classes[class].count
+	}
+	return n
+}
+
+// inUse tells whether the class came within the last classInUse.
+func (p *pool) inUse(class int, now Time) bool { return now-p.lastSeen[class] < classInUse }
+
+// refreshPools makes each pool's sums that admission needs.
+func (d *Decider) refreshPools() {
+	for _, p := range d.pools {
+		if p.refreshed && d.now-p.refreshedAt < refreshEvery {
+			continue
+		}
+		p.refreshedAt, p.refreshed = d.now, true
+		p.sum(d)
+	}
+}
+
+func (p *pool) sum(d *Decider) {
+	p.free, p.usable, p.probes = [classCount]float64{}, 0, 0
+	for _, e := range p.endpoints {
+		if e.wantsProbe(d.now) {
+			p.probes++
+		}
+		if !e.out() && e.health.state != ejected {
+			p.usable++
+		}
+	}
+	slots := 0.0
+	for _, e := range p.endpoints {
+		if !p.takes(e) {
+			continue
+		}
+		load := e.load(d.now)
+		for class := 1; class < classCount; class++ {
+			p.free[class] += max(0, min(d.limit(p, e, class)-load, float64(e.Slots-e.inFlight)))
+		}
+		slots += float64(e.inFlight) + max(0, e.rampedSlots()-load)
+	}
+	p.drain = slots / known(p.hold, unknownHold)
+}
+
+// takes tells whether the endpoint takes ordinary work. If health has taken
+// out every endpoint, none of the verdicts is believed: the trouble is then
+// more likely on this side, and no answer at all would be the certain harm.
+func (p *pool) takes(e *endpointRow) bool {
+	return !e.out() && (p.usable == 0 || e.health.state != ejected)
+}
+
+// limit returns up to which load the class may start at the endpoint. Slots
+// stay free for each higher class in use: questions and calls must not wait
+// for a report's whole run.
+func (d *Decider) limit(p *pool, e *endpointRow, class int) float64 {
+	slots := e.rampedSlots()
+	reserve := 0.0
+	for higher := class + 1; higher < classCount; higher++ {
+		if p.inUse(higher, d.now) {
+			reserve += d.opts.Reserve[higher]
+		}
+	}
+	// One slot is the least that any class may use.
+	return max(1, slots-float64(int(slots*reserve+0.999)))
+}
--- /dev/null
+++ b/internal/decide/prefix.go
@@ -0,0 +1,73 @@
+package decide
+
+import (
+	"math"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// prefixRows bounds the memory of the prefix table: 65,536 rows of 24 bytes.
+// A row that is overwritten costs one guess, never a wrong answer.
+const prefixRows = 1 << 16
+
+type prefixRow struct {
+	session  uint64
+	endpoint *endpointRow
+	tokens   int
+}
+
+// prefixTable remembers where a session's prefix was computed last. It is
+// direct mapped: no allocation, no scan, and no order to depend on.
+type prefixTable struct{ rows []prefixRow }
+
+func newPrefixTable() prefixTable { return prefixTable{rows: make([]prefixRow, prefixRows)} }
+
+func (t prefixTable) set(session uint64, e *endpointRow, tokens int) {
+	row := &t.rows[session%prefixRows]
+	if tokens <= 0 {
+		if row.session == session && row.endpoint == e {
+			*row = prefixRow{}
+		}
+		return
+	}
+	*row = prefixRow{session: session, endpoint: e, tokens: tokens}
+}
+
+// get returns the endpoint that is thought to hold the session's prefix, or nil.
+func (t prefixTable) get(session uint64) (*endpointRow, int) {
+	row := &t.rows[session%prefixRows]
+	if row.session != session {
+		return nil, 0
+	}
+	return row.endpoint, row.tokens
+}
+
+// forget drops all rows of an endpoint that is gone.
+func (t prefixTable) forget(e *endpointRow) {
+	for i := range t.rows {
+		if t.rows[i].endpoint == e {
+			t.rows[i] = prefixRow{}
+		}
+	}
+}
+
+func hashString(s string) uint64 { return xxhash.Sum64String(s) }
+
+// rendezvous returns the weighted rendezvous score of a key at a node, both
+// given as hashes. The node with the highest score gets the key; over many keys
+// a node's share is its weight's, and a change of one node moves only its keys.
+func rendezvous(key, node uint64, weight float64) float64 {
+	const unitBits = 53
+	h := mix(key ^ node)
+	unit := (float64(h>>(64-unitBits)) + 0.5) / (1 << unitBits)
+	return -weight / math.Log(unit)
+}
+
+// mix is the finalizer of SplitMix64.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/internal/decide/property_test.go
@@ -0,0 +1,187 @@
+package decide
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"guavapier/internal/record"
+
+	"pgregory.net/rapid"
+)
+
+// machine drives two equal Deciders with one random input and checks that they
+// agree and that each request has one decision.
+type machine struct {
+	d, twin  *Decider
+	now      Time
+	table    []Endpoint
+	leaving  map[string]bool
+	asked    map[RequestID]Request
+	starts   map[RequestID]string
+	inFlight map[string]int
+	lastID   RequestID
+}
+
+func (m *machine) both(do func(*Decider)) {
+	do(m.d)
+	do(m.twin)
+}
+
+func (m *machine) row(name string) *Endpoint {
+	for i := range m.table {
+		if m.table[i].Name == name {
+			return &m.table[i]
+		}
+	}
+	return nil
+}
+
+// drawTable lists any of eight endpoints whose configuration never changes.
+func (m *machine) drawTable(t *rapid.T) {
+	m.table = nil
+	for i := range 8 {
+		if !rapid.Bool().Draw(t, "listed") {
+			delete(m.leaving, fmt.Sprintf("e%d", i)) // Listed again it comes anew.
+			continue
+		}
+		e := Endpoint{Name: fmt.Sprintf("e%d", i), Slots: 1 + i%3, Weight: float64(1 + i%2), Zone: record.Zone(fmt.Sprintf("z%d", i%2))}
+		e.Models = []string{"m", "n"}[:1+i%2]
+		if i == 6 {
+			e.Team = "a"
+		}
+		if i == 7 {
+			e.Service, e.Models = "rig", nil
+		}
+		e.Leaving = rapid.IntRange(0, 5).Draw(t, "leaving") == 0
+		m.table = append(m.table, e)
+	}
+	m.both(func(d *Decider) { d.SetEndpoints(m.table) })
+}
+
+func (m *machine) submit(t *rapid.T) {
+	m.lastID++
+	r := Request{
+		ID: m.lastID, Team: record.Team(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "team")),
+		Session: record.SessionID(rapid.SampledFrom([]string{"", "s", "t", "u"}).Draw(t, "session")),
+		Model:   rapid.SampledFrom([]string{"m", "n", "unknown"}).Draw(t, "model"),
+		Service: rapid.SampledFrom([]string{"", "", "rig"}).Draw(t, "service"), Priority: Priority(rapid.IntRange(0, 4).Draw(t, "priority")),
+		Deadline:     m.now + time.Duration(rapid.IntRange(-1, 5000).Draw(t, "wait"))*time.Millisecond,
+		PromptTokens: rapid.IntRange(0, 9000).Draw(t, "prompt"), MaxTokens: rapid.IntRange(0, 900).Draw(t, "max"),
+		Repeatable: rapid.Bool().Draw(t, "repeatable"), Attempt: rapid.IntRange(0, 2).Draw(t, "attempt"),
+	}
+	if rapid.IntRange(0, 3).Draw(t, "avoids") == 0 {
+		r.Avoid = []string{fmt.Sprintf("e%d", rapid.IntRange(0, 7).Draw(t, "avoid"))}
+	}
+	m.asked[r.ID] = r
+	m.both(func(d *Decider) { d.Submit(r) })
+}
+
+func (m *machine) tick(t *rapid.T) {
+	got, other := slices.Clone(m.d.Tick(m.now)), m.twin.Tick(m.now)
+	if len(got)+len(other) > 0 && !reflect.DeepEqual(got, other) {
+		t.Fatalf("same input, other decisions: %v and %v", got, other)
+	}
+	for _, d := range got {
+		r, ok := m.asked[d.Request]
+		if !ok {
+			t.Fatalf("decided twice, or never asked: %+v", d)
+		}
+		delete(m.asked, d.Request)
+		if d.Kind == Refuse {
+			if d.RetryAfter < minRetryAfter || d.RetryAfter > 2*maxRetryAfter {
+				t.Fatalf("retry after %v", d.RetryAfter)
+			}
+			continue
+		}
+		m.checkStart(t, r, d.Endpoint)
+	}
+}
+
+func (m *machine) checkStart(t *rapid.T, r Request, name string) {
+	e := m.row(name)
+	switch {
+	case e == nil || e.Leaving || m.leaving[name]:
+		t.Fatalf("%v: start at %s, which is gone or leaving", m.now, name)
+	case slices.Contains(r.Avoid, name) || e.Service != r.Service || e.Team != "" && e.Team != r.Team:
+		t.Fatalf("start of %+v at %+v", r, *e)
+	case r.Service == "" && !slices.Contains(e.Models, r.Model):
+		t.Fatalf("model %s at %+v", r.Model, *e)
+	case m.now >= r.Deadline:
+		t.Fatalf("start of %+v at %v", r, m.now)
+	}
+	m.starts[r.ID] = name
+	m.inFlight[name]++
+	if m.inFlight[name] > e.Slots {
+		t.Fatalf("%s runs %d on %d slots", name, m.inFlight[name], e.Slots)
+	}
+}
+
+func (m *machine) finish(t *rapid.T) {
+	if len(m.starts) == 0 {
+		return
+	}
+	ids := make([]RequestID, 0, len(m.starts))
+	for id := range m.starts {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	id := rapid.SampledFrom(ids).Draw(t, "finished")
+	r := Result{
+		Total: time.Duration(rapid.IntRange(0, 9000).Draw(t, "total")) * time.Millisecond, Tokens: rapid.IntRange(0, 500).Draw(t, "tokens"),
+		Failed: rapid.IntRange(0, 2).Draw(t, "failed") == 0, Silent: rapid.Bool().Draw(t, "silent"),
+	}
+	r.FirstToken = r.Total / 2
+	m.inFlight[m.starts[id]]--
+	delete(m.starts, id)
+	m.both(func(d *Decider) { d.Finish(id, r) })
+}
+
+func (m *machine) cancel(t *rapid.T) {
+	id := RequestID(rapid.Uint64Range(0, uint64(m.lastID)).Draw(t, "cancelled"))
+	delete(m.asked, id)
+	m.both(func(d *Decider) { d.Cancel(id) })
+}
+
+func (m *machine) report(t *rapid.T) {
+	name := fmt.Sprintf("e%d", rapid.IntRange(0, 7).Draw(t, "endpoint"))
+	if rapid.IntRange(0, 5).Draw(t, "leaves") == 0 {
+		m.leaving[name] = m.row(name) != nil
+		m.both(func(d *Decider) { d.SetLeaving(name) })
+		return
+	}
+	r := Report{Running: rapid.IntRange(0, 5).Draw(t, "running"), Queued: rapid.IntRange(0, 7).Draw(t, "queued"), At: m.now}
+	m.both(func(d *Decider) { d.SetReport(name, r); d.SetCached(name, "s", r.Running) })
+}
+
+// TestAnyInput: same input same output; each request is decided once, none is
+// lost, none starts where or when it may not; slots are never exceeded.
+func TestAnyInput(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		opts := Options{Seed: rapid.Uint64().Draw(t, "seed"), Zone: "z0"}
+		m := &machine{
+			d: New(opts), twin: New(opts), leaving: map[string]bool{}, asked: map[RequestID]Request{},
+			starts: map[RequestID]string{}, inFlight: map[string]int{},
+		}
+		m.drawTable(t)
+		steps := []func(*rapid.T){m.submit, m.submit, m.submit, m.tick, m.tick, m.finish, m.finish, m.cancel, m.report, m.report}
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			m.now += time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond
+			if n := rapid.IntRange(0, len(steps)).Draw(t, "step"); n < len(steps) {
+				steps[n](t)
+			} else if m.now < leavingHold {
+				m.drawTable(t)
+			}
+		}
+		m.now += 10 * time.Second
+		m.tick(t)
+		if len(m.asked) > 0 || m.d.Queued() > 0 {
+			t.Fatalf("%d requests without a decision, %d queued", len(m.asked), m.d.Queued())
+		}
+		if m.d.Running() != len(m.starts) {
+			t.Fatalf("%d running, %d started", m.d.Running(), len(m.starts))
+		}
+	})
+}
--- /dev/null
+++ b/internal/decide/refuse.go
@@ -0,0 +1,90 @@
+package decide
+
+import (
+	"container/heap"
+	"time"
+)
+
+const (
+	// recheckRows bounds the rows that one tick predicts anew: a full queue is
+	// gone through within a second, at a cost that does not grow with it.
+	recheckRows = 64
+	// recheckSlack keeps noise in the prediction from refusing a request that
+	// was admitted on a slightly better one.
+	recheckSlack = 1.25
+	// The bounds of RetryAfter. Sooner a caller would only add load; later a
+	// person has given up, and the load has changed anyway.
+	minRetryAfter = 250 * time.Millisecond
+	maxRetryAfter = 30 * time.Second
+	// returnShare is the share of the drained slots that returning callers are
+	// given times for: new requests need the rest.
+	returnShare = 0.5
+)
+
+// refuse serves a queue whose endpoints were lost after admission. It predicts
+// a part of the queue anew each tick and gives those that can't make it any
+// more their final answer now, not when their deadline comes: the caller can
+// use the time that is left.
+func (d *Decider) refuse() {
+	for range min(recheckRows, d.expiry.Len()) {
+		if d.expiry.Len() == 0 {
+			return
+		}
+		d.cursor++
+		if d.cursor >= d.expiry.Len() {
+			d.cursor = 0
+		}
+		row := d.expiry.rows[d.cursor]
+		if code, hopeless := d.hopeless(row); hopeless {
+			d.refuseRow(row, code)
+		}
+	}
+}
+
+func (d *Decider) hopeless(row *requestRow) (Code, bool) {
+	p := row.pool
+	if !d.anyFor(p, row) {
+		return CodeNoEndpoint, true
+	}
+	ahead := max(0, row.ahead-float64(p.startedFrom(row.class)-row.startedThen))
+	wait := p.predictedWait(row.class, ahead)
+	late := float64(wait) > recheckSlack*float64(row.latestStart-d.now)
+	return CodeOverloaded, late && wait > 0
+}
+
+// refuseRow gives a queued or incoming row its final answer.
+func (d *Decider) refuseRow(row *requestRow, code Code) {
+	p := row.pool
+	wait := time.Duration(0)
+	if p != nil {
+		wait = p.predictedWait(row.class, float64(p.queuedCount()))
+		heap.Remove(&d.expiry, row.index[expiryIndex])
+		p.remove(row)
+	}
+	d.refuseNew(row, p, code, wait)
+}
+
+// refuseNew gives a row that is in no queue its final answer.
+func (d *Decider) refuseNew(row *requestRow, p *pool, code Code, wait time.Duration) {
+	d.out = append(d.out, Decision{Kind: Refuse, Request: row.ID, Code: code, RetryAfter: d.retryAfter(p, wait)})
+	delete(d.queued, row.ID)
+	d.freeRow(row)
+}
+
+// retryAfter books a refused caller's return. The callers of one burst are
+// refused together; sent back together they would be refused together again.
+// So each gets its own place behind the queue, as far after the one before as
+// the pool takes to start a request, and a random part on top because other
+// instances book the same slots.
+func (d *Decider) retryAfter(p *pool, wait time.Duration) time.Duration {
+	after := max(wait, minRetryAfter)
+	if p != nil && p.drain > 0 {
+		p.nextReturn = max(p.nextReturn, d.now) + seconds(1/(p.drain*returnShare))
+		p.nextReturn = min(p.nextReturn, d.now+maxRetryAfter)
+		after += p.nextReturn - d.now
+	} else {
+		after = max(after, time.Second)
+	}
+	after = min(after, maxRetryAfter)
+	return after + seconds(d.rng.Float64()*after.Seconds()/2)
+}
--- /dev/null
+++ b/internal/decide/row.go
@@ -0,0 +1,86 @@
+package decide
+
+// The index fields of a requestRow, one for each heap it is in.
+const (
+	expiryIndex = iota
+	teamIndex
+	heapCount
+)
+
+// requestRow is one request, from Submit to its refusal or Finish.
+type requestRow struct {
+	Request
+	class       int
+	sessionHash uint64
+	pool        *pool // Nil until admitted.
+	team        *teamQueue
+	index       [heapCount]int
+	cancelled   bool
+
+	submitted   Time
+	latestStart Time
+	// ahead is how many requests were before it at admission, and startedThen
+	// the pool's count of starts at that time.
+	ahead       float64
+	startedThen uint64
+	// rank holds the session's endpoints by rendezvous score, for the
+	// endpoint table of rankGeneration.
+	rank           [rankSize]*endpointRow
+	rankGeneration uint64
+
+	// Set by start.
+	endpoint   *endpointRow
+	startedAt  Time
+	uncached   float64 // Prompt tokens expected to be computed.
+	prefillDue float64 // Uncached tokens in the endpoint, its own included.
+}
+
+// cost is the work of a request in tokens, for fair shares. A prompt token
+// takes about a tenth of a generated one on an engine, and each request has a
+// fixed part. It must be positive, or a team could run without being charged.
+func (r *requestRow) cost() float64 {
+	const perRequest, promptPart = 32, 0.1
+	return perRequest + promptPart*float64(max(r.PromptTokens, 0)) + float64(max(r.MaxTokens, 0))
+}
+
+// attempt returns which start of the request this would be, from 1.
+func (r *requestRow) attempt() int { return max(r.Attempt, len(r.Avoid)+1) }
+
+// rowHeap is a heap.Interface of rows by latest start, ties by identity, so
+// that the order is total.
+type rowHeap struct {
+	rows  []*requestRow
+	index int // Which of the row's index fields this heap keeps.
+}
+
+func (h *rowHeap) Len() int { return len(h.rows) }
+
+func (h *rowHeap) Less(i, j int) bool {
+	a, b := h.rows[i], h.rows[j]
+	if a.latestStart != b.latestStart {
+		return a.latestStart < b.latestStart
+	}
+	return a.ID < b.ID
+}
+
+func (h *rowHeap) Swap(i, j int) {
+	h.rows[i], h.rows[j] = h.rows[j], h.rows[i]
+	h.rows[i].index[h.index] = i
+	h.rows[j].index[h.index] = j
+}
+
+// Push implements heap.Interface.
+func (h *rowHeap) Push(x any) {
+	row := x.(*requestRow)
+	row.index[h.index] = len(h.rows)
+	h.rows = append(h.rows, row)
+}
+
+// Pop implements heap.Interface.
+func (h *rowHeap) Pop() any {
+	last := len(h.rows) - 1
+	row := h.rows[last]
+	h.rows[last] = nil
+	h.rows = h.rows[:last]
+	return row
+}
--- /dev/null
+++ b/internal/decide/sim_test.go
@@ -0,0 +1,297 @@
+package decide
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"guavapier/internal/record"
+)
+
+// router is what the model drives: a Decider or a baseline.
+type router interface {
+	SetEndpoints([]Endpoint)
+	SetReport(string, Report)
+	SetLeaving(string)
+	Submit(Request)
+	Cancel(RequestID)
+	Finish(RequestID, Result)
+	Tick(Time) []Decision
+}
+
+// call is one request of a caller, over all its comings back.
+type call struct {
+	Request
+	wait     time.Duration
+	sent     Time // Of the last coming.
+	comings  int
+	job      *job
+	instance int
+	done     func(answered bool) // After its last word.
+	settled  bool
+}
+
+type event struct {
+	at  Time
+	seq int
+	run func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	last := len(*h) - 1
+	e := (*h)[last]
+	*h = (*h)[:last]
+	return e
+}
+
+// tally is the outcome for the callers of one class, within the window.
+type tally struct {
+	calls, answered, refused, late, vain, gaveUp int
+	first                                        []float64 // Seconds, of the answered.
+	prompt, cached                               int
+}
+
+// sim is the loop of events for a few routers before a few engines.
+type sim struct {
+	now     Time
+	seq     int
+	events  eventHeap
+	rng     *rand.Rand
+	routers []router
+	engines []*engineModel
+	byName  map[string]*engineModel
+	calls   []map[RequestID]*call
+	lastID  RequestID
+	from    Time // Of the window.
+
+	classes    [classCount]tally
+	teams      map[record.Team]int
+	violations []string
+	trace      []Decision // The decisions, where keep is set.
+	keep       bool
+}
+
+const (
+	tickEvery    = 10 * time.Millisecond
+	reportEvery  = 100 * time.Millisecond
+	reportDelay  = 200 * time.Millisecond
+	reportsLost  = 0.1
+	promptAnswer = 20 * time.Millisecond // A refusal within it is prompt.
+	maxComings   = 3
+)
+
+func newSim(seed uint64, gpus []int, instances int, build func(i int) router) *sim {
+	s := &sim{
+		rng: rand.New(rand.NewPCG(seed, 1)), byName: map[string]*engineModel{}, teams: map[record.Team]int{},
+	}
+	for i, n := range gpus {
+		e := &engineModel{name: fmt.Sprintf("e%02d", i), gpus: n, sim: s, cache: map[string]int{}}
+		s.engines = append(s.engines, e)
+		s.byName[e.name] = e
+	}
+	for i := range instances {
+		s.routers = append(s.routers, build(i))
+		s.calls = append(s.calls, map[RequestID]*call{})
+	}
+	s.list(func(e *engineModel) float64 { return float64(e.gpus) })
+	s.every(reportEvery, s.reports)
+	s.every(tickEvery, func() {
+		for i := range s.routers {
+			s.tick(i)
+		}
+	})
+	return s
+}
+
+// list gives every router the endpoint table, with weights.
+func (s *sim) list(weight func(*engineModel) float64) {
+	var table []Endpoint
+	for i, e := range s.engines {
+		table = append(table, Endpoint{
+			Name: e.name, Zone: record.Zone(fmt.Sprintf("z%d", i%4)), Models: []string{"m"},
+			Slots: e.slots(), Weight: weight(e), Leaving: e.leaving,
+		})
+	}
+	for _, r := range s.routers {
+		r.SetEndpoints(table)
+	}
+}
+
+func (s *sim) after(d time.Duration, run func()) {
+	s.seq++
+	heap.Push(&s.events, event{at: s.now + d, seq: s.seq, run: run})
+}
+
+func (s *sim) every(d time.Duration, run func()) {
+	s.after(d, func() {
+		run()
+		s.every(d, run)
+	})
+}
+
+func (s *sim) run(until Time) {
+	for len(s.events) > 0 && s.events[0].at <= until {
+		e := heap.Pop(&s.events).(event)
+		s.now = e.at
+		e.run()
+	}
+}
+
+func (s *sim) reports() {
+	for _, e := range s.engines {
+		r := e.report(s.now)
+		for i := range s.routers {
+			if s.rng.Float64() < reportsLost || e.cut {
+				continue
+			}
+			s.after(reportDelay, func() { s.routers[i].SetReport(e.name, r) })
+		}
+	}
+}
+
+// send brings a call to an instance by chance, as the balancer does.
+func (s *sim) send(c *call) {
+	s.lastID++
+	c.ID, c.sent, c.Deadline = s.lastID, s.now, s.now+c.wait
+	c.comings++
+	c.instance = s.rng.IntN(len(s.routers))
+	c.job = nil
+	s.calls[c.instance][c.ID] = c
+	if s.now >= s.from && c.comings == 1 {
+		s.classes[c.Priority].calls++
+	}
+	s.routers[c.instance].Submit(c.Request)
+	id := c.ID
+	s.after(c.wait, func() { s.deadline(c, id) })
+	s.tick(c.instance)
+}
+
+func (s *sim) tick(i int) {
+	for _, d := range append([]Decision(nil), s.routers[i].Tick(s.now)...) {
+		if s.keep {
+			s.trace = append(s.trace, d)
+		}
+		c, ok := s.calls[i][d.Request]
+		if !ok || c.ID != d.Request || c.job != nil {
+			s.violate("%v: decided twice or unknown: %+v", s.now, d)
+			continue
+		}
+		if d.Kind == Refuse {
+			delete(s.calls[i], d.Request)
+			s.refused(c, d)
+			continue
+		}
+		s.start(c, s.byName[d.Endpoint])
+	}
+}
+
+func (s *sim) violate(format string, args ...any) {
+	s.violations = append(s.violations, fmt.Sprintf(format, args...))
+}
+
+func (s *sim) start(c *call, e *engineModel) {
+	c.job = &job{call: c, id: c.ID, instance: c.instance, engine: e, started: s.now}
+	if e.leaving {
+		s.violate("%v: start at the leaving %s", s.now, e.name)
+	}
+	if e.cut {
+		j := c.job
+		s.after(time.Second, func() { s.fail(j) })
+		return
+	}
+	e.add(c.job)
+}
+
+// fail ends an attempt at an endpoint that can't be reached; the caller's
+// instance tries again elsewhere.
+func (s *sim) fail(j *job) {
+	if j.ended {
+		return
+	}
+	j.ended = true
+	delete(s.calls[j.instance], j.id)
+	s.routers[j.instance].Finish(j.id, Result{Failed: true, Total: s.now - j.started})
+	c := j.call
+	c.Avoid = append(c.Avoid, j.engine.name)
+	s.lastID++
+	c.ID, c.job = s.lastID, nil
+	s.calls[c.instance][c.ID] = c
+	s.routers[c.instance].Submit(c.Request)
+	id := c.ID
+	s.after(c.Deadline-s.now, func() { s.deadline(c, id) })
+	s.tick(c.instance)
+}
+
+func (s *sim) refused(c *call, d Decision) {
+	t := &s.classes[c.Priority]
+	if s.now >= s.from {
+		t.refused++
+		if s.now-c.sent > promptAnswer {
+			t.late++
+		}
+	}
+	if c.comings >= maxComings {
+		s.settle(c, false)
+		if s.now >= s.from {
+			t.gaveUp++
+		}
+		return
+	}
+	c.Avoid = nil
+	s.after(d.RetryAfter, func() { s.send(c) })
+}
+
+func (s *sim) settle(c *call, answered bool) {
+	if c.settled {
+		s.violate("%v: call settled twice", s.now)
+	}
+	c.settled = true
+	c.done(answered)
+}
+
+// deadline is the caller's patience: no first token by now.
+func (s *sim) deadline(c *call, id RequestID) {
+	if c.ID != id || s.calls[c.instance][id] != c || c.job != nil && c.job.tokens > 0 {
+		return
+	}
+	delete(s.calls[c.instance], id)
+	if s.now >= s.from {
+		s.classes[c.Priority].vain++
+	}
+	if j := c.job; j != nil {
+		j.engine.drop(j)
+		s.routers[c.instance].Finish(id, Result{Failed: true, Abandoned: true, Total: s.now - j.started})
+	} else {
+		s.routers[c.instance].Cancel(id)
+	}
+	s.settle(c, false)
+}
+
+func (s *sim) firstToken(j *job) {
+	if s.now < s.from {
+		return
+	}
+	t := &s.classes[j.Priority]
+	t.answered++
+	t.first = append(t.first, (s.now - j.sent).Seconds())
+	t.prompt += j.PromptTokens
+	t.cached += j.cached
+	s.teams[j.Team]++
+}
+
+func (s *sim) finish(j *job, r Result) {
+	j.ended = true
+	delete(s.calls[j.instance], j.id)
+	s.routers[j.instance].Finish(j.id, r)
+	s.settle(j.call, true)
+	s.tick(j.instance)
+}
--- a/internal/decide/types.go
+++ b/internal/decide/types.go
@@ -43,6 +43,12 @@
 	Deadline     Time
 	PromptTokens int
 	MaxTokens    int
+	// Repeatable marks a request that may run twice. Only such a request is
+	// sent to an endpoint that is being probed.
+	Repeatable bool
+	// Attempt counts the starts of this request, from 1; 0 counts as 1. Each
+	// name in Avoid counts as an attempt too. Later ones need retry budget.
+	Attempt int
 	// Avoid lists endpoints that have already failed this request.
 	Avoid []string
 }
@@ -62,8 +68,13 @@
 	Models  []string
 	// Team is set for an endpoint that serves one team only.
 	Team record.Team
-	// Slots is how many requests the endpoint runs at once.
+	// Slots is how many requests the endpoint runs at once, for all instances
+	// together. One Decider never starts more than that there.
 	Slots int
+	// Queue is how many requests may wait in the endpoint's own queue as its
+	// reports show it; above it nothing more is placed there. 0 means the
+	// default.
+	Queue int
 	// Weight is the configured capacity, in any unit common to all endpoints.
 	Weight  float64
 	Leaving bool
@@ -75,7 +86,13 @@
 	FirstToken time.Duration
 	Total      time.Duration
 	Tokens     int
-	Failed     bool
+	// Cached is how many prompt tokens the endpoint found in its prefix
+	// cache; 0 if unknown.
+	Cached int
+	Failed bool
+	// Abandoned marks an attempt that the caller left. It says nothing against
+	// the endpoint.
+	Abandoned bool
 	// Silent marks a failure by lack of progress.
 	Silent bool
 }
@@ -88,6 +105,8 @@
 	CodeOverloaded Code = "overloaded"
 	CodeNoEndpoint Code = "no_endpoint"
 	CodeDeadline   Code = "deadline"
+	// CodeRetryBudget refuses a retry while retries are too large a share.
+	CodeRetryBudget Code = "retry_budget"
 )
 
 // Kind tells a Decision's meaning.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -55,10 +55,13 @@
 	stopped sync.WaitGroup
 }
 
-// New starts a Dispatcher.
-func New() *Dispatcher {
+// New starts a Dispatcher with the default options.
+func New() *Dispatcher { return NewWithOptions(decide.Options{}) }
+
+// NewWithOptions starts a Dispatcher.
+func NewWithOptions(opts decide.Options) *Dispatcher {
 	d := &Dispatcher{
-		decider: decide.New(),
+		decider: decide.New(opts),
 		waiting: map[decide.RequestID]chan decide.Decision{},
 		origin:  time.Now(),
 		stop:    make(chan struct{}),
--- a/internal/run/runner.go
+++ b/internal/run/runner.go
@@ -143,6 +143,7 @@
 	place := decide.Request{
 		Team: c.Team.Name, Session: c.Session.ID, Model: c.Model, Priority: c.Priority,
 		Deadline: r.Placer.Now() + c.Wait, PromptTokens: c.PromptTokens, MaxTokens: c.MaxTokens,
+		Repeatable: true,
 	}
 	result := ChatResult{Run: run}
 	order := endpoint.Order{Run: run, Priority: int(c.Priority), Model: c.Model, Messages: c.Messages, MaxTokens: c.MaxTokens}
@@ -174,6 +175,7 @@
 	outcome := decide.Result{Failed: true}
 	defer func() {
 		outcome.Total = time.Since(began)
+		outcome.Abandoned = outcome.Failed && ctx.Err() != nil
 		p.Done(outcome)
 	}()
 	base, ok := r.Endpoints.URL(p.Endpoint)
--- a/internal/run/service.go
+++ b/internal/run/service.go
@@ -40,7 +40,7 @@
 func (r *Runner) callAttempts(ctx context.Context, c Call, run record.RunID) (endpoint.Answer, error) {
 	place := decide.Request{
 		Team: c.Team.Name, Session: c.Session.ID, Service: c.Service, Priority: c.Priority,
-		Deadline: r.Placer.Now() + c.Wait,
+		Deadline: r.Placer.Now() + c.Wait, Repeatable: c.Repeatable,
 	}
 	var last error
 	for attempt := 1; attempt <= r.MaxAttempts; attempt++ {
@@ -67,8 +67,10 @@
 func (r *Runner) callOnce(ctx context.Context, c Call, name string, run record.RunID, attempt int, done func(decide.Result)) (endpoint.Answer, error) {
 	began := time.Now()
 	outcome := decide.Result{Failed: true}
+	caller := ctx
 	defer func() {
 		outcome.Total = time.Since(began)
+		outcome.Abandoned = outcome.Failed && caller.Err() != nil
 		done(outcome)
 	}()
 	base, ok := r.Endpoints.URL(name)
--- /dev/null
+++ b/internal/server/placement.go
@@ -0,0 +1,15 @@
+package server
+
+import (
+	"guavapier/internal/decide"
+	"guavapier/internal/record"
+	"guavapier/internal/settings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// placement returns the options of this instance's decisions. The seed differs
+// between instances and between starts, as the identity does.
+func placement(s settings.Settings, id record.InstanceID) decide.Options {
+	return decide.Options{Seed: xxhash.Sum64String(string(id)), Zone: record.Zone(s.Instance.Zone)}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -75,7 +75,7 @@
 	for n := range s.Ledger.Partitions {
 		srv.partitions = append(srv.partitions, replica.New(record.LedgerStream(n), fold.NewLedger()))
 	}
-	srv.dispatcher = dispatch.New()
+	srv.dispatcher = dispatch.NewWithOptions(placement(s, srv.id))
 	srv.members = newMembers(srv.client, srv.dispatcher)
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.MaxIdleConnsPerHost = 64
