Keep sessions at their prefix near saturation

Cause: at 90 % of the model's capacity every policy, this one included, collapsed. A request that found its endpoint full started cold elsewhere; a cold prompt is about four turns of work and evicts another session's prefix, which causes the next cold start. Reuse fell from 85 to 23 % and stayed there.

Ruled out: the memory (it holds the working set at 90 %), the affinity wait alone (0.3 s against 3 s: no difference).

Change: a request moves away from its prefix only to an endpoint below 0.4 of its slots, or where it is cheap; it leaves an open endpoint only if that one takes 0.3 of its patience. Admission predicts the wait at the session's own endpoint. Predictions include the observed delay, the miss rate, and the others' prompts guessed from the own. Margin 0.5 instead of 0.7.

--- a/internal/decide/admit.go
+++ b/internal/decide/admit.go
@@ -3,9 +3,9 @@
 import "time"
 
 // admitMargin is the share of the remaining time that the predicted wait may
-// take. Predictions are off by a third in a burst; a request refused at once
-// can go elsewhere, one that waits in vain can not.
-const admitMargin = 0.7
+// take. Predictions are off by half in a burst; a request refused at once can
+// come back, one that waits in vain can not.
+const admitMargin = 0.5
 
 // admit serves a queue that grows faster than it drains. It refuses at once
 // each new request whose predicted wait its deadline can't meet, and queues
@@ -38,6 +38,8 @@
 		d.refuseNew(row, p, CodeRetryBudget, 0)
 		return
 	}
+	d.rankRow(p, row)
+	row.home = d.home(p, row)
 	first := d.expectedFirst(row)
 	ahead := p.ahead(row, d.teamWeight(row.Team))
 	wait := p.predictedWait(row.class, ahead)
@@ -52,6 +54,11 @@
 		d.refuseNew(row, p, CodeOverloaded, wait)
 		return
 	}
+	if !d.homeInTime(row, remaining) {
+		row.pool = nil
+		d.refuseNew(row, p, CodeOverloaded, wait)
+		return
+	}
 	row.latestStart = row.Deadline - first
 	row.ahead, row.startedThen = ahead, p.startedFrom(row.class)
 	d.enqueue(row)
@@ -67,19 +74,30 @@
 	return false
 }
 
-// expectedFirst returns the learned time from start to first token, the prefix
-// where it is thought to be.
+// homeInTime tells whether the row's own endpoint is expected to answer it in
+// time, or another one may. Near the fleet's limit sessions wait for their own
+// endpoint, so it is that one's queue which decides.
+func (d *Decider) homeInTime(row *requestRow, remaining time.Duration) bool {
+	home := row.home
+	if home == nil {
+		return true
+	}
+	wait := home.slotWait(d.now, float64(home.homeQueue), known(row.pool.hold, unknownHold))
+	wait += home.firstTokenFree(d, row)
+	if wait <= admitMargin*remaining.Seconds() {
+		return true
+	}
+	other, _ := d.sample(row.pool, row, home, false)
+	return other != nil && d.mayMove(row, other)
+}
+
+// expectedFirst returns the learned time from start to first token.
 func (d *Decider) expectedFirst(row *requestRow) time.Duration {
-	p := row.pool
-	uncached := float64(row.PromptTokens)
-	if row.Session != "" {
-		uncached *= unknownUncached
-		if _, tokens := d.prefixes.get(row.sessionHash); tokens > 0 {
-			uncached = max(0, float64(row.PromptTokens-tokens))
-		}
+	if row.home != nil {
+		return seconds(row.home.firstTokenFree(d, row))
 	}
-	s := known(p.base, 0) + uncached*known(p.perTok, 0)
-	return seconds(s)
+	p := row.pool
+	return seconds(known(p.base, 0) + float64(max(0, row.PromptTokens))*known(p.perTok, 0))
 }
 
 // ahead returns how many requests of the pool start before the row.
--- a/internal/decide/decider.go
+++ b/internal/decide/decider.go
@@ -201,6 +201,9 @@
 // enqueue puts an admitted row into its pool's queue.
 func (d *Decider) enqueue(row *requestRow) {
 	row.pool.push(row, d.teamWeight(row.Team))
+	if row.home != nil {
+		row.home.homeQueue++
+	}
 	heap.Push(&d.expiry, row)
 }
 
@@ -209,6 +212,9 @@
 	delete(d.queued, row.ID)
 	heap.Remove(&d.expiry, row.index[expiryIndex])
 	row.pool.remove(row)
+	if row.home != nil {
+		row.home.homeQueue--
+	}
 }
 
 // seconds converts a float to a duration.
--- a/internal/decide/endpoints.go
+++ b/internal/decide/endpoints.go
@@ -24,9 +24,14 @@
 	reported   bool
 	reportedAt Time    // When the last report came.
 	others     float64 // Damped load by other instances.
+	othersMean float64 // Over many reports, as is ownMean.
+	ownMean    float64
 
-	pending   float64 // Own prompt tokens not yet computed, as a fluid.
+	homeQueue int     // Queued rows that wait for this endpoint.
+	pending   float64 // Prompt tokens not yet computed, as a fluid.
 	pendingAt Time
+	delay     float64
+	delayAt   Time
 	learned   learned
 	health    health
 	probe     RequestID // The probe in flight; 0 for none.
@@ -47,6 +52,16 @@
 	// endpoint empty for ever.
 	reportStale    = 2 * time.Second
 	reportHalfLife = 5 * time.Second
+	// meanGain makes the long averages of the own and the others' load; their
+	// ratio moves only when instances come and go.
+	meanGain = 0.02
+	// leastOwnMean keeps the ratio finite at an endpoint hardly used.
+	leastOwnMean = 0.1
+	// maxFleetFactor bounds the guess from few own requests.
+	maxFleetFactor = 8
+	// delayHalfLife lets an observed delay fade: no news for a second or two
+	// means that the endpoint is idle, or that nobody was sent there for it.
+	delayHalfLife = 2 * time.Second
 	// defaultQueue bounds an endpoint's own queue: what overshoots while
 	// reports lag may wait there, no more.
 	defaultQueue = 4
@@ -131,8 +146,10 @@
 	e.followOwn(now)
 	sample := max(0, float64(r.Running+r.Queued)-e.ownLagged)
 	if !e.reported {
-		e.others = sample
+		e.others, e.othersMean, e.ownMean = sample, sample, e.ownLagged
 	}
+	e.othersMean += meanGain * (sample - e.othersMean)
+	e.ownMean += meanGain * (e.ownLagged - e.ownMean)
 	e.others += reportGain * (sample - e.others)
 	e.report, e.reported, e.reportedAt = r, true, now
 }
@@ -167,22 +184,46 @@
 	return e.reported && e.report.Queued > bound && now-e.reportedAt <= reportStale
 }
 
-// pendingTokens returns the own prompt tokens that the endpoint has still to
-// compute, as a fluid that drains at the learned rate.
+// pendingTokens returns the prompt tokens that the endpoint has still to
+// compute, as a fluid that drains at the learned rate. The others' part is
+// guessed from the own.
 func (e *endpointRow) pendingTokens(now Time) float64 {
 	drained := (now - e.pendingAt).Seconds() / e.learned.prefill()
 	return max(0, e.pending-drained)
 }
 
+// fleetFactor is how many requests the endpoint gets for each of this
+// instance's own: what this one sends, the others are taken to send as well.
+func (e *endpointRow) fleetFactor(now Time) float64 {
+	if now-e.reportedAt > reportStale {
+		return 1
+	}
+	return min(1+e.othersMean/max(e.ownMean, leastOwnMean), maxFleetFactor)
+}
+
+// delayNow returns by how many seconds first tokens came later than predicted
+// of late. It covers what this instance can't see: the prompts of the others.
+func (e *endpointRow) delayNow(now Time) float64 {
+	return e.delay * math.Exp2(-float64(now-e.delayAt)/float64(delayHalfLife))
+}
+
+// slotWait predicts the seconds until a slot is free with so many more
+// requests ahead.
+func (e *endpointRow) slotWait(now Time, ahead, hold float64) float64 {
+	slots := max(1, e.rampedSlots())
+	return max(0, e.load(now)+ahead+1-slots) * known(e.learned.hold, hold) / slots
+}
+
 func (e *endpointRow) start(row *requestRow, d *Decider) {
 	e.followOwn(d.now)
 	e.inFlight++
 	e.inFlightBy[row.class]++
 	row.endpoint, row.startedAt = e, d.now
+	row.expected = d.firstToken(row, e) - e.delayNow(d.now)
 	row.uncached = d.uncached(row, e)
-	e.pending = e.pendingTokens(d.now) + row.uncached
+	row.prefillDue = e.pendingTokens(d.now) + row.uncached
+	e.pending = row.prefillDue + row.uncached*(e.fleetFactor(d.now)-1)
 	e.pendingAt = d.now
-	row.prefillDue = e.pending
 	if e.health.state == ejected {
 		e.probe = row.ID
 	}
--- a/internal/decide/engine_model_test.go
+++ b/internal/decide/engine_model_test.go
@@ -99,7 +99,6 @@
 }
 
 func (e *engineModel) stepped() {
-	e.stepping = false
 	kept := e.active[:0]
 	for _, j := range e.active {
 		if j.ended {
@@ -120,6 +119,7 @@
 		kept = append(kept, j)
 	}
 	e.active = kept
+	e.stepping = false // Only now: finish brings new work in the meantime.
 	e.kick()
 }
 
--- a/internal/decide/learn.go
+++ b/internal/decide/learn.go
@@ -7,6 +7,7 @@
 	perTok  float64 // For each prompt token that is not in the cache.
 	pace    float64 // For each generated token; a plain service's answer.
 	hold    float64 // A slot's time for one request.
+	miss    float64 // Share of a prompt not in the cache at the session's home.
 	samples int
 }
 
@@ -14,6 +15,8 @@
 	// gain of the moving averages: about the last ten results count, enough
 	// against a single long prompt, few enough to follow a change in seconds.
 	gain = 0.1
+	// delayGain follows a queue of prompts, which grows faster than engines age.
+	delayGain = 0.2
 	// fewUncached and manyUncached bound the prompts that teach base and
 	// perTok: what lies between would mix the two.
 	fewUncached, manyUncached = 256, 512
@@ -46,7 +49,7 @@
 	e := row.endpoint
 	if result.Abandoned {
 		if result.Tokens == 0 && row.Service == "" {
-			e.learned.learnFirst(row, result.Total.Seconds()) // At least.
+			e.learnDelay(row, result.Total.Seconds(), d.now) // At least.
 		}
 		return
 	}
@@ -54,9 +57,7 @@
 		d.learnFailure(row, result)
 		return
 	}
-	if result.Cached > 0 {
-		row.uncached = max(0, float64(row.PromptTokens-result.Cached))
-	}
+	e.learnMiss(row, result)
 	total, first := result.Total.Seconds(), result.FirstToken.Seconds()
 	l := &e.learned
 	l.samples++
@@ -65,6 +66,7 @@
 	pace := total
 	if result.Tokens > 0 {
 		pace = max(0, total-first) / float64(result.Tokens)
+		e.learnDelay(row, first, d.now)
 		l.learnFirst(row, first)
 	} else {
 		average(&l.base, total)
@@ -75,6 +77,22 @@
 	d.learnSuccess(row, pace)
 }
 
+// learnMiss follows how much of a prompt the cache still holds when a session
+// comes back. An endpoint whose memory is overcommitted misses more and more.
+func (e *endpointRow) learnMiss(row *requestRow, result Result) {
+	if result.Cached <= 0 || row.rank[0] != e || row.PromptTokens <= 0 {
+		return
+	}
+	miss := max(0, 1-float64(result.Cached)/float64(row.PromptTokens))
+	average(&e.learned.miss, miss)
+}
+
+func (e *endpointRow) learnDelay(row *requestRow, first float64, now Time) {
+	e.delay = e.delayNow(now)
+	e.delay += delayGain * (max(0, first-row.expected) - e.delay)
+	e.delayAt = now
+}
+
 func (l *learned) learnFirst(row *requestRow, first float64) {
 	switch {
 	case row.prefillDue <= fewUncached:
--- a/internal/decide/place.go
+++ b/internal/decide/place.go
@@ -3,6 +3,9 @@
 import "slices"
 
 const (
+	// spillLoad is the load, as a share of the slots, up to which an endpoint
+	// takes prompts whose prefix is elsewhere.
+	spillLoad = 0.4
 	// rankSize is how many endpoints of its rendezvous order a session uses
 	// before any other: the second keeps a spilled prefix in one place.
 	rankSize = 3
@@ -23,9 +26,10 @@
 	// loadCost is what a full batch adds to a first token, in seconds, against
 	// an empty one: it spreads work while no endpoint is full.
 	loadCost = 20e-3
-	// A session moves only if its endpoint is worse by this much: a move costs
-	// each later turn, for other instances do not know of it.
-	moveFactor, moveSlack = 2.0, 50e-3
+	// A session leaves an open endpoint only if it is worse by moveFactor, and
+	// its first token takes moveShare of the caller's patience: a move costs the
+	// later turns as well, for other instances do not know of it.
+	moveFactor, moveShare = 2.0, 0.3
 )
 
 // place serves requests in their order until slots run out. For each pool it
@@ -94,23 +98,25 @@
 		return d.fallback(p, row, other, aged)
 	}
 	cost := d.firstToken(row, home)
-	if d.open(p, home, row, aged) {
-		if other == nil || cost <= moveFactor*otherCost+moveSlack {
-			return home, false
-		}
-		return other, false
+	open := d.open(p, home, row, aged)
+	if open && (other == nil || !d.worthMove(row, cost, otherCost)) {
+		return home, false
 	}
-	if other == nil {
-		other, full = d.fallback(p, row, nil, aged)
-		if other == nil {
-			return nil, full
+	if other != nil && d.mayMove(row, other) {
+		if open || !d.waitsFor(row, home, cost, otherCost) {
+			return other, false
 		}
-		otherCost = d.firstToken(row, other)
 	}
-	if d.waitsFor(row, home, cost, otherCost) {
-		return nil, false
+	if open {
+		return home, false
 	}
-	return other, false
+	return nil, false
+}
+
+// worthMove tells whether the row's open endpoint is so much slower than the
+// other one that its caller would notice.
+func (d *Decider) worthMove(row *requestRow, cost, otherCost float64) bool {
+	return cost > moveFactor*otherCost && cost > moveShare*(row.Deadline-d.now).Seconds()
 }
 
 // waitsFor tells whether the row waits for its full endpoint while another one
@@ -123,6 +129,19 @@
 	return cost < otherCost && d.now+seconds(2*cost) < row.Deadline
 }
 
+// mayMove tells whether the row may start away from its prefix. In a fleet near
+// its limit each move costs several times a turn's work, evicts another
+// session's prefix, and so causes the next move; cold prompts would take all the
+// fleet's time and never give it back. So a cold prompt goes only where there
+// is time to spare.
+func (d *Decider) mayMove(row *requestRow, e *endpointRow) bool {
+	uncached := d.uncached(row, e)
+	if uncached <= manyUncached {
+		return true
+	}
+	return e.load(d.now) < spillLoad*float64(e.Slots)
+}
+
 // home returns the endpoint that the session's prefix is thought to be at, or
 // else the first of its rendezvous order that takes work.
 func (d *Decider) home(p *pool, row *requestRow) *endpointRow {
@@ -221,15 +240,18 @@
 	cost := known(l.base, known(row.pool.base, unknownBase))
 	cost += (e.pendingTokens(d.now) + d.uncached(row, e)) * known(l.perTok, known(row.pool.perTok, unknownPerToken))
 	cost += loadCost * load / slots
-	if over := load + 1 - slots; over > 0 {
-		cost += over * known(l.hold, known(row.pool.hold, unknownHold)) / slots
-	}
+	cost += e.slotWait(d.now, 0, known(row.pool.hold, unknownHold)) + e.delayNow(d.now)
 	if d.opts.Zone != "" && e.Zone != d.opts.Zone {
 		cost += zoneCost
 	}
 	return cost
 }
 
+// firstTokenFree is firstToken once a slot is free.
+func (e *endpointRow) firstTokenFree(d *Decider, row *requestRow) float64 {
+	return d.firstToken(row, e) - e.slotWait(d.now, 0, known(row.pool.hold, unknownHold))
+}
+
 // uncached guesses how many of the row's prompt tokens the endpoint has to
 // compute.
 func (d *Decider) uncached(row *requestRow, e *endpointRow) float64 {
@@ -240,9 +262,9 @@
 	holder, tokens := d.prefixes.get(row.sessionHash)
 	switch {
 	case holder == e:
-		return max(0, prompt-float64(tokens))
+		return max(0, prompt-float64(tokens), e.learned.miss*prompt)
 	case row.rank[0] == e:
-		return unknownUncached * prompt
+		return known(e.learned.miss, unknownUncached) * prompt
 	default:
 		return prompt
 	}
--- a/internal/decide/refuse.go
+++ b/internal/decide/refuse.go
@@ -1,9 +1,6 @@
 package decide
 
-import (
-	"container/heap"
-	"time"
-)
+import "time"
 
 const (
 	// recheckRows bounds the rows that one tick predicts anew: a full queue is
@@ -58,8 +55,7 @@
 	wait := time.Duration(0)
 	if p != nil {
 		wait = p.predictedWait(row.class, float64(p.queuedCount()))
-		heap.Remove(&d.expiry, row.index[expiryIndex])
-		p.remove(row)
+		d.dequeue(row)
 	}
 	d.refuseNew(row, p, code, wait)
 }
--- a/internal/decide/row.go
+++ b/internal/decide/row.go
@@ -23,6 +23,9 @@
 	// the pool's count of starts at that time.
 	ahead       float64
 	startedThen uint64
+	// home is where the row is expected to run, from its admission on; nil if
+	// any endpoint will do.
+	home *endpointRow
 	// rank holds the session's endpoints by rendezvous score, for the
 	// endpoint table of rankGeneration.
 	rank           [rankSize]*endpointRow
@@ -33,6 +36,7 @@
 	startedAt  Time
 	uncached   float64 // Prompt tokens expected to be computed.
 	prefillDue float64 // Uncached tokens in the endpoint, its own included.
+	expected   float64 // Seconds to the first token, without delay.
 }
 
 // cost is the work of a request in tokens, for fair shares. A prompt token
