Make the engine and service stand-ins honest about batching, resume and faults

Cause: the stand-ins answered from the request's own goroutine, so nothing could show what happens to a run whose connection is lost, and a cancel did nothing. Ruled out: a goroutine for each run (no batch, so no step time that grows with the load); keeping HTTP status alone as the word for 'not run' (a proxy's 503 says the same after the run). Change: one batch loop (base + per sequence + per prefill token), slots by priority, bounded prefix cache with late events and gaps, runs by id with resume, prior tokens, cancel, load reports with a lag, orders with fencing numbers, whole answers, and faults over HTTP. X-Not-Run marks what surely did not run. Service: lost, crossed, masked answers; it runs as often as called. Text of token i is unchanged. Touched outside: flags of internal/cli/standin.go (additive).

Red once, each by one changed line in a scratch copy: resume forgotten ('resumed stream gave ""'), cancel leaves the batch ('not in time: loop ends'), no priorities ('order first, low, high'), no eviction ('cached 64 after eviction'), idempotent service ('plain: ran 1 times, want 2'). Not measured: nothing here is on the router's path.

--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -48,17 +48,26 @@
 	fs := newFlagSet("engine")
 	listen := fs.String("listen", "127.0.0.1:9100", "IP:port to listen on")
 	model := fs.String("model", "small", "model that it serves")
-	step := fs.Duration("step", 3*time.Millisecond, "time of one step")
+	step := fs.Duration("step", 3*time.Millisecond, "base time of one step")
+	slots := fs.Int("slots", 16, "sequences in the batch")
+	cache := fs.Int("cache", 64_000, "tokens in the prefix cache")
+	heartbeat := fs.Duration("heartbeat", 500*time.Millisecond, "time between comments on a stream without tokens")
+	ignoreFence := fs.Bool("ignore-fence", false, "obey orders with an old fencing number")
 	return leaf(fs, "engine", "Run a model engine.", func(ctx context.Context) error {
-		return serveHTTP(ctx, o, *listen, standin.NewEngine(standin.EngineOptions{Model: *model, Step: *step}).Handler())
+		return serveHTTP(ctx, o, *listen, standin.NewEngine(standin.EngineOptions{
+			Model: *model, Step: *step, Slots: *slots, CacheTokens: *cache, Heartbeat: *heartbeat, IgnoreFence: *ignoreFence,
+		}).Handler())
 	})
 }
 
 func standinService(o output) *ffcli.Command {
 	fs := newFlagSet("service")
 	listen := fs.String("listen", "127.0.0.1:9200", "IP:port to listen on")
+	leaving := fs.Bool("leaving", false, "refuse all calls from the start")
 	return leaf(fs, "service", "Run a plain service.", func(ctx context.Context) error {
-		return serveHTTP(ctx, o, *listen, standin.NewService().Handler())
+		s := standin.NewService()
+		s.SetFaults(standin.ServiceFaults{Leaving: *leaving})
+		return serveHTTP(ctx, o, *listen, s.Handler())
 	})
 }
 
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -1,53 +1,129 @@
 package standin
 
 import (
-	"encoding/json"
-	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/go-chi/chi/v5"
 )
 
+// The headers between guavapier and its endpoints, from the endpoint's side.
+const (
+	headerRun       = "X-Run-Id"
+	headerAttempt   = "X-Attempt"
+	headerFrom      = "X-Resume-From"
+	headerOnly      = "X-Resume-Only"
+	headerPriority  = "X-Priority"
+	headerFence     = "X-Fencing-Token"
+	headerNotRun    = "X-Not-Run"
+	headerHeartbeat = "X-Heartbeat-Ms"
+)
+
 // EngineFaults are the switchable faults of the engine stand-in.
 type EngineFaults struct {
-	// Leaving refuses new work with 503; running work goes on.
+	// Leaving refuses new work with 503 and X-Not-Run; running work goes on.
 	Leaving bool `json:"leaving"`
-	// StepMs replaces the time of one step; 0 leaves it.
+	// Refuse refuses new work with 429 and X-Not-Run.
+	Refuse bool `json:"refuse"`
+	// StepMs replaces the base time of one step; 0 leaves it.
 	StepMs int `json:"step_ms"`
+	// Hang stops the batch loop: heartbeats come, tokens do not.
+	Hang bool `json:"hang"`
+	// Silent writes nothing more on any open connection; runs go on.
+	Silent bool `json:"silent"`
+	// AnswerDelayMs holds back the head of each new answer.
+	AnswerDelayMs int `json:"answer_delay_ms"`
+	// Crossed is how many pairs of answers are still to be swapped.
+	Crossed int `json:"crossed"`
+	// CutAfter closes each connection after that many tokens; 0 never.
+	CutAfter int `json:"cut_after"`
+	// Masked answers 503 without X-Not-Run after the run has begun, as a
+	// proxy between the two ends does.
+	Masked bool `json:"masked"`
 }
 
-// EngineOptions set the engine stand-in.
+// EngineOptions set the engine stand-in. Zero values get a default.
 type EngineOptions struct {
 	Name  string
 	Model string
-	// Step is the time to generate one token.
-	Step time.Duration
+	// Step is the base time of one batching step. Each decoding sequence adds
+	// StepPerSequence, each prompt token that is prefilled StepPerPrefill.
+	Step            time.Duration
+	StepPerSequence time.Duration
+	StepPerPrefill  time.Duration
+	// Slots is the size of the batch.
+	Slots int
+	// CacheTokens bounds the prefix cache.
+	CacheTokens int
+	// IgnoreFence obeys orders with an old fencing number.
+	IgnoreFence bool
+	// LoadLag and CacheLag are how late load reports and cache events are.
+	LoadLag  time.Duration
+	CacheLag time.Duration
+	// Heartbeat is the time between comments on a stream without tokens.
+	Heartbeat time.Duration
+}
+
+func (o EngineOptions) withDefaults() EngineOptions {
+	setDefault(&o.StepPerSequence, 20*time.Microsecond)
+	setDefault(&o.StepPerPrefill, 10*time.Microsecond)
+	setDefault(&o.Slots, 16)
+	setDefault(&o.CacheTokens, 64_000)
+	setDefault(&o.LoadLag, 500*time.Millisecond)
+	setDefault(&o.CacheLag, time.Second)
+	setDefault(&o.Heartbeat, 500*time.Millisecond)
+	return o
 }
 
-// EngineRun is what the engine did for one run.
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// EngineRun is what the engine did for one run. Completion counts the tokens
+// that were generated here; Prior those taken over from another engine.
 type EngineRun struct {
 	ID         string `json:"id"`
 	Prompt     int    `json:"prompt_tokens"`
 	Completion int    `json:"completion_tokens"`
+	Cached     int    `json:"cached_tokens"`
+	Prior      int    `json:"prior_tokens"`
 	Done       bool   `json:"done"`
+	Finish     string `json:"finish_reason,omitempty"`
 }
 
-// Engine is the stand-in for a model engine. It answers a prompt with tokens
-// that are a function of the run alone, so a test can tell a whole answer.
+// Engine is the stand-in for a model engine. Token i of every answer is
+// TokenText(i), so a test can tell a whole answer.
+//
+// One loop steps the batch while there is work and ends when there is none.
 type Engine struct {
 	opts EngineOptions
 
-	mu     sync.Mutex
-	runs   map[string]*EngineRun
-	faults EngineFaults
+	// mu guards everything below, and the fields of each run.
+	mu      sync.Mutex
+	runs    map[string]*engineRun
+	ended   []string // Ended runs, the oldest first.
+	batch   batch
+	cache   *prefixCache
+	faults  EngineFaults
+	crossed crossing[*engineRun]
+	report  lagged[LoadReport]
+	orders  orders
 }
 
 // NewEngine returns an idle engine.
 func NewEngine(opts EngineOptions) *Engine {
-	return &Engine{opts: opts, runs: map[string]*EngineRun{}}
+	opts = opts.withDefaults()
+	return &Engine{
+		opts: opts, runs: map[string]*engineRun{},
+		cache: newPrefixCache(opts.CacheTokens), report: lagged[LoadReport]{lag: opts.LoadLag},
+		orders: orders{loaded: []string{opts.Model}, ignoreFence: opts.IgnoreFence},
+	}
 }
 
 // Handler returns the engine's HTTP interface.
@@ -55,17 +131,17 @@
 	r := chi.NewRouter()
 	r.Post("/v1/chat/completions", e.handleChat)
 	r.Get("/runs", e.handleRuns)
+	r.Get("/runs/{run}", e.handleRun)
 	r.Delete("/runs/{run}", e.handleCancel)
+	r.Get("/load", e.handleLoad)
+	r.Get("/cache/events", e.handleCacheEvents)
+	r.Get("/orders", e.handleOrders)
+	r.Post("/orders", e.handleOrder)
+	r.Get("/faults", e.handleFaultsRead)
 	r.Put("/faults", e.handleFaults)
 	return r
 }
 
-type chatRequest struct {
-	Model     string          `json:"model"`
-	Messages  json.RawMessage `json:"messages"`
-	MaxTokens int             `json:"max_tokens"`
-}
-
 // PromptTokens counts the stand-in's tokens of a messages value: four bytes
 // make one.
 func PromptTokens(messages []byte) int { return len(messages)/4 + 1 }
@@ -73,92 +149,90 @@
 // TokenText returns token i of every stand-in answer.
 func TokenText(i int) string { return "w" + strconv.Itoa(i) + " " }
 
-func (e *Engine) handleChat(w http.ResponseWriter, r *http.Request) {
-	var req chatRequest
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 16<<20)).Decode(&req); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
+// textBetween returns the tokens from..to-1 as one text.
+func textBetween(from, to int) string {
+	var text strings.Builder
+	for i := from; i < to; i++ {
+		text.WriteString(TokenText(i))
 	}
-	if e.currentFaults().Leaving {
-		http.Error(w, "leaving", http.StatusServiceUnavailable)
-		return
-	}
-	id := r.Header.Get("X-Run-Id")
-	from, _ := strconv.Atoi(r.Header.Get("X-Resume-From"))
-	run := e.begin(id, PromptTokens(req.Messages))
-	w.Header().Set("X-Run-Id", id)
-	w.Header().Set("X-Attempt", r.Header.Get("X-Attempt"))
-	w.Header().Set("Content-Type", "text/event-stream")
-	e.generate(w, r, run, from, req.MaxTokens)
+	return text.String()
 }
 
-func (e *Engine) begin(id string, prompt int) *EngineRun {
+func (e *Engine) currentFaults() EngineFaults {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	run, ok := e.runs[id]
-	if !ok {
-		run = &EngineRun{ID: id, Prompt: prompt}
-		e.runs[id] = run
-	}
-	return run
-}
-
-func (e *Engine) generate(w http.ResponseWriter, r *http.Request, run *EngineRun, from, tokens int) {
-	flush := http.NewResponseController(w)
-	for i := from; i < tokens; i++ {
-		select {
-		case <-time.After(e.step()):
-		case <-r.Context().Done():
-			return
-		}
-		e.mu.Lock()
-		run.Completion = max(run.Completion, i+1)
-		e.mu.Unlock()
-		fmt.Fprintf(w, "data: {\"id\":%q,\"object\":\"chat.completion.chunk\",\"choices\":[{\"index\":0,\"delta\":{\"content\":%q}}]}\n\n", run.ID, TokenText(i))
-		_ = flush.Flush()
-	}
+	return e.faults
+}
+
+// SetFaults switches the faults.
+func (e *Engine) SetFaults(f EngineFaults) {
 	e.mu.Lock()
-	run.Done = true
-	done := *run
-	e.mu.Unlock()
-	fmt.Fprintf(w, "data: {\"id\":%q,\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"length\"}],\"usage\":{\"prompt_tokens\":%d,\"completion_tokens\":%d}}\n\n", run.ID, done.Prompt, done.Completion)
-	fmt.Fprint(w, "data: [DONE]\n\n")
+	defer e.mu.Unlock()
+	e.faults = f
+	e.crossed.set(f.Crossed)
+}
+
+func (e *Engine) handleFaultsRead(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, e.currentFaults())
 }
 
-func (e *Engine) step() time.Duration {
-	if ms := e.currentFaults().StepMs; ms > 0 {
-		return time.Duration(ms) * time.Millisecond
+func (e *Engine) handleFaults(w http.ResponseWriter, r *http.Request) {
+	var f EngineFaults
+	if !readJSON(w, r, &f) {
+		return
 	}
-	return e.opts.Step
+	e.SetFaults(f)
+	writeJSON(w, f)
 }
 
-func (e *Engine) currentFaults() EngineFaults {
+// Runs returns what the engine did for each run it knows.
+func (e *Engine) Runs() []EngineRun {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.faults
+	runs := make([]EngineRun, 0, len(e.runs))
+	for _, run := range e.runs {
+		runs = append(runs, run.EngineRun)
+	}
+	return runs
 }
 
-func (e *Engine) handleRuns(w http.ResponseWriter, _ *http.Request) {
+func (e *Engine) handleRuns(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Runs()) }
+
+func (e *Engine) handleRun(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
-	runs := make([]EngineRun, 0, len(e.runs))
-	for _, run := range e.runs {
-		runs = append(runs, *run)
+	run, ok := e.runs[chi.URLParam(r, "run")]
+	var row EngineRun
+	if ok {
+		row = run.EngineRun
 	}
 	e.mu.Unlock()
-	writeJSON(w, runs)
+	if !ok {
+		refuse(w, http.StatusNotFound, "no such run")
+		return
+	}
+	writeJSON(w, row)
 }
 
-func (e *Engine) handleCancel(w http.ResponseWriter, _ *http.Request) {
+// handleCancel stops a run. One that is not known yet is marked, so that an
+// order which arrives after its cancel does not run.
+func (e *Engine) handleCancel(w http.ResponseWriter, r *http.Request) {
+	id := chi.URLParam(r, "run")
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	run, ok := e.runs[id]
+	if !ok {
+		run = newEngineRun(id)
+		e.runs[id] = run
+	}
+	if !run.Done {
+		e.batch.remove(run)
+		e.end(run, finishCancelled)
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func (e *Engine) handleFaults(w http.ResponseWriter, r *http.Request) {
-	var f EngineFaults
-	if !readJSON(w, r, &f) {
-		return
-	}
-	e.mu.Lock()
-	e.faults = f
-	e.mu.Unlock()
-	writeJSON(w, f)
+// refuse answers an order that surely did not run.
+func refuse(w http.ResponseWriter, status int, text string) {
+	w.Header().Set(headerNotRun, "true")
+	http.Error(w, text, status)
 }
