Check every answer of an endpoint and never send an order twice by itself

Cause: any 503 counted as 'not run', a stream was believed without its token numbers, a silent connection was waited for without end, and net/http replays a GET on a reused connection. Ruled out: a pool with probes or one that is thrown away at the first silence (docs/adr/0040). Change: one connection for each order; unrepeatable bodies; no redirects; run id, attempt and token number checked, what does not match dropped and counted; watchdog with announced heartbeats; ErrRefused only for a failed dial or the endpoint's own X-Not-Run; State, Load and a jittered, bounded poller whose reports go to the decisions with the time they were taken. Touched outside: few lines of internal/server/server.go.

Not measured yet.

--- a/internal/endpoint/engine.go
+++ b/internal/endpoint/engine.go
@@ -1,101 +1,32 @@
-// Package endpoint has the clients of the endpoints: model engines and plain
-// services. Every answer is checked against the run and attempt that it is
-// for; what does not match is dropped.
 package endpoint
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
-	"strings"
+	"time"
 
 	"guavapier/internal/record"
 
 	"github.com/rotisserie/eris"
 )
 
-// Errors of endpoints. Callers compare them with errors.Is.
-var (
-	// ErrRefused says that the endpoint refused the order; it did not run.
-	ErrRefused = eris.New("endpoint: refused")
-	// ErrLeaving is an ErrRefused of an endpoint that is leaving.
-	ErrLeaving = eris.New("endpoint: leaving")
-	// ErrLost says that the connection failed; the order may have run.
-	ErrLost = eris.New("endpoint: connection lost")
-	// ErrSilent says that nothing came within the progress deadline.
-	ErrSilent = eris.New("endpoint: no progress")
-	// ErrMismatch says that an answer was for another run or attempt.
-	ErrMismatch = eris.New("endpoint: answer for another run")
-)
-
-// The headers between guavapier and its endpoints.
-const (
-	HeaderRun      = "X-Run-Id"
-	HeaderAttempt  = "X-Attempt"
-	HeaderFrom     = "X-Resume-From"
-	HeaderPriority = "X-Priority"
-	HeaderFence    = "X-Fencing-Token"
-)
-
-// Order asks an engine to run a request.
-type Order struct {
-	Run      record.RunID
-	Attempt  int
-	Priority int
-	// From is the number of tokens that the caller already has: the engine
-	// resumes the run, or goes on from Prior, after them.
-	From int
-	// Prior holds those tokens' text, for an engine that has no such run.
-	Prior     string
-	Model     string
-	Messages  json.RawMessage
-	MaxTokens int
-}
-
-// Token is one generated token. Index counts from 0 over the whole run.
-type Token struct {
-	Index int
-	Text  string
-}
-
-// Usage counts tokens as the engine reports them.
-type Usage struct {
-	Prompt     int64 `json:"prompt_tokens"`
-	Completion int64 `json:"completion_tokens"`
-	Cached     int64 `json:"cached_tokens"`
-}
-
-// Stream is the running answer to an Order.
-type Stream interface {
-	// Next returns the next token; io.EOF after the closing event.
-	Next() (Token, error)
-	// Usage and Finish are valid after io.EOF.
-	Usage() Usage
-	Finish() string
-	Close() error
-}
-
-// Engines starts, resumes and cancels runs on engines, addressed by base URL.
-type Engines interface {
-	Start(ctx context.Context, base string, order Order) (Stream, error)
-	Cancel(ctx context.Context, base string, run record.RunID) error
-}
-
 // HTTPEngines is Engines over HTTP in the shape of OpenAI's chat completions.
+// It is safe for concurrent use.
 type HTTPEngines struct {
 	client *http.Client
+	opts   Options
+	counts *Counts
 }
 
 var _ Engines = (*HTTPEngines)(nil)
 
-// NewHTTPEngines returns an Engines client. transport carries the dialing.
-func NewHTTPEngines(transport http.RoundTripper) *HTTPEngines {
-	return &HTTPEngines{client: &http.Client{Transport: transport}}
+// NewHTTPEngines returns an Engines client that counts into counts.
+func NewHTTPEngines(o Options, counts *Counts) *HTTPEngines {
+	return &HTTPEngines{client: newClient(o), opts: o, counts: counts}
 }
 
 type engineRequest struct {
@@ -113,137 +44,161 @@
 
 // Start implements Engines.
 func (h *HTTPEngines) Start(ctx context.Context, base string, order Order) (Stream, error) {
+	ctx, dog := watch(ctx, h.opts.Silence)
+	stream, err := h.start(ctx, base, order, dog)
+	if err != nil {
+		err = explain(ctx, err)
+		dog.stop()
+		h.count(err)
+		return nil, err
+	}
+	return stream, nil
+}
+
+func (h *HTTPEngines) start(ctx context.Context, base string, order Order, dog *watchdog) (Stream, error) {
+	req, err := startRequest(ctx, base, order)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := h.client.Do(req)
+	if err != nil {
+		return nil, transportError(err)
+	}
+	dog.heard()
+	if err := h.checkStart(resp, order); err != nil {
+		resp.Body.Close()
+		return nil, err
+	}
+	ms, _ := strconv.Atoi(resp.Header.Get(HeaderHeartbeat))
+	dog.expect(time.Duration(ms) * time.Millisecond)
+	return newSSEStream(ctx, resp.Body, order, dog, h), nil
+}
+
+func startRequest(ctx context.Context, base string, order Order) (*http.Request, error) {
 	body, err := json.Marshal(engineRequest{
 		Model: order.Model, Messages: order.Messages, MaxTokens: order.MaxTokens,
 		Stream: true, StreamOptions: streamOptions{IncludeUsage: true}, Prior: order.Prior,
 	})
 	if err != nil {
-		return nil, eris.Wrap(err, "endpoint: encode order")
+		return nil, eris.Wrap(errors.Join(ErrRefused, ErrRejected, err), "endpoint: encode order")
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, base+"/v1/chat/completions", bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, base+"/v1/chat/completions", nil)
 	if err != nil {
-		return nil, eris.Wrap(err, "endpoint: build request")
+		return nil, eris.Wrap(errors.Join(ErrRefused, err), "endpoint: build request")
 	}
+	once(req, bytes.NewReader(body), int64(len(body)))
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(HeaderRun, string(order.Run))
 	req.Header.Set(HeaderAttempt, strconv.Itoa(order.Attempt))
 	req.Header.Set(HeaderFrom, strconv.Itoa(order.From))
 	req.Header.Set(HeaderPriority, strconv.Itoa(order.Priority))
-	resp, err := h.client.Do(req)
-	if err != nil {
-		return nil, eris.Wrap(errors.Join(ErrLost, err), "endpoint: start")
+	if order.ResumeOnly {
+		req.Header.Set(HeaderOnly, "true")
 	}
-	if err := checkStart(resp, order); err != nil {
-		resp.Body.Close()
-		return nil, err
+	return req, nil
+}
+
+func (h *HTTPEngines) checkStart(resp *http.Response, order Order) error {
+	if resp.StatusCode != http.StatusOK {
+		return refusal(resp)
 	}
-	return &sseStream{body: resp.Body, lines: bufio.NewReader(resp.Body), order: order, next: order.From}, nil
+	return checkIdentity(resp, order.Run, order.Attempt, h.counts)
 }
 
-func checkStart(resp *http.Response, order Order) error {
-	switch {
-	case resp.StatusCode == http.StatusServiceUnavailable:
-		return errors.Join(ErrRefused, ErrLeaving)
-	case resp.StatusCode != http.StatusOK:
-		text, _ := io.ReadAll(io.LimitReader(resp.Body, 256))
-		return eris.Wrapf(ErrRefused, "endpoint: status %d: %s", resp.StatusCode, text)
-	case resp.Header.Get(HeaderRun) != string(order.Run):
-		return ErrMismatch
-	case resp.Header.Get(HeaderAttempt) != strconv.Itoa(order.Attempt):
-		return ErrMismatch
+// checkIdentity compares an answer's run and attempt with those it is for.
+func checkIdentity(resp *http.Response, run record.RunID, attempt int, counts *Counts) error {
+	got := resp.Header.Get(HeaderRun)
+	if got == "" {
+		return eris.Wrapf(ErrLost, "endpoint: status %d without a run id", resp.StatusCode)
+	}
+	if got != string(run) {
+		counts.Crossed.Add(1)
+		return eris.Wrapf(ErrMismatch, "endpoint: run %q", got)
+	}
+	if got := resp.Header.Get(HeaderAttempt); got != strconv.Itoa(attempt) {
+		counts.Late.Add(1)
+		return eris.Wrapf(ErrMismatch, "endpoint: attempt %q", got)
 	}
 	return nil
 }
 
+func (h *HTTPEngines) count(err error) { h.counts.add(err) }
+
+// add counts an error of one request.
+func (c *Counts) add(err error) {
+	switch {
+	case errors.Is(err, ErrSilent):
+		c.Silent.Add(1)
+	case errors.Is(err, ErrRefused):
+		c.Refused.Add(1)
+	case errors.Is(err, ErrLost):
+		c.Lost.Add(1)
+	}
+}
+
 // Cancel implements Engines.
 func (h *HTTPEngines) Cancel(ctx context.Context, base string, run record.RunID) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, base+"/runs/"+string(run), nil)
-	if err != nil {
-		return eris.Wrap(err, "endpoint: build cancel")
-	}
-	resp, err := h.client.Do(req)
-	if err != nil {
-		return eris.Wrap(errors.Join(ErrLost, err), "endpoint: cancel")
+	resp, err := h.control(ctx, http.MethodDelete, base+"/runs/"+string(run), nil)
+	if err == nil && resp >= http.StatusBadRequest {
+		err = eris.Wrapf(ErrLost, "endpoint: cancel: status %d", resp)
 	}
-	return resp.Body.Close()
+	return err
 }
 
-type sseStream struct {
-	body   io.ReadCloser
-	lines  *bufio.Reader
-	order  Order
-	next   int
-	usage  Usage
-	finish string
+// State implements Engines.
+func (h *HTTPEngines) State(ctx context.Context, base string, run record.RunID) (RunState, error) {
+	var state RunState
+	status, err := h.control(ctx, http.MethodGet, base+"/runs/"+string(run), &state)
+	switch {
+	case err != nil:
+		return state, err
+	case status == http.StatusNotFound:
+		return state, errors.Join(ErrRefused, ErrNoRun)
+	case status != http.StatusOK:
+		return state, eris.Wrapf(ErrLost, "endpoint: state: status %d", status)
+	}
+	return state, nil
 }
 
-type engineChunk struct {
-	ID      string `json:"id"`
-	Choices []struct {
-		Delta struct {
-			Content string `json:"content"`
-		} `json:"delta"`
-		FinishReason *string `json:"finish_reason"`
-	} `json:"choices"`
-	Usage *Usage `json:"usage"`
+// Load is an endpoint's own, lagging word about its load.
+type Load struct {
+	Running int   `json:"running"`
+	Queued  int   `json:"queued"`
+	Leaving bool  `json:"leaving"`
+	AgeMs   int64 `json:"age_ms"`
 }
 
-const (
-	dataPrefix = "data: "
-	doneEvent  = "[DONE]"
-)
-
-// Next implements Stream.
-func (s *sseStream) Next() (Token, error) {
-	for {
-		line, err := s.lines.ReadString('\n')
-		if err != nil {
-			return Token{}, eris.Wrap(errors.Join(ErrLost, err), "endpoint: read stream")
-		}
-		data, ok := strings.CutPrefix(strings.TrimSpace(line), dataPrefix)
-		if !ok {
-			continue
-		}
-		if data == doneEvent {
-			return Token{}, io.EOF
-		}
-		token, ok, err := s.chunk(data)
-		if err != nil || ok {
-			return token, err
-		}
+// Load asks an engine or a plain service for its load.
+func (h *HTTPEngines) Load(ctx context.Context, base string) (Load, error) {
+	var load Load
+	status, err := h.control(ctx, http.MethodGet, base+"/load", &load)
+	if err == nil && status != http.StatusOK {
+		err = eris.Wrapf(ErrLost, "endpoint: load: status %d", status)
 	}
+	return load, err
 }
 
-func (s *sseStream) chunk(data string) (Token, bool, error) {
-	var c engineChunk
-	if err := json.Unmarshal([]byte(data), &c); err != nil {
-		return Token{}, false, eris.Wrap(errors.Join(ErrLost, err), "endpoint: decode chunk")
-	}
-	if c.ID != string(s.order.Run) {
-		return Token{}, false, ErrMismatch
-	}
-	if c.Usage != nil {
-		s.usage = *c.Usage
+const maxControlBytes = 1 << 20
+
+// control makes a short call and decodes a 200 answer into out.
+func (h *HTTPEngines) control(ctx context.Context, method, url string, out any) (status int, err error) {
+	ctx, cancel := context.WithTimeout(ctx, h.opts.Control)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, url, nil)
+	if err != nil {
+		return 0, eris.Wrap(err, "endpoint: build request")
 	}
-	if len(c.Choices) == 0 {
-		return Token{}, false, nil
+	resp, err := h.client.Do(req)
+	if err != nil {
+		return 0, transportError(err)
 	}
-	if c.Choices[0].FinishReason != nil {
-		s.finish = *c.Choices[0].FinishReason
+	defer resp.Body.Close()
+	if out == nil || resp.StatusCode != http.StatusOK {
+		return resp.StatusCode, nil
 	}
-	if c.Choices[0].Delta.Content == "" {
-		return Token{}, false, nil
+	dec := json.NewDecoder(http.MaxBytesReader(nil, resp.Body, maxControlBytes))
+	if err := dec.Decode(out); err != nil {
+		return resp.StatusCode, eris.Wrap(errors.Join(ErrLost, err), "endpoint: decode")
 	}
-	token := Token{Index: s.next, Text: c.Choices[0].Delta.Content}
-	s.next++
-	return token, true, nil
+	return resp.StatusCode, nil
 }
-
-// Usage implements Stream.
-func (s *sseStream) Usage() Usage { return s.usage }
-
-// Finish implements Stream.
-func (s *sseStream) Finish() string { return s.finish }
-
-// Close implements Stream.
-func (s *sseStream) Close() error { return s.body.Close() }
--- a/internal/endpoint/service.go
+++ b/internal/endpoint/service.go
@@ -37,46 +37,59 @@
 	Call(ctx context.Context, base string, call Call) (Answer, error)
 }
 
-// HTTPServices is Services over HTTP.
+// HTTPServices is Services over HTTP. It is safe for concurrent use.
 type HTTPServices struct {
-	client    *http.Client
-	maxAnswer int64
+	client *http.Client
+	opts   Options
+	counts *Counts
 }
 
 var _ Services = (*HTTPServices)(nil)
 
-// NewHTTPServices returns a Services client whose answers are bounded.
-func NewHTTPServices(transport http.RoundTripper, maxAnswer int64) *HTTPServices {
-	return &HTTPServices{client: &http.Client{Transport: transport}, maxAnswer: maxAnswer}
+// NewHTTPServices returns a Services client that counts into counts.
+func NewHTTPServices(o Options, counts *Counts) *HTTPServices {
+	return &HTTPServices{client: newClient(o), opts: o, counts: counts}
 }
 
-// Call implements Services.
+// Call implements Services. ctx bounds the wait for the answer.
 func (h *HTTPServices) Call(ctx context.Context, base string, call Call) (Answer, error) {
-	req, err := http.NewRequestWithContext(ctx, call.Method, base+call.Path, bytes.NewReader(call.Body))
+	answer, err := h.call(ctx, base, call)
+	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		err = errors.Join(ErrSilent, err)
+	}
+	h.counts.add(err)
+	return answer, err
+}
+
+func (h *HTTPServices) call(ctx context.Context, base string, call Call) (Answer, error) {
+	req, err := http.NewRequestWithContext(ctx, call.Method, base+call.Path, nil)
 	if err != nil {
-		return Answer{}, eris.Wrap(errors.Join(ErrRefused, err), "endpoint: build call")
+		return Answer{}, eris.Wrap(errors.Join(ErrRefused, ErrRejected, err), "endpoint: build call")
 	}
-	// GetBody would let net/http send the call a second time by itself.
-	req.GetBody = nil
+	once(req, bytes.NewReader(call.Body), int64(len(call.Body)))
 	req.Header.Set("Content-Type", call.ContentType)
 	req.Header.Set(HeaderRun, string(call.Run))
 	req.Header.Set(HeaderAttempt, strconv.Itoa(call.Attempt))
 	resp, err := h.client.Do(req)
 	if err != nil {
-		return Answer{}, eris.Wrap(errors.Join(ErrLost, err), "endpoint: call")
+		return Answer{}, transportError(err)
 	}
 	defer resp.Body.Close()
-	if resp.Header.Get(HeaderRun) != string(call.Run) {
-		return Answer{}, ErrMismatch
+	if resp.Header.Get(HeaderNotRun) == "true" {
+		return Answer{}, refusal(resp)
 	}
-	if resp.StatusCode == http.StatusServiceUnavailable {
-		return Answer{}, errors.Join(ErrRefused, ErrLeaving)
+	if err := checkIdentity(resp, call.Run, call.Attempt, h.counts); err != nil {
+		return Answer{}, err
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, h.maxAnswer+1))
+	return h.readAnswer(resp)
+}
+
+func (h *HTTPServices) readAnswer(resp *http.Response) (Answer, error) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, h.opts.AnswerBytes+1))
 	if err != nil {
 		return Answer{}, eris.Wrap(errors.Join(ErrLost, err), "endpoint: read answer")
 	}
-	if int64(len(body)) > h.maxAnswer {
+	if int64(len(body)) > h.opts.AnswerBytes {
 		return Answer{}, eris.Wrap(ErrLost, "endpoint: answer too large")
 	}
 	return Answer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
--- /dev/null
+++ b/internal/endpoint/service_test.go
@@ -0,0 +1,69 @@
+package endpoint
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestServiceAnswersAreChecked(t *testing.T) {
+	for name, c := range map[string]struct {
+		handler http.HandlerFunc
+		is, not error
+	}{
+		"own answer":     {answers("ok"), nil, ErrLost},
+		"crossed":        {func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(HeaderRun, "r2") }, ErrMismatch, ErrRefused},
+		"too large":      {answers(strings.Repeat("x", 1<<10+1)), ErrLost, ErrRefused},
+		"own leaving":    {status(503, "true"), ErrLeaving, ErrLost},
+		"proxy's 503":    {status(503, ""), ErrLost, ErrRefused},
+		"lost after run": {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, ErrLost, ErrRefused},
+		"silent":         {silent, ErrSilent, ErrRefused},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(c.handler)
+			defer server.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), testSilence)
+			defer cancel()
+			_, err := NewHTTPServices(testOptions(), &Counts{}).Call(ctx, server.URL, Call{Run: "r1", Attempt: 1, Method: http.MethodPost, Path: "/call/x"})
+			if !errors.Is(err, c.is) || errors.Is(err, c.not) {
+				t.Fatalf("error %v", err)
+			}
+		})
+	}
+}
+
+// loads answers each base URL in its own way.
+type loads map[string]func(ctx context.Context) (Load, error)
+
+func (l loads) Load(ctx context.Context, base string) (Load, error) { return l[base](ctx) }
+
+func TestPollerIsNotHeldUpByASilentEndpoint(t *testing.T) {
+	reports := make(chan string, 100)
+	p := &Poller{
+		Loader: loads{
+			"quick":  func(context.Context) (Load, error) { return Load{Running: 1}, nil },
+			"silent": func(ctx context.Context) (Load, error) { <-ctx.Done(); return Load{}, ctx.Err() },
+		},
+		Targets:   func() []Target { return []Target{{"s", "silent"}, {"q", "quick"}} },
+		Report:    func(name string, _ Load) { reports <- name },
+		Every:     time.Millisecond,
+		PerSecond: 1e6,
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { p.Run(ctx); close(ended) }()
+	for range 3 {
+		if name := <-reports; name != "q" {
+			t.Fatalf("report of %s", name)
+		}
+	}
+	cancel()
+	<-ended
+	if at := (&Poller{Every: time.Second, PerSecond: 10}).interval(640); at != 64*time.Second {
+		t.Fatalf("640 endpoints are asked every %v", at)
+	}
+}
--- /dev/null
+++ b/internal/endpoint/stream.go
@@ -0,0 +1,161 @@
+package endpoint
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+// maxLineBytes bounds one line of an engine's stream.
+const maxLineBytes = 1 << 20
+
+const (
+	idPrefix        = "id:"
+	dataPrefix      = "data:"
+	doneEvent       = "[DONE]"
+	finishCancelled = "cancelled"
+)
+
+// sseStream reads an engine's server-sent events. Content events are numbered
+// from 1 by their id; each number is taken once, in order.
+type sseStream struct {
+	ctx    context.Context
+	body   io.ReadCloser
+	lines  *bufio.Scanner
+	order  Order
+	dog    *watchdog
+	client *HTTPEngines
+
+	next   int // Index of the next token.
+	id     string
+	usage  Usage
+	finish string
+}
+
+func newSSEStream(ctx context.Context, body io.ReadCloser, order Order, dog *watchdog, client *HTTPEngines) *sseStream {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(nil, maxLineBytes)
+	return &sseStream{ctx: ctx, body: body, lines: lines, order: order, dog: dog, client: client, next: order.From}
+}
+
+type engineChunk struct {
+	ID      string `json:"id"`
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+		FinishReason *string `json:"finish_reason"`
+	} `json:"choices"`
+	Usage *Usage `json:"usage"`
+}
+
+// Next implements Stream.
+func (s *sseStream) Next() (Token, error) {
+	token, err := s.read()
+	if err != nil && !errors.Is(err, io.EOF) {
+		err = explain(s.ctx, err)
+		s.client.count(err)
+	}
+	return token, err
+}
+
+func (s *sseStream) read() (Token, error) {
+	for s.lines.Scan() {
+		s.dog.heard()
+		line := s.lines.Text()
+		if id, ok := strings.CutPrefix(line, idPrefix); ok {
+			s.id = strings.TrimSpace(id)
+			continue
+		}
+		data, ok := strings.CutPrefix(line, dataPrefix)
+		if !ok {
+			continue // A comment, a blank line or a field without use here.
+		}
+		data = strings.TrimSpace(data)
+		if data == doneEvent {
+			return Token{}, s.close()
+		}
+		token, ok, err := s.event(data)
+		if err != nil || ok {
+			return token, err
+		}
+	}
+	return Token{}, eris.Wrap(errors.Join(ErrLost, s.lines.Err()), "endpoint: stream ended without its closing event")
+}
+
+// event takes one event; ok says that it brought the next token.
+func (s *sseStream) event(data string) (token Token, ok bool, err error) {
+	id := s.id
+	s.id = ""
+	var c engineChunk
+	if err := json.Unmarshal([]byte(data), &c); err != nil {
+		return Token{}, false, eris.Wrap(errors.Join(ErrLost, err), "endpoint: decode event")
+	}
+	if c.ID != string(s.order.Run) {
+		s.client.counts.Crossed.Add(1)
+		return Token{}, false, eris.Wrapf(ErrMismatch, "endpoint: event of run %q", c.ID)
+	}
+	if c.Usage != nil {
+		s.usage = *c.Usage
+	}
+	if len(c.Choices) == 0 {
+		return Token{}, false, nil
+	}
+	if c.Choices[0].FinishReason != nil {
+		s.finish = *c.Choices[0].FinishReason
+	}
+	if c.Choices[0].Delta.Content == "" {
+		return Token{}, false, nil
+	}
+	return s.number(id, c.Choices[0].Delta.Content)
+}
+
+// number checks a content event's number: a repeat is dropped, a gap is an
+// error, for what is missing can only come from another connection.
+func (s *sseStream) number(id, text string) (token Token, ok bool, err error) {
+	n, err := strconv.Atoi(id)
+	switch {
+	case err != nil:
+		return Token{}, false, eris.Wrapf(ErrLost, "endpoint: event number %q", id)
+	case n <= s.next:
+		s.client.counts.Duplicate.Add(1)
+		return Token{}, false, nil
+	case n > s.next+1:
+		s.client.counts.Gaps.Add(1)
+		return Token{}, false, eris.Wrapf(errors.Join(ErrLost, ErrGap), "endpoint: event %d after %d", n, s.next)
+	}
+	s.next = n
+	return Token{Index: n - 1, Text: text}, true, nil
+}
+
+// close checks that the closing event stands at the end of a whole answer.
+func (s *sseStream) close() error {
+	switch {
+	case s.finish == finishCancelled:
+		return eris.Wrap(errors.Join(ErrLost, ErrCancelled), "endpoint: closing event")
+	case s.finish == "":
+		return eris.Wrap(ErrLost, "endpoint: no finish reason")
+	case s.usage.Answer() != int64(s.next):
+		s.client.counts.Gaps.Add(1)
+		return eris.Wrapf(errors.Join(ErrLost, ErrGap), "endpoint: %d tokens of %d", s.next, s.usage.Answer())
+	}
+	return io.EOF
+}
+
+// Usage implements Stream.
+func (s *sseStream) Usage() Usage { return s.usage }
+
+// Finish implements Stream.
+func (s *sseStream) Finish() string { return s.finish }
+
+// Close implements Stream. It closes the connection.
+func (s *sseStream) Close() error {
+	s.dog.stop()
+	return s.body.Close()
+}
--- /dev/null
+++ b/internal/endpoint/transport.go
@@ -0,0 +1,72 @@
+package endpoint
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+)
+
+// maxHeaderBytes bounds the head of an endpoint's answer.
+const maxHeaderBytes = 64 << 10
+
+// newClient returns a client that makes one connection for each request, asks
+// no proxy and follows no redirect: either could run an order twice.
+func newClient(o Options) *http.Client {
+	dialer := &net.Dialer{Timeout: o.Connect}
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:            dialer.DialContext,
+			DisableKeepAlives:      true,
+			DisableCompression:     true,
+			TLSHandshakeTimeout:    o.Connect,
+			MaxResponseHeaderBytes: maxHeaderBytes,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// onceBody is a body that net/http cannot read a second time, so that it
+// cannot replay a request on a reused connection either, if one is ever used.
+type onceBody struct{ io.Reader }
+
+// Close implements io.Closer.
+func (onceBody) Close() error { return nil }
+
+// once makes a request unrepeatable for net/http.
+func once(req *http.Request, body io.Reader, length int64) {
+	req.Body, req.GetBody, req.ContentLength = onceBody{body}, nil, length
+}
+
+// transportError returns what an error of the client means for the order.
+func transportError(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return eris.Wrap(errors.Join(ErrRefused, ErrUnreachable, err), "endpoint: connect")
+	}
+	return eris.Wrap(errors.Join(ErrLost, err), "endpoint: send")
+}
+
+// refusal returns the error of an answer that is not 200 OK. Without the
+// endpoint's own word the order may have run, whatever the status says.
+func refusal(resp *http.Response) error {
+	const shown = 256
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, shown))
+	if resp.Header.Get(HeaderNotRun) != "true" {
+		return eris.Wrapf(ErrLost, "endpoint: status %d: %s", resp.StatusCode, text)
+	}
+	err := ErrRefused
+	switch resp.StatusCode {
+	case http.StatusServiceUnavailable:
+		err = errors.Join(ErrRefused, ErrLeaving)
+	case http.StatusNotFound:
+		err = errors.Join(ErrRefused, ErrNoRun)
+	case http.StatusConflict:
+		err = errors.Join(ErrRefused, ErrCancelled)
+	case http.StatusBadRequest:
+		err = errors.Join(ErrRefused, ErrRejected)
+	}
+	return eris.Wrapf(err, "endpoint: status %d: %s", resp.StatusCode, text)
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -11,7 +11,6 @@
 
 	"guavapier/internal/claim"
 	"guavapier/internal/dispatch"
-	"guavapier/internal/endpoint"
 	"guavapier/internal/entry"
 	"guavapier/internal/fold"
 	"guavapier/internal/ledger"
@@ -54,6 +53,7 @@
 	partitions ledger.Partitions
 	dispatcher *dispatch.Dispatcher
 	members    *members
+	endpoints  *endpoints
 	runner     *run.Runner
 	draining   atomic.Bool
 
@@ -77,16 +77,14 @@
 	}
 	srv.dispatcher = dispatch.New()
 	srv.members = newMembers(srv.client, srv.dispatcher)
-	transport := http.DefaultTransport.(*http.Transport).Clone()
-	transport.MaxIdleConnsPerHost = 64
+	srv.endpoints = newEndpoints(s.Limits, srv.members, srv.dispatcher)
 	srv.runner = &run.Runner{
 		Claims: claim.NewLocal(srv.id),
 		Accounts: ledger.New(srv.id, record.Zone(s.Instance.Zone), srv.publisher, srv.partitions, ledger.Options{
 			GrantTokens: s.Ledger.GrantTokens, Patience: s.Ledger.Patience.D(),
 		}),
 		Placer: srv.dispatcher, Endpoints: srv.members,
-		Engines:     endpoint.NewHTTPEngines(transport),
-		Services:    endpoint.NewHTTPServices(transport, s.Limits.AnswerBytes),
+		Engines: srv.endpoints.engines, Services: srv.endpoints.services,
 		MaxAttempts: maxAttempts,
 		OnError:     func(err error) { log.Error().Err(err).Msg("run: background error") },
 	}
@@ -119,6 +117,7 @@
 	var group errgroup.Group
 	group.Go(func() error { return s.follow(background) })
 	group.Go(func() error { s.members.run(background, s.self); return nil })
+	group.Go(func() error { s.endpoints.poller.Run(background); return nil })
 	group.Go(func() error { return ignoreClosed(callers.Serve(s.callers)) })
 	group.Go(func() error { return ignoreClosed(operators.Serve(s.operators)) })
 	s.log.Info().Str("id", string(s.id)).Str("callers", s.CallersAddr()).Str("operators", s.OperatorsAddr()).Msg("server: serving")
