Resume, move, join and settle runs whatever is lost in between

Cause: a lost connection sent the whole request to another endpoint, a joined request was always 'unknown', a retry after a lost connection found nothing, a slow bill held the final answer back, and every failed call of a service that may be repeated depended on the caller's own code. Ruled out: starting again elsewhere, joining through the owner's instance (docs/adr/0041). A settlement before the final answer: a dead endpoint held it back for its control timeout. Change: package run in files of one job each; resume at the same endpoint, go on elsewhere from prior tokens, progress limit, maximum cut, the caller's wait bounds everything before the first token, lingering runs of keyed callers, joining from the endpoint, rules by path for repeatable calls, an endpoint's own leaving told to the decisions before anything else is sent. Touched outside: internal/entry (signatures), internal/server (wiring, drain waits for settlements).

Red once, one changed line each in a scratch copy: endpoint tried again ('refusing': endpoint_refused), order from 0 ('dead in mid-stream': w0..w20 w0..), no resume ('generated [8 33]'), no progress limit, leaving not told ('leaving told of []'), no cut (4000 tokens), refused run billed ('bills [60]'), lingering without key ('40 tokens generated'), offset ignored ('the retry got "w0'), repeat without rule ('lost after running: outcome answered'), prefix without segment ('only a like segment'), answer gone not told. Not measured yet.

--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -10,6 +10,8 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"io"
 	"time"
 
 	"guavapier/internal/record"
@@ -96,7 +98,8 @@
 
 // Stream is the running answer to an Order. It is not safe for concurrent use.
 type Stream interface {
-	// Next returns the next token; io.EOF alone after the closing event.
+	// Next returns the next token. Whole tells the end of a whole answer from a
+	// failure.
 	Next() (Token, error)
 	// Usage and Finish are valid after io.EOF.
 	Usage() Usage
@@ -104,6 +107,9 @@
 	Close() error
 }
 
+// Whole says whether an error of Next is the end of a whole answer.
+func Whole(err error) bool { return errors.Is(err, io.EOF) && !errors.Is(err, ErrLost) }
+
 // RunState is what an engine says about a run.
 type RunState struct {
 	Usage
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -100,6 +100,7 @@
 		q.Session = id
 	}
 	key := r.Header.Get(HeaderKey)
+	q.Keyed = key != ""
 	if key == "" {
 		// No retry can name this request again, so the key needs no memory.
 		key, q.First = string(record.NewRunID()), true
@@ -149,7 +150,7 @@
 
 func (c *Callers) wholeChat(w http.ResponseWriter, r *http.Request, chat run.Chat) {
 	var text strings.Builder
-	result, err := c.Runner.Chat(r.Context(), chat, func(t endpoint.Token) error {
+	result, err := c.Runner.Chat(r.Context(), chat, func(_ record.RunID, t endpoint.Token) error {
 		text.WriteString(t.Text)
 		return nil
 	})
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"guavapier/internal/endpoint"
+	"guavapier/internal/record"
 	"guavapier/internal/run"
 )
 
@@ -61,7 +62,7 @@
 
 func (c *Callers) streamChat(w http.ResponseWriter, r *http.Request, chat run.Chat, withUsage bool) {
 	events := newEventWriter(w, chat.Model)
-	result, err := c.Runner.Chat(r.Context(), chat, func(t endpoint.Token) error {
+	result, err := c.Runner.Chat(r.Context(), chat, func(_ record.RunID, t endpoint.Token) error {
 		delta := &chatDelta{Content: t.Text}
 		if t.Index == 0 {
 			delta.Role = "assistant"
--- /dev/null
+++ b/internal/run/chat.go
@@ -0,0 +1,87 @@
+package run
+
+import (
+	"context"
+
+	"guavapier/internal/endpoint"
+	"guavapier/internal/record"
+)
+
+// Chat runs a chat completion, or joins the run that an earlier attempt has
+// begun. The error is a *Failure.
+func (r *Runner) Chat(ctx context.Context, c Chat, sink Sink) (ChatResult, error) {
+	ticket, err := r.Claims.Begin(ctx, c.claim(true))
+	if err != nil {
+		return ChatResult{}, notRun(err)
+	}
+	if ticket.Join {
+		return r.joinChat(ctx, c, ticket, sink)
+	}
+	return r.ownChat(ctx, c, ticket.Run, sink)
+}
+
+// ownChat carries a run that this call has claimed. It returns when the run has
+// its final outcome, which may be after the caller has left.
+func (r *Runner) ownChat(ctx context.Context, c Chat, run record.RunID, sink Sink) (ChatResult, error) {
+	if c.Have.Run != "" {
+		return ChatResult{}, r.end(ctx, c.Key, errRunGone, false)
+	}
+	p := r.attend(ctx, c.Request, sink)
+	defer p.stop()
+	worst := int64(c.PromptTokens + c.MaxTokens)
+	reserved, err := r.Accounts.Reserve(p.work, c.Key, run, c.Team.Budget, worst)
+	if err != nil {
+		return ChatResult{}, r.end(ctx, c.Key, p.explain(err), false)
+	}
+	g := newGeneration(c, run, p)
+	err = p.explain(r.generate(p.work, g))
+	r.settleLater(ctx, g, reserved, err)
+	return g.result, r.end(ctx, c.Key, err, g.started)
+}
+
+// end tells the claim how the run ended and returns its failure, if any.
+// started says whether anything may have run.
+func (r *Runner) end(ctx context.Context, key record.RequestKey, err error, started bool) error {
+	ctx = context.WithoutCancel(ctx)
+	if err == nil {
+		r.Claims.End(ctx, key, record.OutcomeAnswered)
+		return nil
+	}
+	f := failure(err, started)
+	outcome := f.Outcome
+	if !started {
+		outcome = record.OutcomeNotRun // Of this claim's run; the caller may be told less.
+	}
+	r.Claims.End(ctx, key, outcome)
+	return f
+}
+
+// generation is the state of one chat run while its endpoints generate.
+type generation struct {
+	chat   Chat
+	caller *presence
+	order  endpoint.Order
+	text   tokenText
+	result ChatResult
+	avoid  []string
+	// base is where the last order went, started says that an order may have run.
+	base    string
+	started bool
+}
+
+func newGeneration(c Chat, run record.RunID, p *presence) *generation {
+	return &generation{chat: c, caller: p, order: c.order(run), result: ChatResult{Run: run}}
+}
+
+// take passes a token on and moves the order's offset past it.
+func (g *generation) take(t endpoint.Token) {
+	g.order.From = t.Index + 1
+	g.text.add(t)
+	g.caller.take(g.order.Run, t)
+}
+
+// finish sets the closing of the whole answer.
+func (g *generation) finish(u endpoint.Usage, reason string) {
+	g.result.Usage = endpoint.Usage{Prompt: u.Prompt, Cached: u.Cached, Completion: int64(g.order.From)}
+	g.result.Finish = reason
+}
--- a/internal/run/failure.go
+++ b/internal/run/failure.go
@@ -1,6 +1,3 @@
-// Package run carries one request from its claim to its settlement: claim,
-// reserve, place, order at the endpoint, answer, bill. It knows nothing of how
-// the caller is connected.
 package run
 
 import (
@@ -18,7 +15,7 @@
 // Code names the reason of a failure on the callers' interface.
 type Code string
 
-// The failure codes.
+// The failure codes, besides those of package decide.
 const (
 	CodeBudgetExhausted Code = "budget_exhausted"
 	CodeBudgetStranded  Code = "budget_out_of_reach"
@@ -27,6 +24,11 @@
 	CodeClaimNotCounted Code = "claim_not_counted"
 	CodeOutcomeUnknown  Code = "outcome_unknown"
 	CodeEndpointFailed  Code = "endpoint_failed"
+	CodeEndpointRefused Code = "endpoint_refused"
+	CodeRejected        Code = "rejected_by_endpoint"
+	CodeNoAnswerInTime  Code = "no_answer_in_time"
+	CodeRunGone         Code = "run_gone"
+	CodeAnswerGone      Code = "answer_gone"
 	CodeAbandoned       Code = "abandoned"
 	CodeInternal        Code = "internal"
 )
@@ -46,35 +48,55 @@
 
 // notRun returns the failure for an error before anything was sent to an
 // endpoint.
-func notRun(err error) *Failure {
-	f := &Failure{Outcome: record.OutcomeNotRun, Code: CodeInternal, Message: err.Error()}
+func notRun(err error) *Failure { return failure(err, false) }
+
+// failure returns the final outcome for an error; started says whether
+// anything may have run.
+func failure(err error, started bool) *Failure {
+	f := describe(err)
+	f.Outcome = record.OutcomeNotRun
+	if started || errors.Is(err, claim.ErrUnknown) || errors.Is(err, errRunGone) {
+		f.Outcome = record.OutcomeUnknown
+	}
+	if started && f.Code == CodeEndpointRefused {
+		f.Code, f.Message = CodeEndpointFailed, "The endpoint failed; the request may have run."
+	}
+	return f
+}
+
+// describe finds an error's code, message and when to come back. The first
+// match is the reason that ended the request.
+func describe(err error) *Failure {
 	var refusal *dispatch.Refusal
 	switch {
+	case errors.Is(err, errLate):
+		return &Failure{Code: CodeNoAnswerInTime, Message: "No answer came in time.", RetryAfter: comeBack}
+	case errors.Is(err, errLeft), errors.Is(err, context.Canceled):
+		return &Failure{Code: CodeAbandoned, Message: "The caller left."}
+	case errors.Is(err, errRunGone):
+		return &Failure{Code: CodeRunGone, Message: "The run that the Last-Event-ID names cannot be continued."}
+	case errors.Is(err, errAnswerGone):
+		return &Failure{Code: CodeAnswerGone, Message: "The request was answered; its answer is kept no longer."}
 	case errors.As(err, &refusal):
-		f.Code, f.Message, f.RetryAfter = Code(refusal.Code), "No endpoint can answer in time.", refusal.RetryAfter
+		return &Failure{Code: Code(refusal.Code), Message: "No endpoint can answer in time.", RetryAfter: refusal.RetryAfter}
 	case errors.Is(err, ledger.ErrExhausted):
-		f.Code, f.Message = CodeBudgetExhausted, "The prepaid budget has no tokens left for this request."
+		return &Failure{Code: CodeBudgetExhausted, Message: "The prepaid budget has no tokens left for this request."}
 	case errors.Is(err, ledger.ErrStranded):
-		f.Code, f.Message, f.RetryAfter = CodeBudgetStranded, "The budget cannot be reached from here now.", comeBack
+		return &Failure{Code: CodeBudgetStranded, Message: "The budget cannot be reached from here now.", RetryAfter: comeBack}
 	case errors.Is(err, ledger.ErrNoBudget):
-		f.Code, f.Message = CodeNoBudget, "The team has no such budget."
+		return &Failure{Code: CodeNoBudget, Message: "The team has no such budget."}
 	case errors.Is(err, claim.ErrKeyReused):
-		f.Code, f.Message = CodeKeyReused, "The Idempotency-Key was used with another body."
+		return &Failure{Code: CodeKeyReused, Message: "The Idempotency-Key was used with another body."}
 	case errors.Is(err, claim.ErrNotCounted):
-		f.Code, f.Message, f.RetryAfter = CodeClaimNotCounted, "The request could not be claimed.", comeBack
+		return &Failure{Code: CodeClaimNotCounted, Message: "The request could not be claimed.", RetryAfter: comeBack}
 	case errors.Is(err, claim.ErrUnknown):
-		f.Outcome, f.Code, f.Message = record.OutcomeUnknown, CodeOutcomeUnknown, "An earlier attempt may have run."
-	case errors.Is(err, context.Canceled):
-		f.Code, f.Message = CodeAbandoned, "The caller left."
+		return &Failure{Code: CodeOutcomeUnknown, Message: "An earlier attempt may have run."}
+	case errors.Is(err, endpoint.ErrRejected):
+		return &Failure{Code: CodeRejected, Message: "The endpoint does not accept the request as it stands."}
+	case errors.Is(err, endpoint.ErrRefused):
+		return &Failure{Code: CodeEndpointRefused, Message: "The endpoints refused the request.", RetryAfter: comeBack}
+	case errors.Is(err, endpoint.ErrLost), errors.Is(err, endpoint.ErrSilent), errors.Is(err, endpoint.ErrMismatch), errors.Is(err, errStalled):
+		return &Failure{Code: CodeEndpointFailed, Message: "The endpoint failed; the request may have run."}
 	}
-	return f
-}
-
-// unknown returns the failure for an error after something was sent.
-func unknown(err error) *Failure {
-	f := &Failure{Outcome: record.OutcomeUnknown, Code: CodeEndpointFailed, Message: "The endpoint failed; the request may have run."}
-	if errors.Is(err, endpoint.ErrRefused) {
-		f.Outcome, f.Message, f.RetryAfter = record.OutcomeNotRun, "The endpoint refused the request.", comeBack
-	}
-	return f
+	return &Failure{Code: CodeInternal, Message: err.Error()}
 }
--- a/internal/run/service.go
+++ b/internal/run/service.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"guavapier/internal/claim"
 	"guavapier/internal/decide"
 	"guavapier/internal/endpoint"
 	"guavapier/internal/record"
@@ -14,73 +15,118 @@
 type Call struct {
 	Request
 	Service     string
-	Repeatable  bool
 	Method      string
 	Path        string
 	ContentType string
 	Body        []byte
 }
 
-// Call runs a service call. The error is a *Failure.
+// Repeatable says whether a call may run more than once. Without a rule that
+// says so it may not.
+func (r *Runner) Repeatable(service, method, path string) bool {
+	return r.Repeats != nil && r.Repeats.Repeatable(service, method, path)
+}
+
+// Call runs a service call, or returns the answer of the run that an earlier
+// attempt has begun. The error is a *Failure.
 func (r *Runner) Call(ctx context.Context, c Call) (endpoint.Answer, error) {
-	ticket, err := r.begin(ctx, c.Request, c.Repeatable)
+	repeatable := r.Repeatable(c.Service, c.Method, c.Path)
+	ticket, err := r.Claims.Begin(ctx, c.claim(repeatable))
 	if err != nil {
-		return endpoint.Answer{}, err
+		return endpoint.Answer{}, notRun(err)
 	}
-	answer, err := r.callAttempts(ctx, c, ticket.Run)
-	if err != nil {
-		return endpoint.Answer{}, r.end(ctx, c.Key, err)
+	if ticket.Join {
+		return joinCall(ticket)
 	}
-	r.Claims.End(ctx, c.Key, record.OutcomeAnswered)
-	return answer, nil
+	return r.ownCall(ctx, c, ticket.Run, repeatable)
+}
+
+// joinCall returns the answer of a call that another attempt has sent. Its
+// text is kept nowhere, so the outcome is unknown to this caller.
+func joinCall(claim.Ticket) (endpoint.Answer, error) {
+	return endpoint.Answer{}, failure(claim.ErrUnknown, true)
 }
 
-// callAttempts tries again only while nothing has run, or where the call may
-// be repeated.
-func (r *Runner) callAttempts(ctx context.Context, c Call, run record.RunID) (endpoint.Answer, error) {
-	place := decide.Request{
-		Team: c.Team.Name, Session: c.Session.ID, Service: c.Service, Priority: c.Priority,
-		Deadline: r.Placer.Now() + c.Wait,
+// ownCall carries a call that this request has claimed. It goes on without its
+// caller: a call that is on its way cannot be called back, and a retry is told
+// its outcome.
+func (r *Runner) ownCall(ctx context.Context, c Call, run record.RunID, repeatable bool) (endpoint.Answer, error) {
+	work, stop := context.WithTimeoutCause(context.WithoutCancel(ctx), c.Wait, errLate)
+	defer stop()
+	s := &sending{call: c, run: run, repeatable: repeatable, wait: c.Wait}
+	answer, err := r.send(work, s)
+	if err != nil && work.Err() != nil {
+		err = errors.Join(errLate, err)
 	}
+	return answer, r.end(ctx, c.Key, err, s.started)
+}
+
+// sending is the state of one call while endpoints are tried.
+type sending struct {
+	call       Call
+	run        record.RunID
+	repeatable bool
+	wait       time.Duration
+	attempt    int
+	avoid      []string
+	started    bool // An endpoint may have run the call.
+}
+
+// send tries one endpoint after the other while nothing has run, or where the
+// call may be repeated.
+func (r *Runner) send(ctx context.Context, s *sending) (endpoint.Answer, error) {
+	deadline := r.Placer.Now() + s.wait
 	var last error
-	for attempt := 1; attempt <= r.MaxAttempts; attempt++ {
-		placement, err := r.Placer.Submit(ctx, place)
-		if err != nil && last == nil {
-			return endpoint.Answer{}, notRun(err)
-		}
+	for range r.Limits.Endpoints {
+		placement, err := r.Placer.Submit(ctx, s.place(deadline))
 		if err != nil {
-			break
+			return endpoint.Answer{}, errors.Join(last, err)
 		}
-		var answer endpoint.Answer
-		answer, last = r.callOnce(ctx, c, placement.Endpoint, run, attempt, placement.Done)
-		if last == nil {
+		meter := newMeter(placement)
+		answer, err := r.sendTo(ctx, s, placement.Endpoint)
+		meter.done(err)
+		if err == nil {
 			return answer, nil
 		}
-		if !c.Repeatable && !errors.Is(last, endpoint.ErrRefused) {
+		last = err
+		r.heed(placement.Endpoint, err)
+		if ctx.Err() != nil || errors.Is(err, endpoint.ErrRejected) {
 			break
 		}
-		place.Avoid = append(place.Avoid, placement.Endpoint)
+		if !s.repeatable && !errors.Is(err, endpoint.ErrRefused) {
+			break
+		}
+		s.avoid = append(s.avoid, placement.Endpoint)
 	}
-	return endpoint.Answer{}, unknown(last)
+	return endpoint.Answer{}, last
 }
 
-func (r *Runner) callOnce(ctx context.Context, c Call, name string, run record.RunID, attempt int, done func(decide.Result)) (endpoint.Answer, error) {
-	began := time.Now()
-	outcome := decide.Result{Failed: true}
-	defer func() {
-		outcome.Total = time.Since(began)
-		done(outcome)
-	}()
+func (s *sending) place(deadline decide.Time) decide.Request {
+	c := s.call
+	return decide.Request{
+		Team: c.Team.Name, Session: c.Session.ID, Service: c.Service, Priority: c.Priority, Deadline: deadline, Avoid: s.avoid,
+	}
+}
+
+// sendTo sends the call to one endpoint. One that may be repeated is given up
+// there in time for another try.
+func (r *Runner) sendTo(ctx context.Context, s *sending, name string) (endpoint.Answer, error) {
 	base, ok := r.Endpoints.URL(name)
 	if !ok {
 		return endpoint.Answer{}, endpoint.ErrRefused
 	}
-	r.Claims.Place(ctx, c.Key, name)
-	ctx, cancel := context.WithTimeout(ctx, c.Wait)
-	defer cancel()
+	r.Claims.Place(ctx, s.call.Key, name)
+	if s.repeatable && s.attempt == 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, s.wait/2)
+		defer cancel()
+	}
+	s.attempt++
 	answer, err := r.Services.Call(ctx, base, endpoint.Call{
-		Run: run, Attempt: attempt, Method: c.Method, Path: c.Path, ContentType: c.ContentType, Body: c.Body,
+		Run: s.run, Attempt: s.attempt, Method: s.call.Method, Path: s.call.Path, ContentType: s.call.ContentType, Body: s.call.Body,
 	})
-	outcome.Failed = err != nil
+	if !errors.Is(err, endpoint.ErrRefused) {
+		s.started = true
+	}
 	return answer, err
 }
--- a/internal/server/endpoints.go
+++ b/internal/server/endpoints.go
@@ -6,6 +6,9 @@
 	"guavapier/internal/decide"
 	"guavapier/internal/dispatch"
 	"guavapier/internal/endpoint"
+	"guavapier/internal/fold"
+	"guavapier/internal/replica"
+	"guavapier/internal/run"
 	"guavapier/internal/settings"
 )
 
@@ -23,6 +26,50 @@
 	loadsPerSecond = 10
 )
 
+const (
+	// runEndpoints bounds how much of the fleet one bad request can touch.
+	runEndpoints = 3
+	// runResumes allows one connection that a middlebox has lost track of; an
+	// endpoint that is silent on a new one as well is given up.
+	runResumes = 1
+	// runLinger is longer than the longest answer takes: 16,384 tokens at 38 ms.
+	runLinger = 15 * time.Minute
+	// runControl bounds the work after a run's end, and so the end of a drain.
+	runControl = 10 * time.Second
+)
+
+func runLimits(limits settings.Limits) run.Limits {
+	return run.Limits{
+		Endpoints: runEndpoints, Resumes: runResumes, Progress: limits.Progress.D(), Linger: runLinger, Control: runControl,
+	}
+}
+
+// leaving takes an endpoint out of placement at its own word.
+func (s *Server) leaving(name string) {
+	s.log.Info().Str("endpoint", name).Msg("run: endpoint refuses, it is leaving")
+	s.dispatcher.Update(func(d *decide.Decider) { d.SetLeaving(name) })
+}
+
+// repeatRules reads the rules for repeatable calls from the settings.
+type repeatRules struct {
+	config *replica.Replica[*fold.Config]
+}
+
+// repeatablePath holds "METHOD /path" rules, one a line or parted by commas.
+func repeatablePath(service string) string { return "/fleet/services/" + service + "/repeatable" }
+
+// Repeatable implements run.RepeatRules.
+func (r repeatRules) Repeatable(service, method, path string) bool {
+	var value fold.Value
+	known := false
+	r.config.View(func(f *fold.Config) { value, known = f.Get(repeatablePath(service)) })
+	if !known {
+		return false
+	}
+	rules, err := run.ParseRepeatRules(value.Value)
+	return err == nil && run.AnyRepeats(rules, method, path)
+}
+
 // endpoints holds the clients of the endpoints and polls their load.
 type endpoints struct {
 	counts   endpoint.Counts
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -33,7 +33,6 @@
 }
 
 const (
-	maxAttempts      = 3
 	publisherRetry   = 50 * time.Millisecond
 	publisherRecords = 1000
 	listEvery        = 500 * time.Millisecond
@@ -85,8 +84,8 @@
 		}),
 		Placer: srv.dispatcher, Endpoints: srv.members,
 		Engines: srv.endpoints.engines, Services: srv.endpoints.services,
-		MaxAttempts: maxAttempts,
-		OnError:     func(err error) { log.Error().Err(err).Msg("run: background error") },
+		Repeats: repeatRules{srv.config}, Limits: runLimits(s.Limits), Leaving: srv.leaving,
+		OnError: func(err error) { log.Error().Err(err).Msg("run: background error") },
 	}
 	return srv, nil
 }
@@ -137,6 +136,7 @@
 	patience, cancel := context.WithTimeout(context.Background(), shutdownPatience)
 	defer cancel()
 	_ = callers.Shutdown(patience)
+	s.runner.Close()
 	_ = operators.Shutdown(patience)
 }
 
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -140,3 +140,14 @@
 	s.SetFaults(f)
 	writeJSON(w, f)
 }
+
+// Total returns how many calls ran.
+func (s *Service) Total() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	total := 0
+	for _, count := range s.runs {
+		total += count
+	}
+	return total
+}
