--- a/internal/run/chat.go
+++ b/internal/run/chat.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"guavapier/internal/claim"
 	"guavapier/internal/endpoint"
 	"guavapier/internal/record"
 )
@@ -24,27 +25,27 @@
 // its final outcome, which may be after the caller has left.
 func (r *Runner) ownChat(ctx context.Context, c Chat, run record.RunID, sink Sink) (ChatResult, error) {
 	if c.Have.Run != "" {
-		return ChatResult{}, r.end(ctx, c.Key, errRunGone, false)
+		return ChatResult{}, r.end(ctx, c.Key, errRunGone, false, nil)
 	}
 	p := r.attend(ctx, c.Request, sink)
 	defer p.stop()
 	worst := int64(c.PromptTokens + c.MaxTokens)
 	reserved, err := r.Accounts.Reserve(p.work, c.Key, run, c.Team.Budget, worst)
 	if err != nil {
-		return ChatResult{}, r.end(ctx, c.Key, p.explain(err), false)
+		return ChatResult{}, r.end(ctx, c.Key, p.explain(err), false, nil)
 	}
 	g := newGeneration(c, run, p)
 	err = p.explain(r.generate(p.work, g))
 	r.settleLater(ctx, g, reserved, err)
-	return g.result, r.end(ctx, c.Key, err, g.started)
+	return g.result, r.end(ctx, c.Key, err, g.started, nil)
 }
 
 // end tells the claim how the run ended and returns its failure, if any.
-// started says whether anything may have run.
-func (r *Runner) end(ctx context.Context, key record.RequestKey, err error, started bool) error {
+// started says whether anything may have run; answer is kept for retries.
+func (r *Runner) end(ctx context.Context, key record.RequestKey, err error, started bool, answer *claim.Answer) error {
 	ctx = context.WithoutCancel(ctx)
 	if err == nil {
-		r.Claims.End(ctx, key, record.OutcomeAnswered)
+		r.Claims.End(ctx, key, claim.End{Outcome: record.OutcomeAnswered, Answer: answer})
 		return nil
 	}
 	f := failure(err, started)
@@ -52,7 +53,7 @@
 	if !started {
 		outcome = record.OutcomeNotRun // Of this claim's run; the caller may be told less.
 	}
-	r.Claims.End(ctx, key, outcome)
+	r.Claims.End(ctx, key, claim.End{Outcome: outcome})
 	return f
 }
 
--- a/internal/run/chat_test.go
+++ b/internal/run/chat_test.go
@@ -253,7 +253,7 @@
 			b.services[0].SetFaults(c.faults)
 			call := Call{Request: chatOf("k", true).Request, Service: "rig", Method: c.method, Path: c.path}
 			call.Wait = 400 * time.Millisecond
-			for range 2 { // The second time is a retry.
+			for range 2 { // The second time is a retry, with the same outcome.
 				_, err := b.Call(t.Context(), call)
 				outcome := record.OutcomeAnswered
 				var f *Failure
@@ -263,7 +263,6 @@
 				if outcome != c.outcome {
 					t.Fatalf("outcome %v: %v", outcome, err)
 				}
-				c.outcome = record.OutcomeUnknown // Claims without stored answers.
 			}
 			if runs := [2]int{b.services[0].Total(), b.services[1].Total()}; runs != c.runs {
 				t.Fatalf("runs %v", runs)
--- a/internal/run/failure.go
+++ b/internal/run/failure.go
@@ -29,8 +29,10 @@
 	CodeNoAnswerInTime  Code = "no_answer_in_time"
 	CodeRunGone         Code = "run_gone"
 	CodeAnswerGone      Code = "answer_gone"
-	CodeAbandoned       Code = "abandoned"
-	CodeInternal        Code = "internal"
+	// CodeAnswerNotKept goes with the outcome answered.
+	CodeAnswerNotKept Code = "answer_not_kept"
+	CodeAbandoned     Code = "abandoned"
+	CodeInternal      Code = "internal"
 )
 
 // Failure is a request's final outcome where it has no answer.
--- a/internal/run/join.go
+++ b/internal/run/join.go
@@ -77,6 +77,8 @@
 		return claim.ErrUnknown
 	case t.Outcome == record.OutcomeAnswered && errors.Is(err, endpoint.ErrRefused):
 		return errAnswerGone
+	case t.RunnerGone && errors.Is(err, endpoint.ErrRefused):
+		return claim.ErrUnknown
 	}
 	return nil
 }
@@ -97,7 +99,7 @@
 	}
 	if order.From > 0 && ticket.Run != order.Run {
 		if !ticket.Join {
-			r.Claims.End(ctx, c.Key, record.OutcomeNotRun)
+			r.Claims.End(ctx, c.Key, claim.End{Outcome: record.OutcomeNotRun})
 		}
 		return ticket, errRunGone
 	}
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -97,7 +97,7 @@
 }
 
 func (q Request) claim(repeatable bool) claim.Request {
-	return claim.Request{Key: q.Key, Digest: q.Digest, Home: q.Session.Home, Repeatable: repeatable, First: q.First}
+	return claim.Request{Key: q.Key, Digest: q.Digest, Home: q.Session.Home, Repeatable: repeatable, First: q.First, Minted: !q.Keyed}
 }
 
 // Position is where in a run's answer a caller is.
--- a/internal/run/run_test.go
+++ b/internal/run/run_test.go
@@ -86,7 +86,7 @@
 	d.Update(func(decider *decide.Decider) { decider.SetEndpoints(rows) })
 	opts := endpoint.Options{Connect: time.Second, Silence: testSilence, Control: time.Second, AnswerBytes: 1 << 16}
 	b.Runner = &Runner{
-		Claims: claim.NewLocal("a1"), Accounts: b.books, Placer: d, Endpoints: b,
+		Claims: &table{rows: map[record.RequestKey]*row{}}, Accounts: b.books, Placer: d, Endpoints: b,
 		Engines: endpoint.NewHTTPEngines(opts, &b.counts), Services: endpoint.NewHTTPServices(opts, &b.counts),
 		Limits: Limits{Endpoints: 2, Resumes: 1, Progress: 3 * testSilence, Linger: time.Minute, Control: 2 * time.Second},
 		Leaving: func(name string) {
@@ -210,3 +210,55 @@
 	}
 	return *f
 }
+
+// table is Claims in one instance's memory.
+type table struct {
+	mu   sync.Mutex
+	rows map[record.RequestKey]*row
+}
+
+type row struct {
+	digest uint64
+	ticket claim.Ticket
+}
+
+// Begin implements claim.Claims.
+func (c *table) Begin(_ context.Context, r claim.Request) (claim.Ticket, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known, ok := c.rows[r.Key]
+	if !ok {
+		c.rows[r.Key] = &row{digest: r.Digest, ticket: claim.Ticket{Run: record.NewRunID(), Runner: "a1"}}
+		return c.rows[r.Key].ticket, nil
+	}
+	if known.digest != r.Digest {
+		return claim.Ticket{}, claim.ErrKeyReused
+	}
+	joined := known.ticket
+	joined.Join = true
+	return joined, nil
+}
+
+// Place implements claim.Claims.
+func (c *table) Place(_ context.Context, key record.RequestKey, endpoint string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if known, ok := c.rows[key]; ok {
+		known.ticket.Endpoint = endpoint
+	}
+}
+
+// End implements claim.Claims.
+func (c *table) End(_ context.Context, key record.RequestKey, end claim.End) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known, ok := c.rows[key]
+	if !ok {
+		return
+	}
+	if end.Outcome == record.OutcomeNotRun {
+		delete(c.rows, key)
+		return
+	}
+	known.ticket.Outcome, known.ticket.Answer = end.Outcome, end.Answer
+}
--- a/internal/run/service.go
+++ b/internal/run/service.go
@@ -31,7 +31,7 @@
 // attempt has begun. The error is a *Failure.
 func (r *Runner) Call(ctx context.Context, c Call) (endpoint.Answer, error) {
 	repeatable := r.Repeatable(c.Service, c.Method, c.Path)
-	ticket, err := r.Claims.Begin(ctx, c.claim(repeatable))
+	ticket, err := r.beginCall(ctx, c, repeatable)
 	if err != nil {
 		return endpoint.Answer{}, notRun(err)
 	}
@@ -41,10 +41,26 @@
 	return r.ownCall(ctx, c, ticket.Run, repeatable)
 }
 
-// joinCall returns the answer of a call that another attempt has sent. Its
-// text is kept nowhere, so the outcome is unknown to this caller.
-func joinCall(claim.Ticket) (endpoint.Answer, error) {
-	return endpoint.Answer{}, failure(claim.ErrUnknown, true)
+// beginCall claims the call, or waits for the end of the run that it joins.
+func (r *Runner) beginCall(ctx context.Context, c Call, repeatable bool) (claim.Ticket, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.Wait)
+	defer cancel()
+	return claim.BeginOrJoin(ctx, r.Claims, c.claim(repeatable))
+}
+
+// joinCall returns the answer of a call that another attempt has sent, where a
+// copy of it is kept.
+func joinCall(t claim.Ticket) (endpoint.Answer, error) {
+	if t.Outcome != record.OutcomeAnswered {
+		return endpoint.Answer{}, failure(claim.ErrUnknown, true)
+	}
+	if t.Answer == nil {
+		return endpoint.Answer{}, &Failure{
+			Outcome: record.OutcomeAnswered, Code: CodeAnswerNotKept,
+			Message: "The call ran once and was answered; no copy of the answer is kept.",
+		}
+	}
+	return endpoint.Answer{Status: t.Answer.Status, ContentType: t.Answer.ContentType, Body: t.Answer.Body}, nil
 }
 
 // ownCall carries a call that this request has claimed. It goes on without its
@@ -58,7 +74,7 @@
 	if err != nil && work.Err() != nil {
 		err = errors.Join(errLate, err)
 	}
-	return answer, r.end(ctx, c.Key, err, s.started)
+	return answer, r.end(ctx, c.Key, err, s.started, &claim.Answer{Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body})
 }
 
 // sending is the state of one call while endpoints are tried.
--- a/internal/server/endpoints.go
+++ b/internal/server/endpoints.go
@@ -7,6 +7,7 @@
 	"guavapier/internal/dispatch"
 	"guavapier/internal/endpoint"
 	"guavapier/internal/fold"
+	"guavapier/internal/membership"
 	"guavapier/internal/replica"
 	"guavapier/internal/run"
 	"guavapier/internal/settings"
@@ -70,19 +71,19 @@
 	return err == nil && run.AnyRepeats(rules, method, path)
 }
 
-// endpoints holds the clients of the endpoints and polls their load.
-type endpoints struct {
+// endpointClients holds the clients of the endpoints and polls their load.
+type endpointClients struct {
 	counts   endpoint.Counts
 	engines  *endpoint.HTTPEngines
 	services *endpoint.HTTPServices
 	poller   *endpoint.Poller
 }
 
-func newEndpoints(limits settings.Limits, m *members, d *dispatch.Dispatcher) *endpoints {
+func newEndpointClients(limits settings.Limits, m *membership.Members, d *dispatch.Dispatcher) *endpointClients {
 	opts := endpoint.Options{
 		Connect: connectWithin, Silence: min(silentAfter, limits.Progress.D()), Control: controlWithin, AnswerBytes: limits.AnswerBytes,
 	}
-	e := &endpoints{}
+	e := &endpointClients{}
 	e.engines = endpoint.NewHTTPEngines(opts, &e.counts)
 	e.services = endpoint.NewHTTPServices(opts, &e.counts)
 	e.poller = &endpoint.Poller{
@@ -93,9 +94,9 @@
 	return e
 }
 
-func targets(m *members) []endpoint.Target {
+func targets(m *membership.Members) []endpoint.Target {
 	var out []endpoint.Target
-	for _, e := range m.list().Endpoints {
+	for _, e := range m.List().Endpoints {
 		out = append(out, endpoint.Target{Name: e.Name, URL: e.URL})
 	}
 	return out
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -5,7 +5,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +13,8 @@
 	"guavapier/internal/entry"
 	"guavapier/internal/fold"
 	"guavapier/internal/ledger"
+	"guavapier/internal/membership"
+	"guavapier/internal/peer"
 	"guavapier/internal/platform"
 	"guavapier/internal/record"
 	"guavapier/internal/replica"
@@ -35,7 +36,6 @@
 const (
 	publisherRetry   = 50 * time.Millisecond
 	publisherRecords = 1000
-	listEvery        = 500 * time.Millisecond
 	shutdownPatience = 24 * time.Hour // Long reports are never cut off by a drain.
 )
 
@@ -51,13 +51,18 @@
 	config     *replica.Replica[*fold.Config]
 	partitions ledger.Partitions
 	dispatcher *dispatch.Dispatcher
-	members    *members
-	endpoints  *endpoints
+	clients    *endpointClients
+	members    *membership.Members
+	pool       *peer.Pool
+	peerServer *peer.Server
+	holder     *claim.Holder
+	claims     *claim.Fleet
 	runner     *run.Runner
 	draining   atomic.Bool
 
 	callers   net.Listener
 	operators net.Listener
+	peers     net.Listener
 }
 
 // New puts an instance together and binds its addresses.
@@ -75,15 +80,18 @@
 		srv.partitions = append(srv.partitions, replica.New(record.LedgerStream(n), fold.NewLedger()))
 	}
 	srv.dispatcher = dispatch.New()
-	srv.members = newMembers(srv.client, srv.dispatcher)
-	srv.endpoints = newEndpoints(s.Limits, srv.members, srv.dispatcher)
+	srv.joinPeers()
+	if err := srv.joinClaims(); err != nil {
+		return nil, err
+	}
+	srv.clients = newEndpointClients(s.Limits, srv.members, srv.dispatcher)
 	srv.runner = &run.Runner{
-		Claims: claim.NewLocal(srv.id),
+		Claims: srv.claims,
 		Accounts: ledger.New(srv.id, record.Zone(s.Instance.Zone), srv.publisher, srv.partitions, ledger.Options{
 			GrantTokens: s.Ledger.GrantTokens, Patience: s.Ledger.Patience.D(),
 		}),
-		Placer: srv.dispatcher, Endpoints: srv.members,
-		Engines: srv.endpoints.engines, Services: srv.endpoints.services,
+		Placer: srv.dispatcher, Endpoints: endpoints{srv.members},
+		Engines: srv.clients.engines, Services: srv.clients.services,
 		Repeats: repeatRules{srv.config}, Limits: runLimits(s.Limits), Leaving: srv.leaving,
 		OnError: func(err error) { log.Error().Err(err).Msg("run: background error") },
 	}
@@ -98,7 +106,7 @@
 	if s.operators, err = net.Listen("tcp", s.settings.Instance.Operators); err != nil {
 		return eris.Wrap(err, "server: listen for operators")
 	}
-	return nil
+	return s.listenPeers()
 }
 
 // CallersAddr returns the bound callers' address.
@@ -115,14 +123,20 @@
 	operators := &http.Server{Handler: s.operatorsHandler(), ReadHeaderTimeout: 10 * time.Second}
 	var group errgroup.Group
 	group.Go(func() error { return s.follow(background) })
-	group.Go(func() error { s.members.run(background, s.self); return nil })
-	group.Go(func() error { s.endpoints.poller.Run(background); return nil })
+	group.Go(func() error { s.clients.poller.Run(background); return nil })
+	group.Go(func() error { s.members.Run(background, s.pool); return nil })
+	group.Go(func() error { s.holder.Run(background); return nil })
+	group.Go(func() error { return s.peerServer.Serve(s.peers) })
 	group.Go(func() error { return ignoreClosed(callers.Serve(s.callers)) })
 	group.Go(func() error { return ignoreClosed(operators.Serve(s.operators)) })
-	s.log.Info().Str("id", string(s.id)).Str("callers", s.CallersAddr()).Str("operators", s.OperatorsAddr()).Msg("server: serving")
+	s.log.Info().Str("id", string(s.id)).Str("callers", s.CallersAddr()).Str("operators", s.OperatorsAddr()).
+		Str("peers", s.PeersAddr()).Msg("server: serving")
 	<-ctx.Done()
 	s.drain(callers, operators)
+	s.leaveClaims()
 	stop()
+	s.leavePeers()
+	s.holder.Close()
 	s.dispatcher.Close()
 	err := group.Wait()
 	_ = s.publisher.Close()
@@ -142,7 +156,7 @@
 
 func (s *Server) self() platform.Instance {
 	return platform.Instance{
-		ID: s.id, Zone: record.Zone(s.settings.Instance.Zone), Peer: s.settings.Instance.Peers, Leaving: s.draining.Load(),
+		ID: s.id, Zone: record.Zone(s.settings.Instance.Zone), Peer: s.PeersAddr(), Leaving: s.draining.Load(),
 	}
 }
 
@@ -167,7 +181,7 @@
 			BodyBytes: limits.BodyBytes, MaxTokens: limits.MaxTokens,
 			FirstToken: limits.FirstToken.D(), ServiceAnswer: limits.ServiceAnswer.D(),
 		},
-		Ready: func() bool { return !s.draining.Load() && s.members.ready() },
+		Ready: func() bool { return !s.draining.Load() && s.members.Seen() },
 	}
 	return c.Handler()
 }
@@ -190,7 +204,7 @@
 }
 
 func (s *Server) state() any {
-	dump := StateDump{ID: s.id, Zone: s.settings.Instance.Zone, Draining: s.draining.Load(), Applied: map[string]uint64{}, Members: s.members.list()}
+	dump := StateDump{ID: s.id, Zone: s.settings.Instance.Zone, Draining: s.draining.Load(), Applied: map[string]uint64{}, Members: s.members.List()}
 	dump.Applied[string(record.ConfigStream)] = s.config.Next()
 	for _, p := range s.partitions {
 		dump.Applied[string(p.Stream())] = p.Next()
@@ -205,17 +219,3 @@
 	}
 	return err
 }
-
-// members follows the platform's instance list.
-type members struct {
-	directory  platform.Directory
-	dispatcher *dispatch.Dispatcher
-
-	mu   sync.Mutex
-	last platform.List
-	seen bool
-}
-
-func newMembers(directory platform.Directory, dispatcher *dispatch.Dispatcher) *members {
-	return &members{directory: directory, dispatcher: dispatcher}
-}
