--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -10,7 +10,6 @@
 
 	"guavapier/internal/claim"
 	"guavapier/internal/dispatch"
-	"guavapier/internal/endpoint"
 	"guavapier/internal/entry"
 	"guavapier/internal/fold"
 	"guavapier/internal/ledger"
@@ -35,7 +34,6 @@
 }
 
 const (
-	maxAttempts      = 3
 	publisherRetry   = 50 * time.Millisecond
 	publisherRecords = 1000
 	shutdownPatience = 24 * time.Hour // Long reports are never cut off by a drain.
@@ -53,6 +51,7 @@
 	config     *replica.Replica[*fold.Config]
 	partitions ledger.Partitions
 	dispatcher *dispatch.Dispatcher
+	clients    *endpointClients
 	members    *membership.Members
 	pool       *peer.Pool
 	peerServer *peer.Server
@@ -89,16 +88,13 @@
 	if err := srv.joinClaims(); err != nil {
 		return nil, err
 	}
-	transport := http.DefaultTransport.(*http.Transport).Clone()
-	transport.MaxIdleConnsPerHost = 64
+	srv.clients = newEndpointClients(s.Limits, srv.members, srv.dispatcher)
 	srv.runner = &run.Runner{
-		Claims:   srv.claims,
-		Accounts: srv.budgets,
-		Placer:   srv.dispatcher, Endpoints: endpoints{srv.members},
-		Engines:     endpoint.NewHTTPEngines(transport),
-		Services:    endpoint.NewHTTPServices(transport, s.Limits.AnswerBytes),
-		MaxAttempts: maxAttempts,
-		OnError:     func(err error) { log.Error().Err(err).Msg("run: background error") },
+		Claims: srv.claims, Accounts: srv.budgets,
+		Placer: srv.dispatcher, Endpoints: endpoints{srv.members},
+		Engines: srv.clients.engines, Services: srv.clients.services,
+		Repeats: repeatRules{srv.config}, Limits: runLimits(s.Limits), Leaving: srv.leaving,
+		OnError: func(err error) { log.Error().Err(err).Msg("run: background error") },
 	}
 	return srv, nil
 }
@@ -128,6 +124,7 @@
 	operators := &http.Server{Handler: s.operatorsHandler(), ReadHeaderTimeout: 10 * time.Second}
 	var group errgroup.Group
 	group.Go(func() error { return s.follow(background) })
+	group.Go(func() error { s.clients.poller.Run(background); return nil })
 	group.Go(func() error { s.members.Run(background, s.pool); return nil })
 	group.Go(func() error { s.holder.Run(background); return nil })
 	group.Go(func() error { return s.peerServer.Serve(s.peers) })
@@ -156,6 +153,7 @@
 	patience, cancel := context.WithTimeout(context.Background(), shutdownPatience)
 	defer cancel()
 	_ = callers.Shutdown(patience)
+	s.runner.Close()
 	_ = operators.Shutdown(patience)
 }
 
