Add the state and metrics registries of an instance

Cause: the state dump was one struct in the server, so each part had to edit it; there were no metrics. Change: internal/state.Registry (Register, Dump) and internal/metrics.Registry with a catalogue; server.Server has tables and metrics, to which each part adds its own. Not measured.

--- /dev/null
+++ b/internal/metrics/catalogue.go
@@ -0,0 +1,62 @@
+package metrics
+
+// The metrics' names.
+const (
+	CallerRequests     = "callers.requests"
+	CallerRefusals     = "callers.refusals"
+	CallerFaults       = "callers.faults"
+	CallerLatency      = "callers.latency"
+	OperatorRequests   = "operators.requests"
+	OperatorRefusals   = "operators.refusals"
+	ConfigNext         = "config.next_offset"
+	ConfigValues       = "config.values"
+	LedgerNext         = "ledger.next_offset"
+	BatchesPassed      = "replica.batches_passed_over"
+	RecordsLost        = "replica.records_aged_out"
+	SnapshotsWritten   = "snapshot.written"
+	SnapshotsRestored  = "snapshot.restored"
+	SnapshotsDiscarded = "snapshot.discarded"
+	Goroutines         = "process.goroutines"
+	HeapBytes          = "process.heap"
+)
+
+// Kind is the kind of a metric.
+type Kind string
+
+// The kinds. A counter only rises while the process lives; a histogram has
+// count, min, max, mean and percentiles.
+const (
+	KindCounter   Kind = "counter"
+	KindGauge     Kind = "gauge"
+	KindHistogram Kind = "histogram"
+)
+
+// Metric documents one metric.
+type Metric struct {
+	Name string
+	Kind Kind
+	Unit string
+	Help string
+}
+
+// Catalogue lists every metric that an instance publishes.
+func Catalogue() []Metric {
+	return []Metric{
+		{CallerRequests, KindCounter, "requests", "Requests on the callers' address that have been answered."},
+		{CallerRefusals, KindCounter, "requests", "Of these, answered with a 4xx status."},
+		{CallerFaults, KindCounter, "requests", "Of these, answered with a 5xx status."},
+		{CallerLatency, KindHistogram, "microseconds", "From a request's arrival to the end of its answer, streams included."},
+		{OperatorRequests, KindCounter, "requests", "Requests on the operators' address that have been answered."},
+		{OperatorRefusals, KindCounter, "requests", "Of these, answered with a 4xx status."},
+		{ConfigNext, KindGauge, "offset", "Offset after the last applied entry of the configuration stream."},
+		{ConfigValues, KindGauge, "values", "Values under paths."},
+		{LedgerNext, KindGauge, "offset", "Sum over the ledger partitions of the offset after the last applied entry."},
+		{BatchesPassed, KindCounter, "batches", "Batches that could not be decoded and were passed over."},
+		{RecordsLost, KindCounter, "times", "Times that records aged out before this instance had read them."},
+		{SnapshotsWritten, KindCounter, "snapshots", "Snapshots that this instance has written."},
+		{SnapshotsRestored, KindCounter, "snapshots", "Snapshots from which this instance has started a stream."},
+		{SnapshotsDiscarded, KindCounter, "snapshots", "Snapshots that were not used: torn, or older than another whole one."},
+		{Goroutines, KindGauge, "goroutines", "Goroutines of the process."},
+		{HeapBytes, KindGauge, "bytes", "Bytes of the heap in use."},
+	}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -15,12 +15,14 @@
 	"guavapier/internal/entry"
 	"guavapier/internal/fold"
 	"guavapier/internal/ledger"
+	"guavapier/internal/metrics"
 	"guavapier/internal/platform"
 	"guavapier/internal/record"
 	"guavapier/internal/replica"
 	"guavapier/internal/run"
 	"guavapier/internal/session"
 	"guavapier/internal/settings"
+	"guavapier/internal/state"
 
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
@@ -56,6 +58,9 @@
 	members    *members
 	runner     *run.Runner
 	draining   atomic.Bool
+	// tables and metrics are where each part registers what it shows.
+	tables  *state.Registry
+	metrics *metrics.Registry
 
 	callers   net.Listener
 	operators net.Listener
@@ -63,7 +68,7 @@
 
 // New puts an instance together and binds its addresses.
 func New(s settings.Settings, secrets Secrets, log zerolog.Logger) (*Server, error) {
-	srv := &Server{id: record.NewInstanceID(s.Instance.Name), settings: s, secrets: secrets, log: log}
+	srv := &Server{id: record.NewInstanceID(s.Instance.Name), settings: s, secrets: secrets, log: log, tables: state.New(), metrics: metrics.New()}
 	if err := srv.listen(); err != nil {
 		return nil, err
 	}
@@ -90,6 +95,7 @@
 		MaxAttempts: maxAttempts,
 		OnError:     func(err error) { log.Error().Err(err).Msg("run: background error") },
 	}
+	srv.registerTables()
 	return srv, nil
 }
 
@@ -173,33 +179,6 @@
 	return c.Handler()
 }
 
-func (s *Server) operatorsHandler() http.Handler {
-	o := &entry.Operators{
-		Token: s.secrets.Operator, Log: s.publisher, Config: s.config, Ledgers: s.partitions, State: s.state,
-	}
-	return o.Handler()
-}
-
-// StateDump is the answer to a request for this process's state.
-type StateDump struct {
-	ID       record.InstanceID `json:"id"`
-	Zone     string            `json:"zone"`
-	Draining bool              `json:"draining"`
-	Applied  map[string]uint64 `json:"applied"`
-	Budgets  []fold.Budget     `json:"budgets"`
-	Members  platform.List     `json:"members"`
-}
-
-func (s *Server) state() any {
-	dump := StateDump{ID: s.id, Zone: s.settings.Instance.Zone, Draining: s.draining.Load(), Applied: map[string]uint64{}, Members: s.members.list()}
-	dump.Applied[string(record.ConfigStream)] = s.config.Next()
-	for _, p := range s.partitions {
-		dump.Applied[string(p.Stream())] = p.Next()
-		p.View(func(f *fold.Ledger) { dump.Budgets = append(dump.Budgets, f.Budgets()...) })
-	}
-	return dump
-}
-
 func ignoreClosed(err error) error {
 	if eris.Is(err, http.ErrServerClosed) {
 		return nil
