Report everything wrong with a settings file, each finding with its line

Cause: Parse stopped at the first unknown key or wrong type, had no lines, and checked no ranges. Ruled out: go-toml's strict mode alone. It collects unknown keys, but a wrong type ends the decoding, so a file with both shows one of them. Change: Parse walks the document with go-toml's unstable parser and sets each key by itself; Keys is the one table of keys with unit, default, range; the reference in docs/OPERATIONS.md, the complete example and the Settings type are checked against it. Two deployments of four zones under examples/. Secrets files by a relative path are taken from the settings file's directory. platform.timeout is bounded by 4 s: with more, one lost answer keeps a configuration from being in force within 9 s. Shown: TestFindings (five different faults, five lines). Seen red with a Parse that skips the ranges once the walk found something: TestFindings lost the findings of lines 4, 12 and 16. TestFindingsHaveTheirPlace ran once with 3000 mutations, no panic. Not measured.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -12,6 +12,8 @@
 	"strings"
 	"syscall"
 
+	"guavapier/internal/settings"
+
 	"github.com/peterbourgon/ff/v3/ffcli"
 )
 
@@ -48,6 +50,7 @@
 
 func exitCode(err error, stderr io.Writer) int {
 	var usage usageError
+	var findings settings.Findings
 	switch {
 	case err == nil, errors.Is(err, flag.ErrHelp):
 		return exitOK
@@ -57,6 +60,9 @@
 	case strings.HasPrefix(err.Error(), "error parsing commandline"):
 		fmt.Fprintln(stderr, "guavapier: "+err.Error())
 		return exitUsage
+	case errors.As(err, &findings):
+		fmt.Fprintln(stderr, findings.Error())
+		return exitFailure
 	default:
 		fmt.Fprintln(stderr, "guavapier: "+err.Error())
 		return exitFailure
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,21 +1,21 @@
 // Package settings reads an instance's static settings: what it needs before
 // it can read anything from the platform. They are TOML, strict, and all
-// findings are reported together with their place.
+// findings are reported together with their place. Keys lists every key with
+// its unit, default and range.
+//
+// Settings that operators change while the fleet runs are values under paths
+// on the platform's log; see package config.
 package settings
 
 import (
-	"bytes"
-	"fmt"
-	"net/netip"
 	"os"
-	"strings"
+	"path/filepath"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
 	"github.com/rotisserie/eris"
 )
 
-// Settings is the whole file.
+// Settings is the whole file. Keys documents each field.
 type Settings struct {
 	Instance Instance `toml:"instance"`
 	Platform Platform `toml:"platform"`
@@ -79,38 +79,9 @@
 // Duration is a time.Duration written like "1.5s".
 type Duration time.Duration
 
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (d *Duration) UnmarshalText(text []byte) error {
-	v, err := time.ParseDuration(string(text))
-	*d = Duration(v)
-	return err
-}
-
 // D returns the time.Duration.
 func (d Duration) D() time.Duration { return time.Duration(d) }
 
-// Finding is one thing wrong with the settings.
-type Finding struct {
-	Place   string // file:line, or file where no line is known.
-	Key     string
-	Problem string
-}
-
-// String returns the finding as one line.
-func (f Finding) String() string { return f.Place + ": " + f.Key + ": " + f.Problem }
-
-// Findings is all that is wrong with the settings; it is an error.
-type Findings []Finding
-
-// Error implements error.
-func (f Findings) Error() string {
-	lines := make([]string, len(f))
-	for i, finding := range f {
-		lines[i] = finding.String()
-	}
-	return strings.Join(lines, "\n")
-}
-
 // Default returns the settings that hold where the file is silent.
 func Default() Settings {
 	return Settings{
@@ -129,44 +100,30 @@
 }
 
 // Load reads and checks a file. The error is Findings if the file was read.
+// Secrets files that the settings name by a relative path are taken from the
+// settings file's directory.
 func Load(path string) (Settings, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return Settings{}, eris.Wrap(err, "settings: read")
 	}
-	return Parse(path, data)
-}
-
-// Parse checks the text of a settings file; name stands for it in findings.
-func Parse(name string, data []byte) (Settings, error) {
-	s := Default()
-	if err := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields().Decode(&s); err != nil {
-		return Settings{}, Findings{{Place: name, Key: "toml", Problem: err.Error()}}
-	}
-	findings := s.check(name)
-	if len(findings) > 0 {
-		return Settings{}, findings
+	s, err := Parse(path, data)
+	if err != nil {
+		return Settings{}, err
 	}
+	s.resolve(filepath.Dir(path))
 	return s, nil
 }
 
-func (s *Settings) check(name string) Findings {
-	var out Findings
-	add := func(key, format string, args ...any) {
-		out = append(out, Finding{Place: name, Key: key, Problem: fmt.Sprintf(format, args...)})
-	}
-	if s.Instance.Name == "" {
-		add("instance.name", "is missing")
-	}
-	if s.Instance.Zone == "" {
-		add("instance.zone", "is missing")
-	}
-	for key, addr := range map[string]string{
-		"instance.callers": s.Instance.Callers, "instance.operators": s.Instance.Operators, "instance.peers": s.Instance.Peers,
-	} {
-		if _, err := netip.ParseAddrPort(addr); err != nil {
-			add(key, "%q is not IP:port", addr)
+func (s *Settings) resolve(dir string) {
+	absolute := func(file string) string {
+		if file == "" || filepath.IsAbs(file) {
+			return file
 		}
+		return filepath.Join(dir, file)
+	}
+	for id, file := range s.Sessions.KeyFiles {
+		s.Sessions.KeyFiles[id] = absolute(file)
 	}
-	return out
+	s.Operator.TokenFile = absolute(s.Operator.TokenFile)
 }
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,148 @@
+package settings_test
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+
+	"guavapier/internal/settings"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/pelletier/go-toml/v2"
+	"pgregory.net/rapid"
+)
+
+func TestFindings(t *testing.T) {
+	datadriven.RunTest(t, "testdata/findings", func(t *testing.T, d *datadriven.TestData) string {
+		if d.Cmd != "check" {
+			t.Fatalf("unknown command %s", d.Cmd)
+		}
+		if _, err := settings.Parse("f.toml", []byte(d.Input)); err != nil {
+			return err.Error() + "\n"
+		}
+		return "ok\n"
+	})
+}
+
+func TestExamplesAreRight(t *testing.T) {
+	files, err := filepath.Glob("../../examples/*.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	zones, err := filepath.Glob("../../examples/*/*.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const want = 1 + 2*4 // One complete file and two deployments of four zones.
+	files = append(files, zones...)
+	if len(files) != want {
+		t.Fatalf("%d example files, want %d", len(files), want)
+	}
+	for _, file := range files {
+		s, err := settings.Load(file)
+		if err != nil {
+			t.Error(err)
+			continue
+		}
+		if dir := filepath.Base(filepath.Dir(file)); dir != "examples" && s.Instance.Zone+".toml" != filepath.Base(file) {
+			t.Errorf("%s is of zone %s", file, s.Instance.Zone)
+		}
+	}
+}
+
+// The complete example names every key, and its comments show the defaults.
+func TestCompleteExample(t *testing.T) {
+	data, err := os.ReadFile("../../examples/guavapier.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines := strings.Split(string(data), "\n")
+	for i, line := range lines {
+		if key, ok := strings.CutPrefix(line, "# "); ok && strings.Contains(key, " = ") {
+			lines[i] = key
+		}
+	}
+	text := strings.Join(lines, "\n")
+	got, err := settings.Parse("guavapier.toml", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := settings.Default()
+	want.Instance, want.Platform.URL, want.Sessions, want.Operator = got.Instance, got.Platform.URL, got.Sessions, got.Operator
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("defaults shown:\n%+v\nin force:\n%+v", got, want)
+	}
+	var tables map[string]map[string]any
+	if err := toml.Unmarshal([]byte(text), &tables); err != nil {
+		t.Fatal(err)
+	}
+	for _, k := range settings.Keys() {
+		table, key, _ := strings.Cut(k.Name, ".")
+		if _, ok := tables[table][key]; !ok {
+			t.Errorf("the complete example lacks %s", k.Name)
+		}
+	}
+}
+
+// Every field has its row in Keys and every row its field.
+func TestKeysMatchTheType(t *testing.T) {
+	var fields []string
+	root := reflect.TypeFor[settings.Settings]()
+	for i := range root.NumField() {
+		table := root.Field(i)
+		for j := range table.Type.NumField() {
+			fields = append(fields, table.Tag.Get("toml")+"."+table.Type.Field(j).Tag.Get("toml"))
+		}
+	}
+	var keys []string
+	for _, k := range settings.Keys() {
+		keys = append(keys, k.Name)
+		if k.Doc == "" || k.Unit == "" {
+			t.Errorf("%s lacks unit or text", k.Name)
+		}
+	}
+	if !reflect.DeepEqual(fields, keys) {
+		t.Errorf("fields %v\nkeys   %v", fields, keys)
+	}
+}
+
+func TestReferenceIsInTheOperatorsPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(string(page), settings.Reference()) {
+		t.Errorf("docs/OPERATIONS.md lacks this table:\n%s", settings.Reference())
+	}
+}
+
+// Whatever the text, Parse ends, and each finding is about a line of the text.
+func TestFindingsHaveTheirPlace(t *testing.T) {
+	example, err := os.ReadFile("../../examples/guavapier.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		text := append([]byte(nil), example...)
+		for range rapid.IntRange(1, 4).Draw(t, "cuts") {
+			at := rapid.IntRange(0, len(text)).Draw(t, "at")
+			end := min(len(text), at+rapid.IntRange(0, 20).Draw(t, "length"))
+			put := rapid.SampledFrom([]string{"", "=", "[", "]", "\"", "\n", "x = 1\n", "{", "é", "'''", "\x00"}).Draw(t, "put")
+			text = append(text[:at:at], append([]byte(put), text[end:]...)...)
+		}
+		_, err := settings.Parse("f.toml", text)
+		var findings settings.Findings
+		if err != nil && !errors.As(err, &findings) {
+			t.Fatalf("not findings: %v", err)
+		}
+		lines := strings.Count(string(text), "\n") + 1
+		for _, f := range findings {
+			if f.Line < 0 || f.Line > lines || f.Key == "" || f.Problem == "" {
+				t.Fatalf("finding %q in a text of %d lines", f, lines)
+			}
+		}
+	})
+}
