Validate settings under paths and give each team its own operators

Cause: any value could be set at any path by one shared token, a change's result was kept for ever, and an append whose outcome was unknown had the same answer as a refusal. Change: internal/operator takes the operators' interface from internal/entry. Every route stands in one table with who may use it. config.Paths is the schema of known paths; a change is validated before the append and all findings come back together. Credentials stand at /teams/<t>/operator_keys and /fleet/operator_keys and may expire. The fold judges scope and credential once more, since one may be revoked while a change is on its way, and it remembers results for 4096 offsets (fold.ResultWindow). Config keeps no writers any more: a copy of a batch is known by its changes' identities, and a variant without the writers passed every property. Records: Change has Scope and Credential (additive), and JSON names. Shown: TestEveryRouteChecksTheCredential walks all routes. Seen red with: every access allowed; a route without a row; any change readable; fleet-only paths open to teams; expiry ignored. TestConfigNeverRevertsAndAppliesAllOrNothing red with: scope ignored, partial application, identity ignored. TestConfigRevokedCredentialAndWindow red with: credential ignored, half the window. Not measured.

--- a/internal/cli/standalone.go
+++ b/internal/cli/standalone.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"guavapier/internal/config"
-	"guavapier/internal/entry"
+	"guavapier/internal/operator"
 	"guavapier/internal/record"
 	"guavapier/internal/server"
 	"guavapier/internal/session"
@@ -99,13 +99,13 @@
 
 // seedSample creates the sample team and its prepaid budget.
 func seedSample(ctx context.Context, operators string) error {
-	change := record.Change{ID: "sample", By: "standalone", Ops: []record.ChangeOp{
+	change := operator.ChangeRequest{ID: "sample", By: "standalone", Ops: []record.ChangeOp{
 		{Path: config.APIKeyPath(sampleTeam, sampleKey), Value: "sample key"},
 	}}
 	if err := operatorCall(ctx, http.MethodPut, "http://"+operators+"/settings", change); err != nil {
 		return err
 	}
-	topUp := entry.TopUpRequest{Team: sampleTeam, Budget: "main", Tokens: sampleTokens, ID: "sample", By: "standalone"}
+	topUp := operator.TopUpRequest{Team: sampleTeam, Budget: "main", Tokens: sampleTokens, ID: "sample", By: "standalone"}
 	return operatorCall(ctx, http.MethodPost, "http://"+operators+"/topups", topUp)
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -1,11 +1,10 @@
-// Package config reads typed settings out of the paths on the platform's log.
-// Static settings, which an instance needs to start, are in package settings.
+// Package config reads typed settings out of the paths on the platform's log,
+// and validates changes of them. Paths lists every known path. Static
+// settings, which an instance needs to start, are in package settings.
 package config
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
-	"strings"
+	"time"
 
 	"guavapier/internal/fold"
 	"guavapier/internal/record"
@@ -18,42 +17,32 @@
 	Budget record.BudgetID
 }
 
-// The paths in use.
+// The subtrees and names in use.
 const (
-	TeamsPath   = "/teams"
-	apiKeysName = "api_keys"
-	budgetName  = "default_budget"
+	TeamsPath = "/teams"
+	FleetPath = "/fleet"
+
+	apiKeysName      = "api_keys"
+	operatorKeysName = "operator_keys"
+	expiresName      = "expires"
+	budgetName       = "default_budget"
+	defaultBudget    = "main"
 )
 
-// HashKey returns the form in which a credential stands in the settings.
-func HashKey(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:])
-}
-
-// APIKeyPath returns the path that makes key a credential of team. The value
-// is a note for people.
-func APIKeyPath(team record.Team, key string) string {
-	return strings.Join([]string{TeamsPath, string(team), apiKeysName, HashKey(key)}, "/")
-}
-
 // DefaultBudgetPath returns the path of a team's default budget.
-func DefaultBudgetPath(team record.Team) string {
-	return strings.Join([]string{TeamsPath, string(team), budgetName}, "/")
-}
+func DefaultBudgetPath(team record.Team) string { return join(TeamPath(team), budgetName) }
 
 // Authenticate returns the team of an API key. Keys have the form team:secret,
 // so that one look-up finds them.
 func Authenticate(c *fold.Config, key string) (Team, bool) {
-	name, _, ok := strings.Cut(key, ":")
-	if !ok || name == "" || strings.Contains(name, "/") {
+	team, ok := TeamOfKey(key)
+	if !ok {
 		return Team{}, false
 	}
-	team := record.Team(name)
-	if _, ok := c.Get(APIKeyPath(team, key)); !ok {
+	if _, err := credential(c, APIKeyPath(team, key), time.Now()); err != nil {
 		return Team{}, false
 	}
-	budget := record.BudgetID{Team: team, Name: "main"}
+	budget := record.BudgetID{Team: team, Name: defaultBudget}
 	if v, ok := c.Get(DefaultBudgetPath(team)); ok {
 		budget.Name = v.Value
 	}
--- /dev/null
+++ b/internal/config/schema.go
@@ -0,0 +1,147 @@
+package config
+
+import (
+	"fmt"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Bounds of a change. They keep what the fold remembers of changes small:
+// fold.ResultWindow changes of MaxChangeBytes are 64 MiB.
+const (
+	MaxOps         = 128
+	MaxValueBytes  = 1 << 10
+	MaxChangeBytes = 16 << 10
+	maxPathBytes   = 512
+)
+
+// Path documents one known path. Parts in braces stand for a name.
+type Path struct {
+	Pattern string
+	Unit    string
+	Default string
+	Doc     string
+	// FleetOnly paths are under a team but are the fleet operators' to change:
+	// they bear on other teams, or on who may change settings.
+	FleetOnly bool
+
+	value value
+}
+
+// value is what a path takes.
+type value struct {
+	allowed string
+	ok      func(string) bool
+}
+
+// Paths lists every known path.
+func Paths() []Path {
+	return []Path{
+		{Pattern: "/teams/{team}/api_keys/{sha256}", Unit: "text", value: anyText, Doc: "A caller's credential, by the SHA-256 of team:secret. The value is a note for people."},
+		{Pattern: "/teams/{team}/api_keys/{sha256}/expires", Unit: "RFC 3339 time", Default: "never", value: instant, Doc: "The credential is refused from then on."},
+		{Pattern: "/teams/{team}/operator_keys/{sha256}", Unit: "text", value: anyText, FleetOnly: true, Doc: "A credential that changes this team's subtree, by the SHA-256 of team:secret."},
+		{Pattern: "/teams/{team}/operator_keys/{sha256}/expires", Unit: "RFC 3339 time", Default: "never", value: instant, FleetOnly: true, Doc: "The credential is refused from then on."},
+		{Pattern: "/teams/{team}/default_budget", Unit: "budget", Default: "main", value: anyName, Doc: "Budget that a request draws on when it names none."},
+		{Pattern: "/teams/{team}/budgets/{name}/lean", Unit: "share", Default: "0.5", value: share, Doc: "0 leans to fewer stranded tokens behind a cut, 1 to fewer false refusals."},
+		{Pattern: "/teams/{team}/weight", Unit: "weight", Default: "1", value: count(1, 1000), FleetOnly: true, Doc: "The team's share of a busy fleet against other teams."},
+		{Pattern: "/teams/{team}/priorities/{name}", Unit: "level", Default: "0", value: count(0, 9), Doc: "Priority of requests of this class within the team, 9 before 0."},
+		{Pattern: "/teams/{team}/calls/when_log_away", Unit: "policy", Default: "refuse", value: choice("refuse", "serve"), Doc: "Calls that may not be repeated, while the log is away: refuse is always safe; serve needs the claim's holder and witness."},
+		{Pattern: "/teams/{team}/endpoints/{name}/use", Unit: "switch", Default: "true", value: choice("true", "false"), Doc: "Whether the team's requests may go to this endpoint."},
+		{Pattern: "/teams/{team}/endpoints/{name}/weight", Unit: "weight", Default: "1", value: count(1, 1000), Doc: "The endpoint's share of the team's sessions."},
+		{Pattern: "/fleet/operator_keys/{sha256}", Unit: "text", value: anyText, Doc: "A fleet operator's credential, by the SHA-256 of the token. The value is the operator's name."},
+		{Pattern: "/fleet/operator_keys/{sha256}/expires", Unit: "RFC 3339 time", Default: "never", value: instant, Doc: "The credential is refused from then on."},
+		{Pattern: "/fleet/services/{name}/repeatable", Unit: "switch", Default: "false", value: choice("true", "false"), Doc: "Whether a call of the service may run twice."},
+		{Pattern: "/fleet/engines/{name}/slots", Unit: "requests", Default: "16", value: count(1, 4096), Doc: "Requests that the endpoint works on at once."},
+		{Pattern: "/fleet/engines/{name}/weight", Unit: "weight", Default: "1", value: count(1, 1000), Doc: "The endpoint's capacity against the others."},
+		{Pattern: "/fleet/engines/{name}/fencing", Unit: "switch", Default: "ignores", value: choice("checks", "ignores"), Doc: "Whether the endpoint refuses an order with an old fencing number."},
+	}
+}
+
+var (
+	namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$`)
+	hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+
+	anyText = value{fmt.Sprintf("text of at most %d bytes", MaxValueBytes), func(string) bool { return true }}
+	anyName = value{"a name: letters, digits, dots, dashes, underscores; at most 100", ValidName}
+	instant = value{"a time like 2027-01-31T00:00:00Z", func(v string) bool { _, err := time.Parse(time.RFC3339, v); return err == nil }}
+	share   = value{"a number from 0 to 1", func(v string) bool { f, err := strconv.ParseFloat(v, 64); return err == nil && f >= 0 && f <= 1 }}
+)
+
+func count(low, high int) value {
+	ok := func(v string) bool { n, err := strconv.Atoi(v); return err == nil && n >= low && n <= high }
+	return value{fmt.Sprintf("an integer from %d to %d", low, high), ok}
+}
+
+func choice(choices ...string) value {
+	ok := func(v string) bool {
+		for _, c := range choices {
+			if v == c {
+				return true
+			}
+		}
+		return false
+	}
+	return value{strings.Join(choices, " or "), ok}
+}
+
+// ValidName says whether a team, budget, endpoint or service may be called so.
+func ValidName(name string) bool { return namePattern.MatchString(name) }
+
+// Allowed says which values the path takes.
+func (p Path) Allowed() string { return p.value.allowed }
+
+// Example returns the path with names filled in.
+func (p Path) Example() string {
+	return strings.NewReplacer("{team}", "dala", "{name}", "main", "{sha256}", HashKey("dala:secret")).Replace(p.Pattern)
+}
+
+// match says whether path is of this pattern.
+func (p Path) match(path string) bool {
+	want, got := strings.Split(p.Pattern, "/"), strings.Split(path, "/")
+	if len(want) != len(got) {
+		return false
+	}
+	for i, part := range want {
+		if !matchPart(part, got[i]) {
+			return false
+		}
+	}
+	return true
+}
+
+func matchPart(want, got string) bool {
+	switch want {
+	case "{sha256}":
+		return hashPattern.MatchString(got)
+	case "{team}", "{name}":
+		return ValidName(got)
+	default:
+		return want == got
+	}
+}
+
+// Find returns the known path that a path is of.
+func Find(path string) (Path, bool) {
+	for _, p := range Paths() {
+		if p.match(path) {
+			return p, true
+		}
+	}
+	return Path{}, false
+}
+
+// PathReference returns the known paths as a table in Markdown.
+func PathReference() string {
+	var b strings.Builder
+	b.WriteString("| path | unit | default | allowed | who | what it does |\n| --- | --- | --- | --- | --- | --- |\n")
+	for _, p := range Paths() {
+		who := "team, fleet"
+		if p.FleetOnly || strings.HasPrefix(p.Pattern, FleetPath+"/") {
+			who = "fleet"
+		}
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s | %s |\n", p.Pattern, p.Unit, p.Default, p.Allowed(), who, p.Doc)
+	}
+	return b.String()
+}
--- a/internal/fold/config.go
+++ b/internal/fold/config.go
@@ -6,33 +6,67 @@
 	"strings"
 
 	"guavapier/internal/record"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
 )
 
+// ResultWindow is for how many offsets of the configuration stream the fold
+// remembers a change's identity and result. A retry after that is a new change, which its base versions judge. At 2,100
+// changes a day, two instances that write snapshots included, it is more than
+// a day; a change is at most config.MaxChangeBytes, which bounds the memory.
+const ResultWindow = 4096
+
 // Value is one row of the settings table.
 type Value struct {
-	Path    string `json:"path"`
-	Value   string `json:"value"`
-	Version uint64 `json:"version"` // Offset plus one of the change that set it.
-	By      string `json:"by"`
-	Change  string `json:"change"`
+	Path    string `json:"path" cbor:"1,keyasint"`
+	Value   string `json:"value" cbor:"2,keyasint"`
+	Version uint64 `json:"version" cbor:"3,keyasint"` // Offset plus one of the change that set it.
+	By      string `json:"by" cbor:"4,keyasint"`
+	Change  string `json:"change" cbor:"5,keyasint"`
 }
 
+// Verdict says what the fold made of a change.
+type Verdict string
+
+// The verdicts. Only VerdictAccepted has changed anything.
+const (
+	VerdictAccepted Verdict = "accepted"
+	// VerdictLost: another change came first on one of the paths.
+	VerdictLost Verdict = "lost"
+	// VerdictOutOfScope: a path is outside the subtree of the credential.
+	VerdictOutOfScope Verdict = "out_of_scope"
+	// VerdictRevoked: the credential was gone when the change was applied.
+	VerdictRevoked Verdict = "credential_revoked"
+)
+
 // ChangeResult says what became of a change.
 type ChangeResult struct {
-	ID       string `json:"id"`
-	Accepted bool   `json:"accepted"`
-	Offset   uint64 `json:"offset"`
+	ID       string  `json:"id" cbor:"1,keyasint"`
+	Accepted bool    `json:"accepted" cbor:"2,keyasint"`
+	Verdict  Verdict `json:"verdict" cbor:"3,keyasint"`
+	Offset   uint64  `json:"offset" cbor:"4,keyasint"`
 	// Lost lists the values that stood at the paths on which a refused change
-	// lost its race.
-	Lost []Value `json:"lost,omitempty"`
+	// lost its race, with who set them. A path without value has version 0.
+	Lost []Value `json:"lost,omitempty" cbor:"5,keyasint,omitempty"`
+	// By, UnixMilli and Ops are the change itself, for the history.
+	By        string            `json:"by" cbor:"6,keyasint"`
+	UnixMilli int64             `json:"unix_milli" cbor:"7,keyasint"`
+	Ops       []record.ChangeOp `json:"ops" cbor:"8,keyasint"`
+	// Digest tells this change from another one under the same identity.
+	Digest uint64 `json:"-" cbor:"9,keyasint"`
 }
 
 // Config holds the settings under paths. It is not safe for concurrent use.
+//
+// Invariants: a path's version only rises while it stands; a change applies
+// whole or not at all, and at most once within ResultWindow.
 type Config struct {
 	values  map[string]Value
 	results map[string]ChangeResult
-	writers map[record.InstanceID]uint64
-	next    uint64
+	// order holds the identities in results by offset, oldest first.
+	order []string
+	next  uint64
 }
 
 // NewConfig returns the empty table.
@@ -40,13 +74,15 @@
 	return &Config{
 		values:  map[string]Value{},
 		results: map[string]ChangeResult{},
-		writers: map[record.InstanceID]uint64{},
 	}
 }
 
 // Next returns the offset after the last applied batch.
 func (c *Config) Next() uint64 { return c.next }
 
+// Len returns the number of values.
+func (c *Config) Len() int { return len(c.values) }
+
 // Get returns the value at a path.
 func (c *Config) Get(path string) (Value, bool) {
 	v, ok := c.values[path]
@@ -55,7 +91,7 @@
 
 // List returns the values at and below a path, by path.
 func (c *Config) List(prefix string) []Value {
-	var out []Value
+	out := []Value{}
 	for _, path := range slices.Sorted(maps.Keys(c.values)) {
 		if Within(path, prefix) {
 			out = append(out, c.values[path])
@@ -76,16 +112,31 @@
 	return r, ok
 }
 
-// Apply applies the batch at an offset; see Ledger.Apply.
+// History returns the remembered changes that touch a path at or below
+// prefix, newest first, at most limit of them.
+func (c *Config) History(prefix string, limit int) []ChangeResult {
+	out := []ChangeResult{}
+	for _, id := range slices.Backward(c.order) {
+		if len(out) == limit {
+			break
+		}
+		r := c.results[id]
+		if slices.ContainsFunc(r.Ops, func(op record.ChangeOp) bool { return Within(op.Path, prefix) }) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// Apply applies the batch at an offset. Batches that were applied before have
+// no effect; in a copy of a batch at a later offset, each change is known by
+// its identity.
 func (c *Config) Apply(offset uint64, batch record.Batch) error {
 	if offset < c.next {
 		return nil
 	}
 	c.next = offset + 1
-	if batch.Seq <= c.writers[batch.Writer] {
-		return nil
-	}
-	c.writers[batch.Writer] = batch.Seq
+	c.forget(offset)
 	for _, env := range batch.Records {
 		rec, err := record.Decode(env)
 		if err != nil {
@@ -98,20 +149,31 @@
 	return nil
 }
 
+// forget drops what is older than ResultWindow.
+func (c *Config) forget(offset uint64) {
+	if offset < ResultWindow {
+		return
+	}
+	oldest := offset - ResultWindow
+	for len(c.order) > 0 && c.results[c.order[0]].Offset < oldest {
+		delete(c.results, c.order[0])
+		c.order = c.order[1:]
+	}
+}
+
 // applyChange applies all operations of a change or none. A change identity
 // that was seen before has no effect.
 func (c *Config) applyChange(offset uint64, change record.Change) {
 	if _, seen := c.results[change.ID]; seen {
 		return
 	}
-	result := ChangeResult{ID: change.ID, Accepted: true, Offset: offset}
-	for _, op := range change.Ops {
-		if current := c.values[op.Path]; current.Version != op.Base {
-			result.Accepted = false
-			result.Lost = append(result.Lost, current)
-		}
+	result := ChangeResult{
+		ID: change.ID, Offset: offset, By: change.By, UnixMilli: change.UnixMilli, Ops: change.Ops, Digest: ChangeDigest(change.Ops),
 	}
+	result.Verdict, result.Lost = c.judge(change)
+	result.Accepted = result.Verdict == VerdictAccepted
 	c.results[change.ID] = result
+	c.order = append(c.order, change.ID)
 	if !result.Accepted {
 		return
 	}
@@ -123,3 +185,37 @@
 		c.values[op.Path] = Value{Path: op.Path, Value: op.Value, Version: offset + 1, By: change.By, Change: change.ID}
 	}
 }
+
+// judge says whether a change applies. The scope and the credential are
+// judged here and not only at the operators' interface, since a credential
+// may be revoked while the change is on its way.
+func (c *Config) judge(change record.Change) (Verdict, []Value) {
+	if change.Credential != "" {
+		if _, stands := c.values[change.Credential]; !stands {
+			return VerdictRevoked, nil
+		}
+	}
+	var lost []Value
+	for _, op := range change.Ops {
+		if change.Scope != "" && !Within(op.Path, change.Scope) {
+			return VerdictOutOfScope, nil
+		}
+		if current := c.values[op.Path]; current.Version != op.Base {
+			current.Path = op.Path
+			lost = append(lost, current)
+		}
+	}
+	if len(lost) > 0 {
+		return VerdictLost, lost
+	}
+	return VerdictAccepted, nil
+}
+
+// ChangeDigest tells two changes apart by what they set.
+func ChangeDigest(ops []record.ChangeOp) uint64 {
+	data, err := cbor.Marshal(ops)
+	if err != nil {
+		return 0 // Cannot happen: the operations are strings and numbers.
+	}
+	return xxhash.Sum64(data)
+}
--- /dev/null
+++ b/internal/fold/config_test.go
@@ -0,0 +1,180 @@
+package fold_test
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+
+	"guavapier/internal/fold"
+	"guavapier/internal/record"
+
+	"pgregory.net/rapid"
+)
+
+var configPaths = []string{"/teams/a/x", "/teams/a/y", "/teams/b/x"}
+
+// drawChange draws a change whose bases are mostly current.
+func drawChange(t *rapid.T, c *fold.Config, ids int) record.Change {
+	change := record.Change{ID: fmt.Sprint(rapid.IntRange(0, ids).Draw(t, "id")), By: "by"}
+	if rapid.Bool().Draw(t, "scoped") {
+		change.Scope = "/teams/a"
+	}
+	for _, path := range configPaths {
+		if !rapid.Bool().Draw(t, "touch") {
+			continue
+		}
+		v, _ := c.Get(path)
+		base := v.Version
+		if rapid.IntRange(0, 4).Draw(t, "stale") == 0 {
+			base = rapid.Uint64Range(0, c.Next()+1).Draw(t, "base")
+		}
+		op := record.ChangeOp{Path: path, Base: base, Value: change.ID, Delete: rapid.IntRange(0, 5).Draw(t, "delete") == 0}
+		change.Ops = append(change.Ops, op)
+	}
+	return change
+}
+
+func batchOf(t *rapid.T, writer record.InstanceID, seq uint64, records ...record.Record) record.Batch {
+	b := record.Batch{Writer: writer, Seq: seq}
+	for _, r := range records {
+		env, err := record.Encode(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Records = append(b.Records, env)
+	}
+	return b
+}
+
+// drawLog draws a log of racing operators, retries under the same identity,
+// and copies of batches whose answer was lost.
+func drawLog(t *rapid.T, steps int) []record.Batch {
+	var log []record.Batch
+	current := fold.NewConfig()
+	seqs := map[record.InstanceID]uint64{}
+	for range steps {
+		var b record.Batch
+		if len(log) > 0 && rapid.IntRange(0, 4).Draw(t, "copy") == 0 {
+			b = rapid.SampledFrom(log).Draw(t, "of")
+		} else {
+			writer := rapid.SampledFrom([]record.InstanceID{"i1", "i2"}).Draw(t, "writer")
+			seqs[writer]++
+			var changes []record.Record
+			for range rapid.IntRange(1, 3).Draw(t, "records") {
+				changes = append(changes, drawChange(t, current, steps))
+			}
+			b = batchOf(t, writer, seqs[writer], changes...)
+		}
+		if err := current.Apply(uint64(len(log)), b); err != nil {
+			t.Fatal(err)
+		}
+		log = append(log, b)
+	}
+	return log
+}
+
+func changesOf(t *rapid.T, b record.Batch) []record.Change {
+	var out []record.Change
+	for _, env := range b.Records {
+		r, err := record.Decode(env)
+		if err != nil {
+			t.Fatal(err)
+		}
+		out = append(out, r.(record.Change))
+	}
+	return out
+}
+
+// configModel is what the table must be after each batch.
+type configModel struct {
+	values  map[string]fold.Value
+	decided map[string]fold.ChangeResult
+}
+
+// step checks what the fold made of one change, and follows it.
+func (m configModel) step(t *rapid.T, c *fold.Config, change record.Change, offset uint64) {
+	got, known := c.Result(change.ID)
+	if !known {
+		t.Fatalf("change %s has no result", change.ID)
+	}
+	if before, seen := m.decided[change.ID]; seen {
+		if !reflect.DeepEqual(before, got) {
+			t.Fatalf("a retry changed the result from %+v to %+v", before, got)
+		}
+		return
+	}
+	m.decided[change.ID] = got
+	if allowed := expectVerdict(m.values, change); got.Accepted != allowed {
+		t.Fatalf("change %+v on %+v: accepted %v", change, m.values, got.Accepted)
+	}
+	if got.Accepted {
+		set(m.values, change, offset+1)
+	}
+}
+
+// Every change applies whole or not at all, once, on the versions it names,
+// within its scope; and no value goes back to what an earlier change set.
+func TestConfigNeverRevertsAndAppliesAllOrNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := fold.NewConfig()
+		model := configModel{values: map[string]fold.Value{}, decided: map[string]fold.ChangeResult{}}
+		for offset, batch := range drawLog(t, 30) {
+			if err := c.Apply(uint64(offset), batch); err != nil {
+				t.Fatal(err)
+			}
+			for _, change := range changesOf(t, batch) {
+				model.step(t, c, change, uint64(offset))
+			}
+			for _, path := range configPaths {
+				if v, _ := c.Get(path); v != model.values[path] {
+					t.Fatalf("offset %d: %s is %+v, want %+v", offset, path, v, model.values[path])
+				}
+			}
+		}
+	})
+}
+
+func expectVerdict(now map[string]fold.Value, change record.Change) bool {
+	for _, op := range change.Ops {
+		if now[op.Path].Version != op.Base || change.Scope != "" && !fold.Within(op.Path, change.Scope) {
+			return false
+		}
+	}
+	return true
+}
+
+func set(now map[string]fold.Value, change record.Change, version uint64) {
+	for _, op := range change.Ops {
+		delete(now, op.Path)
+		if !op.Delete {
+			now[op.Path] = fold.Value{Path: op.Path, Value: op.Value, Version: version, By: change.By, Change: change.ID}
+		}
+	}
+}
+
+// A revoked credential changes nothing, also when it was revoked while its
+// change was on the way; results are forgotten after the window, and no sooner.
+func TestConfigRevokedCredentialAndWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := fold.NewConfig()
+		const key = "/teams/a/operator_keys/k"
+		put := record.Change{ID: "put", Ops: []record.ChangeOp{{Path: key, Value: "ana"}}}
+		drop := record.Change{ID: "drop", Ops: []record.ChangeOp{{Path: key, Base: 1, Delete: true}}}
+		late := record.Change{ID: "late", Credential: key, Scope: "/teams/a", Ops: []record.ChangeOp{{Path: "/teams/a/x", Value: "1"}}}
+		for offset, change := range []record.Change{put, drop, late} {
+			if err := c.Apply(uint64(offset), batchOf(t, "i", uint64(offset)+1, change)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if r, _ := c.Result("late"); r.Verdict != fold.VerdictRevoked {
+			t.Fatalf("%+v", r)
+		}
+		gap := rapid.SampledFrom([]uint64{1, fold.ResultWindow - 1, fold.ResultWindow, fold.ResultWindow + 1, 2 * fold.ResultWindow}).Draw(t, "gap")
+		if err := c.Apply(2+gap, batchOf(t, "other", 1)); err != nil {
+			t.Fatal(err)
+		}
+		if _, known := c.Result("late"); known != (gap <= fold.ResultWindow) {
+			t.Fatalf("after %d offsets: known %v", gap, known)
+		}
+	})
+}
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,255 @@
+package operator_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"guavapier/internal/config"
+	"guavapier/internal/fold"
+	"guavapier/internal/metrics"
+	"guavapier/internal/operator"
+	"guavapier/internal/platform"
+	"guavapier/internal/record"
+	"guavapier/internal/replica"
+	"guavapier/internal/state"
+
+	"github.com/go-chi/chi/v5"
+)
+
+const (
+	fleetToken = "fleet-secret"
+	dalaToken  = "dala:operator"
+	otherToken = "agenda:operator"
+	oldToken   = "dala:expired"
+	oldFleet   = "fleet-expired"
+	shortWait  = 50 * time.Millisecond
+)
+
+// fakeLog appends to its replicas at once. With down set, an append is not
+// confirmed, and with late set it takes effect all the same.
+type fakeLog struct {
+	config     *replica.Replica[*fold.Config]
+	ledger     *replica.Replica[*fold.Ledger]
+	seq        uint64
+	down, late bool
+}
+
+func (l *fakeLog) Append(ctx context.Context, stream record.Stream, records ...record.Record) (uint64, error) {
+	if l.down {
+		<-ctx.Done()
+		return 0, platform.ErrUnavailable
+	}
+	l.seq++
+	batch := record.Batch{Writer: "w", Seq: l.seq}
+	for _, r := range records {
+		env, err := record.Encode(r)
+		if err != nil {
+			return 0, err
+		}
+		batch.Records = append(batch.Records, env)
+	}
+	data, err := record.EncodeBatch(batch)
+	if err != nil {
+		return 0, err
+	}
+	entry := platform.Entry{Offset: l.seq, Data: data}
+	if stream == record.ConfigStream {
+		err = l.config.Apply(entry)
+	} else {
+		err = l.ledger.Apply(entry)
+	}
+	if l.late {
+		return 0, platform.ErrUnavailable
+	}
+	return entry.Offset, err
+}
+
+func newInterface(t *testing.T) (http.Handler, *fakeLog) {
+	t.Helper()
+	log := &fakeLog{
+		config: replica.New(record.ConfigStream, fold.NewConfig()),
+		ledger: replica.New(record.LedgerStream(0), fold.NewLedger()),
+	}
+	past := time.Now().Add(-time.Minute).Format(time.RFC3339)
+	seed := record.Change{ID: "seed", By: "test"}
+	for path, value := range map[string]string{
+		config.OperatorKeyPath("dala", dalaToken):                    "ana",
+		config.OperatorKeyPath("agenda", otherToken):                 "luz",
+		config.OperatorKeyPath("dala", oldToken):                     "old",
+		config.ExpiresPath(config.OperatorKeyPath("dala", oldToken)): past,
+		config.OperatorKeyPath("", oldFleet):                         "old",
+		config.ExpiresPath(config.OperatorKeyPath("", oldFleet)):     past,
+		config.DefaultBudgetPath("dala"):                             "main",
+	} {
+		seed.Ops = append(seed.Ops, record.ChangeOp{Path: path, Value: value})
+	}
+	if _, err := log.Append(t.Context(), record.ConfigStream, seed); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := log.Append(t.Context(), record.LedgerStream(0), record.TopUp{Budget: record.BudgetID{Team: "dala", Name: "main"}, ID: "1", Tokens: 5}); err != nil {
+		t.Fatal(err)
+	}
+	i := &operator.Interface{
+		Token: fleetToken, Log: log, Config: log.config, Ledgers: []*replica.Replica[*fold.Ledger]{log.ledger},
+		State: state.New(), Metrics: metrics.New(), Instances: func() []platform.Instance { return nil }, Patience: shortWait,
+	}
+	return i.Handler(), log
+}
+
+func call(h http.Handler, method, url, token string, body any) *httptest.ResponseRecorder {
+	data, _ := json.Marshal(body)
+	r := httptest.NewRequest(method, url, bytes.NewReader(data))
+	if token != "" {
+		r.Header.Set("Authorization", "Bearer "+token)
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	return w
+}
+
+func change(id string, ops ...record.ChangeOp) operator.ChangeRequest {
+	return operator.ChangeRequest{ID: id, By: "test", Ops: ops}
+}
+
+// Each row is a request about team dala, and the status that its own operator,
+// another team's and a fleet operator get. A route without a row fails.
+func TestEveryRouteChecksTheCredential(t *testing.T) {
+	lean := record.ChangeOp{Path: "/teams/dala/budgets/main/lean", Value: "0.5"}
+	weight := record.ChangeOp{Path: "/teams/dala/weight", Value: "3"}
+	grant := record.ChangeOp{Path: config.OperatorKeyPath("dala", "dala:more"), Value: "more"}
+	topUp := operator.TopUpRequest{Team: "dala", Budget: "main", Tokens: 7, ID: "2"}
+	rows := []struct {
+		route, url        string
+		body              any
+		own, other, fleet int
+	}{
+		{"GET /state", "/state", nil, 403, 403, 200},
+		{"GET /metrics", "/metrics", nil, 403, 403, 200},
+		{"GET /teams", "/teams", nil, 403, 403, 200},
+		{"POST /topups", "/topups", topUp, 403, 403, 200},
+		{"GET /budgets/{team}", "/budgets/dala", nil, 200, 403, 200},
+		{"GET /budgets/{team}/{name}", "/budgets/dala/main", nil, 200, 403, 200},
+		{"PUT /settings", "/settings", change("c1", lean), 200, 422, 200},
+		{"PUT /settings", "/settings", change("c2", weight), 422, 422, 200},
+		{"PUT /settings", "/settings", change("c3", grant), 422, 422, 200},
+		{"PUT /settings", "/settings", change("c4", record.ChangeOp{Path: "/fleet/services/rig/repeatable", Value: "true"}), 422, 422, 200},
+		{"GET /settings", "/settings?prefix=/teams/dala", nil, 200, 403, 200},
+		{"GET /settings", "/settings", nil, 403, 403, 200},
+		{"GET /history", "/history?prefix=/teams/dala", nil, 200, 403, 200},
+		{"GET /changes/{id}", "/changes/c1", nil, 200, 404, 200},
+		{"GET /changes/{id}", "/changes/seed", nil, 404, 404, 200}, // It touches both teams.
+		{"GET /applied", "/applied", nil, 200, 200, 200},
+		{"GET /instances", "/instances", nil, 200, 200, 200},
+	}
+	h, _ := newInterface(t)
+	covered := map[string]bool{}
+	for _, row := range rows {
+		covered[row.route] = true
+		method, _, _ := strings.Cut(row.route, " ")
+		for who, want := range map[string]int{"": 401, "forged": 401, "dala:forged": 401, oldToken: 401, oldFleet: 401, otherToken: row.other} {
+			if got := call(h, method, row.url, who, row.body); got.Code != want {
+				t.Errorf("%s as %q: %d, want %d: %s", row.route, who, got.Code, want, got.Body)
+			}
+		}
+		if got := call(h, method, row.url, dalaToken, row.body); got.Code != row.own {
+			t.Errorf("%s %s as the team's own: %d, want %d: %s", method, row.url, got.Code, row.own, got.Body)
+		}
+		if got := call(h, method, row.url, fleetToken, row.body); got.Code != row.fleet {
+			t.Errorf("%s as fleet: %d, want %d: %s", row.route, got.Code, row.fleet, got.Body)
+		}
+	}
+	err := chi.Walk(h.(chi.Routes), func(method, route string, _ http.Handler, _ ...func(http.Handler) http.Handler) error {
+		if !covered[method+" "+route] {
+			t.Errorf("%s %s has no row here", method, route)
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func decode[T any](t *testing.T, w *httptest.ResponseRecorder) T {
+	t.Helper()
+	var out T
+	if err := json.Unmarshal(w.Body.Bytes(), &out); err != nil {
+		t.Fatalf("%v: %s", err, w.Body)
+	}
+	return out
+}
+
+func TestLoserIsToldWhoWonAndARetryAppliesOnce(t *testing.T) {
+	h, log := newInterface(t)
+	const path = "/teams/dala/budgets/main/lean"
+	first := change("first", record.ChangeOp{Path: path, Value: "0.1"})
+	won := decode[fold.ChangeResult](t, call(h, http.MethodPut, "/settings", dalaToken, first))
+	lost := call(h, http.MethodPut, "/settings", fleetToken, change("second", record.ChangeOp{Path: path, Value: "0.9"}))
+	if lost.Code != http.StatusConflict {
+		t.Fatalf("loser got %d: %s", lost.Code, lost.Body)
+	}
+	stood := decode[operator.Problem](t, lost).Error.Result.Lost[0]
+	if stood.Value != "0.1" || stood.Change != "first" || !strings.Contains(stood.By, "team dala: ana") {
+		t.Errorf("loser is told %+v", stood)
+	}
+	appended := log.seq
+	if again := decode[fold.ChangeResult](t, call(h, http.MethodPut, "/settings", dalaToken, first)); again.Offset != won.Offset || !again.Accepted {
+		t.Errorf("retry: %+v, first: %+v", again, won)
+	}
+	if log.seq != appended {
+		t.Error("a retry with a known result was appended again")
+	}
+	reused := call(h, http.MethodPut, "/settings", dalaToken, change("first", record.ChangeOp{Path: path, Value: "0.2"}))
+	if reused.Code != http.StatusUnprocessableEntity {
+		t.Errorf("another change under the same id got %d: %s", reused.Code, reused.Body)
+	}
+}
+
+func TestAllFindingsOfAChangeAreReported(t *testing.T) {
+	h, log := newInterface(t)
+	appended := log.seq
+	got := call(h, http.MethodPut, "/settings", dalaToken, change("bad id",
+		record.ChangeOp{Path: "/teams/dala/budgets/main/lean", Value: "2"},
+		record.ChangeOp{Path: "/teams/dala/colour", Value: "green"},
+		record.ChangeOp{Path: "/teams/agenda/default_budget", Value: "main"},
+		record.ChangeOp{Path: "/teams/dala/default_budget", Value: "a"},
+		record.ChangeOp{Path: "/teams/dala/default_budget", Value: "b"},
+	))
+	const want = 5 // Range, unknown path, other team's path, path twice, id.
+	if findings := decode[operator.Problem](t, got).Error.Findings; got.Code != http.StatusUnprocessableEntity || len(findings) != want {
+		t.Errorf("%d: %d findings, want %d: %+v", got.Code, len(findings), want, findings)
+	}
+	if log.seq != appended {
+		t.Error("a wrong change was appended")
+	}
+}
+
+// An append that is not confirmed is never called accepted nor refused, and
+// asking later tells the truth.
+func TestUnknownOutcomeCanBeAskedFor(t *testing.T) {
+	h, log := newInterface(t)
+	op := record.ChangeOp{Path: "/teams/dala/budgets/main/lean", Value: "0.3"}
+	log.down = true
+	down := call(h, http.MethodPut, "/settings", dalaToken, change("c-down", op))
+	p := decode[operator.Problem](t, down).Error
+	if down.Code != http.StatusServiceUnavailable || p.Code != "outcome_unknown" || p.ID != "c-down" {
+		t.Fatalf("%d %+v", down.Code, p)
+	}
+	if got := call(h, http.MethodGet, p.Ask, dalaToken, nil); got.Code != http.StatusNotFound {
+		t.Errorf("a change that is not on the log: %d", got.Code)
+	}
+	log.down, log.late = false, true
+	late := call(h, http.MethodPut, "/settings", dalaToken, change("c-late", op))
+	if late.Code != http.StatusServiceUnavailable {
+		t.Fatalf("answer lost: %d", late.Code)
+	}
+	got := call(h, http.MethodGet, "/changes/c-late", dalaToken, nil)
+	if result := decode[fold.ChangeResult](t, got); !result.Accepted {
+		t.Errorf("%+v", result)
+	}
+}
--- a/internal/platform/log.go
+++ b/internal/platform/log.go
@@ -54,6 +54,9 @@
 	Zone    record.Zone       `json:"zone"`
 	Peer    string            `json:"peer"`
 	Leaving bool              `json:"leaving"`
+	// Applied is the offset after the last entry of the configuration stream
+	// that the instance had applied when it announced itself.
+	Applied uint64 `json:"applied"`
 }
 
 // Endpoint is one endpoint in the instance list.
--- a/internal/record/records.go
+++ b/internal/record/records.go
@@ -144,19 +144,24 @@
 
 // ChangeOp sets or deletes the value at one path.
 type ChangeOp struct {
-	Path string `cbor:"1,keyasint"`
+	Path string `cbor:"1,keyasint" json:"path"`
 	// Base is the path's version that the operator saw; 0 for none.
-	Base   uint64 `cbor:"2,keyasint"`
-	Value  string `cbor:"3,keyasint,omitempty"`
-	Delete bool   `cbor:"4,keyasint,omitempty"`
+	Base   uint64 `cbor:"2,keyasint" json:"base,omitempty"`
+	Value  string `cbor:"3,keyasint,omitempty" json:"value,omitempty"`
+	Delete bool   `cbor:"4,keyasint,omitempty" json:"delete,omitempty"`
 }
 
 // Change is an operator's settings change. All its operations apply or none.
 type Change struct {
-	ID        string     `cbor:"1,keyasint"`
-	By        string     `cbor:"2,keyasint"`
-	UnixMilli int64      `cbor:"3,keyasint"`
-	Ops       []ChangeOp `cbor:"4,keyasint"`
+	ID        string     `cbor:"1,keyasint" json:"id"`
+	By        string     `cbor:"2,keyasint" json:"by"`
+	UnixMilli int64      `cbor:"3,keyasint" json:"unix_milli,omitempty"`
+	Ops       []ChangeOp `cbor:"4,keyasint" json:"ops"`
+	// Scope is the subtree that the change may touch; empty for all.
+	Scope string `cbor:"5,keyasint,omitempty" json:"scope,omitempty"`
+	// Credential is the path that must still stand when the change is
+	// applied; empty where the credential does not stand in the settings.
+	Credential string `cbor:"6,keyasint,omitempty" json:"credential,omitempty"`
 }
 
 // Snapshot is one chunk of a fold's state, appended anew before the records
--- a/internal/server/operators.go
+++ b/internal/server/operators.go
@@ -3,20 +3,39 @@
 import (
 	"net/http"
 	"runtime"
+	"time"
 
-	"guavapier/internal/entry"
 	"guavapier/internal/fold"
 	"guavapier/internal/metrics"
+	"guavapier/internal/operator"
+	"guavapier/internal/platform"
 	"guavapier/internal/record"
 )
 
+// changePatience is how long an operator waits for the log. It leaves room
+// for two lost answers, and is below the 9 s in which an accepted change must
+// be in force everywhere.
+const changePatience = 5 * time.Second
+
 func (s *Server) operatorsHandler() http.Handler {
-	o := &entry.Operators{
-		Token: s.secrets.Operator, Log: s.publisher, Config: s.config, Ledgers: s.partitions, State: func() any { return s.tables.Dump() },
+	o := &operator.Interface{
+		Token: s.secrets.Operator, Log: s.publisher, Config: s.config, Ledgers: s.partitions,
+		State: s.tables, Metrics: s.metrics, Instances: s.instances, Patience: changePatience,
 	}
 	return o.Handler()
 }
 
+// instances returns the instance list with this instance's row as it is now.
+func (s *Server) instances() []platform.Instance {
+	rows := []platform.Instance{s.self()}
+	for _, in := range s.members.list().Instances {
+		if in.ID != s.id {
+			rows = append(rows, in)
+		}
+	}
+	return rows
+}
+
 // instanceRow is the state dump's table about the instance itself.
 type instanceRow struct {
 	ID       record.InstanceID `json:"id"`
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -150,6 +150,7 @@
 func (s *Server) self() platform.Instance {
 	return platform.Instance{
 		ID: s.id, Zone: record.Zone(s.settings.Instance.Zone), Peer: s.settings.Instance.Peers, Leaving: s.draining.Load(),
+		Applied: s.config.Next(),
 	}
 }
 
--- a/internal/standin/directory.go
+++ b/internal/standin/directory.go
@@ -11,6 +11,7 @@
 	Zone    string `json:"zone"`
 	Peer    string `json:"peer"`
 	Leaving bool   `json:"leaving"`
+	Applied uint64 `json:"applied"`
 }
 
 // ListedEndpoint is one endpoint of the instance list.
