--- /dev/null
+++ b/internal/server/operators.go
@@ -0,0 +1,85 @@
+package server
+
+import (
+	"net/http"
+	"runtime"
+	"time"
+
+	"guavapier/internal/fold"
+	"guavapier/internal/metrics"
+	"guavapier/internal/operator"
+	"guavapier/internal/platform"
+	"guavapier/internal/record"
+)
+
+// changePatience is how long an operator waits for the log. It leaves room
+// for two lost answers, and is below the 9 s in which an accepted change must
+// be in force everywhere.
+const changePatience = 5 * time.Second
+
+func (s *Server) operatorsHandler() http.Handler {
+	o := &operator.Interface{
+		Token: s.secrets.Operator, Log: s.publisher, Config: s.config, Ledgers: s.partitions,
+		State: s.tables, Metrics: s.metrics, Instances: s.instances, Patience: changePatience,
+	}
+	return o.Handler()
+}
+
+// instances returns the instance list with this instance's row as it is now.
+func (s *Server) instances() []platform.Instance {
+	rows := []platform.Instance{s.self()}
+	for _, in := range s.members.List().Instances {
+		if in.ID != s.id {
+			rows = append(rows, in)
+		}
+	}
+	return rows
+}
+
+// instanceRow is the state dump's table about the instance itself.
+type instanceRow struct {
+	ID       record.InstanceID `json:"id"`
+	Name     string            `json:"name"`
+	Zone     string            `json:"zone"`
+	Draining bool              `json:"draining"`
+}
+
+// registerTables adds the tables and gauges that belong to no other part.
+func (s *Server) registerTables() {
+	s.tables.Register("instance", func() any {
+		return instanceRow{ID: s.id, Name: s.settings.Instance.Name, Zone: s.settings.Instance.Zone, Draining: s.draining.Load()}
+	})
+	s.tables.Register("applied", func() any { return s.applied() })
+	s.tables.Register("members", func() any { return s.members.List() })
+	s.tables.Register("budgets", func() any { return s.budgetRows() })
+	s.tables.Register("config", func() any {
+		var values []fold.Value
+		s.config.View(func(f *fold.Config) { values = f.List("") })
+		return values
+	})
+	s.metrics.Gauge(metrics.Goroutines, func() int64 { return int64(runtime.NumGoroutine()) })
+	s.metrics.Gauge(metrics.HeapBytes, heapBytes)
+}
+
+// applied gives, for each stream, the offset after the last applied entry.
+func (s *Server) applied() map[record.Stream]uint64 {
+	next := map[record.Stream]uint64{record.ConfigStream: s.config.Next()}
+	for _, p := range s.partitions {
+		next[p.Stream()] = p.Next()
+	}
+	return next
+}
+
+func (s *Server) budgetRows() []fold.Budget {
+	rows := []fold.Budget{}
+	for _, p := range s.partitions {
+		p.View(func(f *fold.Ledger) { rows = append(rows, f.Budgets()...) })
+	}
+	return rows
+}
+
+func heapBytes() int64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapInuse)
+}
