Drive the budget policies in scaled time beside both baselines

Cause: sizes, spare grants and the lean setting are policy and need figures. Change: a driver over the real ledger, right and fold code with a fake log, fake links and virtual time; an equal static split and a count on the log as baselines; faults none, one-hour cut of a zone, death of a holder, top-up on the far side of a cut, one team drawing 80 per cent.

--- /dev/null
+++ b/internal/ledger/policy_bench_test.go
@@ -0,0 +1,39 @@
+package ledger_test
+
+import (
+	"testing"
+
+	"guavapier/internal/ledger"
+)
+
+// BenchmarkBudgetPolicies drives 100 minutes of virtual time, with the fault from minute 20 to 80, for each policy
+// and fault. Run it with -benchtime 1x; the metrics are per cent of requests,
+// tokens, and appends for each instance and second.
+func BenchmarkBudgetPolicies(b *testing.B) {
+	policies := []struct {
+		name string
+		make func() policy
+	}{
+		{"static", func() policy { return newStatic() }},
+		{"central", func() policy { return newCentral() }},
+		{"lean0", func() policy { return newAdaptive(0, ledger.SpareNone) }},
+		{"lean0.5", func() policy { return newAdaptive(0.5, ledger.SpareNone) }},
+		{"lean1", func() policy { return newAdaptive(1, ledger.SpareNone) }},
+		{"lean1-otherwitness", func() policy { return newAdaptive(1, ledger.SpareOtherWitness) }},
+		{"lean1-unwitnessed", func() policy { return newAdaptive(1, ledger.SpareUnwitnessed) }},
+	}
+	for _, f := range []fault{noFault, zoneCut, holderDies, farTopUp, oneTeam} {
+		for _, p := range policies {
+			b.Run(faultNames[f]+"/"+p.name, func(b *testing.B) {
+				for range b.N {
+					r := drive(p.make(), f)
+					b.ReportMetric(float64(r.overspend), "overspend")
+					b.ReportMetric(100*float64(r.falseRefusals)/float64(r.requests), "false%")
+					b.ReportMetric(100*float64(r.faultFalse)/float64(r.faultRequests), "false%fault")
+					b.ReportMetric(float64(r.appends)/float64(steps*zones*perZone), "appends/s/inst")
+					b.ReportMetric(float64(r.bytes)/float64(r.requests), "B/request")
+				}
+			})
+		}
+	}
+}
