--- /dev/null
+++ b/internal/fold/ledger_bench_test.go
@@ -0,0 +1,109 @@
+package fold_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"guavapier/internal/fold"
+	"guavapier/internal/record"
+)
+
+const billsInBatch = 20
+
+func budgetN(n int) record.BudgetID {
+	return record.BudgetID{Team: record.Team(fmt.Sprintf("team-%06d", n)), Name: "main"}
+}
+
+func rightN(n int) record.RightID { return record.RightID(fmt.Sprintf("%036d", n)) }
+
+// filled returns a fold with budgets, one open grant each.
+func filled(b *testing.B, budgets int, grants bool) *fold.Ledger {
+	b.Helper()
+	l := fold.NewLedger()
+	for n := range budgets {
+		records := []record.Record{record.TopUp{Budget: budgetN(n), ID: fmt.Sprintf("%036d", n), Tokens: 1 << 40}}
+		if grants {
+			records = append(records, record.Grant{Right: rightN(n), Budget: budgetN(n), Tokens: 1 << 39, Holder: holderOf(n), Witness: holderOf(n + 1)})
+		}
+		if err := l.Apply(uint64(n), batchOf(b, "w", uint64(n+1), records...)); err != nil {
+			b.Fatal(err)
+		}
+	}
+	return l
+}
+
+func holderOf(n int) record.InstanceID {
+	return record.InstanceID(fmt.Sprintf("instance-%032d", n%400))
+}
+
+func billBatch(b *testing.B, budgets, n int) record.Batch {
+	var records []record.Record
+	for i := range billsInBatch {
+		id := n*billsInBatch + i
+		records = append(records, record.Bill{
+			Key:   record.RequestKey{Team: budgetN(id % budgets).Team, Session: "session-identity-of-32-characters", Key: fmt.Sprintf("%036d", id)},
+			Right: rightN(id % budgets), Run: record.RunID(fmt.Sprintf("%036d", id)), Tokens: 300,
+		})
+	}
+	return batchOf(b, "bench", uint64(n+1), records...)
+}
+
+// BenchmarkLedgerApply measures one bill, decoding included, in batches of 20.
+func BenchmarkLedgerApply(b *testing.B) {
+	for _, budgets := range []int{1_000, 10_000, 100_000} {
+		b.Run(fmt.Sprintf("budgets=%d", budgets), func(b *testing.B) {
+			l := filled(b, budgets, true)
+			batches := make([]record.Batch, 0, b.N/billsInBatch+1)
+			for n := range cap(batches) {
+				batches = append(batches, billBatch(b, budgets, n))
+			}
+			next := l.Next()
+			b.ReportAllocs()
+			b.ResetTimer()
+			for n, batch := range batches {
+				_ = l.Apply(next+uint64(n), batch)
+			}
+		})
+	}
+}
+
+// BenchmarkLedgerMemory measures bytes for each budget, open grant and bill.
+func BenchmarkLedgerMemory(b *testing.B) {
+	for _, n := range []int{1_000, 10_000, 100_000} {
+		b.Run(fmt.Sprintf("rows=%d", n), func(b *testing.B) {
+			for range b.N {
+				perBudget := memoryOf(b, n, false)
+				b.ReportMetric(perBudget, "B/budget")
+				b.ReportMetric(memoryOf(b, n, true)-perBudget, "B/grant")
+				b.ReportMetric(billMemory(b, n), "B/bill")
+			}
+		})
+	}
+}
+
+func memoryOf(b *testing.B, rows int, grants bool) float64 {
+	before := heap()
+	l := filled(b, rows, grants)
+	after := heap()
+	runtime.KeepAlive(l)
+	return float64(after-before) / float64(rows)
+}
+
+func billMemory(b *testing.B, rows int) float64 {
+	l := filled(b, rows, true)
+	before := heap()
+	for i := range rows / billsInBatch {
+		_ = l.Apply(l.Next(), billBatch(b, rows, i))
+	}
+	after := heap()
+	runtime.KeepAlive(l)
+	return float64(after-before) / float64(rows)
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- /dev/null
+++ b/internal/right/right_bench_test.go
@@ -0,0 +1,69 @@
+package right_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"guavapier/internal/record"
+	"guavapier/internal/right"
+)
+
+func reservation(n int) right.Use[record.Outstanding] {
+	id := fmt.Sprintf("%036d", n)
+	return right.Use[record.Outstanding]{ID: right.UseID(id), Body: record.Outstanding{
+		Key: record.RequestKey{Team: "dala-vibro", Session: "session-identity-of-32-characters", Key: id}, Run: record.RunID(id), Tokens: 1000,
+	}}
+}
+
+// BenchmarkWitnessAcknowledge measures the witness's work for a batch that
+// ends as many uses as it begins.
+func BenchmarkWitnessAcknowledge(b *testing.B) {
+	for _, uses := range []int{1, 16, 256} {
+		b.Run(fmt.Sprintf("uses=%d", uses), func(b *testing.B) {
+			w := right.NewWitness[record.Outstanding]("w")
+			_ = w.Adopt(terms)
+			all := make([]right.Use[record.Outstanding], 2*uses)
+			for n := range all {
+				all[n] = reservation(n)
+			}
+			b.ResetTimer()
+			for seq := range b.N {
+				batch := right.Batch[record.Outstanding]{Terms: terms, Seq: uint64(seq + 1), Puts: all[:uses]}
+				for _, use := range all[uses:] {
+					batch.Drops = append(batch.Drops, use.ID)
+				}
+				if err := w.Acknowledge(batch); err != nil {
+					b.Fatal(err)
+				}
+				all = append(all[uses:], all[:uses]...)[:2*uses]
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*uses), "ns/use")
+		})
+	}
+}
+
+// BenchmarkWitnessMemory measures the bytes that one outstanding use takes.
+func BenchmarkWitnessMemory(b *testing.B) {
+	for _, uses := range []int{1_000, 10_000, 100_000} {
+		b.Run(fmt.Sprintf("uses=%d", uses), func(b *testing.B) {
+			for range b.N {
+				w := right.NewWitness[record.Outstanding]("w")
+				_ = w.Adopt(terms)
+				before := heap()
+				for n := range uses {
+					_ = w.Acknowledge(right.Batch[record.Outstanding]{Terms: terms, Seq: uint64(n + 1), Puts: []right.Use[record.Outstanding]{reservation(n)}})
+				}
+				b.ReportMetric(float64(heap()-before)/float64(uses), "B/use")
+				runtime.KeepAlive(w)
+			}
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
