--- a/internal/ledger/driver_test.go
+++ b/internal/ledger/driver_test.go
@@ -237,6 +237,7 @@
 func newAdaptive(lean float64, spare ledger.Spare) *adaptive {
 	a := &adaptive{w: newWorld(sound), opts: ledger.DefaultOptions(), lean: lean}
 	a.opts.Spare = spare
+	a.w.async = true
 	for zone := range zones {
 		for i := range perZone {
 			a.replace(zone, i)
@@ -267,7 +268,7 @@
 }
 
 func (a *adaptive) step() {
-	a.w.runQueued()
+	a.w.running.Wait()
 	a.w.mu.Lock()
 	a.w.now = a.w.now.Add(time.Second)
 	a.w.mu.Unlock()
@@ -276,7 +277,7 @@
 			n.ledger.Tick(context.Background())
 		}
 	}
-	a.w.runQueued()
+	a.w.running.Wait()
 }
 
 func (a *adaptive) cut(zone int, on bool) {
--- a/internal/ledger/world_test.go
+++ b/internal/ledger/world_test.go
@@ -66,8 +66,9 @@
 	renamed int
 	// queued is background work that waits for runQueued; with async set it
 	// runs at once in goroutines.
-	queued []func()
-	async  bool
+	queued  []func()
+	async   bool
+	running sync.WaitGroup
 	// oracle and fold are what recount has read so far.
 	oracle *oracle
 	fold   *fold.Ledger
@@ -132,7 +133,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.async {
-		go f()
+		w.running.Go(f)
 		return
 	}
 	w.queued = append(w.queued, f)
