--- a/internal/claim/service.go
+++ b/internal/claim/service.go
@@ -133,21 +133,29 @@
 // Validate implements right.Validator.
 func (v validator) Validate(ctx context.Context, t right.Terms) error {
 	for {
-		for _, part := range v.partitions {
-			var s fold.Shard
-			var ok bool
-			part.View(func(f *fold.Ledger) { s, ok = f.ClaimRight(t.Right) })
-			if !ok {
-				continue
-			}
-			if s.Closed || termsOf(s) != t {
-				return right.ErrUnknownRight
-			}
+		s, ok, past := v.find(t)
+		switch {
+		case ok && !s.Closed && termsOf(s) == t:
 			return nil
-		}
-		if ctx.Err() != nil {
+		case ok, past, ctx.Err() != nil:
 			return right.ErrUnknownRight
 		}
 		pause(ctx, validatePoll)
 	}
 }
+
+// find looks in all partitions, since terms don't name theirs. past says that
+// each fold is past the right's offset, so that it will never show up.
+func (v validator) find(t right.Terms) (s fold.Shard, ok, past bool) {
+	past = true
+	for _, part := range v.partitions {
+		part.View(func(f *fold.Ledger) {
+			s, ok = f.ClaimRight(t.Right)
+			past = past && f.Next() > t.Offset
+		})
+		if ok {
+			return s, true, past
+		}
+	}
+	return s, false, past
+}
--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -105,10 +105,11 @@
 	w := s.table.rows[r.Key]
 	switch {
 	case v == verdictStart:
+		s.table.seq++
 		w = &row{
 			claim: record.Claim{
 				Key: r.Key, Digest: r.Digest, Run: record.NewRunID(), Right: s.terms.Right, Runner: runner,
-				UnixMilli: s.opts.Now().UnixMilli(),
+				UnixMilli: s.opts.Now().UnixMilli(), Seq: s.table.seq,
 			},
 			repeatable: r.Repeatable, attempt: attempt, decided: make(chan struct{}),
 		}
--- a/internal/claim/table.go
+++ b/internal/claim/table.go
@@ -45,6 +45,7 @@
 	// freed has the runs that did not run although the fold, which lags, may
 	// still show their claim.
 	freed map[record.RunID]struct{}
+	seq   uint64 // Of the last claim made here.
 }
 
 func newTable() *table {
--- a/internal/fold/claims.go
+++ b/internal/fold/claims.go
@@ -117,10 +117,14 @@
 		return
 	}
 	key := keyOf(r.Key)
-	if row, ok := t.claims[key]; ok {
-		if row.Run == r.Run && r.Endpoint != "" {
-			row.Endpoint = r.Endpoint
-		}
+	row, ok := t.claims[key]
+	if ok && row.Run == r.Run && r.Endpoint != "" {
+		row.Endpoint = r.Endpoint
+	}
+	// The holder counts a second run of a key only after the first one did not
+	// run; the record of that may come later, or never.
+	freed := ok && row.Right == r.Right && row.Seq < r.Seq && row.Outcome == 0
+	if ok && !freed {
 		return
 	}
 	t.claims[key] = &Claim{Claim: r}
--- a/internal/record/records.go
+++ b/internal/record/records.go
@@ -109,6 +109,9 @@
 	// UnixMilli is the time of the claim by its holder's clock. It decides
 	// only when the fold may forget the claim, never who may run.
 	UnixMilli int64 `cbor:"7,keyasint"`
+	// Seq orders the claims of one right. A later one of the same key says
+	// that the holder has freed the key in between.
+	Seq uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Outcome is the final outcome of a request.
