Let owners end sessions, in force at every instance

Sessions could not be ended. Change: session.Ends over the ledger fold, DELETE and GET /v1/sessions/{id} (internal/entry/session.go), ended sessions refused. Not measured.

--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -13,7 +13,6 @@
 	"guavapier/internal/endpoint"
 	"guavapier/internal/record"
 	"guavapier/internal/run"
-	"guavapier/internal/session"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -90,17 +89,12 @@
 	team := teamOf(r)
 	q := run.Request{
 		Team: team, Digest: xxhash.Sum64(body), First: r.Header.Get(HeaderFirst) == "true", Priority: decide.PriorityInteractive,
-		// Without a session there is no home zone: the claim's shard must not
-		// depend on the instance that a retry reaches.
-		Session: session.Identity{Team: team.Name},
 	}
-	if token := r.Header.Get(HeaderSession); token != "" {
-		id, err := c.Sessions.Verify(token)
-		if err != nil || id.Team != team.Name {
-			return q, invalid("invalid_session", "The session is not valid for this team."), false
-		}
-		q.Session = id
+	id, p, ok := c.session(r, team.Name)
+	if !ok {
+		return q, p, false
 	}
+	q.Session = id
 	key := r.Header.Get(HeaderKey)
 	if key == "" {
 		// No retry can name this request again, so the key needs no memory.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -43,6 +43,7 @@
 	Zone     record.Zone
 	Config   *replica.Replica[*fold.Config]
 	Sessions session.Keyring
+	Ends     session.Ends
 	Runner   *run.Runner
 	Limits   Limits
 	// Ready says whether the instance takes new requests.
@@ -57,6 +58,8 @@
 		r.Use(c.authenticate)
 		r.Post("/v1/chat/completions", c.handleChat)
 		r.Post("/v1/sessions", c.handleOpenSession)
+		r.Get("/v1/sessions/{id}", c.handleSession)
+		r.Delete("/v1/sessions/{id}", c.handleEndSession)
 		r.HandleFunc("/v1/services/{service}/*", c.handleService)
 	})
 	return r
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -40,18 +40,3 @@
 	w.WriteHeader(answer.Status)
 	_, _ = w.Write(answer.Body)
 }
-
-type sessionBody struct {
-	ID    string `json:"id"`
-	Token string `json:"token"`
-	Home  string `json:"home"`
-}
-
-func (c *Callers) handleOpenSession(w http.ResponseWriter, r *http.Request) {
-	id, token, err := c.Sessions.Open(teamOf(r).Name, c.Zone)
-	if err != nil {
-		writeProblem(w, http.StatusInternalServerError, problem{Type: typeServer, Code: "no_signing_key", Message: err.Error()})
-		return
-	}
-	writeJSON(w, http.StatusCreated, sessionBody{ID: string(id.ID), Token: token, Home: string(id.Home)})
-}
--- /dev/null
+++ b/internal/entry/session.go
@@ -0,0 +1,74 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"guavapier/internal/record"
+	"guavapier/internal/session"
+
+	"github.com/go-chi/chi/v5"
+)
+
+const (
+	// endPatience bounds ending a session while the log is slow.
+	endPatience = 5 * time.Second
+	// endRetry is when to come back, in seconds, while it is away.
+	endRetry = 5
+)
+
+type sessionBody struct {
+	ID    string `json:"id"`
+	Token string `json:"token,omitempty"`
+	Home  string `json:"home,omitempty"`
+	Ended bool   `json:"ended"`
+}
+
+func (c *Callers) handleOpenSession(w http.ResponseWriter, r *http.Request) {
+	id, token, err := c.Sessions.Open(teamOf(r).Name, c.Zone)
+	if err != nil {
+		writeProblem(w, http.StatusInternalServerError, problem{Type: typeServer, Code: "no_signing_key", Message: err.Error(), Outcome: record.OutcomeNotRun})
+		return
+	}
+	writeJSON(w, http.StatusCreated, sessionBody{ID: string(id.ID), Token: token, Home: string(id.Home)})
+}
+
+// handleSession says whether a session was ended. A session that was never
+// opened is not told from an open one: identities are self-contained.
+func (c *Callers) handleSession(w http.ResponseWriter, r *http.Request) {
+	id := record.SessionID(chi.URLParam(r, "id"))
+	writeJSON(w, http.StatusOK, sessionBody{ID: string(id), Ended: c.Ends.Ended(teamOf(r).Name, id)})
+}
+
+// handleEndSession ends one of the team's own sessions.
+func (c *Callers) handleEndSession(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), endPatience)
+	defer cancel()
+	if err := c.Ends.End(ctx, teamOf(r).Name, record.SessionID(chi.URLParam(r, "id"))); err != nil {
+		writeProblem(w, http.StatusServiceUnavailable, problem{
+			Type: typeServer, Code: "platform_unavailable", Message: "The end of the session is not confirmed. Ask again.",
+			Outcome: record.OutcomeUnknown, RetryAfter: endRetry,
+		})
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// session returns the identity of a request's session token, if it has one.
+func (c *Callers) session(r *http.Request, team record.Team) (session.Identity, problem, bool) {
+	token := r.Header.Get(HeaderSession)
+	if token == "" {
+		// Without a session there is no home zone: the claim's shard must not
+		// depend on the instance that a retry reaches.
+		return session.Identity{Team: team}, problem{}, true
+	}
+	id, err := c.Sessions.Verify(token)
+	if err != nil || id.Team != team {
+		return id, invalid("invalid_session", "The session is not valid for this team."), false
+	}
+	if c.Ends.Ended(team, id.ID) {
+		return id, invalid("session_ended", "The session was ended by its owner."), false
+	}
+	return id, problem{}, true
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -178,6 +178,7 @@
 	limits := s.settings.Limits
 	c := &entry.Callers{
 		Zone: record.Zone(s.settings.Instance.Zone), Config: s.config, Sessions: s.secrets.Sessions, Runner: s.runner,
+		Ends: session.Ends{Log: s.publisher, Partitions: s.partitions},
 		Limits: entry.Limits{
 			BodyBytes: limits.BodyBytes, MaxTokens: limits.MaxTokens,
 			FirstToken: limits.FirstToken.D(), ServiceAnswer: limits.ServiceAnswer.D(),
