--- a/internal/entry/problem.go
+++ b/internal/entry/problem.go
@@ -86,7 +86,7 @@
 		status, p.Type = http.StatusPaymentRequired, typeQuota
 	case run.CodeKeyReused:
 		status, p.Type = http.StatusUnprocessableEntity, typeInvalid
-	case run.CodeOutcomeUnknown, run.CodeAnswerGone:
+	case run.CodeOutcomeUnknown, run.CodeAnswerGone, run.CodeAnswerNotKept, run.CodeRunGone:
 		status = http.StatusConflict
 	case run.CodeEndpointFailed:
 		status = http.StatusBadGateway
--- a/internal/fold/ledger_test.go
+++ b/internal/fold/ledger_test.go
@@ -16,7 +16,13 @@
 	small = fold.Windows{Bills: 4, TopUps: 3, Writers: 8, Grants: 2}
 )
 
-func batchOf(t testing.TB, writer record.InstanceID, seq uint64, records ...record.Record) record.Batch {
+// fataler is what testing.TB and rapid.T have in common.
+type fataler interface {
+	Helper()
+	Fatal(args ...any)
+}
+
+func batchOf(t fataler, writer record.InstanceID, seq uint64, records ...record.Record) record.Batch {
 	t.Helper()
 	b := record.Batch{Writer: writer, Seq: seq}
 	for _, r := range records {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -10,11 +10,11 @@
 
 	"guavapier/internal/claim"
 	"guavapier/internal/dispatch"
-	"guavapier/internal/endpoint"
 	"guavapier/internal/entry"
 	"guavapier/internal/fold"
 	"guavapier/internal/ledger"
 	"guavapier/internal/membership"
+	"guavapier/internal/metrics"
 	"guavapier/internal/peer"
 	"guavapier/internal/platform"
 	"guavapier/internal/record"
@@ -22,6 +22,7 @@
 	"guavapier/internal/run"
 	"guavapier/internal/session"
 	"guavapier/internal/settings"
+	"guavapier/internal/state"
 
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
@@ -35,7 +36,6 @@
 }
 
 const (
-	maxAttempts      = 3
 	publisherRetry   = 50 * time.Millisecond
 	publisherRecords = 1000
 	shutdownPatience = 24 * time.Hour // Long reports are never cut off by a drain.
@@ -53,13 +53,18 @@
 	config     *replica.Replica[*fold.Config]
 	partitions ledger.Partitions
 	dispatcher *dispatch.Dispatcher
+	clients    *endpointClients
 	members    *membership.Members
 	pool       *peer.Pool
 	peerServer *peer.Server
+	budgets    *ledger.Ledger
 	holder     *claim.Holder
 	claims     *claim.Fleet
 	runner     *run.Runner
 	draining   atomic.Bool
+	// tables and metrics are where each part registers what it shows.
+	tables  *state.Registry
+	metrics *metrics.Registry
 
 	callers   net.Listener
 	operators net.Listener
@@ -68,7 +73,7 @@
 
 // New puts an instance together and binds its addresses.
 func New(s settings.Settings, secrets Secrets, log zerolog.Logger) (*Server, error) {
-	srv := &Server{id: record.NewInstanceID(s.Instance.Name), settings: s, secrets: secrets, log: log}
+	srv := &Server{id: record.NewInstanceID(s.Instance.Name), settings: s, secrets: secrets, log: log, tables: state.New(), metrics: metrics.New()}
 	if err := srv.listen(); err != nil {
 		return nil, err
 	}
@@ -80,24 +85,23 @@
 	for n := range s.Ledger.Partitions {
 		srv.partitions = append(srv.partitions, replica.New(record.LedgerStream(n), fold.NewLedger()))
 	}
-	srv.dispatcher = dispatch.New()
+	srv.dispatcher = dispatch.NewWithOptions(placement(s, srv.id))
 	srv.joinPeers()
+	if err := srv.joinBudgets(); err != nil {
+		return nil, err
+	}
 	if err := srv.joinClaims(); err != nil {
 		return nil, err
 	}
-	transport := http.DefaultTransport.(*http.Transport).Clone()
-	transport.MaxIdleConnsPerHost = 64
+	srv.clients = newEndpointClients(s.Limits, srv.members, srv.dispatcher)
 	srv.runner = &run.Runner{
-		Claims: srv.claims,
-		Accounts: ledger.New(srv.id, record.Zone(s.Instance.Zone), srv.publisher, srv.partitions, ledger.Options{
-			GrantTokens: s.Ledger.GrantTokens, Patience: s.Ledger.Patience.D(),
-		}),
+		Claims: srv.claims, Accounts: srv.budgets,
 		Placer: srv.dispatcher, Endpoints: endpoints{srv.members},
-		Engines:     endpoint.NewHTTPEngines(transport),
-		Services:    endpoint.NewHTTPServices(transport, s.Limits.AnswerBytes),
-		MaxAttempts: maxAttempts,
-		OnError:     func(err error) { log.Error().Err(err).Msg("run: background error") },
+		Engines: srv.clients.engines, Services: srv.clients.services,
+		Repeats: repeatRules{srv.config}, Limits: runLimits(s.Limits), Leaving: srv.leaving,
+		OnError: func(err error) { log.Error().Err(err).Msg("run: background error") },
 	}
+	srv.registerTables()
 	return srv, nil
 }
 
@@ -126,6 +130,7 @@
 	operators := &http.Server{Handler: s.operatorsHandler(), ReadHeaderTimeout: 10 * time.Second}
 	var group errgroup.Group
 	group.Go(func() error { return s.follow(background) })
+	group.Go(func() error { s.clients.poller.Run(background); return nil })
 	group.Go(func() error { s.members.Run(background, s.pool); return nil })
 	group.Go(func() error { s.holder.Run(background); return nil })
 	group.Go(func() error { return s.peerServer.Serve(s.peers) })
@@ -133,9 +138,11 @@
 	group.Go(func() error { return ignoreClosed(operators.Serve(s.operators)) })
 	s.log.Info().Str("id", string(s.id)).Str("callers", s.CallersAddr()).Str("operators", s.OperatorsAddr()).
 		Str("peers", s.PeersAddr()).Msg("server: serving")
+	group.Go(func() error { return s.budgets.Run(background) })
 	<-ctx.Done()
 	s.drain(callers, operators)
 	s.leaveClaims()
+	s.leaveBudgets()
 	stop()
 	s.leavePeers()
 	s.holder.Close()
@@ -152,12 +159,14 @@
 	patience, cancel := context.WithTimeout(context.Background(), shutdownPatience)
 	defer cancel()
 	_ = callers.Shutdown(patience)
+	s.runner.Close()
 	_ = operators.Shutdown(patience)
 }
 
 func (s *Server) self() platform.Instance {
 	return platform.Instance{
 		ID: s.id, Zone: record.Zone(s.settings.Instance.Zone), Peer: s.PeersAddr(), Leaving: s.draining.Load(),
+		Applied: s.config.Next(),
 	}
 }
 
@@ -165,6 +174,9 @@
 	onError := func(err error) { s.log.Error().Err(err).Msg("replica: batch passed over") }
 	sources := []replica.Source{{Stream: record.ConfigStream, Handler: s.config.Handle(onError)}}
 	for _, p := range s.partitions {
+		if !s.follows(p) {
+			continue
+		}
 		sources = append(sources, replica.Source{Stream: p.Stream(), Handler: p.Handle(onError)})
 	}
 	trimmed := func(stream record.Stream, first uint64) {
@@ -188,33 +200,6 @@
 	return c.Handler()
 }
 
-func (s *Server) operatorsHandler() http.Handler {
-	o := &entry.Operators{
-		Token: s.secrets.Operator, Log: s.publisher, Config: s.config, Ledgers: s.partitions, State: s.state,
-	}
-	return o.Handler()
-}
-
-// StateDump is the answer to a request for this process's state.
-type StateDump struct {
-	ID       record.InstanceID `json:"id"`
-	Zone     string            `json:"zone"`
-	Draining bool              `json:"draining"`
-	Applied  map[string]uint64 `json:"applied"`
-	Budgets  []fold.Budget     `json:"budgets"`
-	Members  platform.List     `json:"members"`
-}
-
-func (s *Server) state() any {
-	dump := StateDump{ID: s.id, Zone: s.settings.Instance.Zone, Draining: s.draining.Load(), Applied: map[string]uint64{}, Members: s.members.List()}
-	dump.Applied[string(record.ConfigStream)] = s.config.Next()
-	for _, p := range s.partitions {
-		dump.Applied[string(p.Stream())] = p.Next()
-		p.View(func(f *fold.Ledger) { dump.Budgets = append(dump.Budgets, f.Budgets()...) })
-	}
-	return dump
-}
-
 func ignoreClosed(err error) error {
 	if eris.Is(err, http.ErrServerClosed) {
 		return nil
