--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -7,6 +7,7 @@
 	"guavapier/internal/decide"
 	"guavapier/internal/run"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-chi/chi/v5"
 )
 
@@ -25,6 +26,7 @@
 		writeProblem(w, http.StatusForbidden, p)
 		return
 	}
+	common.Digest = callDigest(r, body)
 	common.Wait = c.Limits.ServiceAnswer
 	common.Priority = decide.PriorityCall
 	answer, err := c.Runner.Call(r.Context(), run.Call{
@@ -40,3 +42,12 @@
 	w.WriteHeader(answer.Status)
 	_, _ = w.Write(answer.Body)
 }
+
+// callDigest covers all that makes two calls the same: a key that comes back
+// with another method or path is reused as much as one with another body.
+func callDigest(r *http.Request, body []byte) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(r.Method + " " + r.URL.Path + "\n")
+	_, _ = d.Write(body)
+	return d.Sum64()
+}
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -31,18 +31,20 @@
 	// mu guards everything below.
 	mu      sync.Mutex
 	runs    map[string]int
+	paths   map[string]int // Runs by the call's path.
 	running int
 	faults  ServiceFaults
 	crossed crossing[callAnswer]
 }
 
 // NewService returns a service that has run nothing.
-func NewService() *Service { return &Service{runs: map[string]int{}} }
+func NewService() *Service { return &Service{runs: map[string]int{}, paths: map[string]int{}} }
 
 // Handler returns the service's HTTP interface.
 func (s *Service) Handler() http.Handler {
 	r := chi.NewRouter()
 	r.Get("/runs", s.handleRuns)
+	r.Get("/paths", s.handlePaths)
 	r.Get("/load", s.handleLoad)
 	r.Put("/faults", s.handleFaults)
 	r.HandleFunc("/call/*", s.handleCall)
@@ -71,7 +73,7 @@
 		return
 	}
 	run := r.Header.Get(headerRun)
-	faults, count, status := s.begin(run)
+	faults, count, status := s.begin(run, r.URL.Path)
 	if status != 0 {
 		w.Header().Set(headerRun, run)
 		refuse(w, status, "refused")
@@ -95,7 +97,7 @@
 }
 
 // begin counts the call as run unless it is refused with a status.
-func (s *Service) begin(run string) (faults ServiceFaults, count, status int) {
+func (s *Service) begin(run, path string) (faults ServiceFaults, count, status int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
@@ -105,6 +107,7 @@
 		return s.faults, 0, http.StatusTooManyRequests
 	}
 	s.runs[run]++
+	s.paths[path]++
 	s.running++
 	faults = s.faults
 	if s.faults.Lose > 0 {
@@ -125,6 +128,12 @@
 	writeJSON(w, s.runs)
 }
 
+func (s *Service) handlePaths(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	writeJSON(w, s.paths)
+}
+
 func (s *Service) handleLoad(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	report := LoadReport{Running: s.running, Leaving: s.faults.Leaving}
