Admit by fair share, not only order by it

Cause: beside a team that floods two small endpoints, a team that asks for a tenth of their capacity got 6-8 % of the other's answers. Each of six instances holds two or three rows in its queue, so deficit round robin has hardly anything to choose from; who is admitted decides.

Ruled out: the queue's prediction alone (it counts only the team's own share ahead, and still refused nine of ten).

Change: the part of the remaining time that a predicted wait may take moves with the team's recent work against its weight (usage, half-life 5 s): 0.7 below its share, 0.5 at it, down to 0.15 above it.

--- a/internal/decide/admit.go
+++ b/internal/decide/admit.go
@@ -1,11 +1,22 @@
 package decide
 
-import "time"
+import (
+	"time"
 
-// admitMargin is the share of the remaining time that the predicted wait may
-// take. Predictions are off by half in a burst; a request refused at once can
-// come back, one that waits in vain can not.
-const admitMargin = 0.5
+	"guavapier/internal/record"
+)
+
+// The share of the remaining time that the predicted wait may take. Predictions
+// are off by half in a burst; a request refused at once can come back, one that
+// waits in vain can not. The share is half for a team that has its fair part of
+// the work, and moves with what it has: in a queue of a few requests the order
+// alone can't share slots between teams, admission must.
+const admitMargin, leastMargin, mostMargin = 0.5, 0.15, 0.7
+
+func (p *pool) margin(team record.Team, weight float64, now Time) float64 {
+	over := p.usage.over(team, weight, now)
+	return min(max(admitMargin/max(over, 0.01), leastMargin), mostMargin)
+}
 
 // startReserve is the share of the caller's patience kept for the time after
 // the start: a queue is no place to spend all of it.
@@ -53,12 +64,13 @@
 		d.refuseNew(row, p, CodeDeadline, wait)
 		return
 	}
-	if wait > 0 && float64(wait+first) > admitMargin*float64(remaining) {
+	margin := p.margin(row.Team, d.teamWeight(row.Team), d.now)
+	if wait > 0 && float64(wait+first) > margin*float64(remaining) {
 		row.pool = nil
 		d.refuseNew(row, p, CodeOverloaded, wait)
 		return
 	}
-	if !d.homeInTime(row, remaining) {
+	if !d.homeInTime(row, margin*remaining.Seconds()) {
 		row.pool = nil
 		d.refuseNew(row, p, CodeOverloaded, wait)
 		return
@@ -81,14 +93,14 @@
 // homeInTime tells whether the row's own endpoint is expected to answer it in
 // time, or another one may. Near the fleet's limit sessions wait for their own
 // endpoint, so it is that one's queue which decides.
-func (d *Decider) homeInTime(row *requestRow, remaining time.Duration) bool {
+func (d *Decider) homeInTime(row *requestRow, bound float64) bool {
 	home := row.home
 	if home == nil {
 		return true
 	}
 	wait := home.slotWait(d.now, float64(home.homeQueue), known(row.pool.hold, unknownHold))
 	wait += home.firstTokenFree(d, row)
-	if wait <= admitMargin*remaining.Seconds() {
+	if wait <= bound {
 		return true
 	}
 	other, _ := d.sample(row.pool, row, home, false)
--- a/internal/decide/decider.go
+++ b/internal/decide/decider.go
@@ -183,6 +183,7 @@
 
 func (d *Decider) start(row *requestRow, e *endpointRow) {
 	p := row.pool
+	p.usage.add(row.Team, row.team.weight, row.cost(), d.now)
 	d.dequeue(row)
 	p.started[row.class]++
 	for class := range p.free {
--- a/internal/decide/pool.go
+++ b/internal/decide/pool.go
@@ -27,7 +27,8 @@
 	classOrder [2 * classCount]int // Classes in the order of this tick; see order.
 	aged       int                 // How many entries at its start go first by age.
 
-	hold, base, perTok float64             // Averages over the endpoints.
+	hold, base, perTok float64 // Averages over the endpoints.
+	usage              usageTable
 	lastSeen           [classCount]Time    // When the class last came; 0 for never.
 	free               [classCount]float64 // Free slots by class, at refreshedAt.
 	drain              float64             // Starts a second when all slots are busy.
@@ -93,7 +94,7 @@
 	if p, ok := d.poolByKey[key]; ok {
 		return p
 	}
-	p := &pool{key: key}
+	p := &pool{key: key, usage: usageTable{byTeam: map[record.Team]int{}}}
 	for class := range p.classes {
 		p.classes[class].byTeam = map[record.Team]*teamQueue{}
 		p.lastSeen[class] = -classInUse
@@ -180,6 +181,7 @@
 		}
 		slots += float64(e.inFlight) + max(0, e.rampedSlots()-load)
 	}
+	p.usage.forget(d.now)
 	p.drain = slots / known(p.hold, unknownHold)
 }
 
--- a/internal/decide/scenario_test.go
+++ b/internal/decide/scenario_test.go
@@ -65,6 +65,7 @@
 		return New(Options{Seed: p.seed*100 + uint64(i), Zone: record.Zone(fmt.Sprintf("z%d", i%4))})
 	})
 	p.sim.from, p.until = p.duration(from), p.duration(until)
+	p.sim.until = p.until
 	if load > 0 {
 		total := 0
 		for _, n := range gpus {
--- a/internal/decide/sim_test.go
+++ b/internal/decide/sim_test.go
@@ -73,6 +73,7 @@
 	calls   []map[RequestID]*call
 	lastID  RequestID
 	from    Time // Of the window.
+	until   Time // Teams' answers count up to here: while all of them ask.
 
 	classes    [classCount]tally
 	teams      map[record.Team]int
@@ -292,7 +293,9 @@
 	t.first = append(t.first, (s.now - j.sent).Seconds())
 	t.prompt += j.PromptTokens
 	t.cached += j.cached
-	s.teams[j.Team]++
+	if s.now <= s.until {
+		s.teams[j.Team]++
+	}
 }
 
 func (s *sim) finish(j *job, r Result) {
