Find a slow endpoint by the age of its running requests

Change: the mean age of the running requests against the span its peers take (overdue) marks a slow endpoint before the first of them ends; both measures are compared with the peers' median. A probe needs a request whose first token fits three times in its patience at the endpoint's last known speed. Waits are predicted with the overdue factor.

Also: admission's margin by the square of a team's use.

--- a/internal/decide/admit.go
+++ b/internal/decide/admit.go
@@ -9,13 +9,13 @@
 // The share of the remaining time that the predicted wait may take. Predictions
 // are off by half in a burst; a request refused at once can come back, one that
 // waits in vain can not. The share is half for a team that has its fair part of
-// the work, and moves with what it has: in a queue of a few requests the order
-// alone can't share slots between teams, admission must.
+// the work, and moves with the square of what it has: in a queue of a few
+// requests the order alone can't share slots between teams, admission must.
 const admitMargin, leastMargin, mostMargin = 0.5, 0.15, 0.7
 
 func (p *pool) margin(team record.Team, weight float64, now Time) float64 {
 	over := p.usage.over(team, weight, now)
-	return min(max(admitMargin/max(over, 0.01), leastMargin), mostMargin)
+	return min(max(admitMargin/max(over*over, 0.01), leastMargin), mostMargin)
 }
 
 // startReserve is the share of the caller's patience kept for the time after
--- a/internal/decide/decider.go
+++ b/internal/decide/decider.go
@@ -148,6 +148,8 @@
 	e.answered(row)
 	e.followOwn(d.now)
 	e.inFlight--
+	e.startsSum -= row.startedAt
+	e.spanSum -= row.span
 	e.grants++
 	e.inFlightBy[row.class]--
 	if e.probe == id {
--- a/internal/decide/endpoints.go
+++ b/internal/decide/endpoints.go
@@ -35,6 +35,8 @@
 	// 7 % less goodput at 150 % of capacity).
 	grants        float64
 	homeQueue     int     // Queued rows that wait for this endpoint.
+	startsSum     Time    // Of the own running requests' starts.
+	spanSum       float64 // Of their spans.
 	awaiting      int     // Own requests without a first token yet.
 	awaitingSince Time    // The sum of their starts.
 	pending       float64 // Own prompt tokens not yet computed, as a fluid.
@@ -231,6 +233,16 @@
 	return max(past, age-e.learned.base)
 }
 
+// overdue returns how old the own running requests are on average, in spans. A
+// steady endpoint stays near a half; one that got slow shows it here long before
+// its first slow request ends.
+func (e *endpointRow) overdue(now Time) float64 {
+	if e.inFlight == 0 || e.spanSum <= 0 {
+		return 0
+	}
+	return (now*Time(e.inFlight) - e.startsSum).Seconds() / e.spanSum
+}
+
 // answered ends the row's wait for its first token.
 func (e *endpointRow) answered(row *requestRow) {
 	if !row.answered {
@@ -244,7 +256,8 @@
 // requests ahead.
 func (e *endpointRow) slotWait(now Time, ahead, hold float64) float64 {
 	slots := max(1, e.rampedSlots())
-	return max(0, e.load(now)+ahead+1-slots) * known(e.learned.hold, hold) / slots
+	hold = known(e.learned.hold, hold) * max(1, e.judgedOverdue(now))
+	return max(0, e.load(now)+ahead+1-slots) * hold / slots
 }
 
 func (e *endpointRow) start(row *requestRow, d *Decider) {
@@ -258,6 +271,9 @@
 	e.pending = e.pendingTokens(d.now) + row.uncached
 	e.pendingAt = d.now
 	row.prefillDue = e.pending
+	row.span = row.pool.span(row)
+	e.startsSum += d.now
+	e.spanSum += row.span
 	e.awaiting++
 	e.awaitingSince += d.now
 	if e.health.state == ejected {
--- a/internal/decide/learn.go
+++ b/internal/decide/learn.go
@@ -75,6 +75,7 @@
 		average(&l.base, total)
 	}
 	average(&l.pace, pace)
+	average(&row.pool.pace, pace)
 	average(&row.pool.base, known(l.base, unknownBase))
 	average(&row.pool.perTok, l.prefill())
 	d.learnSuccess(row, pace)
--- a/internal/decide/pool.go
+++ b/internal/decide/pool.go
@@ -27,18 +27,18 @@
 	classOrder [2 * classCount]int // Classes in the order of this tick; see order.
 	aged       int                 // How many entries at its start go first by age.
 
-	hold, base, perTok float64 // Averages over the endpoints.
-	usage              usageTable
-	lastSeen           [classCount]Time    // When the class last came; 0 for never.
-	free               [classCount]float64 // Free slots by class, at refreshedAt.
-	drain              float64             // Starts a second when all slots are busy.
-	usable             int                 // Endpoints that take work.
-	probes             int                 // Endpoints that want a probe.
-	refreshedAt        Time
-	refreshed          bool
-	checkedAt          Time
-	scratch            []float64
-	nextReturn         Time // When the next refused caller may come back.
+	hold, base, perTok, pace float64 // Averages over the endpoints.
+	usage                    usageTable
+	lastSeen                 [classCount]Time    // When the class last came; 0 for never.
+	free                     [classCount]float64 // Free slots by class, at refreshedAt.
+	drain                    float64             // Starts a second when all slots are busy.
+	usable                   int                 // Endpoints that take work.
+	probes                   int                 // Endpoints that want a probe.
+	refreshedAt              Time
+	refreshed                bool
+	checkedAt                Time
+	scratch                  []float64
+	nextReturn               Time // When the next refused caller may come back.
 }
 
 const (
@@ -138,6 +138,15 @@
 	return nil
 }
 
+// span returns the seconds that the row should take on an endpoint like its
+// peers, its answer as long as it may be.
+func (p *pool) span(row *requestRow) float64 {
+	if row.Service != "" || p.pace <= 0 {
+		return known(p.hold, unknownHold)
+	}
+	return p.base + float64(max(row.MaxTokens, 1))*p.pace + row.uncached*p.perTok
+}
+
 func (p *pool) queuedCount() int {
 	n := 0
 	for class := range p.classes {
--- a/internal/decide/row.go
+++ b/internal/decide/row.go
@@ -37,6 +37,7 @@
 	answered   bool    // Its first token came.
 	uncached   float64 // Prompt tokens expected to be computed.
 	prefillDue float64 // Uncached tokens in the endpoint, its own included.
+	span       float64 // Seconds from start to end that its peers would take.
 	expected   float64 // Seconds to the first token, without delay.
 }
 
--- a/internal/decide/shift.go
+++ b/internal/decide/shift.go
@@ -46,11 +46,18 @@
 	slowFactor = 2.5
 	// samplesToJudge and peersToJudge are the least evidence for "slow".
 	samplesToJudge, peersToJudge = 5, 3
+	// overdueToEject is the mean age of the running requests, in the spans of
+	// the pool, that is no accident: requests that all just end are at one, at
+	// most. runningToJudge of them are enough evidence.
+	overdueToEject, runningToJudge = 2.0, 3
 	// maxSlowShare bounds the endpoints taken out for slowness: beyond it the
 	// load is the cause, and taking out more would make it worse.
 	maxSlowShare = 1.0 / 3
 	// The pause before a probe, at first and at most.
 	firstPause, maxPause = 5 * time.Second, 60 * time.Second
+	// probeShare is the part of its caller's patience that a probe's first token
+	// may take.
+	probeShare = 0.3
 	// firstRamp is the share of slots after a good probe; each success adds
 	// rampStep, so that a full return takes about twenty requests.
 	firstRamp, rampStep = 0.1, 0.05
@@ -72,26 +79,21 @@
 }
 
 func (d *Decider) ejectSlow(p *pool) {
-	paces := p.scratch[:0]
+	pace := p.median((*endpointRow).judgedPace, d.now)
+	overdue := p.median((*endpointRow).judgedOverdue, d.now)
 	out := 0
 	for _, e := range p.endpoints {
 		if e.health.state == ejected {
 			out++
-		} else if !e.out() && e.learned.samples >= samplesToJudge {
-			paces = append(paces, e.pace(d.now))
 		}
 	}
-	p.scratch = paces
-	if len(paces) < peersToJudge {
-		return
-	}
-	slices.Sort(paces)
-	median := paces[(len(paces)-1)/2]
 	for _, e := range p.endpoints {
-		if e.health.state == ejected || e.out() || e.learned.samples < samplesToJudge {
+		if e.health.state == ejected || e.out() {
 			continue
 		}
-		if e.pace(d.now) <= slowFactor*median {
+		slow := pace > 0 && e.judgedPace(d.now) > slowFactor*pace
+		late := overdue > 0 && e.judgedOverdue(d.now) > max(overdueToEject, slowFactor*overdue)
+		if !slow && !late {
 			continue
 		}
 		if float64(out+1) > max(1, maxSlowShare*float64(len(p.endpoints))) {
@@ -102,12 +104,40 @@
 	}
 }
 
-// pace is the time for a token, with the part that a full batch explains taken
-// off.
-func (e *endpointRow) pace(now Time) float64 {
+// median returns the median of a measure over the endpoints in use that have
+// one, or 0 if these are too few to be peers.
+func (p *pool) median(of func(*endpointRow, Time) float64, now Time) float64 {
+	values := p.scratch[:0]
+	for _, e := range p.endpoints {
+		if v := of(e, now); v > 0 && e.health.state != ejected && !e.out() {
+			values = append(values, v)
+		}
+	}
+	p.scratch = values
+	if len(values) < peersToJudge {
+		return 0
+	}
+	slices.Sort(values)
+	return values[(len(values)-1)/2]
+}
+
+// judgedPace is the time for a token, with the part that a full batch explains
+// taken off, or 0 without enough evidence.
+func (e *endpointRow) judgedPace(now Time) float64 {
+	if e.learned.samples < samplesToJudge {
+		return 0
+	}
 	return e.learned.pace / (1 + min(1, e.load(now)/float64(max(1, e.Slots))))
 }
 
+// judgedOverdue is overdue, or 0 without enough evidence.
+func (e *endpointRow) judgedOverdue(now Time) float64 {
+	if e.inFlight < runningToJudge {
+		return 0
+	}
+	return e.overdue(now)
+}
+
 func (d *Decider) eject(e *endpointRow, why ejectReason) {
 	h := &e.health
 	h.pause = min(max(2*h.pause, firstPause), maxPause)
@@ -147,7 +177,7 @@
 // judgeProbe lets an endpoint back in if its answer was as fast as its peers'.
 func (d *Decider) judgeProbe(row *requestRow, pace float64) {
 	e := row.endpoint
-	median := row.pool.medianPace()
+	median := row.pool.median((*endpointRow).judgedPace, d.now)
 	if e.health.ejectedFor == forSlow && median > 0 && pace > slowFactor*median {
 		d.eject(e, forSlow)
 		return
@@ -157,21 +187,6 @@
 	e.learned = learned{}
 }
 
-func (p *pool) medianPace() float64 {
-	paces := p.scratch[:0]
-	for _, e := range p.endpoints {
-		if e.health.state != ejected && e.learned.samples >= samplesToJudge {
-			paces = append(paces, e.learned.pace)
-		}
-	}
-	p.scratch = paces
-	if len(paces) == 0 {
-		return 0
-	}
-	slices.Sort(paces)
-	return paces[(len(paces)-1)/2]
-}
-
 // rampedSlots returns the slots that the endpoint's health allows, at least one.
 func (e *endpointRow) rampedSlots() float64 {
 	if e.health.state != ramping {
@@ -185,14 +200,15 @@
 }
 
 // probeFor returns an endpoint that the row may probe, or nil. Only a request
-// that may be repeated is risked, none by a machine with a short deadline, and
-// no retry, whose caller was unlucky once already.
+// that may be repeated is risked, with time enough even if the endpoint is as
+// slow as it was; none by a machine with a short deadline, and no retry, whose
+// caller was unlucky once already.
 func (d *Decider) probeFor(p *pool, row *requestRow) *endpointRow {
 	if p.probes == 0 || !row.Repeatable || row.class == int(PriorityCall) || row.attempt() > 1 {
 		return nil
 	}
 	for _, e := range p.endpoints {
-		if e.wantsProbe(d.now) && !row.avoids(e) {
+		if e.wantsProbe(d.now) && !row.avoids(e) && d.firstToken(row, e) < probeShare*(row.Deadline-d.now).Seconds() {
 			p.probes--
 			return e
 		}
