--- a/internal/decide/pool.go
+++ b/internal/decide/pool.go
@@ -21,29 +21,39 @@
 	key       poolKey
 	endpoints []*endpointRow // By name.
 	own       []*endpointRow // Those in the instance's own zone.
+	keys      []rankKey      // Of endpoints, in one piece for rankRow.
+	mostSlots int            // Of one endpoint.
 	classes   [classCount]classQueue
 	started   [classCount]uint64
 
+	parked     rowHeap             // Rows that wait for any endpoint they don't avoid.
 	classOrder [2 * classCount]int // Classes in the order of this tick; see order.
 	aged       int                 // How many entries at its start go first by age.
 
-	hold, base, perTok float64             // Averages over the endpoints.
-	lastSeen           [classCount]Time    // When the class last came; 0 for never.
-	free               [classCount]float64 // Free slots by class, at refreshedAt.
-	drain              float64             // Starts a second when all slots are busy.
-	usable             int                 // Endpoints that take work.
-	probes             int                 // Endpoints that want a probe.
-	refreshedAt        Time
-	refreshed          bool
-	checkedAt          Time
-	scratch            []float64
-	nextReturn         Time // When the next refused caller may come back.
+	hold, base, perTok, pace float64 // Averages over the endpoints.
+	usage                    usageTable
+	lastSeen                 [classCount]Time    // When the class last came; 0 for never.
+	free                     [classCount]float64 // Free slots by class, at refreshedAt.
+	drain                    float64             // Starts a second when all slots are busy.
+	usable                   int                 // Endpoints that take work.
+	probes                   int                 // Endpoints that want a probe.
+	refreshedAt              Time
+	refreshed                bool
+	checkedAt                Time
+	scratch                  []float64
+	nextReturn               Time // When the next refused caller may come back.
+}
+
+// rankKey is what the rendezvous needs of an endpoint.
+type rankKey struct {
+	hash   uint64
+	weight float64
 }
 
 const (
-	// refreshEvery bounds how often a pool's sums are made: an engine's step is
-	// about that long, nothing moves faster.
-	refreshEvery = 5 * time.Millisecond
+	// refreshEvery bounds how often a pool's sums are made: a few steps of an
+	// engine; reports come ten times as slowly.
+	refreshEvery = 10 * time.Millisecond
 	// classInUse is how long a class counts as in use after its last request.
 	// Slots stay reserved that long; without the class nothing is reserved.
 	classInUse = time.Minute
@@ -53,7 +63,8 @@
 // queues; one that lost all its endpoints stays until its queue is refused.
 func (d *Decider) buildPools() {
 	for _, p := range d.pools {
-		p.endpoints, p.own, p.refreshed = p.endpoints[:0], p.own[:0], false
+		p.endpoints, p.own, p.keys = p.endpoints[:0], p.own[:0], p.keys[:0]
+		p.mostSlots, p.refreshed = 0, false
 	}
 	for _, e := range d.endpoints {
 		if e.gone {
@@ -84,6 +95,8 @@
 
 func (p *pool) add(e *endpointRow, own record.Zone) {
 	p.endpoints = append(p.endpoints, e)
+	p.keys = append(p.keys, rankKey{hash: e.hash, weight: e.Weight})
+	p.mostSlots = max(p.mostSlots, e.Slots)
 	if own != "" && e.Zone == own {
 		p.own = append(p.own, e)
 	}
@@ -93,7 +106,7 @@
 	if p, ok := d.poolByKey[key]; ok {
 		return p
 	}
-	p := &pool{key: key}
+	p := &pool{key: key, parked: rowHeap{index: parkIndex}, usage: usageTable{byTeam: map[record.Team]int{}}}
 	for class := range p.classes {
 		p.classes[class].byTeam = map[record.Team]*teamQueue{}
 		p.lastSeen[class] = -classInUse
@@ -137,6 +150,15 @@
 	return nil
 }
 
+// span returns the seconds that the row should take on an endpoint like its
+// peers, its answer as long as it may be.
+func (p *pool) span(row *requestRow) float64 {
+	if row.Service != "" || p.pace <= 0 {
+		return known(p.hold, unknownHold)
+	}
+	return p.base + float64(max(row.MaxTokens, 1))*p.pace + row.uncached*p.perTok
+}
+
 func (p *pool) queuedCount() int {
 	n := 0
 	for class := range p.classes {
@@ -169,6 +191,10 @@
 			p.usable++
 		}
 	}
+	var reserve [classCount]float64
+	for class := range reserve {
+		reserve[class] = d.reserve(p, class)
+	}
 	slots := 0.0
 	for _, e := range p.endpoints {
 		if !p.takes(e) {
@@ -176,10 +202,11 @@
 		}
 		load := e.load(d.now)
 		for class := 1; class < classCount; class++ {
-			p.free[class] += max(0, min(d.limit(p, e, class)-load, float64(e.Slots-e.inFlight)))
+			p.free[class] += max(0, min(e.limit(reserve[class])-load, float64(e.Slots-e.inFlight)))
 		}
 		slots += float64(e.inFlight) + max(0, e.rampedSlots()-load)
 	}
+	p.usage.forget(d.now)
 	p.drain = slots / known(p.hold, unknownHold)
 }
 
@@ -190,17 +217,23 @@
 	return !e.out() && (p.usable == 0 || e.health.state != ejected)
 }
 
-// limit returns up to which load the class may start at the endpoint. Slots
-// stay free for each higher class in use: questions and calls must not wait
-// for a report's whole run.
-func (d *Decider) limit(p *pool, e *endpointRow, class int) float64 {
+// limit returns up to which load a class may start at the endpoint that leaves
+// the reserve, a share of the slots, to others.
+func (e *endpointRow) limit(reserve float64) float64 {
 	slots := e.rampedSlots()
+	// One slot is the least that any class may use.
+	return max(1, slots-float64(int(slots*reserve+0.999)))
+}
+
+// reserve returns the share of an endpoint's slots that the class leaves free
+// for each higher class in use: questions and calls must not wait for a
+// report's whole run.
+func (d *Decider) reserve(p *pool, class int) float64 {
 	reserve := 0.0
 	for higher := class + 1; higher < classCount; higher++ {
 		if p.inUse(higher, d.now) {
 			reserve += d.opts.Reserve[higher]
 		}
 	}
-	// One slot is the least that any class may use.
-	return max(1, slots-float64(int(slots*reserve+0.999)))
+	return reserve
 }
--- a/internal/decide/row.go
+++ b/internal/decide/row.go
@@ -4,6 +4,7 @@
 const (
 	expiryIndex = iota
 	teamIndex
+	parkIndex
 	heapCount
 )
 
@@ -16,6 +17,8 @@
 	team        *teamQueue
 	index       [heapCount]int
 	cancelled   bool
+	parked      *rowHeap // Where it is parked; nil while it is in the order.
+	parkedAt    Time
 
 	submitted   Time
 	latestStart Time
@@ -34,8 +37,10 @@
 	// Set by start.
 	endpoint   *endpointRow
 	startedAt  Time
+	answered   bool    // Its first token came.
 	uncached   float64 // Prompt tokens expected to be computed.
 	prefillDue float64 // Uncached tokens in the endpoint, its own included.
+	span       float64 // Seconds from start to end that its peers would take.
 	expected   float64 // Seconds to the first token, without delay.
 }
 
--- a/internal/decide/sim_test.go
+++ b/internal/decide/sim_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"guavapier/internal/record"
@@ -65,13 +66,17 @@
 	now     Time
 	seq     int
 	events  eventHeap
-	rng     *rand.Rand
+	seed    uint64
+	rng     *rand.Rand // Of the balancer and the reports.
+	load    *rand.Rand // Of the workload: the same under every policy.
+	started int        // Sessions.
 	routers []router
 	engines []*engineModel
 	byName  map[string]*engineModel
 	calls   []map[RequestID]*call
 	lastID  RequestID
 	from    Time // Of the window.
+	until   Time // Teams' answers count up to here: while all of them ask.
 
 	classes    [classCount]tally
 	teams      map[record.Team]int
@@ -91,7 +96,8 @@
 
 func newSim(seed uint64, gpus []int, instances int, build func(i int) router) *sim {
 	s := &sim{
-		rng: rand.New(rand.NewPCG(seed, 1)), byName: map[string]*engineModel{}, teams: map[record.Team]int{},
+		seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), load: rand.New(rand.NewPCG(seed, 2)),
+		byName: map[string]*engineModel{}, teams: map[record.Team]int{},
 	}
 	for i, n := range gpus {
 		e := &engineModel{name: fmt.Sprintf("e%02d", i), gpus: n, sim: s, cache: map[string]int{}}
@@ -115,9 +121,9 @@
 // list gives every router the endpoint table, with weights.
 func (s *sim) list(weight func(*engineModel) float64) {
 	var table []Endpoint
-	for i, e := range s.engines {
+	for _, e := range s.engines {
 		table = append(table, Endpoint{
-			Name: e.name, Zone: record.Zone(fmt.Sprintf("z%d", i%4)), Models: []string{"m"},
+			Name: e.name, Zone: record.Zone(s.zone(e)), Models: []string{"m"},
 			Slots: e.slots(), Weight: weight(e), Leaving: e.leaving,
 		})
 	}
@@ -126,6 +132,9 @@
 	}
 }
 
+// zone spreads the engines over four zones.
+func (s *sim) zone(e *engineModel) string { return fmt.Sprintf("z%d", slices.Index(s.engines, e)%4) }
+
 func (s *sim) after(d time.Duration, run func()) {
 	s.seq++
 	heap.Push(&s.events, event{at: s.now + d, seq: s.seq, run: run})
@@ -277,6 +286,9 @@
 }
 
 func (s *sim) firstToken(j *job) {
+	if d, ok := s.routers[j.instance].(*Decider); ok {
+		d.FirstToken(j.id, s.now-j.started)
+	}
 	if s.now < s.from {
 		return
 	}
@@ -285,7 +297,9 @@
 	t.first = append(t.first, (s.now - j.sent).Seconds())
 	t.prompt += j.PromptTokens
 	t.cached += j.cached
-	s.teams[j.Team]++
+	if s.now <= s.until {
+		s.teams[j.Team]++
+	}
 }
 
 func (s *sim) finish(j *job, r Result) {
