Number the callers' streams, keep them alive and bound all input

Cause: chunks had no run id, events only a number, a stream without tokens looked silent, a caller that took nothing held its run, paths and duplicate fields could mean one thing to the check and another to the endpoint, and fields such as temperature were dropped. Ruled out: going on by run id alone, comments from the start, one token a byte (docs/adr/0042). Found by the table test: with 'messages' twice, Go's decoder merged the first list's roles into the second, so a message without a role passed.

Red once, one changed line each in a scratch copy: known fields in other letters ('other letters: 502'), dot segments ('call with hidden dots: 503'), other team's session (200), no write deadline ('the run goes on'), no comments ('0 comments'), closing after a failure ('last event [DONE]'), number from 0 ('.0'), no length (whole answer of 600 tokens), unbounded answer (200). Not measured yet.

--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -74,7 +74,10 @@
 	ResumeOnly bool
 	Model      string
 	Messages   json.RawMessage
-	MaxTokens  int
+	// Params are further fields of the order's body. They never replace those
+	// that the client sets.
+	Params    map[string]json.RawMessage
+	MaxTokens int
 }
 
 // Token is one generated token. Index counts from 0 over the whole run.
--- a/internal/endpoint/engine.go
+++ b/internal/endpoint/engine.go
@@ -29,19 +29,6 @@
 	return &HTTPEngines{client: newClient(o), opts: o, counts: counts}
 }
 
-type engineRequest struct {
-	Model         string          `json:"model"`
-	Messages      json.RawMessage `json:"messages"`
-	MaxTokens     int             `json:"max_tokens"`
-	Stream        bool            `json:"stream"`
-	StreamOptions streamOptions   `json:"stream_options"`
-	Prior         string          `json:"prior,omitempty"`
-}
-
-type streamOptions struct {
-	IncludeUsage bool `json:"include_usage"`
-}
-
 // Start implements Engines.
 func (h *HTTPEngines) Start(ctx context.Context, base string, order Order) (Stream, error) {
 	ctx, dog := watch(ctx, h.opts.Silence)
@@ -74,11 +61,24 @@
 	return newSSEStream(ctx, resp.Body, order, dog, h), nil
 }
 
+func orderBody(order Order) map[string]any {
+	body := map[string]any{}
+	for name, value := range order.Params {
+		body[name] = value
+	}
+	body["model"] = order.Model
+	body["messages"] = order.Messages
+	body["max_tokens"] = order.MaxTokens
+	body["stream"] = true
+	body["stream_options"] = map[string]bool{"include_usage": true}
+	if order.Prior != "" {
+		body["prior"] = order.Prior
+	}
+	return body
+}
+
 func startRequest(ctx context.Context, base string, order Order) (*http.Request, error) {
-	body, err := json.Marshal(engineRequest{
-		Model: order.Model, Messages: order.Messages, MaxTokens: order.MaxTokens,
-		Stream: true, StreamOptions: streamOptions{IncludeUsage: true}, Prior: order.Prior,
-	})
+	body, err := json.Marshal(orderBody(order))
 	if err != nil {
 		return nil, eris.Wrap(errors.Join(ErrRefused, ErrRejected, err), "endpoint: encode order")
 	}
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -1,65 +1,27 @@
 package entry
 
 import (
-	"encoding/json"
-	"fmt"
-	"io"
+	"errors"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
-	"guavapier/internal/decide"
 	"guavapier/internal/endpoint"
 	"guavapier/internal/record"
 	"guavapier/internal/run"
-	"guavapier/internal/session"
-
-	"github.com/cespare/xxhash/v2"
 )
 
-// bytesPerToken is the least number of bytes that the prompt bound counts as
-// one token. The bound is a worst case: engines report the real count.
-const bytesPerToken = 1
-
-const defaultMaxTokens = 256
-
-type chatRequest struct {
-	Model               string          `json:"model"`
-	Messages            json.RawMessage `json:"messages"`
-	MaxTokens           int             `json:"max_tokens"`
-	MaxCompletionTokens int             `json:"max_completion_tokens"`
-	Stream              bool            `json:"stream"`
-	StreamOptions       struct {
-		IncludeUsage bool `json:"include_usage"`
-	} `json:"stream_options"`
-}
-
 func (c *Callers) handleChat(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, c.Limits.BodyBytes))
-	if err != nil {
-		writeProblem(w, http.StatusRequestEntityTooLarge, invalid("body_too_large", "The body is larger than allowed."))
-		return
-	}
-	var req chatRequest
-	if err := json.Unmarshal(body, &req); err != nil {
-		writeProblem(w, http.StatusBadRequest, invalid("malformed_body", "The body is not valid JSON: "+err.Error()))
+	body, refused := c.readBody(w, r)
+	if refused != nil {
+		refused.write(w)
 		return
 	}
-	if p, ok := c.checkChat(&req); !ok {
-		writeProblem(w, http.StatusBadRequest, p)
+	chat, req, refused := c.chatOf(r, body)
+	if refused != nil {
+		refused.write(w)
 		return
 	}
-	common, p, ok := c.common(r, body)
-	if !ok {
-		writeProblem(w, http.StatusForbidden, p)
-		return
-	}
-	common.Wait = c.Limits.FirstToken
-	chat := run.Chat{
-		Request: common, Model: req.Model, Messages: req.Messages,
-		PromptTokens: len(req.Messages)/bytesPerToken + 1, MaxTokens: req.MaxTokens,
-	}
 	if req.Stream {
 		c.streamChat(w, r, chat, req.StreamOptions.IncludeUsage)
 		return
@@ -67,51 +29,26 @@
 	c.wholeChat(w, r, chat)
 }
 
-func (c *Callers) checkChat(req *chatRequest) (problem, bool) {
-	if req.MaxTokens == 0 {
-		req.MaxTokens = req.MaxCompletionTokens
-	}
-	if req.MaxTokens == 0 {
-		req.MaxTokens = min(defaultMaxTokens, c.Limits.MaxTokens)
-	}
-	switch {
-	case req.Model == "":
-		return invalid("model_missing", "The field model is missing."), false
-	case len(req.Messages) == 0 || req.Messages[0] != '[':
-		return invalid("messages_missing", "The field messages must be a list."), false
-	case req.MaxTokens < 1 || req.MaxTokens > c.Limits.MaxTokens:
-		return invalid("max_tokens_out_of_range", fmt.Sprintf("max_tokens must be between 1 and %d.", c.Limits.MaxTokens)), false
-	}
-	return problem{}, true
-}
-
-// common reads what all requests have in common: session, key, priority.
-func (c *Callers) common(r *http.Request, body []byte) (run.Request, problem, bool) {
-	team := teamOf(r)
-	q := run.Request{
-		Team: team, Digest: xxhash.Sum64(body), First: r.Header.Get(HeaderFirst) == "true", Priority: decide.PriorityInteractive,
-		// Without a session there is no home zone: the claim's shard must not
-		// depend on the instance that a retry reaches.
-		Session: session.Identity{Team: team.Name},
+// chatOf reads a chat request whole; nothing has run before it returns.
+func (c *Callers) chatOf(r *http.Request, body []byte) (run.Chat, *chatRequest, *refusal) {
+	req, refused := c.parseChat(body)
+	if refused != nil {
+		return run.Chat{}, nil, refused
 	}
-	if token := r.Header.Get(HeaderSession); token != "" {
-		id, err := c.Sessions.Verify(token)
-		if err != nil || id.Team != team.Name {
-			return q, invalid("invalid_session", "The session is not valid for this team."), false
-		}
-		q.Session = id
+	common, refused := c.common(r, body)
+	if refused != nil {
+		return run.Chat{}, nil, refused
 	}
-	key := r.Header.Get(HeaderKey)
-	q.Keyed = key != ""
-	if key == "" {
-		// No retry can name this request again, so the key needs no memory.
-		key, q.First = string(record.NewRunID()), true
+	common.Wait = c.Limits.FirstToken
+	have, refused := lastEvent(r, common.Keyed)
+	if refused == nil && have.Run != "" && !req.Stream {
+		refused = badRequest("last_event_id_without_stream", "%s is for streamed answers.", HeaderLast)
 	}
-	q.Key = record.RequestKey{Team: team.Name, Session: q.Session.ID, Key: key}
-	if p, err := strconv.Atoi(r.Header.Get(HeaderPriority)); err == nil {
-		q.Priority = decide.Priority(min(max(p, int(decide.PriorityBatch)), int(decide.PriorityCall)))
+	chat := run.Chat{
+		Request: common, Model: req.Model, Messages: req.messages, Params: req.params,
+		PromptTokens: c.promptBound(req.messages), MaxTokens: req.maxTokens, Have: have,
 	}
-	return q, problem{}, true
+	return chat, req, refused
 }
 
 type chatMessage struct {
@@ -132,13 +69,18 @@
 }
 
 type chatUsage struct {
-	Prompt     int64 `json:"prompt_tokens"`
-	Completion int64 `json:"completion_tokens"`
-	Total      int64 `json:"total_tokens"`
+	Prompt     int64        `json:"prompt_tokens"`
+	Completion int64        `json:"completion_tokens"`
+	Total      int64        `json:"total_tokens"`
+	Details    usageDetails `json:"prompt_tokens_details"`
+}
+
+type usageDetails struct {
+	Cached int64 `json:"cached_tokens"`
 }
 
 type chatCompletion struct {
-	ID      string       `json:"id"`
+	ID      record.RunID `json:"id"`
 	Object  string       `json:"object"`
 	Created int64        `json:"created"`
 	Model   string       `json:"model"`
@@ -147,23 +89,47 @@
 }
 
 func usageOf(u endpoint.Usage) *chatUsage {
-	return &chatUsage{Prompt: u.Prompt, Completion: u.Completion, Total: u.Prompt + u.Completion}
+	return &chatUsage{
+		Prompt: u.Prompt, Completion: u.Completion, Total: u.Prompt + u.Completion, Details: usageDetails{Cached: u.Cached},
+	}
 }
 
+// errTooLarge says that an answer is larger than may be buffered.
+var errTooLarge = errors.New("entry: answer too large")
+
+// wholeChat buffers the answer: the caller gets it whole or not at all.
 func (c *Callers) wholeChat(w http.ResponseWriter, r *http.Request, chat run.Chat) {
 	var text strings.Builder
+	tooLarge := false
 	result, err := c.Runner.Chat(r.Context(), chat, func(_ record.RunID, t endpoint.Token) error {
+		if text.Len()+len(t.Text) > c.Limits.AnswerBytes {
+			tooLarge = true
+			return errTooLarge
+		}
 		text.WriteString(t.Text)
-		return nil
+		return r.Context().Err()
 	})
+	c.writeWithin(w)
+	if tooLarge {
+		writeProblem(w, http.StatusBadGateway, problem{
+			Type: typeServer, Code: "answer_too_large", Message: "The answer is too large to be sent whole; ask for a stream.", Outcome: record.OutcomeUnknown,
+		})
+		return
+	}
 	if err != nil {
 		status, p := fromFailure(err)
 		writeProblem(w, status, p)
 		return
 	}
 	writeJSON(w, http.StatusOK, chatCompletion{
-		ID: string(result.Run), Object: "chat.completion", Created: time.Now().Unix(), Model: chat.Model,
+		ID: result.Run, Object: "chat.completion", Created: time.Now().Unix(), Model: chat.Model,
 		Choices: []chatChoice{{Message: &chatMessage{Role: "assistant", Content: text.String()}, FinishReason: &result.Finish}},
 		Usage:   usageOf(result.Usage),
 	})
 }
+
+// writeWithin bounds the next write, so that a caller who takes nothing does
+// not hold the connection for ever.
+func (c *Callers) writeWithin(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(c.Limits.Write))
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -1,4 +1,6 @@
-// Package entry is the callers' and operators' HTTP interface.
+// Package entry is the callers' HTTP interface: chat completions in the usual
+// shape, plain services and sessions. Every refusal is JSON with the outcome,
+// a code, a sentence and, where it helps, when to come back.
 package entry
 
 import (
@@ -23,14 +25,26 @@
 	// HeaderFirst is the caller's promise that this is its first attempt.
 	HeaderFirst    = "X-First-Attempt"
 	HeaderPriority = "X-Priority"
+	// HeaderLast names the last event that the caller has; see lastEvent.
+	HeaderLast = "Last-Event-ID"
 )
 
 // Limits bound what callers may send and how long they wait.
 type Limits struct {
-	BodyBytes     int64
-	MaxTokens     int
+	BodyBytes int64
+	// AnswerBytes bounds an answer that is buffered whole.
+	AnswerBytes int
+	MaxTokens   int
+	// BytesPerToken is the least number of prompt bytes that one token stands
+	// for. The prompt's worst case is reserved by it; see promptBound.
+	BytesPerToken int
 	FirstToken    time.Duration
 	ServiceAnswer time.Duration
+	// Read bounds the arrival of a body, Write each write to a caller: one that
+	// takes nothing for so long counts as gone.
+	Read, Write time.Duration
+	// Heartbeat is the time between two comments on a stream without tokens.
+	Heartbeat time.Duration
 }
 
 // Appender appends records to the log; see platform.Publisher.
@@ -49,9 +63,25 @@
 	Ready func() bool
 }
 
+const (
+	headWithin     = 10 * time.Second
+	idleWithin     = 2 * time.Minute
+	maxHeaderBytes = 32 << 10
+)
+
+// NewServer returns a server for callers. It has no time limit on whole
+// requests, since a stream may last; the handlers bound each read and write.
+func NewServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: headWithin, IdleTimeout: idleWithin, MaxHeaderBytes: maxHeaderBytes,
+	}
+}
+
 // Handler returns the callers' routes.
 func (c *Callers) Handler() http.Handler {
 	r := chi.NewRouter()
+	r.NotFound(handleNotFound)
+	r.MethodNotAllowed(handleMethodNotAllowed)
 	r.Get("/readyz", c.handleReady)
 	r.Group(func(r chi.Router) {
 		r.Use(c.authenticate)
@@ -62,6 +92,19 @@
 	return r
 }
 
+func handleNotFound(w http.ResponseWriter, _ *http.Request) {
+	writeProblem(w, http.StatusNotFound, invalid("no_such_path", "There is nothing at this path."))
+}
+
+func handleMethodNotAllowed(w http.ResponseWriter, r *http.Request) {
+	allowed := http.MethodPost
+	if r.URL.Path == "/readyz" {
+		allowed = http.MethodGet
+	}
+	w.Header().Set("Allow", allowed)
+	writeProblem(w, http.StatusMethodNotAllowed, invalid("method_not_allowed", "This path takes "+allowed+" only."))
+}
+
 func (c *Callers) handleReady(w http.ResponseWriter, _ *http.Request) {
 	if !c.Ready() {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
@@ -79,6 +122,7 @@
 		ok := false
 		c.Config.View(func(f *fold.Config) { team, ok = config.Authenticate(f, bearer(r)) })
 		if !ok {
+			w.Header().Set("WWW-Authenticate", "Bearer")
 			writeProblem(w, http.StatusUnauthorized, problem{
 				Type: typeAuthentication, Code: "invalid_api_key", Message: "The API key is missing or not valid.", Outcome: record.OutcomeNotRun,
 			})
--- a/internal/entry/problem.go
+++ b/internal/entry/problem.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 
+	"guavapier/internal/decide"
 	"guavapier/internal/record"
 	"guavapier/internal/run"
 )
@@ -51,18 +52,24 @@
 }
 
 func writeProblem(w http.ResponseWriter, status int, p problem) {
-	w.Header().Set("Content-Type", "application/json")
 	if p.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(p.RetryAfter))
 	}
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(p.body())
+	writeJSON(w, status, p.body())
 }
 
+// writeJSON writes a whole answer with its length, so that the caller can tell
+// it from a part.
 func writeJSON(w http.ResponseWriter, status int, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(v)
+	_, _ = w.Write(data)
 }
 
 // invalid is a request that can never run as it stands.
@@ -86,10 +93,16 @@
 		status, p.Type = http.StatusPaymentRequired, typeQuota
 	case run.CodeKeyReused:
 		status, p.Type = http.StatusUnprocessableEntity, typeInvalid
+	case run.CodeRejected:
+		status, p.Type = http.StatusBadRequest, typeInvalid
 	case run.CodeOutcomeUnknown, run.CodeAnswerGone, run.CodeAnswerNotKept, run.CodeRunGone:
 		status = http.StatusConflict
 	case run.CodeEndpointFailed:
 		status = http.StatusBadGateway
+	case run.CodeNoAnswerInTime:
+		status = http.StatusGatewayTimeout
+	case run.Code(decide.CodeOverloaded):
+		status, p.Type = http.StatusTooManyRequests, typeRateLimit
 	}
 	return status, p
 }
--- /dev/null
+++ b/internal/entry/request.go
@@ -0,0 +1,124 @@
+package entry
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"guavapier/internal/decide"
+	"guavapier/internal/record"
+	"guavapier/internal/run"
+	"guavapier/internal/session"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// maxKeyBytes bounds an Idempotency-Key; claims keep it for their window.
+const maxKeyBytes = 255
+
+// refusal is a request's final answer by its form alone.
+type refusal struct {
+	status int
+	problem
+}
+
+func badRequest(code, format string, args ...any) *refusal {
+	return &refusal{status: http.StatusBadRequest, problem: invalid(code, fmt.Sprintf(format, args...))}
+}
+
+func (f *refusal) write(w http.ResponseWriter) { writeProblem(w, f.status, f.problem) }
+
+// readBody reads a bounded body within the limit of time.
+func (c *Callers) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *refusal) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(c.Limits.Read))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, c.Limits.BodyBytes))
+	// The server watches the connection for the caller's leaving from here on.
+	_ = control.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		text := fmt.Sprintf("The body is larger than %d bytes.", tooLarge.Limit)
+		return nil, &refusal{status: http.StatusRequestEntityTooLarge, problem: invalid("body_too_large", text)}
+	case err != nil:
+		return nil, badRequest("body_unreadable", "The body did not arrive whole in time.")
+	}
+	return body, nil
+}
+
+// common reads what all requests have in common: session, key, priority.
+func (c *Callers) common(r *http.Request, body []byte) (run.Request, *refusal) {
+	team := teamOf(r)
+	q := run.Request{
+		Team: team, Digest: digest(r, body), First: r.Header.Get(HeaderFirst) == "true", Priority: decide.PriorityInteractive,
+		// Without a session there is no home zone: the claim's shard must not
+		// depend on the instance that a retry reaches.
+		Session: session.Identity{Team: team.Name},
+	}
+	if token := r.Header.Get(HeaderSession); token != "" {
+		id, err := c.Sessions.Verify(token)
+		if err != nil || id.Team != team.Name {
+			return q, &refusal{status: http.StatusForbidden, problem: invalid("invalid_session", "The session is not valid for this team.")}
+		}
+		q.Session = id
+	}
+	if text := r.Header.Get(HeaderPriority); text != "" {
+		p, err := strconv.Atoi(text)
+		if err != nil || p < int(decide.PriorityBatch) || p > int(decide.PriorityCall) {
+			return q, badRequest("invalid_priority", "%s must be between %d and %d.", HeaderPriority, decide.PriorityBatch, decide.PriorityCall)
+		}
+		q.Priority = decide.Priority(p)
+	}
+	key := r.Header.Get(HeaderKey)
+	if !validKey(key) {
+		return q, badRequest("invalid_idempotency_key", "%s must be at most %d visible ASCII characters.", HeaderKey, maxKeyBytes)
+	}
+	q.Keyed = key != ""
+	if !q.Keyed {
+		// No retry can name this request again, so the key needs no memory.
+		key, q.First = string(record.NewRunID()), true
+	}
+	q.Key = record.RequestKey{Team: team.Name, Session: q.Session.ID, Key: key}
+	return q, nil
+}
+
+func validKey(key string) bool {
+	visible := func(c rune) bool { return c > ' ' && c <= '~' }
+	return len(key) <= maxKeyBytes && strings.IndexFunc(key, func(c rune) bool { return !visible(c) }) < 0
+}
+
+// digest tells requests under one key apart: by method, path, query and body.
+func digest(r *http.Request, body []byte) uint64 {
+	h := xxhash.New()
+	for _, part := range []string{r.Method, r.URL.EscapedPath(), r.URL.RawQuery} {
+		_, _ = h.WriteString(part)
+		_, _ = h.WriteString("\x00")
+	}
+	_, _ = h.Write(body)
+	return h.Sum64()
+}
+
+// lastEvent reads "run.N" from the Last-Event-ID: the caller has the first N
+// tokens of that run's answer. Only the run's key finds it again, at any
+// instance.
+func lastEvent(r *http.Request, keyed bool) (run.Position, *refusal) {
+	text := r.Header.Get(HeaderLast)
+	if text == "" {
+		return run.Position{}, nil
+	}
+	id, number, _ := strings.Cut(text, ".")
+	n, err := strconv.Atoi(number)
+	switch {
+	case err != nil || n < 1 || id == "":
+		return run.Position{}, badRequest("invalid_last_event_id", "%s must be the id of an event of an earlier answer.", HeaderLast)
+	case !keyed:
+		return run.Position{}, badRequest("idempotency_key_missing", "%s needs the %s of the earlier request.", HeaderLast, HeaderKey)
+	}
+	return run.Position{Run: record.RunID(id), Tokens: n}, nil
+}
+
+func eventID(run record.RunID, tokens int) string { return string(run) + "." + strconv.Itoa(tokens) }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -1,8 +1,10 @@
 package entry
 
 import (
-	"io"
 	"net/http"
+	"path"
+	"strconv"
+	"strings"
 
 	"guavapier/internal/decide"
 	"guavapier/internal/run"
@@ -11,36 +13,57 @@
 )
 
 func (c *Callers) handleService(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, c.Limits.BodyBytes))
-	if err != nil {
-		writeProblem(w, http.StatusRequestEntityTooLarge, invalid("body_too_large", "The body is larger than allowed."))
-		return
-	}
-	if r.Header.Get(HeaderKey) == "" {
-		writeProblem(w, http.StatusBadRequest, invalid("idempotency_key_missing", "A call that may not be repeated needs an Idempotency-Key."))
+	body, refused := c.readBody(w, r)
+	if refused != nil {
+		refused.write(w)
 		return
 	}
-	common, p, ok := c.common(r, body)
-	if !ok {
-		writeProblem(w, http.StatusForbidden, p)
+	call, refused := c.callOf(r, body)
+	if refused != nil {
+		refused.write(w)
 		return
 	}
-	common.Wait = c.Limits.ServiceAnswer
-	common.Priority = decide.PriorityCall
-	answer, err := c.Runner.Call(r.Context(), run.Call{
-		Request: common, Service: chi.URLParam(r, "service"), Method: r.Method,
-		Path: "/call/" + chi.URLParam(r, "*"), ContentType: r.Header.Get("Content-Type"), Body: body,
-	})
+	answer, err := c.Runner.Call(r.Context(), call)
+	c.writeWithin(w)
 	if err != nil {
 		status, p := fromFailure(err)
 		writeProblem(w, status, p)
 		return
 	}
 	w.Header().Set("Content-Type", answer.ContentType)
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer.Body)))
 	w.WriteHeader(answer.Status)
 	_, _ = w.Write(answer.Body)
 }
 
+// callOf reads a service call whole; nothing has run before it returns.
+func (c *Callers) callOf(r *http.Request, body []byte) (run.Call, *refusal) {
+	common, refused := c.common(r, body)
+	if refused != nil {
+		return run.Call{}, refused
+	}
+	common.Wait = c.Limits.ServiceAnswer
+	common.Priority = decide.PriorityCall
+	call := run.Call{
+		Request: common, Service: chi.URLParam(r, "service"), Method: r.Method, Query: r.URL.RawQuery,
+		ContentType: r.Header.Get("Content-Type"), Body: body,
+	}
+	call.Path = strings.TrimPrefix(r.URL.EscapedPath(), "/v1/services/"+call.Service)
+	if !plainPath(r.URL.Path) {
+		return call, badRequest("malformed_path", "The path must not have empty or dot segments.")
+	}
+	if !common.Keyed && !c.Runner.Repeatable(call.Service, call.Method, call.Path) {
+		return call, badRequest("idempotency_key_missing", "A call that may not be repeated needs an %s.", HeaderKey)
+	}
+	return call, nil
+}
+
+// plainPath says whether a path is in its simplest form. In another one it
+// might mean another call to the service than to the rules.
+func plainPath(decoded string) bool {
+	return path.Clean(decoded) == strings.TrimSuffix(decoded, "/")
+}
+
 type sessionBody struct {
 	ID    string `json:"id"`
 	Token string `json:"token"`
--- a/internal/run/chat_test.go
+++ b/internal/run/chat_test.go
@@ -224,7 +224,7 @@
 
 func TestServiceCalls(t *testing.T) {
 	const get, post = http.MethodGet, http.MethodPost
-	rules, err := ParseRepeatRules("GET /call/status")
+	rules, err := ParseRepeatRules("GET /status")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -235,17 +235,17 @@
 		outcome record.Outcome
 		runs    [2]int
 	}{
-		"no fault":                  {standin.ServiceFaults{}, post, "/call/setpoint", record.OutcomeAnswered, [2]int{1, 0}},
-		"refused":                   {standin.ServiceFaults{Refuse: true}, post, "/call/setpoint", record.OutcomeAnswered, [2]int{0, 1}},
-		"leaving":                   {standin.ServiceFaults{Leaving: true}, post, "/call/setpoint", record.OutcomeAnswered, [2]int{0, 1}},
-		"lost after running":        {standin.ServiceFaults{Lose: 1}, post, "/call/setpoint", record.OutcomeUnknown, [2]int{1, 0}},
-		"masked":                    {standin.ServiceFaults{Masked: true}, post, "/call/setpoint", record.OutcomeUnknown, [2]int{1, 0}},
-		"late":                      {standin.ServiceFaults{SlowMs: 2000}, post, "/call/setpoint", record.OutcomeUnknown, [2]int{1, 0}},
-		"lost, repeatable":          {standin.ServiceFaults{Lose: 1}, get, "/call/status", record.OutcomeAnswered, [2]int{1, 1}},
-		"late, repeatable":          {standin.ServiceFaults{SlowMs: 2000}, get, "/call/status/x", record.OutcomeAnswered, [2]int{1, 1}},
-		"lost, other method":        {standin.ServiceFaults{Lose: 1}, post, "/call/status", record.OutcomeUnknown, [2]int{1, 0}},
-		"lost, path with dots":      {standin.ServiceFaults{Lose: 1}, get, "/call/status/../setpoint", record.OutcomeUnknown, [2]int{1, 0}},
-		"lost, only a like segment": {standin.ServiceFaults{Lose: 1}, get, "/call/statusx", record.OutcomeUnknown, [2]int{1, 0}},
+		"no fault":                  {standin.ServiceFaults{}, post, "/setpoint", record.OutcomeAnswered, [2]int{1, 0}},
+		"refused":                   {standin.ServiceFaults{Refuse: true}, post, "/setpoint", record.OutcomeAnswered, [2]int{0, 1}},
+		"leaving":                   {standin.ServiceFaults{Leaving: true}, post, "/setpoint", record.OutcomeAnswered, [2]int{0, 1}},
+		"lost after running":        {standin.ServiceFaults{Lose: 1}, post, "/setpoint", record.OutcomeUnknown, [2]int{1, 0}},
+		"masked":                    {standin.ServiceFaults{Masked: true}, post, "/setpoint", record.OutcomeUnknown, [2]int{1, 0}},
+		"late":                      {standin.ServiceFaults{SlowMs: 2000}, post, "/setpoint", record.OutcomeUnknown, [2]int{1, 0}},
+		"lost, repeatable":          {standin.ServiceFaults{Lose: 1}, get, "/status", record.OutcomeAnswered, [2]int{1, 1}},
+		"late, repeatable":          {standin.ServiceFaults{SlowMs: 2000}, get, "/status/x", record.OutcomeAnswered, [2]int{1, 1}},
+		"lost, other method":        {standin.ServiceFaults{Lose: 1}, post, "/status", record.OutcomeUnknown, [2]int{1, 0}},
+		"lost, path with dots":      {standin.ServiceFaults{Lose: 1}, get, "/status/../setpoint", record.OutcomeUnknown, [2]int{1, 0}},
+		"lost, only a like segment": {standin.ServiceFaults{Lose: 1}, get, "/statusx", record.OutcomeUnknown, [2]int{1, 0}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newBench(t)
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -112,6 +112,8 @@
 	Request
 	Model    string
 	Messages json.RawMessage
+	// Params are the caller's further fields, for the engine as they are.
+	Params map[string]json.RawMessage
 	// PromptTokens is the worst case of the prompt, MaxTokens of the answer.
 	PromptTokens int
 	MaxTokens    int
@@ -121,7 +123,7 @@
 
 func (c Chat) order(run record.RunID) endpoint.Order {
 	return endpoint.Order{
-		Run: run, Priority: int(c.Priority), Model: c.Model, Messages: c.Messages, MaxTokens: c.MaxTokens,
+		Run: run, Priority: int(c.Priority), Model: c.Model, Messages: c.Messages, Params: c.Params, MaxTokens: c.MaxTokens,
 	}
 }
 
--- a/internal/run/service.go
+++ b/internal/run/service.go
@@ -14,13 +14,25 @@
 // Call is one call of a plain service.
 type Call struct {
 	Request
-	Service     string
-	Method      string
+	Service string
+	Method  string
+	// Path is the call's path below the service, escaped, with a slash in front.
 	Path        string
+	Query       string
 	ContentType string
 	Body        []byte
 }
 
+// callsPath is the path of a plain service below which its calls are.
+const callsPath = "/call"
+
+func (c Call) target() string {
+	if c.Query == "" {
+		return callsPath + c.Path
+	}
+	return callsPath + c.Path + "?" + c.Query
+}
+
 // Repeatable says whether a call may run more than once. Without a rule that
 // says so it may not.
 func (r *Runner) Repeatable(service, method, path string) bool {
@@ -139,7 +151,7 @@
 	}
 	s.attempt++
 	answer, err := r.Services.Call(ctx, base, endpoint.Call{
-		Run: s.run, Attempt: s.attempt, Method: s.call.Method, Path: s.call.Path, ContentType: s.call.ContentType, Body: s.call.Body,
+		Run: s.run, Attempt: s.attempt, Method: s.call.Method, Path: s.call.target(), ContentType: s.call.ContentType, Body: s.call.Body,
 	})
 	if !errors.Is(err, endpoint.ErrRefused) {
 		s.started = true
--- a/internal/server/endpoints.go
+++ b/internal/server/endpoints.go
@@ -39,6 +39,16 @@
 	runControl = 10 * time.Second
 )
 
+const (
+	// promptBytesPerToken bounds a prompt's tokens; see entry.Limits.
+	promptBytesPerToken = 2
+	readWithin          = time.Minute
+	writeWithin         = 30 * time.Second
+	// callerHeartbeat is below the usual idle limits of middleboxes (30 s and
+	// more). It also bounds how late a refusal can still have its status.
+	callerHeartbeat = 10 * time.Second
+)
+
 func runLimits(limits settings.Limits) run.Limits {
 	return run.Limits{
 		Endpoints: runEndpoints, Resumes: runResumes, Progress: limits.Progress.D(), Linger: runLinger, Control: runControl,
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -119,7 +119,7 @@
 func (s *Server) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	callers := &http.Server{Handler: s.callersHandler(), ReadHeaderTimeout: 10 * time.Second}
+	callers := entry.NewServer(s.callersHandler())
 	operators := &http.Server{Handler: s.operatorsHandler(), ReadHeaderTimeout: 10 * time.Second}
 	var group errgroup.Group
 	group.Go(func() error { return s.follow(background) })
@@ -178,7 +178,8 @@
 	c := &entry.Callers{
 		Zone: record.Zone(s.settings.Instance.Zone), Config: s.config, Sessions: s.secrets.Sessions, Runner: s.runner,
 		Limits: entry.Limits{
-			BodyBytes: limits.BodyBytes, MaxTokens: limits.MaxTokens,
+			BodyBytes: limits.BodyBytes, AnswerBytes: int(limits.AnswerBytes), MaxTokens: limits.MaxTokens,
+			BytesPerToken: promptBytesPerToken, Read: readWithin, Write: writeWithin, Heartbeat: callerHeartbeat,
 			FirstToken: limits.FirstToken.D(), ServiceAnswer: limits.ServiceAnswer.D(),
 		},
 		Ready: func() bool { return !s.draining.Load() && s.members.Seen() },
