--- a/internal/run/generate.go
+++ b/internal/run/generate.go
@@ -35,6 +35,7 @@
 	return decide.Request{
 		Team: c.Team.Name, Session: c.Session.ID, Model: c.Model, Priority: c.Priority,
 		Deadline: deadline, PromptTokens: c.PromptTokens, MaxTokens: c.MaxTokens, Avoid: g.avoid,
+		Repeatable: true,
 	}
 }
 
@@ -51,7 +52,7 @@
 // replaced at once by one that resumes the run.
 func (r *Runner) atEndpoint(ctx context.Context, p *dispatch.Placement, g *generation) (err error) {
 	meter := newMeter(p)
-	defer func() { meter.done(err) }()
+	defer func() { meter.done(ctx, err) }()
 	base, ok := r.Endpoints.URL(p.Endpoint)
 	if !ok {
 		return endpoint.ErrRefused
--- a/internal/run/meter.go
+++ b/internal/run/meter.go
@@ -28,9 +28,12 @@
 	m.result.Tokens++
 }
 
-func (m *meter) done(err error) {
+// done ends the placement. ctx is the run's: an attempt that failed because it
+// ended says nothing about the endpoint.
+func (m *meter) done(ctx context.Context, err error) {
 	m.result.Total = time.Since(m.began)
 	m.result.Failed = err != nil
+	m.result.Abandoned = err != nil && ctx.Err() != nil
 	m.result.Silent = errors.Is(err, endpoint.ErrSilent) || errors.Is(err, errStalled)
 	m.placement.Done(m.result)
 }
--- a/internal/run/service.go
+++ b/internal/run/service.go
@@ -112,7 +112,7 @@
 		}
 		meter := newMeter(placement)
 		answer, err := r.sendTo(ctx, s, placement.Endpoint)
-		meter.done(err)
+		meter.done(ctx, err)
 		if err == nil {
 			return answer, nil
 		}
@@ -133,6 +133,7 @@
 	c := s.call
 	return decide.Request{
 		Team: c.Team.Name, Session: c.Session.ID, Service: c.Service, Priority: c.Priority, Deadline: deadline, Avoid: s.avoid,
+		Repeatable: s.repeatable,
 	}
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -55,6 +55,7 @@
 	members    *membership.Members
 	pool       *peer.Pool
 	peerServer *peer.Server
+	budgets    *ledger.Ledger
 	holder     *claim.Holder
 	claims     *claim.Fleet
 	runner     *run.Runner
@@ -79,17 +80,17 @@
 	for n := range s.Ledger.Partitions {
 		srv.partitions = append(srv.partitions, replica.New(record.LedgerStream(n), fold.NewLedger()))
 	}
-	srv.dispatcher = dispatch.New()
+	srv.dispatcher = dispatch.NewWithOptions(placement(s, srv.id))
 	srv.joinPeers()
+	if err := srv.joinBudgets(); err != nil {
+		return nil, err
+	}
 	if err := srv.joinClaims(); err != nil {
 		return nil, err
 	}
 	srv.clients = newEndpointClients(s.Limits, srv.members, srv.dispatcher)
 	srv.runner = &run.Runner{
-		Claims: srv.claims,
-		Accounts: ledger.New(srv.id, record.Zone(s.Instance.Zone), srv.publisher, srv.partitions, ledger.Options{
-			GrantTokens: s.Ledger.GrantTokens, Patience: s.Ledger.Patience.D(),
-		}),
+		Claims: srv.claims, Accounts: srv.budgets,
 		Placer: srv.dispatcher, Endpoints: endpoints{srv.members},
 		Engines: srv.clients.engines, Services: srv.clients.services,
 		Repeats: repeatRules{srv.config}, Limits: runLimits(s.Limits), Leaving: srv.leaving,
@@ -131,9 +132,11 @@
 	group.Go(func() error { return ignoreClosed(operators.Serve(s.operators)) })
 	s.log.Info().Str("id", string(s.id)).Str("callers", s.CallersAddr()).Str("operators", s.OperatorsAddr()).
 		Str("peers", s.PeersAddr()).Msg("server: serving")
+	group.Go(func() error { return s.budgets.Run(background) })
 	<-ctx.Done()
 	s.drain(callers, operators)
 	s.leaveClaims()
+	s.leaveBudgets()
 	stop()
 	s.leavePeers()
 	s.holder.Close()
@@ -164,6 +167,9 @@
 	onError := func(err error) { s.log.Error().Err(err).Msg("replica: batch passed over") }
 	sources := []replica.Source{{Stream: record.ConfigStream, Handler: s.config.Handle(onError)}}
 	for _, p := range s.partitions {
+		if !s.follows(p) {
+			continue
+		}
 		sources = append(sources, replica.Source{Stream: p.Stream(), Handler: p.Handle(onError)})
 	}
 	trimmed := func(stream record.Stream, first uint64) {
