--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -82,13 +82,13 @@
 	}
 	srv.dispatcher = dispatch.NewWithOptions(placement(s, srv.id))
 	srv.joinPeers()
+	srv.clients = newEndpointClients(s.Limits, srv.members, srv.dispatcher)
 	if err := srv.joinBudgets(); err != nil {
 		return nil, err
 	}
 	if err := srv.joinClaims(); err != nil {
 		return nil, err
 	}
-	srv.clients = newEndpointClients(s.Limits, srv.members, srv.dispatcher)
 	srv.runner = &run.Runner{
 		Claims: srv.claims, Accounts: srv.budgets,
 		Placer: srv.dispatcher, Endpoints: endpoints{srv.members},
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -114,6 +114,14 @@
 	crossed crossing[*engineRun]
 	report  lagged[LoadReport]
 	orders  orders
+	refused Refusals
+}
+
+// Refusals counts the orders that the engine refused because it was leaving.
+type Refusals struct {
+	Count int `json:"count"`
+	// Last is when the last one came, in Unix milliseconds.
+	Last int64 `json:"last"`
 }
 
 // NewEngine returns an idle engine.
@@ -133,6 +141,7 @@
 	r.Get("/runs", e.handleRuns)
 	r.Get("/runs/{run}", e.handleRun)
 	r.Delete("/runs/{run}", e.handleCancel)
+	r.Get("/refusals", e.handleRefusals)
 	r.Get("/load", e.handleLoad)
 	r.Get("/cache/events", e.handleCacheEvents)
 	r.Get("/orders", e.handleOrders)
@@ -196,6 +205,13 @@
 	return runs
 }
 
+func (e *Engine) handleRefusals(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	refused := e.refused
+	e.mu.Unlock()
+	writeJSON(w, refused)
+}
+
 func (e *Engine) handleRuns(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Runs()) }
 
 func (e *Engine) handleRun(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/engine_chat.go
+++ b/internal/standin/engine_chat.go
@@ -80,6 +80,7 @@
 	case o.only:
 		return nil, http.StatusNotFound, "no such run"
 	case e.faults.Leaving:
+		e.refused = Refusals{Count: e.refused.Count + 1, Last: time.Now().UnixMilli()}
 		return nil, http.StatusServiceUnavailable, "leaving"
 	case e.faults.Refuse:
 		return nil, http.StatusTooManyRequests, "refused"
