--- a/internal/run/repeat.go
+++ b/internal/config/repeat.go
@@ -1,4 +1,4 @@
-package run
+package config
 
 import (
 	"path"
@@ -8,7 +8,11 @@
 )
 
 // ErrRepeatRule says that a rule for repeatable calls is malformed.
-var ErrRepeatRule = eris.New(`run: a rule for repeatable calls is "METHOD /path"`)
+var ErrRepeatRule = eris.New(`config: a rule for repeatable calls is "METHOD /path"`)
+
+// RepeatablePath returns the path of a service's rules for calls that may be
+// repeated; see ParseRepeatRules.
+func RepeatablePath(service string) string { return join(FleetPath, "services", service, "repeatable") }
 
 // RepeatRule lets the calls of one method under one path be repeated.
 type RepeatRule struct {
@@ -27,7 +31,7 @@
 			continue
 		}
 		if len(fields) != 2 || fields[0] != strings.ToUpper(fields[0]) || !strings.HasPrefix(fields[1], "/") {
-			return nil, eris.Wrapf(ErrRepeatRule, "run: %q", item)
+			return nil, eris.Wrapf(ErrRepeatRule, "config: %q", item)
 		}
 		rules = append(rules, RepeatRule{Method: fields[0], Path: strings.TrimSuffix(fields[1], "/")})
 	}
--- /dev/null
+++ b/internal/config/repeat_test.go
@@ -0,0 +1,14 @@
+package config
+
+import (
+	"errors"
+	"testing"
+)
+
+func TestMalformedRepeatRulesAllowNothing(t *testing.T) {
+	for _, text := range []string{"GET", "get /x", "GET x", "GET /a b", "GET /ok, POST"} {
+		if rules, err := ParseRepeatRules(text); !errors.Is(err, ErrRepeatRule) || rules != nil {
+			t.Errorf("%q: %v, %v", text, rules, err)
+		}
+	}
+}
--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -52,7 +52,7 @@
 		{Pattern: "/teams/{team}/endpoints/{name}/weight", Unit: "weight", Default: "1", value: count(1, 1000), Doc: "The endpoint's share of the team's sessions."},
 		{Pattern: "/fleet/operator_keys/{sha256}", Unit: "text", value: anyText, Doc: "A fleet operator's credential, by the SHA-256 of the token. The value is the operator's name."},
 		{Pattern: "/fleet/operator_keys/{sha256}/expires", Unit: "RFC 3339 time", Default: "never", value: instant, Doc: "The credential is refused from then on."},
-		{Pattern: "/fleet/services/{name}/repeatable", Unit: "switch", Default: "false", value: choice("true", "false"), Doc: "Whether a call of the service may run twice."},
+		{Pattern: "/fleet/services/{name}/repeatable", Unit: "rules", Default: "none", value: repeatRules, Doc: "Which calls of the service may run twice: METHOD /path, parted by commas; a path covers all below it."},
 		{Pattern: "/fleet/engines/{name}/slots", Unit: "requests", Default: "16", value: count(1, 4096), Doc: "Requests that the endpoint works on at once."},
 		{Pattern: "/fleet/engines/{name}/weight", Unit: "weight", Default: "1", value: count(1, 1000), Doc: "The endpoint's capacity against the others."},
 		{Pattern: "/fleet/engines/{name}/fencing", Unit: "switch", Default: "ignores", value: choice("checks", "ignores"), Doc: "Whether the endpoint refuses an order with an old fencing number."},
@@ -63,10 +63,11 @@
 	namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$`)
 	hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
 
-	anyText = value{fmt.Sprintf("text of at most %d bytes", MaxValueBytes), func(string) bool { return true }}
-	anyName = value{"a name: letters, digits, dots, dashes, underscores; at most 100", ValidName}
-	instant = value{"a time like 2027-01-31T00:00:00Z", func(v string) bool { _, err := time.Parse(time.RFC3339, v); return err == nil }}
-	share   = value{"a number from 0 to 1", func(v string) bool { f, err := strconv.ParseFloat(v, 64); return err == nil && f >= 0 && f <= 1 }}
+	anyText     = value{fmt.Sprintf("text of at most %d bytes", MaxValueBytes), func(string) bool { return true }}
+	anyName     = value{"a name: letters, digits, dots, dashes, underscores; at most 100", ValidName}
+	instant     = value{"a time like 2027-01-31T00:00:00Z", func(v string) bool { _, err := time.Parse(time.RFC3339, v); return err == nil }}
+	repeatRules = value{"rules like GET /calendar, POST /tags", func(v string) bool { _, err := ParseRepeatRules(v); return err == nil }}
+	share       = value{"a number from 0 to 1", func(v string) bool { f, err := strconv.ParseFloat(v, 64); return err == nil && f >= 0 && f <= 1 }}
 )
 
 func count(low, high int) value {
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -40,7 +40,7 @@
 		return run.Chat{}, nil, refused
 	}
 	common.Wait = c.Limits.FirstToken
-	have, refused := lastEvent(r, common.Keyed)
+	have, refused := c.lastEvent(r)
 	if refused == nil && have.Run != "" && !req.Stream {
 		refused = badRequest("last_event_id_without_stream", "%s is for streamed answers.", HeaderLast)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -25,7 +25,7 @@
 	// HeaderFirst is the caller's promise that this is its first attempt.
 	HeaderFirst    = "X-First-Attempt"
 	HeaderPriority = "X-Priority"
-	// HeaderLast names the last event that the caller has; see lastEvent.
+	// HeaderLast names the last event that the caller has; see eventID.
 	HeaderLast = "Last-Event-ID"
 )
 
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -33,7 +33,10 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-const testKey = "dala:secret"
+const (
+	testKey    = "dala:secret"
+	testSecret = "0123456789abcdef"
+)
 
 // free is Accounts without a limit.
 type free struct{}
@@ -85,11 +88,12 @@
 
 // door is a callers' interface before one stand-in engine.
 type door struct {
-	base   string
-	engine *standin.Engine
-	behind *httptest.Server // The engine's server.
-	keys   session.Keyring
-	limits *Limits
+	base    string
+	engine  *standin.Engine
+	behind  *httptest.Server // The engine's server.
+	keys    session.Keyring
+	limits  *Limits
+	callers *Callers
 }
 
 func newDoor(t *testing.T) *door {
@@ -117,7 +121,7 @@
 		Limits:  run.Limits{Endpoints: 2, Resumes: 1, Progress: 10 * time.Second, Linger: time.Minute, Control: 2 * time.Second},
 		Leaving: func(string) {}, OnError: func(err error) { t.Error(err) },
 	}
-	d.keys = session.Keyring{Current: "k1", Keys: map[string][]byte{"k1": []byte("0123456789abcdef")}}
+	d.keys = session.Keyring{Current: "k1", Keys: map[string][]byte{"k1": []byte(testSecret)}}
 	callers := &Callers{
 		Zone: "hall-a", Config: replica.New(record.ConfigStream, f), Sessions: d.keys, Runner: runner,
 		Limits: Limits{
@@ -126,7 +130,7 @@
 		},
 		Ready: func() bool { return true },
 	}
-	d.limits = &callers.Limits
+	d.limits, d.callers = &callers.Limits, callers
 	server := httptest.NewUnstartedServer(nil)
 	server.Config = NewServer(callers.Handler())
 	server.Config.ConnState = func(conn net.Conn, state http.ConnState) {
@@ -193,56 +197,58 @@
 		status             int
 		code               string
 	}{
-		"no such path":          {post, "/v2/x", "", nil, 404, "no_such_path"},
-		"no such path, no key":  {post, "/v2/x", "", []string{"Authorization", ""}, 404, "no_such_path"},
-		"wrong method":          {"GET", chatPath, "", nil, 405, "method_not_allowed"},
-		"no API key":            {post, chatPath, chat(""), []string{"Authorization", ""}, 401, "invalid_api_key"},
-		"wrong API key":         {post, chatPath, chat(""), []string{"Authorization", "Bearer dala:other"}, 401, "invalid_api_key"},
-		"other team's API key":  {post, chatPath, chat(""), []string{"Authorization", "Bearer another:secret"}, 401, "invalid_api_key"},
-		"path as a team":        {post, chatPath, chat(""), []string{"Authorization", "Bearer dala/x:secret"}, 401, "invalid_api_key"},
-		"empty body":            {post, chatPath, "", nil, 400, "malformed_body"},
-		"not JSON":              {post, chatPath, "hello", nil, 400, "malformed_body"},
-		"cut JSON":              {post, chatPath, `{"model":"sm`, nil, 400, "malformed_body"},
-		"two values":            {post, chatPath, chat("") + "{}", nil, 400, "malformed_body"},
-		"not an object":         {post, chatPath, `[1]`, nil, 400, "malformed_body"},
-		"null":                  {post, chatPath, `null`, nil, 400, "malformed_body"},
-		"deep":                  {post, chatPath, strings.Repeat("[", 4000), nil, 400, "malformed_body"},
-		"too large":             {post, chatPath, chat(`,"user":"` + strings.Repeat("x", 1<<13) + `"`), nil, 413, "body_too_large"},
-		"model missing":         {post, chatPath, `{"messages":[{"role":"user"}]}`, nil, 400, "model_missing"},
-		"model a number":        {post, chatPath, chat(`,"model":3`), nil, 400, "invalid_type"},
-		"messages missing":      {post, chatPath, `{"model":"small"}`, nil, 400, "messages_missing"},
-		"messages empty":        {post, chatPath, chat(`,"messages":[]`), nil, 400, "messages_missing"},
-		"messages a string":     {post, chatPath, chat(`,"messages":"hello"`), nil, 400, "invalid_type"},
-		"message a string":      {post, chatPath, chat(`,"messages":["hello"]`), nil, 400, "invalid_type"},
-		"other letters":         {post, chatPath, `{"model":"small","Messages":[{"role":"user"}]}`, nil, 400, "messages_missing"},
-		"message without role":  {post, chatPath, chat(`,"messages":[{"content":"x"}]`), nil, 400, "role_missing"},
-		"content a number":      {post, chatPath, chat(`,"messages":[{"role":"user","content":3}]`), nil, 400, "invalid_type"},
-		"max_tokens negative":   {post, chatPath, chat(`,"max_tokens":-1`), nil, 400, "max_tokens_out_of_range"},
-		"max_tokens zero":       {post, chatPath, chat(`,"max_tokens":0`), nil, 400, "max_tokens_out_of_range"},
-		"max_tokens too many":   {post, chatPath, chat(`,"max_tokens":100001`), nil, 400, "max_tokens_out_of_range"},
-		"max_tokens huge":       {post, chatPath, chat(`,"max_tokens":1e400`), nil, 400, "invalid_type"},
-		"max_tokens past int":   {post, chatPath, chat(`,"max_tokens":99999999999999999999`), nil, 400, "invalid_type"},
-		"max_tokens a fraction": {post, chatPath, chat(`,"max_tokens":1.5`), nil, 400, "invalid_type"},
-		"max_tokens a string":   {post, chatPath, chat(`,"max_tokens":"5"`), nil, 400, "invalid_type"},
-		"stream a string":       {post, chatPath, chat(`,"stream":"yes"`), nil, 400, "invalid_type"},
-		"temperature a string":  {post, chatPath, chat(`,"temperature":"hot"`), nil, 400, "invalid_type"},
-		"two choices":           {post, chatPath, chat(`,"n":2`), nil, 400, "n_not_supported"},
-		"priority a word":       {post, chatPath, chat(""), []string{HeaderPriority, "high"}, 400, "invalid_priority"},
-		"priority out of range": {post, chatPath, chat(""), []string{HeaderPriority, "9"}, 400, "invalid_priority"},
-		"key too long":          {post, chatPath, chat(""), []string{HeaderKey, strings.Repeat("k", 256)}, 400, "invalid_idempotency_key"},
-		"key with a space":      {post, chatPath, chat(""), []string{HeaderKey, "a b"}, 400, "invalid_idempotency_key"},
-		"session malformed":     {post, chatPath, chat(""), []string{HeaderSession, "gs1.x"}, 403, "invalid_session"},
-		"other team's session":  {post, chatPath, chat(""), []string{HeaderSession, foreign}, 403, "invalid_session"},
-		"last event malformed":  {post, chatPath, chat(`,"stream":true`), []string{HeaderKey, "k", HeaderLast, "x"}, 400, "invalid_last_event_id"},
-		"last event negative":   {post, chatPath, chat(`,"stream":true`), []string{HeaderKey, "k", HeaderLast, "r.-3"}, 400, "invalid_last_event_id"},
-		"last event, no key":    {post, chatPath, chat(`,"stream":true`), []string{HeaderLast, "r.3"}, 400, "idempotency_key_missing"},
-		"last event, whole":     {post, chatPath, chat(""), []string{HeaderKey, "k", HeaderLast, "r.3"}, 400, "last_event_id_without_stream"},
-		"call without key":      {post, service, "{}", nil, 400, "idempotency_key_missing"},
-		"call with dots":        {post, "/v1/services/rig/x/../setpoint", "{}", []string{HeaderKey, "k"}, 400, "malformed_path"},
-		"call with hidden dots": {post, "/v1/services/rig/x/%2e%2e/setpoint", "{}", []string{HeaderKey, "k"}, 400, "malformed_path"},
-		"call, two slashes":     {post, "/v1/services/rig//setpoint", "{}", []string{HeaderKey, "k"}, 400, "malformed_path"},
-		"call body too large":   {post, service, strings.Repeat("x", 1<<13), []string{HeaderKey, "k"}, 413, "body_too_large"},
-		"no endpoint":           {post, chatPath, chat(`,"model":"large"`), nil, 503, string(decide.CodeNoEndpoint)},
+		"no such path":                {post, "/v2/x", "", nil, 404, "no_such_path"},
+		"no such path, no key":        {post, "/v2/x", "", []string{"Authorization", ""}, 404, "no_such_path"},
+		"wrong method":                {"GET", chatPath, "", nil, 405, "method_not_allowed"},
+		"no API key":                  {post, chatPath, chat(""), []string{"Authorization", ""}, 401, "invalid_api_key"},
+		"wrong API key":               {post, chatPath, chat(""), []string{"Authorization", "Bearer dala:other"}, 401, "invalid_api_key"},
+		"other team's API key":        {post, chatPath, chat(""), []string{"Authorization", "Bearer another:secret"}, 401, "invalid_api_key"},
+		"path as a team":              {post, chatPath, chat(""), []string{"Authorization", "Bearer dala/x:secret"}, 401, "invalid_api_key"},
+		"empty body":                  {post, chatPath, "", nil, 400, "malformed_body"},
+		"not JSON":                    {post, chatPath, "hello", nil, 400, "malformed_body"},
+		"cut JSON":                    {post, chatPath, `{"model":"sm`, nil, 400, "malformed_body"},
+		"two values":                  {post, chatPath, chat("") + "{}", nil, 400, "malformed_body"},
+		"not an object":               {post, chatPath, `[1]`, nil, 400, "malformed_body"},
+		"null":                        {post, chatPath, `null`, nil, 400, "malformed_body"},
+		"deep":                        {post, chatPath, strings.Repeat("[", 4000), nil, 400, "malformed_body"},
+		"too large":                   {post, chatPath, chat(`,"user":"` + strings.Repeat("x", 1<<13) + `"`), nil, 413, "body_too_large"},
+		"model missing":               {post, chatPath, `{"messages":[{"role":"user"}]}`, nil, 400, "model_missing"},
+		"model a number":              {post, chatPath, chat(`,"model":3`), nil, 400, "invalid_type"},
+		"messages missing":            {post, chatPath, `{"model":"small"}`, nil, 400, "messages_missing"},
+		"messages empty":              {post, chatPath, chat(`,"messages":[]`), nil, 400, "messages_missing"},
+		"messages a string":           {post, chatPath, chat(`,"messages":"hello"`), nil, 400, "invalid_type"},
+		"message a string":            {post, chatPath, chat(`,"messages":["hello"]`), nil, 400, "invalid_type"},
+		"other letters":               {post, chatPath, `{"model":"small","Messages":[{"role":"user"}]}`, nil, 400, "messages_missing"},
+		"message without role":        {post, chatPath, chat(`,"messages":[{"content":"x"}]`), nil, 400, "role_missing"},
+		"content a number":            {post, chatPath, chat(`,"messages":[{"role":"user","content":3}]`), nil, 400, "invalid_type"},
+		"max_tokens negative":         {post, chatPath, chat(`,"max_tokens":-1`), nil, 400, "max_tokens_out_of_range"},
+		"max_tokens zero":             {post, chatPath, chat(`,"max_tokens":0`), nil, 400, "max_tokens_out_of_range"},
+		"max_tokens too many":         {post, chatPath, chat(`,"max_tokens":100001`), nil, 400, "max_tokens_out_of_range"},
+		"max_tokens huge":             {post, chatPath, chat(`,"max_tokens":1e400`), nil, 400, "invalid_type"},
+		"max_tokens past int":         {post, chatPath, chat(`,"max_tokens":99999999999999999999`), nil, 400, "invalid_type"},
+		"max_tokens a fraction":       {post, chatPath, chat(`,"max_tokens":1.5`), nil, 400, "invalid_type"},
+		"max_tokens a string":         {post, chatPath, chat(`,"max_tokens":"5"`), nil, 400, "invalid_type"},
+		"stream a string":             {post, chatPath, chat(`,"stream":"yes"`), nil, 400, "invalid_type"},
+		"temperature a string":        {post, chatPath, chat(`,"temperature":"hot"`), nil, 400, "invalid_type"},
+		"two choices":                 {post, chatPath, chat(`,"n":2`), nil, 400, "n_not_supported"},
+		"priority a word":             {post, chatPath, chat(""), []string{HeaderPriority, "high"}, 400, "invalid_priority"},
+		"priority out of range":       {post, chatPath, chat(""), []string{HeaderPriority, "9"}, 400, "invalid_priority"},
+		"key too long":                {post, chatPath, chat(""), []string{HeaderKey, strings.Repeat("k", 256)}, 400, "invalid_idempotency_key"},
+		"key with a space":            {post, chatPath, chat(""), []string{HeaderKey, "a b"}, 400, "invalid_idempotency_key"},
+		"session malformed":           {post, chatPath, chat(""), []string{HeaderSession, "gs1.x"}, 403, "invalid_session"},
+		"other team's session":        {post, chatPath, chat(""), []string{HeaderSession, foreign}, 403, "invalid_session"},
+		"last event malformed":        {post, chatPath, chat(`,"stream":true`), []string{HeaderKey, "k", HeaderLast, "x"}, 400, "invalid_last_event_id"},
+		"last event negative":         {post, chatPath, chat(`,"stream":true`), []string{HeaderKey, "k", HeaderLast, "r.-3"}, 400, "invalid_last_event_id"},
+		"last event negative, signed": {post, chatPath, chat(`,"stream":true`), []string{HeaderLast, "r.-3." + signRun([]byte(testSecret), "dala", "r")}, 400, "invalid_last_event_id"},
+		"last event forged":           {post, chatPath, chat(`,"stream":true`), []string{HeaderLast, "r.3." + signRun([]byte("guess"), "dala", "r")}, 400, "invalid_last_event_id"},
+		"other team's event":          {post, chatPath, chat(`,"stream":true`), []string{HeaderLast, "r.3." + signRun([]byte(testSecret), "another", "r")}, 400, "invalid_last_event_id"},
+		"last event, whole":           {post, chatPath, chat(""), []string{HeaderLast, "r.3." + signRun([]byte(testSecret), "dala", "r")}, 400, "last_event_id_without_stream"},
+		"call without key":            {post, service, "{}", nil, 400, "idempotency_key_missing"},
+		"call with dots":              {post, "/v1/services/rig/x/../setpoint", "{}", []string{HeaderKey, "k"}, 400, "malformed_path"},
+		"call with hidden dots":       {post, "/v1/services/rig/x/%2e%2e/setpoint", "{}", []string{HeaderKey, "k"}, 400, "malformed_path"},
+		"call, two slashes":           {post, "/v1/services/rig//setpoint", "{}", []string{HeaderKey, "k"}, 400, "malformed_path"},
+		"call body too large":         {post, service, strings.Repeat("x", 1<<13), []string{HeaderKey, "k"}, 413, "body_too_large"},
+		"no endpoint":                 {post, chatPath, chat(`,"model":"large"`), nil, 503, string(decide.CodeNoEndpoint)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			got := d.send(c.method, c.path, c.body, c.header...)
@@ -319,7 +325,7 @@
 		if runID == "" {
 			runID = string(chunk.ID)
 		}
-		if string(chunk.ID) != runID || i < tokens && e.id != eventID(record.RunID(runID), i+1) || i >= tokens && e.id != "" {
+		if string(chunk.ID) != runID || i < tokens && e.id != d.callers.eventID("dala", record.RunID(runID), i+1) || i >= tokens && e.id != "" {
 			t.Fatalf("event %d: id %q, chunk id %q", i, e.id, chunk.ID)
 		}
 	}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -101,24 +101,3 @@
 	_, _ = h.Write(body)
 	return h.Sum64()
 }
-
-// lastEvent reads "run.N" from the Last-Event-ID: the caller has the first N
-// tokens of that run's answer. Only the run's key finds it again, at any
-// instance.
-func lastEvent(r *http.Request, keyed bool) (run.Position, *refusal) {
-	text := r.Header.Get(HeaderLast)
-	if text == "" {
-		return run.Position{}, nil
-	}
-	id, number, _ := strings.Cut(text, ".")
-	n, err := strconv.Atoi(number)
-	switch {
-	case err != nil || n < 1 || id == "":
-		return run.Position{}, badRequest("invalid_last_event_id", "%s must be the id of an event of an earlier answer.", HeaderLast)
-	case !keyed:
-		return run.Position{}, badRequest("idempotency_key_missing", "%s needs the %s of the earlier request.", HeaderLast, HeaderKey)
-	}
-	return run.Position{Run: record.RunID(id), Tokens: n}, nil
-}
-
-func eventID(run record.RunID, tokens int) string { return string(run) + "." + strconv.Itoa(tokens) }
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -9,9 +9,10 @@
 	"guavapier/internal/run"
 )
 
-// chatStream puts a run's tokens into events, numbered by eventID.
+// chatStream puts a run's tokens into events, numbered by id.
 type chatStream struct {
 	*events
+	id      func(run record.RunID, n int) string
 	model   string
 	created int64
 }
@@ -28,7 +29,7 @@
 	if t.Index == 0 {
 		delta.Role = "assistant"
 	}
-	return s.send(eventID(run, t.Index+1), s.chunk(run, chatChoice{Delta: delta}))
+	return s.send(s.id(run, t.Index+1), s.chunk(run, chatChoice{Delta: delta}))
 }
 
 // whole writes the closing of a whole answer.
@@ -46,7 +47,8 @@
 // event of its own, and the stream ends without its closing event, so that the
 // caller knows that the answer is partial.
 func (c *Callers) streamChat(w http.ResponseWriter, r *http.Request, chat run.Chat, withUsage bool) {
-	s := &chatStream{events: c.newEvents(w), model: chat.Model, created: time.Now().Unix()}
+	id := func(run record.RunID, n int) string { return c.eventID(chat.Team.Name, run, n) }
+	s := &chatStream{events: c.newEvents(w), id: id, model: chat.Model, created: time.Now().Unix()}
 	defer s.end()
 	result, err := c.Runner.Chat(r.Context(), chat, s.token)
 	if err == nil {
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -1,20 +1,25 @@
-// Package load replays a recorded trace of callers' requests over HTTP and
-// reports the outcomes for each class of request.
+// Package load replays a trace of callers' requests over HTTP and compares the
+// outcomes with those that the trace states for each class of request.
+//
+// It acts as careful callers do: it retries with the same Idempotency-Key at
+// another instance when its connection fails, goes on from the last event of a
+// stream, and comes back when a refusal says so.
 package load
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 )
 
-// ErrNoTrace says that the options name no trace.
-var ErrNoTrace = eris.New("load: no trace file named")
+// ErrNoTarget says that the options name no target.
+var ErrNoTarget = eris.New("load: no target named")
 
 // Options set a replay.
 type Options struct {
-	// Trace is the file of the trace, JSON lines; see examples/traces.
+	// Trace is the file of the trace, JSON lines; see ReadTrace.
 	Trace string
 	// Targets are the instances' base URLs, used in turn.
 	Targets []string
@@ -22,41 +27,60 @@
 	Key string
 	// Speed divides the trace's times; 1 replays as recorded, 0 means 1.
 	Speed float64
-	// Direct sends chat requests straight to an engine at Targets, to measure
-	// what the router adds.
+	// Direct sends chat requests straight to engines at Targets, to measure
+	// what the router adds. Calls of plain services are left out.
 	Direct bool
+	// StandIn says that stand-ins answer, so that each answer's content can be
+	// checked.
+	StandIn bool
 }
 
-// Report is the outcome of a replay.
-type Report struct {
-	Took    time.Duration `json:"took"`
-	Classes []Class       `json:"classes"`
-	// Broken lists the stated outcomes that were not met; empty if all were.
-	Broken []string `json:"broken"`
+// Run replays a trace. It returns when every request has its outcome.
+func Run(ctx context.Context, o Options) (Report, error) {
+	trace, err := ReadTrace(o.Trace)
+	if err != nil {
+		return Report{}, err
+	}
+	return Replay(ctx, trace, o)
 }
 
-// Class is the outcome for one class of requests.
-type Class struct {
-	Name     string `json:"name"`
-	Sent     int    `json:"sent"`
-	Answered int    `json:"answered"` // Whole answers.
-	NotRun   int    `json:"not_run"`
-	Unknown  int    `json:"unknown"`
-	Partial  int    `json:"partial"` // Answers that ended without a closing.
-	Wrong    int    `json:"wrong"`   // Answers that were another request's.
-	Late     int    `json:"late"`    // Whole answers after the stated time.
-	// The quantiles of the time to the first byte of content and to the whole
-	// answer, of answered requests.
-	FirstP50 time.Duration `json:"first_p50"`
-	FirstP99 time.Duration `json:"first_p99"`
-	WholeP50 time.Duration `json:"whole_p50"`
-	WholeP99 time.Duration `json:"whole_p99"`
+// Replay replays a trace that was read before.
+func Replay(ctx context.Context, trace Trace, o Options) (Report, error) {
+	if len(o.Targets) == 0 {
+		return Report{}, ErrNoTarget
+	}
+	if o.Speed <= 0 {
+		o.Speed = 1
+	}
+	p := newPlayer(o)
+	defer p.close()
+	if err := p.openSessions(ctx, trace); err != nil {
+		return Report{}, err
+	}
+	tallies := newTallies(trace)
+	began := time.Now()
+	var callers sync.WaitGroup
+	for n, r := range trace.Requests {
+		class := trace.class(r.Class)
+		if o.Direct && class.Kind == KindCall {
+			continue
+		}
+		if !sleepUntil(ctx, began.Add(time.Duration(float64(r.at())/o.Speed))) {
+			break
+		}
+		callers.Go(func() { tallies.add(r, p.send(ctx, n, r, class)) })
+	}
+	callers.Wait()
+	return tallies.report(time.Since(began)), ctx.Err()
 }
 
-// Run replays a trace. It returns when every request has its outcome.
-func Run(_ context.Context, o Options) (Report, error) {
-	if o.Trace == "" {
-		return Report{}, ErrNoTrace
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	return Report{}, eris.New("load: replay is not built yet")
 }
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -138,7 +138,7 @@
 		{"PUT /settings", "/settings", change("c1", lean), 200, 422, 200},
 		{"PUT /settings", "/settings", change("c2", weight), 422, 422, 200},
 		{"PUT /settings", "/settings", change("c3", grant), 422, 422, 200},
-		{"PUT /settings", "/settings", change("c4", record.ChangeOp{Path: "/fleet/services/rig/repeatable", Value: "true"}), 422, 422, 200},
+		{"PUT /settings", "/settings", change("c4", record.ChangeOp{Path: "/fleet/services/rig/repeatable", Value: "GET /calendar"}), 422, 422, 200},
 		{"GET /settings", "/settings?prefix=/teams/dala", nil, 200, 403, 200},
 		{"GET /settings", "/settings", nil, 403, 403, 200},
 		{"GET /history", "/history?prefix=/teams/dala", nil, 200, 403, 200},
--- a/internal/run/chat.go
+++ b/internal/run/chat.go
@@ -11,12 +11,15 @@
 // Chat runs a chat completion, or joins the run that an earlier attempt has
 // begun. The error is a *Failure.
 func (r *Runner) Chat(ctx context.Context, c Chat, sink Sink) (ChatResult, error) {
+	if c.Have.Run != "" {
+		return r.continueChat(ctx, c, sink)
+	}
 	ticket, err := r.Claims.Begin(ctx, c.claim(true))
 	if err != nil {
 		return ChatResult{}, notRun(err)
 	}
 	if ticket.Join {
-		return r.joinChat(ctx, c, ticket, sink)
+		return r.joinChat(ctx, c, ticket, sink, r.byClaim(c))
 	}
 	return r.ownChat(ctx, c, ticket.Run, sink)
 }
@@ -24,9 +27,6 @@
 // ownChat carries a run that this call has claimed. It returns when the run has
 // its final outcome, which may be after the caller has left.
 func (r *Runner) ownChat(ctx context.Context, c Chat, run record.RunID, sink Sink) (ChatResult, error) {
-	if c.Have.Run != "" {
-		return ChatResult{}, r.end(ctx, c.Key, errRunGone, false, nil)
-	}
 	p := r.attend(ctx, c.Request, sink)
 	defer p.stop()
 	worst := int64(c.PromptTokens + c.MaxTokens)
--- a/internal/run/chat_test.go
+++ b/internal/run/chat_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"guavapier/internal/config"
 	"guavapier/internal/endpoint"
 	"guavapier/internal/record"
 	"guavapier/internal/standin"
@@ -181,17 +182,35 @@
 	}
 }
 
+// TestRunWhoseClaimIsLostGoesOnByItsID forgets the claims, as the death of
+// their holder does.
+func TestRunWhoseClaimIsLostGoesOnByItsID(t *testing.T) {
+	b := newBench(t)
+	owner := b.ask(t.Context(), chatOf("k", true), nil)
+	b.Claims = &table{rows: map[record.RequestKey]*row{}}
+	for _, keyed := range []bool{true, false} {
+		c := chatOf("k", keyed)
+		c.Have = Position{Run: owner.result.Run, Tokens: 7}
+		got := b.ask(t.Context(), c, nil)
+		if got.err != nil || got.text != textOf(7, testTokens) || got.result.Run != owner.result.Run {
+			t.Fatalf("keyed %v: %q, %v", keyed, got.text, got.err)
+		}
+	}
+	if bills := b.billed(owner.result.Run); len(bills) != 1 {
+		t.Fatalf("bills %v", bills)
+	}
+}
+
 func TestJoinWhereNothingIsLeftToJoin(t *testing.T) {
 	b := newBench(t)
 	owner := b.ask(t.Context(), chatOf("k", true), nil)
 	c := chatOf("k", true)
 	c.Have = Position{Run: "another", Tokens: 3}
-	if f := failureOf(t, b.ask(t.Context(), c, nil).err); f.Code != CodeRunGone || f.Outcome != record.OutcomeUnknown {
-		t.Fatalf("another run: %+v", f)
-	}
-	c.Key.Key = "new"
-	if f := failureOf(t, b.ask(t.Context(), c, nil).err); f.Code != CodeRunGone || f.Outcome != record.OutcomeUnknown {
-		t.Fatalf("unknown key: %+v", f)
+	for _, key := range []string{"k", "new"} {
+		c.Key.Key = key
+		if f := failureOf(t, b.ask(t.Context(), c, nil).err); f.Code != CodeRunGone || f.Outcome != record.OutcomeUnknown {
+			t.Fatalf("key %s: %+v", key, f)
+		}
 	}
 	b.kill(0)
 	if f := failureOf(t, b.ask(t.Context(), chatOf("k", true), nil).err); f.Code != CodeAnswerGone || f.Outcome != record.OutcomeUnknown {
@@ -224,7 +243,7 @@
 
 func TestServiceCalls(t *testing.T) {
 	const get, post = http.MethodGet, http.MethodPost
-	rules, err := ParseRepeatRules("GET /status")
+	rules, err := config.ParseRepeatRules("GET /status")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -271,14 +290,6 @@
 	}
 }
 
-type repeats []RepeatRule
-
-func (r repeats) Repeatable(_, method, path string) bool { return AnyRepeats(r, method, path) }
+type repeats []config.RepeatRule
 
-func TestMalformedRepeatRulesAllowNothing(t *testing.T) {
-	for _, text := range []string{"GET", "get /x", "GET x", "GET /a b", "GET /ok, POST"} {
-		if rules, err := ParseRepeatRules(text); !errors.Is(err, ErrRepeatRule) || rules != nil {
-			t.Errorf("%q: %v, %v", text, rules, err)
-		}
-	}
-}
+func (r repeats) Repeatable(_, method, path string) bool { return config.AnyRepeats(r, method, path) }
--- a/internal/run/join.go
+++ b/internal/run/join.go
@@ -33,13 +33,56 @@
 	left bool
 }
 
+// locate says where a run is now. A ticket without Join says that the run ended
+// without having run, so that the request may begin anew.
+type locate func(ctx context.Context) (claim.Ticket, error)
+
+// byClaim locates the run that a request's key stands for.
+func (r *Runner) byClaim(c Chat) locate {
+	return func(ctx context.Context) (claim.Ticket, error) { return r.Claims.Begin(ctx, c.claim(true)) }
+}
+
+// byRun locates a run at the engines, whatever became of its claim.
+func (r *Runner) byRun(run record.RunID) locate {
+	return func(ctx context.Context) (claim.Ticket, error) {
+		if r.Finder == nil {
+			return claim.Ticket{}, errRunGone
+		}
+		name, ok := r.Finder.Find(ctx, run)
+		if !ok {
+			return claim.Ticket{}, errRunGone
+		}
+		return claim.Ticket{Run: run, Join: true, Endpoint: name}, nil
+	}
+}
+
+// continueChat goes on in a run that the caller has a part of. Its claim may
+// have died with its instance; then the engines know the run. Parts of two runs
+// never make one answer.
+func (r *Runner) continueChat(ctx context.Context, c Chat, sink Sink) (ChatResult, error) {
+	where := r.byRun(c.Have.Run)
+	if c.Keyed {
+		ticket, err := r.Claims.Begin(ctx, c.claim(true))
+		switch {
+		case errors.Is(err, claim.ErrKeyReused):
+			return ChatResult{}, failure(err, true)
+		case err == nil && ticket.Join && ticket.Run == c.Have.Run:
+			return r.joinChat(ctx, c, ticket, sink, r.byClaim(c))
+		case err == nil && !ticket.Join:
+			r.Claims.End(ctx, c.Key, claim.End{Outcome: record.OutcomeNotRun})
+		}
+	}
+	ticket, err := where(ctx)
+	if err != nil {
+		return ChatResult{}, failure(err, true)
+	}
+	return r.joinChat(ctx, c, ticket, sink, where)
+}
+
 // joinChat streams a run that an earlier attempt began, from its endpoint,
 // wherever that attempt's instance is and whether it still lives. It neither
 // reserves nor bills: the run's owner or its witness does.
-func (r *Runner) joinChat(ctx context.Context, c Chat, ticket claim.Ticket, sink Sink) (ChatResult, error) {
-	if c.Have.Run != "" && c.Have.Run != ticket.Run {
-		return ChatResult{}, failure(errRunGone, true)
-	}
+func (r *Runner) joinChat(ctx context.Context, c Chat, ticket claim.Ticket, sink Sink, where locate) (ChatResult, error) {
 	f := &follower{order: c.order(ticket.Run), sink: sink, result: ChatResult{Run: ticket.Run}}
 	f.order.ResumeOnly, f.order.From = true, c.Have.Tokens
 	patience := time.Now().Add(c.Wait)
@@ -61,7 +104,7 @@
 		if time.Now().After(patience) {
 			return f.result, failure(errors.Join(errLate, err), true)
 		}
-		if ticket, err = r.rejoin(ctx, c, f.order); err != nil {
+		if ticket, err = r.again(ctx, c, f.order, where); err != nil {
 			return f.result, failure(err, true)
 		}
 		if !ticket.Join {
@@ -83,9 +126,8 @@
 	return nil
 }
 
-// rejoin asks again where the run is. A ticket without Join says that the run
-// ended without having run, so that the request may begin anew.
-func (r *Runner) rejoin(ctx context.Context, c Chat, order endpoint.Order) (claim.Ticket, error) {
+// again asks again where the run is, after a pause.
+func (r *Runner) again(ctx context.Context, c Chat, order endpoint.Order, where locate) (claim.Ticket, error) {
 	timer := time.NewTimer(joinPause)
 	defer timer.Stop()
 	select {
@@ -93,7 +135,7 @@
 	case <-ctx.Done():
 		return claim.Ticket{}, errors.Join(errLeft, ctx.Err())
 	}
-	ticket, err := r.Claims.Begin(ctx, c.claim(true))
+	ticket, err := where(ctx)
 	if err != nil {
 		return ticket, err
 	}
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -36,6 +36,11 @@
 	URL(name string) (string, bool)
 }
 
+// Finder finds the engine that has a run, by the run alone.
+type Finder interface {
+	Find(ctx context.Context, run record.RunID) (endpoint string, ok bool)
+}
+
 // RepeatRules says which calls of a plain service may be repeated.
 type RepeatRules interface {
 	Repeatable(service, method, path string) bool
@@ -49,6 +54,8 @@
 	Endpoints Endpoints
 	Engines   endpoint.Engines
 	Services  endpoint.Services
+	// Finder finds runs whose claim is lost; nil where none can be found.
+	Finder Finder
 	// Repeats is nil where no call may be repeated.
 	Repeats RepeatRules
 	// Limits bound the runs.
@@ -100,7 +107,8 @@
 	return claim.Request{Key: q.Key, Digest: q.Digest, Home: q.Session.Home, Repeatable: repeatable, First: q.First, Minted: !q.Keyed}
 }
 
-// Position is where in a run's answer a caller is.
+// Position is where in a run's answer a caller is. It must come from the entry's
+// own signed word, since it gives access to the run.
 type Position struct {
 	Run record.RunID // Empty for a caller who has nothing yet.
 	// Tokens is how many tokens of the answer the caller has.
--- a/internal/run/run_test.go
+++ b/internal/run/run_test.go
@@ -66,6 +66,16 @@
 // URL implements Endpoints.
 func (b *bench) URL(name string) (string, bool) { url, ok := b.urls[name]; return url, ok }
 
+// Find implements Finder.
+func (b *bench) Find(ctx context.Context, run record.RunID) (string, bool) {
+	for _, name := range []string{"e1", "e2"} {
+		if _, err := b.Engines.State(ctx, b.urls[name], run); err == nil {
+			return name, true
+		}
+	}
+	return "", false
+}
+
 // newBench starts engines e1, e2 and services s1, s2, the first of each first
 // in line, since every session is placed there.
 func newBench(t *testing.T) *bench {
@@ -88,6 +98,7 @@
 	b.Runner = &Runner{
 		Claims: &table{rows: map[record.RequestKey]*row{}}, Accounts: b.books, Placer: d, Endpoints: b,
 		Engines: endpoint.NewHTTPEngines(opts, &b.counts), Services: endpoint.NewHTTPServices(opts, &b.counts),
+		Finder: b,
 		Limits: Limits{Endpoints: 2, Resumes: 1, Progress: 3 * testSilence, Linger: time.Minute, Control: 2 * time.Second},
 		Leaving: func(name string) {
 			b.mu.Lock()
--- a/internal/server/budgets.go
+++ b/internal/server/budgets.go
@@ -19,7 +19,7 @@
 	opts.Patience = s.settings.Ledger.Patience.D()
 	s.budgets = ledger.New(ledger.Config{
 		Self: s.id, Zone: record.Zone(s.settings.Instance.Zone), Log: s.publisher, Partitions: s.partitions,
-		Members: s.members, Peers: s.pool, Lean: s.lean, Usages: usages{engines: s.clients.engines, members: s.members}, Options: opts,
+		Members: s.members, Peers: s.pool, Lean: s.lean, Usages: s.finder(), Options: opts,
 	})
 	if err := s.peerServer.Register(ledger.WitnessName, s.budgets.Witness()); err != nil {
 		return err
--- a/internal/server/endpoints.go
+++ b/internal/server/endpoints.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"guavapier/internal/config"
 	"guavapier/internal/decide"
 	"guavapier/internal/dispatch"
 	"guavapier/internal/endpoint"
@@ -40,10 +41,8 @@
 )
 
 const (
-	// promptBytesPerToken bounds a prompt's tokens; see entry.Limits.
-	promptBytesPerToken = 2
-	readWithin          = time.Minute
-	writeWithin         = 30 * time.Second
+	readWithin  = time.Minute
+	writeWithin = 30 * time.Second
 	// callerHeartbeat is below the usual idle limits of middleboxes (30 s and
 	// more). It also bounds how late a refusal can still have its status.
 	callerHeartbeat = 10 * time.Second
@@ -66,19 +65,16 @@
 	config *replica.Replica[*fold.Config]
 }
 
-// repeatablePath holds "METHOD /path" rules, one a line or parted by commas.
-func repeatablePath(service string) string { return "/fleet/services/" + service + "/repeatable" }
-
 // Repeatable implements run.RepeatRules.
 func (r repeatRules) Repeatable(service, method, path string) bool {
 	var value fold.Value
 	known := false
-	r.config.View(func(f *fold.Config) { value, known = f.Get(repeatablePath(service)) })
+	r.config.View(func(f *fold.Config) { value, known = f.Get(config.RepeatablePath(service)) })
 	if !known {
 		return false
 	}
-	rules, err := run.ParseRepeatRules(value.Value)
-	return err == nil && run.AnyRepeats(rules, method, path)
+	rules, err := config.ParseRepeatRules(value.Value)
+	return err == nil && config.AnyRepeats(rules, method, path)
 }
 
 // endpointClients holds the clients of the endpoints and polls their load.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -98,7 +98,7 @@
 		Claims: srv.claims, Accounts: srv.budgets,
 		Placer: srv.dispatcher, Endpoints: endpoints{srv.members},
 		Engines: srv.clients.engines, Services: srv.clients.services,
-		Repeats: repeatRules{srv.config}, Limits: runLimits(s.Limits), Leaving: srv.leaving,
+		Finder: srv.finder(), Repeats: repeatRules{srv.config}, Limits: runLimits(s.Limits), Leaving: srv.leaving,
 		OnError: func(err error) { log.Error().Err(err).Msg("run: background error") },
 	}
 	srv.registerTables()
@@ -192,7 +192,7 @@
 		Zone: record.Zone(s.settings.Instance.Zone), Config: s.config, Sessions: s.secrets.Sessions, Runner: s.runner,
 		Limits: entry.Limits{
 			BodyBytes: limits.BodyBytes, AnswerBytes: int(limits.AnswerBytes), MaxTokens: limits.MaxTokens,
-			BytesPerToken: promptBytesPerToken, Read: readWithin, Write: writeWithin, Heartbeat: callerHeartbeat,
+			BytesPerToken: limits.PromptBytesPerToken, Read: readWithin, Write: writeWithin, Heartbeat: callerHeartbeat,
 			FirstToken: limits.FirstToken.D(), ServiceAnswer: limits.ServiceAnswer.D(),
 		},
 		Ready: func() bool { return !s.draining.Load() && s.members.Seen() },
--- a/internal/server/usages.go
+++ b/internal/server/usages.go
@@ -13,47 +13,63 @@
 // askAtOnce bounds the questions about one run that are open at once.
 const askAtOnce = 32
 
-// usages implements ledger.Usages: it asks the listed engines for a run whose
-// instance is gone. A run that has moved is known to more than one engine; the
-// one that has the most of its answer has the whole.
-type usages struct {
+// runFinder asks the listed engines for runs whose instance or claim is gone. A
+// run that has moved is known to more than one engine; the one that has the
+// most of its answer has the whole.
+type runFinder struct {
 	engines *endpoint.HTTPEngines
 	members *membership.Members
 }
 
+func (s *Server) finder() runFinder { return runFinder{engines: s.clients.engines, members: s.members} }
+
+// found is what one engine says of a run.
+type found struct {
+	engine string
+	state  endpoint.RunState
+}
+
 // Usage implements ledger.Usages.
-func (u usages) Usage(ctx context.Context, run record.RunID) (tokens int64, known bool) {
+func (f runFinder) Usage(ctx context.Context, run record.RunID) (tokens int64, known bool) {
+	longest, ok := longestOf(f.ask(ctx, run))
+	if !ok || !longest.state.Done {
+		return 0, false
+	}
+	return longest.state.Prompt + longest.state.Answer(), true
+}
+
+// Find implements run.Finder.
+func (f runFinder) Find(ctx context.Context, run record.RunID) (name string, ok bool) {
+	longest, ok := longestOf(f.ask(ctx, run))
+	return longest.engine, ok
+}
+
+func (f runFinder) ask(ctx context.Context, run record.RunID) []*found {
 	var asked errgroup.Group
 	asked.SetLimit(askAtOnce)
-	var urls []string
-	for _, e := range u.members.List().Endpoints {
-		if e.Service == "" {
-			urls = append(urls, e.URL)
+	rows := f.members.List().Endpoints
+	answers := make([]*found, len(rows))
+	for i, e := range rows {
+		if e.Service != "" {
+			continue
 		}
-	}
-	states := make([]*endpoint.RunState, len(urls))
-	for i, url := range urls {
 		asked.Go(func() error {
-			if state, err := u.engines.State(ctx, url, run); err == nil {
-				states[i] = &state
+			if state, err := f.engines.State(ctx, e.URL, run); err == nil {
+				answers[i] = &found{engine: e.Name, state: state}
 			}
 			return nil
 		})
 	}
 	_ = asked.Wait()
-	return usedOf(states)
+	return answers
 }
 
-// usedOf returns the tokens of the run's longest state, if that one has ended.
-func usedOf(states []*endpoint.RunState) (tokens int64, known bool) {
-	var longest *endpoint.RunState
-	for _, state := range states {
-		if state != nil && (longest == nil || state.Answer() > longest.Answer()) {
-			longest = state
+// longestOf returns the answer with the most tokens.
+func longestOf(answers []*found) (longest found, ok bool) {
+	for _, a := range answers {
+		if a != nil && (!ok || a.state.Answer() > longest.state.Answer()) {
+			longest, ok = *a, true
 		}
 	}
-	if longest == nil || !longest.Done {
-		return 0, false
-	}
-	return longest.Prompt + longest.Answer(), true
+	return longest, ok
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -57,12 +57,13 @@
 
 // Limits bound what callers may send and how long they wait.
 type Limits struct {
-	BodyBytes     int64    `toml:"body_bytes"`
-	AnswerBytes   int64    `toml:"answer_bytes"`
-	MaxTokens     int      `toml:"max_tokens"`
-	FirstToken    Duration `toml:"first_token"`
-	ServiceAnswer Duration `toml:"service_answer"`
-	Progress      Duration `toml:"progress"`
+	BodyBytes           int64    `toml:"body_bytes"`
+	AnswerBytes         int64    `toml:"answer_bytes"`
+	MaxTokens           int      `toml:"max_tokens"`
+	PromptBytesPerToken int      `toml:"prompt_bytes_per_token"`
+	FirstToken          Duration `toml:"first_token"`
+	ServiceAnswer       Duration `toml:"service_answer"`
+	Progress            Duration `toml:"progress"`
 }
 
 // Sessions holds the session signing keys, each in a file of its own.
@@ -92,7 +93,7 @@
 			Linger: Duration(20 * time.Millisecond), Patience: Duration(2 * time.Second),
 		},
 		Limits: Limits{
-			BodyBytes: 4 << 20, AnswerBytes: 16 << 20, MaxTokens: 16_384,
+			BodyBytes: 4 << 20, AnswerBytes: 16 << 20, MaxTokens: 16_384, PromptBytesPerToken: 2,
 			FirstToken: Duration(30 * time.Second), ServiceAnswer: Duration(10 * time.Second),
 			Progress: Duration(10 * time.Second),
 		},
--- a/test/process/leaving_test.go
+++ b/test/process/leaving_test.go
@@ -11,9 +11,9 @@
 	"time"
 )
 
-// load asks for short answers from some callers at once until stop, and
+// shortLoad asks for short answers from some callers at once until stop, and
 // collects what was not answered whole.
-type load struct {
+type shortLoad struct {
 	stop    chan struct{}
 	callers sync.WaitGroup
 	mu      sync.Mutex
@@ -22,8 +22,8 @@
 	answers atomic.Int64
 }
 
-func (f *fleet) load(callers, tokens int) *load {
-	l := &load{stop: make(chan struct{})}
+func (f *fleet) load(callers, tokens int) *shortLoad {
+	l := &shortLoad{stop: make(chan struct{})}
 	for n := range callers {
 		l.callers.Go(func() {
 			for i := 0; ; i++ {
@@ -47,7 +47,7 @@
 	return l
 }
 
-func (l *load) end(t *testing.T) {
+func (l *shortLoad) end(t *testing.T) {
 	t.Helper()
 	close(l.stop)
 	l.callers.Wait()
@@ -113,7 +113,7 @@
 func TestDrainCutsOffNothing(t *testing.T) {
 	f := startFleet(t, 2, 2)
 	in := f.instances[0]
-	mustCall(t, http.MethodPut, f.service+"/faults", "", map[string]any{"slow_ms": 2000})
+	f.serviceFaults(map[string]any{"slow_ms": 2000})
 	const long, short = 1500, 300
 	report, whole, setpoint := make(chan answered, 1), make(chan answer, 1), make(chan answer, 1)
 	go func() { report <- f.ask(in, long, nil) }()
@@ -128,7 +128,7 @@
 		for _, e := range f.engines {
 			runs += len(e.runs(t))
 		}
-		return runs == 2 && len(serviceRuns(t, f.service)) == 1
+		return runs == 2 && len(f.calls()) == 1
 	})
 	in.signal(syscall.SIGTERM)
 	if got := <-report; got.text != wholeText(long) || !got.whole {
--- /dev/null
+++ b/test/process/replay_test.go
@@ -0,0 +1,72 @@
+package process_test
+
+import (
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"guavapier/internal/load"
+)
+
+// TestReplayOfEachDeployment replays both traces against their stated outcomes,
+// undisturbed and with an instance and an engine killed in the middle.
+func TestReplayOfEachDeployment(t *testing.T) {
+	for name, service := range map[string]string{"dala-vibro": "rig", "agenda-quispe": "scheduling"} {
+		trace, err := load.ReadTrace("../../examples/traces/" + name + ".jsonl")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Run(name, func(t *testing.T) { replay(t, trace, service, false) })
+		t.Run(name+", instance and engine killed", func(t *testing.T) {
+			allowUnknownCalls(trace.Classes)
+			replay(t, trace, service, true)
+		})
+	}
+}
+
+func replay(t *testing.T, trace load.Trace, service string, disturbed bool) {
+	t.Helper()
+	f := startFleet(t, 4, 3)
+	mustCall(t, http.MethodPut, f.platform+"/endpoints", "", f.rows("", service))
+	var targets []string
+	for _, in := range f.instances {
+		targets = append(targets, in.callers)
+	}
+	if disturbed {
+		time.AfterFunc(3*time.Second, func() { f.instances[1].signal(syscall.SIGKILL) })
+		time.AfterFunc(4*time.Second, func() { f.engines[2].signal(syscall.SIGKILL) })
+	}
+	time.Sleep(time.Second) // The list with the new service's name.
+	report, err := load.Replay(t.Context(), trace, load.Options{Targets: targets, Key: f.key, StandIn: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range report.Classes {
+		t.Logf("%+v", c)
+	}
+	if len(report.Broken) > 0 {
+		t.Errorf("stated outcomes not met:\n%s", strings.Join(report.Broken, "\n"))
+	}
+	for run, count := range f.calls() {
+		if count > 1 {
+			t.Errorf("call %s ran %d times", run, count)
+		}
+	}
+	if row := budget(t, f.instances[2].operators, "dala"); row.Committed > row.Prepaid {
+		t.Errorf("committed %d of %d", row.Committed, row.Prepaid)
+	}
+}
+
+// allowUnknownCalls states what a killed instance may do to calls that may not
+// be repeated: those that were under way there have an unknown outcome. Times
+// are stated for the undisturbed replay only.
+func allowUnknownCalls(classes []load.ClassSpec) {
+	for i := range classes {
+		classes[i].Late = 1
+		if classes[i].Kind == load.KindCall {
+			classes[i].Answered, classes[i].Unknown = 0.9, 0.1
+		}
+	}
+}
--- a/test/process/stream_test.go
+++ b/test/process/stream_test.go
@@ -18,7 +18,7 @@
 	t         *testing.T
 	platform  string
 	engines   []*engine
-	service   string
+	services  []string
 	instances []*instance
 	key       string
 }
@@ -40,7 +40,10 @@
 		p, url := startStandin(t, "engine")
 		f.engines = append(f.engines, &engine{process: p, url: url, relay: startRelay(t, strings.TrimPrefix(url, "http://"))})
 	}
-	_, f.service = startStandin(t, "service")
+	for range 2 {
+		_, url := startStandin(t, "service")
+		f.services = append(f.services, url)
+	}
 	f.list("")
 	for n := range instances {
 		f.instances = append(f.instances, startInstance(t, fmt.Sprintf("a%d", n+1), "hall-a", f.platform, ""))
@@ -74,12 +77,38 @@
 // list puts the endpoints on the instance list, one of them as leaving.
 func (f *fleet) list(leaving string) {
 	f.t.Helper()
-	rows := []map[string]any{{"name": "rig-1", "zone": "hall-a", "url": f.service, "service": "rig"}}
+	mustCall(f.t, http.MethodPut, f.platform+"/endpoints", "", f.rows(leaving, "rig"))
+}
+
+func (f *fleet) rows(leaving, service string) []map[string]any {
+	var rows []map[string]any
+	for n, url := range f.services {
+		rows = append(rows, map[string]any{"name": fmt.Sprintf("service-%d", n+1), "zone": "hall-a", "url": url, "service": service})
+	}
 	for n, e := range f.engines {
 		name := fmt.Sprintf("engine-%d", n+1)
 		rows = append(rows, map[string]any{"name": name, "zone": "hall-a", "url": e.relay.url(), "model": "small", "leaving": name == leaving})
 	}
-	mustCall(f.t, http.MethodPut, f.platform+"/endpoints", "", rows)
+	return rows
+}
+
+// calls returns how often each call ran, over all services.
+func (f *fleet) calls() map[string]int {
+	f.t.Helper()
+	sum := map[string]int{}
+	for _, url := range f.services {
+		for run, count := range serviceRuns(f.t, url) {
+			sum[run] += count
+		}
+	}
+	return sum
+}
+
+func (f *fleet) serviceFaults(v map[string]any) {
+	f.t.Helper()
+	for _, url := range f.services {
+		mustCall(f.t, http.MethodPut, url+"/faults", "", v)
+	}
 }
 
 // engineRun is one row of an engine's /runs.
@@ -356,7 +385,7 @@
 	setpoint := func(in *instance, key string) answer {
 		return call(http.MethodPost, in.callers+"/v1/services/rig/setpoint", f.key, map[string]any{"g": 0.5}, "Idempotency-Key", key)
 	}
-	faults := func(v map[string]any) { mustCall(t, http.MethodPut, f.service+"/faults", "", v) }
+	faults := f.serviceFaults
 	for key, fault := range map[string]map[string]any{"lost": {"lose": 1}, "masked": {"masked": true}} {
 		faults(fault)
 		first := setpoint(f.instances[1], key)
@@ -368,7 +397,7 @@
 	faults(map[string]any{"slow_ms": 1500})
 	sent := make(chan answer, 1)
 	go func() { sent <- setpoint(f.instances[0], "killed") }()
-	eventually(t, "the call runs", func() bool { return len(serviceRuns(t, f.service)) == 3 })
+	eventually(t, "the call runs", func() bool { return len(f.calls()) == 3 })
 	f.instances[0].signal(syscall.SIGKILL)
 	<-sent
 	if retry := setpoint(f.instances[1], "killed"); strings.Contains(retry.body, `"outcome":"not_run"`) || retry.status == http.StatusOK {
@@ -379,7 +408,7 @@
 	if retry := setpoint(f.instances[2], "whole"); whole.status != http.StatusOK || retry.body != whole.body {
 		t.Errorf("whole: %s; the retry: %s", whole.body, retry.body)
 	}
-	runs := serviceRuns(t, f.service)
+	runs := f.calls()
 	for run, count := range runs {
 		if count != 1 {
 			t.Errorf("call %s ran %d times", run, count)
