--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -118,10 +118,12 @@
 }
 
 // Refusals counts the orders that the engine refused because it was leaving.
+// Times are Unix milliseconds.
 type Refusals struct {
-	Count int `json:"count"`
-	// Last is when the last one came, in Unix milliseconds.
-	Last int64 `json:"last"`
+	Count int   `json:"count"`
+	Last  int64 `json:"last"`
+	// LastBegun is when the engine last began a run.
+	LastBegun int64 `json:"last_begun"`
 }
 
 // NewEngine returns an idle engine.
--- a/internal/standin/engine_chat.go
+++ b/internal/standin/engine_chat.go
@@ -80,7 +80,8 @@
 	case o.only:
 		return nil, http.StatusNotFound, "no such run"
 	case e.faults.Leaving:
-		e.refused = Refusals{Count: e.refused.Count + 1, Last: time.Now().UnixMilli()}
+		e.refused.Count++
+		e.refused.Last = time.Now().UnixMilli()
 		return nil, http.StatusServiceUnavailable, "leaving"
 	case e.faults.Refuse:
 		return nil, http.StatusTooManyRequests, "refused"
@@ -99,6 +100,7 @@
 	run.Cached = min(e.cache.cached(run.blocks), run.Prompt)
 	run.prefill = run.Prompt - run.Cached + run.Prior
 	e.runs[run.ID] = run
+	e.refused.LastBegun = time.Now().UnixMilli()
 	e.submit(run)
 	return run
 }
