Add the command tree for operators and callers

Cause: only serve, check, standin and version were there; usage errors did not say what would be right, help went nowhere, and the standalone run took fixed ports. Change: settings get|put|list|history|wait, team create|list, budget show|topup, session open|list|end, state; one line and exit code 2 for a wrong flag or argument; help with an example on stdout; -json; the token from a file flag or GUAVAPIER_TOKEN, never an argument. settings put shows the difference and asks, and a lost answer tells the identity to retry with. The standalone run lets the kernel choose its ports unless told otherwise, and says so when an address is taken. session list and end call GET and DELETE /v1/sessions, which the callers' interface does not have yet. load is not wired yet. Shown: TestCommandLines, TestEveryCommandHasHelpExampleAndUsageErrors, TestStandalonePrintsCommandsThatWork. Seen red with: an example with a wrong flag, help on stderr, surplus arguments let through, a printed curl line without its idempotency key. Not measured.

--- a/cmd/guavapier/main.go
+++ b/cmd/guavapier/main.go
@@ -8,5 +8,5 @@
 )
 
 func main() {
-	os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(cli.Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -1,7 +1,12 @@
 // Package cli is the command tree.
+//
+// Output for people goes to stdout, with -json for programs; errors go to
+// stderr. The exit code is 0 when the command did what it was asked to, 1 when
+// it failed, and 2 for a wrong flag or argument, which is told in one line.
 package cli
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"flag"
@@ -9,11 +14,13 @@
 	"io"
 	"os"
 	"os/signal"
+	"regexp"
 	"strings"
 	"syscall"
 
 	"guavapier/internal/settings"
 
+	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
 )
 
@@ -24,6 +31,10 @@
 	exitUsage   = 2
 )
 
+// envPrefix begins the environment variable of each flag: -token-file is
+// GUAVAPIER_TOKEN_FILE.
+const envPrefix = "GUAVAPIER"
+
 // usageError is a wrong flag or argument; its text says what would be right.
 type usageError struct{ text string }
 
@@ -31,81 +42,177 @@
 
 func usagef(format string, args ...any) error { return usageError{text: fmt.Sprintf(format, args...)} }
 
-// output is where a command writes.
+// output is what a command reads from and writes to.
 type output struct {
+	in       io.Reader
 	out, err io.Writer
 }
 
 // Main runs the command line and returns the exit code.
-func Main(args []string, stdout, stderr io.Writer) int {
-	o := output{out: stdout, err: stderr}
+func Main(args []string, stdin io.Reader, stdout, stderr io.Writer) int {
+	o := output{in: stdin, out: stdout, err: stderr}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	root := rootCommand(o)
+	command := commandOf(root, args)
 	if err := root.Parse(args); err != nil {
-		return exitCode(err, stderr)
+		return o.exitCode(command, usageOf(command, err))
+	}
+	return o.exitCode(command, root.Run(ctx))
+}
+
+var wrongValue = regexp.MustCompile(`for flag -([a-z-]+)`)
+
+// usageOf makes a usage error of the flag package's error.
+func usageOf(command *ffcli.Command, err error) error {
+	if errors.Is(err, flag.ErrHelp) {
+		return err
 	}
-	return exitCode(root.Run(ctx), stderr)
+	text := strings.TrimPrefix(err.Error(), "error parsing commandline arguments: ")
+	if name, undefined := strings.CutPrefix(text, "flag provided but not defined: "); undefined {
+		return usagef("there is no flag %s, only %s", name, flagNames(command))
+	}
+	if m := wrongValue.FindStringSubmatch(text); m != nil {
+		if f := command.FlagSet.Lookup(m[1]); f != nil && f.DefValue != "" {
+			return usagef("%s; allowed: a value like %s", text, f.DefValue)
+		}
+	}
+	return usageError{text: text}
+}
+
+func flagNames(command *ffcli.Command) string {
+	names := []string{"-h"}
+	command.FlagSet.VisitAll(func(f *flag.Flag) { names = append(names, "-"+f.Name) })
+	return strings.Join(names, ", ")
 }
 
-func exitCode(err error, stderr io.Writer) int {
+func (o output) exitCode(command *ffcli.Command, err error) int {
 	var usage usageError
 	var findings settings.Findings
 	switch {
-	case err == nil, errors.Is(err, flag.ErrHelp):
+	case err == nil:
+		return exitOK
+	case errors.Is(err, flag.ErrHelp):
+		fmt.Fprintln(o.out, ffcli.DefaultUsageFunc(command))
 		return exitOK
 	case errors.As(err, &usage):
-		fmt.Fprintln(stderr, "guavapier: "+usage.text)
-		return exitUsage
-	case strings.HasPrefix(err.Error(), "error parsing commandline"):
-		fmt.Fprintln(stderr, "guavapier: "+err.Error())
+		fmt.Fprintf(o.err, "guavapier: %s; usage: %s\n", usage.text, command.ShortUsage)
 		return exitUsage
 	case errors.As(err, &findings):
-		fmt.Fprintln(stderr, findings.Error())
+		fmt.Fprintln(o.err, findings.Error())
 		return exitFailure
 	default:
-		fmt.Fprintln(stderr, "guavapier: "+err.Error())
+		fmt.Fprintln(o.err, "guavapier: "+err.Error())
 		return exitFailure
 	}
 }
 
+// commandOf returns the command that args name, as far as they do.
+func commandOf(root *ffcli.Command, args []string) *ffcli.Command {
+	for _, arg := range args {
+		for _, sub := range root.Subcommands {
+			if strings.EqualFold(sub.Name, arg) {
+				return commandOf(sub, args[1:])
+			}
+		}
+		if !strings.HasPrefix(arg, "-") {
+			break
+		}
+		args = args[1:]
+	}
+	return root
+}
+
 func rootCommand(o output) *ffcli.Command {
-	fs := newFlagSet("guavapier")
+	return parent("guavapier", "guavapier <command> [flags]", "A router fleet for prepaid token budgets.",
+		"guavapier serve -standalone",
+		serveCommand(o),
+		checkCommand(o),
+		settingsCommand(o),
+		teamCommand(o),
+		budgetCommand(o),
+		sessionCommand(o),
+		stateCommand(o),
+		standinCommand(o),
+		versionCommand(o),
+	)
+}
+
+// parent returns a command that only has commands below it.
+func parent(name, usage, help, example string, subs ...*ffcli.Command) *ffcli.Command {
+	names := make([]string, len(subs))
+	for i, sub := range subs {
+		names[i] = sub.Name
+	}
 	return &ffcli.Command{
-		Name:       "guavapier",
-		ShortUsage: "guavapier <command> [flags]",
-		ShortHelp:  "A router fleet for prepaid token budgets.",
-		FlagSet:    fs,
-		Subcommands: []*ffcli.Command{
-			serveCommand(o),
-			checkCommand(o),
-			standinCommand(o),
-			versionCommand(o),
-		},
+		Name: name, ShortUsage: usage, ShortHelp: help, LongHelp: exampleText(example),
+		FlagSet: newFlagSet(name), Subcommands: subs,
 		Exec: func(_ context.Context, args []string) error {
-			if len(args) > 0 {
-				return usagef("no command %q; see guavapier -h", args[0])
+			if len(args) == 0 {
+				return usagef("a command is missing, one of %s", strings.Join(names, ", "))
+			}
+			return usagef("there is no command %q, only %s", args[0], strings.Join(names, ", "))
+		},
+	}
+}
+
+// leaf describes a command that does something.
+type leaf struct {
+	usage, help, example string
+	flags                *flag.FlagSet
+	// args names the arguments that the command takes.
+	args []string
+	run  func(ctx context.Context, args []string) error
+}
+
+// command returns the leaf as a command; its name is the last word of usage
+// before flags and arguments.
+func (l leaf) command(name string) *ffcli.Command {
+	if l.flags == nil {
+		l.flags = newFlagSet(name)
+	}
+	return &ffcli.Command{
+		Name: name, ShortUsage: l.usage, ShortHelp: l.help, LongHelp: exampleText(l.example),
+		FlagSet: l.flags, Options: []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
+		Exec: func(ctx context.Context, args []string) error {
+			if err := checkArgs(l.args, args); err != nil {
+				return err
 			}
-			return flag.ErrHelp
+			return l.run(ctx, args)
 		},
 	}
 }
 
+func checkArgs(want, got []string) error {
+	for _, arg := range got {
+		if len(arg) > 1 && strings.HasPrefix(arg, "-") {
+			return usagef("flag %s stands after an argument; put flags first", arg)
+		}
+	}
+	if len(got) != len(want) {
+		return usagef("it takes %s, got %q", cmp.Or(strings.Join(want, " "), "no arguments"), got)
+	}
+	return nil
+}
+
+func exampleText(example string) string {
+	return "EXAMPLE\n  " + strings.ReplaceAll(example, "\n", "\n  ")
+}
+
 func newFlagSet(name string) *flag.FlagSet {
 	fs := flag.NewFlagSet(name, flag.ContinueOnError)
-	fs.SetOutput(io.Discard)
+	fs.SetOutput(io.Discard) // Main prints usage errors and help.
 	return fs
 }
 
 func versionCommand(o output) *ffcli.Command {
-	return &ffcli.Command{
-		Name: "version", ShortUsage: "guavapier version", ShortHelp: "Print the version.",
-		FlagSet: newFlagSet("version"),
-		Exec: func(context.Context, []string) error {
+	return leaf{
+		usage: "guavapier version", help: "Print the version.", example: "guavapier version",
+		run: func(context.Context, []string) error {
 			fmt.Fprintln(o.out, "guavapier "+version)
 			return nil
 		},
-	}
+	}.command("version")
 }
 
 const version = "0.1.0"
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -18,26 +18,28 @@
 
 func serveCommand(o output) *ffcli.Command {
 	fs := newFlagSet("serve")
-	file := fs.String("settings", "", "settings file of this instance")
+	file := fs.String("settings", "", "settings `file` of this instance")
 	standalone := fs.Bool("standalone", false, "run one instance with built-in stand-ins on loopback")
-	return &ffcli.Command{
-		Name:       "serve",
-		ShortUsage: "guavapier serve -settings FILE | guavapier serve -standalone",
-		ShortHelp:  "Run an instance.",
-		LongHelp:   "Example:\n  guavapier serve -settings examples/guavapier.toml",
-		FlagSet:    fs,
-		Exec: func(ctx context.Context, _ []string) error {
+	callers := fs.String("callers", "127.0.0.1:0", "with -standalone: `IP:port` for callers; port 0 lets the kernel choose")
+	operators := fs.String("operators", "127.0.0.1:0", "with -standalone: `IP:port` for operators")
+	return leaf{
+		usage: "guavapier serve -settings FILE | guavapier serve -standalone [-callers IP:port] [-operators IP:port]",
+		help:  "Run an instance, or with -standalone one instance with built-in stand-ins on loopback.",
+		example: "guavapier serve -settings examples/guavapier.toml\n" +
+			"guavapier serve -standalone -callers 127.0.0.1:8080",
+		flags: fs,
+		run: func(ctx context.Context, _ []string) error {
 			switch {
 			case *standalone && *file != "":
-				return usagef("serve takes -settings FILE or -standalone, not both")
+				return usagef("it takes -settings FILE or -standalone, not both")
 			case *standalone:
-				return runStandalone(ctx, o)
+				return runStandalone(ctx, o, *callers, *operators)
 			case *file == "":
-				return usagef("serve needs -settings FILE or -standalone")
+				return usagef("it needs -settings FILE or -standalone")
 			}
 			return runInstance(ctx, o, *file)
 		},
-	}
+	}.command("serve")
 }
 
 func runInstance(ctx context.Context, o output, file string) error {
@@ -94,19 +96,16 @@
 }
 
 func checkCommand(o output) *ffcli.Command {
-	return &ffcli.Command{
-		Name: "check", ShortUsage: "guavapier check FILE", ShortHelp: "Check a settings file.",
-		LongHelp: "Example:\n  guavapier check examples/guavapier.toml",
-		FlagSet:  newFlagSet("check"),
-		Exec: func(_ context.Context, args []string) error {
-			if len(args) != 1 {
-				return usagef("check takes one settings file, got %d arguments", len(args))
-			}
+	return leaf{
+		usage: "guavapier check FILE", help: "Report everything that is wrong with a settings file.",
+		example: "guavapier check examples/guavapier.toml",
+		args:    []string{"FILE"},
+		run: func(_ context.Context, args []string) error {
 			if _, err := settings.Load(args[0]); err != nil {
 				return err
 			}
 			fmt.Fprintln(o.out, args[0]+": ok")
 			return nil
 		},
-	}
+	}.command("check")
 }
--- /dev/null
+++ b/internal/cli/session.go
@@ -0,0 +1,83 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+func sessionCommand(o output) *ffcli.Command {
+	return parent("session", "guavapier session open|list|end", "Open, list and end the sessions of a team, with its API key.",
+		"guavapier session open", sessionOpen(o), sessionList(o), sessionEnd(o))
+}
+
+// sessionRow is a session on the callers' interface. The token is given only
+// when it is opened.
+type sessionRow struct {
+	ID    string `json:"id"`
+	Token string `json:"token,omitempty"`
+	Home  string `json:"home"`
+	Ended bool   `json:"ended,omitempty"`
+}
+
+func sessionOpen(o output) *ffcli.Command {
+	fs := newFlagSet("open")
+	c := callerFlags(o, fs)
+	return leaf{
+		usage: "guavapier session open [flags]", help: "Open a session and print its token.",
+		example: "guavapier session open -key-file dala.key",
+		flags:   fs,
+		run: func(ctx context.Context, _ []string) error {
+			var row sessionRow
+			if err := c.call(ctx, http.MethodPost, "/v1/sessions", nil, &row); err != nil {
+				return err
+			}
+			if *c.json {
+				return c.show(row, "", nil)
+			}
+			fmt.Fprintln(o.out, row.Token)
+			return nil
+		},
+	}.command("open")
+}
+
+func sessionList(o output) *ffcli.Command {
+	fs := newFlagSet("list")
+	c := callerFlags(o, fs)
+	return leaf{
+		usage: "guavapier session list [flags]", help: "List the team's sessions.",
+		example: "guavapier session list -json",
+		flags:   fs,
+		run: func(ctx context.Context, _ []string) error {
+			var rows []sessionRow
+			if err := c.call(ctx, http.MethodGet, "/v1/sessions", nil, &rows); err != nil {
+				return err
+			}
+			return c.show(rows, "SESSION\tHOME\tENDED", func(add func(...any)) {
+				for _, r := range rows {
+					add(r.ID, r.Home, r.Ended)
+				}
+			})
+		},
+	}.command("list")
+}
+
+func sessionEnd(o output) *ffcli.Command {
+	fs := newFlagSet("end")
+	c := callerFlags(o, fs)
+	return leaf{
+		usage: "guavapier session end [flags] SESSION", help: "End a session for good.",
+		example: "guavapier session end 7d3c3a53-6c1b-4f0e-8a53-3f2d6f1f9a10",
+		flags:   fs, args: []string{"SESSION"},
+		run: func(ctx context.Context, args []string) error {
+			if err := c.call(ctx, http.MethodDelete, "/v1/sessions/"+url.PathEscape(args[0]), nil, nil); err != nil {
+				return err
+			}
+			fmt.Fprintln(o.out, "ended "+args[0])
+			return nil
+		},
+	}.command("end")
+}
--- /dev/null
+++ b/internal/cli/settings.go
@@ -0,0 +1,251 @@
+package cli
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"guavapier/internal/operator"
+
+	"github.com/google/uuid"
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+// valueRow is one value under a path.
+type valueRow struct {
+	Path    string `json:"path"`
+	Value   string `json:"value"`
+	Version uint64 `json:"version"`
+	By      string `json:"by"`
+	Change  string `json:"change"`
+}
+
+// standing tells who set a value and with what.
+func (v valueRow) standing() string {
+	if v.Version == 0 {
+		return "has no value any more"
+	}
+	return fmt.Sprintf("is %q, set by %s with change %s (version %d)", v.Value, v.By, v.Change, v.Version)
+}
+
+// changeRow is the result of a change.
+type changeRow struct {
+	ID        string     `json:"id"`
+	Accepted  bool       `json:"accepted"`
+	Verdict   string     `json:"verdict"`
+	Offset    uint64     `json:"offset"`
+	By        string     `json:"by"`
+	UnixMilli int64      `json:"unix_milli"`
+	Ops       []opRow    `json:"ops"`
+	Lost      []valueRow `json:"lost,omitempty"`
+}
+
+type opRow struct {
+	Path   string `json:"path"`
+	Value  string `json:"value,omitempty"`
+	Delete bool   `json:"delete,omitempty"`
+}
+
+func settingsCommand(o output) *ffcli.Command {
+	return parent("settings", "guavapier settings get|put|list|history|wait", "Read and change the settings under paths.",
+		"guavapier settings list /teams/dala",
+		settingsGet(o), settingsPut(o), settingsList(o), settingsHistory(o), settingsWait(o))
+}
+
+func (c client) values(ctx context.Context, prefix string) ([]valueRow, error) {
+	var rows []valueRow
+	err := c.call(ctx, http.MethodGet, "/settings?prefix="+url.QueryEscape(prefix), nil, &rows)
+	return rows, err
+}
+
+func settingsGet(o output) *ffcli.Command {
+	fs := newFlagSet("get")
+	c := operatorFlags(o, fs)
+	return leaf{
+		usage: "guavapier settings get [flags] PATH", help: "Print the value at a path.",
+		example: "guavapier settings get /teams/dala/default_budget",
+		flags:   fs, args: []string{"PATH"},
+		run: func(ctx context.Context, args []string) error {
+			rows, err := c.values(ctx, args[0])
+			if err != nil {
+				return err
+			}
+			for _, row := range rows {
+				if row.Path != args[0] {
+					continue
+				}
+				if *c.json {
+					return c.show(row, "", nil)
+				}
+				fmt.Fprintln(o.out, row.Value)
+				return nil
+			}
+			return fmt.Errorf("there is no value at %s", args[0])
+		},
+	}.command("get")
+}
+
+func settingsList(o output) *ffcli.Command {
+	fs := newFlagSet("list")
+	c := operatorFlags(o, fs)
+	return leaf{
+		usage: "guavapier settings list [flags] PATH", help: "List the values at and below a path; / for all.",
+		example: "guavapier settings list /teams/dala",
+		flags:   fs, args: []string{"PATH"},
+		run: func(ctx context.Context, args []string) error {
+			rows, err := c.values(ctx, strings.TrimSuffix(args[0], "/"))
+			if err != nil {
+				return err
+			}
+			return c.show(rows, "PATH\tVALUE\tVERSION\tBY", func(add func(...any)) {
+				for _, r := range rows {
+					add(r.Path, r.Value, r.Version, r.By)
+				}
+			})
+		},
+	}.command("list")
+}
+
+func settingsHistory(o output) *ffcli.Command {
+	fs := newFlagSet("history")
+	c := operatorFlags(o, fs)
+	limit := fs.Int("limit", 20, "`changes` to show, at most 1000")
+	return leaf{
+		usage: "guavapier settings history [flags] PATH", help: "List the last changes at and below a path; / for all.",
+		example: "guavapier settings history -limit 5 /teams/dala",
+		flags:   fs, args: []string{"PATH"},
+		run: func(ctx context.Context, args []string) error {
+			query := url.Values{"prefix": {strings.TrimSuffix(args[0], "/")}, "limit": {fmt.Sprint(*limit)}}
+			var rows []changeRow
+			if err := c.call(ctx, http.MethodGet, "/history?"+query.Encode(), nil, &rows); err != nil {
+				return err
+			}
+			return c.show(rows, "TIME\tBY\tVERDICT\tCHANGE\tPATH\tVALUE", func(add func(...any)) {
+				for _, r := range rows {
+					for _, op := range r.Ops {
+						add(time.UnixMilli(r.UnixMilli).UTC().Format(time.RFC3339), r.By, r.Verdict, r.ID, op.Path, op.text())
+					}
+				}
+			})
+		},
+	}.command("history")
+}
+
+func (o opRow) text() string {
+	if o.Delete {
+		return "(deleted)"
+	}
+	return o.Value
+}
+
+func settingsPut(o output) *ffcli.Command {
+	fs := newFlagSet("put")
+	c := operatorFlags(o, fs)
+	p := putOptions{
+		file:   fs.String("f", "", "TOML `file` with tables named as the paths: [teams.dala.budgets.main]"),
+		remove: fs.String("delete", "", "`path` to delete"),
+		yes:    fs.Bool("yes", false, "do not ask, for scripts"),
+		id:     fs.String("id", "", "`identity` of the change, for a retry; else a new one is drawn"),
+		by:     fs.String("by", os.Getenv("USER"), "`note` on who changes, for the history"),
+	}
+	cmd := leaf{
+		usage: "guavapier settings put [flags] -f FILE.toml | [flags] PATH VALUE | [flags] -delete PATH",
+		help:  "Change settings, all of them or none.",
+		example: "guavapier settings put -f dala.toml\n" +
+			"guavapier settings put -yes /teams/dala/budgets/main/lean 0.8",
+		flags: fs,
+	}.command("put")
+	cmd.Exec = func(ctx context.Context, args []string) error {
+		wanted, err := p.wanted(args)
+		if err != nil {
+			return err
+		}
+		return c.put(ctx, p, wanted)
+	}
+	return cmd
+}
+
+type putOptions struct {
+	file, remove, id, by *string
+	yes                  *bool
+}
+
+// wanted returns what the command line asks for.
+func (p putOptions) wanted(args []string) ([]wish, error) {
+	switch {
+	case *p.file != "" && *p.remove == "" && len(args) == 0:
+		return readWishes(*p.file)
+	case *p.remove != "" && *p.file == "" && len(args) == 0:
+		return []wish{{path: *p.remove, remove: true}}, nil
+	case len(args) == 2 && *p.file == "" && *p.remove == "" && !strings.HasPrefix(args[0], "-"):
+		return []wish{{path: args[0], value: args[1]}}, nil
+	}
+	return nil, usagef("it takes one of -f FILE, -delete PATH, or PATH and VALUE")
+}
+
+// put shows the difference, asks, and sends the change on the versions shown.
+func (c client) put(ctx context.Context, p putOptions, wanted []wish) error {
+	request, err := c.difference(ctx, wanted)
+	if err != nil {
+		return err
+	}
+	if len(request.Ops) == 0 {
+		fmt.Fprintln(c.o.out, "Nothing to change.")
+		return nil
+	}
+	if !*p.yes && !confirm(c.o) {
+		return errors.New("nothing was changed")
+	}
+	request.ID, request.By = *p.id, *p.by
+	if request.ID == "" {
+		request.ID = uuid.NewString()
+	}
+	var result changeRow
+	err = c.call(ctx, http.MethodPut, "/settings", request, &result)
+	var said refusal
+	if err != nil && !errors.As(err, &said) {
+		return fmt.Errorf("%w\nThe identity is %s; give it with -id when you retry", err, request.ID)
+	}
+	if err != nil {
+		return err
+	}
+	if *c.json {
+		return c.show(result, "", nil)
+	}
+	fmt.Fprintf(c.o.out, "accepted %s at offset %d\n", result.ID, result.Offset)
+	return nil
+}
+
+// difference compares with what stands, prints it, and returns the change.
+func (c client) difference(ctx context.Context, wanted []wish) (operator.ChangeRequest, error) {
+	var request operator.ChangeRequest
+	var shown strings.Builder
+	for _, w := range wanted {
+		rows, err := c.values(ctx, w.path)
+		if err != nil {
+			return request, err
+		}
+		op, text, differs := w.against(rows)
+		if differs {
+			request.Ops = append(request.Ops, op)
+			shown.WriteString(text)
+		}
+	}
+	if !*c.json {
+		fmt.Fprint(c.o.out, shown.String())
+	}
+	return request, nil
+}
+
+func confirm(o output) bool {
+	fmt.Fprint(o.out, "Change this? [y/N] ")
+	line, _ := bufio.NewReader(o.in).ReadString('\n')
+	answer := strings.ToLower(strings.TrimSpace(line))
+	return answer == "y" || answer == "yes"
+}
--- a/internal/cli/standalone.go
+++ b/internal/cli/standalone.go
@@ -28,19 +28,17 @@
 	sampleOperator = "operator-secret"
 	sampleTokens   = 1_000_000
 	sampleModel    = "small"
-	standaloneAddr = "127.0.0.1:8080"
-	operatorsAddr  = "127.0.0.1:8081"
 )
 
 // runStandalone runs an instance and all its stand-ins in this process.
-func runStandalone(ctx context.Context, o output) error {
+func runStandalone(ctx context.Context, o output, callers, operators string) error {
 	group, ctx := errgroup.WithContext(ctx)
 	url, err := startStandins(ctx, group)
 	if err != nil {
 		return err
 	}
 	s := settings.Default()
-	s.Instance = settings.Instance{Name: "standalone", Zone: "local", Callers: standaloneAddr, Operators: operatorsAddr, Peers: "127.0.0.1:8082"}
+	s.Instance = settings.Instance{Name: "standalone", Zone: "local", Callers: callers, Operators: operators, Peers: "127.0.0.1:0"}
 	s.Platform.URL = url
 	s.Log = settings.Log{Level: "info", Format: "console"}
 	secrets := server.Secrets{
--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -16,27 +16,18 @@
 )
 
 func standinCommand(o output) *ffcli.Command {
-	return &ffcli.Command{
-		Name: "standin", ShortUsage: "guavapier standin platform|engine|service [flags]",
-		ShortHelp: "Run a stand-in of an outside system, for tests and first runs.",
-		LongHelp:  "Example:\n  guavapier standin platform -listen 127.0.0.1:9000",
-		FlagSet:   newFlagSet("standin"),
-		Subcommands: []*ffcli.Command{
-			standinPlatform(o), standinEngine(o), standinService(o),
-		},
-		Exec: func(context.Context, []string) error {
-			return usagef("standin needs one of platform, engine, service")
-		},
-	}
+	return parent("standin", "guavapier standin platform|engine|service", "Run a stand-in of an outside system, for tests and first runs.",
+		"guavapier standin platform -listen 127.0.0.1:9000",
+		standinPlatform(o), standinEngine(o), standinService(o))
 }
 
 func standinPlatform(o output) *ffcli.Command {
 	fs := newFlagSet("platform")
-	listen := fs.String("listen", "127.0.0.1:9000", "IP:port to listen on")
+	listen := fs.String("listen", "127.0.0.1:9000", "`IP:port` to listen on; port 0 lets the kernel choose")
 	rate := fs.Float64("appends", 300, "append rate limit per second")
 	retain := fs.Int("retain", 0, "entries kept in each stream; 0 keeps all")
 	lag := fs.Duration("lag", time.Second, "lag of the instance list")
-	return leaf(fs, "platform", "Run the log and the instance list.", func(ctx context.Context) error {
+	return standinLeaf(fs, "platform", "Run the log and the instance list.", func(ctx context.Context) error {
 		p := standin.NewPlatform(standin.PlatformOptions{
 			AppendsPerSecond: *rate, Retain: *retain, ListLag: *lag, InstanceTTL: 5 * time.Second,
 		})
@@ -46,33 +37,29 @@
 
 func standinEngine(o output) *ffcli.Command {
 	fs := newFlagSet("engine")
-	listen := fs.String("listen", "127.0.0.1:9100", "IP:port to listen on")
+	listen := fs.String("listen", "127.0.0.1:9100", "`IP:port` to listen on; port 0 lets the kernel choose")
 	model := fs.String("model", "small", "model that it serves")
 	step := fs.Duration("step", 3*time.Millisecond, "time of one step")
-	return leaf(fs, "engine", "Run a model engine.", func(ctx context.Context) error {
+	return standinLeaf(fs, "engine", "Run a model engine.", func(ctx context.Context) error {
 		return serveHTTP(ctx, o, *listen, standin.NewEngine(standin.EngineOptions{Model: *model, Step: *step}).Handler())
 	})
 }
 
 func standinService(o output) *ffcli.Command {
 	fs := newFlagSet("service")
-	listen := fs.String("listen", "127.0.0.1:9200", "IP:port to listen on")
-	return leaf(fs, "service", "Run a plain service.", func(ctx context.Context) error {
+	listen := fs.String("listen", "127.0.0.1:9200", "`IP:port` to listen on; port 0 lets the kernel choose")
+	return standinLeaf(fs, "service", "Run a plain service.", func(ctx context.Context) error {
 		return serveHTTP(ctx, o, *listen, standin.NewService().Handler())
 	})
 }
 
-func leaf(fs *flag.FlagSet, name, help string, exec func(context.Context) error) *ffcli.Command {
-	return &ffcli.Command{
-		Name: name, ShortUsage: "guavapier standin " + name + " [flags]", ShortHelp: help, FlagSet: fs,
-		LongHelp: "Example:\n  guavapier standin " + name,
-		Exec: func(ctx context.Context, args []string) error {
-			if len(args) > 0 {
-				return usagef("standin %s takes no arguments, got %q", name, args[0])
-			}
-			return exec(ctx)
-		},
-	}
+func standinLeaf(fs *flag.FlagSet, name, help string, run func(context.Context) error) *ffcli.Command {
+	return leaf{
+		usage: "guavapier standin " + name + " [flags]", help: help,
+		example: "guavapier standin " + name + " -listen 127.0.0.1:0",
+		flags:   fs,
+		run:     func(ctx context.Context, _ []string) error { return run(ctx) },
+	}.command(name)
 }
 
 // serveHTTP serves until ctx ends and prints the bound address first.
--- /dev/null
+++ b/internal/cli/team.go
@@ -0,0 +1,104 @@
+package cli
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/base64"
+	"fmt"
+	"net/http"
+	"os"
+
+	"guavapier/internal/config"
+	"guavapier/internal/operator"
+	"guavapier/internal/record"
+
+	"github.com/google/uuid"
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+const keyBytes = 24
+
+func teamCommand(o output) *ffcli.Command {
+	return parent("team", "guavapier team create|list", "Create and list teams.", "guavapier team list", teamCreate(o), teamList(o))
+}
+
+// newTeam is what team create prints. The keys are shown this once.
+type newTeam struct {
+	Team        string `json:"team"`
+	APIKey      string `json:"api_key"`
+	OperatorKey string `json:"operator_key"`
+	Change      string `json:"change"`
+	Offset      uint64 `json:"offset"`
+}
+
+func teamCreate(o output) *ffcli.Command {
+	fs := newFlagSet("create")
+	c := operatorFlags(o, fs)
+	by := fs.String("by", os.Getenv("USER"), "`note` on who creates it, for the history")
+	return leaf{
+		usage: "guavapier team create [flags] TEAM", help: "Create a team with an API key and an operator key, and print them once.",
+		example: "guavapier team create dala",
+		flags:   fs, args: []string{"TEAM"},
+		run: func(ctx context.Context, args []string) error {
+			if !config.ValidName(args[0]) {
+				return usagef("%q is no team's name: letters, digits, dots, dashes, underscores", args[0])
+			}
+			return c.createTeam(ctx, args[0], *by)
+		},
+	}.command("create")
+}
+
+func (c client) createTeam(ctx context.Context, name, by string) error {
+	team := record.Team(name)
+	if rows, err := c.values(ctx, config.TeamPath(team)); err != nil || len(rows) > 0 {
+		if err == nil {
+			err = fmt.Errorf("team %s exists", name)
+		}
+		return err
+	}
+	made := newTeam{Team: name, APIKey: newKey(name), OperatorKey: newKey(name), Change: uuid.NewString()}
+	// The default budget's path has no value yet, so one of two operators who
+	// create the same team at once loses.
+	request := operator.ChangeRequest{ID: made.Change, By: by, Ops: []record.ChangeOp{
+		{Path: config.DefaultBudgetPath(team), Value: "main"},
+		{Path: config.APIKeyPath(team, made.APIKey), Value: "first key"},
+		{Path: config.OperatorKeyPath(team, made.OperatorKey), Value: "first operator"},
+	}}
+	var result changeRow
+	if err := c.call(ctx, http.MethodPut, "/settings", request, &result); err != nil {
+		return err
+	}
+	made.Offset = result.Offset
+	if *c.json {
+		return c.show(made, "", nil)
+	}
+	fmt.Fprintf(c.o.out, "team %s created\nAPI key:      %s\noperator key: %s\nThe keys are not shown again.\n", made.Team, made.APIKey, made.OperatorKey)
+	return nil
+}
+
+// newKey draws a credential of the form team:secret.
+func newKey(team string) string {
+	secret := make([]byte, keyBytes)
+	_, _ = rand.Read(secret) // Never fails; see crypto/rand.
+	return team + ":" + base64.RawURLEncoding.EncodeToString(secret)
+}
+
+func teamList(o output) *ffcli.Command {
+	fs := newFlagSet("list")
+	c := operatorFlags(o, fs)
+	return leaf{
+		usage: "guavapier team list [flags]", help: "List the teams.", example: "guavapier team list -json",
+		flags: fs,
+		run: func(ctx context.Context, _ []string) error {
+			var rows []operator.TeamRow
+			if err := c.call(ctx, http.MethodGet, "/teams", nil, &rows); err != nil {
+				return err
+			}
+			return c.show(rows, "TEAM\tVALUES", func(add func(...any)) {
+				for _, r := range rows {
+					add(r.Team, r.Values)
+				}
+			})
+		},
+	}.command("list")
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -102,10 +102,10 @@
 func (s *Server) listen() error {
 	var err error
 	if s.callers, err = net.Listen("tcp", s.settings.Instance.Callers); err != nil {
-		return eris.Wrap(err, "server: listen for callers")
+		return eris.Wrap(err, "server: listen for callers; give another address if this one is taken")
 	}
 	if s.operators, err = net.Listen("tcp", s.settings.Instance.Operators); err != nil {
-		return eris.Wrap(err, "server: listen for operators")
+		return eris.Wrap(err, "server: listen for operators; give another address if this one is taken")
 	}
 	return nil
 }
