--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -90,7 +90,9 @@
 	team := teamOf(r)
 	q := run.Request{
 		Team: team, Digest: xxhash.Sum64(body), First: r.Header.Get(HeaderFirst) == "true", Priority: decide.PriorityInteractive,
-		Session: session.Identity{Team: team.Name, Home: c.Zone},
+		// Without a session there is no home zone: the claim's shard must not
+		// depend on the instance that a retry reaches.
+		Session: session.Identity{Team: team.Name},
 	}
 	if token := r.Header.Get(HeaderSession); token != "" {
 		id, err := c.Sessions.Verify(token)
@@ -100,6 +102,7 @@
 		q.Session = id
 	}
 	key := r.Header.Get(HeaderKey)
+	q.Keyed = key != ""
 	if key == "" {
 		// No retry can name this request again, so the key needs no memory.
 		key, q.First = string(record.NewRunID()), true
@@ -149,7 +152,7 @@
 
 func (c *Callers) wholeChat(w http.ResponseWriter, r *http.Request, chat run.Chat) {
 	var text strings.Builder
-	result, err := c.Runner.Chat(r.Context(), chat, func(t endpoint.Token) error {
+	result, err := c.Runner.Chat(r.Context(), chat, func(_ record.RunID, t endpoint.Token) error {
 		text.WriteString(t.Text)
 		return nil
 	})
--- a/internal/fold/config_test.go
+++ b/internal/fold/config_test.go
@@ -34,18 +34,6 @@
 	return change
 }
 
-func batchOf(t *rapid.T, writer record.InstanceID, seq uint64, records ...record.Record) record.Batch {
-	b := record.Batch{Writer: writer, Seq: seq}
-	for _, r := range records {
-		env, err := record.Encode(r)
-		if err != nil {
-			t.Fatal(err)
-		}
-		b.Records = append(b.Records, env)
-	}
-	return b
-}
-
 // drawLog draws a log of racing operators, retries under the same identity,
 // and copies of batches whose answer was lost.
 func drawLog(t *rapid.T, steps int) []record.Batch {
--- a/internal/server/operators.go
+++ b/internal/server/operators.go
@@ -28,7 +28,7 @@
 // instances returns the instance list with this instance's row as it is now.
 func (s *Server) instances() []platform.Instance {
 	rows := []platform.Instance{s.self()}
-	for _, in := range s.members.list().Instances {
+	for _, in := range s.members.List().Instances {
 		if in.ID != s.id {
 			rows = append(rows, in)
 		}
@@ -50,8 +50,8 @@
 		return instanceRow{ID: s.id, Name: s.settings.Instance.Name, Zone: s.settings.Instance.Zone, Draining: s.draining.Load()}
 	})
 	s.tables.Register("applied", func() any { return s.applied() })
-	s.tables.Register("members", func() any { return s.members.list() })
-	s.tables.Register("budgets", func() any { return s.budgets() })
+	s.tables.Register("members", func() any { return s.members.List() })
+	s.tables.Register("budgets", func() any { return s.budgetRows() })
 	s.tables.Register("config", func() any {
 		var values []fold.Value
 		s.config.View(func(f *fold.Config) { values = f.List("") })
@@ -70,7 +70,7 @@
 	return next
 }
 
-func (s *Server) budgets() []fold.Budget {
+func (s *Server) budgetRows() []fold.Budget {
 	rows := []fold.Budget{}
 	for _, p := range s.partitions {
 		p.View(func(f *fold.Ledger) { rows = append(rows, f.Budgets()...) })
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -5,17 +5,17 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"guavapier/internal/claim"
 	"guavapier/internal/dispatch"
-	"guavapier/internal/endpoint"
 	"guavapier/internal/entry"
 	"guavapier/internal/fold"
 	"guavapier/internal/ledger"
+	"guavapier/internal/membership"
 	"guavapier/internal/metrics"
+	"guavapier/internal/peer"
 	"guavapier/internal/platform"
 	"guavapier/internal/record"
 	"guavapier/internal/replica"
@@ -36,10 +36,8 @@
 }
 
 const (
-	maxAttempts      = 3
 	publisherRetry   = 50 * time.Millisecond
 	publisherRecords = 1000
-	listEvery        = 500 * time.Millisecond
 	shutdownPatience = 24 * time.Hour // Long reports are never cut off by a drain.
 )
 
@@ -55,7 +53,13 @@
 	config     *replica.Replica[*fold.Config]
 	partitions ledger.Partitions
 	dispatcher *dispatch.Dispatcher
-	members    *members
+	clients    *endpointClients
+	members    *membership.Members
+	pool       *peer.Pool
+	peerServer *peer.Server
+	budgets    *ledger.Ledger
+	holder     *claim.Holder
+	claims     *claim.Fleet
 	runner     *run.Runner
 	draining   atomic.Bool
 	// tables and metrics are where each part registers what it shows.
@@ -64,6 +68,7 @@
 
 	callers   net.Listener
 	operators net.Listener
+	peers     net.Listener
 }
 
 // New puts an instance together and binds its addresses.
@@ -80,20 +85,21 @@
 	for n := range s.Ledger.Partitions {
 		srv.partitions = append(srv.partitions, replica.New(record.LedgerStream(n), fold.NewLedger()))
 	}
-	srv.dispatcher = dispatch.New()
-	srv.members = newMembers(srv.client, srv.dispatcher)
-	transport := http.DefaultTransport.(*http.Transport).Clone()
-	transport.MaxIdleConnsPerHost = 64
+	srv.dispatcher = dispatch.NewWithOptions(placement(s, srv.id))
+	srv.joinPeers()
+	if err := srv.joinBudgets(); err != nil {
+		return nil, err
+	}
+	if err := srv.joinClaims(); err != nil {
+		return nil, err
+	}
+	srv.clients = newEndpointClients(s.Limits, srv.members, srv.dispatcher)
 	srv.runner = &run.Runner{
-		Claims: claim.NewLocal(srv.id),
-		Accounts: ledger.New(srv.id, record.Zone(s.Instance.Zone), srv.publisher, srv.partitions, ledger.Options{
-			GrantTokens: s.Ledger.GrantTokens, Patience: s.Ledger.Patience.D(),
-		}),
-		Placer: srv.dispatcher, Endpoints: srv.members,
-		Engines:     endpoint.NewHTTPEngines(transport),
-		Services:    endpoint.NewHTTPServices(transport, s.Limits.AnswerBytes),
-		MaxAttempts: maxAttempts,
-		OnError:     func(err error) { log.Error().Err(err).Msg("run: background error") },
+		Claims: srv.claims, Accounts: srv.budgets,
+		Placer: srv.dispatcher, Endpoints: endpoints{srv.members},
+		Engines: srv.clients.engines, Services: srv.clients.services,
+		Repeats: repeatRules{srv.config}, Limits: runLimits(s.Limits), Leaving: srv.leaving,
+		OnError: func(err error) { log.Error().Err(err).Msg("run: background error") },
 	}
 	srv.registerTables()
 	return srv, nil
@@ -107,7 +113,7 @@
 	if s.operators, err = net.Listen("tcp", s.settings.Instance.Operators); err != nil {
 		return eris.Wrap(err, "server: listen for operators; give another address if this one is taken")
 	}
-	return nil
+	return s.listenPeers()
 }
 
 // CallersAddr returns the bound callers' address.
@@ -124,13 +130,22 @@
 	operators := &http.Server{Handler: s.operatorsHandler(), ReadHeaderTimeout: 10 * time.Second}
 	var group errgroup.Group
 	group.Go(func() error { return s.follow(background) })
-	group.Go(func() error { s.members.run(background, s.self); return nil })
+	group.Go(func() error { s.clients.poller.Run(background); return nil })
+	group.Go(func() error { s.members.Run(background, s.pool); return nil })
+	group.Go(func() error { s.holder.Run(background); return nil })
+	group.Go(func() error { return s.peerServer.Serve(s.peers) })
 	group.Go(func() error { return ignoreClosed(callers.Serve(s.callers)) })
 	group.Go(func() error { return ignoreClosed(operators.Serve(s.operators)) })
-	s.log.Info().Str("id", string(s.id)).Str("callers", s.CallersAddr()).Str("operators", s.OperatorsAddr()).Msg("server: serving")
+	s.log.Info().Str("id", string(s.id)).Str("callers", s.CallersAddr()).Str("operators", s.OperatorsAddr()).
+		Str("peers", s.PeersAddr()).Msg("server: serving")
+	group.Go(func() error { return s.budgets.Run(background) })
 	<-ctx.Done()
 	s.drain(callers, operators)
+	s.leaveClaims()
+	s.leaveBudgets()
 	stop()
+	s.leavePeers()
+	s.holder.Close()
 	s.dispatcher.Close()
 	err := group.Wait()
 	_ = s.publisher.Close()
@@ -144,12 +159,13 @@
 	patience, cancel := context.WithTimeout(context.Background(), shutdownPatience)
 	defer cancel()
 	_ = callers.Shutdown(patience)
+	s.runner.Close()
 	_ = operators.Shutdown(patience)
 }
 
 func (s *Server) self() platform.Instance {
 	return platform.Instance{
-		ID: s.id, Zone: record.Zone(s.settings.Instance.Zone), Peer: s.settings.Instance.Peers, Leaving: s.draining.Load(),
+		ID: s.id, Zone: record.Zone(s.settings.Instance.Zone), Peer: s.PeersAddr(), Leaving: s.draining.Load(),
 		Applied: s.config.Next(),
 	}
 }
@@ -158,6 +174,9 @@
 	onError := func(err error) { s.log.Error().Err(err).Msg("replica: batch passed over") }
 	sources := []replica.Source{{Stream: record.ConfigStream, Handler: s.config.Handle(onError)}}
 	for _, p := range s.partitions {
+		if !s.follows(p) {
+			continue
+		}
 		sources = append(sources, replica.Source{Stream: p.Stream(), Handler: p.Handle(onError)})
 	}
 	trimmed := func(stream record.Stream, first uint64) {
@@ -175,7 +194,7 @@
 			BodyBytes: limits.BodyBytes, MaxTokens: limits.MaxTokens,
 			FirstToken: limits.FirstToken.D(), ServiceAnswer: limits.ServiceAnswer.D(),
 		},
-		Ready: func() bool { return !s.draining.Load() && s.members.ready() },
+		Ready: func() bool { return !s.draining.Load() && s.members.Seen() },
 	}
 	return c.Handler()
 }
@@ -186,17 +205,3 @@
 	}
 	return err
 }
-
-// members follows the platform's instance list.
-type members struct {
-	directory  platform.Directory
-	dispatcher *dispatch.Dispatcher
-
-	mu   sync.Mutex
-	last platform.List
-	seen bool
-}
-
-func newMembers(directory platform.Directory, dispatcher *dispatch.Dispatcher) *members {
-	return &members{directory: directory, dispatcher: dispatcher}
-}
