Publish metrics and the state dump, and check log prefixes

Cause: metrics had a registry and no values; logs had no list of prefixes and an unknown level fell back to info in silence. Change: metrics over HTTP with a catalogue that a test compares with what a running instance publishes and with docs/OPERATIONS.md; internal/logging with the table of prefixes, which a test compares with every message in the source; POST /grants/{id}/close and budget close for ledger.ForceClose; the endpoints' slots and weight are read from /fleet/engines. Paths that no part reads yet are marked so in the reference: a team's weight, priorities, endpoints, fencing. Shown: TestMetricsMatchTheCatalogue, TestStateDumpHasTheTables, TestCallersAddressHasNoOperatorsRoute, TestEveryMessageHasItsPrefix, TestPathsAreDocumentedAndTyped. Seen red with: a message without prefix, an unpublished metric, /state on the callers' address, a count without bounds. Not measured: what counting costs a request.

--- a/internal/cli/budget.go
+++ b/internal/cli/budget.go
@@ -18,8 +18,8 @@
 )
 
 func budgetCommand(o output) *ffcli.Command {
-	return parent("budget", "guavapier budget show|topup", "Show and top up prepaid budgets.",
-		"guavapier budget topup dala main 1000000", budgetShow(o), budgetTopUp(o))
+	return parent("budget", "guavapier budget show|topup|close", "Show, top up and repair prepaid budgets.",
+		"guavapier budget topup dala main 1000000", budgetShow(o), budgetTopUp(o), budgetClose(o))
 }
 
 func (c client) showBudgets(rows []fold.Budget) error {
@@ -84,3 +84,30 @@
 		return fmt.Errorf("%w\nThe identity is %s; give it with -id when you retry", err, request.ID)
 	}
 }
+
+// closeRisk is told before a grant is closed by hand.
+const closeRisk = "Close a grant only if its holder and witness are gone for good. If the holder is alive\n" +
+	"behind a cut, it may go on spending until it reads the close, above what was prepaid;\n" +
+	"what it ran and had not billed yet stays unbilled."
+
+func budgetClose(o output) *ffcli.Command {
+	fs := newFlagSet("close")
+	c := operatorFlags(o, fs)
+	yes := fs.Bool("yes", false, "do not ask, for scripts")
+	return leaf{
+		usage: "guavapier budget close [flags] GRANT", help: "Close a grant whose holder is gone for good.",
+		example: "guavapier budget close 2f0c6f0e-54a8-4a5c-9e0f-1a2b3c4d5e6f",
+		flags:   fs, args: []string{"GRANT"},
+		run: func(ctx context.Context, args []string) error {
+			fmt.Fprintln(o.err, closeRisk)
+			if !*yes && !confirm(o) {
+				return errors.New("nothing was closed")
+			}
+			var row fold.Grant
+			if err := c.call(ctx, http.MethodPost, "/grants/"+url.PathEscape(args[0])+"/close", nil, &row); err != nil {
+				return err
+			}
+			return c.show(row, "GRANT\tTOKENS\tBILLED", func(add func(...any)) { add(row.Right, row.Tokens, row.Billed) })
+		},
+	}.command("close")
+}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -3,17 +3,16 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"os"
 	"strings"
 
+	"guavapier/internal/logging"
 	"guavapier/internal/server"
 	"guavapier/internal/session"
 	"guavapier/internal/settings"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/rotisserie/eris"
-	"github.com/rs/zerolog"
 )
 
 func serveCommand(o output) *ffcli.Command {
@@ -51,7 +50,11 @@
 	if err != nil {
 		return err
 	}
-	srv, err := server.New(s, secrets, newLogger(s.Log, o.err))
+	log, err := logging.New(s.Log, o.err)
+	if err != nil {
+		return err
+	}
+	srv, err := server.New(s, secrets, log)
 	if err != nil {
 		return err
 	}
@@ -84,17 +87,6 @@
 	return secret, nil
 }
 
-func newLogger(l settings.Log, w io.Writer) zerolog.Logger {
-	if l.Format == "console" {
-		w = zerolog.ConsoleWriter{Out: w, NoColor: true}
-	}
-	level, err := zerolog.ParseLevel(l.Level)
-	if err != nil {
-		level = zerolog.InfoLevel
-	}
-	return zerolog.New(w).Level(level).With().Timestamp().Logger()
-}
-
 func checkCommand(o output) *ffcli.Command {
 	return leaf{
 		usage: "guavapier check FILE", help: "Report everything that is wrong with a settings file.",
--- a/internal/cli/standalone.go
+++ b/internal/cli/standalone.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"guavapier/internal/config"
+	"guavapier/internal/logging"
 	"guavapier/internal/operator"
 	"guavapier/internal/record"
 	"guavapier/internal/server"
@@ -45,7 +46,11 @@
 		Sessions: session.Keyring{Current: "k1", Keys: map[string][]byte{"k1": []byte("standalone-only")}},
 		Operator: sampleOperator,
 	}
-	srv, err := server.New(s, secrets, newLogger(s.Log, o.err))
+	log, err := logging.New(s.Log, o.err)
+	if err != nil {
+		return err
+	}
+	srv, err := server.New(s, secrets, log)
 	if err != nil {
 		return err
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -4,6 +4,7 @@
 package config
 
 import (
+	"strconv"
 	"time"
 
 	"guavapier/internal/fold"
@@ -48,3 +49,18 @@
 	}
 	return Team{Name: team, Budget: budget}, true
 }
+
+// Engine is what the settings say about an endpoint; 0 where they are silent.
+type Engine struct {
+	Slots, Weight int
+}
+
+// EngineOf returns the settings of an endpoint.
+func EngineOf(c *fold.Config, name string) Engine {
+	number := func(key string) int {
+		v, _ := c.Get(join(FleetPath, "engines", name, key))
+		n, _ := strconv.Atoi(v.Value) // Validated before it was accepted.
+		return max(n, 0)
+	}
+	return Engine{Slots: number("slots"), Weight: number("weight")}
+}
--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -45,17 +45,17 @@
 		{Pattern: "/teams/{team}/operator_keys/{sha256}/expires", Unit: "RFC 3339 time", Default: "never", value: instant, FleetOnly: true, Doc: "The credential is refused from then on."},
 		{Pattern: "/teams/{team}/default_budget", Unit: "budget", Default: "main", value: anyName, Doc: "Budget that a request draws on when it names none."},
 		{Pattern: "/teams/{team}/budgets/{name}/lean", Unit: "share", Default: "0.5", value: share, Doc: "0 leans to fewer stranded tokens behind a cut, 1 to fewer false refusals."},
-		{Pattern: "/teams/{team}/weight", Unit: "weight", Default: "1", value: count(1, 1000), FleetOnly: true, Doc: "The team's share of a busy fleet against other teams."},
-		{Pattern: "/teams/{team}/priorities/{name}", Unit: "level", Default: "0", value: count(0, 9), Doc: "Priority of requests of this class within the team, 9 before 0."},
+		{Pattern: "/teams/{team}/weight", Unit: "weight", Default: "1", value: count(1, 1000), FleetOnly: true, Doc: "The team's share of a busy fleet against other teams. Not read yet by this version."},
+		{Pattern: "/teams/{team}/priorities/{name}", Unit: "level", Default: "0", value: count(0, 9), Doc: "Priority of requests of this class within the team, 9 before 0. Not read yet by this version."},
 		{Pattern: "/teams/{team}/calls/when_log_away", Unit: "policy", Default: "refuse", value: choice("refuse", "serve"), Doc: "Calls that may not be repeated, while the log is away: refuse is always safe; serve needs the claim's holder and witness."},
-		{Pattern: "/teams/{team}/endpoints/{name}/use", Unit: "switch", Default: "true", value: choice("true", "false"), Doc: "Whether the team's requests may go to this endpoint."},
-		{Pattern: "/teams/{team}/endpoints/{name}/weight", Unit: "weight", Default: "1", value: count(1, 1000), Doc: "The endpoint's share of the team's sessions."},
+		{Pattern: "/teams/{team}/endpoints/{name}/use", Unit: "switch", Default: "true", value: choice("true", "false"), Doc: "Whether the team's requests may go to this endpoint. Not read yet by this version."},
+		{Pattern: "/teams/{team}/endpoints/{name}/weight", Unit: "weight", Default: "1", value: count(1, 1000), Doc: "The endpoint's share of the team's sessions. Not read yet by this version."},
 		{Pattern: "/fleet/operator_keys/{sha256}", Unit: "text", value: anyText, Doc: "A fleet operator's credential, by the SHA-256 of the token. The value is the operator's name."},
 		{Pattern: "/fleet/operator_keys/{sha256}/expires", Unit: "RFC 3339 time", Default: "never", value: instant, Doc: "The credential is refused from then on."},
-		{Pattern: "/fleet/services/{name}/repeatable", Unit: "switch", Default: "false", value: choice("true", "false"), Doc: "Whether a call of the service may run twice."},
+		{Pattern: "/fleet/services/{name}/repeatable", Unit: "rules", Default: "none", value: repeatRules, Doc: "Calls of the service that may run twice; all others run at most once."},
 		{Pattern: "/fleet/engines/{name}/slots", Unit: "requests", Default: "16", value: count(1, 4096), Doc: "Requests that the endpoint works on at once."},
 		{Pattern: "/fleet/engines/{name}/weight", Unit: "weight", Default: "1", value: count(1, 1000), Doc: "The endpoint's capacity against the others."},
-		{Pattern: "/fleet/engines/{name}/fencing", Unit: "switch", Default: "ignores", value: choice("checks", "ignores"), Doc: "Whether the endpoint refuses an order with an old fencing number."},
+		{Pattern: "/fleet/engines/{name}/fencing", Unit: "switch", Default: "ignores", value: choice("checks", "ignores"), Doc: "Whether the endpoint refuses an order with an old fencing number. Not read yet by this version."},
 	}
 }
 
@@ -63,10 +63,11 @@
 	namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$`)
 	hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
 
-	anyText = value{fmt.Sprintf("text of at most %d bytes", MaxValueBytes), func(string) bool { return true }}
-	anyName = value{"a name: letters, digits, dots, dashes, underscores; at most 100", ValidName}
-	instant = value{"a time like 2027-01-31T00:00:00Z", func(v string) bool { _, err := time.Parse(time.RFC3339, v); return err == nil }}
-	share   = value{"a number from 0 to 1", func(v string) bool { f, err := strconv.ParseFloat(v, 64); return err == nil && f >= 0 && f <= 1 }}
+	anyText     = value{fmt.Sprintf("text of at most %d bytes", MaxValueBytes), func(string) bool { return true }}
+	anyName     = value{"a name: letters, digits, dots, dashes, underscores; at most 100", ValidName}
+	instant     = value{"a time like 2027-01-31T00:00:00Z", func(v string) bool { _, err := time.Parse(time.RFC3339, v); return err == nil }}
+	repeatRules = value{"rules like GET /calendar, POST /tags", validRules}
+	share       = value{"a number from 0 to 1", func(v string) bool { f, err := strconv.ParseFloat(v, 64); return err == nil && f >= 0 && f <= 1 }}
 )
 
 func count(low, high int) value {
@@ -86,6 +87,18 @@
 	return value{strings.Join(choices, " or "), ok}
 }
 
+// validRules says whether text is a list of METHOD /path, parted by commas or
+// lines; package run reads it.
+func validRules(text string) bool {
+	for _, rule := range strings.FieldsFunc(text, func(c rune) bool { return c == ',' || c == '\n' }) {
+		fields := strings.Fields(rule)
+		if len(fields) > 0 && (len(fields) != 2 || fields[0] != strings.ToUpper(fields[0]) || !strings.HasPrefix(fields[1], "/")) {
+			return false
+		}
+	}
+	return true
+}
+
 // ValidName says whether a team, budget, endpoint or service may be called so.
 func ValidName(name string) bool { return namePattern.MatchString(name) }
 
--- /dev/null
+++ b/internal/logging/logging.go
@@ -0,0 +1,57 @@
+// Package logging makes an instance's logger. Every message begins with the
+// fixed prefix of its part, as in "ledger: grant taken"; Prefixes lists them.
+package logging
+
+import (
+	"fmt"
+	"io"
+	"strings"
+
+	"guavapier/internal/settings"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+)
+
+// New returns a logger that writes to w. The level must be one that the
+// settings allow.
+func New(l settings.Log, w io.Writer) (zerolog.Logger, error) {
+	level, err := zerolog.ParseLevel(l.Level)
+	if err != nil {
+		return zerolog.Logger{}, eris.Wrapf(err, "logging: level %q", l.Level)
+	}
+	if l.Format == "console" {
+		w = zerolog.ConsoleWriter{Out: w, NoColor: true}
+	}
+	return zerolog.New(w).Level(level).With().Timestamp().Logger(), nil
+}
+
+// Prefix documents the messages of one part.
+type Prefix struct {
+	Name string
+	Part string
+}
+
+// Prefixes lists every prefix.
+func Prefixes() []Prefix {
+	return []Prefix{
+		{"server", "Start, drain and end of the instance."},
+		{"membership", "The instance list and the peers."},
+		{"replica", "Following the log's streams."},
+		{"snapshot", "Snapshots written, used and discarded."},
+		{"ledger", "Grants, reservations and bills."},
+		{"claim", "Claim shards and claims."},
+		{"run", "Requests on their way to an endpoint and back."},
+		{"operator", "Changes and top-ups by operators."},
+	}
+}
+
+// Reference returns the prefixes as a table in Markdown.
+func Reference() string {
+	var b strings.Builder
+	b.WriteString("| prefix | part |\n| --- | --- |\n")
+	for _, p := range Prefixes() {
+		fmt.Fprintf(&b, "| `%s:` | %s |\n", p.Name, p.Part)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/logging/logging_test.go
@@ -0,0 +1,56 @@
+package logging_test
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"guavapier/internal/logging"
+)
+
+var message = regexp.MustCompile(`\.Msgf?\(([^)]*)`)
+
+// Every message in the source begins with a documented prefix.
+func TestEveryMessageHasItsPrefix(t *testing.T) {
+	known := map[string]bool{}
+	for _, p := range logging.Prefixes() {
+		known[p.Name] = true
+	}
+	messages := 0
+	err := filepath.WalkDir("..", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		source, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		for _, m := range message.FindAllStringSubmatch(string(source), -1) {
+			messages++
+			prefix, _, ok := strings.Cut(strings.TrimPrefix(m[1], "\""), ": ")
+			if !ok || !known[prefix] {
+				t.Errorf("%s: message %s has no known prefix", path, m[1])
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if messages == 0 {
+		t.Fatal("no message was found")
+	}
+}
+
+func TestPrefixesAreInTheOperatorsPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(string(page), logging.Reference()) {
+		t.Errorf("docs/OPERATIONS.md lacks this table:\n%s", logging.Reference())
+	}
+}
--- a/internal/metrics/catalogue.go
+++ b/internal/metrics/catalogue.go
@@ -1,23 +1,27 @@
 package metrics
 
+import (
+	"fmt"
+	"strings"
+)
+
 // The metrics' names.
 const (
-	CallerRequests     = "callers.requests"
-	CallerRefusals     = "callers.refusals"
-	CallerFaults       = "callers.faults"
-	CallerLatency      = "callers.latency"
-	OperatorRequests   = "operators.requests"
-	OperatorRefusals   = "operators.refusals"
-	ConfigNext         = "config.next_offset"
-	ConfigValues       = "config.values"
-	LedgerNext         = "ledger.next_offset"
-	BatchesPassed      = "replica.batches_passed_over"
-	RecordsLost        = "replica.records_aged_out"
-	SnapshotsWritten   = "snapshot.written"
-	SnapshotsRestored  = "snapshot.restored"
-	SnapshotsDiscarded = "snapshot.discarded"
-	Goroutines         = "process.goroutines"
-	HeapBytes          = "process.heap"
+	CallerRequests   = "callers.requests"
+	CallerRefusals   = "callers.refusals"
+	CallerFaults     = "callers.faults"
+	CallerLatency    = "callers.latency"
+	OperatorRequests = "operators.requests"
+	OperatorRefusals = "operators.refusals"
+	OperatorFaults   = "operators.faults"
+	OperatorLatency  = "operators.latency"
+	ConfigNext       = "config.next_offset"
+	ConfigValues     = "config.values"
+	LedgerNext       = "ledger.next_offset"
+	BatchesPassed    = "replica.batches_passed_over"
+	RecordsLost      = "replica.records_aged_out"
+	Goroutines       = "process.goroutines"
+	HeapBytes        = "process.heap"
 )
 
 // Kind is the kind of a metric.
@@ -48,15 +52,24 @@
 		{CallerLatency, KindHistogram, "microseconds", "From a request's arrival to the end of its answer, streams included."},
 		{OperatorRequests, KindCounter, "requests", "Requests on the operators' address that have been answered."},
 		{OperatorRefusals, KindCounter, "requests", "Of these, answered with a 4xx status."},
+		{OperatorFaults, KindCounter, "requests", "Of these, answered with a 5xx status, unknown outcomes included."},
+		{OperatorLatency, KindHistogram, "microseconds", "From a request's arrival to the end of its answer."},
 		{ConfigNext, KindGauge, "offset", "Offset after the last applied entry of the configuration stream."},
 		{ConfigValues, KindGauge, "values", "Values under paths."},
 		{LedgerNext, KindGauge, "offset", "Sum over the ledger partitions of the offset after the last applied entry."},
 		{BatchesPassed, KindCounter, "batches", "Batches that could not be decoded and were passed over."},
 		{RecordsLost, KindCounter, "times", "Times that records aged out before this instance had read them."},
-		{SnapshotsWritten, KindCounter, "snapshots", "Snapshots that this instance has written."},
-		{SnapshotsRestored, KindCounter, "snapshots", "Snapshots from which this instance has started a stream."},
-		{SnapshotsDiscarded, KindCounter, "snapshots", "Snapshots that were not used: torn, or older than another whole one."},
 		{Goroutines, KindGauge, "goroutines", "Goroutines of the process."},
 		{HeapBytes, KindGauge, "bytes", "Bytes of the heap in use."},
 	}
 }
+
+// Reference returns the catalogue as a table in Markdown.
+func Reference() string {
+	var b strings.Builder
+	b.WriteString("| metric | kind | unit | what it says |\n| --- | --- | --- | --- |\n")
+	for _, m := range Catalogue() {
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", m.Name, m.Kind, m.Unit, m.Help)
+	}
+	return b.String()
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -35,6 +35,9 @@
 	// Instances gives the instance list as this instance knows it, with its
 	// own row as it is now.
 	Instances func() []platform.Instance
+	// ForceClose closes the grant of a holder that is gone for good; its risk
+	// is told at ledger.Ledger.ForceClose.
+	ForceClose func(context.Context, record.RightID) (fold.Grant, error)
 	// Patience is how long a change waits for the log before its outcome is
 	// called unknown.
 	Patience time.Duration
@@ -67,6 +70,7 @@
 		{http.MethodGet, "/metrics", accessFleet, i.Metrics.ServeHTTP},
 		{http.MethodGet, "/teams", accessFleet, i.handleTeams},
 		{http.MethodPost, "/topups", accessFleet, i.handleTopUp},
+		{http.MethodPost, "/grants/{id}/close", accessFleet, i.handleForceClose},
 		{http.MethodGet, "/budgets/{team}", accessTeam, i.handleBudgets},
 		{http.MethodGet, "/budgets/{team}/{name}", accessTeam, i.handleBudget},
 		{http.MethodPut, "/settings", accessScoped, i.handleChange},
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -12,6 +12,7 @@
 
 	"guavapier/internal/config"
 	"guavapier/internal/fold"
+	"guavapier/internal/ledger"
 	"guavapier/internal/metrics"
 	"guavapier/internal/operator"
 	"guavapier/internal/platform"
@@ -98,6 +99,7 @@
 	i := &operator.Interface{
 		Token: fleetToken, Log: log, Config: log.config, Ledgers: []*replica.Replica[*fold.Ledger]{log.ledger},
 		State: state.New(), Metrics: metrics.New(), Instances: func() []platform.Instance { return nil }, Patience: shortWait,
+		ForceClose: func(context.Context, record.RightID) (fold.Grant, error) { return fold.Grant{}, ledger.ErrNoGrant },
 	}
 	return i.Handler(), log
 }
@@ -133,12 +135,13 @@
 		{"GET /metrics", "/metrics", nil, 403, 403, 200},
 		{"GET /teams", "/teams", nil, 403, 403, 200},
 		{"POST /topups", "/topups", topUp, 403, 403, 200},
+		{"POST /grants/{id}/close", "/grants/g1/close", nil, 403, 403, 404},
 		{"GET /budgets/{team}", "/budgets/dala", nil, 200, 403, 200},
 		{"GET /budgets/{team}/{name}", "/budgets/dala/main", nil, 200, 403, 200},
 		{"PUT /settings", "/settings", change("c1", lean), 200, 422, 200},
 		{"PUT /settings", "/settings", change("c2", weight), 422, 422, 200},
 		{"PUT /settings", "/settings", change("c3", grant), 422, 422, 200},
-		{"PUT /settings", "/settings", change("c4", record.ChangeOp{Path: "/fleet/services/rig/repeatable", Value: "true"}), 422, 422, 200},
+		{"PUT /settings", "/settings", change("c4", record.ChangeOp{Path: "/fleet/services/rig/repeatable", Value: "GET /calendar"}), 422, 422, 200},
 		{"GET /settings", "/settings?prefix=/teams/dala", nil, 200, 403, 200},
 		{"GET /settings", "/settings", nil, 403, 403, 200},
 		{"GET /history", "/history?prefix=/teams/dala", nil, 200, 403, 200},
--- a/internal/server/operators.go
+++ b/internal/server/operators.go
@@ -21,8 +21,9 @@
 	o := &operator.Interface{
 		Token: s.secrets.Operator, Log: s.publisher, Config: s.config, Ledgers: s.partitions,
 		State: s.tables, Metrics: s.metrics, Instances: s.instances, Patience: changePatience,
+		ForceClose: s.ForceClose,
 	}
-	return o.Handler()
+	return s.metrics.Measure(metrics.OperatorsHTTP, o.Handler())
 }
 
 // instances returns the instance list with this instance's row as it is now.
@@ -57,6 +58,23 @@
 		s.config.View(func(f *fold.Config) { values = f.List("") })
 		return values
 	})
+	s.registerMetrics()
+}
+
+func (s *Server) registerMetrics() {
+	s.metrics.Gauge(metrics.ConfigNext, func() int64 { return int64(s.config.Next()) })
+	s.metrics.Gauge(metrics.ConfigValues, func() (n int64) {
+		s.config.View(func(f *fold.Config) { n = int64(f.Len()) })
+		return n
+	})
+	s.metrics.Gauge(metrics.LedgerNext, func() (sum int64) {
+		for _, p := range s.partitions {
+			sum += int64(p.Next())
+		}
+		return sum
+	})
+	s.metrics.Counter(metrics.BatchesPassed)
+	s.metrics.Counter(metrics.RecordsLost)
 	s.metrics.Gauge(metrics.Goroutines, func() int64 { return int64(runtime.NumGoroutine()) })
 	s.metrics.Gauge(metrics.HeapBytes, heapBytes)
 }
--- /dev/null
+++ b/internal/server/operators_test.go
@@ -0,0 +1,128 @@
+package server_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"guavapier/internal/metrics"
+	"guavapier/internal/operator"
+	"guavapier/internal/server"
+	"guavapier/internal/session"
+	"guavapier/internal/settings"
+	"guavapier/internal/standin"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/rs/zerolog"
+)
+
+const operatorToken = "operator-secret"
+
+// startServer runs an instance on a platform stand-in until the test ends.
+func startServer(t *testing.T) *server.Server {
+	t.Helper()
+	p := httptest.NewServer(standin.NewPlatform(standin.PlatformOptions{AppendsPerSecond: 300, InstanceTTL: 5 * time.Second}).Handler())
+	s := settings.Default()
+	const anyPort = "127.0.0.1:0"
+	s.Instance = settings.Instance{Name: "a1", Zone: "hall-a", Callers: anyPort, Operators: anyPort, Peers: anyPort}
+	s.Platform.URL = p.URL
+	secrets := server.Secrets{
+		Sessions: session.Keyring{Current: "k1", Keys: map[string][]byte{"k1": []byte("key")}}, Operator: operatorToken,
+	}
+	srv, err := server.New(s, secrets, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- srv.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+		p.CloseClientConnections()
+		p.Close()
+	})
+	return srv
+}
+
+func request(t *testing.T, method, url string) (status int, body map[string]json.RawMessage) {
+	t.Helper()
+	req, err := http.NewRequest(method, url, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+operatorToken)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	_ = json.NewDecoder(resp.Body).Decode(&body) // An answer that is no object has no tables.
+	return resp.StatusCode, body
+}
+
+func TestMetricsMatchTheCatalogue(t *testing.T) {
+	srv := startServer(t)
+	status, got := request(t, http.MethodGet, "http://"+srv.OperatorsAddr()+"/metrics")
+	if status != http.StatusOK {
+		t.Fatalf("status %d", status)
+	}
+	var want []string
+	for _, m := range metrics.Catalogue() {
+		want = append(want, m.Name)
+		if m.Unit == "" || m.Help == "" || m.Kind == "" {
+			t.Errorf("%s is not documented whole", m.Name)
+		}
+		if _, ok := got[m.Name]; !ok {
+			t.Errorf("%s is in the catalogue but not published", m.Name)
+		}
+	}
+	for name := range got {
+		if !slices.Contains(want, name) {
+			t.Errorf("%s is published but not in the catalogue", name)
+		}
+	}
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(string(page), metrics.Reference()) {
+		t.Errorf("docs/OPERATIONS.md lacks this table:\n%s", metrics.Reference())
+	}
+}
+
+func TestStateDumpHasTheTables(t *testing.T) {
+	srv := startServer(t)
+	_, tables := request(t, http.MethodGet, "http://"+srv.OperatorsAddr()+"/state")
+	for _, name := range []string{"instance", "applied", "members", "budgets", "config"} {
+		if _, ok := tables[name]; !ok {
+			t.Errorf("table %s is missing", name)
+		}
+	}
+}
+
+// Nothing of the operators' interface answers on the callers' address.
+func TestCallersAddressHasNoOperatorsRoute(t *testing.T) {
+	srv := startServer(t)
+	routes := (&operator.Interface{Metrics: metrics.New()}).Handler().(chi.Routes)
+	walked := 0
+	err := chi.Walk(routes, func(method, route string, _ http.Handler, _ ...func(http.Handler) http.Handler) error {
+		walked++
+		path := strings.NewReplacer("{team}", "dala", "{name}", "main", "{id}", "x").Replace(route)
+		if status, _ := request(t, method, "http://"+srv.CallersAddr()+path); status != http.StatusNotFound {
+			t.Errorf("%s %s on the callers' address: %d", method, path, status)
+		}
+		return nil
+	})
+	if err != nil || walked == 0 {
+		t.Fatal(err, walked)
+	}
+}
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -1,10 +1,12 @@
 package server
 
 import (
+	"cmp"
 	"net"
 
+	"guavapier/internal/config"
 	"guavapier/internal/decide"
-	"guavapier/internal/dispatch"
+	"guavapier/internal/fold"
 	"guavapier/internal/membership"
 	"guavapier/internal/peer"
 	"guavapier/internal/platform"
@@ -32,7 +34,7 @@
 // joinPeers makes the parts that talk to other instances.
 func (s *Server) joinPeers() {
 	s.members = membership.New(s.client, s.self, s.log)
-	s.members.OnList(listEndpoints(s.dispatcher))
+	s.members.OnList(s.listEndpoints)
 	s.pool = peer.NewPool(s.id, s.members, peer.Options{})
 	s.peerServer = peer.NewServer(s.id)
 }
@@ -44,18 +46,19 @@
 	s.peerServer.Close()
 }
 
-// listEndpoints hands the listed endpoints to the dispatcher.
-func listEndpoints(dispatcher *dispatch.Dispatcher) func(platform.List) {
-	return func(list platform.List) {
-		rows := make([]decide.Endpoint, 0, len(list.Endpoints))
+// listEndpoints hands the listed endpoints to the dispatcher. It runs with
+// each list that is read, so a changed setting is in force with the next one.
+func (s *Server) listEndpoints(list platform.List) {
+	rows := make([]decide.Endpoint, 0, len(list.Endpoints))
+	s.config.View(func(f *fold.Config) {
 		for _, e := range list.Endpoints {
-			rows = append(rows, endpointRow(e))
+			rows = append(rows, endpointRow(f, e))
 		}
-		dispatcher.Update(func(d *decide.Decider) { d.SetEndpoints(rows) })
-	}
+	})
+	s.dispatcher.Update(func(d *decide.Decider) { d.SetEndpoints(rows) })
 }
 
-func endpointRow(e platform.Endpoint) decide.Endpoint {
+func endpointRow(f *fold.Config, e platform.Endpoint) decide.Endpoint {
 	row := decide.Endpoint{Name: e.Name, Zone: e.Zone, Service: e.Service, Slots: engineSlots, Weight: 1, Leaving: e.Leaving}
 	if e.Service != "" {
 		row.Slots = serviceSlots
@@ -63,6 +66,9 @@
 	if e.Model != "" {
 		row.Models = []string{e.Model}
 	}
+	capacity := config.EngineOf(f, e.Name)
+	row.Slots = cmp.Or(capacity.Slots, row.Slots)
+	row.Weight = cmp.Or(float64(capacity.Weight), row.Weight)
 	return row
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -171,7 +171,10 @@
 }
 
 func (s *Server) follow(ctx context.Context) error {
-	onError := func(err error) { s.log.Error().Err(err).Msg("replica: batch passed over") }
+	onError := func(err error) {
+		s.metrics.Counter(metrics.BatchesPassed).Inc(1)
+		s.log.Error().Err(err).Msg("replica: batch passed over")
+	}
 	sources := []replica.Source{{Stream: record.ConfigStream, Handler: s.config.Handle(onError)}}
 	for _, p := range s.partitions {
 		if !s.follows(p) {
@@ -180,6 +183,7 @@
 		sources = append(sources, replica.Source{Stream: p.Stream(), Handler: p.Handle(onError)})
 	}
 	trimmed := func(stream record.Stream, first uint64) {
+		s.metrics.Counter(metrics.RecordsLost).Inc(1)
 		s.log.Error().Str("stream", string(stream)).Uint64("first", first).Msg("replica: records aged out unread")
 	}
 	sub := platform.NewSubscriber(s.client, func(record.Stream) uint64 { return 0 }, trimmed)
@@ -196,7 +200,7 @@
 		},
 		Ready: func() bool { return !s.draining.Load() && s.members.Seen() },
 	}
-	return c.Handler()
+	return s.metrics.Measure(metrics.CallersHTTP, c.Handler())
 }
 
 func ignoreClosed(err error) error {
