--- a/internal/metrics/catalogue.go
+++ b/internal/metrics/catalogue.go
@@ -7,21 +7,24 @@
 
 // The metrics' names.
 const (
-	CallerRequests   = "callers.requests"
-	CallerRefusals   = "callers.refusals"
-	CallerFaults     = "callers.faults"
-	CallerLatency    = "callers.latency"
-	OperatorRequests = "operators.requests"
-	OperatorRefusals = "operators.refusals"
-	OperatorFaults   = "operators.faults"
-	OperatorLatency  = "operators.latency"
-	ConfigNext       = "config.next_offset"
-	ConfigValues     = "config.values"
-	LedgerNext       = "ledger.next_offset"
-	BatchesPassed    = "replica.batches_passed_over"
-	RecordsLost      = "replica.records_aged_out"
-	Goroutines       = "process.goroutines"
-	HeapBytes        = "process.heap"
+	CallerRequests     = "callers.requests"
+	CallerRefusals     = "callers.refusals"
+	CallerFaults       = "callers.faults"
+	CallerLatency      = "callers.latency"
+	OperatorRequests   = "operators.requests"
+	OperatorRefusals   = "operators.refusals"
+	OperatorFaults     = "operators.faults"
+	OperatorLatency    = "operators.latency"
+	ConfigNext         = "config.next_offset"
+	ConfigValues       = "config.values"
+	LedgerNext         = "ledger.next_offset"
+	BatchesPassed      = "replica.batches_passed_over"
+	RecordsLost        = "replica.records_aged_out"
+	SnapshotsWritten   = "snapshot.written"
+	SnapshotsRestored  = "snapshot.restored"
+	SnapshotsDiscarded = "snapshot.discarded"
+	Goroutines         = "process.goroutines"
+	HeapBytes          = "process.heap"
 )
 
 // Kind is the kind of a metric.
@@ -59,6 +62,9 @@
 		{LedgerNext, KindGauge, "offset", "Sum over the ledger partitions of the offset after the last applied entry."},
 		{BatchesPassed, KindCounter, "batches", "Batches that could not be decoded and were passed over."},
 		{RecordsLost, KindCounter, "times", "Times that records aged out before this instance had read them."},
+		{SnapshotsWritten, KindCounter, "snapshots", "Snapshots that this instance has written."},
+		{SnapshotsRestored, KindCounter, "snapshots", "Snapshots from which this instance has restored a stream's tables."},
+		{SnapshotsDiscarded, KindCounter, "chunks", "Chunks and snapshots that were damaged and not used."},
 		{Goroutines, KindGauge, "goroutines", "Goroutines of the process."},
 		{HeapBytes, KindGauge, "bytes", "Bytes of the heap in use."},
 	}
--- a/internal/platform/subscriber.go
+++ b/internal/platform/subscriber.go
@@ -19,14 +19,21 @@
 const (
 	pollWait   = 2 * time.Second
 	retryPause = 100 * time.Millisecond
+	// startPause spares the log: a start may read all that it keeps.
+	startPause = 500 * time.Millisecond
 )
 
 // Subscriber is a watermill subscriber that follows streams of the log in
 // offset order. Each message's payload is one encoded record.Batch.
 type Subscriber struct {
-	log     Log
-	from    func(record.Stream) uint64
-	trimmed func(record.Stream, uint64)
+	log   Log
+	start Start
+
+	mu sync.Mutex // Guards the maps.
+	// first is the oldest offset that the log was seen to keep, and current
+	// has the streams that were read to their end once.
+	first   map[record.Stream]uint64
+	current map[record.Stream]bool
 
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -35,12 +42,39 @@
 
 var _ message.Subscriber = (*Subscriber)(nil)
 
-// NewSubscriber returns a subscriber. from gives the offset at which each
-// stream starts; trimmed is told when records aged out before they were read,
-// with the first offset still kept.
-func NewSubscriber(log Log, from func(record.Stream) uint64, trimmed func(record.Stream, uint64)) *Subscriber {
+// Start returns the offset from which a stream is to be read. It is called
+// before the first read, and again when that offset has aged out. After an
+// error it is called again.
+type Start func(ctx context.Context, stream record.Stream) (uint64, error)
+
+// NewSubscriber returns a subscriber.
+func NewSubscriber(log Log, start Start) *Subscriber {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Subscriber{log: log, from: from, trimmed: trimmed, ctx: ctx, cancel: cancel}
+	return &Subscriber{
+		log: log, start: start, ctx: ctx, cancel: cancel,
+		first: map[record.Stream]uint64{}, current: map[record.Stream]bool{},
+	}
+}
+
+// First returns the oldest offset that the log was seen to keep.
+func (s *Subscriber) First(stream record.Stream) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.first[stream]
+}
+
+// Current says whether a stream was read to its end since its start.
+func (s *Subscriber) Current(stream record.Stream) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.current[stream]
+}
+
+func (s *Subscriber) note(stream record.Stream, page Page) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.first[stream] = max(s.first[stream], page.First)
+	s.current[stream] = s.current[stream] || len(page.Entries) == 0
 }
 
 // Subscribe implements message.Subscriber; topic is the stream.
@@ -67,17 +101,18 @@
 	defer cancel()
 	stop := context.AfterFunc(s.ctx, cancel)
 	defer stop()
-	next := s.from(stream)
-	for ctx.Err() == nil {
-		page, err := s.log.Read(ctx, stream, next, pollWait)
-		if errors.Is(err, ErrTrimmed) {
-			s.trimmed(stream, page.First)
-			next = max(page.First, next)
-		}
-		if err != nil {
+	next, ok := s.begin(ctx, stream)
+	for ok && ctx.Err() == nil {
+		page, err := s.log.Read(ctx, stream, next, s.wait(stream))
+		switch {
+		case errors.Is(err, ErrTrimmed):
+			next, ok = s.begin(ctx, stream)
+			continue
+		case err != nil:
 			pause(ctx, retryPause)
 			continue
 		}
+		s.note(stream, page)
 		for _, entry := range page.Entries {
 			if !deliver(ctx, entry, out) {
 				return
@@ -87,6 +122,31 @@
 	}
 }
 
+// begin returns where to read from; ok is false when ctx has ended before the
+// start was known.
+func (s *Subscriber) begin(ctx context.Context, stream record.Stream) (next uint64, ok bool) {
+	s.mu.Lock()
+	s.current[stream] = false
+	s.mu.Unlock()
+	for ctx.Err() == nil {
+		next, err := s.start(ctx, stream)
+		if err == nil {
+			return next, true
+		}
+		pause(ctx, startPause)
+	}
+	return 0, false
+}
+
+// wait is how long a read may wait for the next entry. Until the end of the
+// stream was seen it does not wait, so that the end is noticed at once.
+func (s *Subscriber) wait(stream record.Stream) time.Duration {
+	if s.Current(stream) {
+		return pollWait
+	}
+	return 0
+}
+
 // deliver hands one entry over and waits until it is applied, so that the
 // handler sees each stream in offset order.
 func deliver(ctx context.Context, entry Entry, out chan<- *message.Message) bool {
--- a/internal/record/codec.go
+++ b/internal/record/codec.go
@@ -50,6 +50,9 @@
 	return decode(e.Body)
 }
 
+// Known says whether this version knows the kind.
+func Known(k Kind) bool { return decoders[k] != nil }
+
 // EncodeBatch returns the bytes of b.
 func EncodeBatch(b Batch) ([]byte, error) {
 	data, err := cbor.Marshal(b)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -11,6 +11,7 @@
 
 	"guavapier/internal/platform"
 	"guavapier/internal/record"
+	"guavapier/internal/snapshot"
 
 	"github.com/ThreeDotsLabs/watermill"
 	"github.com/ThreeDotsLabs/watermill/message"
@@ -24,6 +25,10 @@
 	Apply(offset uint64, batch record.Batch) error
 	// Next returns the offset after the last applied one.
 	Next() uint64
+	// Snapshot returns the state as bytes.
+	Snapshot() ([]byte, error)
+	// Restore replaces the state; after an error it is as it was.
+	Restore(state []byte) error
 }
 
 // Replica is one stream's fold, kept current. F is the fold's type. It is safe
@@ -31,9 +36,13 @@
 type Replica[F Fold] struct {
 	stream record.Stream
 
-	mu      sync.RWMutex
-	fold    F
-	changed chan struct{}
+	mu        sync.RWMutex // Guards all below.
+	fold      F
+	changed   chan struct{}
+	snapshots snapshot.Tracker
+	// gap says that records aged out before they were read, and foreign that
+	// this version did not know one of them.
+	gap, foreign bool
 }
 
 // New returns the replica of a stream that starts from fold's state.
@@ -88,10 +97,31 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.track(entry.Offset, batch)
 	err = r.fold.Apply(entry.Offset, batch)
+	r.wake()
+	return err
+}
+
+// wake tells the waiters of a change. r.mu is held.
+func (r *Replica[F]) wake() {
 	close(r.changed)
 	r.changed = make(chan struct{})
-	return err
+}
+
+// track looks for snapshots and for kinds that are not known. r.mu is held.
+func (r *Replica[F]) track(offset uint64, batch record.Batch) {
+	for _, env := range batch.Records {
+		if !record.Known(env.Kind) {
+			r.foreign = true
+		}
+		if env.Kind != record.KindSnapshot {
+			continue
+		}
+		if rec, err := record.Decode(env); err == nil {
+			r.snapshots.Add(offset, rec.(record.Snapshot))
+		}
+	}
 }
 
 // Handle is the watermill handler of the stream. A batch that cannot be
--- a/internal/server/operators.go
+++ b/internal/server/operators.go
@@ -10,6 +10,7 @@
 	"guavapier/internal/operator"
 	"guavapier/internal/platform"
 	"guavapier/internal/record"
+	"guavapier/internal/snapshot"
 )
 
 // changePatience is how long an operator waits for the log. It leaves room
@@ -58,9 +59,31 @@
 		s.config.View(func(f *fold.Config) { values = f.List("") })
 		return values
 	})
+	s.tables.Register("streams", func() any { return s.streamRows() })
 	s.registerMetrics()
 }
 
+// streamRow is one row of the state dump's table of streams.
+type streamRow struct {
+	Stream   record.Stream `json:"stream"`
+	Next     uint64        `json:"next"`
+	First    uint64        `json:"first_kept"`
+	Current  bool          `json:"current"`
+	Gap      bool          `json:"gap"`
+	Snapshot snapshot.Seen `json:"snapshot"`
+}
+
+func (s *Server) streamRows() []streamRow {
+	rows := []streamRow{}
+	for _, st := range s.streams() {
+		rows = append(rows, streamRow{
+			Stream: st.Stream(), Next: st.Next(), First: s.subscriber.First(st.Stream()),
+			Current: s.subscriber.Current(st.Stream()), Gap: st.Gap(), Snapshot: st.Newest(),
+		})
+	}
+	return rows
+}
+
 func (s *Server) registerMetrics() {
 	s.metrics.Gauge(metrics.ConfigNext, func() int64 { return int64(s.config.Next()) })
 	s.metrics.Gauge(metrics.ConfigValues, func() (n int64) {
@@ -73,8 +96,11 @@
 		}
 		return sum
 	})
-	s.metrics.Counter(metrics.BatchesPassed)
-	s.metrics.Counter(metrics.RecordsLost)
+	for _, name := range []string{
+		metrics.BatchesPassed, metrics.RecordsLost, metrics.SnapshotsWritten, metrics.SnapshotsRestored, metrics.SnapshotsDiscarded,
+	} {
+		s.metrics.Counter(name)
+	}
 	s.metrics.Gauge(metrics.Goroutines, func() int64 { return int64(runtime.NumGoroutine()) })
 	s.metrics.Gauge(metrics.HeapBytes, heapBytes)
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -52,6 +52,7 @@
 	publisher  *platform.Publisher
 	config     *replica.Replica[*fold.Config]
 	partitions ledger.Partitions
+	subscriber *platform.Subscriber
 	dispatcher *dispatch.Dispatcher
 	clients    *endpointClients
 	members    *membership.Members
@@ -85,6 +86,7 @@
 	for n := range s.Ledger.Partitions {
 		srv.partitions = append(srv.partitions, replica.New(record.LedgerStream(n), fold.NewLedger()))
 	}
+	srv.subscriber = platform.NewSubscriber(srv.client, srv.startStream)
 	srv.dispatcher = dispatch.NewWithOptions(placement(s, srv.id))
 	srv.joinPeers()
 	if err := srv.joinBudgets(); err != nil {
@@ -130,6 +132,7 @@
 	operators := &http.Server{Handler: s.operatorsHandler(), ReadHeaderTimeout: 10 * time.Second}
 	var group errgroup.Group
 	group.Go(func() error { return s.follow(background) })
+	group.Go(func() error { s.snapshotWriter().Run(background); return nil })
 	group.Go(func() error { s.clients.poller.Run(background); return nil })
 	group.Go(func() error { s.members.Run(background, s.pool); return nil })
 	group.Go(func() error { s.holder.Run(background); return nil })
@@ -170,26 +173,6 @@
 	}
 }
 
-func (s *Server) follow(ctx context.Context) error {
-	onError := func(err error) {
-		s.metrics.Counter(metrics.BatchesPassed).Inc(1)
-		s.log.Error().Err(err).Msg("replica: batch passed over")
-	}
-	sources := []replica.Source{{Stream: record.ConfigStream, Handler: s.config.Handle(onError)}}
-	for _, p := range s.partitions {
-		if !s.follows(p) {
-			continue
-		}
-		sources = append(sources, replica.Source{Stream: p.Stream(), Handler: p.Handle(onError)})
-	}
-	trimmed := func(stream record.Stream, first uint64) {
-		s.metrics.Counter(metrics.RecordsLost).Inc(1)
-		s.log.Error().Str("stream", string(stream)).Uint64("first", first).Msg("replica: records aged out unread")
-	}
-	sub := platform.NewSubscriber(s.client, func(record.Stream) uint64 { return 0 }, trimmed)
-	return replica.Follow(ctx, sub, sources)
-}
-
 func (s *Server) callersHandler() http.Handler {
 	limits := s.settings.Limits
 	c := &entry.Callers{
@@ -198,7 +181,7 @@
 			BodyBytes: limits.BodyBytes, MaxTokens: limits.MaxTokens,
 			FirstToken: limits.FirstToken.D(), ServiceAnswer: limits.ServiceAnswer.D(),
 		},
-		Ready: func() bool { return !s.draining.Load() && s.members.Seen() },
+		Ready: func() bool { return !s.draining.Load() && s.members.Seen() && s.current() },
 	}
 	return s.metrics.Measure(metrics.CallersHTTP, c.Handler())
 }
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -65,6 +65,7 @@
 		{Name: "sessions.current_key", Unit: "key id", form: formText, required: true, Doc: "Id of the key that signs new sessions; one of sessions.key_files."},
 		{Name: "sessions.key_files", Unit: "file by key id", form: formFiles, required: true, Doc: "Files with the session signing keys. Keep an old key until its last session has ended."},
 		{Name: "operator.token_file", Unit: "file", form: formFile, required: true, Doc: "File with the fleet operators' token."},
+		{Name: "snapshots.every", Unit: "duration", form: formDuration, min: int64(100 * time.Millisecond), max: int64(24 * time.Hour), Doc: "Longest time between two snapshots of a stream. Keep it below half of the time that the log keeps records."},
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -17,13 +17,14 @@
 
 // Settings is the whole file. Keys documents each field.
 type Settings struct {
-	Instance Instance `toml:"instance"`
-	Platform Platform `toml:"platform"`
-	Log      Log      `toml:"log"`
-	Ledger   Ledger   `toml:"ledger"`
-	Limits   Limits   `toml:"limits"`
-	Sessions Sessions `toml:"sessions"`
-	Operator Operator `toml:"operator"`
+	Instance  Instance  `toml:"instance"`
+	Platform  Platform  `toml:"platform"`
+	Log       Log       `toml:"log"`
+	Ledger    Ledger    `toml:"ledger"`
+	Limits    Limits    `toml:"limits"`
+	Sessions  Sessions  `toml:"sessions"`
+	Operator  Operator  `toml:"operator"`
+	Snapshots Snapshots `toml:"snapshots"`
 }
 
 // Instance says who and where the instance is.
@@ -41,6 +42,11 @@
 	Timeout Duration `toml:"timeout"`
 }
 
+// Snapshots sets when streams are written anew against the log's retention.
+type Snapshots struct {
+	Every Duration `toml:"every"`
+}
+
 // Log sets the instance's own logs.
 type Log struct {
 	Level  string `toml:"level"`
@@ -85,8 +91,9 @@
 // Default returns the settings that hold where the file is silent.
 func Default() Settings {
 	return Settings{
-		Platform: Platform{Timeout: Duration(time.Second)},
-		Log:      Log{Level: "info", Format: "json"},
+		Platform:  Platform{Timeout: Duration(time.Second)},
+		Log:       Log{Level: "info", Format: "json"},
+		Snapshots: Snapshots{Every: Duration(time.Hour)},
 		Ledger: Ledger{
 			Partitions: 8, GrantTokens: 20_000,
 			Linger: Duration(20 * time.Millisecond), Patience: Duration(2 * time.Second),
--- /dev/null
+++ b/internal/snapshot/find.go
@@ -0,0 +1,75 @@
+package snapshot
+
+import (
+	"context"
+	"errors"
+
+	"guavapier/internal/platform"
+	"guavapier/internal/record"
+
+	"github.com/rotisserie/eris"
+)
+
+// ErrUnreachable says that records have aged out which no whole snapshot
+// covers: the stream's tables cannot be built.
+var ErrUnreachable = eris.New("snapshot: records aged out that no whole snapshot covers")
+
+// Find reads what the log keeps of a stream and returns the newest whole
+// snapshot from which the kept records go on without a gap. At the end of a
+// stream that has lost nothing there may be none: ok is false and the stream
+// is read from its start. discarded is how many chunks and snapshots were not
+// usable. Errors: ErrUnreachable, and those of the log.
+func Find(ctx context.Context, log platform.Log, stream record.Stream) (whole Whole, ok bool, discarded int, err error) {
+	assembly := NewAssembly()
+	first, err := scan(ctx, log, stream, assembly)
+	if err != nil {
+		return Whole{}, false, 0, err
+	}
+	whole, ok = assembly.Newest()
+	if ok && whole.Covers >= first {
+		return whole, true, assembly.Discarded, nil
+	}
+	if first > 0 {
+		return Whole{}, false, assembly.Discarded, ErrUnreachable
+	}
+	return Whole{}, false, assembly.Discarded, nil
+}
+
+// scan hands every kept snapshot record to the assembly. It returns the first
+// offset that the log keeps at the end of the scan.
+func scan(ctx context.Context, log platform.Log, stream record.Stream, assembly *Assembly) (uint64, error) {
+	next := uint64(0)
+	for {
+		page, err := log.Read(ctx, stream, next, 0)
+		if errors.Is(err, platform.ErrTrimmed) && page.First > next {
+			next = page.First
+			continue
+		}
+		if err != nil {
+			return 0, err
+		}
+		if len(page.Entries) == 0 {
+			return page.First, nil
+		}
+		for _, entry := range page.Entries {
+			collect(assembly, entry)
+			next = entry.Offset + 1
+		}
+	}
+}
+
+// collect passes over what is no snapshot, as the folds do.
+func collect(assembly *Assembly, entry platform.Entry) {
+	batch, err := record.DecodeBatch(entry.Data)
+	if err != nil {
+		return
+	}
+	for _, env := range batch.Records {
+		if env.Kind != record.KindSnapshot {
+			continue
+		}
+		if r, err := record.Decode(env); err == nil {
+			assembly.Add(entry.Offset, r.(record.Snapshot))
+		}
+	}
+}
--- /dev/null
+++ b/internal/snapshot/snapshot_test.go
@@ -0,0 +1,155 @@
+package snapshot_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"guavapier/internal/platform"
+	"guavapier/internal/record"
+	"guavapier/internal/snapshot"
+
+	"pgregory.net/rapid"
+)
+
+// keptLog is a log that has dropped everything before first.
+type keptLog struct {
+	platform.Log
+	first   uint64
+	entries []platform.Entry
+}
+
+func (l *keptLog) Read(_ context.Context, _ record.Stream, from uint64, _ time.Duration) (platform.Page, error) {
+	page := platform.Page{First: l.first, Next: l.first + uint64(len(l.entries))}
+	if from < l.first {
+		return page, platform.ErrTrimmed
+	}
+	if from < page.Next {
+		page.Entries = l.entries[from-l.first:]
+	}
+	return page, nil
+}
+
+func (l *keptLog) append(t *rapid.T, records ...record.Record) {
+	batch := record.Batch{Writer: "w"}
+	for _, r := range records {
+		env, err := record.Encode(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		batch.Records = append(batch.Records, env)
+	}
+	data, err := record.EncodeBatch(batch)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.entries = append(l.entries, platform.Entry{Offset: l.first + uint64(len(l.entries)), Data: data})
+}
+
+// written is a snapshot that the test put on the log.
+type written struct {
+	whole  snapshot.Whole
+	damage string
+}
+
+// drawSnapshot appends a snapshot that is whole, torn, damaged, copied, from
+// the future, or whose chunks are out of order.
+func drawSnapshot(t *rapid.T, l *keptLog) written {
+	next := l.first + uint64(len(l.entries))
+	w := written{damage: rapid.SampledFrom([]string{"", "", "", "copied", "reversed", "torn", "flipped", "future"}).Draw(t, "damage")}
+	state := bytes.Repeat([]byte{byte(next)}, rapid.SampledFrom([]int{0, 1, snapshot.ChunkBytes, 2*snapshot.ChunkBytes + 7}).Draw(t, "size"))
+	w.whole = snapshot.Whole{ID: snapshot.NewID(), Covers: rapid.Uint64Range(max(l.first, 3)-3, next).Draw(t, "covers"), State: state}
+	chunks := snapshot.Split(w.whole.ID, w.whole.Covers, state)
+	switch w.damage {
+	case "copied":
+		chunks = append(chunks, chunks...)
+	case "reversed":
+		for i, j := 0, len(chunks)-1; i < j; i, j = i+1, j-1 {
+			chunks[i], chunks[j] = chunks[j], chunks[i]
+		}
+	case "torn":
+		chunks = chunks[1:]
+	case "flipped":
+		chunks[0].Data = append([]byte{^byte(next)}, chunks[0].Data...)
+	case "future":
+		for i := range chunks {
+			chunks[i].Covers = next + 1000
+		}
+	}
+	for _, c := range chunks {
+		l.append(t, c)
+	}
+	return w
+}
+
+// Whatever lies on the log, the newest whole snapshot from which the tail goes
+// on without a gap is found, and nothing else is ever used.
+func TestFindTakesTheNewestWholeOneOnly(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := &keptLog{first: rapid.Uint64Range(0, 10).Draw(t, "first")}
+		var best snapshot.Whole
+		usable := false
+		for range rapid.IntRange(0, 6).Draw(t, "snapshots") {
+			for range rapid.IntRange(0, 3).Draw(t, "records") {
+				l.append(t, record.TopUp{ID: "x", Tokens: 1})
+			}
+			w := drawSnapshot(t, l)
+			bad := w.damage == "torn" || w.damage == "flipped" || w.damage == "future"
+			if !bad && w.whole.Covers >= l.first && (!usable || w.whole.Covers > best.Covers) {
+				best, usable = w.whole, true
+			}
+		}
+		got, ok, _, err := snapshot.Find(context.Background(), l, record.ConfigStream)
+		if !usable && l.first > 0 {
+			if !errors.Is(err, snapshot.ErrUnreachable) {
+				t.Fatalf("records are lost, got %v %v", ok, err)
+			}
+			return
+		}
+		if err != nil || ok != usable || ok && (got.Covers != best.Covers || !bytes.Equal(got.State, best.State)) {
+			t.Fatalf("got %s covering %d (%v, %v), want %s covering %d (%v)", got.ID, got.Covers, ok, err, best.ID, best.Covers, usable)
+		}
+	})
+}
+
+// On a log that keeps a number of records, a writer that looks now and then
+// and fails up to three times in a row never lets a record age out that no snapshot covers.
+func TestDueKeepsEveryRecordCovered(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		retain := rapid.Uint64Range(512, 4096).Draw(t, "retain")
+		var s snapshot.Span
+		written, failed := 0, 0
+		const rounds, maxFailures = 400, 3
+		for range rounds {
+			s.Next += rapid.Uint64Range(0, retain/16).Draw(t, "records")
+			if s.Next > retain {
+				s.First = s.Next - retain
+			}
+			if s.First > s.Covers {
+				t.Fatalf("records %d to %d aged out uncovered: %+v", s.Covers, s.First, s)
+			}
+			if !snapshot.Due(s, time.Hour) {
+				continue
+			}
+			if failed < maxFailures && rapid.Bool().Draw(t, "fails") {
+				failed++
+				continue
+			}
+			s.Covers, s.Next, written, failed = s.Next, s.Next+1, written+1, 0
+		}
+		if most := 12 + 4*int(s.Next/retain); written > most {
+			t.Fatalf("%d snapshots for %d records on a log of %d, want at most %d", written, s.Next, retain, most)
+		}
+	})
+}
+
+// Age alone makes one due, so that a log which drops by age is covered after
+// the last change.
+func TestDueByAge(t *testing.T) {
+	s := snapshot.Span{Next: 4, Covers: 2, Age: time.Hour}
+	if !snapshot.Due(s, time.Hour) || snapshot.Due(s, 2*time.Hour) {
+		t.Fatal("age is not what decides")
+	}
+}
--- /dev/null
+++ b/test/process/config_test.go
@@ -0,0 +1,145 @@
+package process_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"reflect"
+	"sync"
+	"testing"
+
+	"guavapier/internal/fold"
+	"guavapier/internal/operator"
+	"guavapier/internal/record"
+)
+
+const (
+	// shortRetention keeps few entries, so that everything written early in a
+	// test has aged out by its end.
+	shortRetention = 200
+	snapshotsOften = "[snapshots]\nevery = \"1s\"\n"
+)
+
+func leanPath(n int) string { return fmt.Sprintf("/teams/dala/budgets/b%d/lean", n) }
+
+// putSetting sends one change of one path.
+func putSetting(operators, id string, op record.ChangeOp) answer {
+	return call(http.MethodPut, operators+"/settings", operatorToken, operator.ChangeRequest{ID: id, By: "test", Ops: []record.ChangeOp{op}})
+}
+
+func settingsOf(t *testing.T, operators string) map[string]fold.Value {
+	t.Helper()
+	var rows []fold.Value
+	if err := json.Unmarshal([]byte(mustCall(t, http.MethodGet, operators+"/settings", operatorToken, nil).body), &rows); err != nil {
+		t.Fatal(err)
+	}
+	out := map[string]fold.Value{}
+	for _, v := range rows {
+		out[v.Path] = v
+	}
+	return out
+}
+
+// firstKept returns the oldest offset that the log keeps of a stream.
+func firstKept(t *testing.T, operators string, stream record.Stream) uint64 {
+	t.Helper()
+	var state struct {
+		Streams []struct {
+			Stream record.Stream `json:"stream"`
+			First  uint64        `json:"first_kept"`
+		} `json:"streams"`
+	}
+	if err := json.Unmarshal([]byte(mustCall(t, http.MethodGet, operators+"/state", operatorToken, nil).body), &state); err != nil {
+		t.Fatal(err)
+	}
+	for _, row := range state.Streams {
+		if row.Stream == stream {
+			return row.First
+		}
+	}
+	t.Fatalf("no stream %s", stream)
+	return 0
+}
+
+// Every record of the seed ages out, all instances are replaced, and nothing
+// is lost or goes back.
+func TestNothingRevertsOverRetentionAndReplacement(t *testing.T) {
+	_, platform := startStandin(t, "platform", "-lag", listLag, "-retain", fmt.Sprint(shortRetention))
+	old := []*instance{
+		startInstance(t, "a1", "hall-a", platform, snapshotsOften),
+		startInstance(t, "b1", "hall-b", platform, snapshotsOften),
+	}
+	seedTeam(t, old[0].operators, "dala", 1_000_000)
+	if got := putSetting(old[0].operators, "seed-lean", record.ChangeOp{Path: leanPath(0), Value: "0.25"}); got.status != http.StatusOK {
+		t.Fatalf("%+v", got)
+	}
+	var fill sync.WaitGroup
+	fill.Go(func() { fillConfig(t, old[0].operators) })
+	fill.Go(func() {
+		for n := range shortRetention + shortRetention/2 {
+			topUp(t, old[1].operators, "dala", fmt.Sprint("fill-", n), 1)
+		}
+	})
+	fill.Wait()
+	ledger := record.LedgerStream(record.TeamPartition("dala", 8))
+	for _, stream := range []record.Stream{record.ConfigStream, ledger} {
+		if firstKept(t, old[0].operators, stream) == 0 {
+			t.Fatalf("nothing of %s has aged out: the test shows nothing", stream)
+		}
+	}
+	wantSettings, wantBudget := settingsOf(t, old[0].operators), budget(t, old[1].operators, "dala")
+	for _, in := range old {
+		in.kill()
+	}
+	replaced := startInstance(t, "a2", "hall-a", platform, snapshotsOften)
+	if got := settingsOf(t, replaced.operators); !reflect.DeepEqual(got, wantSettings) {
+		t.Errorf("settings differ: %v, want %v", got, wantSettings)
+	}
+	if got := budget(t, replaced.operators, "dala"); got != wantBudget || got.Prepaid != 1_000_000+shortRetention+shortRetention/2 {
+		t.Errorf("budget %+v, want %+v", got, wantBudget)
+	}
+	// A retry of a top-up that is not on the log any more counts no second time.
+	topUp(t, replaced.operators, "dala", fmt.Sprint("fill-", shortRetention+shortRetention/2-1), 1)
+	if got := budget(t, replaced.operators, "dala"); got != wantBudget {
+		t.Errorf("a retried top-up counted twice: %+v, want %+v", got, wantBudget)
+	}
+}
+
+// fillConfig changes one path until the seed has aged out.
+func fillConfig(t *testing.T, operators string) {
+	base := uint64(0)
+	for n := range shortRetention + shortRetention/2 {
+		got := putSetting(operators, fmt.Sprint("fill-", n), record.ChangeOp{Path: leanPath(1), Value: "0.5", Base: base})
+		var result fold.ChangeResult
+		if err := json.Unmarshal([]byte(got.body), &result); err != nil || got.status != http.StatusOK {
+			t.Errorf("%+v", got)
+			return
+		}
+		base = result.Offset + 1
+	}
+}
+
+// With records gone that no snapshot covers, a new instance is not ready and
+// says so, rather than serve on tables that lack something.
+func TestInstanceWithoutAWholePastIsNotReady(t *testing.T) {
+	const retain = 3
+	_, platform := startStandin(t, "platform", "-lag", listLag, "-retain", fmt.Sprint(retain))
+	for range retain + 1 {
+		mustCall(t, http.MethodPost, platform+"/log/"+string(record.ConfigStream), "", "no batch")
+	}
+	_, line := start(t, "server: serving", "serve", "-settings", instanceSettings(t, "a1", "hall-a", platform, ""))
+	var at serving
+	if err := json.Unmarshal([]byte(line), &at); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the gap is seen", func() bool {
+		var got map[string]struct {
+			Count int `json:"count"`
+		}
+		text := mustCall(t, http.MethodGet, "http://"+at.Operators+"/metrics", operatorToken, nil).body
+		return json.Unmarshal([]byte(text), &got) == nil && got["replica.records_aged_out"].Count > 1
+	})
+	if got := call(http.MethodGet, "http://"+at.Callers+"/readyz", "", nil); got.status != http.StatusServiceUnavailable {
+		t.Fatalf("ready on tables that lack something: %+v", got)
+	}
+}
--- a/test/process/harness_test.go
+++ b/test/process/harness_test.go
@@ -130,9 +130,9 @@
 	Operators string `json:"operators"`
 }
 
-// startInstance runs an instance and waits until it is ready. extra is TOML
-// appended to its settings.
-func startInstance(t *testing.T, name, zone, platform, extra string) *instance {
+// instanceSettings writes the settings of an instance and its secrets, and
+// returns the file. extra is TOML appended to the settings.
+func instanceSettings(t *testing.T, name, zone, platform, extra string) string {
 	t.Helper()
 	dir := t.TempDir()
 	write := func(file, text string) string {
@@ -157,7 +157,13 @@
 [operator]
 token_file = %q
 %s`, name, zone, platform, write("session.key", "0123456789abcdef0123456789abcdef"), write("operator.token", operatorToken), extra)
-	p, line := start(t, "server: serving", "serve", "-settings", write("settings.toml", text))
+	return write("settings.toml", text)
+}
+
+// startInstance runs an instance and waits until it is ready.
+func startInstance(t *testing.T, name, zone, platform, extra string) *instance {
+	t.Helper()
+	p, line := start(t, "server: serving", "serve", "-settings", instanceSettings(t, name, zone, platform, extra))
 	var at serving
 	if err := json.Unmarshal([]byte(line), &at); err != nil {
 		t.Fatal(err)
