--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -45,17 +45,17 @@
 		{Pattern: "/teams/{team}/operator_keys/{sha256}/expires", Unit: "RFC 3339 time", Default: "never", value: instant, FleetOnly: true, Doc: "The credential is refused from then on."},
 		{Pattern: "/teams/{team}/default_budget", Unit: "budget", Default: "main", value: anyName, Doc: "Budget that a request draws on when it names none."},
 		{Pattern: "/teams/{team}/budgets/{name}/lean", Unit: "share", Default: "0.5", value: share, Doc: "0 leans to fewer stranded tokens behind a cut, 1 to fewer false refusals."},
-		{Pattern: "/teams/{team}/weight", Unit: "weight", Default: "1", value: count(1, 1000), FleetOnly: true, Doc: "The team's share of a busy fleet against other teams."},
-		{Pattern: "/teams/{team}/priorities/{name}", Unit: "level", Default: "0", value: count(0, 9), Doc: "Priority of requests of this class within the team, 9 before 0."},
-		{Pattern: "/teams/{team}/calls/when_log_away", Unit: "policy", Default: "refuse", value: choice("refuse", "serve"), Doc: "Calls that may not be repeated, while the log is away: refuse is always safe; serve needs the claim's holder and witness."},
-		{Pattern: "/teams/{team}/endpoints/{name}/use", Unit: "switch", Default: "true", value: choice("true", "false"), Doc: "Whether the team's requests may go to this endpoint."},
-		{Pattern: "/teams/{team}/endpoints/{name}/weight", Unit: "weight", Default: "1", value: count(1, 1000), Doc: "The endpoint's share of the team's sessions."},
+		{Pattern: "/teams/{team}/weight", Unit: "weight", Default: "1", value: count(1, 1000), FleetOnly: true, Doc: "The team's share of a busy fleet against other teams. Not read yet by this version."},
+		{Pattern: "/teams/{team}/priorities/{name}", Unit: "level", Default: "0", value: count(0, 9), Doc: "Priority of requests of this class within the team, 9 before 0. Not read yet by this version."},
+		{Pattern: "/teams/{team}/calls/when_log_away", Unit: "policy", Default: "serve", value: choice("refuse", "serve"), Doc: "Calls that may not be repeated, while the log is away: refuse is always safe; serve needs the claim's holder and witness."},
+		{Pattern: "/teams/{team}/endpoints/{name}/use", Unit: "switch", Default: "true", value: choice("true", "false"), Doc: "Whether the team's requests may go to this endpoint. Not read yet by this version."},
+		{Pattern: "/teams/{team}/endpoints/{name}/weight", Unit: "weight", Default: "1", value: count(1, 1000), Doc: "The endpoint's share of the team's sessions. Not read yet by this version."},
 		{Pattern: "/fleet/operator_keys/{sha256}", Unit: "text", value: anyText, Doc: "A fleet operator's credential, by the SHA-256 of the token. The value is the operator's name."},
 		{Pattern: "/fleet/operator_keys/{sha256}/expires", Unit: "RFC 3339 time", Default: "never", value: instant, Doc: "The credential is refused from then on."},
 		{Pattern: "/fleet/services/{name}/repeatable", Unit: "rules", Default: "none", value: repeatRules, Doc: "Which calls of the service may run twice: METHOD /path, parted by commas; a path covers all below it."},
 		{Pattern: "/fleet/engines/{name}/slots", Unit: "requests", Default: "16", value: count(1, 4096), Doc: "Requests that the endpoint works on at once."},
 		{Pattern: "/fleet/engines/{name}/weight", Unit: "weight", Default: "1", value: count(1, 1000), Doc: "The endpoint's capacity against the others."},
-		{Pattern: "/fleet/engines/{name}/fencing", Unit: "switch", Default: "ignores", value: choice("checks", "ignores"), Doc: "Whether the endpoint refuses an order with an old fencing number."},
+		{Pattern: "/fleet/engines/{name}/fencing", Unit: "switch", Default: "ignores", value: choice("checks", "ignores"), Doc: "Whether the endpoint refuses an order with an old fencing number. Not read yet by this version."},
 	}
 }
 
