Read team weights, priority classes and team endpoints from the settings

Change: /teams/T/weight goes to the decider; priorities/default and max bound the class of a request; endpoints/N/{url,zone,model,service,slots,weight} add an endpoint for the team alone. Before: another team's and the own team's request got no_endpoint. After: TestTeamEndpointServesItsTeamAlone ok, 3 tokens generated there, none for the other team.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -16,8 +16,18 @@
 	Name record.Team
 	// Budget is the budget that requests draw on by default.
 	Budget record.BudgetID
+	// Priority is the class of requests that name none, MaxPriority the highest
+	// that a request may name; see PriorityBatch.
+	Priority, MaxPriority string
 }
 
+// The priority classes, lowest first.
+const (
+	PriorityBatch       = "batch"
+	PriorityInteractive = "interactive"
+	PriorityCall        = "call"
+)
+
 // The subtrees and names in use.
 const (
 	TeamsPath = "/teams"
@@ -47,7 +57,27 @@
 	if v, ok := c.Get(DefaultBudgetPath(team)); ok {
 		budget.Name = v.Value
 	}
-	return Team{Name: team, Budget: budget}, true
+	return Team{
+		Name: team, Budget: budget,
+		Priority:    text(c, join(TeamPath(team), "priorities", "default"), PriorityInteractive),
+		MaxPriority: text(c, join(TeamPath(team), "priorities", "max"), PriorityCall),
+	}, true
+}
+
+// text returns the value at a path, or a default.
+func text(c *fold.Config, path, otherwise string) string {
+	if v, ok := c.Get(path); ok {
+		return v.Value
+	}
+	return otherwise
+}
+
+// number returns the value at a path, or 0. It was validated before it was
+// accepted.
+func number(c *fold.Config, path string) int {
+	v, _ := c.Get(path)
+	n, _ := strconv.Atoi(v.Value)
+	return max(n, 0)
 }
 
 // Engine is what the settings say about an endpoint; 0 where they are silent.
@@ -57,10 +87,6 @@
 
 // EngineOf returns the settings of an endpoint.
 func EngineOf(c *fold.Config, name string) Engine {
-	number := func(key string) int {
-		v, _ := c.Get(join(FleetPath, "engines", name, key))
-		n, _ := strconv.Atoi(v.Value) // Validated before it was accepted.
-		return max(n, 0)
-	}
-	return Engine{Slots: number("slots"), Weight: number("weight")}
+	at := join(FleetPath, "engines", name)
+	return Engine{Slots: number(c, join(at, "slots")), Weight: number(c, join(at, "weight"))}
 }
--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"regexp"
 	"strconv"
 	"strings"
@@ -45,11 +46,16 @@
 		{Pattern: "/teams/{team}/operator_keys/{sha256}/expires", Unit: "RFC 3339 time", Default: "never", value: instant, FleetOnly: true, Doc: "The credential is refused from then on."},
 		{Pattern: "/teams/{team}/default_budget", Unit: "budget", Default: "main", value: anyName, Doc: "Budget that a request draws on when it names none."},
 		{Pattern: "/teams/{team}/budgets/{name}/lean", Unit: "share", Default: "0.5", value: share, Doc: "0 leans to fewer stranded tokens behind a cut, 1 to fewer false refusals."},
-		{Pattern: "/teams/{team}/weight", Unit: "weight", Default: "1", value: count(1, 1000), FleetOnly: true, Doc: "The team's share of a busy fleet against other teams. Not read yet by this version."},
-		{Pattern: "/teams/{team}/priorities/{name}", Unit: "level", Default: "0", value: count(0, 9), Doc: "Priority of requests of this class within the team, 9 before 0. Not read yet by this version."},
+		{Pattern: "/teams/{team}/weight", Unit: "weight", Default: "1", value: count(1, 1000), FleetOnly: true, Doc: "The team's share of a busy fleet against other teams."},
+		{Pattern: "/teams/{team}/priorities/default", Unit: "class", Default: "interactive", value: priorityClass, Doc: "Priority class of the team's requests that name none."},
+		{Pattern: "/teams/{team}/priorities/max", Unit: "class", Default: "call", value: priorityClass, FleetOnly: true, Doc: "Highest priority class that the team's model requests may name; a higher one is lowered to it."},
 		{Pattern: "/teams/{team}/calls/when_log_away", Unit: "policy", Default: "serve", value: choice("refuse", "serve"), Doc: "Calls that may not be repeated, while the log is away: refuse is always safe; serve needs the claim's holder and witness."},
-		{Pattern: "/teams/{team}/endpoints/{name}/use", Unit: "switch", Default: "true", value: choice("true", "false"), Doc: "Whether the team's requests may go to this endpoint. Not read yet by this version."},
-		{Pattern: "/teams/{team}/endpoints/{name}/weight", Unit: "weight", Default: "1", value: count(1, 1000), Doc: "The endpoint's share of the team's sessions. Not read yet by this version."},
+		{Pattern: "/teams/{team}/endpoints/{name}/url", Unit: "address", value: baseURL, Doc: "Adds an endpoint that serves this team alone. Without a url the other settings of the endpoint have no effect."},
+		{Pattern: "/teams/{team}/endpoints/{name}/zone", Unit: "availability zone", value: anyName, Doc: "Where the endpoint is; instances of this zone prefer it."},
+		{Pattern: "/teams/{team}/endpoints/{name}/model", Unit: "model", value: anyName, Doc: "Model that the endpoint serves."},
+		{Pattern: "/teams/{team}/endpoints/{name}/service", Unit: "service", value: anyName, Doc: "Plain service that the endpoint serves, instead of a model."},
+		{Pattern: "/teams/{team}/endpoints/{name}/slots", Unit: "requests", Default: "16", value: count(1, 4096), Doc: "Requests that the endpoint works on at once."},
+		{Pattern: "/teams/{team}/endpoints/{name}/weight", Unit: "weight", Default: "1", value: count(1, 1000), Doc: "The endpoint's capacity against the team's others."},
 		{Pattern: "/fleet/operator_keys/{sha256}", Unit: "text", value: anyText, Doc: "A fleet operator's credential, by the SHA-256 of the token. The value is the operator's name."},
 		{Pattern: "/fleet/operator_keys/{sha256}/expires", Unit: "RFC 3339 time", Default: "never", value: instant, Doc: "The credential is refused from then on."},
 		{Pattern: "/fleet/services/{name}/repeatable", Unit: "rules", Default: "none", value: repeatRules, Doc: "Which calls of the service may run twice: METHOD /path, parted by commas; a path covers all below it."},
@@ -63,11 +69,13 @@
 	namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$`)
 	hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
 
-	anyText     = value{fmt.Sprintf("text of at most %d bytes", MaxValueBytes), func(string) bool { return true }}
-	anyName     = value{"a name: letters, digits, dots, dashes, underscores; at most 100", ValidName}
-	instant     = value{"a time like 2027-01-31T00:00:00Z", func(v string) bool { _, err := time.Parse(time.RFC3339, v); return err == nil }}
-	repeatRules = value{"rules like GET /calendar, POST /tags", func(v string) bool { _, err := ParseRepeatRules(v); return err == nil }}
-	share       = value{"a number from 0 to 1", func(v string) bool { f, err := strconv.ParseFloat(v, 64); return err == nil && f >= 0 && f <= 1 }}
+	anyText       = value{fmt.Sprintf("text of at most %d bytes", MaxValueBytes), func(string) bool { return true }}
+	anyName       = value{"a name: letters, digits, dots, dashes, underscores; at most 100", ValidName}
+	instant       = value{"a time like 2027-01-31T00:00:00Z", func(v string) bool { _, err := time.Parse(time.RFC3339, v); return err == nil }}
+	priorityClass = choice(PriorityBatch, PriorityInteractive, PriorityCall)
+	baseURL       = value{"http://IP:port", validBaseURL}
+	repeatRules   = value{"rules like GET /calendar, POST /tags", func(v string) bool { _, err := ParseRepeatRules(v); return err == nil }}
+	share         = value{"a number from 0 to 1", func(v string) bool { f, err := strconv.ParseFloat(v, 64); return err == nil && f >= 0 && f <= 1 }}
 )
 
 func count(low, high int) value {
@@ -87,6 +95,17 @@
 	return value{strings.Join(choices, " or "), ok}
 }
 
+// validBaseURL takes an address by IP number only, so that no name is looked up
+// on a request's way.
+func validBaseURL(text string) bool {
+	addr, ok := strings.CutPrefix(text, "http://")
+	if !ok {
+		return false
+	}
+	_, err := netip.ParseAddrPort(addr)
+	return err == nil
+}
+
 // ValidName says whether a team, budget, endpoint or service may be called so.
 func ValidName(name string) bool { return namePattern.MatchString(name) }
 
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"guavapier/internal/config"
 	"guavapier/internal/decide"
 	"guavapier/internal/record"
 	"guavapier/internal/run"
@@ -53,19 +54,15 @@
 func (c *Callers) common(r *http.Request, body []byte) (run.Request, *refusal) {
 	team := teamOf(r)
 	q := run.Request{
-		Team: team, Digest: digest(r, body), First: r.Header.Get(HeaderFirst) == "true", Priority: decide.PriorityInteractive,
+		Team: team, Digest: digest(r, body), First: r.Header.Get(HeaderFirst) == "true",
 	}
 	id, refused := c.session(r, team.Name)
 	if refused != nil {
 		return q, refused
 	}
 	q.Session = id
-	if text := r.Header.Get(HeaderPriority); text != "" {
-		p, err := strconv.Atoi(text)
-		if err != nil || p < int(decide.PriorityBatch) || p > int(decide.PriorityCall) {
-			return q, badRequest("invalid_priority", "%s must be between %d and %d.", HeaderPriority, decide.PriorityBatch, decide.PriorityCall)
-		}
-		q.Priority = decide.Priority(p)
+	if q.Priority, refused = priorityOf(r, team); refused != nil {
+		return q, refused
 	}
 	key := r.Header.Get(HeaderKey)
 	if !validKey(key) {
@@ -80,6 +77,28 @@
 	return q, nil
 }
 
+// classes are the decisions' names of the settings' priority classes.
+var classes = map[string]decide.Priority{
+	config.PriorityBatch:       decide.PriorityBatch,
+	config.PriorityInteractive: decide.PriorityInteractive,
+	config.PriorityCall:        decide.PriorityCall,
+}
+
+// priorityOf returns the class that a request names, or its team's default. A
+// class above what the team may name is lowered, not refused: the fleet's
+// operators may change the bound while callers go on as before.
+func priorityOf(r *http.Request, team config.Team) (decide.Priority, *refusal) {
+	text := r.Header.Get(HeaderPriority)
+	if text == "" {
+		return classes[team.Priority], nil
+	}
+	p, err := strconv.Atoi(text)
+	if err != nil || p < int(decide.PriorityBatch) || p > int(decide.PriorityCall) {
+		return 0, badRequest("invalid_priority", "%s must be between %d and %d.", HeaderPriority, decide.PriorityBatch, decide.PriorityCall)
+	}
+	return min(decide.Priority(p), classes[team.MaxPriority]), nil
+}
+
 func validKey(key string) bool {
 	visible := func(c rune) bool { return c > ' ' && c <= '~' }
 	return len(key) <= maxKeyBytes && strings.IndexFunc(key, func(c rune) bool { return !visible(c) }) < 0
--- a/internal/server/endpoints.go
+++ b/internal/server/endpoints.go
@@ -8,7 +8,6 @@
 	"guavapier/internal/dispatch"
 	"guavapier/internal/endpoint"
 	"guavapier/internal/fold"
-	"guavapier/internal/membership"
 	"guavapier/internal/replica"
 	"guavapier/internal/run"
 	"guavapier/internal/settings"
@@ -85,7 +84,7 @@
 	poller   *endpoint.Poller
 }
 
-func newEndpointClients(limits settings.Limits, m *membership.Members, d *dispatch.Dispatcher) *endpointClients {
+func newEndpointClients(limits settings.Limits, table *endpointTable, d *dispatch.Dispatcher) *endpointClients {
 	opts := endpoint.Options{
 		Connect: connectWithin, Silence: min(silentAfter, limits.Progress.D()), Control: controlWithin, AnswerBytes: limits.AnswerBytes,
 	}
@@ -94,20 +93,12 @@
 	e.services = endpoint.NewHTTPServices(opts, &e.counts)
 	e.poller = &endpoint.Poller{
 		Loader: e.engines, Every: loadEvery, PerSecond: loadsPerSecond,
-		Targets: func() []endpoint.Target { return targets(m) },
+		Targets: table.Targets,
 		Report:  func(name string, load endpoint.Load) { report(d, name, load) },
 	}
 	return e
 }
 
-func targets(m *membership.Members) []endpoint.Target {
-	var out []endpoint.Target
-	for _, e := range m.List().Endpoints {
-		out = append(out, endpoint.Target{Name: e.Name, URL: e.URL})
-	}
-	return out
-}
-
 // report hands an endpoint's load report to the decisions. Its time is when
 // the endpoint took it, so that a late report is known to be old.
 func report(d *dispatch.Dispatcher, name string, load endpoint.Load) {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -55,6 +55,7 @@
 	subscriber *platform.Subscriber
 	dispatcher *dispatch.Dispatcher
 	clients    *endpointClients
+	endpoints  *endpointTable
 	members    *membership.Members
 	pool       *peer.Pool
 	peerServer *peer.Server
@@ -89,7 +90,7 @@
 	srv.subscriber = platform.NewSubscriber(srv.client, srv.startStream)
 	srv.dispatcher = dispatch.NewWithOptions(placement(s, srv.id))
 	srv.joinPeers()
-	srv.clients = newEndpointClients(s.Limits, srv.members, srv.dispatcher)
+	srv.clients = newEndpointClients(s.Limits, srv.endpoints, srv.dispatcher)
 	if err := srv.joinBudgets(); err != nil {
 		return nil, err
 	}
@@ -98,7 +99,7 @@
 	}
 	srv.runner = &run.Runner{
 		Claims: srv.claims, Accounts: srv.budgets,
-		Placer: srv.dispatcher, Endpoints: endpoints{srv.members},
+		Placer: srv.dispatcher, Endpoints: srv.endpoints,
 		Engines: srv.clients.engines, Services: srv.clients.services,
 		Finder: srv.finder(), Repeats: repeatRules{srv.config}, Limits: runLimits(s.Limits), Leaving: srv.leaving,
 		OnError: func(err error) { log.Error().Err(err).Msg("run: background error") },
--- /dev/null
+++ b/test/process/team_test.go
@@ -0,0 +1,33 @@
+package process_test
+
+import (
+	"net/http"
+	"testing"
+
+	"guavapier/internal/record"
+)
+
+// A team's operators add an endpoint under the team's path. It serves that
+// team and no other.
+func TestTeamEndpointServesItsTeamAlone(t *testing.T) {
+	s := startSite(t)
+	in := startInstance(t, "a1", "hall-a", s.platform, "")
+	dala := seedTeam(t, in.operators, "dala", 1_000_000)
+	agenda := seedTeam(t, in.operators, "agenda", 1_000_000)
+	_, url := startStandin(t, "engine", "-model", "tuned")
+	mustCall(t, http.MethodPut, in.operators+"/settings", operatorToken, record.Change{ID: "own", Ops: []record.ChangeOp{
+		{Path: "/teams/dala/endpoints/own/url", Value: url},
+		{Path: "/teams/dala/endpoints/own/model", Value: "tuned"},
+	}})
+	body := chatBody(3, false)
+	body["model"] = "tuned"
+	eventually(t, "the team's own endpoint serves", func() bool {
+		return call(http.MethodPost, in.callers+"/v1/chat/completions", dala, body).status == http.StatusOK
+	})
+	if got := call(http.MethodPost, in.callers+"/v1/chat/completions", agenda, body); got.status < 400 {
+		t.Fatalf("another team: %d %s", got.status, got.body)
+	}
+	if n := generated(t, []string{url}); n != 3 {
+		t.Fatalf("the endpoint generated %d tokens, want 3", n)
+	}
+}
