End an instance at once on a second signal, and say what it cuts off

Cause: a drain waits for every stream; an operator had only SIGKILL to end it earlier, which says nothing. Change: the first signal drains as before; a second one ends the process with exit 1 and the number of requests in flight. Before: the second SIGTERM had no effect (the test waited 30 s for the exit). After: TestSecondSignalCutsOffAndSaysSo ok, three times of three.

--- /dev/null
+++ b/internal/cli/drain.go
@@ -0,0 +1,33 @@
+package cli
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"guavapier/internal/server"
+
+	"github.com/rotisserie/eris"
+)
+
+// runUntilCut runs an instance. The end of ctx (the first signal) drains it; a
+// second signal ends the process at once.
+func runUntilCut(ctx context.Context, srv *server.Server) error {
+	done := make(chan error, 1)
+	go func() { done <- srv.Run(ctx) }()
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+	}
+	second := make(chan os.Signal, 1)
+	signal.Notify(second, os.Interrupt, syscall.SIGTERM)
+	defer signal.Stop(second)
+	select {
+	case err := <-done:
+		return err
+	case <-second:
+		return eris.Errorf("cut off by a second signal with %d requests in flight", srv.InFlight())
+	}
+}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -58,7 +58,7 @@
 	if err != nil {
 		return err
 	}
-	return srv.Run(ctx)
+	return runUntilCut(ctx, srv)
 }
 
 func loadSecrets(s settings.Settings) (server.Secrets, error) {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -64,6 +64,7 @@
 	claims     *claim.Fleet
 	runner     *run.Runner
 	draining   atomic.Bool
+	inFlight   atomic.Int64 // Callers' requests that have no whole answer yet.
 	// tables and metrics are where each part registers what it shows.
 	tables  *state.Registry
 	metrics *metrics.Registry
@@ -186,9 +187,20 @@
 		},
 		Ready: func() bool { return !s.draining.Load() && s.members.Seen() && s.current() },
 	}
-	return s.metrics.Measure(metrics.CallersHTTP, c.Handler())
+	return s.metrics.Measure(metrics.CallersHTTP, s.countInFlight(c.Handler()))
 }
 
+func (s *Server) countInFlight(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.inFlight.Add(1)
+		defer s.inFlight.Add(-1)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// InFlight returns how many callers' requests have no whole answer yet.
+func (s *Server) InFlight() int64 { return s.inFlight.Load() }
+
 func ignoreClosed(err error) error {
 	if eris.Is(err, http.ErrServerClosed) {
 		return nil
--- a/test/process/harness_test.go
+++ b/test/process/harness_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -48,15 +49,24 @@
 type process struct {
 	t    *testing.T
 	cmd  *exec.Cmd
-	out  *bytes.Buffer
 	done chan struct{}
+
+	mu  sync.Mutex // Guards out.
+	out bytes.Buffer
+}
+
+// output returns what the process has printed.
+func (p *process) output() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.out.String()
 }
 
 // start runs the binary and returns when it has printed a line with the
 // marker; that line comes back.
 func start(t *testing.T, marker string, args ...string) (*process, string) {
 	t.Helper()
-	p := &process{t: t, cmd: exec.Command(binary, args...), out: &bytes.Buffer{}, done: make(chan struct{})}
+	p := &process{t: t, cmd: exec.Command(binary, args...), done: make(chan struct{})}
 	reader, writer := io.Pipe()
 	p.cmd.Stdout, p.cmd.Stderr = writer, writer
 	if err := p.cmd.Start(); err != nil {
@@ -85,6 +95,9 @@
 	scanner := bufio.NewScanner(r)
 	found := false
 	for scanner.Scan() {
+		p.mu.Lock()
+		p.out.WriteString(scanner.Text() + "\n")
+		p.mu.Unlock()
 		if !found && strings.Contains(scanner.Text(), marker) {
 			found = true
 			lines <- scanner.Text()
--- a/test/process/path_test.go
+++ b/test/process/path_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -135,3 +136,28 @@
 	}
 	return sum
 }
+
+// A second signal ends the instance at once, and it says what it cut off.
+func TestSecondSignalCutsOffAndSaysSo(t *testing.T) {
+	s := startSite(t)
+	in := startInstance(t, "a1", "hall-a", s.platform, "")
+	key := seedTeam(t, in.operators, "dala", 1_000_000)
+	got := make(chan answer, 1)
+	go func() {
+		got <- call(http.MethodPost, in.callers+"/v1/chat/completions", key, chatBody(10_000, true))
+	}()
+	eventually(t, "the engine generates", func() bool { return generated(t, s.engines) > 10 })
+	in.signal(syscall.SIGTERM)
+	eventually(t, "it drains", func() bool {
+		a := call(http.MethodGet, in.callers+"/readyz", "", nil)
+		return a.err != nil || a.status == http.StatusServiceUnavailable
+	})
+	in.signal(syscall.SIGTERM)
+	if code := in.exitCode(); code != 1 {
+		t.Fatalf("exit code %d", code)
+	}
+	if _, whole := streamText((<-got).body); whole {
+		t.Fatal("the stream was not cut off")
+	}
+	eventually(t, "it says what it cut off", func() bool { return strings.Contains(in.output(), "with 1 requests in flight") })
+}
