Tell callers when a stranded budget is worth coming back to

Cause: every stranded budget said two seconds, whatever held the tokens, and an operator could not find the right that a forced close names. Change: the failure carries ledger.Stranded's reason and time; the state dump lists open grants; goleak watches the ledger's tests.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/uuid"
 
+	"guavapier/internal/fold"
 	"guavapier/internal/peer"
 	"guavapier/internal/record"
 	"guavapier/internal/right"
@@ -163,6 +164,47 @@
 	return out
 }
 
+// GrantState is one open grant in the state dump: an operator finds here which
+// right a forced close would name.
+type GrantState struct {
+	fold.Grant
+	// Free and Reserved are known of this instance's own grants only.
+	Free     int64 `json:"free,omitempty"`
+	Reserved int   `json:"reserved,omitempty"`
+	Retired  bool  `json:"retired,omitempty"`
+}
+
+// State returns all open grants that the fold knows.
+func (l *Ledger) State() []GrantState {
+	rows := []GrantState{}
+	for _, part := range l.Partitions {
+		var open []fold.Grant
+		part.View(func(f *fold.Ledger) {
+			for _, b := range f.Budgets() {
+				open = append(open, f.OpenGrants(b.ID)...)
+			}
+		})
+		for _, g := range open {
+			rows = append(rows, l.grantState(g))
+		}
+	}
+	return rows
+}
+
+func (l *Ledger) grantState(row fold.Grant) GrantState {
+	out := GrantState{Grant: row}
+	if row.Holder != l.Self {
+		return out
+	}
+	a := l.account(row.Budget)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if g := a.find(row.Right); g != nil {
+		out.Free, out.Reserved, out.Retired = g.free, len(g.reserved), g.retired
+	}
+	return out
+}
+
 // noPeers is the caller of an instance that has no peers.
 type noPeers struct{}
 
--- a/internal/ledger/machine_test.go
+++ b/internal/ledger/machine_test.go
@@ -4,10 +4,10 @@
 	"context"
 	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
 	"pgregory.net/rapid"
 
 	"guavapier/internal/ledger"
@@ -23,7 +23,7 @@
 			panic(err)
 		}
 	}
-	os.Exit(m.Run())
+	goleak.VerifyTestMain(m)
 }
 
 // machineOptions make every wait short and every seal as early as it can be.
--- a/internal/run/failure.go
+++ b/internal/run/failure.go
@@ -70,6 +70,7 @@
 // match is the reason that ended the request.
 func describe(err error) *Failure {
 	var refusal *dispatch.Refusal
+	var stranded *ledger.Stranded
 	switch {
 	case errors.Is(err, errLate):
 		return &Failure{Code: CodeNoAnswerInTime, Message: "No answer came in time.", RetryAfter: comeBack}
@@ -83,8 +84,8 @@
 		return &Failure{Code: Code(refusal.Code), Message: "No endpoint can answer in time.", RetryAfter: refusal.RetryAfter}
 	case errors.Is(err, ledger.ErrExhausted):
 		return &Failure{Code: CodeBudgetExhausted, Message: "The prepaid budget has no tokens left for this request."}
-	case errors.Is(err, ledger.ErrStranded):
-		return &Failure{Code: CodeBudgetStranded, Message: "The budget cannot be reached from here now.", RetryAfter: comeBack}
+	case errors.As(err, &stranded):
+		return &Failure{Code: CodeBudgetStranded, Message: "The budget cannot be reached from here now: " + stranded.Reason + ".", RetryAfter: stranded.RetryAfter}
 	case errors.Is(err, ledger.ErrNoBudget):
 		return &Failure{Code: CodeNoBudget, Message: "The team has no such budget."}
 	case errors.Is(err, claim.ErrKeyReused):
--- a/internal/server/budgets.go
+++ b/internal/server/budgets.go
@@ -21,6 +21,7 @@
 		Self: s.id, Zone: record.Zone(s.settings.Instance.Zone), Log: s.publisher, Partitions: s.partitions,
 		Members: s.members, Peers: s.pool, Lean: s.lean, Options: opts,
 	})
+	s.tables.Register("grants", func() any { return s.budgets.State() })
 	if err := s.peerServer.Register(ledger.WitnessName, s.budgets.Witness()); err != nil {
 		return err
 	}
