--- a/internal/fold/ledger_bench_test.go
+++ b/internal/fold/ledger_bench_test.go
@@ -4,12 +4,16 @@
 	"fmt"
 	"runtime"
 	"testing"
+	"time"
 
 	"guavapier/internal/fold"
 	"guavapier/internal/record"
 )
 
-const billsInBatch = 20
+const (
+	billsInBatch = 20
+	bills        = 200_000
+)
 
 func budgetN(n int) record.BudgetID {
 	return record.BudgetID{Team: record.Team(fmt.Sprintf("team-%06d", n)), Name: "main"}
@@ -53,16 +57,18 @@
 func BenchmarkLedgerApply(b *testing.B) {
 	for _, budgets := range []int{1_000, 10_000, 100_000} {
 		b.Run(fmt.Sprintf("budgets=%d", budgets), func(b *testing.B) {
-			l := filled(b, budgets, true)
-			batches := make([]record.Batch, 0, b.N/billsInBatch+1)
-			for n := range cap(batches) {
-				batches = append(batches, billBatch(b, budgets, n))
-			}
-			next := l.Next()
-			b.ReportAllocs()
-			b.ResetTimer()
-			for n, batch := range batches {
-				_ = l.Apply(next+uint64(n), batch)
+			for range b.N {
+				l := filled(b, budgets, true)
+				var batches []record.Batch
+				for n := range bills / billsInBatch {
+					batches = append(batches, billBatch(b, budgets, n))
+				}
+				next := l.Next()
+				began := time.Now()
+				for n, batch := range batches {
+					_ = l.Apply(next+uint64(n), batch)
+				}
+				b.ReportMetric(float64(time.Since(began).Nanoseconds())/bills, "ns/bill")
 			}
 		})
 	}
--- a/internal/ledger/latency_bench_test.go
+++ b/internal/ledger/latency_bench_test.go
@@ -72,12 +72,17 @@
 						}
 					}
 				}
-				measureReserve(b, n, callers)
+				for range b.N {
+					measureReserve(b, n, callers)
+				}
 			})
 		}
 	}
 }
 
+// reservations is how many a measurement makes.
+const reservations = 10_000
+
 func measureReserve(b *testing.B, n *node, callers int) {
 	b.Helper()
 	times := make([][]time.Duration, callers)
@@ -99,11 +104,11 @@
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() { defer close(ended); _ = n.ledger.Run(ctx) }()
-	b.ResetTimer()
+	began := time.Now()
 	done := make(chan struct{})
 	for c := range callers {
 		go func() {
-			for i := c; i < b.N; i += callers {
+			for i := c; i < reservations; i += callers {
 				reserve(c, i)
 			}
 			done <- struct{}{}
@@ -112,7 +117,7 @@
 	for range callers {
 		<-done
 	}
-	b.StopTimer()
+	b.ReportMetric(reservations/time.Since(began).Seconds(), "reserves/s")
 	stop()
 	<-ended
 	all := slices.Concat(times...)
--- a/internal/right/right_bench_test.go
+++ b/internal/right/right_bench_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"runtime"
 	"testing"
+	"time"
 
 	"guavapier/internal/record"
 	"guavapier/internal/right"
@@ -21,28 +22,37 @@
 func BenchmarkWitnessAcknowledge(b *testing.B) {
 	for _, uses := range []int{1, 16, 256} {
 		b.Run(fmt.Sprintf("uses=%d", uses), func(b *testing.B) {
-			w := right.NewWitness[record.Outstanding]("w")
-			_ = w.Adopt(terms)
-			all := make([]right.Use[record.Outstanding], 2*uses)
-			for n := range all {
-				all[n] = reservation(n)
-			}
-			b.ResetTimer()
-			for seq := range b.N {
-				batch := right.Batch[record.Outstanding]{Terms: terms, Seq: uint64(seq + 1), Puts: all[:uses]}
-				for _, use := range all[uses:] {
-					batch.Drops = append(batch.Drops, use.ID)
-				}
-				if err := w.Acknowledge(batch); err != nil {
-					b.Fatal(err)
-				}
-				all = append(all[uses:], all[:uses]...)[:2*uses]
+			for range b.N {
+				began := time.Now()
+				acknowledge(b, uses)
+				b.ReportMetric(float64(time.Since(began).Nanoseconds())/acknowledged, "ns/use")
 			}
-			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*uses), "ns/use")
 		})
 	}
 }
 
+// acknowledged is how many uses a measurement begins and ends.
+const acknowledged = 1 << 18
+
+func acknowledge(b *testing.B, uses int) {
+	w := right.NewWitness[record.Outstanding]("w")
+	_ = w.Adopt(terms)
+	now, before := make([]right.Use[record.Outstanding], uses), make([]right.Use[record.Outstanding], uses)
+	for n := range uses {
+		now[n], before[n] = reservation(n), reservation(uses+n)
+	}
+	for seq := range acknowledged / uses {
+		batch := right.Batch[record.Outstanding]{Terms: terms, Seq: uint64(seq + 1), Puts: now}
+		for _, use := range before {
+			batch.Drops = append(batch.Drops, use.ID)
+		}
+		if err := w.Acknowledge(batch); err != nil {
+			b.Fatal(err)
+		}
+		now, before = before, now
+	}
+}
+
 // BenchmarkWitnessMemory measures the bytes that one outstanding use takes.
 func BenchmarkWitnessMemory(b *testing.B) {
 	for _, uses := range []int{1_000, 10_000, 100_000} {
