Prune idle accounts, keep unwitnessed grants small, tell refusals apart

Cause: accounts were never dropped, each tick walked them once per partition and asked for the member list for each grant, and a holder whose peers were all gone went on to take small unwitnessed grants up to its whole target. Change: accounts without grants are dropped after ten minutes, never while a Reserve uses them (two accounts of one budget would draw on one grant); one pass per tick; one small grant while no witness can be had. Scenario tests with links cut: tokens move to who needs them; stranded and exhausted are told apart, the latter without an append; forced close; idle tokens returned; grant sizes in bounds. Each seen red: no asking (163 asked, 63 left, refused), exhausted taken for stranded, close not forced, idle not returned, size above what is left.

--- a/internal/ledger/account.go
+++ b/internal/ledger/account.go
@@ -16,6 +16,7 @@
 type account struct {
 	budget record.BudgetID
 	part   *replica.Replica[*fold.Ledger]
+	users  int // Reserve calls under way; guarded by Ledger.mu.
 
 	mu     sync.Mutex // Guards all below, the grants included.
 	grants []*grant   // Oldest first.
@@ -146,6 +147,13 @@
 	g.unbilled[id] = record.Bill{Key: spent.Key, Right: g.right(), Run: spent.Run, Tokens: used}
 }
 
+// empty says whether nothing is left to remember.
+func (a *account) empty(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.grants) == 0 && a.renewal == nil && !a.appending && now.Sub(a.lastUse) > leastIdle
+}
+
 // find is called with the lock held.
 func (a *account) find(id record.RightID) *grant {
 	for _, g := range a.grants {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -21,8 +21,8 @@
 	WitnessName = "Grants"
 )
 
-// Ledger is safe for concurrent use. Lock order: account.mu, then the locks of
-// package right. mu and peersMu are never held together with account.mu.
+// Ledger is safe for concurrent use. Lock order: tickMu, flushMu, a replica's
+// lock, mu, account.mu, then the locks of package right. peersMu is held alone.
 type Ledger struct {
 	Config
 	batcher *right.Batcher[record.Outstanding]
@@ -105,7 +105,8 @@
 func (l *Ledger) reserveHere(ctx context.Context, from record.InstanceID, id right.UseID, budget record.BudgetID, use record.Outstanding) (Reservation, error) {
 	ctx, cancel := context.WithTimeout(ctx, l.Options.Patience)
 	defer cancel()
-	a := l.account(budget)
+	a := l.acquire(budget)
+	defer l.release(a)
 	for {
 		if l.stopping() {
 			return Reservation{}, &Stranded{Reason: "this instance is stopping", RetryAfter: retryBusy}
@@ -143,9 +144,15 @@
 	return l.draining
 }
 
+// account returns a budget's account. Whoever may add a grant to it keeps it
+// with acquire, or runs within a tick.
 func (l *Ledger) account(budget record.BudgetID) *account {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.accountLocked(budget)
+}
+
+func (l *Ledger) accountLocked(budget record.BudgetID) *account {
 	a, ok := l.accounts[budget]
 	if !ok {
 		a = &account{budget: budget, part: l.Partitions.Of(budget.Team)}
@@ -154,6 +161,46 @@
 	return a
 }
 
+// acquire keeps an account from being pruned until release. There must never
+// be two accounts for one budget: both would draw on the same grant.
+func (l *Ledger) acquire(budget record.BudgetID) *account {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.accountLocked(budget)
+	a.users++
+	return a
+}
+
+func (l *Ledger) release(a *account) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a.users--
+}
+
+// prune drops the accounts that hold nothing and that nobody uses. It runs
+// within a tick.
+func (l *Ledger) prune() {
+	now := l.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for budget, a := range l.accounts {
+		if a.users == 0 && a.empty(now) {
+			delete(l.accounts, budget)
+		}
+	}
+}
+
+// accountsOf returns the accounts of each partition.
+func (l *Ledger) accountsOf() map[record.Stream][]*account {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := map[record.Stream][]*account{}
+	for _, a := range l.accounts {
+		out[a.part.Stream()] = append(out[a.part.Stream()], a)
+	}
+	return out
+}
+
 func (l *Ledger) allAccounts() []*account {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/ledger/renew.go
+++ b/internal/ledger/renew.go
@@ -106,22 +106,26 @@
 				return err
 			}
 		}
+		witness := l.chooseWitness(a)
 		var size int64
-		size, err = l.size(a, need, view)
+		size, err = l.size(a, need, view, witness)
 		if err != nil || size == 0 {
 			return err
 		}
 		var won bool
-		if won, err = l.append(ctx, a, size); won || err != nil {
+		if won, err = l.append(ctx, a, size, witness); won || err != nil {
 			return err
 		}
 	}
 	return &Stranded{Reason: "others drew faster", RetryAfter: retryBusy}
 }
 
-// size returns the size of the grant to ask for, 0 for none.
-func (l *Ledger) size(a *account, need int64, view budgetView) (int64, error) {
+// size returns the size of the grant to ask for, 0 for none. While peers exist
+// but none can be witness, one grant without a witness is enough, and a small
+// one: what is left of it is lost with its holder.
+func (l *Ledger) size(a *account, need int64, view budgetView, witness record.InstanceID) (int64, error) {
 	now := l.Now()
+	cautious := witness == "" && len(l.live()) > 1
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if need > 0 && view.left() < need {
@@ -129,12 +133,15 @@
 	}
 	d := l.demand(a, now)
 	d.Left, d.Holders = view.left(), view.others(l.Self)
+	if cautious {
+		d.Rate, d.First = 0, l.Options.GrantTokens
+	}
 	if need > 0 {
 		d.Need = need
 		return GrantSize(d), nil
 	}
 	size := GrantSize(d)
-	if size < d.Need*needsInGrant {
+	if size < d.Need*needsInGrant || (cautious && !Low(d)) {
 		a.askAgain = now.Add(askPause)
 		return 0, nil
 	}
@@ -154,11 +161,7 @@
 }
 
 // append asks for a grant. won is false if the fold voided it.
-func (l *Ledger) append(ctx context.Context, a *account, size int64) (won bool, err error) {
-	witness := l.chooseWitness(a)
-	if witness == "" && len(l.live()) > 1 {
-		size = max(min(size, l.Options.GrantTokens), a.lastNeed())
-	}
+func (l *Ledger) append(ctx context.Context, a *account, size int64, witness record.InstanceID) (won bool, err error) {
 	grant := record.Grant{Right: record.NewRightID(), Budget: a.budget, Tokens: size, Holder: l.Self, Witness: witness, Zone: l.Zone}
 	offset, err := l.appendGrant(ctx, a, grant)
 	if err == nil {
@@ -212,6 +215,9 @@
 // adopt adds a grant that the fold calls valid, once, and retires those that
 // it replaces.
 func (l *Ledger) adopt(a *account, row fold.Grant) {
+	if a.has(row.Right) {
+		return
+	}
 	live := l.live()
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -248,8 +254,8 @@
 	}
 }
 
-func (a *account) lastNeed() int64 {
+func (a *account) has(id record.RightID) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.need
+	return a.find(id) != nil
 }
--- a/internal/ledger/tick.go
+++ b/internal/ledger/tick.go
@@ -38,10 +38,12 @@
 	l.sync()
 	l.probe(ctx)
 	l.watch()
+	accounts := l.accountsOf()
 	for _, part := range l.Partitions {
-		l.flush(part)
+		l.flush(part, accounts[part.Stream()])
 	}
 	l.remote.retry()
+	l.prune()
 }
 
 // Close ends all draws, settles what is left and returns every grant. It ends
@@ -152,17 +154,15 @@
 // flush appends what waits for a partition, one flush at a time: while the log
 // is away, one append waits and nothing piles up. The records stay where they
 // are until the log or the fold has them; a second copy of any is harmless.
-func (l *Ledger) flush(part *replica.Replica[*fold.Ledger]) {
+func (l *Ledger) flush(part *replica.Replica[*fold.Ledger], accounts []*account) {
 	l.flushMu.Lock()
 	defer l.flushMu.Unlock()
 	if l.flushing[part.Stream()] {
 		return
 	}
 	var box outbox
-	for _, a := range l.allAccounts() {
-		if a.part == part {
-			a.collect(l.Self, &box)
-		}
+	for _, a := range accounts {
+		a.collect(l.Self, &box)
 	}
 	for _, c := range l.closing {
 		if openIn(part, c.Right) {
