Ask for the usages of a sealed grant side by side

Cause: a seal asked the endpoints for one run after the other, 250 ms each, and held up the tick's bills. Change: 16 at once, two seconds for all; what is not known by then is billed as reserved.

--- a/internal/ledger/watch.go
+++ b/internal/ledger/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"guavapier/internal/fold"
 	"guavapier/internal/record"
@@ -10,6 +11,7 @@
 	"guavapier/internal/right"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
 )
 
 type useID = right.UseID
@@ -114,21 +116,45 @@
 	}
 	c := record.Close{Right: row.Right, By: l.Self}
 	for _, use := range uses {
-		o := use.Body
-		o.Tokens = l.usage(o)
-		c.Outstanding = append(c.Outstanding, o)
+		c.Outstanding = append(c.Outstanding, use.Body)
 	}
+	l.askUsages(c.Outstanding)
 	l.closing[row.Right] = c
 }
 
+const (
+	// askUsageAtOnce bounds the questions of one seal that are open at once.
+	askUsageAtOnce = 16
+	// askUsageFor bounds all questions of one seal. Load: a holder that died
+	// with hundreds of runs. Harm prevented: bills of this instance that wait
+	// behind them. What is not known by then is billed as reserved.
+	askUsageFor = 2 * time.Second
+)
+
+// askUsages replaces reserved amounts by usages where endpoints know them.
+func (l *Ledger) askUsages(outstanding []record.Outstanding) {
+	if l.Usages == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), askUsageFor)
+	defer cancel()
+	var asked errgroup.Group
+	asked.SetLimit(askUsageAtOnce)
+	for i := range outstanding {
+		asked.Go(func() error {
+			outstanding[i].Tokens = l.usage(ctx, outstanding[i])
+			return nil
+		})
+	}
+	_ = asked.Wait()
+}
+
 // usage returns what a run of a gone instance is billed: what its endpoint
 // says, at most what was reserved; else all that was reserved.
-func (l *Ledger) usage(o record.Outstanding) int64 {
+func (l *Ledger) usage(ctx context.Context, o record.Outstanding) int64 {
 	if l.Usages == nil {
 		return o.Tokens
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), l.Options.PeerWait)
-	defer cancel()
 	if tokens, known := l.Usages.Usage(ctx, o.Run); known && tokens >= 0 {
 		return min(tokens, o.Tokens)
 	}
@@ -147,24 +173,24 @@
 	}
 }
 
+// settleGone ends the reservations that this instance holds for instances that
+// are gone.
 func (l *Ledger) settleGone(a *account) {
-	type gone struct {
-		r    Reservation
-		used int64
-	}
-	var ended []gone
+	var ended []Reservation
+	var outstanding []record.Outstanding
 	a.mu.Lock()
 	for _, g := range a.grants {
 		for id, h := range g.reserved {
 			if h.counted && h.from != l.Self && l.gone(h.from) {
-				ended = append(ended, gone{r: Reservation{Right: g.right(), ID: id, Run: h.outstanding.Run, Tokens: h.outstanding.Tokens}})
+				ended = append(ended, Reservation{Right: g.right(), ID: id})
+				outstanding = append(outstanding, h.outstanding)
 			}
 		}
 	}
 	a.mu.Unlock()
-	for _, e := range ended {
-		e.used = l.usage(record.Outstanding{Run: e.r.Run, Tokens: e.r.Tokens})
-		a.settle(e.r, e.used, l.Now())
+	l.askUsages(outstanding)
+	for i, r := range ended {
+		a.settle(r, outstanding[i].Tokens, l.Now())
 	}
 }
 
