--- a/internal/ledger/policy.go
+++ b/internal/ledger/policy.go
@@ -12,8 +12,10 @@
 
 // Limits of the sizing decisions.
 const (
-	// DefaultLean is the setting of a budget that has none.
-	DefaultLean = 0.5
+	// DefaultLean is the setting of a budget that has none. No setting can
+	// overspend, and holders give tokens to whoever asks, so the refusals behind
+	// a cut decide: docs/measurements/ledger.md.
+	DefaultLean = 1.0
 	// shortHorizon and longHorizon are how long a grant should last at the
 	// measured draw rate, for lean 0 and lean 1. Ten seconds is the least that
 	// hides a slow log; an hour is the cut that the sites name.
--- a/internal/ledger/types.go
+++ b/internal/ledger/types.go
@@ -161,7 +161,7 @@
 	Members    Members
 	Peers      peer.Caller // Nil for an instance that has no peers.
 	// Lean returns a budget's setting between 0 (strand few tokens) and 1
-	// (refuse seldom). Nil means 0.5 for all.
+	// (refuse seldom). Nil means DefaultLean for all.
 	Lean func(record.BudgetID) float64
 	// Usages is nil where endpoints cannot be asked.
 	Usages  Usages
