--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -52,6 +52,7 @@
 	publisher  *platform.Publisher
 	config     *replica.Replica[*fold.Config]
 	partitions ledger.Partitions
+	subscriber *platform.Subscriber
 	dispatcher *dispatch.Dispatcher
 	clients    *endpointClients
 	members    *membership.Members
@@ -85,6 +86,7 @@
 	for n := range s.Ledger.Partitions {
 		srv.partitions = append(srv.partitions, replica.New(record.LedgerStream(n), fold.NewLedger()))
 	}
+	srv.subscriber = platform.NewSubscriber(srv.client, srv.startStream)
 	srv.dispatcher = dispatch.NewWithOptions(placement(s, srv.id))
 	srv.joinPeers()
 	srv.clients = newEndpointClients(s.Limits, srv.members, srv.dispatcher)
@@ -108,10 +110,10 @@
 func (s *Server) listen() error {
 	var err error
 	if s.callers, err = net.Listen("tcp", s.settings.Instance.Callers); err != nil {
-		return eris.Wrap(err, "server: listen for callers")
+		return eris.Wrap(err, "server: listen for callers; give another address if this one is taken")
 	}
 	if s.operators, err = net.Listen("tcp", s.settings.Instance.Operators); err != nil {
-		return eris.Wrap(err, "server: listen for operators")
+		return eris.Wrap(err, "server: listen for operators; give another address if this one is taken")
 	}
 	return s.listenPeers()
 }
@@ -130,6 +132,7 @@
 	operators := &http.Server{Handler: s.operatorsHandler(), ReadHeaderTimeout: 10 * time.Second}
 	var group errgroup.Group
 	group.Go(func() error { return s.follow(background) })
+	group.Go(func() error { s.snapshotWriter().Run(background); return nil })
 	group.Go(func() error { s.clients.poller.Run(background); return nil })
 	group.Go(func() error { s.members.Run(background, s.pool); return nil })
 	group.Go(func() error { s.holder.Run(background); return nil })
@@ -170,22 +173,6 @@
 	}
 }
 
-func (s *Server) follow(ctx context.Context) error {
-	onError := func(err error) { s.log.Error().Err(err).Msg("replica: batch passed over") }
-	sources := []replica.Source{{Stream: record.ConfigStream, Handler: s.config.Handle(onError)}}
-	for _, p := range s.partitions {
-		if !s.follows(p) {
-			continue
-		}
-		sources = append(sources, replica.Source{Stream: p.Stream(), Handler: p.Handle(onError)})
-	}
-	trimmed := func(stream record.Stream, first uint64) {
-		s.log.Error().Str("stream", string(stream)).Uint64("first", first).Msg("replica: records aged out unread")
-	}
-	sub := platform.NewSubscriber(s.client, func(record.Stream) uint64 { return 0 }, trimmed)
-	return replica.Follow(ctx, sub, sources)
-}
-
 func (s *Server) callersHandler() http.Handler {
 	limits := s.settings.Limits
 	c := &entry.Callers{
@@ -196,9 +183,9 @@
 			BytesPerToken: limits.PromptBytesPerToken, Read: readWithin, Write: writeWithin, Heartbeat: callerHeartbeat,
 			FirstToken: limits.FirstToken.D(), ServiceAnswer: limits.ServiceAnswer.D(),
 		},
-		Ready: func() bool { return !s.draining.Load() && s.members.Seen() },
+		Ready: func() bool { return !s.draining.Load() && s.members.Seen() && s.current() },
 	}
-	return c.Handler()
+	return s.metrics.Measure(metrics.CallersHTTP, c.Handler())
 }
 
 func ignoreClosed(err error) error {
