--- a/internal/ledger/account.go
+++ b/internal/ledger/account.go
@@ -29,6 +29,8 @@
 	// askAgain is the time before which nobody is asked for spare tokens or a
 	// next grant again, after this brought nothing.
 	askAgain time.Time
+	// elsewhere is the time before which no other holder is asked to reserve.
+	elsewhere time.Time
 	// lastUse is the time of the last reservation or settlement.
 	lastUse time.Time
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -85,7 +86,14 @@
 	if r, err, done := l.reserveAtOwner(ctx, budget, use); done {
 		return r, err
 	}
-	return l.reserveHere(ctx, l.Self, right.UseID(uuid.NewString()), budget, use)
+	r, err := l.reserveHere(ctx, l.Self, right.UseID(uuid.NewString()), budget, use)
+	if !errors.Is(err, ErrStranded) {
+		return r, err
+	}
+	if far, ok := l.reserveElsewhere(ctx, budget, use); ok {
+		return far, nil
+	}
+	return r, err
 }
 
 // Settle ends a reservation: it bills what the request used and frees the
--- a/internal/ledger/remote.go
+++ b/internal/ledger/remote.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
 
 	"guavapier/internal/record"
 
@@ -34,6 +35,11 @@
 	if owner == l.Self {
 		return Reservation{}, nil, false
 	}
+	return l.reserveAt(ctx, owner, budget, use)
+}
+
+// reserveAt asks one instance. done is false if it refused or did not answer.
+func (l *Ledger) reserveAt(ctx context.Context, owner record.InstanceID, budget record.BudgetID, use record.Outstanding) (r Reservation, err error, done bool) {
 	args := ReserveArgs{From: l.Self, ID: useID(uuid.NewString()), Budget: budget, Use: use}
 	var reply ReserveReply
 	err = l.call(ctx, owner, "Reserve", args, &reply)
@@ -51,6 +57,44 @@
 	return reply.Reservation, err, true
 }
 
+// reserveElsewhere asks the other holders that have most tokens, whatever
+// their zone, for a reservation in their grants.
+//
+// Load: a holder whose witness died while the log is away, so that its own
+// grants cannot be used and no new one can be had. Harm prevented: refusals
+// while others could pay. It comes last since each request crosses zones, and
+// rests for askPause after nobody could.
+func (l *Ledger) reserveElsewhere(ctx context.Context, budget record.BudgetID, use record.Outstanding) (Reservation, bool) {
+	a := l.acquire(budget)
+	defer l.release(a)
+	view, err := l.view(a)
+	if err != nil || !a.mayAskElsewhere(l.Now()) {
+		return Reservation{}, false
+	}
+	for _, holder := range richest(l.Self, view.open) {
+		if l.suspected(holder) {
+			continue
+		}
+		if r, err, done := l.reserveAt(ctx, holder, budget, use); done && err == nil {
+			return r, true
+		}
+	}
+	a.restElsewhere(l.Now())
+	return Reservation{}, false
+}
+
+func (a *account) mayAskElsewhere(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !now.Before(a.elsewhere)
+}
+
+func (a *account) restElsewhere(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.elsewhere = now.Add(askPause)
+}
+
 // remoteSettler sends settlements to the owners that hold the reservations,
 // those of one owner together, again until the owner has them or is gone.
 type remoteSettler struct {
