--- a/internal/ledger/policy_bench_test.go
+++ b/internal/ledger/policy_bench_test.go
@@ -1,6 +1,7 @@
 package ledger_test
 
 import (
+	"strings"
 	"testing"
 
 	"guavapier/internal/ledger"
@@ -18,12 +19,17 @@
 		{"central", func() policy { return newCentral() }},
 		{"lean0", func() policy { return newAdaptive(0, ledger.SpareNone) }},
 		{"lean0.5", func() policy { return newAdaptive(0.5, ledger.SpareNone) }},
+		{"lean0.8", func() policy { return newAdaptive(0.8, ledger.SpareNone) }},
 		{"lean1", func() policy { return newAdaptive(1, ledger.SpareNone) }},
 		{"lean1-otherwitness", func() policy { return newAdaptive(1, ledger.SpareOtherWitness) }},
 		{"lean1-unwitnessed", func() policy { return newAdaptive(1, ledger.SpareUnwitnessed) }},
 	}
-	for _, f := range []fault{noFault, zoneCut, holderDies, farTopUp, oneTeam} {
+	for _, f := range []fault{noFault, zoneCut, holderDies, farTopUp, oneTeam, deadInOutage} {
 		for _, p := range policies {
+			spares := f == zoneCut || f == deadInOutage
+			if strings.Contains(p.name, "-") && !spares {
+				continue // Where the spare grants differ.
+			}
 			b.Run(faultNames[f]+"/"+p.name, func(b *testing.B) {
 				for range b.N {
 					r := drive(p.make(), f)
