Read the log through peers while the platform is out of reach

Change: internal/relay: platform.Log whose reads fall back to two peers, a bounded ring of recent entries per stream, peers read older ones from the platform. Wired as the subscriber's log. Seen red: ring that does not look how far back it reaches ("entry 0: offset 347"); platform never tried again ("0 of 5 entries"). Not measured.

--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,126 @@
+package relay_test
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"guavapier/internal/peer"
+	"guavapier/internal/platform"
+	"guavapier/internal/record"
+	"guavapier/internal/relay"
+)
+
+// memory is a platform log that can be out of reach for one instance.
+type memory struct {
+	entries []platform.Entry
+	down    map[record.InstanceID]bool
+}
+
+type view struct {
+	m  *memory
+	id record.InstanceID
+}
+
+func (v view) Append(_ context.Context, _ record.Stream, data []byte) (uint64, error) {
+	offset := uint64(len(v.m.entries))
+	v.m.entries = append(v.m.entries, platform.Entry{Offset: offset, Data: data})
+	return offset, nil
+}
+
+func (v view) Read(_ context.Context, _ record.Stream, from uint64, _ time.Duration) (platform.Page, error) {
+	if v.m.down[v.id] {
+		return platform.Page{}, platform.ErrUnavailable
+	}
+	from = min(from, uint64(len(v.m.entries)))
+	page := slices.Clone(v.m.entries[from:])
+	return platform.Page{Entries: page, Next: from + uint64(len(page))}, nil
+}
+
+// links calls services directly.
+type links map[record.InstanceID]*relay.Service
+
+func (l links) Call(_ context.Context, to record.InstanceID, _ string, args, reply any) error {
+	s, ok := l[to]
+	if !ok {
+		return peer.ErrUnreachable
+	}
+	return s.Read(args.(relay.ReadArgs), reply.(*relay.ReadReply))
+}
+
+func (l links) Live() []platform.Instance {
+	return []platform.Instance{{ID: "a"}, {ID: "b"}, {ID: "gone"}}
+}
+
+// fleet is two instances over one memory; a cannot reach it.
+func fleet() (*memory, links, map[record.InstanceID]*relay.Log) {
+	m := &memory{down: map[record.InstanceID]bool{"a": true}}
+	l := links{}
+	logs := map[record.InstanceID]*relay.Log{}
+	for _, id := range []record.InstanceID{"a", "b"} {
+		logs[id] = relay.New(view{m, id}, id, l, l)
+		l[id] = relay.NewService(logs[id])
+	}
+	return m, l, logs
+}
+
+// readTo reads from an offset until want entries are there, in bounded steps.
+func readTo(t *testing.T, log *relay.Log, from, want int) []platform.Entry {
+	t.Helper()
+	var got []platform.Entry
+	for range 20 {
+		page, err := log.Read(context.Background(), "config", uint64(from+len(got)), time.Second)
+		if err != nil && !errors.Is(err, platform.ErrUnavailable) {
+			t.Fatal(err)
+		}
+		got = append(got, page.Entries...)
+		if len(got) >= want {
+			return got
+		}
+	}
+	t.Fatalf("%d of %d entries", len(got), want)
+	return nil
+}
+
+func fill(t *testing.T, log *relay.Log, n int) {
+	t.Helper()
+	for i := range n {
+		if _, err := log.Append(context.Background(), "config", []byte{byte(i), byte(i >> 8)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// An instance without the platform reads the same entries, in order and each
+// once, through its peer: those in the ring and those before it.
+func TestReadsFallBackToPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, _, logs := fleet()
+		fill(t, logs["b"], 600)
+		readTo(t, logs["b"], 0, 600)
+		fill(t, logs["b"], 3)
+		readTo(t, logs["b"], 600, 3)
+		for n, e := range readTo(t, logs["a"], 0, 603) {
+			if e.Offset != uint64(n) || !slices.Equal(e.Data, m.entries[n].Data) {
+				t.Fatalf("entry %d: offset %d", n, e.Offset)
+			}
+		}
+	})
+}
+
+// The platform is read again when it is back, without any peer.
+func TestReadsGoBackToThePlatform(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, l, logs := fleet()
+		fill(t, logs["b"], 5)
+		readTo(t, logs["b"], 0, 5)
+		readTo(t, logs["a"], 0, 5)
+		delete(l, "b")
+		fill(t, logs["b"], 5)
+		m.down["a"] = false
+		readTo(t, logs["a"], 5, 5)
+	})
+}
--- /dev/null
+++ b/internal/relay/ring.go
@@ -0,0 +1,57 @@
+package relay
+
+import "guavapier/internal/platform"
+
+// ring keeps the recent entries of one stream without a gap: all entries with
+// offsets from first up to, not including, next.
+type ring struct {
+	first, next uint64
+	entries     []platform.Entry
+	bytes       int
+}
+
+// add takes in entries that were read from an offset on.
+func (r *ring) add(from uint64, entries []platform.Entry) {
+	if from > r.next || len(r.entries) == 0 {
+		*r = ring{first: from, next: from}
+	}
+	for _, e := range entries {
+		if e.Offset < r.next {
+			continue
+		}
+		r.entries = append(r.entries, e)
+		r.bytes += len(e.Data)
+		r.next = e.Offset + 1
+	}
+	for len(r.entries) > ringEntries || r.bytes > ringBytes {
+		r.bytes -= len(r.entries[0].Data)
+		r.first = r.entries[0].Offset + 1
+		r.entries = r.entries[1:]
+	}
+}
+
+// read returns the entries from an offset on, and whether the ring reaches
+// back that far.
+func (r *ring) read(from uint64) ([]platform.Entry, bool) {
+	if from < r.first || from > r.next {
+		return nil, false
+	}
+	for n, e := range r.entries {
+		if e.Offset >= from {
+			return r.entries[n:len(r.entries):len(r.entries)], true
+		}
+	}
+	return nil, true
+}
+
+// bound cuts entries to what one answer may have, one at least.
+func bound(entries []platform.Entry) []platform.Entry {
+	size := 0
+	for n, e := range entries {
+		size += len(e.Data)
+		if n > 0 && size > replyBytes {
+			return entries[:n]
+		}
+	}
+	return entries
+}
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -8,6 +8,7 @@
 	"guavapier/internal/membership"
 	"guavapier/internal/peer"
 	"guavapier/internal/platform"
+	"guavapier/internal/relay"
 
 	"github.com/rotisserie/eris"
 )
@@ -30,11 +31,13 @@
 func (s *Server) PeersAddr() string { return s.peers.Addr().String() }
 
 // joinPeers makes the parts that talk to other instances.
-func (s *Server) joinPeers() {
+func (s *Server) joinPeers() error {
 	s.members = membership.New(s.client, s.self, s.log)
 	s.members.OnList(listEndpoints(s.dispatcher))
 	s.pool = peer.NewPool(s.id, s.members, peer.Options{})
 	s.peerServer = peer.NewServer(s.id)
+	s.relay = relay.New(s.client, s.id, s.pool, s.members)
+	return s.peerServer.Register(relay.ServiceName, relay.NewService(s.relay))
 }
 
 // leavePeers ends all connections with other instances.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -18,6 +18,7 @@
 	"guavapier/internal/peer"
 	"guavapier/internal/platform"
 	"guavapier/internal/record"
+	"guavapier/internal/relay"
 	"guavapier/internal/replica"
 	"guavapier/internal/run"
 	"guavapier/internal/session"
@@ -57,6 +58,7 @@
 	members    *membership.Members
 	pool       *peer.Pool
 	peerServer *peer.Server
+	relay      *relay.Log
 	budgets    *ledger.Ledger
 	holder     *claim.Holder
 	claims     *claim.Fleet
@@ -86,7 +88,9 @@
 		srv.partitions = append(srv.partitions, replica.New(record.LedgerStream(n), fold.NewLedger()))
 	}
 	srv.dispatcher = dispatch.NewWithOptions(placement(s, srv.id))
-	srv.joinPeers()
+	if err := srv.joinPeers(); err != nil {
+		return nil, err
+	}
 	if err := srv.joinBudgets(); err != nil {
 		return nil, err
 	}
@@ -182,7 +186,7 @@
 	trimmed := func(stream record.Stream, first uint64) {
 		s.log.Error().Str("stream", string(stream)).Uint64("first", first).Msg("replica: records aged out unread")
 	}
-	sub := platform.NewSubscriber(s.client, func(record.Stream) uint64 { return 0 }, trimmed)
+	sub := platform.NewSubscriber(s.relay, func(record.Stream) uint64 { return 0 }, trimmed)
 	return replica.Follow(ctx, sub, sources)
 }
 
