--- /dev/null
+++ b/internal/claim/bench_test.go
@@ -0,0 +1,226 @@
+package claim_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"guavapier/internal/claim"
+	"guavapier/internal/fold"
+	"guavapier/internal/peer"
+	"guavapier/internal/platform"
+	"guavapier/internal/record"
+	"guavapier/internal/replica"
+	"guavapier/internal/right"
+
+	"github.com/rs/zerolog"
+)
+
+// site is a fleet over real connections on loopback and one log in memory.
+type site struct {
+	entries chan record.Batch
+	parts   []*claim.Replica
+	nodes   []*member
+}
+
+type member struct {
+	id      record.InstanceID
+	address string
+	site    *site
+	part    *claim.Replica
+	fleet   *claim.Fleet
+	holder  *claim.Holder
+}
+
+// Append applies a batch to all replicas in turn.
+func (m *member) Append(_ context.Context, _ record.Stream, records ...record.Record) (uint64, error) {
+	batch := <-m.site.entries
+	defer func() { m.site.entries <- batch }()
+	batch.Seq++
+	batch.Records = nil
+	for _, r := range records {
+		env, err := record.Encode(r)
+		if err != nil {
+			return 0, err
+		}
+		batch.Records = append(batch.Records, env)
+	}
+	data, err := record.EncodeBatch(batch)
+	if err != nil {
+		return 0, err
+	}
+	for _, part := range m.site.parts {
+		if err := part.Apply(platform.Entry{Offset: batch.Seq, Data: data}); err != nil {
+			return 0, err
+		}
+	}
+	return batch.Seq, nil
+}
+
+func (m *member) PeerAddr(id record.InstanceID) (string, bool) {
+	for _, other := range m.site.nodes {
+		if other.id == id {
+			return other.address, true
+		}
+	}
+	return "", false
+}
+
+func (m *member) Live() []platform.Instance {
+	var out []platform.Instance
+	for _, other := range m.site.nodes {
+		out = append(out, platform.Instance{ID: other.id, Zone: homeZone})
+	}
+	return out
+}
+
+func (m *member) Reachable(record.InstanceID) bool { return true }
+func (m *member) ZoneListed(record.Zone) bool      { return true }
+func (m *member) PlatformUp() bool                 { return true }
+
+func startSite(b *testing.B, size int) *site {
+	b.Helper()
+	s := &site{entries: make(chan record.Batch, 1)}
+	s.entries <- record.Batch{Writer: "log"}
+	ctx, cancel := context.WithCancel(context.Background())
+	b.Cleanup(cancel)
+	for n := range size {
+		m := &member{id: record.InstanceID(fmt.Sprint("i", n)), site: s, part: replica.New(record.LedgerStream(0), fold.NewLedger())}
+		s.parts = append(s.parts, m.part)
+		s.nodes = append(s.nodes, m)
+	}
+	for _, m := range s.nodes {
+		pool := peer.NewPool(m.id, m, peer.Options{})
+		m.holder = claim.NewHolder(claim.Parts{
+			Self: platform.Instance{ID: m.id, Zone: homeZone}, Log: m, Caller: pool, Members: m,
+			Partitions: []*claim.Replica{m.part}, Logger: zerolog.Nop(),
+		}, claim.Options{})
+		m.fleet = claim.NewFleet(m.holder)
+		server := peer.NewServer(m.id)
+		_ = server.Register(claim.ServiceName, claim.NewService(m.holder))
+		_ = server.Register(claim.WitnessServiceName, m.holder.Witness())
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		m.address = l.Addr().String()
+		go func() { _ = server.Serve(l) }()
+		b.Cleanup(func() { _ = l.Close(); m.holder.Close(); pool.Close(); server.Close() })
+	}
+	for _, m := range s.nodes {
+		go m.holder.Run(ctx)
+	}
+	return s
+}
+
+// split returns the holder of the home zone's shard and another instance.
+func (s *site) split(b *testing.B) (holder, other *member) {
+	b.Helper()
+	for range 1000 {
+		var row fold.Shard
+		var ok bool
+		s.parts[0].View(func(f *fold.Ledger) { row, ok = f.ClaimShard(homeZone, 0) })
+		for n, m := range s.nodes {
+			if ok && row.Holder == m.id {
+				time.Sleep(500 * time.Millisecond)
+				return m, s.nodes[(n+1)%len(s.nodes)]
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	b.Fatal("no holder")
+	return nil, nil
+}
+
+// BenchmarkBegin gives what a claim adds to a request.
+func BenchmarkBegin(b *testing.B) {
+	for _, c := range []struct {
+		name               string
+		remote, repeatable bool
+	}{
+		{"local/repeatable", false, true},
+		{"local/witness", false, false},
+		{"remote/repeatable", true, true},
+		{"remote/witness", true, false},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			s := startSite(b, 3)
+			m, other := s.split(b)
+			if c.remote {
+				m = other
+			}
+			times := make([]time.Duration, 0, b.N)
+			b.ResetTimer()
+			for n := range b.N {
+				r := claim.Request{Key: record.RequestKey{Team: "t", Key: fmt.Sprint("k", n)}, Home: homeZone, Repeatable: c.repeatable}
+				began := time.Now()
+				if _, err := m.fleet.Begin(context.Background(), r); err != nil {
+					b.Fatal(err)
+				}
+				times = append(times, time.Since(began))
+				m.fleet.End(context.Background(), r.Key, claim.End{Outcome: record.OutcomeAnswered})
+			}
+			b.StopTimer()
+			slices.Sort(times)
+			b.ReportMetric(float64(times[len(times)/2].Microseconds()), "p50-µs")
+			b.ReportMetric(float64(times[len(times)*99/100].Microseconds()), "p99-µs")
+			m.fleet.Close()
+		})
+	}
+}
+
+// BenchmarkClaimTable gives the bytes that one claim takes in a fold.
+func BenchmarkClaimTable(b *testing.B) {
+	for _, size := range []int{1_000, 10_000, 100_000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			for b.Loop() {
+				before := heap()
+				l := fold.NewLedger()
+				shard, _ := record.Encode(record.Shard{Right: "r", Epoch: 1, Holder: "h", Witness: "w"})
+				_ = l.Apply(0, record.Batch{Writer: "w", Seq: 1, Records: []record.Envelope{shard}})
+				for n := range size {
+					env, _ := record.Encode(record.Claim{
+						Key: record.RequestKey{Team: "dala", Session: "0190b2c8-7d5e-7b3f-9a61-000000000000", Key: fmt.Sprint("key-", n)},
+						Run: record.NewRunID(), Right: "r", Runner: "a1.0190b2c8-7d5e-7b3f-9a61-000000000000", Endpoint: "rig-1", UnixMilli: 1,
+					})
+					_ = l.Apply(uint64(n+1), record.Batch{Writer: "w", Seq: uint64(n + 2), Records: []record.Envelope{env}})
+				}
+				b.ReportMetric(float64(heap()-before)/float64(size), "B/claim")
+				runtime.KeepAlive(l)
+			}
+		})
+	}
+}
+
+func heap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// BenchmarkAcknowledge gives the witness's time for one claim by batch size.
+func BenchmarkAcknowledge(b *testing.B) {
+	for _, size := range []int{1, 10, 100} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			w := right.NewWitness[claim.Use]("w")
+			terms := right.Terms{Right: "r", Holder: "h", Witness: "w"}
+			_ = w.Adopt(terms)
+			batch := right.Batch[claim.Use]{Terms: terms}
+			for n := range size {
+				batch.Puts = append(batch.Puts, right.Use[claim.Use]{ID: right.UseID(fmt.Sprint(n))})
+			}
+			for b.Loop() {
+				batch.Seq++
+				if err := w.Acknowledge(batch); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*size), "ns/claim")
+		})
+	}
+}
--- a/internal/server/claims.go
+++ b/internal/server/claims.go
@@ -20,6 +20,7 @@
 		Self: s.self(), Log: s.publisher, Caller: s.pool, Members: s.members, Partitions: s.partitions, Logger: s.log,
 	}, claim.Options{Modes: claimModes{s.config}})
 	s.claims = claim.NewFleet(s.holder)
+	s.tables.Register("claims", func() any { return s.holder.State() })
 	if err := s.peerServer.Register(claim.ServiceName, claim.NewService(s.holder)); err != nil {
 		return err
 	}
