Give every peer its turn of heartbeats

Cause: the rotation took slots by a turn number out of two lists that change; the new test saw 17 and more of 100 unreachable peers without any heartbeat in 300 s. Change: the peers that waited longest go first. Tests of membership in fake time.

--- a/internal/membership/decide.go
+++ b/internal/membership/decide.go
@@ -31,11 +31,12 @@
 	return out
 }
 
-// pick decides which peers get a heartbeat in this round, and where the next
-// round starts. Load: hundreds of peers, a few of them silent. Harm prevented:
-// heartbeats whose cost grows with the fleet, and a peer that came back but is
-// not asked. Limit: probesPerRound, half of it for peers marked unreachable.
-func pick(listed []platform.Instance, self record.InstanceID, unreachable map[record.InstanceID]struct{}, turn int) ([]record.InstanceID, int) {
+// pick decides which peers get a heartbeat in this round: those that waited
+// longest for one. Load: hundreds of peers, a few of them silent. Harm
+// prevented: heartbeats whose cost grows with the fleet, and a peer that came
+// back but is not asked. Limit: probesPerRound, at most half of it for peers
+// marked unreachable while there are others.
+func pick(listed []platform.Instance, self record.InstanceID, unreachable map[record.InstanceID]struct{}, lastTurn map[record.InstanceID]int) []record.InstanceID {
 	var good, bad []record.InstanceID
 	for _, in := range listed {
 		if in.ID == self || in.Peer == "" {
@@ -47,19 +48,14 @@
 			good = append(good, in.ID)
 		}
 	}
-	slices.Sort(good)
-	slices.Sort(bad)
-	out := slots(bad, turn, probesPerRound/2)
-	out = append(out, slots(good, turn, probesPerRound-len(out))...)
-	return out, turn + 1
+	out := longest(bad, lastTurn, probesPerRound/2)
+	return append(out, longest(good, lastTurn, probesPerRound-len(out))...)
 }
 
-// slots returns n of the ids, other ones with each turn.
-func slots(ids []record.InstanceID, turn, n int) []record.InstanceID {
-	n = min(n, len(ids))
-	out := make([]record.InstanceID, 0, n)
-	for i := range n {
-		out = append(out, ids[(turn*n+i)%len(ids)])
-	}
-	return out
+// longest returns the n ids whose last turn is the longest ago.
+func longest(ids []record.InstanceID, lastTurn map[record.InstanceID]int, n int) []record.InstanceID {
+	slices.SortFunc(ids, func(a, b record.InstanceID) int {
+		return cmp.Or(cmp.Compare(lastTurn[a], lastTurn[b]), cmp.Compare(a, b))
+	})
+	return ids[:min(n, len(ids))]
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -50,6 +51,7 @@
 	addresses   map[record.InstanceID]string
 	unreachable map[record.InstanceID]struct{}
 	turn        int
+	lastTurn    map[record.InstanceID]int // Of each peer's last heartbeat.
 	watchers    []func(platform.List)
 }
 
@@ -60,6 +62,7 @@
 	return &Members{
 		directory: directory, self: self, log: log,
 		addresses: map[record.InstanceID]string{}, unreachable: map[record.InstanceID]struct{}{},
+		lastTurn: map[record.InstanceID]int{},
 	}
 }
 
@@ -110,11 +113,12 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.list, m.seen, m.addresses, m.answered = list, true, addresses, time.Now()
-	for id := range m.unreachable {
-		if _, listed := addresses[id]; !listed {
-			delete(m.unreachable, id)
-		}
+	unlisted := func(id record.InstanceID) bool {
+		_, listed := addresses[id]
+		return !listed
 	}
+	maps.DeleteFunc(m.unreachable, func(id record.InstanceID, _ struct{}) bool { return unlisted(id) })
+	maps.DeleteFunc(m.lastTurn, func(id record.InstanceID, _ int) bool { return unlisted(id) })
 }
 
 // List returns the last list that was read.
@@ -194,8 +198,11 @@
 func (m *Members) probe(ctx context.Context, pinger Pinger) {
 	self := m.self().ID
 	m.mu.Lock()
-	targets, turn := pick(m.list.Instances, self, m.unreachable, m.turn)
-	m.turn = turn
+	targets := pick(m.list.Instances, self, m.unreachable, m.lastTurn)
+	m.turn++
+	for _, id := range targets {
+		m.lastTurn[id] = m.turn
+	}
 	m.mu.Unlock()
 	bounded, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,151 @@
+package membership_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"guavapier/internal/membership"
+	"guavapier/internal/platform"
+	"guavapier/internal/record"
+
+	"github.com/rs/zerolog"
+)
+
+// fleet is a platform's list and the peers behind it. It runs in a synctest
+// bubble, which fails a test that leaves goroutines behind.
+type fleet struct {
+	mu     sync.Mutex
+	list   platform.List
+	away   bool
+	silent map[record.InstanceID]bool
+	pings  map[record.InstanceID]int
+}
+
+func (f *fleet) Announce(context.Context, platform.Instance) error { return nil }
+
+func (f *fleet) List(context.Context) (platform.List, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.away {
+		return platform.List{}, platform.ErrUnavailable
+	}
+	return platform.List{Instances: slices.Clone(f.list.Instances)}, nil
+}
+
+func (f *fleet) Ping(ctx context.Context, to record.InstanceID) error {
+	f.mu.Lock()
+	f.pings[to]++
+	silent := f.silent[to]
+	f.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return errors.New("silent")
+	}
+	return nil
+}
+
+func (f *fleet) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+func instances(n int) []platform.Instance {
+	var out []platform.Instance
+	for i := range n {
+		zone := record.Zone([]string{"z2", "z1", "z3"}[i%3])
+		out = append(out, platform.Instance{ID: record.InstanceID(fmt.Sprintf("i%03d", i)), Zone: zone, Peer: "127.0.0.1:1"})
+	}
+	return out
+}
+
+func run(t *testing.T, size int, steps func(*fleet, *membership.Members)) {
+	t.Helper()
+	synctest.Test(t, func(*testing.T) {
+		f := &fleet{list: platform.List{Instances: instances(size)}, silent: map[record.InstanceID]bool{}, pings: map[record.InstanceID]int{}}
+		m := membership.New(f, func() platform.Instance { return platform.Instance{ID: "i001", Zone: "z1"} }, zerolog.Nop())
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		running.Go(func() { m.Run(ctx, f) })
+		time.Sleep(time.Second)
+		steps(f, m)
+		cancel()
+		running.Wait()
+	})
+}
+
+func ids(live []platform.Instance) []record.InstanceID {
+	var out []record.InstanceID
+	for _, in := range live {
+		out = append(out, in.ID)
+	}
+	return out
+}
+
+func TestListOutlivesThePlatform(t *testing.T) {
+	run(t, 6, func(f *fleet, m *membership.Members) {
+		want := []record.InstanceID{"i001", "i004", "i000", "i003", "i002", "i005"}
+		if got := ids(m.Live()); !slices.Equal(got, want) || !m.PlatformUp() {
+			t.Errorf("live %v, want %v; platform up %v", got, want, m.PlatformUp())
+		}
+		f.set(func() { f.away = true })
+		time.Sleep(time.Hour)
+		if got := ids(m.Live()); !slices.Equal(got, want) || m.PlatformUp() {
+			t.Errorf("after an hour without the platform: live %v; platform up %v", got, m.PlatformUp())
+		}
+		f.set(func() { f.away, f.list.Instances[4].Leaving = false, true })
+		time.Sleep(time.Second)
+		if got := ids(m.Live()); slices.Contains(got, "i004") {
+			t.Errorf("leaving instance is live: %v", got)
+		}
+	})
+}
+
+// A silent peer is marked, and unmarked when it answers again; the others stay.
+func TestHeartbeatsMarkSilentPeers(t *testing.T) {
+	run(t, 6, func(f *fleet, m *membership.Members) {
+		f.set(func() { f.silent["i003"] = true })
+		time.Sleep(10 * time.Second)
+		if m.Reachable("i003") || len(m.Live()) != 5 {
+			t.Errorf("silent peer: reachable %v, live %v", m.Reachable("i003"), ids(m.Live()))
+		}
+		f.set(func() { f.silent["i003"] = false })
+		time.Sleep(10 * time.Second)
+		if !m.Reachable("i003") || len(m.Live()) != 6 {
+			t.Errorf("peer that came back: reachable %v, live %v", m.Reachable("i003"), ids(m.Live()))
+		}
+	})
+}
+
+// Heartbeats cost the same for any fleet, and every peer has its turn, also
+// while many are silent.
+func TestHeartbeatsAreBoundedAndFair(t *testing.T) {
+	run(t, 410, func(f *fleet, _ *membership.Members) {
+		f.set(func() {
+			for n := range 100 {
+				f.silent[f.list.Instances[n].ID] = n != 1
+			}
+			clear(f.pings)
+		})
+		const seconds = 300
+		time.Sleep(seconds * time.Second)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		sum := 0
+		for _, in := range f.list.Instances {
+			sum += f.pings[in.ID]
+			if in.ID != "i001" && f.pings[in.ID] == 0 {
+				t.Errorf("%s had no heartbeat", in.ID)
+			}
+		}
+		if sum > 8*seconds+8 {
+			t.Errorf("%d heartbeats in %d s", sum, seconds)
+		}
+	})
+}
