--- a/internal/decide/decider.go
+++ b/internal/decide/decider.go
@@ -22,11 +22,13 @@
 	weights    map[record.Team]float64
 	prefixes   prefixTable
 
-	incoming []*requestRow // Submitted since the last Tick.
-	queued   map[RequestID]*requestRow
-	expiry   rowHeap // All queued rows, the latest useful start first.
-	running  map[RequestID]*requestRow
-	spare    []*requestRow
+	incoming   []*requestRow // Submitted since the last Tick.
+	queued     map[RequestID]*requestRow
+	expiry     rowHeap // All queued rows, the latest useful start first.
+	running    map[RequestID]*requestRow
+	parkedRows fifo
+	woken      []*endpointRow
+	spare      []*requestRow
 
 	retry  retryBudget
 	cursor int // Where system refuse goes on in the expiry heap.
@@ -76,7 +78,8 @@
 // out of order; an older one than the last is dropped.
 func (d *Decider) SetReport(endpoint string, r Report) {
 	if e := d.endpoint(endpoint); e != nil {
-		e.setReport(r, d.now)
+		e.setReport(r, d.now, d.rng.Float64())
+		d.changed(e)
 	}
 }
 
@@ -122,6 +125,19 @@
 	d.freeRow(row)
 }
 
+// FirstToken tells that a started model request has its first token, so long
+// after its start. Finish alone tells it seconds later, when a queue of prompts
+// has grown. An unknown identity has no effect.
+func (d *Decider) FirstToken(id RequestID, after time.Duration) {
+	row, ok := d.running[id]
+	if !ok || row.answered {
+		return
+	}
+	row.endpoint.answered(row)
+	row.endpoint.learnDelay(row, after.Seconds(), d.now)
+	row.endpoint.learned.learnFirst(row, after.Seconds())
+}
+
 // Finish ends a started request, gives back its slot and learns from the
 // result. An unknown identity has no effect.
 func (d *Decider) Finish(id RequestID, result Result) {
@@ -131,13 +147,20 @@
 	}
 	delete(d.running, id)
 	e := row.endpoint
+	seen := row.answered
+	e.answered(row)
+	e.followOwn(d.now)
 	e.inFlight--
+	e.startsSum -= row.startedAt
+	e.spanSum -= row.span
+	e.grants++
+	d.changed(e)
 	e.inFlightBy[row.class]--
 	if e.probe == id {
 		e.probe = 0
 	}
 	if result != (Result{}) { // The zero Result gives back an unused slot.
-		d.learn(row, result)
+		d.learn(row, result, seen)
 	}
 	d.freeRow(row)
 }
@@ -166,6 +189,7 @@
 
 func (d *Decider) start(row *requestRow, e *endpointRow) {
 	p := row.pool
+	p.usage.add(row.Team, row.team.weight, row.cost(), d.now)
 	d.dequeue(row)
 	p.started[row.class]++
 	for class := range p.free {
@@ -173,6 +197,7 @@
 	}
 	p.charge(row)
 	e.start(row, d)
+	d.changed(e)
 	d.running[row.ID] = row
 	d.prefixes.set(row.sessionHash, e, row.PromptTokens+row.MaxTokens)
 	d.out = append(d.out, Decision{Kind: Start, Request: row.ID, Endpoint: e.Name})
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -56,19 +56,30 @@
 }
 
 // session returns the identity of a request's session token, if it has one.
-func (c *Callers) session(r *http.Request, team record.Team) (session.Identity, problem, bool) {
+func (c *Callers) session(r *http.Request, team record.Team) (session.Identity, *refusal) {
 	token := r.Header.Get(HeaderSession)
 	if token == "" {
 		// Without a session there is no home zone: the claim's shard must not
 		// depend on the instance that a retry reaches.
-		return session.Identity{Team: team}, problem{}, true
+		return session.Identity{Team: team}, nil
 	}
 	id, err := c.Sessions.Verify(token)
 	if err != nil || id.Team != team {
-		return id, invalid("invalid_session", "The session is not valid for this team."), false
+		return id, &refusal{status: http.StatusForbidden, problem: invalid("invalid_session", "The session is not valid for this team.")}
 	}
 	if c.Ends.Ended(team, id.ID) {
-		return id, invalid("session_ended", "The session was ended by its owner."), false
+		return id, &refusal{status: http.StatusForbidden, problem: sessionEnded(r)}
 	}
-	return id, problem{}, true
+	return id, nil
+}
+
+// sessionEnded refuses a request of an ended session. An earlier attempt under
+// the same key may have run before the end, so only a first attempt, and one
+// without a key, is certain not to have run.
+func sessionEnded(r *http.Request) problem {
+	p := invalid("session_ended", "The session was ended by its owner.")
+	if r.Header.Get(HeaderKey) != "" && r.Header.Get(HeaderFirst) != "true" {
+		p.Outcome = record.OutcomeUnknown
+	}
+	return p
 }
--- a/internal/server/endpoints.go
+++ b/internal/server/endpoints.go
@@ -3,11 +3,11 @@
 import (
 	"time"
 
+	"guavapier/internal/config"
 	"guavapier/internal/decide"
 	"guavapier/internal/dispatch"
 	"guavapier/internal/endpoint"
 	"guavapier/internal/fold"
-	"guavapier/internal/membership"
 	"guavapier/internal/replica"
 	"guavapier/internal/run"
 	"guavapier/internal/settings"
@@ -39,6 +39,14 @@
 	runControl = 10 * time.Second
 )
 
+const (
+	readWithin  = time.Minute
+	writeWithin = 30 * time.Second
+	// callerHeartbeat is below the usual idle limits of middleboxes (30 s and
+	// more). It also bounds how late a refusal can still have its status.
+	callerHeartbeat = 10 * time.Second
+)
+
 func runLimits(limits settings.Limits) run.Limits {
 	return run.Limits{
 		Endpoints: runEndpoints, Resumes: runResumes, Progress: limits.Progress.D(), Linger: runLinger, Control: runControl,
@@ -56,19 +64,16 @@
 	config *replica.Replica[*fold.Config]
 }
 
-// repeatablePath holds "METHOD /path" rules, one a line or parted by commas.
-func repeatablePath(service string) string { return "/fleet/services/" + service + "/repeatable" }
-
 // Repeatable implements run.RepeatRules.
 func (r repeatRules) Repeatable(service, method, path string) bool {
 	var value fold.Value
 	known := false
-	r.config.View(func(f *fold.Config) { value, known = f.Get(repeatablePath(service)) })
+	r.config.View(func(f *fold.Config) { value, known = f.Get(config.RepeatablePath(service)) })
 	if !known {
 		return false
 	}
-	rules, err := run.ParseRepeatRules(value.Value)
-	return err == nil && run.AnyRepeats(rules, method, path)
+	rules, err := config.ParseRepeatRules(value.Value)
+	return err == nil && config.AnyRepeats(rules, method, path)
 }
 
 // endpointClients holds the clients of the endpoints and polls their load.
@@ -79,7 +84,7 @@
 	poller   *endpoint.Poller
 }
 
-func newEndpointClients(limits settings.Limits, m *membership.Members, d *dispatch.Dispatcher) *endpointClients {
+func newEndpointClients(limits settings.Limits, table *endpointTable, d *dispatch.Dispatcher) *endpointClients {
 	opts := endpoint.Options{
 		Connect: connectWithin, Silence: min(silentAfter, limits.Progress.D()), Control: controlWithin, AnswerBytes: limits.AnswerBytes,
 	}
@@ -88,20 +93,12 @@
 	e.services = endpoint.NewHTTPServices(opts, &e.counts)
 	e.poller = &endpoint.Poller{
 		Loader: e.engines, Every: loadEvery, PerSecond: loadsPerSecond,
-		Targets: func() []endpoint.Target { return targets(m) },
+		Targets: table.Targets,
 		Report:  func(name string, load endpoint.Load) { report(d, name, load) },
 	}
 	return e
 }
 
-func targets(m *membership.Members) []endpoint.Target {
-	var out []endpoint.Target
-	for _, e := range m.List().Endpoints {
-		out = append(out, endpoint.Target{Name: e.Name, URL: e.URL})
-	}
-	return out
-}
-
 // report hands an endpoint's load report to the decisions. Its time is when
 // the endpoint took it, so that a late report is known to be old.
 func report(d *dispatch.Dispatcher, name string, load endpoint.Load) {
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -58,13 +58,15 @@
 		{Name: "ledger.patience", Unit: "duration", form: formDuration, min: int64(10 * time.Millisecond), max: int64(time.Minute), Doc: "How long a request waits for a grant before it is refused."},
 		{Name: "limits.body_bytes", Unit: "bytes", form: formCount, min: 1 << 10, max: 64 << 20, Doc: "Largest request body."},
 		{Name: "limits.answer_bytes", Unit: "bytes", form: formCount, min: 1 << 10, max: 256 << 20, Doc: "Largest answer that is held whole."},
-		{Name: "limits.max_tokens", Unit: "tokens", form: formCount, min: 1, max: 1 << 20, Doc: "Most output tokens of one request; also the reservation of a request that names none."},
+		{Name: "limits.max_tokens", Unit: "tokens", form: formCount, min: 1, max: 1 << 20, Doc: "Most output tokens of one request. One that names none gets 256."},
+		{Name: "limits.prompt_bytes_per_token", Unit: "bytes", form: formCount, min: 1, max: 4, Doc: "Bytes of a prompt that one token stands for in its reservation; 1 is the worst case of any tokenizer. What an engine counts above the reservation is not billed."},
 		{Name: "limits.first_token", Unit: "duration", form: formDuration, min: int64(100 * time.Millisecond), max: int64(time.Hour), Doc: "Longest wait for the first token before the request is refused."},
 		{Name: "limits.service_answer", Unit: "duration", form: formDuration, min: int64(100 * time.Millisecond), max: int64(time.Hour), Doc: "Longest wait for a plain service's answer."},
-		{Name: "limits.progress", Unit: "duration", form: formDuration, min: int64(100 * time.Millisecond), max: int64(time.Hour), Doc: "Longest silence on a connection before it counts as dead."},
+		{Name: "limits.progress", Unit: "duration", form: formDuration, min: int64(100 * time.Millisecond), max: int64(time.Hour), Doc: "Longest time that a begun answer goes without a token before its endpoint is given up."},
 		{Name: "sessions.current_key", Unit: "key id", form: formText, required: true, Doc: "Id of the key that signs new sessions; one of sessions.key_files."},
 		{Name: "sessions.key_files", Unit: "file by key id", form: formFiles, required: true, Doc: "Files with the session signing keys. Keep an old key until its last session has ended."},
 		{Name: "operator.token_file", Unit: "file", form: formFile, required: true, Doc: "File with the fleet operators' token."},
+		{Name: "snapshots.every", Unit: "duration", form: formDuration, min: int64(100 * time.Millisecond), max: int64(24 * time.Hour), Doc: "Longest time between two snapshots of a stream. Keep it below half of the time that the log keeps records."},
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -17,13 +17,14 @@
 
 // Settings is the whole file. Keys documents each field.
 type Settings struct {
-	Instance Instance `toml:"instance"`
-	Platform Platform `toml:"platform"`
-	Log      Log      `toml:"log"`
-	Ledger   Ledger   `toml:"ledger"`
-	Limits   Limits   `toml:"limits"`
-	Sessions Sessions `toml:"sessions"`
-	Operator Operator `toml:"operator"`
+	Instance  Instance  `toml:"instance"`
+	Platform  Platform  `toml:"platform"`
+	Log       Log       `toml:"log"`
+	Ledger    Ledger    `toml:"ledger"`
+	Limits    Limits    `toml:"limits"`
+	Sessions  Sessions  `toml:"sessions"`
+	Operator  Operator  `toml:"operator"`
+	Snapshots Snapshots `toml:"snapshots"`
 }
 
 // Instance says who and where the instance is.
@@ -41,6 +42,11 @@
 	Timeout Duration `toml:"timeout"`
 }
 
+// Snapshots sets when streams are written anew against the log's retention.
+type Snapshots struct {
+	Every Duration `toml:"every"`
+}
+
 // Log sets the instance's own logs.
 type Log struct {
 	Level  string `toml:"level"`
@@ -57,12 +63,13 @@
 
 // Limits bound what callers may send and how long they wait.
 type Limits struct {
-	BodyBytes     int64    `toml:"body_bytes"`
-	AnswerBytes   int64    `toml:"answer_bytes"`
-	MaxTokens     int      `toml:"max_tokens"`
-	FirstToken    Duration `toml:"first_token"`
-	ServiceAnswer Duration `toml:"service_answer"`
-	Progress      Duration `toml:"progress"`
+	BodyBytes           int64    `toml:"body_bytes"`
+	AnswerBytes         int64    `toml:"answer_bytes"`
+	MaxTokens           int      `toml:"max_tokens"`
+	PromptBytesPerToken int      `toml:"prompt_bytes_per_token"`
+	FirstToken          Duration `toml:"first_token"`
+	ServiceAnswer       Duration `toml:"service_answer"`
+	Progress            Duration `toml:"progress"`
 }
 
 // Sessions holds the session signing keys, each in a file of its own.
@@ -85,14 +92,15 @@
 // Default returns the settings that hold where the file is silent.
 func Default() Settings {
 	return Settings{
-		Platform: Platform{Timeout: Duration(time.Second)},
-		Log:      Log{Level: "info", Format: "json"},
+		Platform:  Platform{Timeout: Duration(time.Second)},
+		Log:       Log{Level: "info", Format: "json"},
+		Snapshots: Snapshots{Every: Duration(time.Hour)},
 		Ledger: Ledger{
 			Partitions: 8, GrantTokens: 20_000,
 			Linger: Duration(20 * time.Millisecond), Patience: Duration(2 * time.Second),
 		},
 		Limits: Limits{
-			BodyBytes: 4 << 20, AnswerBytes: 16 << 20, MaxTokens: 16_384,
+			BodyBytes: 4 << 20, AnswerBytes: 16 << 20, MaxTokens: 16_384, PromptBytesPerToken: 2,
 			FirstToken: Duration(30 * time.Second), ServiceAnswer: Duration(10 * time.Second),
 			Progress: Duration(10 * time.Second),
 		},
