--- a/internal/decide/tick_bench_test.go
+++ b/internal/decide/tick_bench_test.go
@@ -99,3 +99,17 @@
 	b.ReportMetric(float64(starts)/float64(b.N), "starts/op")
 	b.ReportMetric(float64(s.d.Queued()), "queued")
 }
+
+// BenchmarkIdleTick ticks a Decider without requests every two milliseconds of
+// its time, as package dispatch does.
+func BenchmarkIdleTick(b *testing.B) {
+	for _, endpoints := range []int{22, 100, 640} {
+		b.Run(fmt.Sprintf("endpoints=%d", endpoints), func(b *testing.B) {
+			s := newSaturated(endpoints)
+			b.ReportAllocs()
+			for i := range b.N {
+				s.d.Tick(Time(i) * 2 * time.Millisecond)
+			}
+		})
+	}
+}
