Let an ejected endpoint back in where no request may probe it

Cause: a plain service whose calls may not be repeated has no request that may probe. An endpoint of it that failed three times stayed out for good.

Change: 30 s after its pause without a probe it gets a tenth of its slots, and is out again at the first failure.

--- a/internal/decide/shift.go
+++ b/internal/decide/shift.go
@@ -58,6 +58,8 @@
 	// probeShare is the part of its caller's patience that a probe's first token
 	// may take.
 	probeShare = 0.3
+	// unprobedFor is how long an endpoint waits for a request that may probe it.
+	unprobedFor = 30 * time.Second
 	// firstRamp is the share of slots after a good probe; each success adds
 	// rampStep, so that a full return takes about twenty requests.
 	firstRamp, rampStep = 0.1, 0.05
@@ -75,6 +77,18 @@
 		}
 		p.checkedAt = d.now
 		d.ejectSlow(p)
+		d.returnUnprobed(p)
+	}
+}
+
+// returnUnprobed lets an endpoint back in, step by step, that no request could
+// probe: a plain service whose calls may not be repeated has no others. Without
+// it one bad minute would take the endpoint out for good.
+func (d *Decider) returnUnprobed(p *pool) {
+	for _, e := range p.endpoints {
+		if e.wantsProbe(d.now) && d.now-e.health.until >= unprobedFor {
+			e.readmit()
+		}
 	}
 }
 
@@ -182,8 +196,13 @@
 		d.eject(e, forSlow)
 		return
 	}
+	e.readmit()
+}
+
+// readmit gives the endpoint its first slots again. What was learned while it
+// was slow or failing holds no more.
+func (e *endpointRow) readmit() {
 	e.health.state, e.health.ramp = ramping, firstRamp
-	// What was learned while it was slow or failing holds no more.
 	e.learned = learned{}
 }
 
