--- a/internal/decide/types.go
+++ b/internal/decide/types.go
@@ -2,6 +2,14 @@
 // refuse, order, place and shift. It works on tables, does no input or output,
 // starts no goroutine and has no clock: the caller gives it the time. The same
 // input gives the same output.
+//
+// The tables are the endpoints, the pools of endpoints that serve the same kind
+// of request, and the requests. Tick runs the systems over them in fixed order:
+// expire, admit, order, place, shift, refuse; each has a file of its own. The
+// driver submits a request, ticks, and does what the decisions say: exactly one
+// for each request that was not cancelled. It calls FirstToken when a started
+// model request has its first token, and Finish once for each Start, whatever
+// came of it; a slot is taken until then.
 package decide
 
 import (
