--- a/internal/cli/standalone.go
+++ b/internal/cli/standalone.go
@@ -10,7 +10,8 @@
 	"time"
 
 	"guavapier/internal/config"
-	"guavapier/internal/entry"
+	"guavapier/internal/logging"
+	"guavapier/internal/operator"
 	"guavapier/internal/record"
 	"guavapier/internal/server"
 	"guavapier/internal/session"
@@ -28,26 +29,28 @@
 	sampleOperator = "operator-secret"
 	sampleTokens   = 1_000_000
 	sampleModel    = "small"
-	standaloneAddr = "127.0.0.1:8080"
-	operatorsAddr  = "127.0.0.1:8081"
 )
 
 // runStandalone runs an instance and all its stand-ins in this process.
-func runStandalone(ctx context.Context, o output) error {
+func runStandalone(ctx context.Context, o output, callers, operators string) error {
 	group, ctx := errgroup.WithContext(ctx)
 	url, err := startStandins(ctx, group)
 	if err != nil {
 		return err
 	}
 	s := settings.Default()
-	s.Instance = settings.Instance{Name: "standalone", Zone: "local", Callers: standaloneAddr, Operators: operatorsAddr, Peers: "127.0.0.1:8082"}
+	s.Instance = settings.Instance{Name: "standalone", Zone: "local", Callers: callers, Operators: operators, Peers: "127.0.0.1:0"}
 	s.Platform.URL = url
 	s.Log = settings.Log{Level: "info", Format: "console"}
 	secrets := server.Secrets{
 		Sessions: session.Keyring{Current: "k1", Keys: map[string][]byte{"k1": []byte("standalone-only")}},
 		Operator: sampleOperator,
 	}
-	srv, err := server.New(s, secrets, newLogger(s.Log, o.err))
+	log, err := logging.New(s.Log, o.err)
+	if err != nil {
+		return err
+	}
+	srv, err := server.New(s, secrets, log)
 	if err != nil {
 		return err
 	}
@@ -99,13 +102,13 @@
 
 // seedSample creates the sample team and its prepaid budget.
 func seedSample(ctx context.Context, operators string) error {
-	change := record.Change{ID: "sample", By: "standalone", Ops: []record.ChangeOp{
+	change := operator.ChangeRequest{ID: "sample", By: "standalone", Ops: []record.ChangeOp{
 		{Path: config.APIKeyPath(sampleTeam, sampleKey), Value: "sample key"},
 	}}
 	if err := operatorCall(ctx, http.MethodPut, "http://"+operators+"/settings", change); err != nil {
 		return err
 	}
-	topUp := entry.TopUpRequest{Team: sampleTeam, Budget: "main", Tokens: sampleTokens, ID: "sample", By: "standalone"}
+	topUp := operator.TopUpRequest{Team: sampleTeam, Budget: "main", Tokens: sampleTokens, ID: "sample", By: "standalone"}
 	return operatorCall(ctx, http.MethodPost, "http://"+operators+"/topups", topUp)
 }
 
--- a/internal/record/codec.go
+++ b/internal/record/codec.go
@@ -50,6 +50,9 @@
 	return decode(e.Body)
 }
 
+// Known says whether this version knows the kind.
+func Known(k Kind) bool { return decoders[k] != nil }
+
 // EncodeBatch returns the bytes of b.
 func EncodeBatch(b Batch) ([]byte, error) {
 	data, err := cbor.Marshal(b)
@@ -92,6 +95,7 @@
 	KindSessionEnded:  decodeAs[SessionEnded],
 	KindChange:        decodeAs[Change],
 	KindSnapshot:      decodeAs[Snapshot],
+	KindReturn:        decodeAs[Return],
 }
 
 func decodeAs[R Record](body []byte) (Record, error) {
--- a/internal/record/records.go
+++ b/internal/record/records.go
@@ -16,6 +16,7 @@
 	KindSessionEnded  Kind = 9
 	KindChange        Kind = 10
 	KindSnapshot      Kind = 11
+	KindReturn        Kind = 20
 )
 
 // Record is one typed entry of a batch.
@@ -43,6 +44,16 @@
 	Zone    Zone       `cbor:"6,keyasint"`
 }
 
+// Return gives part of an open grant back to its budget. Only the holder may
+// do so, after it has taken the tokens out of what it reserves from. Seq counts
+// the returns of one right from 1, so that a late copy has no effect.
+type Return struct {
+	Right  RightID    `cbor:"1,keyasint"`
+	By     InstanceID `cbor:"2,keyasint"`
+	Seq    uint64     `cbor:"3,keyasint"`
+	Tokens int64      `cbor:"4,keyasint"`
+}
+
 // Outstanding is a reservation whose final usage the closer does not know.
 type Outstanding struct {
 	Key    RequestKey `cbor:"1,keyasint"`
@@ -50,10 +61,11 @@
 	Tokens int64      `cbor:"3,keyasint"`
 }
 
-// Close ends a right. The first close in log order wins. For a grant, Spent
-// is the sum that stays charged, and each Outstanding reservation becomes a
-// bill of its reserved amount. For a claim shard, Claims are the counted
-// claims that may not have reached the log yet.
+// Close ends a right. The first close in log order wins. For a grant, each
+// Outstanding reservation becomes a bill of its amount unless its key has one,
+// and Spent is the least sum that stays charged whatever was billed. For a
+// claim shard, Claims are the counted claims that may not have reached the log
+// yet.
 type Close struct {
 	Right       RightID       `cbor:"1,keyasint"`
 	By          InstanceID    `cbor:"2,keyasint"`
@@ -64,8 +76,9 @@
 	Forced bool `cbor:"6,keyasint,omitempty"`
 }
 
-// Bill charges one request's tokens to a grant. The fold counts the first
-// bill of each key and ignores bills to a closed grant.
+// Bill charges one request's tokens to a grant, at most what is left of the
+// grant. The fold counts the first bill of each key and ignores bills to a
+// closed grant.
 type Bill struct {
 	Key    RequestKey `cbor:"1,keyasint"`
 	Right  RightID    `cbor:"2,keyasint"`
@@ -74,8 +87,8 @@
 }
 
 // Shard makes an instance the holder of a claim shard for one epoch. It is
-// valid only if Epoch is the shard's last epoch plus one and that last epoch
-// is closed.
+// valid only if Epoch is the shard's last epoch plus one, and that last epoch
+// is closed or had no witness: then its claims count by the log alone.
 type Shard struct {
 	Right   RightID    `cbor:"1,keyasint"`
 	Zone    Zone       `cbor:"2,keyasint"`
@@ -96,6 +109,9 @@
 	// UnixMilli is the time of the claim by its holder's clock. It decides
 	// only when the fold may forget the claim, never who may run.
 	UnixMilli int64 `cbor:"7,keyasint"`
+	// Seq orders the claims of one right. A later one of the same key says
+	// that the holder has freed the key in between.
+	Seq uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Outcome is the final outcome of a request.
@@ -144,19 +160,24 @@
 
 // ChangeOp sets or deletes the value at one path.
 type ChangeOp struct {
-	Path string `cbor:"1,keyasint"`
+	Path string `cbor:"1,keyasint" json:"path"`
 	// Base is the path's version that the operator saw; 0 for none.
-	Base   uint64 `cbor:"2,keyasint"`
-	Value  string `cbor:"3,keyasint,omitempty"`
-	Delete bool   `cbor:"4,keyasint,omitempty"`
+	Base   uint64 `cbor:"2,keyasint" json:"base,omitempty"`
+	Value  string `cbor:"3,keyasint,omitempty" json:"value,omitempty"`
+	Delete bool   `cbor:"4,keyasint,omitempty" json:"delete,omitempty"`
 }
 
 // Change is an operator's settings change. All its operations apply or none.
 type Change struct {
-	ID        string     `cbor:"1,keyasint"`
-	By        string     `cbor:"2,keyasint"`
-	UnixMilli int64      `cbor:"3,keyasint"`
-	Ops       []ChangeOp `cbor:"4,keyasint"`
+	ID        string     `cbor:"1,keyasint" json:"id"`
+	By        string     `cbor:"2,keyasint" json:"by"`
+	UnixMilli int64      `cbor:"3,keyasint" json:"unix_milli,omitempty"`
+	Ops       []ChangeOp `cbor:"4,keyasint" json:"ops"`
+	// Scope is the subtree that the change may touch; empty for all.
+	Scope string `cbor:"5,keyasint,omitempty" json:"scope,omitempty"`
+	// Credential is the path that must still stand when the change is
+	// applied; empty where the credential does not stand in the settings.
+	Credential string `cbor:"6,keyasint,omitempty" json:"credential,omitempty"`
 }
 
 // Snapshot is one chunk of a fold's state, appended anew before the records
@@ -211,5 +232,8 @@
 // Kind implements Record.
 func (Snapshot) Kind() Kind { return KindSnapshot }
 
+// Kind implements Record.
+func (Return) Kind() Kind { return KindReturn }
+
 // Kind implements Record.
 func (u Unknown) Kind() Kind { return u.Of }
--- /dev/null
+++ b/internal/run/join.go
@@ -0,0 +1,186 @@
+package run
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"guavapier/internal/claim"
+	"guavapier/internal/endpoint"
+	"guavapier/internal/record"
+
+	"github.com/rotisserie/eris"
+)
+
+var (
+	// errRunGone says that the caller has tokens of a run that is not the one
+	// that its key stands for now.
+	errRunGone = eris.New("run: the run is gone")
+	// errAnswerGone says that a run has ended and its text is kept no longer.
+	errAnswerGone = eris.New("run: the answer is gone")
+)
+
+// joinPause is how long a joining caller waits before it asks again where the
+// run is: while it is queued, or on its way to another endpoint.
+const joinPause = 100 * time.Millisecond
+
+// follower reads a run that another request owns.
+type follower struct {
+	order  endpoint.Order
+	sink   Sink
+	result ChatResult
+	// left marks an error of the caller's own connection.
+	left bool
+}
+
+// locate says where a run is now. A ticket without Join says that the run ended
+// without having run, so that the request may begin anew.
+type locate func(ctx context.Context) (claim.Ticket, error)
+
+// byClaim locates the run that a request's key stands for.
+func (r *Runner) byClaim(c Chat) locate {
+	return func(ctx context.Context) (claim.Ticket, error) { return r.Claims.Begin(ctx, c.claim(true)) }
+}
+
+// byRun locates a run at the engines, whatever became of its claim.
+func (r *Runner) byRun(run record.RunID) locate {
+	return func(ctx context.Context) (claim.Ticket, error) {
+		if r.Finder == nil {
+			return claim.Ticket{}, errRunGone
+		}
+		name, ok := r.Finder.Find(ctx, run)
+		if !ok {
+			return claim.Ticket{}, errRunGone
+		}
+		return claim.Ticket{Run: run, Join: true, Endpoint: name}, nil
+	}
+}
+
+// continueChat goes on in a run that the caller has a part of. Its claim may
+// have died with its instance; then the engines know the run. Parts of two runs
+// never make one answer.
+func (r *Runner) continueChat(ctx context.Context, c Chat, sink Sink) (ChatResult, error) {
+	where := r.byRun(c.Have.Run)
+	if c.Keyed {
+		ticket, err := r.Claims.Begin(ctx, c.claim(true))
+		switch {
+		case errors.Is(err, claim.ErrKeyReused):
+			return ChatResult{}, failure(err, true)
+		case err == nil && ticket.Join && ticket.Run == c.Have.Run:
+			return r.joinChat(ctx, c, ticket, sink, r.byClaim(c))
+		case err == nil && !ticket.Join:
+			r.Claims.End(ctx, c.Key, claim.End{Outcome: record.OutcomeNotRun})
+		}
+	}
+	ticket, err := where(ctx)
+	if err != nil {
+		return ChatResult{}, failure(err, true)
+	}
+	return r.joinChat(ctx, c, ticket, sink, where)
+}
+
+// joinChat streams a run that an earlier attempt began, from its endpoint,
+// wherever that attempt's instance is and whether it still lives. It neither
+// reserves nor bills: the run's owner or its witness does.
+func (r *Runner) joinChat(ctx context.Context, c Chat, ticket claim.Ticket, sink Sink, where locate) (ChatResult, error) {
+	f := &follower{order: c.order(ticket.Run), sink: sink, result: ChatResult{Run: ticket.Run}}
+	f.order.ResumeOnly, f.order.From = true, c.Have.Tokens
+	patience := time.Now().Add(c.Wait)
+	for {
+		before := f.order.From
+		err := r.follow(ctx, ticket, f)
+		if err == nil {
+			return f.result, nil
+		}
+		if f.left || ctx.Err() != nil {
+			return f.result, failure(errors.Join(errLeft, err), true)
+		}
+		if final := ended(ticket, err); final != nil {
+			return f.result, failure(final, true)
+		}
+		if f.order.From > before {
+			patience = time.Now().Add(c.Wait)
+		}
+		if time.Now().After(patience) {
+			return f.result, failure(errors.Join(errLate, err), true)
+		}
+		if ticket, err = r.again(ctx, c, f.order, where); err != nil {
+			return f.result, failure(err, true)
+		}
+		if !ticket.Join {
+			return r.ownChat(ctx, c, ticket.Run, sink)
+		}
+	}
+}
+
+// ended returns the final error of a run that has ended, nil while it may go on.
+func ended(t claim.Ticket, err error) error {
+	switch {
+	case t.Outcome == record.OutcomeUnknown:
+		return claim.ErrUnknown
+	case t.Outcome == record.OutcomeAnswered && errors.Is(err, endpoint.ErrRefused):
+		return errAnswerGone
+	case t.RunnerGone && errors.Is(err, endpoint.ErrRefused):
+		return claim.ErrUnknown
+	}
+	return nil
+}
+
+// again asks again where the run is, after a pause.
+func (r *Runner) again(ctx context.Context, c Chat, order endpoint.Order, where locate) (claim.Ticket, error) {
+	timer := time.NewTimer(joinPause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return claim.Ticket{}, errors.Join(errLeft, ctx.Err())
+	}
+	ticket, err := where(ctx)
+	if err != nil {
+		return ticket, err
+	}
+	if order.From > 0 && ticket.Run != order.Run {
+		if !ticket.Join {
+			r.Claims.End(ctx, c.Key, claim.End{Outcome: record.OutcomeNotRun})
+		}
+		return ticket, errRunGone
+	}
+	return ticket, nil
+}
+
+// errNotPlaced says that the run has no endpoint yet.
+var errNotPlaced = eris.New("run: not placed yet")
+
+// follow reads the run over one connection.
+func (r *Runner) follow(ctx context.Context, t claim.Ticket, f *follower) error {
+	base, ok := r.Endpoints.URL(t.Endpoint)
+	if !ok {
+		return errNotPlaced
+	}
+	ctx, progress := r.watchProgress(ctx, true)
+	defer progress.stop()
+	f.order.Attempt++
+	stream, err := r.Engines.Start(ctx, base, f.order)
+	if err != nil {
+		return progress.explain(err)
+	}
+	defer stream.Close()
+	for {
+		token, err := stream.Next()
+		if endpoint.Whole(err) {
+			u := stream.Usage()
+			f.result.Usage = endpoint.Usage{Prompt: u.Prompt, Cached: u.Cached, Completion: u.Answer()}
+			f.result.Finish = stream.Finish()
+			return nil
+		}
+		if err != nil {
+			return progress.explain(err)
+		}
+		progress.token()
+		f.order.From = token.Index + 1
+		if err := f.sink(f.order.Run, token); err != nil {
+			f.left = true
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/internal/server/peers.go
@@ -0,0 +1,38 @@
+package server
+
+import (
+	"net"
+
+	"guavapier/internal/membership"
+	"guavapier/internal/peer"
+
+	"github.com/rotisserie/eris"
+)
+
+// listenPeers binds the peers' address.
+func (s *Server) listenPeers() error {
+	var err error
+	if s.peers, err = net.Listen("tcp", s.settings.Instance.Peers); err != nil {
+		return eris.Wrap(err, "server: listen for peers")
+	}
+	return nil
+}
+
+// PeersAddr returns the bound peers' address; it is announced to the platform.
+func (s *Server) PeersAddr() string { return s.peers.Addr().String() }
+
+// joinPeers makes the parts that talk to other instances.
+func (s *Server) joinPeers() {
+	s.members = membership.New(s.client, s.self, s.log)
+	s.endpoints = &endpointTable{config: s.config, dispatcher: s.dispatcher}
+	s.members.OnList(s.endpoints.take)
+	s.pool = peer.NewPool(s.id, s.members, peer.Options{})
+	s.peerServer = peer.NewServer(s.id)
+}
+
+// leavePeers ends all connections with other instances.
+func (s *Server) leavePeers() {
+	_ = s.peers.Close()
+	s.pool.Close()
+	s.peerServer.Close()
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -5,22 +5,24 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"guavapier/internal/claim"
 	"guavapier/internal/dispatch"
-	"guavapier/internal/endpoint"
 	"guavapier/internal/entry"
 	"guavapier/internal/fold"
 	"guavapier/internal/ledger"
+	"guavapier/internal/membership"
+	"guavapier/internal/metrics"
+	"guavapier/internal/peer"
 	"guavapier/internal/platform"
 	"guavapier/internal/record"
 	"guavapier/internal/replica"
 	"guavapier/internal/run"
 	"guavapier/internal/session"
 	"guavapier/internal/settings"
+	"guavapier/internal/state"
 
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
@@ -34,10 +36,8 @@
 }
 
 const (
-	maxAttempts      = 3
 	publisherRetry   = 50 * time.Millisecond
 	publisherRecords = 1000
-	listEvery        = 500 * time.Millisecond
 	shutdownPatience = 24 * time.Hour // Long reports are never cut off by a drain.
 )
 
@@ -52,18 +52,31 @@
 	publisher  *platform.Publisher
 	config     *replica.Replica[*fold.Config]
 	partitions ledger.Partitions
+	subscriber *platform.Subscriber
 	dispatcher *dispatch.Dispatcher
-	members    *members
+	clients    *endpointClients
+	endpoints  *endpointTable
+	members    *membership.Members
+	pool       *peer.Pool
+	peerServer *peer.Server
+	budgets    *ledger.Ledger
+	holder     *claim.Holder
+	claims     *claim.Fleet
 	runner     *run.Runner
 	draining   atomic.Bool
+	inFlight   atomic.Int64 // Callers' requests that have no whole answer yet.
+	// tables and metrics are where each part registers what it shows.
+	tables  *state.Registry
+	metrics *metrics.Registry
 
 	callers   net.Listener
 	operators net.Listener
+	peers     net.Listener
 }
 
 // New puts an instance together and binds its addresses.
 func New(s settings.Settings, secrets Secrets, log zerolog.Logger) (*Server, error) {
-	srv := &Server{id: record.NewInstanceID(s.Instance.Name), settings: s, secrets: secrets, log: log}
+	srv := &Server{id: record.NewInstanceID(s.Instance.Name), settings: s, secrets: secrets, log: log, tables: state.New(), metrics: metrics.New()}
 	if err := srv.listen(); err != nil {
 		return nil, err
 	}
@@ -75,33 +88,36 @@
 	for n := range s.Ledger.Partitions {
 		srv.partitions = append(srv.partitions, replica.New(record.LedgerStream(n), fold.NewLedger()))
 	}
+	srv.subscriber = platform.NewSubscriber(srv.client, srv.startStream)
 	srv.dispatcher = dispatch.NewWithOptions(placement(s, srv.id))
-	srv.members = newMembers(srv.client, srv.dispatcher)
-	transport := http.DefaultTransport.(*http.Transport).Clone()
-	transport.MaxIdleConnsPerHost = 64
+	srv.joinPeers()
+	srv.clients = newEndpointClients(s.Limits, srv.endpoints, srv.dispatcher)
+	if err := srv.joinBudgets(); err != nil {
+		return nil, err
+	}
+	if err := srv.joinClaims(); err != nil {
+		return nil, err
+	}
 	srv.runner = &run.Runner{
-		Claims: claim.NewLocal(srv.id),
-		Accounts: ledger.New(srv.id, record.Zone(s.Instance.Zone), srv.publisher, srv.partitions, ledger.Options{
-			GrantTokens: s.Ledger.GrantTokens, Patience: s.Ledger.Patience.D(),
-		}),
-		Placer: srv.dispatcher, Endpoints: srv.members,
-		Engines:     endpoint.NewHTTPEngines(transport),
-		Services:    endpoint.NewHTTPServices(transport, s.Limits.AnswerBytes),
-		MaxAttempts: maxAttempts,
-		OnError:     func(err error) { log.Error().Err(err).Msg("run: background error") },
+		Claims: srv.claims, Accounts: srv.budgets,
+		Placer: srv.dispatcher, Endpoints: srv.endpoints,
+		Engines: srv.clients.engines, Services: srv.clients.services,
+		Finder: srv.finder(), Repeats: repeatRules{srv.config}, Limits: runLimits(s.Limits), Leaving: srv.leaving,
+		OnError: func(err error) { log.Error().Err(err).Msg("run: background error") },
 	}
+	srv.registerTables()
 	return srv, nil
 }
 
 func (s *Server) listen() error {
 	var err error
 	if s.callers, err = net.Listen("tcp", s.settings.Instance.Callers); err != nil {
-		return eris.Wrap(err, "server: listen for callers")
+		return eris.Wrap(err, "server: listen for callers; give another address if this one is taken")
 	}
 	if s.operators, err = net.Listen("tcp", s.settings.Instance.Operators); err != nil {
-		return eris.Wrap(err, "server: listen for operators")
+		return eris.Wrap(err, "server: listen for operators; give another address if this one is taken")
 	}
-	return nil
+	return s.listenPeers()
 }
 
 // CallersAddr returns the bound callers' address.
@@ -114,17 +130,27 @@
 func (s *Server) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	callers := &http.Server{Handler: s.callersHandler(), ReadHeaderTimeout: 10 * time.Second}
+	callers := entry.NewServer(s.callersHandler())
 	operators := &http.Server{Handler: s.operatorsHandler(), ReadHeaderTimeout: 10 * time.Second}
 	var group errgroup.Group
 	group.Go(func() error { return s.follow(background) })
-	group.Go(func() error { s.members.run(background, s.self); return nil })
+	group.Go(func() error { s.snapshotWriter().Run(background); return nil })
+	group.Go(func() error { s.clients.poller.Run(background); return nil })
+	group.Go(func() error { s.members.Run(background, s.pool); return nil })
+	group.Go(func() error { s.holder.Run(background); return nil })
+	group.Go(func() error { return s.peerServer.Serve(s.peers) })
 	group.Go(func() error { return ignoreClosed(callers.Serve(s.callers)) })
 	group.Go(func() error { return ignoreClosed(operators.Serve(s.operators)) })
-	s.log.Info().Str("id", string(s.id)).Str("callers", s.CallersAddr()).Str("operators", s.OperatorsAddr()).Msg("server: serving")
+	s.log.Info().Str("id", string(s.id)).Str("callers", s.CallersAddr()).Str("operators", s.OperatorsAddr()).
+		Str("peers", s.PeersAddr()).Msg("server: serving")
+	group.Go(func() error { return s.budgets.Run(background) })
 	<-ctx.Done()
 	s.drain(callers, operators)
+	s.leaveClaims()
+	s.leaveBudgets()
 	stop()
+	s.leavePeers()
+	s.holder.Close()
 	s.dispatcher.Close()
 	err := group.Wait()
 	_ = s.publisher.Close()
@@ -138,67 +164,42 @@
 	patience, cancel := context.WithTimeout(context.Background(), shutdownPatience)
 	defer cancel()
 	_ = callers.Shutdown(patience)
+	s.runner.Close()
 	_ = operators.Shutdown(patience)
 }
 
 func (s *Server) self() platform.Instance {
 	return platform.Instance{
-		ID: s.id, Zone: record.Zone(s.settings.Instance.Zone), Peer: s.settings.Instance.Peers, Leaving: s.draining.Load(),
-	}
-}
-
-func (s *Server) follow(ctx context.Context) error {
-	onError := func(err error) { s.log.Error().Err(err).Msg("replica: batch passed over") }
-	sources := []replica.Source{{Stream: record.ConfigStream, Handler: s.config.Handle(onError)}}
-	for _, p := range s.partitions {
-		sources = append(sources, replica.Source{Stream: p.Stream(), Handler: p.Handle(onError)})
-	}
-	trimmed := func(stream record.Stream, first uint64) {
-		s.log.Error().Str("stream", string(stream)).Uint64("first", first).Msg("replica: records aged out unread")
+		ID: s.id, Zone: record.Zone(s.settings.Instance.Zone), Peer: s.PeersAddr(), Leaving: s.draining.Load(),
+		Applied: s.config.Next(),
 	}
-	sub := platform.NewSubscriber(s.client, func(record.Stream) uint64 { return 0 }, trimmed)
-	return replica.Follow(ctx, sub, sources)
 }
 
 func (s *Server) callersHandler() http.Handler {
 	limits := s.settings.Limits
 	c := &entry.Callers{
 		Zone: record.Zone(s.settings.Instance.Zone), Config: s.config, Sessions: s.secrets.Sessions, Runner: s.runner,
+		Ends: session.Ends{Log: s.publisher, Partitions: s.partitions},
 		Limits: entry.Limits{
-			BodyBytes: limits.BodyBytes, MaxTokens: limits.MaxTokens,
+			BodyBytes: limits.BodyBytes, AnswerBytes: int(limits.AnswerBytes), MaxTokens: limits.MaxTokens,
+			BytesPerToken: limits.PromptBytesPerToken, Read: readWithin, Write: writeWithin, Heartbeat: callerHeartbeat,
 			FirstToken: limits.FirstToken.D(), ServiceAnswer: limits.ServiceAnswer.D(),
 		},
-		Ready: func() bool { return !s.draining.Load() && s.members.ready() },
-	}
-	return c.Handler()
-}
-
-func (s *Server) operatorsHandler() http.Handler {
-	o := &entry.Operators{
-		Token: s.secrets.Operator, Log: s.publisher, Config: s.config, Ledgers: s.partitions, State: s.state,
+		Ready: func() bool { return !s.draining.Load() && s.members.Seen() && s.current() },
 	}
-	return o.Handler()
+	return s.metrics.Measure(metrics.CallersHTTP, s.countInFlight(c.Handler()))
 }
 
-// StateDump is the answer to a request for this process's state.
-type StateDump struct {
-	ID       record.InstanceID `json:"id"`
-	Zone     string            `json:"zone"`
-	Draining bool              `json:"draining"`
-	Applied  map[string]uint64 `json:"applied"`
-	Budgets  []fold.Budget     `json:"budgets"`
-	Members  platform.List     `json:"members"`
+func (s *Server) countInFlight(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.inFlight.Add(1)
+		defer s.inFlight.Add(-1)
+		next.ServeHTTP(w, r)
+	})
 }
 
-func (s *Server) state() any {
-	dump := StateDump{ID: s.id, Zone: s.settings.Instance.Zone, Draining: s.draining.Load(), Applied: map[string]uint64{}, Members: s.members.list()}
-	dump.Applied[string(record.ConfigStream)] = s.config.Next()
-	for _, p := range s.partitions {
-		dump.Applied[string(p.Stream())] = p.Next()
-		p.View(func(f *fold.Ledger) { dump.Budgets = append(dump.Budgets, f.Budgets()...) })
-	}
-	return dump
-}
+// InFlight returns how many callers' requests have no whole answer yet.
+func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
 func ignoreClosed(err error) error {
 	if eris.Is(err, http.ErrServerClosed) {
@@ -206,17 +207,3 @@
 	}
 	return err
 }
-
-// members follows the platform's instance list.
-type members struct {
-	directory  platform.Directory
-	dispatcher *dispatch.Dispatcher
-
-	mu   sync.Mutex
-	last platform.List
-	seen bool
-}
-
-func newMembers(directory platform.Directory, dispatcher *dispatch.Dispatcher) *members {
-	return &members{directory: directory, dispatcher: dispatcher}
-}
--- a/test/process/harness_test.go
+++ b/test/process/harness_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -48,15 +49,24 @@
 type process struct {
 	t    *testing.T
 	cmd  *exec.Cmd
-	out  *bytes.Buffer
 	done chan struct{}
+
+	mu  sync.Mutex // Guards out.
+	out bytes.Buffer
+}
+
+// output returns what the process has printed.
+func (p *process) output() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.out.String()
 }
 
 // start runs the binary and returns when it has printed a line with the
 // marker; that line comes back.
 func start(t *testing.T, marker string, args ...string) (*process, string) {
 	t.Helper()
-	p := &process{t: t, cmd: exec.Command(binary, args...), out: &bytes.Buffer{}, done: make(chan struct{})}
+	p := &process{t: t, cmd: exec.Command(binary, args...), done: make(chan struct{})}
 	reader, writer := io.Pipe()
 	p.cmd.Stdout, p.cmd.Stderr = writer, writer
 	if err := p.cmd.Start(); err != nil {
@@ -85,6 +95,9 @@
 	scanner := bufio.NewScanner(r)
 	found := false
 	for scanner.Scan() {
+		p.mu.Lock()
+		p.out.WriteString(scanner.Text() + "\n")
+		p.mu.Unlock()
 		if !found && strings.Contains(scanner.Text(), marker) {
 			found = true
 			lines <- scanner.Text()
@@ -130,9 +143,9 @@
 	Operators string `json:"operators"`
 }
 
-// startInstance runs an instance and waits until it is ready. extra is TOML
-// appended to its settings.
-func startInstance(t *testing.T, name, zone, platform, extra string) *instance {
+// instanceSettings writes the settings of an instance and its secrets, and
+// returns the file. extra is TOML appended to the settings.
+func instanceSettings(t *testing.T, name, zone, platform, extra string) string {
 	t.Helper()
 	dir := t.TempDir()
 	write := func(file, text string) string {
@@ -157,7 +170,13 @@
 [operator]
 token_file = %q
 %s`, name, zone, platform, write("session.key", "0123456789abcdef0123456789abcdef"), write("operator.token", operatorToken), extra)
-	p, line := start(t, "server: serving", "serve", "-settings", write("settings.toml", text))
+	return write("settings.toml", text)
+}
+
+// startInstance runs an instance and waits until it is ready.
+func startInstance(t *testing.T, name, zone, platform, extra string) *instance {
+	t.Helper()
+	p, line := start(t, "server: serving", "serve", "-settings", instanceSettings(t, name, zone, platform, extra))
 	var at serving
 	if err := json.Unmarshal([]byte(line), &at); err != nil {
 		t.Fatal(err)
