--- a/test/process/measure_test.go
+++ b/test/process/measure_test.go
@@ -181,12 +181,29 @@
 			t.Errorf("%d tokens, error %q", len(a.at), a.err)
 		}
 		if struck[a.run] {
-			sample = append(sample, afterGap(a.at).Sub(at))
+			sample = append(sample, f.nextByte(t, victim, a).Sub(at))
 		}
 	}
 	return sample
 }
 
+// nextByte returns when the first token after the fault came: the first one of
+// the engine that the run has moved to, or else the one that ended the longest
+// pause.
+func (f *fleet) nextByte(t *testing.T, victim *engine, a answered) time.Time {
+	for _, e := range f.engines {
+		if e == victim {
+			continue
+		}
+		for _, row := range e.runs(t) {
+			if row.ID == a.run && row.Prior > 0 {
+				return a.at[row.Prior]
+			}
+		}
+	}
+	return afterGap(a.at)
+}
+
 // afterGap returns when the longest pause of a stream ended.
 func afterGap(at []time.Time) (end time.Time) {
 	var longest time.Duration
