Come back with a begun answer instead of giving it up

Cause: a begun answer ended 'unknown' as soon as no endpoint took it at that moment: the only engine of a model silent for 4 s, or the retry budget empty after an engine's death with many streams on it. Ruled out: exempting begun answers from the retry budget (they would go to the remaining engines all at once), cancelling at once with a run-wide mark (the run could never come back to the engine that has it). Change: run.holdOn waits for the refusal's RetryAfter, for at most the caller's wait after the last token; the count of endpoints starts anew with each one that brought tokens; a cancel names its attempt and goes out once another endpoint has brought a token or the run is over (endpoint.Engines.Cancel takes the attempt; DELETE /runs/{run}?attempt=N).

--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -123,8 +123,9 @@
 // Engines starts, resumes and cancels runs on engines, addressed by base URL.
 type Engines interface {
 	Start(ctx context.Context, base string, order Order) (Stream, error)
-	// Cancel stops a run, also one whose order has not arrived yet.
-	Cancel(ctx context.Context, base string, run record.RunID) error
+	// Cancel stops a run's attempts up to and including one, also those whose
+	// order has not arrived yet. A later attempt may still go on from its tokens.
+	Cancel(ctx context.Context, base string, run record.RunID, attempt int) error
 	// State asks for a run's usage; ErrNoRun if the engine has no such run.
 	State(ctx context.Context, base string, run record.RunID) (RunState, error)
 }
--- a/internal/endpoint/engine.go
+++ b/internal/endpoint/engine.go
@@ -137,8 +137,8 @@
 }
 
 // Cancel implements Engines.
-func (h *HTTPEngines) Cancel(ctx context.Context, base string, run record.RunID) error {
-	resp, err := h.control(ctx, http.MethodDelete, base+"/runs/"+string(run), nil)
+func (h *HTTPEngines) Cancel(ctx context.Context, base string, run record.RunID, attempt int) error {
+	resp, err := h.control(ctx, http.MethodDelete, base+"/runs/"+string(run)+"?attempt="+strconv.Itoa(attempt), nil)
 	if err == nil && resp >= http.StatusBadRequest {
 		err = eris.Wrapf(ErrLost, "endpoint: cancel: status %d", resp)
 	}
--- a/internal/run/chat.go
+++ b/internal/run/chat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"guavapier/internal/claim"
 	"guavapier/internal/endpoint"
@@ -68,6 +69,11 @@
 	// base is where the last order went, started says that an order may have run.
 	base    string
 	started bool
+	// began lists the attempts that may be running; wholeAt is the endpoint that
+	// brought the answer to its end.
+	began   []attempt
+	wholeAt string
+	moved   time.Time // When the last token came.
 }
 
 func newGeneration(c Chat, run record.RunID, p *presence) *generation {
@@ -77,6 +83,7 @@
 // take passes a token on and moves the order's offset past it.
 func (g *generation) take(t endpoint.Token) {
 	g.order.From = t.Index + 1
+	g.moved = time.Now()
 	g.text.add(t)
 	g.caller.take(g.order.Run, t)
 }
--- a/internal/run/chat_test.go
+++ b/internal/run/chat_test.go
@@ -73,6 +73,25 @@
 	return b.generated(run)
 }
 
+// TestBegunAnswerOutlivesEveryEndpoint has no endpoint for a while: e2 refuses,
+// and e1, which has the run, is silent. The run comes back to e1.
+func TestBegunAnswerOutlivesEveryEndpoint(t *testing.T) {
+	b := newBench(t)
+	b.engines[1].SetFaults(standin.EngineFaults{Refuse: true})
+	got := b.ask(t.Context(), chatOf("k", true), func(i int) {
+		if i == testTokens/2 {
+			b.engines[0].SetFaults(standin.EngineFaults{Silent: true})
+			time.AfterFunc(5*testSilence, func() { b.engines[0].SetFaults(standin.EngineFaults{}) })
+		}
+	})
+	if got.err != nil || got.text != textOf(0, testTokens) {
+		t.Fatalf("text %q, error %v", got.text, got.err)
+	}
+	if generated := b.checkBill(got.result.Run); generated[0] != testTokens || generated[1] != 0 {
+		t.Fatalf("generated %v", generated)
+	}
+}
+
 func TestCrossedAnswersAreDroppedAndReadAgain(t *testing.T) {
 	b := newBench(t)
 	b.engines[0].SetFaults(standin.EngineFaults{Crossed: 1})
--- a/internal/run/generate.go
+++ b/internal/run/generate.go
@@ -12,24 +12,63 @@
 )
 
 // generate has the answer generated at one endpoint after the other until one
-// brings it to its end. Each goes on from the tokens that the caller has.
+// brings it to its end. Each goes on from the tokens that the caller has. An
+// endpoint that has brought tokens starts the count of endpoints anew, so that
+// a long answer outlives any number of them.
 func (r *Runner) generate(ctx context.Context, g *generation) error {
+	defer func() { r.cancelSuperseded(ctx, g, g.wholeAt) }()
 	deadline := r.Placer.Now() + g.chat.Wait
 	var last error
-	for range r.Limits.Endpoints {
+	for tries := 0; tries < r.Limits.Endpoints; tries++ {
 		placement, err := r.Placer.Submit(ctx, g.place(max(deadline, r.Placer.Now()+g.patience())))
 		if err != nil {
-			return errors.Join(last, err)
+			if !r.holdOn(ctx, g, err) {
+				return errors.Join(last, err)
+			}
+			tries = -1
+			continue
 		}
+		before := g.order.From
 		last = r.atEndpoint(ctx, placement, g)
 		if last == nil || ctx.Err() != nil || errors.Is(last, endpoint.ErrRejected) {
 			return last
 		}
 		g.avoid = append(g.avoid, placement.Endpoint)
+		if g.order.From > before {
+			tries = -1
+		}
 	}
 	return last
 }
 
+// holdOn waits where no endpoint takes a begun answer now, and says whether to
+// try again: its caller has a part of it and is worth more patience than a new
+// one. An answer that has not begun gets its final answer at once instead. All
+// endpoints may be tried again then, at most for the caller's wait after the
+// last token.
+func (r *Runner) holdOn(ctx context.Context, g *generation, err error) bool {
+	var refusal *dispatch.Refusal
+	if g.order.From == 0 || !errors.As(err, &refusal) {
+		return false
+	}
+	pause := max(refusal.RetryAfter, minHold)
+	if time.Since(g.moved)+pause > g.chat.Wait {
+		return false
+	}
+	g.avoid = nil
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// minHold keeps a begun answer from asking in a tight loop.
+const minHold = 100 * time.Millisecond
+
 func (g *generation) place(deadline decide.Time) decide.Request {
 	c := g.chat
 	return decide.Request{
@@ -74,12 +113,33 @@
 			misses = 0
 		}
 	}
-	if err != nil && begun {
-		r.cancelLater(ctx, base, g.order.Run)
+	if begun {
+		g.began = append(g.began, attempt{base: base, number: g.order.Attempt})
 	}
 	return err
 }
 
+// attempt is the last attempt of a run at one endpoint.
+type attempt struct {
+	base   string
+	number int
+}
+
+// cancelSuperseded stops the attempts elsewhere than at base, so that nothing is
+// generated for nobody: as soon as base has brought a token, and at the run's
+// end. Until then the run may come back to one of them.
+func (r *Runner) cancelSuperseded(ctx context.Context, g *generation, base string) {
+	kept := g.began[:0]
+	for _, a := range g.began {
+		if a.base == base {
+			kept = append(kept, a)
+			continue
+		}
+		r.cancelLater(ctx, a.base, g.order.Run, a.number)
+	}
+	g.began = kept
+}
+
 // connect reads the answer over one connection, from the offset that the
 // caller is at.
 func (r *Runner) connect(ctx context.Context, base string, g *generation, m *meter) error {
@@ -99,6 +159,7 @@
 		token, err := stream.Next()
 		if endpoint.Whole(err) {
 			g.finish(stream.Usage(), stream.Finish())
+			g.wholeAt = base
 			return nil
 		}
 		if err != nil {
@@ -110,6 +171,7 @@
 		progress.token()
 		m.token()
 		g.take(token)
+		r.cancelSuperseded(ctx, g, base)
 	}
 }
 
@@ -124,7 +186,6 @@
 		usage = state.Usage
 	}
 	g.finish(usage, finishLength)
-	r.cancelLater(ctx, base, g.order.Run)
 	return nil
 }
 
@@ -140,11 +201,11 @@
 // cancelLater stops a run at an endpoint that was given up, so that it doesn't
 // generate for nobody. An endpoint that does not answer is asked again for as
 // long as Limits.Control.
-func (r *Runner) cancelLater(ctx context.Context, base string, run record.RunID) {
+func (r *Runner) cancelLater(ctx context.Context, base string, run record.RunID, attempt int) {
 	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), r.Limits.Control)
 	r.background.Go(func() {
 		defer stop()
-		for r.Engines.Cancel(ctx, base, run) != nil {
+		for r.Engines.Cancel(ctx, base, run, attempt) != nil {
 			timer := time.NewTimer(cancelEvery)
 			select {
 			case <-timer.C:
--- a/internal/run/settle.go
+++ b/internal/run/settle.go
@@ -35,7 +35,7 @@
 func (r *Runner) usedWithoutAnswer(ctx context.Context, g *generation, reserved ledger.Reservation) int64 {
 	ctx, stop := context.WithTimeout(ctx, r.Limits.Control)
 	defer stop()
-	if err := r.Engines.Cancel(ctx, g.base, g.order.Run); err != nil {
+	if err := r.Engines.Cancel(ctx, g.base, g.order.Run, g.order.Attempt); err != nil {
 		return reserved.Tokens
 	}
 	state, err := r.Engines.State(ctx, g.base, g.order.Run)
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -93,8 +94,10 @@
 	Completion int    `json:"completion_tokens"`
 	Cached     int    `json:"cached_tokens"`
 	Prior      int    `json:"prior_tokens"`
-	Done       bool   `json:"done"`
-	Finish     string `json:"finish_reason,omitempty"`
+	// Earlier counts tokens that attempts which were cancelled here generated.
+	Earlier int    `json:"earlier_tokens,omitempty"`
+	Done    bool   `json:"done"`
+	Finish  string `json:"finish_reason,omitempty"`
 }
 
 // Engine is the stand-in for a model engine. Token i of every answer is
@@ -242,6 +245,12 @@
 		run = newEngineRun(id)
 		e.runs[id] = run
 	}
+	// Without an attempt the cancel is for every one.
+	attempt, err := strconv.Atoi(r.URL.Query().Get("attempt"))
+	if err != nil {
+		attempt = math.MaxInt
+	}
+	run.cancelled = max(run.cancelled, attempt)
 	if !run.Done {
 		e.batch.remove(run)
 		e.end(run, finishCancelled)
--- a/internal/standin/engine_batch.go
+++ b/internal/standin/engine_batch.go
@@ -25,9 +25,11 @@
 type engineRun struct {
 	EngineRun
 	priority int
-	max      int // Tokens of the whole answer, those of Prior included.
-	prefill  int // Prompt tokens still to be prefilled.
-	blocks   []uint64
+	// cancelled is the last attempt that was cancelled.
+	cancelled int
+	max       int // Tokens of the whole answer, those of Prior included.
+	prefill   int // Prompt tokens still to be prefilled.
+	blocks    []uint64
 	// changed closes with the next token or the run's end.
 	changed chan struct{}
 }
--- a/internal/standin/engine_test.go
+++ b/internal/standin/engine_test.go
@@ -159,6 +159,18 @@
 	}
 	<-answer
 	after := e.Runs()
+	req, _ := http.NewRequest(http.MethodDelete, url+"/runs/superseded?attempt=2", nil)
+	if resp, err := http.DefaultClient.Do(req); err != nil || resp.Body.Close() != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		attempt string
+		status  int
+	}{{"2", http.StatusConflict}, {"3", http.StatusOK}, {"2", http.StatusConflict}} {
+		if got := send(t.Context(), url, "superseded", map[string]any{"max_tokens": 5}, headerAttempt, c.attempt); got.status != c.status {
+			t.Fatalf("attempt %s after the cancel of 2: status %d", c.attempt, got.status)
+		}
+	}
 	late := send(t.Context(), url, "never-sent", map[string]any{"max_tokens": 5})
 	if late.status != http.StatusConflict || late.header.Get(headerNotRun) != "true" {
 		t.Fatalf("late order: %d %v", late.status, late.header)
