Race operators over outages, and wait for a change on all instances

Change: TestOperatorsRaceOverOutagesAndLostAnswers (8 instances, 4 zones, 2 operators, 200 changes; the log is down, slow and loses answers, one instance is paused, operators give up answers and retry elsewhere under the same identity) and TestSettingsWaitNamesWhoIsBehind; benchmarks of the folds'

Seen red with: a retry that applies again, no compare-and-set, wait that takes an instance one offset behind. No partition between zones is in this test: one instance is paused in its place.

--- /dev/null
+++ b/internal/fold/config_bench_test.go
@@ -0,0 +1,103 @@
+package fold_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"guavapier/internal/fold"
+	"guavapier/internal/record"
+)
+
+var configSizes = []int{1_000, 10_000, 100_000}
+
+// configOf returns a table of n values, one change each.
+func configOf(b *testing.B, n int) *fold.Config {
+	b.Helper()
+	c := fold.NewConfig()
+	for i := range n {
+		if err := c.Apply(uint64(i), benchBatch(b, i, 0)); err != nil {
+			b.Fatal(err)
+		}
+	}
+	return c
+}
+
+func benchBatch(b *testing.B, i int, base uint64) record.Batch {
+	b.Helper()
+	change := record.Change{ID: fmt.Sprintf("01a238d2-75b5-79cc-aa82-%012d-%d", i, base), By: "fleet (ana)", Ops: []record.ChangeOp{
+		{Path: fmt.Sprintf("/teams/team-%d/budgets/case-%d/lean", i/50, i), Value: "0.5", Base: base},
+	}}
+	env, err := record.Encode(change)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return record.Batch{Writer: "i", Seq: uint64(i) + 1, Records: []record.Envelope{env}}
+}
+
+// BenchmarkConfigApply is the cost of one change on a table of a size.
+func BenchmarkConfigApply(b *testing.B) {
+	for _, n := range configSizes {
+		b.Run(fmt.Sprint("values=", n), func(b *testing.B) {
+			c := configOf(b, n)
+			batches := make([]record.Batch, b.N)
+			for i := range batches {
+				base := uint64(i%n) + 1
+				if i >= n {
+					base = uint64(i) + 1 // The change one round before: offset n + (i - n).
+				}
+				batches[i] = benchBatch(b, i%n, base)
+			}
+			b.ResetTimer()
+			for i, batch := range batches {
+				if err := c.Apply(uint64(n+i), batch); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkConfigMemory reports the heap of a table by value.
+func BenchmarkConfigMemory(b *testing.B) {
+	for _, n := range configSizes {
+		b.Run(fmt.Sprint("values=", n), func(b *testing.B) {
+			for b.Loop() {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				c := configOf(b, n)
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "heap-B/value")
+				runtime.KeepAlive(c)
+			}
+		})
+	}
+}
+
+// BenchmarkConfigSnapshot is the cost of a snapshot and of starting from it.
+func BenchmarkConfigSnapshot(b *testing.B) {
+	for _, n := range configSizes {
+		c := configOf(b, n)
+		state, err := c.Snapshot()
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Run(fmt.Sprint("take/values=", n), func(b *testing.B) {
+			for b.Loop() {
+				if _, err := c.Snapshot(); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(state))/float64(n), "log-B/value")
+		})
+		b.Run(fmt.Sprint("restore/values=", n), func(b *testing.B) {
+			for b.Loop() {
+				if err := fold.NewConfig().Restore(state); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/test/process/operators_test.go
@@ -0,0 +1,264 @@
+package process_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"reflect"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"guavapier/internal/fold"
+	"guavapier/internal/operator"
+	"guavapier/internal/record"
+)
+
+const (
+	racingPaths   = 4
+	changesOfEach = 100
+	// inForceWithin is the letter's bound. It is looked at, not asserted on
+	// each change: the test's own faults last longer than it now and then.
+	inForceWithin = 9 * time.Second
+)
+
+// ledgerOfChanges is what the operators were told.
+type ledgerOfChanges struct {
+	mu       sync.Mutex
+	accepted []fold.ChangeResult
+	lost     int
+	unknown  int
+	times    []time.Duration
+}
+
+func (l *ledgerOfChanges) add(f func(*ledgerOfChanges)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f(l)
+}
+
+// race makes changes through any instance, each on the version that it read,
+// and retries those whose outcome is unknown under their identity.
+func race(t *testing.T, who string, fleet []*instance, told *ledgerOfChanges, waits *sync.WaitGroup) {
+	random := rand.New(rand.NewPCG(7, uint64(len(who))))
+	for n := range changesOfEach {
+		path := leanPath(random.IntN(racingPaths))
+		var base uint64
+		in := fleet[random.IntN(len(fleet)-1)]
+		if got := call(http.MethodGet, in.operators+"/settings?prefix="+path, operatorToken, nil); got.status == http.StatusOK {
+			var rows []fold.Value
+			if json.Unmarshal([]byte(got.body), &rows) == nil && len(rows) == 1 {
+				base = rows[0].Version
+			}
+		}
+		id := fmt.Sprint(who, "-", n)
+		op := record.ChangeOp{Path: path, Base: base, Value: fmt.Sprintf("0.%s%03d", strings.Repeat("1", len(who)), n)}
+		result, ok := decide(t, random, fleet, id, op, told)
+		if !ok {
+			told.add(func(l *ledgerOfChanges) { l.lost++ })
+			continue
+		}
+		accepted := time.Now()
+		told.add(func(l *ledgerOfChanges) { l.accepted = append(l.accepted, result) })
+		waits.Go(func() {
+			took := inForceAfter(t, fleet, result.Offset, accepted)
+			told.add(func(l *ledgerOfChanges) { l.times = append(l.times, took) })
+		})
+	}
+}
+
+// impatience cuts some answers off while the change is on its way.
+const impatience = 30 * time.Millisecond
+
+// putImpatiently gives up the answer early; its change may apply all the same.
+func putImpatiently(operators, id string, op record.ChangeOp) answer {
+	got := make(chan answer, 1)
+	go func() { got <- putSetting(operators, id, op) }()
+	select {
+	case a := <-got:
+		return a
+	case <-time.After(impatience):
+		return answer{status: http.StatusServiceUnavailable}
+	}
+}
+
+// decide retries a change, at any instance, until its outcome is known.
+func decide(t *testing.T, random *rand.Rand, fleet []*instance, id string, op record.ChangeOp, told *ledgerOfChanges) (fold.ChangeResult, bool) {
+	put := putSetting
+	if random.IntN(2) == 0 {
+		put = putImpatiently
+	}
+	for deadline := time.Now().Add(waitLimit); time.Now().Before(deadline); put = putSetting {
+		in := fleet[random.IntN(len(fleet)-1)] // The last one is paused now and then.
+		got := put(in.operators, id, op)
+		switch got.status {
+		case http.StatusOK:
+			var result fold.ChangeResult
+			if err := json.Unmarshal([]byte(got.body), &result); err != nil {
+				t.Error(err)
+			}
+			return result, true
+		case http.StatusConflict:
+			var p operator.Problem
+			if err := json.Unmarshal([]byte(got.body), &p); err != nil || p.Error.Result == nil || p.Error.Result.Lost[0].By == "" {
+				t.Errorf("%s lost and was not told to whom: %s", id, got.body)
+			}
+			return fold.ChangeResult{}, false
+		case http.StatusServiceUnavailable:
+			told.add(func(l *ledgerOfChanges) { l.unknown++ })
+		default:
+			t.Errorf("%s: %d %v %s", id, got.status, got.err, got.body)
+			return fold.ChangeResult{}, false
+		}
+	}
+	t.Errorf("%s has no outcome in time", id)
+	return fold.ChangeResult{}, false
+}
+
+// inForceAfter is the time until every instance has applied an offset.
+func inForceAfter(t *testing.T, fleet []*instance, offset uint64, since time.Time) time.Duration {
+	for _, in := range fleet {
+		for {
+			var row operator.AppliedRow
+			got := call(http.MethodGet, in.operators+"/applied", operatorToken, nil)
+			if got.status == http.StatusOK && json.Unmarshal([]byte(got.body), &row) == nil && row.Next > offset {
+				break
+			}
+			if time.Since(since) > waitLimit {
+				t.Errorf("offset %d is not in force on %s", offset, in.operators)
+				return waitLimit
+			}
+			time.Sleep(pollEvery)
+		}
+	}
+	return time.Since(since)
+}
+
+// disturb brings about outages, slowness and lost answers of the log, and
+// pauses one instance, until stop closes.
+func disturb(t *testing.T, platform string, paused *instance, stop <-chan struct{}) {
+	faults := []map[string]any{
+		{"lose_answers": 3}, {}, {"outage": true}, {"lose_answers": 2, "slow_ms": 50}, {},
+	}
+	for n := 0; ; n++ {
+		mustCall(t, http.MethodPut, platform+"/faults", "", faults[n%len(faults)])
+		if n%len(faults) == 2 {
+			paused.signal(syscall.SIGSTOP)
+		} else {
+			paused.signal(syscall.SIGCONT)
+		}
+		select {
+		case <-time.After(400 * time.Millisecond):
+		case <-stop:
+			paused.signal(syscall.SIGCONT)
+			mustCall(t, http.MethodPut, platform+"/faults", "", map[string]any{})
+			return
+		}
+	}
+}
+
+func TestOperatorsRaceOverOutagesAndLostAnswers(t *testing.T) {
+	_, platform := startStandin(t, "platform", "-lag", listLag)
+	var fleet []*instance
+	for n, zone := range []string{"hall-a", "hall-a", "hall-b", "hall-b", "server-room", "server-room", "annex", "annex"} {
+		fleet = append(fleet, startInstance(t, fmt.Sprint("i", n), zone, platform, ""))
+	}
+	told := &ledgerOfChanges{}
+	stop := make(chan struct{})
+	var faults, operators, waits sync.WaitGroup
+	faults.Go(func() { disturb(t, platform, fleet[7], stop) })
+	operators.Go(func() { race(t, "a", fleet, told, &waits) })
+	operators.Go(func() { race(t, "bb", fleet, told, &waits) })
+	operators.Wait()
+	close(stop)
+	faults.Wait()
+	waits.Wait()
+	if len(told.accepted)+told.lost != 2*changesOfEach || len(told.accepted) == 0 || told.unknown == 0 {
+		t.Fatalf("%d accepted, %d lost, %d answers unknown of %d changes", len(told.accepted), told.lost, told.unknown, 2*changesOfEach)
+	}
+	want := lastAccepted(t, told.accepted)
+	for _, in := range fleet {
+		got := settingsOf(t, in.operators)
+		for path, result := range want {
+			if v := got[path]; v.Change != result.ID || v.Version != result.Offset+1 || v.Value != result.Ops[0].Value {
+				t.Errorf("%s: %s is %+v, the last accepted change was %+v", in.operators, path, v, result)
+			}
+		}
+		if !reflect.DeepEqual(got, settingsOf(t, fleet[0].operators)) {
+			t.Errorf("%s differs", in.operators)
+		}
+	}
+	slices.Sort(told.times)
+	at := func(q float64) time.Duration {
+		return told.times[int(q*float64(len(told.times)-1))].Round(time.Millisecond)
+	}
+	late := 0
+	for _, d := range told.times {
+		if d > inForceWithin {
+			late++
+		}
+	}
+	t.Logf("%d accepted, %d lost, %d unknown answers; in force on %d instances after median %s, p99 %s, max %s; %d later than %s",
+		len(told.accepted), told.lost, told.unknown, len(fleet), at(0.5), at(0.99), at(1), late, inForceWithin)
+}
+
+// lastAccepted returns the last accepted change of each path, and checks that
+// each was made on the version of the one before.
+func lastAccepted(t *testing.T, accepted []fold.ChangeResult) map[string]fold.ChangeResult {
+	t.Helper()
+	slices.SortFunc(accepted, func(a, b fold.ChangeResult) int { return int(a.Offset) - int(b.Offset) })
+	last := map[string]fold.ChangeResult{}
+	seen := map[string]bool{}
+	for _, r := range accepted {
+		if seen[r.ID] {
+			t.Errorf("%s was accepted twice", r.ID)
+		}
+		seen[r.ID] = true
+		path := r.Ops[0].Path
+		before, had := last[path]
+		if had && r.Ops[0].Base != before.Offset+1 || !had && r.Ops[0].Base != 0 {
+			t.Errorf("%s was accepted on version %d after %+v: an accepted change was lost", r.ID, r.Ops[0].Base, before)
+		}
+		last[path] = r
+	}
+	return last
+}
+
+// The command line waits for a change on all instances, and names those that
+// do not have it.
+func TestSettingsWaitNamesWhoIsBehind(t *testing.T) {
+	_, platform := startStandin(t, "platform", "-lag", listLag)
+	in := startInstance(t, "a1", "hall-a", platform, "")
+	behind := startInstance(t, "b1", "hall-b", platform, "")
+	run := func(args ...string) (string, error) {
+		cmd := exec.Command(binary, args...)
+		cmd.Env = append(os.Environ(), "GUAVAPIER_TOKEN="+operatorToken, "GUAVAPIER_ADDR="+strings.TrimPrefix(in.operators, "http://"))
+		out, err := cmd.CombinedOutput()
+		return string(out), err
+	}
+	eventually(t, "both are listed", func() bool {
+		var rows []json.RawMessage
+		got := call(http.MethodGet, in.operators+"/instances", operatorToken, nil)
+		return json.Unmarshal([]byte(got.body), &rows) == nil && len(rows) == 2
+	})
+	if out, err := run("settings", "put", "-yes", "-id", "c1", leanPath(0), "0.1"); err != nil {
+		t.Fatal(err, out)
+	}
+	if out, err := run("settings", "wait", "c1"); err != nil || !strings.Contains(out, "in force on 2 instances") {
+		t.Fatal(err, out)
+	}
+	behind.signal(syscall.SIGSTOP)
+	if out, err := run("settings", "put", "-yes", "-id", "c2", leanPath(0), "0.2"); err != nil {
+		t.Fatal(err, out)
+	}
+	out, err := run("settings", "wait", "-timeout", "1s", "c2")
+	if err == nil || !strings.Contains(out, "not in force on b1.") || strings.Contains(out, "a1.") {
+		t.Fatal(err, out)
+	}
+}
