--- a/internal/decide/place.go
+++ b/internal/decide/place.go
@@ -13,9 +13,6 @@
 	// enough to avoid the worst; the global best would draw every instance to
 	// the same endpoint until the next report.
 	samples = 2
-	// parkLimit bounds the rows of one class that one tick passes over while
-	// they wait for their endpoint.
-	parkLimit = 32
 	// unknownUncached is the share of a prompt that is taken as not cached at
 	// the session's first endpoint while nothing is known: another instance
 	// may have sent the last turn there.
@@ -26,6 +23,9 @@
 	// loadCost is what a full batch adds to a first token, in seconds, against
 	// an empty one: it spreads work while no endpoint is full.
 	loadCost = 20e-3
+	// startMargin is the share of the remaining time that the first token may
+	// take when a request starts. A started one can't be refused any more.
+	startMargin = 0.7
 	// A session leaves an open endpoint only if it is worse by moveFactor, and
 	// its first token takes moveShare of the caller's patience: a move costs the
 	// later turns as well, for other instances do not know of it.
@@ -36,6 +36,7 @@
 // starts what can start; a request that waits for its own endpoint is passed
 // over, so that it holds up nobody.
 func (d *Decider) place() {
+	d.wake()
 	for _, p := range d.pools {
 		if p.queuedCount() > 0 && len(p.endpoints) > 0 {
 			d.placePool(p)
@@ -55,10 +56,8 @@
 // placeClass starts up to n requests of a class.
 func (d *Decider) placeClass(p *pool, class, n int) {
 	q := &p.classes[class]
-	var parked [parkLimit]*requestRow
-	parks := 0
 	aged := q.credit >= 1
-	for n > 0 && parks < parkLimit {
+	for n > 0 {
 		t := q.turnOf()
 		if t == nil {
 			break
@@ -68,10 +67,12 @@
 		if full {
 			break
 		}
+		if e != nil && d.tooLate(row, e) {
+			d.refuseRow(row, CodeOverloaded)
+			continue
+		}
 		if e == nil {
-			q.hide(row)
-			parked[parks] = row
-			parks++
+			d.parkRow(p, row)
 			continue
 		}
 		t.deficit -= row.cost()
@@ -80,9 +81,21 @@
 		d.start(row, e)
 		n--
 	}
-	for _, row := range parked[:parks] {
-		q.show(row)
+}
+
+// parkRow parks a row until something changes at its endpoint.
+func (d *Decider) parkRow(p *pool, row *requestRow) {
+	until := &p.parked
+	if home := d.home(p, row); home != nil {
+		until = &home.parked
 	}
+	d.park(row, until)
+}
+
+// tooLate tells whether a start now would most likely answer a caller who has
+// left. The request had its chance: its queue moved slower than predicted.
+func (d *Decider) tooLate(row *requestRow, e *endpointRow) bool {
+	return d.firstToken(row, e) > startMargin*(row.Deadline-d.now).Seconds()
 }
 
 // choose returns the endpoint to start the row at. A nil one means that the
@@ -93,12 +106,16 @@
 	}
 	d.rankRow(p, row)
 	home := d.home(p, row)
-	other, otherCost := d.sample(p, row, home, aged)
 	if home == nil {
+		other, _ := d.sample(p, row, nil, aged)
 		return d.fallback(p, row, other, aged)
 	}
 	cost := d.firstToken(row, home)
 	open := d.open(p, home, row, aged)
+	if open && cost <= moveShare*(row.Deadline-d.now).Seconds() {
+		return home, false
+	}
+	other, otherCost := d.sample(p, row, home, aged)
 	if open && (other == nil || !d.worthMove(row, cost, otherCost)) {
 		return home, false
 	}
@@ -133,13 +150,14 @@
 // its limit each move costs several times a turn's work, evicts another
 // session's prefix, and so causes the next move; cold prompts would take all the
 // fleet's time and never give it back. So a cold prompt goes only where there
-// is time to spare.
+// is time to spare, and no more of them than this instance's part: all the
+// instances see the same idle endpoint.
 func (d *Decider) mayMove(row *requestRow, e *endpointRow) bool {
 	uncached := d.uncached(row, e)
 	if uncached <= manyUncached {
 		return true
 	}
-	return e.load(d.now) < spillLoad*float64(e.Slots)
+	return e.load(d.now) < spillLoad*float64(e.Slots) && !e.crowded(d.now)
 }
 
 // home returns the endpoint that the session's prefix is thought to be at, or
@@ -210,22 +228,23 @@
 	if !p.takes(e) || e.inFlight >= e.Slots || row.avoids(e) {
 		return false
 	}
-	limit := d.limit(p, e, row.class)
+	limit := e.limit(d.reserve(p, row.class))
 	if aged {
 		limit = e.rampedSlots()
 	}
-	if e.load(d.now)+1 > limit+0.5 || e.queueFull(d.now) {
+	if e.load(d.now)+1 > limit+0.5 || e.queueFull(d.now) || row.class == int(PriorityBatch) && e.crowded(d.now) {
 		return false
 	}
 	return d.withinShare(p, e, row.class)
 }
 
 // withinShare holds a class to its share of the slots while a higher class is
-// in use.
+// in use. The other instances are taken to run as many of it in proportion.
 func (d *Decider) withinShare(p *pool, e *endpointRow, class int) bool {
 	for higher := class + 1; higher < classCount; higher++ {
 		if p.inUse(higher, d.now) {
-			return float64(e.inFlightBy[class]) < max(1, d.opts.Share[class]*float64(e.Slots))
+			all := float64(e.inFlightBy[class]) * e.fleetFactor(d.now)
+			return all < max(1, d.opts.Share[class]*float64(e.Slots))
 		}
 	}
 	return true
@@ -279,11 +298,15 @@
 	var scores [rankSize]float64
 	row.rank = [rankSize]*endpointRow{}
 	row.rankGeneration = d.generation
-	for _, e := range p.endpoints {
+	for i, key := range p.keys {
+		unit := rendezvousUnit(row.sessionHash, key.hash)
+		if key.weight <= scores[rankSize-1]*(1-unit) {
+			continue // Its score is below weight/(1-unit).
+		}
+		e, score := p.endpoints[i], rendezvousScore(unit, key.weight)
 		if e.out() {
 			continue
 		}
-		e, score := e, rendezvous(row.sessionHash, e.hash, e.Weight)
 		for i := range row.rank {
 			if row.rank[i] == nil || score > scores[i] {
 				row.rank[i], e = e, row.rank[i]
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -89,18 +89,18 @@
 	srv.subscriber = platform.NewSubscriber(srv.client, srv.startStream)
 	srv.dispatcher = dispatch.NewWithOptions(placement(s, srv.id))
 	srv.joinPeers()
+	srv.clients = newEndpointClients(s.Limits, srv.members, srv.dispatcher)
 	if err := srv.joinBudgets(); err != nil {
 		return nil, err
 	}
 	if err := srv.joinClaims(); err != nil {
 		return nil, err
 	}
-	srv.clients = newEndpointClients(s.Limits, srv.members, srv.dispatcher)
 	srv.runner = &run.Runner{
 		Claims: srv.claims, Accounts: srv.budgets,
 		Placer: srv.dispatcher, Endpoints: endpoints{srv.members},
 		Engines: srv.clients.engines, Services: srv.clients.services,
-		Repeats: repeatRules{srv.config}, Limits: runLimits(s.Limits), Leaving: srv.leaving,
+		Finder: srv.finder(), Repeats: repeatRules{srv.config}, Limits: runLimits(s.Limits), Leaving: srv.leaving,
 		OnError: func(err error) { log.Error().Err(err).Msg("run: background error") },
 	}
 	srv.registerTables()
@@ -128,7 +128,7 @@
 func (s *Server) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	callers := &http.Server{Handler: s.callersHandler(), ReadHeaderTimeout: 10 * time.Second}
+	callers := entry.NewServer(s.callersHandler())
 	operators := &http.Server{Handler: s.operatorsHandler(), ReadHeaderTimeout: 10 * time.Second}
 	var group errgroup.Group
 	group.Go(func() error { return s.follow(background) })
@@ -177,8 +177,10 @@
 	limits := s.settings.Limits
 	c := &entry.Callers{
 		Zone: record.Zone(s.settings.Instance.Zone), Config: s.config, Sessions: s.secrets.Sessions, Runner: s.runner,
+		Ends: session.Ends{Log: s.publisher, Partitions: s.partitions},
 		Limits: entry.Limits{
-			BodyBytes: limits.BodyBytes, MaxTokens: limits.MaxTokens,
+			BodyBytes: limits.BodyBytes, AnswerBytes: int(limits.AnswerBytes), MaxTokens: limits.MaxTokens,
+			BytesPerToken: limits.PromptBytesPerToken, Read: readWithin, Write: writeWithin, Heartbeat: callerHeartbeat,
 			FirstToken: limits.FirstToken.D(), ServiceAnswer: limits.ServiceAnswer.D(),
 		},
 		Ready: func() bool { return !s.draining.Load() && s.members.Seen() && s.current() },
