Wire the trace replay, and run the examples by hand

Found: with the platform stopped first, three of four instances were still in ledger.Close three minutes after SIGTERM (goroutine dump); not mended here. Not measured.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -134,6 +134,7 @@
 		sessionCommand(o),
 		stateCommand(o),
 		standinCommand(o),
+		loadCommand(o),
 		versionCommand(o),
 	)
 }
--- /dev/null
+++ b/internal/cli/load.go
@@ -0,0 +1,85 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"strings"
+	"time"
+
+	"guavapier/internal/load"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+func loadCommand(o output) *ffcli.Command {
+	fs := newFlagSet("load")
+	c := callerFlags(o, fs)
+	trace := fs.String("trace", "", "`file` of the trace, JSON lines")
+	targets := fs.String("targets", "", "instances' base `URLs`, parted by commas, used in turn; else the one at -addr")
+	speed := fs.Float64("speed", 1, "`factor` by which the trace is replayed faster than recorded")
+	direct := fs.Bool("direct", false, "the targets are engines: measure what the router adds")
+	standIn := fs.Bool("standin", false, "stand-ins answer, so check each answer's content")
+	return leaf{
+		usage: "guavapier load [flags] -trace FILE", help: "Replay a trace of requests and compare the outcomes with those it states.",
+		example: "guavapier load -standin -trace examples/traces/dala-vibro.jsonl -targets http://127.0.1.1:8080,http://127.0.1.2:8080",
+		flags:   fs,
+		run: func(ctx context.Context, _ []string) error {
+			options := load.Options{Trace: *trace, Speed: *speed, Direct: *direct, StandIn: *standIn}
+			switch {
+			case *trace == "":
+				return usagef("-trace FILE is missing")
+			case *speed <= 0:
+				return usagef("-speed is %v; allowed: more than 0", *speed)
+			}
+			var err error
+			if options.Targets, err = targetURLs(*targets, *c.addr); err != nil {
+				return err
+			}
+			if options.Key, err = c.secret(); err != nil {
+				return err
+			}
+			report, err := load.Run(ctx, options)
+			if err != nil {
+				return err
+			}
+			return c.showReport(report)
+		},
+	}.command("load")
+}
+
+// targetURLs returns the instances to send to, addr if none is named.
+func targetURLs(list, addr string) ([]string, error) {
+	if list == "" {
+		list = "http://" + addr
+	}
+	urls := strings.Split(list, ",")
+	for _, text := range urls {
+		u, err := url.Parse(text)
+		if err == nil {
+			_, err = netip.ParseAddrPort(u.Host)
+		}
+		if err != nil || u.Scheme != "http" {
+			return nil, usagef("a target is %q; allowed: http://IP:port", text)
+		}
+	}
+	return urls, nil
+}
+
+// showReport fails where a stated outcome was not met.
+func (c client) showReport(r load.Report) error {
+	header := "CLASS\tSENT\tANSWERED\tNOT RUN\tUNKNOWN\tPARTIAL\tWRONG\tLATE\tFIRST P50\tFIRST P99\tWHOLE P50\tWHOLE P99"
+	err := c.show(r, header, func(add func(...any)) {
+		for _, k := range r.Classes {
+			add(k.Name, k.Sent, k.Answered, k.NotRun, k.Unknown, k.Partial, k.Wrong, k.Late,
+				round(k.FirstP50), round(k.FirstP99), round(k.WholeP50), round(k.WholeP99))
+		}
+	})
+	if err == nil && len(r.Broken) > 0 {
+		err = fmt.Errorf("stated outcomes not met:\n%s", strings.Join(r.Broken, "\n"))
+	}
+	return err
+}
+
+func round(d time.Duration) time.Duration { return d.Round(100 * time.Microsecond) }
--- a/internal/cli/session.go
+++ b/internal/cli/session.go
@@ -10,8 +10,8 @@
 )
 
 func sessionCommand(o output) *ffcli.Command {
-	return parent("session", "guavapier session open|list|end", "Open, list and end the sessions of a team, with its API key.",
-		"guavapier session open", sessionOpen(o), sessionList(o), sessionEnd(o))
+	return parent("session", "guavapier session open|show|end", "Open, look at and end the sessions of a team, with its API key.",
+		"guavapier session open", sessionOpen(o), sessionShow(o), sessionEnd(o))
 }
 
 // sessionRow is a session on the callers' interface. The token is given only
@@ -27,7 +27,7 @@
 	fs := newFlagSet("open")
 	c := callerFlags(o, fs)
 	return leaf{
-		usage: "guavapier session open [flags]", help: "Open a session and print its token.",
+		usage: "guavapier session open [flags]", help: "Open a session and print its token; -json prints its id as well.",
 		example: "guavapier session open -key-file dala.key",
 		flags:   fs,
 		run: func(ctx context.Context, _ []string) error {
@@ -44,25 +44,21 @@
 	}.command("open")
 }
 
-func sessionList(o output) *ffcli.Command {
-	fs := newFlagSet("list")
+func sessionShow(o output) *ffcli.Command {
+	fs := newFlagSet("show")
 	c := callerFlags(o, fs)
 	return leaf{
-		usage: "guavapier session list [flags]", help: "List the team's sessions.",
-		example: "guavapier session list -json",
-		flags:   fs,
-		run: func(ctx context.Context, _ []string) error {
-			var rows []sessionRow
-			if err := c.call(ctx, http.MethodGet, "/v1/sessions", nil, &rows); err != nil {
+		usage: "guavapier session show [flags] SESSION", help: "Say whether a session was ended.",
+		example: "guavapier session show 7d3c3a53-6c1b-4f0e-8a53-3f2d6f1f9a10",
+		flags:   fs, args: []string{"SESSION"},
+		run: func(ctx context.Context, args []string) error {
+			var row sessionRow
+			if err := c.call(ctx, http.MethodGet, "/v1/sessions/"+url.PathEscape(args[0]), nil, &row); err != nil {
 				return err
 			}
-			return c.show(rows, "SESSION\tHOME\tENDED", func(add func(...any)) {
-				for _, r := range rows {
-					add(r.ID, r.Home, r.Ended)
-				}
-			})
+			return c.show(row, "SESSION\tENDED", func(add func(...any)) { add(row.ID, row.Ended) })
 		},
-	}.command("list")
+	}.command("show")
 }
 
 func sessionEnd(o output) *ffcli.Command {
