--- a/internal/fold/config.go
+++ b/internal/fold/config.go
@@ -13,8 +13,8 @@
 
 // ResultWindow is for how many offsets of the configuration stream the fold
 // remembers a change's identity and result. A retry after that is a new change, which its base versions judge. At 2,100
-// changes a day, two instances that write snapshots included, it is more than
-// a day; a change is at most config.MaxChangeBytes, which bounds the memory.
+// changes a day and an hourly snapshot of 40 chunks it is more than a day; a
+// change is at most config.MaxChangeBytes, which bounds the memory.
 const ResultWindow = 4096
 
 // Value is one row of the settings table.
--- a/internal/platform/subscriber.go
+++ b/internal/platform/subscriber.go
@@ -34,6 +34,8 @@
 	// has the streams that were read to their end once.
 	first   map[record.Stream]uint64
 	current map[record.Stream]bool
+	// longest is the longest page since the stream's start.
+	longest map[record.Stream]int
 
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -52,7 +54,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Subscriber{
 		log: log, start: start, ctx: ctx, cancel: cancel,
-		first: map[record.Stream]uint64{}, current: map[record.Stream]bool{},
+		first: map[record.Stream]uint64{}, current: map[record.Stream]bool{}, longest: map[record.Stream]int{},
 	}
 }
 
@@ -70,11 +72,17 @@
 	return s.current[stream]
 }
 
+// note sees the end of a stream in a page that is empty or shorter than one
+// before it. On a stream that others append to all the time no page need ever
+// be empty.
 func (s *Subscriber) note(stream record.Stream, page Page) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.first[stream] = max(s.first[stream], page.First)
-	s.current[stream] = s.current[stream] || len(page.Entries) == 0
+	if len(page.Entries) == 0 || len(page.Entries) < s.longest[stream] {
+		s.current[stream] = true
+	}
+	s.longest[stream] = max(s.longest[stream], len(page.Entries))
 }
 
 // Subscribe implements message.Subscriber; topic is the stream.
@@ -112,13 +120,13 @@
 			pause(ctx, retryPause)
 			continue
 		}
-		s.note(stream, page)
 		for _, entry := range page.Entries {
 			if !deliver(ctx, entry, out) {
 				return
 			}
 			next = entry.Offset + 1
 		}
+		s.note(stream, page) // After its entries: a current stream is applied.
 	}
 }
 
@@ -126,7 +134,7 @@
 // start was known.
 func (s *Subscriber) begin(ctx context.Context, stream record.Stream) (next uint64, ok bool) {
 	s.mu.Lock()
-	s.current[stream] = false
+	s.current[stream], s.longest[stream] = false, 0
 	s.mu.Unlock()
 	for ctx.Err() == nil {
 		next, err := s.start(ctx, stream)
