Keep a quiet stream's state on a log that drops by age

Config.List sorted every path for each look at one. Change: standin platform -retain-for; List sorts what it returns only. Shown: TestQuietStreamOutlivesTheRetention, red without the rule by age. Not measured.

--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -26,10 +26,11 @@
 	listen := fs.String("listen", "127.0.0.1:9000", "`IP:port` to listen on; port 0 lets the kernel choose")
 	rate := fs.Float64("appends", 300, "append rate limit per second")
 	retain := fs.Int("retain", 0, "entries kept in each stream; 0 keeps all")
+	retainFor := fs.Duration("retain-for", 0, "how long each entry is kept; 0 keeps all")
 	lag := fs.Duration("lag", time.Second, "lag of the instance list")
 	return standinLeaf(fs, "platform", "Run the log and the instance list.", func(ctx context.Context) error {
 		p := standin.NewPlatform(standin.PlatformOptions{
-			AppendsPerSecond: *rate, Retain: *retain, ListLag: *lag, InstanceTTL: 5 * time.Second,
+			AppendsPerSecond: *rate, Retain: *retain, RetainFor: *retainFor, ListLag: *lag, InstanceTTL: 5 * time.Second,
 		})
 		return serveHTTP(ctx, o, *listen, p.Handler())
 	})
--- a/internal/fold/config.go
+++ b/internal/fold/config.go
@@ -1,7 +1,7 @@
 package fold
 
 import (
-	"maps"
+	"cmp"
 	"slices"
 	"strings"
 
@@ -92,11 +92,12 @@
 // List returns the values at and below a path, by path.
 func (c *Config) List(prefix string) []Value {
 	out := []Value{}
-	for _, path := range slices.Sorted(maps.Keys(c.values)) {
+	for path, v := range c.values {
 		if Within(path, prefix) {
-			out = append(out, c.values[path])
+			out = append(out, v)
 		}
 	}
+	slices.SortFunc(out, func(a, b Value) int { return cmp.Compare(a.Path, b.Path) })
 	return out
 }
 
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -34,6 +34,8 @@
 	AppendsPerSecond float64
 	// Retain is how many entries each stream keeps; 0 keeps all.
 	Retain int
+	// RetainFor is how long each entry is kept; 0 keeps all.
+	RetainFor time.Duration
 	// ListLag is how far the instance list lags behind.
 	ListLag time.Duration
 	// InstanceTTL is how long an instance stays listed without renewal.
@@ -43,6 +45,7 @@
 type logEntry struct {
 	Offset uint64 `json:"offset"`
 	Data   []byte `json:"data"`
+	at     time.Time
 }
 
 type logStream struct {
@@ -132,12 +135,8 @@
 	defer p.mu.Unlock()
 	s := p.stream(name)
 	offset = s.first + uint64(len(s.entries))
-	s.entries = append(s.entries, logEntry{Offset: offset, Data: data})
-	if p.opts.Retain > 0 && len(s.entries) > p.opts.Retain {
-		drop := len(s.entries) - p.opts.Retain
-		s.entries = append([]logEntry(nil), s.entries[drop:]...)
-		s.first += uint64(drop)
-	}
+	s.entries = append(s.entries, logEntry{Offset: offset, Data: data, at: time.Now()})
+	p.trim(s)
 	close(s.changed)
 	s.changed = make(chan struct{})
 	if p.faults.LoseAnswers > 0 {
@@ -147,6 +146,22 @@
 	return offset, true
 }
 
+// trim drops the entries that are no longer kept. p.mu is held.
+func (p *Platform) trim(s *logStream) {
+	drop := 0
+	if p.opts.Retain > 0 {
+		drop = max(0, len(s.entries)-p.opts.Retain)
+	}
+	for p.opts.RetainFor > 0 && drop < len(s.entries) && time.Since(s.entries[drop].at) > p.opts.RetainFor {
+		drop++
+	}
+	if drop == 0 {
+		return
+	}
+	s.entries = append([]logEntry(nil), s.entries[drop:]...)
+	s.first += uint64(drop)
+}
+
 func (p *Platform) stream(name string) *logStream {
 	s, ok := p.streams[name]
 	if !ok {
@@ -170,6 +185,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.stream(name)
+	p.trim(s)
 	end := s.first + uint64(len(s.entries))
 	page := logPage{First: s.first, Next: end}
 	if from < s.first || from >= end {
--- a/test/process/config_test.go
+++ b/test/process/config_test.go
@@ -7,6 +7,7 @@
 	"reflect"
 	"sync"
 	"testing"
+	"time"
 
 	"guavapier/internal/fold"
 	"guavapier/internal/operator"
@@ -119,6 +120,28 @@
 	}
 }
 
+// On a log that drops by age nothing else may happen after the last change;
+// the state outlives it all the same.
+func TestQuietStreamOutlivesTheRetention(t *testing.T) {
+	const kept = 4 * time.Second
+	_, platform := startStandin(t, "platform", "-lag", listLag, "-retain-for", kept.String())
+	in := startInstance(t, "a1", "hall-a", platform, snapshotsOften)
+	seedTeam(t, in.operators, "dala", 1_000_000)
+	want := settingsOf(t, in.operators)
+	ledger := record.LedgerStream(record.TeamPartition("dala", 8))
+	eventually(t, "the seed has aged out", func() bool {
+		return firstKept(t, in.operators, record.ConfigStream) > 0 && firstKept(t, in.operators, ledger) > 0
+	})
+	in.kill()
+	replaced := startInstance(t, "a2", "hall-a", platform, snapshotsOften)
+	if got := settingsOf(t, replaced.operators); !reflect.DeepEqual(got, want) {
+		t.Errorf("settings differ: %v, want %v", got, want)
+	}
+	if got := budget(t, replaced.operators, "dala"); got.Prepaid != 1_000_000 {
+		t.Errorf("budget %+v", got)
+	}
+}
+
 // With records gone that no snapshot covers, a new instance is not ready and
 // says so, rather than serve on tables that lack something.
 func TestInstanceWithoutAWholePastIsNotReady(t *testing.T) {
