Let a fleet operator close the shard of a dead pair

Cause: holder and witness of a claim shard that die at once leave it refused, and nobody could say so to the fleet. The operators' route check found the route without a row of its own; it has one as strict as that of grants.

--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -38,6 +38,9 @@
 	// ForceClose closes the grant of a holder that is gone for good; its risk
 	// is told at ledger.Ledger.ForceClose.
 	ForceClose func(context.Context, record.RightID) (fold.Grant, error)
+	// CloseShard closes a claim shard whose holder and witness are gone for
+	// good.
+	CloseShard func(context.Context, record.RightID) (fold.Shard, error)
 	// Patience is how long a change waits for the log before its outcome is
 	// called unknown.
 	Patience time.Duration
@@ -71,6 +74,7 @@
 		{http.MethodGet, "/teams", accessFleet, i.handleTeams},
 		{http.MethodPost, "/topups", accessFleet, i.handleTopUp},
 		{http.MethodPost, "/grants/{id}/close", accessFleet, i.handleForceClose},
+		{http.MethodPost, "/shards/{id}/close", accessFleet, i.handleCloseShard},
 		{http.MethodGet, "/budgets/{team}", accessTeam, i.handleBudgets},
 		{http.MethodGet, "/budgets/{team}/{name}", accessTeam, i.handleBudget},
 		{http.MethodPut, "/settings", accessScoped, i.handleChange},
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"guavapier/internal/claim"
 	"guavapier/internal/config"
 	"guavapier/internal/fold"
 	"guavapier/internal/ledger"
@@ -100,6 +101,7 @@
 		Token: fleetToken, Log: log, Config: log.config, Ledgers: []*replica.Replica[*fold.Ledger]{log.ledger},
 		State: state.New(), Metrics: metrics.New(), Instances: func() []platform.Instance { return nil }, Patience: shortWait,
 		ForceClose: func(context.Context, record.RightID) (fold.Grant, error) { return fold.Grant{}, ledger.ErrNoGrant },
+		CloseShard: func(context.Context, record.RightID) (fold.Shard, error) { return fold.Shard{}, claim.ErrNoShard },
 	}
 	return i.Handler(), log
 }
@@ -136,6 +138,7 @@
 		{"GET /teams", "/teams", nil, 403, 403, 200},
 		{"POST /topups", "/topups", topUp, 403, 403, 200},
 		{"POST /grants/{id}/close", "/grants/g1/close", nil, 403, 403, 404},
+		{"POST /shards/{id}/close", "/shards/s1/close", nil, 403, 403, 404},
 		{"GET /budgets/{team}", "/budgets/dala", nil, 200, 403, 200},
 		{"GET /budgets/{team}/{name}", "/budgets/dala/main", nil, 200, 403, 200},
 		{"PUT /settings", "/settings", change("c1", lean), 200, 422, 200},
--- a/test/process/claim_test.go
+++ b/test/process/claim_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -272,3 +273,49 @@
 	refusing.recovers("refused-", r.fleet...)
 	r.recovers("served-", r.fleet...)
 }
+
+// Holder and witness die at once: nobody left can say what they counted, so
+// calls are refused until an operator says that both are gone.
+func TestShardsOfADeadPairWaitForTheOperator(t *testing.T) {
+	r := startRig(t, "a1", "a2")
+	r.recovers("warm-", r.fleet...)
+	eventually(t, "all shards have a witness", func() bool {
+		rows := shards(t, r.fleet[0])
+		return len(rows) >= 16 && !slices.ContainsFunc(rows, func(s shardRow) bool { return s.Witness == "" || s.Closed })
+	})
+	for _, in := range r.fleet {
+		in.kill()
+	}
+	next := startInstance(t, "a3", "hall-a", r.platform, "")
+	r.ready(next)
+	for n := range 2 {
+		name := fmt.Sprint("refused-", n)
+		first := outcome(r.attempt(next, name, nil, true))
+		retry := outcome(r.attempt(next, name, nil, false))
+		if first != "not_run" || retry != "unknown" || r.runs(name) != 0 {
+			t.Errorf("before the close: told %q, then %q, ran %d times", first, retry, r.runs(name))
+		}
+	}
+	for _, s := range shards(t, next) {
+		mustCall(t, http.MethodPost, next.operators+"/shards/"+s.Right+"/close", operatorToken, nil)
+	}
+	r.recovers("refused-", next)
+}
+
+// shardRow is one claim shard of a state dump.
+type shardRow struct {
+	Right, Witness string
+	Closed         bool
+}
+
+func shards(t *testing.T, in *instance) []shardRow {
+	t.Helper()
+	var state struct {
+		Claims []shardRow `json:"claims"`
+	}
+	dump := mustCall(t, http.MethodGet, in.operators+"/state", operatorToken, nil).body
+	if err := json.Unmarshal([]byte(dump), &state); err != nil {
+		t.Fatal(err)
+	}
+	return state.Claims
+}
