Saturate predicted times instead of overflowing

Cause: one call of scenario teams got no last word. A pool whose slots are all taken by other instances drains at almost nothing; the predicted wait then exceeds a duration and became a negative one, so that the request counted as one without a wait, and RetryAfter could wrap. Change: seconds gives 24 h at most, also for infinity and NaN. Tests: TestSeconds and scenario teams, red with the plain conversion ("seconds(+Inf) = -2562047h47m16.8s", "1 calls without a last word").

--- a/internal/decide/decider.go
+++ b/internal/decide/decider.go
@@ -242,5 +242,16 @@
 	}
 }
 
-// seconds converts a float to a duration.
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+// longest is the longest duration that a prediction gives. A pool that hardly
+// drains predicts waits beyond what a duration holds, and the conversion would
+// turn those into negative ones: no wait at all.
+const longest = 24 * time.Hour
+
+// seconds converts a float to a duration of at most longest; what is no number
+// counts as longest.
+func seconds(s float64) time.Duration {
+	if s < longest.Seconds() {
+		return time.Duration(s * float64(time.Second))
+	}
+	return longest
+}
--- a/internal/decide/shift_test.go
+++ b/internal/decide/shift_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -74,6 +75,15 @@
 	}
 }
 
+// TestSeconds: a wait too long for a duration stays a long one.
+func TestSeconds(t *testing.T) {
+	for s, want := range map[float64]time.Duration{0: 0, 1.5: 1500 * time.Millisecond, 1e12: longest, math.Inf(1): longest, math.NaN(): longest} {
+		if got := seconds(s); got != want {
+			t.Errorf("seconds(%v) = %v, want %v", s, got, want)
+		}
+	}
+}
+
 // TestReturnsAreSpread: the callers of a burst that is refused are told to come
 // back one after the other, behind what is queued.
 func TestReturnsAreSpread(t *testing.T) {
--- a/internal/decide/sim_test.go
+++ b/internal/decide/sim_test.go
@@ -269,7 +269,10 @@
 		return
 	}
 	c.Avoid = nil
-	s.after(d.RetryAfter, func() { s.send(c) })
+	if d.RetryAfter < 0 {
+		s.violate("%v: retry after %v", s.now, d.RetryAfter)
+	}
+	s.after(max(0, d.RetryAfter), func() { s.send(c) })
 }
 
 func (s *sim) settle(c *call, answered bool) {
