Secure every interface by settings, plain by name only

Cause: all interfaces were plain, and nothing said so. Ruled out: plain unless a certificate is set (an oversight stays unseen); one authority for all (an endpoint's certificate would make its holder a peer). Change: internal/tlsconf (reload with the next handshake, mutual between instances), [tls] in the settings, -ca for commands, the table live in the state dump. A settings file must now name in tls.plain what is not secured: examples and the process tests' harness do. Touched of others, additive: endpoint.Options .DialTLS, platform.Client.Secure, the peer pool's dialer, the endpoint table. The platform's and endpoints' side is tested in the package only: the stand-ins speak plain HTTP. Not measured: what handshakes cost (endpoints are dialled for each request).

--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -15,6 +15,8 @@
 	"text/tabwriter"
 	"time"
 
+	"guavapier/internal/tlsconf"
+
 	"github.com/rotisserie/eris"
 )
 
@@ -31,6 +33,8 @@
 	o          output
 	addr, file *string
 	json       *bool
+	// ca names the authorities' file; empty for an interface without TLS.
+	ca *string
 	// variable is where the secret stands if no file is named.
 	variable string
 }
@@ -40,6 +44,7 @@
 	return client{
 		o: o, variable: tokenVariable,
 		addr: fs.String("addr", "127.0.0.1:8081", "`IP:port`, "+operatorsNotice),
+		ca:   fs.String("ca", "", "PEM `file` of the authorities that sign the instances' certificates, for an address with TLS"),
 		file: fs.String("token-file", "", "`file` with the operator token; else the token is taken from "+tokenVariable),
 		json: fs.Bool("json", false, "print JSON for programs"),
 	}
@@ -50,6 +55,7 @@
 	return client{
 		o: o, variable: keyVariable,
 		addr: fs.String("addr", "127.0.0.1:8080", "`IP:port`, the callers' address of any instance"),
+		ca:   fs.String("ca", "", "PEM `file` of the authorities that sign the instances' certificates, for an address with TLS"),
 		file: fs.String("key-file", "", "`file` with the API key; else the key is taken from "+keyVariable),
 		json: fs.Bool("json", false, "print JSON for programs"),
 	}
@@ -125,7 +131,11 @@
 	if _, err := netip.ParseAddrPort(*c.addr); err != nil {
 		return usagef("the address is %q; allowed: IP:port", *c.addr)
 	}
-	data, err := send(ctx, method, "http://"+*c.addr+path, secret, body)
+	scheme, httpClient, err := c.link()
+	if err != nil {
+		return err
+	}
+	data, err := send(ctx, httpClient, method, scheme+"://"+*c.addr+path, secret, body)
 	if err != nil || out == nil {
 		return err
 	}
@@ -135,7 +145,19 @@
 	return nil
 }
 
-func send(ctx context.Context, method, url, secret string, body any) ([]byte, error) {
+// link returns the scheme and the HTTP client for the address.
+func (c client) link() (string, *http.Client, error) {
+	if *c.ca == "" {
+		return "http", http.DefaultClient, nil
+	}
+	source, err := tlsconf.New(tlsconf.Files{CA: *c.ca}, func(error) {})
+	if err != nil {
+		return "", nil, err
+	}
+	return "https", &http.Client{Transport: &http.Transport{DialTLSContext: source.Dial}}, nil
+}
+
+func send(ctx context.Context, httpClient *http.Client, method, url, secret string, body any) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var text io.Reader
@@ -151,7 +173,7 @@
 		return nil, eris.Wrap(err, "build the request")
 	}
 	req.Header.Set("Authorization", "Bearer "+secret)
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := httpClient.Do(req)
 	if err != nil {
 		return nil, eris.Wrap(err, "the instance did not answer; it may have done what it was asked to")
 	}
--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -73,7 +73,7 @@
 	anyName       = value{"a name: letters, digits, dots, dashes, underscores; at most 100", ValidName}
 	instant       = value{"a time like 2027-01-31T00:00:00Z", func(v string) bool { _, err := time.Parse(time.RFC3339, v); return err == nil }}
 	priorityClass = choice(PriorityBatch, PriorityInteractive, PriorityCall)
-	baseURL       = value{"http://IP:port", validBaseURL}
+	baseURL       = value{"http://IP:port or https://IP:port", validBaseURL}
 	repeatRules   = value{"rules like GET /calendar, POST /tags", func(v string) bool { _, err := ParseRepeatRules(v); return err == nil }}
 	share         = value{"a number from 0 to 1", func(v string) bool { f, err := strconv.ParseFloat(v, 64); return err == nil && f >= 0 && f <= 1 }}
 )
@@ -99,6 +99,9 @@
 // on a request's way.
 func validBaseURL(text string) bool {
 	addr, ok := strings.CutPrefix(text, "http://")
+	if !ok {
+		addr, ok = strings.CutPrefix(text, "https://")
+	}
 	if !ok {
 		return false
 	}
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -12,6 +12,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"time"
 
 	"guavapier/internal/record"
@@ -131,6 +132,8 @@
 
 // Options bound the time that an endpoint may take.
 type Options struct {
+	// DialTLS dials https addresses; nil is the client's own way.
+	DialTLS func(ctx context.Context, network, address string) (net.Conn, error)
 	// Connect bounds the making of a connection.
 	Connect time.Duration
 	// Silence is how long an open stream may bring nothing, not even a
--- a/internal/endpoint/transport.go
+++ b/internal/endpoint/transport.go
@@ -19,6 +19,7 @@
 	return &http.Client{
 		Transport: &http.Transport{
 			DialContext:            dialer.DialContext,
+			DialTLSContext:         o.DialTLS,
 			DisableKeepAlives:      true,
 			DisableCompression:     true,
 			TLSHandshakeTimeout:    o.Connect,
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -29,6 +30,11 @@
 	return &Client{base: base, http: &http.Client{}, timeout: timeout}
 }
 
+// Secure makes the client dial https addresses by dial.
+func (c *Client) Secure(dial func(ctx context.Context, network, address string) (net.Conn, error)) {
+	c.http.Transport = &http.Transport{DialTLSContext: dial}
+}
+
 type appended struct {
 	Offset uint64 `json:"offset"`
 }
--- a/internal/server/endpoints.go
+++ b/internal/server/endpoints.go
@@ -84,10 +84,13 @@
 	poller   *endpoint.Poller
 }
 
-func newEndpointClients(limits settings.Limits, table *endpointTable, d *dispatch.Dispatcher) *endpointClients {
+func newEndpointClients(limits settings.Limits, l links, table *endpointTable, d *dispatch.Dispatcher) *endpointClients {
 	opts := endpoint.Options{
 		Connect: connectWithin, Silence: min(silentAfter, limits.Progress.D()), Control: controlWithin, AnswerBytes: limits.AnswerBytes,
 	}
+	if l.secured(settings.LinkEndpoints) {
+		opts.DialTLS = l.outside.Dial
+	}
 	e := &endpointClients{}
 	e.engines = endpoint.NewHTTPEngines(opts, &e.counts)
 	e.services = endpoint.NewHTTPServices(opts, &e.counts)
--- a/internal/server/operators.go
+++ b/internal/server/operators.go
@@ -53,6 +53,7 @@
 	})
 	s.tables.Register("applied", func() any { return s.applied() })
 	s.tables.Register("members", func() any { return s.members.List() })
+	s.tables.Register("live", func() any { return s.members.Live() })
 	s.tables.Register("budgets", func() any { return s.budgetRows() })
 	s.tables.Register("config", func() any {
 		var values []fold.Value
--- a/internal/server/operators_test.go
+++ b/internal/server/operators_test.go
@@ -102,7 +102,7 @@
 func TestStateDumpHasTheTables(t *testing.T) {
 	srv := startServer(t)
 	_, tables := request(t, http.MethodGet, "http://"+srv.OperatorsAddr()+"/state")
-	for _, name := range []string{"instance", "applied", "members", "budgets", "config"} {
+	for _, name := range []string{"instance", "applied", "members", "live", "budgets", "config", "streams"} {
 		if _, ok := tables[name]; !ok {
 			t.Errorf("table %s is missing", name)
 		}
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -1,10 +1,12 @@
 package server
 
 import (
+	"context"
 	"net"
 
 	"guavapier/internal/membership"
 	"guavapier/internal/peer"
+	"guavapier/internal/settings"
 
 	"github.com/rotisserie/eris"
 )
@@ -24,9 +26,15 @@
 // joinPeers makes the parts that talk to other instances.
 func (s *Server) joinPeers() {
 	s.members = membership.New(s.client, s.self, s.log)
-	s.endpoints = &endpointTable{config: s.config, dispatcher: s.dispatcher}
+	s.endpoints = &endpointTable{config: s.config, dispatcher: s.dispatcher, links: s.links}
 	s.members.OnList(s.endpoints.take)
-	s.pool = peer.NewPool(s.id, s.members, peer.Options{})
+	var opts peer.Options
+	if s.links.secured(settings.LinkPeers) {
+		opts.Dialer = func(ctx context.Context, address string) (net.Conn, error) {
+			return s.links.peers.Dial(ctx, "tcp", address)
+		}
+	}
+	s.pool = peer.NewPool(s.id, s.members, opts)
 	s.peerServer = peer.NewServer(s.id)
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -69,6 +69,7 @@
 	tables  *state.Registry
 	metrics *metrics.Registry
 
+	links     links
 	callers   net.Listener
 	operators net.Listener
 	peers     net.Listener
@@ -77,10 +78,17 @@
 // New puts an instance together and binds its addresses.
 func New(s settings.Settings, secrets Secrets, log zerolog.Logger) (*Server, error) {
 	srv := &Server{id: record.NewInstanceID(s.Instance.Name), settings: s, secrets: secrets, log: log, tables: state.New(), metrics: metrics.New()}
+	var err error
+	if srv.links, err = srv.newLinks(); err != nil {
+		return nil, err
+	}
 	if err := srv.listen(); err != nil {
 		return nil, err
 	}
 	srv.client = platform.NewClient(s.Platform.URL, s.Platform.Timeout.D())
+	if srv.links.secured(settings.LinkPlatform) {
+		srv.client.Secure(srv.links.outside.Dial)
+	}
 	srv.publisher = platform.NewPublisher(srv.client, srv.id, platform.PublisherOptions{
 		Linger: s.Ledger.Linger.D(), RetryEvery: publisherRetry, MaxRecords: publisherRecords,
 	})
@@ -91,7 +99,7 @@
 	srv.subscriber = platform.NewSubscriber(srv.client, srv.startStream)
 	srv.dispatcher = dispatch.NewWithOptions(placement(s, srv.id))
 	srv.joinPeers()
-	srv.clients = newEndpointClients(s.Limits, srv.endpoints, srv.dispatcher)
+	srv.clients = newEndpointClients(s.Limits, srv.links, srv.endpoints, srv.dispatcher)
 	if err := srv.joinBudgets(); err != nil {
 		return nil, err
 	}
@@ -138,9 +146,11 @@
 	group.Go(func() error { s.clients.poller.Run(background); return nil })
 	group.Go(func() error { s.members.Run(background, s.pool); return nil })
 	group.Go(func() error { s.holder.Run(background); return nil })
-	group.Go(func() error { return s.peerServer.Serve(s.peers) })
-	group.Go(func() error { return ignoreClosed(callers.Serve(s.callers)) })
-	group.Go(func() error { return ignoreClosed(operators.Serve(s.operators)) })
+	group.Go(func() error { return s.peerServer.Serve(s.links.listener(settings.LinkPeers, s.peers)) })
+	group.Go(func() error { return ignoreClosed(callers.Serve(s.links.listener(settings.LinkCallers, s.callers))) })
+	group.Go(func() error {
+		return ignoreClosed(operators.Serve(s.links.listener(settings.LinkOperators, s.operators)))
+	})
 	s.log.Info().Str("id", string(s.id)).Str("callers", s.CallersAddr()).Str("operators", s.OperatorsAddr()).
 		Str("peers", s.PeersAddr()).Msg("server: serving")
 	group.Go(func() error { return s.budgets.Run(background) })
--- a/internal/server/table.go
+++ b/internal/server/table.go
@@ -25,6 +25,8 @@
 type endpointTable struct {
 	config     *replica.Replica[*fold.Config]
 	dispatcher *dispatch.Dispatcher
+	// links says whether endpoints without TLS may be used.
+	links links
 
 	mu      sync.RWMutex // Guards all below.
 	targets []endpoint.Target
@@ -44,11 +46,17 @@
 	t.config.View(func(f *fold.Config) {
 		t.readTeams(f)
 		for _, e := range list.Endpoints {
+			if !t.links.mayUse(e.URL) {
+				continue
+			}
 			rows = append(rows, listedRow(f, e))
 			targets = append(targets, endpoint.Target{Name: e.Name, URL: e.URL})
 		}
 	})
 	for _, e := range t.teams.Endpoints {
+		if !t.links.mayUse(e.URL) {
+			continue
+		}
 		rows = append(rows, teamRow(e))
 		targets = append(targets, endpoint.Target{Name: e.Name, URL: e.URL})
 	}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -56,6 +56,10 @@
 		return problemUnless(slices.Contains(k.choices, field.String()), field)
 	case formCount, formDuration:
 		return problemUnless(field.Int() >= k.min && field.Int() <= k.max, field)
+	case formLinks:
+		names, _ := field.Interface().([]string)
+		unknown := slices.ContainsFunc(names, func(name string) bool { return !slices.Contains(links(), name) })
+		return problemUnless(!unknown, field)
 	default:
 		return ""
 	}
@@ -78,7 +82,7 @@
 
 func isPlatformURL(text string) bool {
 	u, err := url.Parse(text)
-	if err != nil || u.Scheme != "http" || u.Path != "" || u.RawQuery != "" || u.User != nil {
+	if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Path != "" || u.RawQuery != "" || u.User != nil {
 		return false
 	}
 	addr, err := netip.ParseAddrPort(u.Host)
@@ -100,6 +104,38 @@
 	together(s.Limits.MaxTokens <= int(s.Limits.AnswerBytes), "limits.max_tokens",
 		"is %d; allowed: at most limits.answer_bytes, which is %d, or a whole answer never fits", s.Limits.MaxTokens, s.Limits.AnswerBytes)
 	p.checkAddresses()
+	p.checkTLS()
+}
+
+// checkTLS reports each interface that is neither secured nor named as plain.
+func (p *parse) checkTLS() {
+	t := p.settings.TLS
+	if p.wrong["tls.plain"] {
+		return
+	}
+	own := t.Certificate != "" && t.Key != ""
+	if !own && t.Certificate+t.Key != "" {
+		p.add(p.place("tls.certificate"), "tls.certificate", "stands without tls.key, or the other way; allowed: both or none")
+	}
+	https := strings.HasPrefix(p.settings.Platform.URL, "https://")
+	for _, l := range []struct {
+		link  string
+		ready bool
+		needs string
+	}{
+		{LinkCallers, own, "tls.certificate and tls.key"},
+		{LinkOperators, own, "tls.certificate and tls.key"},
+		{LinkPeers, own && t.PeersCA != "", "tls.certificate, tls.key and tls.peers_ca"},
+		{LinkPlatform, https && t.OutsideCA != "", "an https platform.url and tls.outside_ca"},
+		{LinkEndpoints, t.OutsideCA != "", "tls.outside_ca"},
+	} {
+		if t.Secured(l.link) && !l.ready {
+			p.add(p.place("tls.plain"), "tls.plain", "does not name %q, which is not secured; allowed: its name here, or %s", l.link, l.needs)
+		}
+	}
+	if https && !t.Secured(LinkPlatform) {
+		p.add(p.place("platform.url"), "platform.url", "is https while tls.plain names %q; allowed: one of the two", LinkPlatform)
+	}
 }
 
 // checkAddresses reports listeners that would take each other's port.
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -21,6 +21,7 @@
 	formDuration
 	formFile
 	formFiles
+	formLinks
 )
 
 // Key documents and bounds one key.
@@ -67,6 +68,11 @@
 		{Name: "sessions.key_files", Unit: "file by key id", form: formFiles, required: true, Doc: "Files with the session signing keys. Keep an old key until its last session has ended."},
 		{Name: "operator.token_file", Unit: "file", form: formFile, required: true, Doc: "File with the fleet operators' token."},
 		{Name: "snapshots.every", Unit: "duration", form: formDuration, min: int64(100 * time.Millisecond), max: int64(24 * time.Hour), Doc: "Longest time between two snapshots of a stream. Keep it below half of the time that the log keeps records."},
+		{Name: "tls.certificate", Unit: "file", form: formFile, Doc: "This instance's certificate with its IP numbers, in PEM; shown on its listeners and to other instances. Read again when it changes."},
+		{Name: "tls.key", Unit: "file", form: formFile, Doc: "The certificate's key, in PEM."},
+		{Name: "tls.peers_ca", Unit: "file", form: formFile, Doc: "Authorities that sign the instances' certificates. Whoever holds such a certificate is taken for an instance."},
+		{Name: "tls.outside_ca", Unit: "file", form: formFile, Doc: "Authorities that sign the platform's and the endpoints' certificates."},
+		{Name: "tls.plain", Unit: "interfaces", form: formLinks, Doc: "Interfaces without TLS, by name. Without a certificate for them all others are a finding."},
 	}
 }
 
@@ -78,7 +84,7 @@
 	case formAddress:
 		return "IP:port, an IP number and not a host name"
 	case formURL:
-		return "http://IP:port"
+		return "http://IP:port or https://IP:port"
 	case formChoice:
 		return strings.Join(k.choices, ", ")
 	case formCount:
@@ -87,6 +93,8 @@
 		return fmt.Sprintf("%s to %s", time.Duration(k.min), time.Duration(k.max))
 	case formFile:
 		return "a file's path"
+	case formLinks:
+		return "a list of " + strings.Join(links(), ", ")
 	case formFiles:
 		return "at least one file"
 	default:
@@ -94,6 +102,10 @@
 	}
 }
 
+func links() []string {
+	return []string{LinkCallers, LinkOperators, LinkPeers, LinkPlatform, LinkEndpoints}
+}
+
 // DefaultText is the key's default as it stands in a file; "" for none.
 func (k Key) DefaultText() string {
 	defaults := Default()
@@ -104,6 +116,9 @@
 	if d, ok := field.Interface().(Duration); ok {
 		return d.D().String()
 	}
+	if field.IsZero() {
+		return "none"
+	}
 	return fmt.Sprint(field.Interface())
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -10,6 +10,7 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -25,6 +26,7 @@
 	Sessions  Sessions  `toml:"sessions"`
 	Operator  Operator  `toml:"operator"`
 	Snapshots Snapshots `toml:"snapshots"`
+	TLS       TLS       `toml:"tls"`
 }
 
 // Instance says who and where the instance is.
@@ -83,6 +85,28 @@
 	TokenFile string `toml:"token_file"`
 }
 
+// TLS says how connections are secured. An interface that is neither secured
+// nor named in Plain is a finding.
+type TLS struct {
+	Certificate string   `toml:"certificate"`
+	Key         string   `toml:"key"`
+	PeersCA     string   `toml:"peers_ca"`
+	OutsideCA   string   `toml:"outside_ca"`
+	Plain       []string `toml:"plain"`
+}
+
+// The interfaces that are secured, or named in TLS.Plain.
+const (
+	LinkCallers   = "callers"
+	LinkOperators = "operators"
+	LinkPeers     = "peers"
+	LinkPlatform  = "platform"
+	LinkEndpoints = "endpoints"
+)
+
+// Secured says whether an interface is not named in Plain.
+func (t TLS) Secured(link string) bool { return !slices.Contains(t.Plain, link) }
+
 // Duration is a time.Duration written like "1.5s".
 type Duration time.Duration
 
@@ -133,5 +157,7 @@
 	for id, file := range s.Sessions.KeyFiles {
 		s.Sessions.KeyFiles[id] = absolute(file)
 	}
-	s.Operator.TokenFile = absolute(s.Operator.TokenFile)
+	for _, file := range []*string{&s.Operator.TokenFile, &s.TLS.Certificate, &s.TLS.Key, &s.TLS.PeersCA, &s.TLS.OutsideCA} {
+		*file = absolute(*file)
+	}
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -72,6 +72,7 @@
 	}
 	want := settings.Default()
 	want.Instance, want.Platform.URL, want.Sessions, want.Operator = got.Instance, got.Platform.URL, got.Sessions, got.Operator
+	want.TLS = got.TLS // Its files have no default; the example names all as plain.
 	if !reflect.DeepEqual(got, want) {
 		t.Errorf("defaults shown:\n%+v\nin force:\n%+v", got, want)
 	}
--- /dev/null
+++ b/internal/tlsconf/tlsconf_test.go
@@ -0,0 +1,190 @@
+package tlsconf_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"guavapier/internal/tlsconf"
+)
+
+// authority signs certificates.
+type authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	file string
+}
+
+func write(t *testing.T, file, kind string, der []byte) {
+	t.Helper()
+	if err := os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func newAuthority(t *testing.T) authority {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "ca"}, IsCA: true, BasicConstraintsValid: true,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := authority{cert: cert, key: key, file: filepath.Join(t.TempDir(), "ca.pem")}
+	write(t, a.file, "CERTIFICATE", der)
+	return a
+}
+
+// issue writes a certificate for an IP over the files.
+func (a authority) issue(t *testing.T, files tlsconf.Files, ip string, serial int64) {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(serial), IPAddresses: []net.IP{net.ParseIP(ip)},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	write(t, files.Certificate, "CERTIFICATE", der)
+	write(t, files.Key, "EC PRIVATE KEY", keyDER)
+}
+
+func newFiles(t *testing.T, a authority) tlsconf.Files {
+	dir := t.TempDir()
+	return tlsconf.Files{Certificate: filepath.Join(dir, "cert.pem"), Key: filepath.Join(dir, "key.pem"), CA: a.file}
+}
+
+func newSource(t *testing.T, files tlsconf.Files, onError func(error)) *tlsconf.Source {
+	t.Helper()
+	s, err := tlsconf.New(files, onError)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// serve answers each connection with one byte.
+func serve(t *testing.T, s *tlsconf.Source, mutual bool) string {
+	t.Helper()
+	plain, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = plain.Close() })
+	listener := tls.NewListener(plain, s.Server(mutual))
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = conn.Write([]byte{1})
+			_ = conn.Close()
+		}
+	}()
+	return plain.Addr().String()
+}
+
+// dial returns the serial of the certificate that the server showed.
+func dial(s *tlsconf.Source, address string) (int64, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	conn, err := s.Dial(ctx, "tcp", address)
+	if err != nil {
+		return 0, err
+	}
+	defer conn.Close()
+	if _, err := conn.Read(make([]byte, 1)); err != nil {
+		return 0, err // With TLS 1.3 a client learns here that it was refused.
+	}
+	return conn.(*tls.Conn).ConnectionState().PeerCertificates[0].SerialNumber.Int64(), nil
+}
+
+func TestOnlyTheRightCertificatesConnect(t *testing.T) {
+	ours, other := newAuthority(t), newAuthority(t)
+	mine, theirs, elsewhere := newFiles(t, ours), newFiles(t, other), newFiles(t, ours)
+	ours.issue(t, mine, "127.0.0.1", 1)
+	other.issue(t, theirs, "127.0.0.1", 2)
+	ours.issue(t, elsewhere, "127.0.0.9", 3)
+	fail := func(err error) { t.Error(err) }
+	for _, row := range []struct {
+		name           string
+		server, client tlsconf.Files
+		mutual, ok     bool
+	}{
+		{"one-sided", mine, tlsconf.Files{CA: ours.file}, false, true},
+		{"mutual", mine, mine, true, true},
+		{"server of another authority", theirs, tlsconf.Files{CA: ours.file}, false, false},
+		{"server of another IP", elsewhere, tlsconf.Files{CA: ours.file}, false, false},
+		{"client without certificate", mine, tlsconf.Files{CA: ours.file}, true, false},
+		{"client of another authority", mine, tlsconf.Files{Certificate: theirs.Certificate, Key: theirs.Key, CA: ours.file}, true, false},
+	} {
+		address := serve(t, newSource(t, row.server, fail), row.mutual)
+		if _, err := dial(newSource(t, row.client, fail), address); (err == nil) != row.ok {
+			t.Errorf("%s: %v", row.name, err)
+		}
+	}
+}
+
+func TestNewCertificateIsUsedWithoutRestart(t *testing.T) {
+	ca := newAuthority(t)
+	files := newFiles(t, ca)
+	ca.issue(t, files, "127.0.0.1", 1)
+	var complaints atomic.Int32
+	server := newSource(t, files, func(error) { complaints.Add(1) })
+	client := newSource(t, tlsconf.Files{CA: ca.file}, func(err error) { t.Error(err) })
+	address := serve(t, server, false)
+	until := func(what string, ok func(serial int64) bool) {
+		t.Helper()
+		for deadline := time.Now().Add(20 * time.Second); ; time.Sleep(50 * time.Millisecond) {
+			serial, err := dial(client, address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if ok(serial) {
+				return
+			}
+			if time.Now().After(deadline) {
+				t.Fatalf("not in time: %s", what)
+			}
+		}
+	}
+	if err := os.WriteFile(files.Certificate, []byte("half"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	until("the broken file is told of, and the old one serves", func(serial int64) bool { return serial == 1 && complaints.Load() > 0 })
+	ca.issue(t, files, "127.0.0.1", 2)
+	until("the new one is shown", func(serial int64) bool { return serial == 2 })
+}
--- a/test/process/harness_test.go
+++ b/test/process/harness_test.go
@@ -143,6 +143,9 @@
 	Operators string `json:"operators"`
 }
 
+// allPlain names every interface: the stand-ins have no certificates.
+const allPlain = `"callers", "operators", "peers", "platform", "endpoints"`
+
 // instanceSettings writes the settings of an instance and its secrets, and
 // returns the file. extra is TOML appended to the settings.
 func instanceSettings(t *testing.T, name, zone, platform, extra string) string {
@@ -169,7 +172,9 @@
 key_files = { k1 = %q }
 [operator]
 token_file = %q
-%s`, name, zone, platform, write("session.key", "0123456789abcdef0123456789abcdef"), write("operator.token", operatorToken), extra)
+[tls]
+plain = [%s]
+%s`, name, zone, platform, write("session.key", "0123456789abcdef0123456789abcdef"), write("operator.token", operatorToken), allPlain, extra)
 	return write("settings.toml", text)
 }
 
