--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -18,6 +18,7 @@
 	"guavapier/internal/peer"
 	"guavapier/internal/platform"
 	"guavapier/internal/record"
+	"guavapier/internal/relay"
 	"guavapier/internal/replica"
 	"guavapier/internal/run"
 	"guavapier/internal/session"
@@ -59,6 +60,7 @@
 	members    *membership.Members
 	pool       *peer.Pool
 	peerServer *peer.Server
+	relay      *relay.Log
 	budgets    *ledger.Ledger
 	holder     *claim.Holder
 	claims     *claim.Fleet
@@ -96,9 +98,11 @@
 	for n := range s.Ledger.Partitions {
 		srv.partitions = append(srv.partitions, replica.New(record.LedgerStream(n), fold.NewLedger()))
 	}
-	srv.subscriber = platform.NewSubscriber(srv.client, srv.startStream)
 	srv.dispatcher = dispatch.NewWithOptions(placement(s, srv.id))
-	srv.joinPeers()
+	if err := srv.joinPeers(); err != nil {
+		return nil, err
+	}
+	srv.subscriber = platform.NewSubscriber(srv.relay, srv.startStream)
 	srv.clients = newEndpointClients(s.Limits, srv.links, srv.endpoints, srv.dispatcher)
 	if err := srv.joinBudgets(); err != nil {
 		return nil, err
