End a standalone run by one signal

Cause: its stand-ins closed with the signal that drains the instance, so the platform was gone when the instance wanted to return its grants, and the drain never ended. Shown: TestStandalonePrintsCommandsThatWork interrupts the run at its end; red with the stand-ins on the signal's context. Not measured.

--- a/internal/cli/standalone.go
+++ b/internal/cli/standalone.go
@@ -31,10 +31,14 @@
 	sampleModel    = "small"
 )
 
-// runStandalone runs an instance and all its stand-ins in this process.
+// runStandalone runs an instance and all its stand-ins in this process. The
+// stand-ins outlive the end of ctx until the instance has drained: it returns
+// its grants to the platform.
 func runStandalone(ctx context.Context, o output, callers, operators string) error {
-	group, ctx := errgroup.WithContext(ctx)
-	url, err := startStandins(ctx, group)
+	outside, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, outside := errgroup.WithContext(outside)
+	url, err := startStandins(outside, group)
 	if err != nil {
 		return err
 	}
@@ -54,7 +58,10 @@
 	if err != nil {
 		return err
 	}
-	group.Go(func() error { return srv.Run(ctx) })
+	group.Go(func() error {
+		defer stop()
+		return runUntilCut(ctx, srv)
+	})
 	if err := seedSample(ctx, srv.OperatorsAddr()); err != nil {
 		return err
 	}
--- a/test/process/standalone_test.go
+++ b/test/process/standalone_test.go
@@ -9,6 +9,7 @@
 	"regexp"
 	"strings"
 	"testing"
+	"time"
 )
 
 var (
@@ -17,8 +18,8 @@
 	curlBody   = regexp.MustCompile(`-d '([^']*)'`)
 )
 
-// startStandalone returns the curl commands that a standalone run prints.
-func startStandalone(t *testing.T) []string {
+// startStandalone returns the process and the curl commands that it prints.
+func startStandalone(t *testing.T) (*exec.Cmd, []string) {
 	t.Helper()
 	cmd := exec.Command(binary, "serve", "--standalone")
 	out, err := cmd.StdoutPipe()
@@ -43,15 +44,15 @@
 			commands[len(commands)-1] += " " + line
 		}
 		if strings.Contains(line, "/budgets/") {
-			return commands
+			return cmd, commands
 		}
 	}
 	t.Fatalf("no whole list of commands: %q", commands)
-	return nil
+	return nil, nil
 }
 
 func TestStandalonePrintsCommandsThatWork(t *testing.T) {
-	commands := startStandalone(t)
+	cmd, commands := startStandalone(t)
 	const want = 4 // A whole answer, a stream, a service call, the budget.
 	if len(commands) != want {
 		t.Fatalf("%d commands: %q", len(commands), commands)
@@ -65,6 +66,18 @@
 			t.Errorf("%s: %s", command, body)
 		}
 	}
+	// It holds grants now, and ends by one signal all the same.
+	ended := make(chan error, 1)
+	_ = cmd.Process.Signal(os.Interrupt)
+	go func() { ended <- cmd.Wait() }()
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Errorf("ended with %v", err)
+		}
+	case <-time.After(waitLimit):
+		t.Error("it did not end")
+	}
 }
 
 // runCurl does what a printed curl command would.
