--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -3,41 +3,42 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"os"
 	"strings"
 
+	"guavapier/internal/logging"
 	"guavapier/internal/server"
 	"guavapier/internal/session"
 	"guavapier/internal/settings"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/rotisserie/eris"
-	"github.com/rs/zerolog"
 )
 
 func serveCommand(o output) *ffcli.Command {
 	fs := newFlagSet("serve")
-	file := fs.String("settings", "", "settings file of this instance")
+	file := fs.String("settings", "", "settings `file` of this instance")
 	standalone := fs.Bool("standalone", false, "run one instance with built-in stand-ins on loopback")
-	return &ffcli.Command{
-		Name:       "serve",
-		ShortUsage: "guavapier serve -settings FILE | guavapier serve -standalone",
-		ShortHelp:  "Run an instance.",
-		LongHelp:   "Example:\n  guavapier serve -settings examples/guavapier.toml",
-		FlagSet:    fs,
-		Exec: func(ctx context.Context, _ []string) error {
+	callers := fs.String("callers", "127.0.0.1:0", "with -standalone: `IP:port` for callers; port 0 lets the kernel choose")
+	operators := fs.String("operators", "127.0.0.1:0", "with -standalone: `IP:port` for operators")
+	return leaf{
+		usage: "guavapier serve -settings FILE | guavapier serve -standalone [-callers IP:port] [-operators IP:port]",
+		help:  "Run an instance, or with -standalone one instance with built-in stand-ins on loopback.",
+		example: "guavapier serve -settings examples/guavapier.toml\n" +
+			"guavapier serve -standalone -callers 127.0.0.1:8080",
+		flags: fs,
+		run: func(ctx context.Context, _ []string) error {
 			switch {
 			case *standalone && *file != "":
-				return usagef("serve takes -settings FILE or -standalone, not both")
+				return usagef("it takes -settings FILE or -standalone, not both")
 			case *standalone:
-				return runStandalone(ctx, o)
+				return runStandalone(ctx, o, *callers, *operators)
 			case *file == "":
-				return usagef("serve needs -settings FILE or -standalone")
+				return usagef("it needs -settings FILE or -standalone")
 			}
 			return runInstance(ctx, o, *file)
 		},
-	}
+	}.command("serve")
 }
 
 func runInstance(ctx context.Context, o output, file string) error {
@@ -49,11 +50,15 @@
 	if err != nil {
 		return err
 	}
-	srv, err := server.New(s, secrets, newLogger(s.Log, o.err))
+	log, err := logging.New(s.Log, o.err)
+	if err != nil {
+		return err
+	}
+	srv, err := server.New(s, secrets, log)
 	if err != nil {
 		return err
 	}
-	return srv.Run(ctx)
+	return runUntilCut(ctx, srv)
 }
 
 func loadSecrets(s settings.Settings) (server.Secrets, error) {
@@ -82,31 +87,17 @@
 	return secret, nil
 }
 
-func newLogger(l settings.Log, w io.Writer) zerolog.Logger {
-	if l.Format == "console" {
-		w = zerolog.ConsoleWriter{Out: w, NoColor: true}
-	}
-	level, err := zerolog.ParseLevel(l.Level)
-	if err != nil {
-		level = zerolog.InfoLevel
-	}
-	return zerolog.New(w).Level(level).With().Timestamp().Logger()
-}
-
 func checkCommand(o output) *ffcli.Command {
-	return &ffcli.Command{
-		Name: "check", ShortUsage: "guavapier check FILE", ShortHelp: "Check a settings file.",
-		LongHelp: "Example:\n  guavapier check examples/guavapier.toml",
-		FlagSet:  newFlagSet("check"),
-		Exec: func(_ context.Context, args []string) error {
-			if len(args) != 1 {
-				return usagef("check takes one settings file, got %d arguments", len(args))
-			}
+	return leaf{
+		usage: "guavapier check FILE", help: "Report everything that is wrong with a settings file.",
+		example: "guavapier check examples/guavapier.toml",
+		args:    []string{"FILE"},
+		run: func(_ context.Context, args []string) error {
 			if _, err := settings.Load(args[0]); err != nil {
 				return err
 			}
 			fmt.Fprintln(o.out, args[0]+": ok")
 			return nil
 		},
-	}
+	}.command("check")
 }
--- a/internal/decide/sim_test.go
+++ b/internal/decide/sim_test.go
@@ -31,6 +31,8 @@
 	instance int
 	done     func(answered bool) // After its last word.
 	settled  bool
+	counted  bool // First sent in the window.
+	served   bool
 }
 
 type event struct {
@@ -56,9 +58,11 @@
 
 // tally is the outcome for the callers of one class, within the window.
 type tally struct {
-	calls, answered, refused, late, vain, gaveUp int
-	first                                        []float64 // Seconds, of the answered.
-	prompt, cached                               int
+	calls, served                         int       // Calls first sent in the window; those answered in the end.
+	answered, refused, late, vain, gaveUp int       // Events in the window.
+	first                                 []float64 // Seconds, of the answered.
+	prompt, cached                        int
+	ended, slow                           int // Whole answers; those with slow tokens.
 }
 
 // sim is the loop of events for a few routers before a few engines.
@@ -70,13 +74,14 @@
 	rng     *rand.Rand // Of the balancer and the reports.
 	load    *rand.Rand // Of the workload: the same under every policy.
 	started int        // Sessions.
+	open    int        // Calls without their last word.
 	routers []router
 	engines []*engineModel
 	byName  map[string]*engineModel
 	calls   []map[RequestID]*call
 	lastID  RequestID
 	from    Time // Of the window.
-	until   Time // Teams' answers count up to here: while all of them ask.
+	until   Time // Answers count up to here: later ones meet no load any more.
 
 	classes    [classCount]tally
 	teams      map[record.Team]int
@@ -92,6 +97,8 @@
 	reportsLost  = 0.1
 	promptAnswer = 20 * time.Millisecond // A refusal within it is prompt.
 	maxComings   = 3
+	slowToken    = 38 * time.Millisecond // Between tokens, as the users state it.
+	lastPart     = 20 * time.Second
 )
 
 func newSim(seed uint64, gpus []int, instances int, build func(i int) router) *sim {
@@ -171,11 +178,14 @@
 func (s *sim) send(c *call) {
 	s.lastID++
 	c.ID, c.sent, c.Deadline = s.lastID, s.now, s.now+c.wait
-	c.comings++
+	if c.comings++; c.comings == 1 {
+		s.open++
+	}
 	c.instance = s.rng.IntN(len(s.routers))
 	c.job = nil
 	s.calls[c.instance][c.ID] = c
 	if s.now >= s.from && c.comings == 1 {
+		c.counted = true
 		s.classes[c.Priority].calls++
 	}
 	s.routers[c.instance].Submit(c.Request)
@@ -264,6 +274,7 @@
 		s.violate("%v: call settled twice", s.now)
 	}
 	c.settled = true
+	s.open--
 	c.done(answered)
 }
 
@@ -289,23 +300,34 @@
 	if d, ok := s.routers[j.instance].(*Decider); ok {
 		d.FirstToken(j.id, s.now-j.started)
 	}
-	if s.now < s.from {
+	t := &s.classes[j.Priority]
+	if j.counted && !j.served {
+		t.served++
+	}
+	j.served = true
+	if s.now < s.from || s.now > s.until {
 		return
 	}
-	t := &s.classes[j.Priority]
 	t.answered++
 	t.first = append(t.first, (s.now - j.sent).Seconds())
 	t.prompt += j.PromptTokens
 	t.cached += j.cached
-	if s.now <= s.until {
-		s.teams[j.Team]++
-	}
+	s.teams[j.Team]++
 }
 
 func (s *sim) finish(j *job, r Result) {
 	j.ended = true
 	delete(s.calls[j.instance], j.id)
 	s.routers[j.instance].Finish(j.id, r)
+	if s.now >= s.from {
+		s.classes[j.Priority].ended++
+		if r.Total-r.FirstToken > slowToken*time.Duration(r.Tokens) {
+			s.classes[j.Priority].slow++
+		}
+	}
+	if s.now >= s.until-lastPart && s.now <= s.until {
+		j.engine.last++
+	}
 	s.settle(j.call, true)
 	s.tick(j.instance)
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
 	"github.com/google/uuid"
 
+	"guavapier/internal/fold"
 	"guavapier/internal/peer"
 	"guavapier/internal/record"
 	"guavapier/internal/right"
@@ -20,8 +22,8 @@
 	WitnessName = "Grants"
 )
 
-// Ledger is safe for concurrent use. Lock order: account.mu, then the locks of
-// package right. mu and peersMu are never held together with account.mu.
+// Ledger is safe for concurrent use. Lock order: tickMu, flushMu, a replica's
+// lock, mu, account.mu, then the locks of package right. peersMu is held alone.
 type Ledger struct {
 	Config
 	batcher *right.Batcher[record.Outstanding]
@@ -84,7 +86,14 @@
 	if r, err, done := l.reserveAtOwner(ctx, budget, use); done {
 		return r, err
 	}
-	return l.reserveHere(ctx, l.Self, right.UseID(uuid.NewString()), budget, use)
+	r, err := l.reserveHere(ctx, l.Self, right.UseID(uuid.NewString()), budget, use)
+	if !errors.Is(err, ErrStranded) {
+		return r, err
+	}
+	if far, ok := l.reserveElsewhere(ctx, budget, use); ok {
+		return far, nil
+	}
+	return r, err
 }
 
 // Settle ends a reservation: it bills what the request used and frees the
@@ -104,7 +113,8 @@
 func (l *Ledger) reserveHere(ctx context.Context, from record.InstanceID, id right.UseID, budget record.BudgetID, use record.Outstanding) (Reservation, error) {
 	ctx, cancel := context.WithTimeout(ctx, l.Options.Patience)
 	defer cancel()
-	a := l.account(budget)
+	a := l.acquire(budget)
+	defer l.release(a)
 	for {
 		if l.stopping() {
 			return Reservation{}, &Stranded{Reason: "this instance is stopping", RetryAfter: retryBusy}
@@ -142,9 +152,15 @@
 	return l.draining
 }
 
+// account returns a budget's account. Whoever may add a grant to it keeps it
+// with acquire, or runs within a tick.
 func (l *Ledger) account(budget record.BudgetID) *account {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.accountLocked(budget)
+}
+
+func (l *Ledger) accountLocked(budget record.BudgetID) *account {
 	a, ok := l.accounts[budget]
 	if !ok {
 		a = &account{budget: budget, part: l.Partitions.Of(budget.Team)}
@@ -153,6 +169,46 @@
 	return a
 }
 
+// acquire keeps an account from being pruned until release. There must never
+// be two accounts for one budget: both would draw on the same grant.
+func (l *Ledger) acquire(budget record.BudgetID) *account {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.accountLocked(budget)
+	a.users++
+	return a
+}
+
+func (l *Ledger) release(a *account) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a.users--
+}
+
+// prune drops the accounts that hold nothing and that nobody uses. It runs
+// within a tick.
+func (l *Ledger) prune() {
+	now := l.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for budget, a := range l.accounts {
+		if a.users == 0 && a.empty(now) {
+			delete(l.accounts, budget)
+		}
+	}
+}
+
+// accountsOf returns the accounts of each partition.
+func (l *Ledger) accountsOf() map[record.Stream][]*account {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := map[record.Stream][]*account{}
+	for _, a := range l.accounts {
+		out[a.part.Stream()] = append(out[a.part.Stream()], a)
+	}
+	return out
+}
+
 func (l *Ledger) allAccounts() []*account {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -163,6 +219,47 @@
 	return out
 }
 
+// GrantState is one open grant in the state dump: an operator finds here which
+// right a forced close would name.
+type GrantState struct {
+	fold.Grant
+	// Free and Reserved are known of this instance's own grants only.
+	Free     int64 `json:"free,omitempty"`
+	Reserved int   `json:"reserved,omitempty"`
+	Retired  bool  `json:"retired,omitempty"`
+}
+
+// State returns all open grants that the fold knows.
+func (l *Ledger) State() []GrantState {
+	rows := []GrantState{}
+	for _, part := range l.Partitions {
+		var open []fold.Grant
+		part.View(func(f *fold.Ledger) {
+			for _, b := range f.Budgets() {
+				open = append(open, f.OpenGrants(b.ID)...)
+			}
+		})
+		for _, g := range open {
+			rows = append(rows, l.grantState(g))
+		}
+	}
+	return rows
+}
+
+func (l *Ledger) grantState(row fold.Grant) GrantState {
+	out := GrantState{Grant: row}
+	if row.Holder != l.Self {
+		return out
+	}
+	a := l.account(row.Budget)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if g := a.find(row.Right); g != nil {
+		out.Free, out.Reserved, out.Retired = g.free, len(g.reserved), g.retired
+	}
+	return out
+}
+
 // noPeers is the caller of an instance that has no peers.
 type noPeers struct{}
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -18,6 +18,7 @@
 	"guavapier/internal/peer"
 	"guavapier/internal/platform"
 	"guavapier/internal/record"
+	"guavapier/internal/relay"
 	"guavapier/internal/replica"
 	"guavapier/internal/run"
 	"guavapier/internal/session"
@@ -52,16 +53,20 @@
 	publisher  *platform.Publisher
 	config     *replica.Replica[*fold.Config]
 	partitions ledger.Partitions
+	subscriber *platform.Subscriber
 	dispatcher *dispatch.Dispatcher
 	clients    *endpointClients
+	endpoints  *endpointTable
 	members    *membership.Members
 	pool       *peer.Pool
 	peerServer *peer.Server
+	relay      *relay.Log
 	budgets    *ledger.Ledger
 	holder     *claim.Holder
 	claims     *claim.Fleet
 	runner     *run.Runner
 	draining   atomic.Bool
+	inFlight   atomic.Int64 // Callers' requests that have no whole answer yet.
 	// tables and metrics are where each part registers what it shows.
 	tables  *state.Registry
 	metrics *metrics.Registry
@@ -86,8 +91,11 @@
 		srv.partitions = append(srv.partitions, replica.New(record.LedgerStream(n), fold.NewLedger()))
 	}
 	srv.dispatcher = dispatch.NewWithOptions(placement(s, srv.id))
-	srv.joinPeers()
-	srv.clients = newEndpointClients(s.Limits, srv.members, srv.dispatcher)
+	if err := srv.joinPeers(); err != nil {
+		return nil, err
+	}
+	srv.subscriber = platform.NewSubscriber(srv.relay, srv.startStream)
+	srv.clients = newEndpointClients(s.Limits, srv.endpoints, srv.dispatcher)
 	if err := srv.joinBudgets(); err != nil {
 		return nil, err
 	}
@@ -96,7 +104,7 @@
 	}
 	srv.runner = &run.Runner{
 		Claims: srv.claims, Accounts: srv.budgets,
-		Placer: srv.dispatcher, Endpoints: endpoints{srv.members},
+		Placer: srv.dispatcher, Endpoints: srv.endpoints,
 		Engines: srv.clients.engines, Services: srv.clients.services,
 		Finder: srv.finder(), Repeats: repeatRules{srv.config}, Limits: runLimits(s.Limits), Leaving: srv.leaving,
 		OnError: func(err error) { log.Error().Err(err).Msg("run: background error") },
@@ -108,10 +116,10 @@
 func (s *Server) listen() error {
 	var err error
 	if s.callers, err = net.Listen("tcp", s.settings.Instance.Callers); err != nil {
-		return eris.Wrap(err, "server: listen for callers")
+		return eris.Wrap(err, "server: listen for callers; give another address if this one is taken")
 	}
 	if s.operators, err = net.Listen("tcp", s.settings.Instance.Operators); err != nil {
-		return eris.Wrap(err, "server: listen for operators")
+		return eris.Wrap(err, "server: listen for operators; give another address if this one is taken")
 	}
 	return s.listenPeers()
 }
@@ -130,6 +138,7 @@
 	operators := &http.Server{Handler: s.operatorsHandler(), ReadHeaderTimeout: 10 * time.Second}
 	var group errgroup.Group
 	group.Go(func() error { return s.follow(background) })
+	group.Go(func() error { s.snapshotWriter().Run(background); return nil })
 	group.Go(func() error { s.clients.poller.Run(background); return nil })
 	group.Go(func() error { s.members.Run(background, s.pool); return nil })
 	group.Go(func() error { s.holder.Run(background); return nil })
@@ -170,22 +179,6 @@
 	}
 }
 
-func (s *Server) follow(ctx context.Context) error {
-	onError := func(err error) { s.log.Error().Err(err).Msg("replica: batch passed over") }
-	sources := []replica.Source{{Stream: record.ConfigStream, Handler: s.config.Handle(onError)}}
-	for _, p := range s.partitions {
-		if !s.follows(p) {
-			continue
-		}
-		sources = append(sources, replica.Source{Stream: p.Stream(), Handler: p.Handle(onError)})
-	}
-	trimmed := func(stream record.Stream, first uint64) {
-		s.log.Error().Str("stream", string(stream)).Uint64("first", first).Msg("replica: records aged out unread")
-	}
-	sub := platform.NewSubscriber(s.client, func(record.Stream) uint64 { return 0 }, trimmed)
-	return replica.Follow(ctx, sub, sources)
-}
-
 func (s *Server) callersHandler() http.Handler {
 	limits := s.settings.Limits
 	c := &entry.Callers{
@@ -196,11 +189,22 @@
 			BytesPerToken: limits.PromptBytesPerToken, Read: readWithin, Write: writeWithin, Heartbeat: callerHeartbeat,
 			FirstToken: limits.FirstToken.D(), ServiceAnswer: limits.ServiceAnswer.D(),
 		},
-		Ready: func() bool { return !s.draining.Load() && s.members.Seen() },
+		Ready: func() bool { return !s.draining.Load() && s.members.Seen() && s.current() },
 	}
-	return c.Handler()
+	return s.metrics.Measure(metrics.CallersHTTP, s.countInFlight(c.Handler()))
 }
 
+func (s *Server) countInFlight(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.inFlight.Add(1)
+		defer s.inFlight.Add(-1)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// InFlight returns how many callers' requests have no whole answer yet.
+func (s *Server) InFlight() int64 { return s.inFlight.Load() }
+
 func ignoreClosed(err error) error {
 	if eris.Is(err, http.ErrServerClosed) {
 		return nil
