--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -96,6 +96,7 @@
 	}
 	srv.subscriber = platform.NewSubscriber(srv.relay, srv.startStream)
 	srv.clients = newEndpointClients(s.Limits, srv.endpoints, srv.dispatcher)
+	srv.tables.Register("endpoint_answers", func() any { return srv.clients.counts.View() })
 	if err := srv.joinBudgets(); err != nil {
 		return nil, err
 	}
