Keep settlements for paused owners, and an optional spare in another zone

Cause: 1300 checks of the state machine found instances that never finish a drain: a settlement was dropped for an owner that was paused and came back, and a reserve call that was delivered after its let-go reserved for good. Change: let-goes are remembered before they are applied, settlements are kept for ten minutes and until the owner's grants are closed, a drain does not wait for owners that don't answer. SpareOtherZone replaces SpareOtherWitness: as much again in grants with a far witness. Renewals ahead rest after a failure; excess goes back from the grants that have it. Still red: (one of about 4000 checks), a drain that waits for a reservation of another instance.

--- a/internal/ledger/account.go
+++ b/internal/ledger/account.go
@@ -44,6 +44,7 @@
 	held     *held
 	free     int64
 	retired  bool // Takes no more reservations.
+	far      bool // Its witness is in another zone.
 	reserved map[right.UseID]*hold
 	unbilled map[right.UseID]record.Bill // Bills not known to be on the log.
 	// returns counts the returns; returning is the one not known to have taken
@@ -64,14 +65,15 @@
 func (g *grant) usable() bool { return !g.retired && g.held.Err() == nil }
 
 // take sets tokens aside in the fullest usable grant that has them: an almost
-// empty one is left to the small requests. It returns nil if no grant has them.
+// empty one is left to the small requests. Grants with a far witness come
+// last. It returns nil if no grant has them.
 func (a *account) take(id right.UseID, from record.InstanceID, use record.Outstanding, now time.Time) *grant {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.need = use.Tokens
 	var best *grant
 	for _, g := range a.grants {
-		if g.usable() && g.free >= use.Tokens && (best == nil || g.free > best.free) {
+		if g.usable() && g.free >= use.Tokens && (best == nil || g.before(best)) {
 			best = g
 		}
 	}
@@ -85,6 +87,13 @@
 	return best
 }
 
+func (g *grant) before(other *grant) bool {
+	if g.far != other.far {
+		return other.far
+	}
+	return g.free > other.free
+}
+
 // counted marks a reservation as acknowledged. It returns false if the grant
 // was closed meanwhile: its close accounts for the reservation.
 func (a *account) counted(g *grant, id right.UseID) bool {
@@ -168,10 +177,14 @@
 
 // free returns the tokens that are free in usable grants. It is called with
 // the lock held.
-func (a *account) free() int64 {
+func (a *account) free() int64 { return a.freeOf(false) + a.freeOf(true) }
+
+// freeOf counts the grants with a far witness, or the others. It is called with
+// the lock held.
+func (a *account) freeOf(far bool) int64 {
 	var sum int64
 	for _, g := range a.grants {
-		if g.usable() {
+		if g.usable() && g.far == far {
 			sum += g.free
 		}
 	}
@@ -195,11 +208,17 @@
 // with the grants until they are known to have taken effect. It is called with
 // the lock held.
 func (a *account) giveBack(self record.InstanceID, tokens int64) []record.Record {
+	return a.giveBackOf(self, tokens, func(*grant) bool { return true })
+}
+
+// giveBackOf gives back tokens of some grants only. It is called with the lock
+// held.
+func (a *account) giveBackOf(self record.InstanceID, tokens int64, from func(*grant) bool) []record.Record {
 	var out []record.Record
 	for i := len(a.grants) - 1; i >= 0 && tokens > 0; i-- {
 		g := a.grants[i]
 		part := min(g.free, tokens)
-		if part <= 0 || g.returning != nil {
+		if part <= 0 || g.returning != nil || !from(g) {
 			continue
 		}
 		out = append(out, g.giveBack(self, part))
--- a/internal/ledger/machine_test.go
+++ b/internal/ledger/machine_test.go
@@ -30,7 +30,7 @@
 func machineOptions() ledger.Options {
 	return ledger.Options{
 		GrantTokens: 100, Patience: 10 * time.Millisecond, TickEvery: time.Hour, PeerWait: 4 * time.Millisecond,
-		AckAttempts: 1, SealTries: 1, SuspectFor: 2 * time.Second, Spare: ledger.SpareOtherWitness,
+		AckAttempts: 1, SealTries: 1, SuspectFor: 2 * time.Second, Spare: ledger.SpareOtherZone,
 	}
 }
 
@@ -310,7 +310,7 @@
 	for _, n := range m.w.nodes {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		if err := n.ledger.Close(ctx); err != nil {
-			t.Fatalf("%s does not leave: %v", n.id, err)
+			t.Fatalf("%s does not leave: %v; it knows %+v", n.id, err, n.ledger.State())
 		}
 		cancel()
 	}
--- a/internal/ledger/policy_bench_test.go
+++ b/internal/ledger/policy_bench_test.go
@@ -21,7 +21,7 @@
 		{"lean0.5", func() policy { return newAdaptive(0.5, ledger.SpareNone) }},
 		{"lean0.8", func() policy { return newAdaptive(0.8, ledger.SpareNone) }},
 		{"lean1", func() policy { return newAdaptive(1, ledger.SpareNone) }},
-		{"lean1-otherwitness", func() policy { return newAdaptive(1, ledger.SpareOtherWitness) }},
+		{"lean1-otherzone", func() policy { return newAdaptive(1, ledger.SpareOtherZone) }},
 		{"lean1-unwitnessed", func() policy { return newAdaptive(1, ledger.SpareUnwitnessed) }},
 	}
 	for _, f := range []fault{noFault, zoneCut, holderDies, farTopUp, oneTeam, deadInOutage} {
--- a/internal/ledger/remote.go
+++ b/internal/ledger/remote.go
@@ -6,13 +6,20 @@
 	"sync"
 	"time"
 
+	"guavapier/internal/fold"
 	"guavapier/internal/record"
 
 	"github.com/google/uuid"
 )
 
-// maxLateSettlements bounds what is kept for owners that do not answer.
-const maxLateSettlements = 1 << 16
+const (
+	// maxLateSettlements bounds what is kept for owners that do not answer.
+	maxLateSettlements = 1 << 16
+	// keepTries is how many failed calls in a row, about ten minutes of ticks,
+	// settlements are kept for. An owner that was paused may find a reserve
+	// call in its buffers when it goes on, and must hear that it was let go.
+	keepTries = 1200
+)
 
 // owner returns the instance to reserve at: this one where no other is wanted
 // or known.
@@ -181,13 +188,14 @@
 	}
 }
 
-// retry sends again what failed. An owner that did not answer SealTries times
-// and is not listed any more counts as gone: its witness closes its grants.
+// retry sends again what failed. An owner that does not answer may be paused
+// and come back, so its settlements are kept for keepTries, and after that
+// until the fold has closed all its grants: then nothing is left to settle.
 func (s *remoteSettler) retry() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for owner, q := range s.owners {
-		if !q.busy && q.tries >= s.l.Options.SealTries && !stays(owner, s.l.live()) {
+		if !q.busy && q.tries >= keepTries && !s.l.holdsAny(owner) {
 			delete(s.owners, owner)
 			continue
 		}
@@ -195,9 +203,27 @@
 	}
 }
 
-// empty says whether nothing is left that an owner could still take.
+// holdsAny says whether the fold knows an open grant of an instance.
+func (l *Ledger) holdsAny(id record.InstanceID) bool {
+	for _, part := range l.Partitions {
+		open := 0
+		part.View(func(f *fold.Ledger) { open = len(f.HeldBy(id)) })
+		if open > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// empty says whether nothing is left that an owner which answers could still
+// take. The usage that the others don't learn is on the log as bills.
 func (s *remoteSettler) empty() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.owners) == 0
+	for _, q := range s.owners {
+		if q.tries < s.l.Options.SealTries {
+			return false
+		}
+	}
+	return true
 }
--- a/internal/ledger/renew.go
+++ b/internal/ledger/renew.go
@@ -63,6 +63,9 @@
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		a.renewal = nil
+		if err != nil && need == 0 {
+			a.askAgain = l.Now().Add(askPause)
+		}
 		r.err = err
 		close(r.done)
 	})
@@ -74,14 +77,44 @@
 func (l *Ledger) renewAhead(a *account) {
 	now := l.Now()
 	live := l.live()
+	keepsFar := l.keepsFar(live)
 	a.mu.Lock()
-	due := a.renewal == nil && !now.Before(a.askAgain) && (Low(l.demand(a, now)) || a.witnessLeaves(live))
+	due := a.renewal == nil && !now.Before(a.askAgain) && (l.low(a, now, keepsFar) || a.witnessLeaves(live))
 	a.mu.Unlock()
 	if due {
 		l.startRenewal(a, 0, l.Go)
 	}
 }
 
+// low says whether a grant is due ahead. It is called with the account's lock
+// held.
+func (l *Ledger) low(a *account, now time.Time, keepsFar bool) bool {
+	d := l.demand(a, now)
+	if !keepsFar {
+		return Low(d)
+	}
+	d.Free = a.freeOf(false)
+	if Low(d) {
+		return true
+	}
+	d.Free = a.freeOf(true)
+	return Low(d)
+}
+
+// wantsFar says whether the next grant ahead is one with a far witness: the
+// near ones are full.
+func (l *Ledger) wantsFar(a *account, keepsFar bool) bool {
+	if !keepsFar {
+		return false
+	}
+	now := l.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	d := l.demand(a, now)
+	d.Free = a.freeOf(false)
+	return !Low(d)
+}
+
 // demand is called with the account's lock held. It lacks what the fold knows.
 func (l *Ledger) demand(a *account, now time.Time) Demand {
 	return Demand{
@@ -106,9 +139,11 @@
 				return err
 			}
 		}
-		witness := l.chooseWitness(a)
+		keepsFar := l.keepsFar(l.live())
+		far := need == 0 && l.wantsFar(a, keepsFar)
+		witness := l.chooseWitness(a, far)
 		var size int64
-		size, err = l.size(a, need, view, witness)
+		size, err = l.size(a, need, view, sizing{unwitnessed: witness == "", keepsFar: keepsFar, far: far})
 		if err != nil || size == 0 {
 			return err
 		}
@@ -120,12 +155,15 @@
 	return &Stranded{Reason: "others drew faster", RetryAfter: retryBusy}
 }
 
+// sizing is the kind of grant to size.
+type sizing struct{ unwitnessed, keepsFar, far bool }
+
 // size returns the size of the grant to ask for, 0 for none. While peers exist
 // but none can be witness, one grant without a witness is enough, and a small
 // one: what is left of it is lost with its holder.
-func (l *Ledger) size(a *account, need int64, view budgetView, witness record.InstanceID) (int64, error) {
+func (l *Ledger) size(a *account, need int64, view budgetView, kind sizing) (int64, error) {
 	now := l.Now()
-	cautious := witness == "" && len(l.live()) > 1
+	cautious := kind.unwitnessed && len(l.live()) > 1
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if need > 0 && view.left() < need {
@@ -133,6 +171,9 @@
 	}
 	d := l.demand(a, now)
 	d.Left, d.Holders = view.left(), view.others(l.Self)
+	if kind.keepsFar {
+		d.Free = a.freeOf(kind.far)
+	}
 	if cautious {
 		d.Rate, d.First = 0, l.Options.GrantTokens
 	}
@@ -219,6 +260,7 @@
 		return
 	}
 	live := l.live()
+	far := row.Witness != "" && l.keepsFar(live) && !zonesOf(live, l.Zone)[row.Witness]
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.find(row.Right) != nil {
@@ -234,7 +276,7 @@
 		held: right.NewHeld(right.Terms{
 			Right: row.Right, Holder: row.Holder, Witness: row.Witness, Stream: a.part.Stream(), Offset: row.Offset,
 		}, l.batcher),
-		free: row.Tokens, returns: row.Returns,
+		free: row.Tokens, returns: row.Returns, far: far,
 		reserved: map[right.UseID]*hold{}, unbilled: map[right.UseID]record.Bill{},
 	})
 	if a.lastUse.IsZero() {
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -131,18 +131,15 @@
 }
 
 // Settle ends reservations that this instance holds for others. One that it
-// does not know was settled before, or will arrive too late.
+// does not know was settled before, or will arrive too late. A reservation
+// whose asker lost the answer is remembered as let go first, so that no copy
+// of its call, however late, reserves again.
 func (s *Service) Settle(args SettleArgs, _ *SettleReply) error {
 	for _, item := range args.Items {
-		a := s.l.account(item.Budget)
-		if a.settleByID(item.Reservation, item.Used, s.l.Now()) {
-			continue
-		}
 		if item.Reservation.Right == "" {
 			s.drop(item.Reservation.ID)
-			// It may have been reserved between the two looks.
-			a.settleByID(item.Reservation, item.Used, s.l.Now())
 		}
+		s.l.account(item.Budget).settleByID(item.Reservation, item.Used, s.l.Now())
 	}
 	return nil
 }
--- a/internal/ledger/tick.go
+++ b/internal/ledger/tick.go
@@ -132,8 +132,12 @@
 			g.giveBack(l.Self, g.free)
 		}
 	}
-	if excess := Excess(l.demand(a, now)); excess > 0 {
-		a.giveBack(l.Self, excess)
+	d := l.demand(a, now)
+	for _, far := range []bool{false, true} {
+		d.Free = a.freeOf(far)
+		if excess := Excess(d); excess > 0 {
+			a.giveBackOf(l.Self, excess, func(g *grant) bool { return g.far == far })
+		}
 	}
 }
 
--- a/internal/ledger/types.go
+++ b/internal/ledger/types.go
@@ -112,9 +112,9 @@
 const (
 	// SpareNone keeps one witness until it fails.
 	SpareNone Spare = iota
-	// SpareOtherWitness takes each next grant with another witness than the
-	// one before, where there are three instances or more.
-	SpareOtherWitness
+	// SpareOtherZone keeps as much again in grants whose witness is in another
+	// zone, where this zone has a witness too.
+	SpareOtherZone
 	// SpareUnwitnessed keeps one small grant without a witness.
 	SpareUnwitnessed
 )
--- a/internal/ledger/view.go
+++ b/internal/ledger/view.go
@@ -109,33 +109,71 @@
 	return ok
 }
 
-// chooseWitness applies Options.Spare.
-func (l *Ledger) chooseWitness(a *account) record.InstanceID {
+// chooseWitness applies Options.Spare: far asks for a witness in another zone.
+func (l *Ledger) chooseWitness(a *account, far bool) record.InstanceID {
 	if l.Peers == nil {
 		return ""
 	}
+	if l.Options.Spare == SpareUnwitnessed && a.unwitnessed() == 0 && a.usable() > 0 {
+		return ""
+	}
 	live := l.live()
-	used := map[record.InstanceID]bool{}
-	unwitnessed := 0
+	if far {
+		near := zonesOf(live, l.Zone)
+		return ChooseWitness(l.Self, l.Zone, live, func(id record.InstanceID) bool { return near[id] || l.suspected(id) })
+	}
+	return ChooseWitness(l.Self, l.Zone, live, l.suspected)
+}
+
+// zonesOf returns the instances of a zone.
+func zonesOf(live []platform.Instance, zone record.Zone) map[record.InstanceID]bool {
+	out := map[record.InstanceID]bool{}
+	for _, in := range live {
+		if in.Zone == zone {
+			out[in.ID] = true
+		}
+	}
+	return out
+}
+
+// keepsFar says whether a spare in another zone is wanted and possible: there
+// is a witness in this zone, and one elsewhere.
+func (l *Ledger) keepsFar(live []platform.Instance) bool {
+	if l.Options.Spare != SpareOtherZone {
+		return false
+	}
+	near, far := false, false
+	for _, in := range live {
+		if in.ID == l.Self || in.Leaving {
+			continue
+		}
+		near, far = near || in.Zone == l.Zone, far || in.Zone != l.Zone
+	}
+	return near && far
+}
+
+func (a *account) unwitnessed() int {
 	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := 0
 	for _, g := range a.grants {
-		if witness := g.held.Terms().Witness; g.usable() && witness == "" {
-			unwitnessed++
-		} else if g.usable() {
-			used[witness] = true
+		if g.usable() && g.held.Terms().Witness == "" {
+			n++
 		}
 	}
-	a.mu.Unlock()
-	if l.Options.Spare == SpareUnwitnessed && len(used) > 0 && unwitnessed == 0 {
-		return ""
-	}
-	if l.Options.Spare == SpareOtherWitness && len(live) >= 3 {
-		other := ChooseWitness(l.Self, l.Zone, live, func(id record.InstanceID) bool { return used[id] || l.suspected(id) })
-		if other != "" {
-			return other
+	return n
+}
+
+func (a *account) usable() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := 0
+	for _, g := range a.grants {
+		if g.usable() {
+			n++
 		}
 	}
-	return ChooseWitness(l.Self, l.Zone, live, l.suspected)
+	return n
 }
 
 func isLost(err error) bool {
