--- a/internal/ledger/scenario_test.go
+++ b/internal/ledger/scenario_test.go
@@ -11,6 +11,7 @@
 
 	"guavapier/internal/ledger"
 	"guavapier/internal/record"
+	"guavapier/internal/right"
 )
 
 func (n *node) reserve(key string, tokens int64) (ledger.Reservation, error) {
@@ -154,3 +155,35 @@
 		}
 	})
 }
+
+// TestReserveCallsThatArriveLateOrTwice: a copy of a reserve call reserves
+// nothing, and neither does a call that arrives after its asker let go.
+func TestReserveCallsThatArriveLateOrTwice(t *testing.T) {
+	w, _, _ := pair(t)
+	n := w.nodes[2]
+	call := func(id string) error {
+		var reply ledger.ReserveReply
+		use := record.Outstanding{Key: record.RequestKey{Team: "dala", Key: id}, Tokens: 5}
+		if err := n.service.Reserve(ledger.ReserveArgs{From: "i3", ID: right.UseID(id), Budget: mainBudget, Use: use}, &reply); err != nil {
+			t.Fatal(err)
+		}
+		return reply.Err()
+	}
+	letGo := func(id string) {
+		item := ledger.Settlement{Budget: mainBudget, Reservation: ledger.Reservation{ID: right.UseID(id)}}
+		_ = n.service.Settle(ledger.SettleArgs{Items: []ledger.Settlement{item}}, &ledger.SettleReply{})
+	}
+	if first, second := call("twice"), call("twice"); first != nil || !errors.Is(second, ledger.ErrStranded) {
+		t.Fatalf("first %v, copy %v", first, second)
+	}
+	letGo("twice")
+	letGo("late")
+	if err := call("late"); !errors.Is(err, ledger.ErrStranded) {
+		t.Fatalf("after it was let go: %v", err)
+	}
+	for _, g := range n.ledger.State() {
+		if g.Holder == n.id && g.Reserved > 0 {
+			t.Fatalf("a reservation is left: %+v", g)
+		}
+	}
+}
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -91,23 +91,48 @@
 type Service struct {
 	l *Ledger
 
-	mu      sync.Mutex // Guards dropped and order.
-	dropped map[useID]struct{}
-	order   []useID
+	mu      sync.Mutex // Guards both sets.
+	begun   idSet      // Reserve calls that were begun: a copy reserves nothing.
+	dropped idSet      // Reservations that their askers let go.
 }
 
-// maxDropped is how many settled identities are remembered, so that a reserve
-// call that arrives after its settlement reserves nothing.
-const maxDropped = 4096
+// maxRemembered bounds a set of identities; the oldest are forgotten.
+const maxRemembered = 4096
+
+type idSet struct {
+	ids   map[useID]struct{}
+	order []useID
+}
+
+// add returns false if the set has id already.
+func (s *idSet) add(id useID) bool {
+	if _, ok := s.ids[id]; ok {
+		return false
+	}
+	if s.ids == nil {
+		s.ids = map[useID]struct{}{}
+	}
+	s.ids[id] = struct{}{}
+	s.order = append(s.order, id)
+	if len(s.order) > maxRemembered {
+		delete(s.ids, s.order[0])
+		s.order = s.order[1:]
+	}
+	return true
+}
 
 // NewService returns the service of l.
-func NewService(l *Ledger) *Service { return &Service{l: l, dropped: map[useID]struct{}{}} }
+func NewService(l *Ledger) *Service { return &Service{l: l} }
 
 // Ping answers.
 func (s *Service) Ping(PingArgs, *PingReply) error { return nil }
 
 // Reserve reserves for another instance of the zone.
 func (s *Service) Reserve(args ReserveArgs, reply *ReserveReply) error {
+	if !s.begin(args.ID) {
+		reply.Refusal, reply.Reason, reply.RetryAfter = RefusedStranded, "a copy of an earlier call", retryBusy
+		return nil
+	}
 	ctx, cancel := s.context()
 	defer cancel()
 	r, err := s.l.reserveHere(ctx, args.From, args.ID, args.Budget, args.Use)
@@ -159,21 +184,22 @@
 	return context.WithTimeout(context.Background(), s.l.Options.PeerWait/2)
 }
 
+func (s *Service) begin(id useID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.begun.add(id)
+}
+
 func (s *Service) drop(id useID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.dropped[id] = struct{}{}
-	s.order = append(s.order, id)
-	if len(s.order) > maxDropped {
-		delete(s.dropped, s.order[0])
-		s.order = s.order[1:]
-	}
+	s.dropped.add(id)
 }
 
 func (s *Service) wasDropped(id useID) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, ok := s.dropped[id]
+	_, ok := s.dropped.ids[id]
 	return ok
 }
 
