Let the stream tests start from a fleet whose claim shards have witnesses

The log of a failed run shows that the first request came while the first instance still held its shards without a witness and was giving them up; the claim of a repeatable request is kept by holder and witness only, so it ended with that epoch. That is as documented (docs/adr/0021), and no bill was doubled. Ruled out: the abort of a superseded attempt, which matches its own attempt only. Change: the test's fleet waits until every shard has holder and witness. No assertion changed.

--- a/test/process/stream_test.go
+++ b/test/process/stream_test.go
@@ -51,6 +51,11 @@
 	for _, in := range f.instances {
 		eventually(t, "all instances know each other", func() bool { return in.knows(t) == instances })
 	}
+	if instances > 1 {
+		for _, in := range f.instances {
+			eventually(t, "every claim shard has holder and witness", func() bool { return in.shardsSettled(t) })
+		}
+	}
 	f.key = seedTeam(t, f.instances[0].operators, "dala", fleetTokens)
 	for _, in := range f.instances {
 		eventually(t, "credential in force", func() bool {
@@ -74,6 +79,31 @@
 	return len(dump.Members.Instances)
 }
 
+// shardsSettled says whether the fold of this instance has a holder and a
+// witness for every claim shard of requests without a session. The first
+// instance of a fleet holds shards without a witness; the repeatable claims of
+// such an epoch end with their holder.
+func (in *instance) shardsSettled(t *testing.T) bool {
+	t.Helper()
+	const partitions = 8
+	var dump struct {
+		Claims []struct {
+			Zone, Witness string
+			Closed        bool
+		} `json:"claims"`
+	}
+	if err := json.Unmarshal([]byte(mustCall(t, http.MethodGet, in.operators+"/state", operatorToken, nil).body), &dump); err != nil {
+		t.Fatal(err)
+	}
+	settled := 0
+	for _, shard := range dump.Claims {
+		if shard.Zone == "" && shard.Witness != "" && !shard.Closed {
+			settled++
+		}
+	}
+	return settled == partitions
+}
+
 // list puts the endpoints on the instance list, one of them as leaving.
 func (f *fleet) list(leaving string) {
 	f.t.Helper()
