--- a/internal/fold/config.go
+++ b/internal/fold/config.go
@@ -1,7 +1,7 @@
 package fold
 
 import (
-	"maps"
+	"cmp"
 	"slices"
 	"strings"
 
@@ -13,8 +13,8 @@
 
 // ResultWindow is for how many offsets of the configuration stream the fold
 // remembers a change's identity and result. A retry after that is a new change, which its base versions judge. At 2,100
-// changes a day, two instances that write snapshots included, it is more than
-// a day; a change is at most config.MaxChangeBytes, which bounds the memory.
+// changes a day and an hourly snapshot of 40 chunks it is more than a day; a
+// change is at most config.MaxChangeBytes, which bounds the memory.
 const ResultWindow = 4096
 
 // Value is one row of the settings table.
@@ -92,11 +92,12 @@
 // List returns the values at and below a path, by path.
 func (c *Config) List(prefix string) []Value {
 	out := []Value{}
-	for _, path := range slices.Sorted(maps.Keys(c.values)) {
+	for path, v := range c.values {
 		if Within(path, prefix) {
-			out = append(out, c.values[path])
+			out = append(out, v)
 		}
 	}
+	slices.SortFunc(out, func(a, b Value) int { return cmp.Compare(a.Path, b.Path) })
 	return out
 }
 
--- a/internal/server/operators.go
+++ b/internal/server/operators.go
@@ -22,7 +22,7 @@
 	o := &operator.Interface{
 		Token: s.secrets.Operator, Log: s.publisher, Config: s.config, Ledgers: s.partitions,
 		State: s.tables, Metrics: s.metrics, Instances: s.instances, Patience: changePatience,
-		ForceClose: s.ForceClose,
+		ForceClose: s.ForceClose, CloseShard: s.holder.ForceClose,
 	}
 	return s.metrics.Measure(metrics.OperatorsHTTP, o.Handler())
 }
@@ -53,6 +53,7 @@
 	})
 	s.tables.Register("applied", func() any { return s.applied() })
 	s.tables.Register("members", func() any { return s.members.List() })
+	s.tables.Register("live", func() any { return s.members.Live() })
 	s.tables.Register("budgets", func() any { return s.budgetRows() })
 	s.tables.Register("config", func() any {
 		var values []fold.Value
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -18,6 +18,7 @@
 	"guavapier/internal/peer"
 	"guavapier/internal/platform"
 	"guavapier/internal/record"
+	"guavapier/internal/relay"
 	"guavapier/internal/replica"
 	"guavapier/internal/run"
 	"guavapier/internal/session"
@@ -55,18 +56,22 @@
 	subscriber *platform.Subscriber
 	dispatcher *dispatch.Dispatcher
 	clients    *endpointClients
+	endpoints  *endpointTable
 	members    *membership.Members
 	pool       *peer.Pool
 	peerServer *peer.Server
+	relay      *relay.Log
 	budgets    *ledger.Ledger
 	holder     *claim.Holder
 	claims     *claim.Fleet
 	runner     *run.Runner
 	draining   atomic.Bool
+	inFlight   atomic.Int64 // Callers' requests that have no whole answer yet.
 	// tables and metrics are where each part registers what it shows.
 	tables  *state.Registry
 	metrics *metrics.Registry
 
+	links     links
 	callers   net.Listener
 	operators net.Listener
 	peers     net.Listener
@@ -75,10 +80,17 @@
 // New puts an instance together and binds its addresses.
 func New(s settings.Settings, secrets Secrets, log zerolog.Logger) (*Server, error) {
 	srv := &Server{id: record.NewInstanceID(s.Instance.Name), settings: s, secrets: secrets, log: log, tables: state.New(), metrics: metrics.New()}
+	var err error
+	if srv.links, err = srv.newLinks(); err != nil {
+		return nil, err
+	}
 	if err := srv.listen(); err != nil {
 		return nil, err
 	}
 	srv.client = platform.NewClient(s.Platform.URL, s.Platform.Timeout.D())
+	if srv.links.secured(settings.LinkPlatform) {
+		srv.client.Secure(srv.links.outside.Dial)
+	}
 	srv.publisher = platform.NewPublisher(srv.client, srv.id, platform.PublisherOptions{
 		Linger: s.Ledger.Linger.D(), RetryEvery: publisherRetry, MaxRecords: publisherRecords,
 	})
@@ -86,10 +98,13 @@
 	for n := range s.Ledger.Partitions {
 		srv.partitions = append(srv.partitions, replica.New(record.LedgerStream(n), fold.NewLedger()))
 	}
-	srv.subscriber = platform.NewSubscriber(srv.client, srv.startStream)
 	srv.dispatcher = dispatch.NewWithOptions(placement(s, srv.id))
-	srv.joinPeers()
-	srv.clients = newEndpointClients(s.Limits, srv.members, srv.dispatcher)
+	if err := srv.joinPeers(); err != nil {
+		return nil, err
+	}
+	srv.subscriber = platform.NewSubscriber(srv.relay, srv.startStream)
+	srv.clients = newEndpointClients(s.Limits, srv.links, srv.endpoints, srv.dispatcher)
+	srv.tables.Register("endpoint_answers", func() any { return srv.clients.counts.View() })
 	if err := srv.joinBudgets(); err != nil {
 		return nil, err
 	}
@@ -98,7 +113,7 @@
 	}
 	srv.runner = &run.Runner{
 		Claims: srv.claims, Accounts: srv.budgets,
-		Placer: srv.dispatcher, Endpoints: endpoints{srv.members},
+		Placer: srv.dispatcher, Endpoints: srv.endpoints,
 		Engines: srv.clients.engines, Services: srv.clients.services,
 		Finder: srv.finder(), Repeats: repeatRules{srv.config}, Limits: runLimits(s.Limits), Leaving: srv.leaving,
 		OnError: func(err error) { log.Error().Err(err).Msg("run: background error") },
@@ -136,9 +151,11 @@
 	group.Go(func() error { s.clients.poller.Run(background); return nil })
 	group.Go(func() error { s.members.Run(background, s.pool); return nil })
 	group.Go(func() error { s.holder.Run(background); return nil })
-	group.Go(func() error { return s.peerServer.Serve(s.peers) })
-	group.Go(func() error { return ignoreClosed(callers.Serve(s.callers)) })
-	group.Go(func() error { return ignoreClosed(operators.Serve(s.operators)) })
+	group.Go(func() error { return s.peerServer.Serve(s.links.listener(settings.LinkPeers, s.peers)) })
+	group.Go(func() error { return ignoreClosed(callers.Serve(s.links.listener(settings.LinkCallers, s.callers))) })
+	group.Go(func() error {
+		return ignoreClosed(operators.Serve(s.links.listener(settings.LinkOperators, s.operators)))
+	})
 	s.log.Info().Str("id", string(s.id)).Str("callers", s.CallersAddr()).Str("operators", s.OperatorsAddr()).
 		Str("peers", s.PeersAddr()).Msg("server: serving")
 	group.Go(func() error { return s.budgets.Run(background) })
@@ -185,9 +202,20 @@
 		},
 		Ready: func() bool { return !s.draining.Load() && s.members.Seen() && s.current() },
 	}
-	return s.metrics.Measure(metrics.CallersHTTP, c.Handler())
+	return s.metrics.Measure(metrics.CallersHTTP, s.countInFlight(c.Handler()))
 }
 
+func (s *Server) countInFlight(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.inFlight.Add(1)
+		defer s.inFlight.Add(-1)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// InFlight returns how many callers' requests have no whole answer yet.
+func (s *Server) InFlight() int64 { return s.inFlight.Load() }
+
 func ignoreClosed(err error) error {
 	if eris.Is(err, http.ErrServerClosed) {
 		return nil
