Tick a quiet dispatcher seldom

The dispatcher woke 500 times a second with nothing to decide. Ruled out: the number of instances or endpoints (measured, hardly a slope). Change: every 100 ms while nothing waits, every 2 ms while something does; Submit wakes the loop. Tests of dispatch and decide ok with the race detector.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -13,9 +13,16 @@
 	"github.com/rotisserie/eris"
 )
 
-// TickEvery is the pause between two ticks. A request waits half of it on
-// average before its first decision; every Submit also ticks at once.
-const TickEvery = 2 * time.Millisecond
+const (
+	// TickEvery is the pause between two ticks while requests wait. Every
+	// Submit, Done and Update also ticks at once, so this one is for what time
+	// alone decides: deadlines, and the wait for a session's own endpoint.
+	TickEvery = 2 * time.Millisecond
+	// IdleTickEvery is the pause while nothing waits: then time only lets
+	// endpoints back in that were found slow. Harm prevented: 500 wake-ups a
+	// second of a quiet instance, a good part of its allowance for control.
+	IdleTickEvery = 100 * time.Millisecond
+)
 
 // ErrStopped is returned by Submit after Close.
 var ErrStopped = eris.New("dispatch: stopped")
@@ -59,6 +66,7 @@
 	waiting map[decide.RequestID]chan decide.Decision
 	lastID  decide.RequestID
 	origin  time.Time
+	queued  chan struct{} // Wakes the idle loop when a request begins to wait.
 	stop    chan struct{}
 	stopped sync.WaitGroup
 }
@@ -72,6 +80,7 @@
 		decider: decide.New(opts),
 		waiting: map[decide.RequestID]chan decide.Decision{},
 		origin:  time.Now(),
+		queued:  make(chan struct{}, 1),
 		stop:    make(chan struct{}),
 	}
 	d.stopped.Add(1)
@@ -106,7 +115,14 @@
 	d.waiting[r.ID] = decision
 	d.decider.Submit(r)
 	d.tick()
+	waits := d.decider.Queued() > 0
 	d.mu.Unlock()
+	if waits {
+		select {
+		case d.queued <- struct{}{}:
+		default:
+		}
+	}
 	select {
 	case got := <-decision:
 		return d.placement(got)
@@ -143,18 +159,28 @@
 
 func (d *Dispatcher) run() {
 	defer d.stopped.Done()
-	ticker := time.NewTicker(TickEvery)
-	defer ticker.Stop()
+	timer := time.NewTimer(IdleTickEvery)
+	defer timer.Stop()
 	for {
 		select {
-		case <-ticker.C:
-			d.mu.Lock()
-			d.tick()
-			d.mu.Unlock()
+		case <-timer.C:
+		case <-d.queued:
 		case <-d.stop:
 			return
 		}
+		timer.Reset(d.tickNow())
+	}
+}
+
+// tickNow ticks and returns the pause until the next tick.
+func (d *Dispatcher) tickNow() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.tick()
+	if d.decider.Queued() == 0 {
+		return IdleTickEvery
 	}
+	return TickEvery
 }
 
 // tick runs the systems and delivers their decisions. d.mu is held.
