Read the instance list only when it changed, announce only news

Cause: each instance read the whole list and announced itself twice a second. At 410 instances and 640 endpoints a list is about 145 KB, so some 290 KB/s. Ruled out: reading it less often; the list is one of the ways by which a leaving endpoint is known within 3 s. Change: conditional GET by entity tag (the stand-in answers 304), announcements on a change or every 2 s.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -20,6 +20,9 @@
 const (
 	// ListEvery is the time between two reads of the instance list.
 	ListEvery = 500 * time.Millisecond
+	// AnnounceEvery is the longest time between two announcements. The platform
+	// drops an instance that was silent for 5 s, so one may be lost.
+	AnnounceEvery = 2 * time.Second
 	// ProbeEvery is the time between two rounds of heartbeats.
 	ProbeEvery = 500 * time.Millisecond
 	// probesPerRound bounds the heartbeats of one round, so that their cost
@@ -53,6 +56,11 @@
 	turn        int
 	lastTurn    map[record.InstanceID]int // Of each peer's last heartbeat.
 	watchers    []func(platform.List)
+
+	// told is what the platform was last told about this instance, at toldAt.
+	// Only the goroutine of refresh uses them.
+	told   platform.Instance
+	toldAt time.Time
 }
 
 var _ peer.Addresses = (*Members)(nil)
@@ -92,9 +100,22 @@
 	}
 }
 
+// announce tells the platform about this instance when there is news, and often
+// enough to stay listed. Only refresh calls it.
+func (m *Members) announce(ctx context.Context) {
+	self := m.self()
+	now := time.Now()
+	if self == m.told && now.Sub(m.toldAt) < AnnounceEvery {
+		return
+	}
+	if m.directory.Announce(ctx, self) == nil {
+		m.told, m.toldAt = self, now
+	}
+}
+
 // refresh keeps the last list that was read while the platform is away.
 func (m *Members) refresh(ctx context.Context) {
-	_ = m.directory.Announce(ctx, m.self())
+	m.announce(ctx)
 	list, err := m.directory.List(ctx)
 	if err != nil {
 		return
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"guavapier/internal/record"
@@ -22,8 +23,15 @@
 	base    string
 	http    *http.Client
 	timeout time.Duration
+
+	listMu  sync.Mutex // Guards the last list and its entity tag.
+	listTag string
+	list    List
 }
 
+// errNotModified says that what a conditional request asks for has not changed.
+var errNotModified = eris.New("platform: not modified")
+
 // NewClient returns a client of the platform at base (http://ip:port). Each
 // call ends after timeout at the latest, a long poll after its wait more.
 func NewClient(base string, timeout time.Duration) *Client {
@@ -71,26 +79,62 @@
 	return c.call(ctx, http.MethodPost, "/instances", body, nil)
 }
 
-// List implements Directory.
+// List implements Directory. It asks for the list only if it has changed since
+// the last answer: a large fleet's list is read far more often than it changes.
 func (c *Client) List(ctx context.Context) (List, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
+	tag, last := c.known()
+	header := http.Header{}
+	if tag != "" {
+		header.Set("If-None-Match", tag)
+	}
 	var list List
-	err := c.call(ctx, http.MethodGet, "/instances", nil, &list)
-	return list, err
+	answered, err := c.exchange(ctx, http.MethodGet, "/instances", nil, header, &list)
+	switch {
+	case errors.Is(err, errNotModified):
+		return last, nil
+	case err != nil:
+		return List{}, err
+	}
+	c.learn(answered.Get("ETag"), list)
+	return list, nil
+}
+
+// known returns the last list and its entity tag, learn replaces them.
+func (c *Client) known() (string, List) {
+	c.listMu.Lock()
+	defer c.listMu.Unlock()
+	return c.listTag, c.list
+}
+
+func (c *Client) learn(tag string, list List) {
+	c.listMu.Lock()
+	defer c.listMu.Unlock()
+	c.listTag, c.list = tag, list
 }
 
 func (c *Client) call(ctx context.Context, method, path string, body []byte, out any) error {
+	_, err := c.exchange(ctx, method, path, body, nil, out)
+	return err
+}
+
+// exchange does one request and decodes its answer into out. It returns the
+// answer's header.
+func (c *Client) exchange(ctx context.Context, method, path string, body []byte, header http.Header, out any) (http.Header, error) {
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
-		return eris.Wrap(err, "platform: build request")
+		return nil, eris.Wrap(err, "platform: build request")
+	}
+	if header != nil {
+		req.Header = header
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		// A connection that failed once may be silent for good: none of the
 		// idle ones is trusted, the next call dials anew.
 		c.http.CloseIdleConnections()
-		return eris.Wrap(errors.Join(ErrUnavailable, err), "platform: call")
+		return nil, eris.Wrap(errors.Join(ErrUnavailable, err), "platform: call")
 	}
 	defer resp.Body.Close()
 	if err := statusError(resp); err != nil {
@@ -98,21 +142,23 @@
 			// The answer still names the first offset kept.
 			_ = json.NewDecoder(resp.Body).Decode(out)
 		}
-		return err
+		return nil, err
 	}
 	if out == nil {
-		return nil
+		return resp.Header, nil
 	}
 	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
-		return eris.Wrap(errors.Join(ErrUnavailable, err), "platform: decode answer")
+		return nil, eris.Wrap(errors.Join(ErrUnavailable, err), "platform: decode answer")
 	}
-	return nil
+	return resp.Header, nil
 }
 
 func statusError(resp *http.Response) error {
 	switch resp.StatusCode {
 	case http.StatusOK:
 		return nil
+	case http.StatusNotModified:
+		return errNotModified
 	case http.StatusTooManyRequests:
 		return ErrThrottled
 	case http.StatusGone:
--- a/internal/standin/directory.go
+++ b/internal/standin/directory.go
@@ -1,9 +1,14 @@
 package standin
 
 import (
+	"encoding/json"
+	"fmt"
 	"net/http"
 	"sort"
+	"strconv"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 type listedInstance struct {
@@ -76,11 +81,24 @@
 	writeJSON(w, a.listedInstance)
 }
 
-func (p *Platform) handleList(w http.ResponseWriter, _ *http.Request) {
+// handleList answers a conditional GET with 304 while the list stands.
+func (p *Platform) handleList(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	list := p.list.view(time.Now())
 	p.mu.Unlock()
-	writeJSON(w, list)
+	data, err := json.Marshal(list)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	tag := fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(data), 16))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(data)
 }
 
 func (p *Platform) handleEndpoints(w http.ResponseWriter, r *http.Request) {
