--- a/internal/cli/budget.go
+++ b/internal/cli/budget.go
@@ -99,15 +99,20 @@
 		example: "guavapier budget close 2f0c6f0e-54a8-4a5c-9e0f-1a2b3c4d5e6f",
 		flags:   fs, args: []string{"GRANT"},
 		run: func(ctx context.Context, args []string) error {
-			fmt.Fprintln(o.err, closeRisk)
-			if !*yes && !confirm(o) {
-				return errors.New("nothing was closed")
-			}
 			var row fold.Grant
-			if err := c.call(ctx, http.MethodPost, "/grants/"+url.PathEscape(args[0])+"/close", nil, &row); err != nil {
+			if err := c.closeRight(ctx, o, *yes, closeRisk, "/grants/"+url.PathEscape(args[0])+"/close", &row); err != nil {
 				return err
 			}
 			return c.show(row, "GRANT\tTOKENS\tBILLED", func(add func(...any)) { add(row.Right, row.Tokens, row.Billed) })
 		},
 	}.command("close")
 }
+
+// closeRight tells the risk, asks unless yes, and closes a right by hand.
+func (c client) closeRight(ctx context.Context, o output, yes bool, risk, path string, row any) error {
+	fmt.Fprintln(o.err, risk)
+	if !yes && !confirm(o) {
+		return errors.New("nothing was closed")
+	}
+	return c.call(ctx, http.MethodPost, path, nil, row)
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -131,6 +131,7 @@
 		settingsCommand(o),
 		teamCommand(o),
 		budgetCommand(o),
+		shardCommand(o),
 		sessionCommand(o),
 		stateCommand(o),
 		standinCommand(o),
--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -45,7 +45,7 @@
 		{Pattern: "/teams/{team}/operator_keys/{sha256}", Unit: "text", value: anyText, FleetOnly: true, Doc: "A credential that changes this team's subtree, by the SHA-256 of team:secret."},
 		{Pattern: "/teams/{team}/operator_keys/{sha256}/expires", Unit: "RFC 3339 time", Default: "never", value: instant, FleetOnly: true, Doc: "The credential is refused from then on."},
 		{Pattern: "/teams/{team}/default_budget", Unit: "budget", Default: "main", value: anyName, Doc: "Budget that a request draws on when it names none."},
-		{Pattern: "/teams/{team}/budgets/{name}/lean", Unit: "share", Default: "0.5", value: share, Doc: "0 leans to fewer stranded tokens behind a cut, 1 to fewer false refusals."},
+		{Pattern: "/teams/{team}/budgets/{name}/lean", Unit: "share", Default: "1", value: share, Doc: "0 leans to fewer stranded tokens behind a cut, 1 to fewer false refusals."},
 		{Pattern: "/teams/{team}/weight", Unit: "weight", Default: "1", value: count(1, 1000), FleetOnly: true, Doc: "The team's share of a busy fleet against other teams."},
 		{Pattern: "/teams/{team}/priorities/default", Unit: "class", Default: "interactive", value: priorityClass, Doc: "Priority class of the team's requests that name none."},
 		{Pattern: "/teams/{team}/priorities/max", Unit: "class", Default: "call", value: priorityClass, FleetOnly: true, Doc: "Highest priority class that the team's model requests may name; a higher one is lowered to it."},
--- a/test/process/capacity_measure_test.go
+++ b/test/process/capacity_measure_test.go
@@ -3,6 +3,7 @@
 package process_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
@@ -137,34 +138,65 @@
 	}
 }
 
-// TestCapacityRequests takes an instance's processor time for a short request.
+// applied returns the sum of the offsets that an instance has applied: how many
+// appends the whole fleet has made.
+func applied(t *testing.T, in *instance) (sum float64) {
+	t.Helper()
+	var dump struct {
+		Applied map[string]float64 `json:"applied"`
+	}
+	if err := json.Unmarshal([]byte(mustCall(t, http.MethodGet, in.operators+"/state", operatorToken, nil).body), &dump); err != nil {
+		t.Fatal(err)
+	}
+	for _, offset := range dump.Applied {
+		sum += offset
+	}
+	return sum
+}
+
+// TestCapacityRequests takes the processor time of a short request and of a
+// service call at its instance and at the other one of the zone, and the
+// fleet's appends.
 func TestCapacityRequests(t *testing.T) {
 	plainBinary(t)
-	_, platform := startStandin(t, "platform", "-lag", listLag)
+	f := startFleet(t, 0, 2)
 	_, url := startStandin(t, "engine", "-slots", "4000", "-step", "3ms")
-	mustCall(t, http.MethodPut, platform+"/endpoints", "", []map[string]any{{"name": "engine-1", "zone": "hall-a", "url": url, "model": "small"}})
-	in := startInstance(t, "a1", "hall-a", platform, "")
-	other := startInstance(t, "a2", "hall-a", platform, "")
-	key := seedTeam(t, in.operators, "dala", 1_000_000_000)
-	for _, callers := range []int{1, 4, 16} {
-		const each = 400
-		before, beforeOther := usageOf(t, in.process), usageOf(t, other.process)
-		began := time.Now()
-		var wait sync.WaitGroup
-		for range callers {
-			wait.Go(func() {
-				for range each {
-					if a := call(http.MethodPost, in.callers+"/v1/chat/completions", key, chatBody(1, false)); a.status != http.StatusOK {
-						t.Errorf("%d %s", a.status, a.body)
-						return
+	mustCall(t, http.MethodPut, f.platform+"/endpoints", "", []map[string]any{
+		{"name": "engine-1", "zone": "hall-a", "url": url, "model": "small"},
+		{"name": "service-1", "zone": "hall-a", "url": f.services[0], "service": "rig"},
+	})
+	time.Sleep(time.Second)
+	in, other := f.instances[0], f.instances[1]
+	ways := map[string]func(n, i int) answer{
+		"short request": func(int, int) answer {
+			return call(http.MethodPost, in.callers+"/v1/chat/completions", f.key, chatBody(1, false))
+		},
+		"service call": func(n, i int) answer {
+			return call(http.MethodPost, in.callers+"/v1/services/rig/setpoint", f.key, map[string]any{"g": 1}, "Idempotency-Key", fmt.Sprint(n, "-", i, "-", time.Now().UnixNano()))
+		},
+	}
+	for name, send := range ways {
+		for _, callers := range []int{1, 4, 16} {
+			const each = 400
+			before, beforeOther, appended := usageOf(t, in.process), usageOf(t, other.process), applied(t, in)
+			began := time.Now()
+			var wait sync.WaitGroup
+			for n := range callers {
+				wait.Go(func() {
+					for i := range each {
+						if a := send(n, i); a.status != http.StatusOK {
+							t.Errorf("%d %s", a.status, a.body)
+							return
+						}
 					}
-				}
-			})
+				})
+			}
+			wait.Wait()
+			total, took := float64(callers*each), time.Since(began).Seconds()
+			spent, spentOther := usageOf(t, in.process).sub(before), usageOf(t, other.process).sub(beforeOther)
+			t.Logf("%s, callers=%d: %.0f/s, %.0f us processor time each here, %.0f us at the other instance, %.0f and %.0f B read and written each, %.1f appends/s",
+				name, callers, total/took, float64(spent.cpu.Microseconds())/total, float64(spentOther.cpu.Microseconds())/total,
+				float64(spent.io)/total, float64(spentOther.io)/total, (applied(t, in)-appended)/took)
 		}
-		wait.Wait()
-		n := float64(callers * each)
-		spent, spentOther := usageOf(t, in.process).sub(before), usageOf(t, other.process).sub(beforeOther)
-		t.Logf("callers=%d: %.0f requests/s, %.0f us processor time a request here, %.0f us at the other instance, %.0f and %.0f B a request",
-			callers, n/time.Since(began).Seconds(), float64(spent.cpu.Microseconds())/n, float64(spentOther.cpu.Microseconds())/n, float64(spent.io)/n, float64(spentOther.io)/n)
 	}
 }
