Write lazily logged claims twice a second, not twenty times

Cause: two instances under service calls made 107 to 128 appends a second, above the aim of 20 for each; the platform takes several hundred for everybody. Each of eight shards appended every 50 ms. Ruled out: the ledger's ticks (short requests: 3 to 8 appends a second). Change: 500 ms between two lazy appends of a shard; a full group goes on at once, so that a flood of calls doesn't fill the table of open claims. A sustained rate was not measured; by the limit it is 16 a second for an instance that has all shards.

--- a/internal/claim/options.go
+++ b/internal/claim/options.go
@@ -65,7 +65,11 @@
 	Acknowledge time.Duration
 	// Append bounds the wait for a claim to be on the log.
 	Append time.Duration
-	// Linger is the pause between two lazy appends of one shard.
+	// Linger is the pause between two lazy appends of one shard. Load: calls all
+	// the time at every shard. Harm prevented: the platform's appends, several
+	// hundred a second for everybody, used up by a few instances; at 500 ms one
+	// instance with all 8 shards makes 16 a second. Limit: the witness has the
+	// claims meanwhile, and maxOpen bounds those that wait.
 	Linger time.Duration
 	// Tick is the time between two looks at the shards.
 	Tick time.Duration
@@ -91,7 +95,7 @@
 	}
 	set(&o.Acknowledge, 300*time.Millisecond)
 	set(&o.Append, 900*time.Millisecond)
-	set(&o.Linger, 50*time.Millisecond)
+	set(&o.Linger, 500*time.Millisecond)
 	set(&o.Tick, 200*time.Millisecond)
 	set(&o.Gone, time.Second)
 	set(&o.Patience, 3*time.Second)
--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -308,7 +308,9 @@
 			return
 		}
 		for s.writeGroup() {
-			pause(s.ctx, s.opts.Linger)
+			if !s.groupWaits() {
+				pause(s.ctx, s.opts.Linger)
+			}
 		}
 		if last {
 			return
@@ -316,6 +318,14 @@
 	}
 }
 
+// groupWaits says whether a whole group is queued: more calls than Linger is
+// made for. Then the appends follow each other at once, before maxOpen refuses.
+func (s *shard) groupWaits() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.queue) >= maxGroup
+}
+
 // writeGroup appends one group; it returns false when none was queued.
 func (s *shard) writeGroup() bool {
 	s.mu.Lock()
