--- a/test/process/harness_test.go
+++ b/test/process/harness_test.go
@@ -41,6 +41,7 @@
 
 const (
 	operatorToken = "operator-secret"
+	sessionKey    = "0123456789abcdef0123456789abcdef"
 	waitLimit     = 30 * time.Second
 	pollEvery     = 20 * time.Millisecond
 )
@@ -174,14 +175,22 @@
 token_file = %q
 [tls]
 plain = [%s]
-%s`, name, zone, platform, write("session.key", "0123456789abcdef0123456789abcdef"), write("operator.token", operatorToken), allPlain, extra)
+%s`, name, zone, platform, write("session.key", sessionKey), write("operator.token", operatorToken), allPlain, extra)
 	return write("settings.toml", text)
 }
 
-// startInstance runs an instance and waits until it is ready.
+// startInstance runs an instance and waits until it is ready. extra is TOML
+// appended to its settings.
 func startInstance(t *testing.T, name, zone, platform, extra string) *instance {
 	t.Helper()
-	p, line := start(t, "server: serving", "serve", "-settings", instanceSettings(t, name, zone, platform, extra))
+	return startSettings(t, name, instanceSettings(t, name, zone, platform, extra))
+}
+
+// startSettings runs an instance with a settings file and waits until it is
+// ready.
+func startSettings(t *testing.T, name, settings string) *instance {
+	t.Helper()
+	p, line := start(t, "server: serving", "serve", "-settings", settings)
 	var at serving
 	if err := json.Unmarshal([]byte(line), &at); err != nil {
 		t.Fatal(err)
--- a/test/process/path_test.go
+++ b/test/process/path_test.go
@@ -4,10 +4,15 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
+
+	"guavapier/internal/config"
 )
 
 const listLag = "100ms"
@@ -38,11 +43,12 @@
 func TestRequestIsServedThroughEveryInstance(t *testing.T) {
 	s := startSite(t)
 	instances := []*instance{
-		startInstance(t, "a1", "hall-a", s.platform, ""),
-		startInstance(t, "a2", "hall-a", s.platform, ""),
-		startInstance(t, "b1", "hall-b", s.platform, ""),
+		startExample(t, "hall-a", s.platform),
+		startExample(t, "hall-a", s.platform),
+		startExample(t, "hall-b", s.platform),
 	}
 	key := seedTeam(t, instances[0].operators, "dala", 1_000_000)
+	topUp(t, instances[2].operators, "dala", "second", 500_000)
 	const tokens = 5
 	var billed int64
 	for n, in := range instances {
@@ -76,8 +82,15 @@
 	for _, in := range instances {
 		eventually(t, "same bill at every instance", func() bool { return budget(t, in.operators, "dala").Billed == billed })
 	}
-	if row := budget(t, instances[0].operators, "dala"); row.Committed > row.Prepaid {
-		t.Fatalf("committed %d of %d", row.Committed, row.Prepaid)
+	for _, in := range instances {
+		if row := budget(t, in.operators, "dala"); row.Prepaid != 1_500_000 || row.Committed > row.Prepaid {
+			t.Fatalf("prepaid %d, committed %d", row.Prepaid, row.Committed)
+		}
+		here := mustCall(t, http.MethodGet, in.operators+"/settings", operatorToken, nil).body
+		first := mustCall(t, http.MethodGet, instances[0].operators+"/settings", operatorToken, nil).body
+		if here != first || !strings.Contains(here, config.HashKey(key)) {
+			t.Fatalf("settings here %s, at the first instance %s", here, first)
+		}
 	}
 	for run, count := range serviceRuns(t, s.service) {
 		if count != 1 {
@@ -86,6 +99,35 @@
 	}
 }
 
+// startExample runs an instance with the example settings of a zone of the first
+// deployment. Only the ports, the platform's address and the secrets' places
+// are the test's own.
+func startExample(t *testing.T, zone, platform string) *instance {
+	t.Helper()
+	text, err := os.ReadFile("../../examples/dala-vibro/" + zone + ".toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	for name, secret := range map[string]string{"session-k1.key": sessionKey, "operator.token": operatorToken} {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(secret), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, change := range [][2]string{
+		{`"127\.0\.\d+\.\d+:\d+"`, `"127.0.0.1:0"`},
+		{`url = ".*"`, `url = "` + platform + `"`},
+		{`"\.\./secrets/`, `"` + dir + `/`},
+	} {
+		text = regexp.MustCompile(change[0]).ReplaceAll(text, []byte(change[1]))
+	}
+	file := filepath.Join(dir, "settings.toml")
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return startSettings(t, zone, file)
+}
+
 func serviceRuns(t *testing.T, service string) map[string]int {
 	t.Helper()
 	var runs map[string]int
