--- a/internal/claim/bench_test.go
+++ b/internal/claim/bench_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"guavapier/internal/claim"
 	"guavapier/internal/fold"
 	"guavapier/internal/peer"
@@ -16,8 +18,6 @@
 	"guavapier/internal/record"
 	"guavapier/internal/replica"
 	"guavapier/internal/right"
-
-	"github.com/rs/zerolog"
 )
 
 // site is a fleet over real connections on loopback and one log in memory.
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -11,9 +11,9 @@
 	"context"
 	"time"
 
-	"guavapier/internal/record"
-
 	"github.com/rotisserie/eris"
+
+	"guavapier/internal/record"
 )
 
 // Errors of Begin.
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -9,10 +9,10 @@
 	"testing/synctest"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"guavapier/internal/claim"
 	"guavapier/internal/record"
-
-	"pgregory.net/rapid"
 )
 
 // checker holds the invariants. Runs are counted at the service, as the
--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -6,12 +6,12 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"guavapier/internal/fold"
 	"guavapier/internal/record"
 	"guavapier/internal/replica"
 	"guavapier/internal/right"
-
-	"github.com/rotisserie/eris"
 )
 
 // errNotHolder says that this instance does not hold the shard, or no more.
--- a/internal/claim/table.go
+++ b/internal/claim/table.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
+	"github.com/google/uuid"
+
 	"guavapier/internal/fold"
 	"guavapier/internal/record"
-
-	"github.com/google/uuid"
 )
 
 const (
--- a/internal/claim/world_test.go
+++ b/internal/claim/world_test.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"guavapier/internal/claim"
 	"guavapier/internal/fold"
 	"guavapier/internal/peer"
@@ -14,8 +16,6 @@
 	"guavapier/internal/record"
 	"guavapier/internal/replica"
 	"guavapier/internal/right"
-
-	"github.com/rs/zerolog"
 )
 
 const (
--- a/internal/cli/budget.go
+++ b/internal/cli/budget.go
@@ -9,12 +9,12 @@
 	"os"
 	"strconv"
 
+	"github.com/google/uuid"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
 	"guavapier/internal/fold"
 	"guavapier/internal/operator"
 	"guavapier/internal/record"
-
-	"github.com/google/uuid"
-	"github.com/peterbourgon/ff/v3/ffcli"
 )
 
 func budgetCommand(o output) *ffcli.Command {
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -18,10 +18,10 @@
 	"strings"
 	"syscall"
 
-	"guavapier/internal/settings"
-
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"guavapier/internal/settings"
 )
 
 // The exit codes.
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -15,9 +15,9 @@
 	"text/tabwriter"
 	"time"
 
-	"guavapier/internal/tlsconf"
-
 	"github.com/rotisserie/eris"
+
+	"guavapier/internal/tlsconf"
 )
 
 const (
--- a/internal/cli/drain.go
+++ b/internal/cli/drain.go
@@ -6,9 +6,9 @@
 	"os/signal"
 	"syscall"
 
-	"guavapier/internal/server"
-
 	"github.com/rotisserie/eris"
+
+	"guavapier/internal/server"
 )
 
 // runUntilCut runs an instance. The end of ctx (the first signal) drains it; a
--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -8,9 +8,9 @@
 	"strings"
 	"time"
 
-	"guavapier/internal/load"
-
 	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"guavapier/internal/load"
 )
 
 func loadCommand(o output) *ffcli.Command {
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -6,13 +6,13 @@
 	"os"
 	"strings"
 
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rotisserie/eris"
+
 	"guavapier/internal/logging"
 	"guavapier/internal/server"
 	"guavapier/internal/session"
 	"guavapier/internal/settings"
-
-	"github.com/peterbourgon/ff/v3/ffcli"
-	"github.com/rotisserie/eris"
 )
 
 func serveCommand(o output) *ffcli.Command {
--- a/internal/cli/settings.go
+++ b/internal/cli/settings.go
@@ -11,10 +11,10 @@
 	"strings"
 	"time"
 
-	"guavapier/internal/operator"
-
 	"github.com/google/uuid"
 	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"guavapier/internal/operator"
 )
 
 // valueRow is one value under a path.
--- a/internal/cli/shard.go
+++ b/internal/cli/shard.go
@@ -4,9 +4,9 @@
 	"context"
 	"net/url"
 
-	"guavapier/internal/fold"
-
 	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"guavapier/internal/fold"
 )
 
 // shardRisk is told before a claim shard is closed by hand.
--- a/internal/cli/standalone.go
+++ b/internal/cli/standalone.go
@@ -9,6 +9,9 @@
 	"net/http"
 	"time"
 
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
 	"guavapier/internal/config"
 	"guavapier/internal/logging"
 	"guavapier/internal/operator"
@@ -17,9 +20,6 @@
 	"guavapier/internal/session"
 	"guavapier/internal/settings"
 	"guavapier/internal/standin"
-
-	"github.com/rotisserie/eris"
-	"golang.org/x/sync/errgroup"
 )
 
 // The sample team of a standalone run.
--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -9,10 +9,10 @@
 	"net/http"
 	"time"
 
-	"guavapier/internal/standin"
-
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/rotisserie/eris"
+
+	"guavapier/internal/standin"
 )
 
 func standinCommand(o output) *ffcli.Command {
--- a/internal/cli/team.go
+++ b/internal/cli/team.go
@@ -8,12 +8,12 @@
 	"net/http"
 	"os"
 
+	"github.com/google/uuid"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
 	"guavapier/internal/config"
 	"guavapier/internal/operator"
 	"guavapier/internal/record"
-
-	"github.com/google/uuid"
-	"github.com/peterbourgon/ff/v3/ffcli"
 )
 
 const keyBytes = 24
--- a/internal/cli/wishes.go
+++ b/internal/cli/wishes.go
@@ -6,10 +6,10 @@
 	"os"
 	"slices"
 
-	"guavapier/internal/record"
-
 	"github.com/pelletier/go-toml/v2"
 	"github.com/rotisserie/eris"
+
+	"guavapier/internal/record"
 )
 
 // wish is a value that an operator wants at a path, or a path without one.
--- a/internal/config/credentials.go
+++ b/internal/config/credentials.go
@@ -6,10 +6,10 @@
 	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"guavapier/internal/fold"
 	"guavapier/internal/record"
-
-	"github.com/rotisserie/eris"
 )
 
 // Errors of the credential checks.
--- a/internal/decide/property_test.go
+++ b/internal/decide/property_test.go
@@ -7,9 +7,9 @@
 	"testing"
 	"time"
 
-	"guavapier/internal/record"
-
 	"pgregory.net/rapid"
+
+	"guavapier/internal/record"
 )
 
 // machine drives two equal Deciders with one random input and checks that they
--- a/internal/decide/scenario_test.go
+++ b/internal/decide/scenario_test.go
@@ -8,9 +8,9 @@
 	"testing"
 	"time"
 
-	"guavapier/internal/record"
-
 	"github.com/cockroachdb/datadriven"
+
+	"guavapier/internal/record"
 )
 
 // TestScenarios plays the files in testdata/scenarios. Each case drives six
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -8,9 +8,9 @@
 	"sync"
 	"time"
 
-	"guavapier/internal/decide"
-
 	"github.com/rotisserie/eris"
+
+	"guavapier/internal/decide"
 )
 
 const (
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -7,9 +7,9 @@
 	"testing"
 	"time"
 
-	"guavapier/internal/decide"
-
 	"go.uber.org/goleak"
+
+	"guavapier/internal/decide"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -15,9 +15,9 @@
 	"net"
 	"time"
 
-	"guavapier/internal/record"
-
 	"github.com/rotisserie/eris"
+
+	"guavapier/internal/record"
 )
 
 // Errors of endpoints. Callers compare them with errors.Is.
--- a/internal/endpoint/engine.go
+++ b/internal/endpoint/engine.go
@@ -9,9 +9,9 @@
 	"strconv"
 	"time"
 
-	"guavapier/internal/record"
-
 	"github.com/rotisserie/eris"
+
+	"guavapier/internal/record"
 )
 
 // HTTPEngines is Engines over HTTP in the shape of OpenAI's chat completions.
--- a/internal/endpoint/service.go
+++ b/internal/endpoint/service.go
@@ -8,9 +8,9 @@
 	"net/http"
 	"strconv"
 
-	"guavapier/internal/record"
-
 	"github.com/rotisserie/eris"
+
+	"guavapier/internal/record"
 )
 
 // Call is one call of a plain service.
--- a/internal/entry/door_test.go
+++ b/internal/entry/door_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
+
 	"guavapier/internal/claim"
 	"guavapier/internal/config"
 	"guavapier/internal/decide"
@@ -23,8 +25,6 @@
 	"guavapier/internal/run"
 	"guavapier/internal/session"
 	"guavapier/internal/standin"
-
-	"go.uber.org/goleak"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,14 +8,14 @@
 	"net/http"
 	"time"
 
+	"github.com/go-chi/chi/v5"
+
 	"guavapier/internal/config"
 	"guavapier/internal/fold"
 	"guavapier/internal/record"
 	"guavapier/internal/replica"
 	"guavapier/internal/run"
 	"guavapier/internal/session"
-
-	"github.com/go-chi/chi/v5"
 )
 
 // The headers of the callers' interface.
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -9,12 +9,12 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"guavapier/internal/config"
 	"guavapier/internal/decide"
 	"guavapier/internal/record"
 	"guavapier/internal/run"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // maxKeyBytes bounds an Idempotency-Key; claims keep it for their window.
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -6,10 +6,10 @@
 	"strconv"
 	"strings"
 
+	"github.com/go-chi/chi/v5"
+
 	"guavapier/internal/decide"
 	"guavapier/internal/run"
-
-	"github.com/go-chi/chi/v5"
 )
 
 func (c *Callers) handleService(w http.ResponseWriter, r *http.Request) {
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -5,10 +5,10 @@
 	"net/http"
 	"time"
 
+	"github.com/go-chi/chi/v5"
+
 	"guavapier/internal/record"
 	"guavapier/internal/session"
-
-	"github.com/go-chi/chi/v5"
 )
 
 const (
--- a/internal/fold/config.go
+++ b/internal/fold/config.go
@@ -5,10 +5,10 @@
 	"slices"
 	"strings"
 
-	"guavapier/internal/record"
-
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
+
+	"guavapier/internal/record"
 )
 
 // ResultWindow is for how many offsets of the configuration stream the fold
--- a/internal/fold/config_test.go
+++ b/internal/fold/config_test.go
@@ -5,10 +5,10 @@
 	"reflect"
 	"testing"
 
+	"pgregory.net/rapid"
+
 	"guavapier/internal/fold"
 	"guavapier/internal/record"
-
-	"pgregory.net/rapid"
 )
 
 var configPaths = []string{"/teams/a/x", "/teams/a/y", "/teams/b/x"}
--- a/internal/fold/ledger_snapshot.go
+++ b/internal/fold/ledger_snapshot.go
@@ -6,10 +6,10 @@
 	"maps"
 	"slices"
 
-	"guavapier/internal/record"
-
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
+
+	"guavapier/internal/record"
 )
 
 // ErrSnapshot says that bytes are not a snapshot that this version can use.
--- a/internal/fold/snapshot_test.go
+++ b/internal/fold/snapshot_test.go
@@ -7,9 +7,9 @@
 	"strings"
 	"testing"
 
-	"guavapier/internal/record"
-
 	"pgregory.net/rapid"
+
+	"guavapier/internal/record"
 )
 
 // table is a fold with snapshots.
--- a/internal/ledger/policy.go
+++ b/internal/ledger/policy.go
@@ -4,10 +4,10 @@
 	"math"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"guavapier/internal/platform"
 	"guavapier/internal/record"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Limits of the sizing decisions.
--- a/internal/ledger/remote.go
+++ b/internal/ledger/remote.go
@@ -6,10 +6,10 @@
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
+
 	"guavapier/internal/fold"
 	"guavapier/internal/record"
-
-	"github.com/google/uuid"
 )
 
 const (
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -6,10 +6,10 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"guavapier/internal/peer"
 	"guavapier/internal/record"
-
-	"github.com/rotisserie/eris"
 )
 
 // ReserveArgs ask an owner for a reservation. ID is the asker's, so that it
--- a/internal/ledger/types.go
+++ b/internal/ledger/types.go
@@ -12,14 +12,14 @@
 	"context"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"guavapier/internal/fold"
 	"guavapier/internal/peer"
 	"guavapier/internal/platform"
 	"guavapier/internal/record"
 	"guavapier/internal/replica"
 	"guavapier/internal/right"
-
-	"github.com/rotisserie/eris"
 )
 
 // Errors of Reserve. In each case nothing was reserved.
--- a/internal/ledger/view.go
+++ b/internal/ledger/view.go
@@ -5,13 +5,13 @@
 	"errors"
 	"slices"
 
+	"github.com/rotisserie/eris"
+
 	"guavapier/internal/fold"
 	"guavapier/internal/peer"
 	"guavapier/internal/platform"
 	"guavapier/internal/record"
 	"guavapier/internal/right"
-
-	"github.com/rotisserie/eris"
 )
 
 // budgetView is what the fold says about a budget at one offset.
--- a/internal/ledger/watch.go
+++ b/internal/ledger/watch.go
@@ -5,13 +5,13 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
 	"guavapier/internal/fold"
 	"guavapier/internal/record"
 	"guavapier/internal/replica"
 	"guavapier/internal/right"
-
-	"github.com/rotisserie/eris"
-	"golang.org/x/sync/errgroup"
 )
 
 type useID = right.UseID
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -7,10 +7,10 @@
 	"io"
 	"strings"
 
-	"guavapier/internal/settings"
-
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
+
+	"guavapier/internal/settings"
 )
 
 // New returns a logger that writes to w. The level must be one that the
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -10,11 +10,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"guavapier/internal/membership"
 	"guavapier/internal/platform"
 	"guavapier/internal/record"
-
-	"github.com/rs/zerolog"
 )
 
 // fleet is a platform's list and the peers behind it. It runs in a synctest
--- a/internal/operator/access.go
+++ b/internal/operator/access.go
@@ -8,12 +8,12 @@
 	"strings"
 	"time"
 
+	"github.com/go-chi/chi/v5"
+	"github.com/rotisserie/eris"
+
 	"guavapier/internal/config"
 	"guavapier/internal/fold"
 	"guavapier/internal/record"
-
-	"github.com/go-chi/chi/v5"
-	"github.com/rotisserie/eris"
 )
 
 // fileOperator is the name of whoever uses the token of the settings file.
--- a/internal/operator/budgets.go
+++ b/internal/operator/budgets.go
@@ -8,13 +8,13 @@
 	"slices"
 	"strings"
 
+	"github.com/go-chi/chi/v5"
+	"github.com/google/uuid"
+
 	"guavapier/internal/config"
 	"guavapier/internal/fold"
 	"guavapier/internal/record"
 	"guavapier/internal/replica"
-
-	"github.com/go-chi/chi/v5"
-	"github.com/google/uuid"
 )
 
 // maxTopUp bounds one top-up, so that no sum of a budget's overflows.
--- a/internal/operator/changes.go
+++ b/internal/operator/changes.go
@@ -6,12 +6,12 @@
 	"strconv"
 	"time"
 
+	"github.com/go-chi/chi/v5"
+	"github.com/google/uuid"
+
 	"guavapier/internal/config"
 	"guavapier/internal/fold"
 	"guavapier/internal/record"
-
-	"github.com/go-chi/chi/v5"
-	"github.com/google/uuid"
 )
 
 const (
--- a/internal/operator/grants.go
+++ b/internal/operator/grants.go
@@ -5,10 +5,10 @@
 	"errors"
 	"net/http"
 
+	"github.com/go-chi/chi/v5"
+
 	"guavapier/internal/ledger"
 	"guavapier/internal/record"
-
-	"github.com/go-chi/chi/v5"
 )
 
 func (i *Interface) handleForceClose(w http.ResponseWriter, r *http.Request) {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -8,14 +8,14 @@
 	"net/http"
 	"time"
 
+	"github.com/go-chi/chi/v5"
+
 	"guavapier/internal/fold"
 	"guavapier/internal/metrics"
 	"guavapier/internal/platform"
 	"guavapier/internal/record"
 	"guavapier/internal/replica"
 	"guavapier/internal/state"
-
-	"github.com/go-chi/chi/v5"
 )
 
 // Appender appends records to the log; see platform.Publisher.
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/go-chi/chi/v5"
+
 	"guavapier/internal/claim"
 	"guavapier/internal/config"
 	"guavapier/internal/fold"
@@ -20,8 +22,6 @@
 	"guavapier/internal/record"
 	"guavapier/internal/replica"
 	"guavapier/internal/state"
-
-	"github.com/go-chi/chi/v5"
 )
 
 const (
--- a/internal/operator/shards.go
+++ b/internal/operator/shards.go
@@ -5,10 +5,10 @@
 	"errors"
 	"net/http"
 
+	"github.com/go-chi/chi/v5"
+
 	"guavapier/internal/claim"
 	"guavapier/internal/record"
-
-	"github.com/go-chi/chi/v5"
 )
 
 // handleCloseShard closes a claim shard whose holder and witness are both gone
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -13,11 +13,11 @@
 	"testing"
 	"time"
 
-	"guavapier/internal/peer"
-	"guavapier/internal/record"
-
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/goleak"
+
+	"guavapier/internal/peer"
+	"guavapier/internal/record"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -13,9 +13,9 @@
 	"sync"
 	"time"
 
-	"guavapier/internal/record"
-
 	"github.com/rotisserie/eris"
+
+	"guavapier/internal/record"
 )
 
 // Client is the HTTP client of the platform's log and instance list.
--- a/internal/platform/log.go
+++ b/internal/platform/log.go
@@ -7,9 +7,9 @@
 	"context"
 	"time"
 
-	"guavapier/internal/record"
-
 	"github.com/rotisserie/eris"
+
+	"guavapier/internal/record"
 )
 
 // Errors of the log service. Callers compare them with errors.Is.
--- a/internal/platform/publisher.go
+++ b/internal/platform/publisher.go
@@ -6,10 +6,10 @@
 	"sync"
 	"time"
 
-	"guavapier/internal/record"
-
 	"github.com/ThreeDotsLabs/watermill/message"
 	"github.com/rotisserie/eris"
+
+	"guavapier/internal/record"
 )
 
 // ErrClosed is returned by a publisher that has been closed.
--- a/internal/platform/subscriber.go
+++ b/internal/platform/subscriber.go
@@ -7,10 +7,10 @@
 	"sync"
 	"time"
 
-	"guavapier/internal/record"
-
 	"github.com/ThreeDotsLabs/watermill"
 	"github.com/ThreeDotsLabs/watermill/message"
+
+	"guavapier/internal/record"
 )
 
 // MetaOffset is the metadata key that carries a message's offset.
--- a/internal/platform/subscriber_test.go
+++ b/internal/platform/subscriber_test.go
@@ -7,10 +7,10 @@
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
+
 	"guavapier/internal/platform"
 	"guavapier/internal/record"
-
-	"go.uber.org/goleak"
 )
 
 // busyLog never has an empty page: each read finds entries, pages of them
--- a/internal/record/codec_test.go
+++ b/internal/record/codec_test.go
@@ -3,9 +3,9 @@
 import (
 	"testing"
 
-	"guavapier/internal/record"
-
 	"pgregory.net/rapid"
+
+	"guavapier/internal/record"
 )
 
 func TestBatchRoundTrip(t *testing.T) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -8,11 +8,11 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"guavapier/internal/peer"
 	"guavapier/internal/platform"
 	"guavapier/internal/record"
-
-	"github.com/rotisserie/eris"
 )
 
 const (
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -9,13 +9,13 @@
 	"strconv"
 	"sync"
 
-	"guavapier/internal/platform"
-	"guavapier/internal/record"
-	"guavapier/internal/snapshot"
-
 	"github.com/ThreeDotsLabs/watermill"
 	"github.com/ThreeDotsLabs/watermill/message"
 	"github.com/rotisserie/eris"
+
+	"guavapier/internal/platform"
+	"guavapier/internal/record"
+	"guavapier/internal/snapshot"
 )
 
 // Fold is what a replica applies batches to.
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -1,9 +1,9 @@
 package replica
 
 import (
-	"guavapier/internal/snapshot"
-
 	"github.com/rotisserie/eris"
+
+	"guavapier/internal/snapshot"
 )
 
 // ErrOlder is returned for a snapshot that covers no more than what has been
--- a/internal/run/join.go
+++ b/internal/run/join.go
@@ -5,11 +5,11 @@
 	"errors"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"guavapier/internal/claim"
 	"guavapier/internal/endpoint"
 	"guavapier/internal/record"
-
-	"github.com/rotisserie/eris"
 )
 
 var (
--- a/internal/run/meter.go
+++ b/internal/run/meter.go
@@ -5,11 +5,11 @@
 	"errors"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"guavapier/internal/decide"
 	"guavapier/internal/dispatch"
 	"guavapier/internal/endpoint"
-
-	"github.com/rotisserie/eris"
 )
 
 // meter measures one placement for the decisions.
--- a/internal/run/presence.go
+++ b/internal/run/presence.go
@@ -6,10 +6,10 @@
 	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"guavapier/internal/endpoint"
 	"guavapier/internal/record"
-
-	"github.com/rotisserie/eris"
 )
 
 // The causes that end a run's work early.
--- a/internal/run/run_test.go
+++ b/internal/run/run_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
+
 	"guavapier/internal/claim"
 	"guavapier/internal/decide"
 	"guavapier/internal/dispatch"
@@ -18,8 +20,6 @@
 	"guavapier/internal/ledger"
 	"guavapier/internal/record"
 	"guavapier/internal/standin"
-
-	"go.uber.org/goleak"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/internal/server/operators_test.go
+++ b/internal/server/operators_test.go
@@ -11,15 +11,15 @@
 	"testing"
 	"time"
 
+	"github.com/go-chi/chi/v5"
+	"github.com/rs/zerolog"
+
 	"guavapier/internal/metrics"
 	"guavapier/internal/operator"
 	"guavapier/internal/server"
 	"guavapier/internal/session"
 	"guavapier/internal/settings"
 	"guavapier/internal/standin"
-
-	"github.com/go-chi/chi/v5"
-	"github.com/rs/zerolog"
 )
 
 const operatorToken = "operator-secret"
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -4,12 +4,12 @@
 	"context"
 	"net"
 
+	"github.com/rotisserie/eris"
+
 	"guavapier/internal/membership"
 	"guavapier/internal/peer"
 	"guavapier/internal/relay"
 	"guavapier/internal/settings"
-
-	"github.com/rotisserie/eris"
 )
 
 // listenPeers binds the peers' address.
--- a/internal/server/placement.go
+++ b/internal/server/placement.go
@@ -1,11 +1,11 @@
 package server
 
 import (
+	"github.com/cespare/xxhash/v2"
+
 	"guavapier/internal/decide"
 	"guavapier/internal/record"
 	"guavapier/internal/settings"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // placement returns the options of this instance's decisions. The seed differs
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -8,6 +8,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
 	"guavapier/internal/claim"
 	"guavapier/internal/dispatch"
 	"guavapier/internal/entry"
@@ -24,10 +28,6 @@
 	"guavapier/internal/session"
 	"guavapier/internal/settings"
 	"guavapier/internal/state"
-
-	"github.com/rotisserie/eris"
-	"github.com/rs/zerolog"
-	"golang.org/x/sync/errgroup"
 )
 
 // Secrets are the contents of the secrets files.
--- a/internal/server/streams.go
+++ b/internal/server/streams.go
@@ -4,13 +4,13 @@
 	"context"
 	"errors"
 
+	"github.com/ThreeDotsLabs/watermill/message"
+
 	"guavapier/internal/metrics"
 	"guavapier/internal/platform"
 	"guavapier/internal/record"
 	"guavapier/internal/replica"
 	"guavapier/internal/snapshot"
-
-	"github.com/ThreeDotsLabs/watermill/message"
 )
 
 // stream is a stream that this instance follows.
--- a/internal/server/usages.go
+++ b/internal/server/usages.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 
+	"golang.org/x/sync/errgroup"
+
 	"guavapier/internal/endpoint"
 	"guavapier/internal/membership"
 	"guavapier/internal/record"
-
-	"golang.org/x/sync/errgroup"
 )
 
 // askAtOnce bounds the questions about one run that are open at once.
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -9,10 +9,10 @@
 	"encoding/base64"
 	"strings"
 
-	"guavapier/internal/record"
-
 	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
+
+	"guavapier/internal/record"
 )
 
 // Errors of Verify.
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -5,13 +5,13 @@
 	"errors"
 	"testing"
 
+	"pgregory.net/rapid"
+
 	"guavapier/internal/fold"
 	"guavapier/internal/platform"
 	"guavapier/internal/record"
 	"guavapier/internal/replica"
 	"guavapier/internal/session"
-
-	"pgregory.net/rapid"
 )
 
 func ring(current string, ids ...string) session.Keyring {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -8,11 +8,11 @@
 	"strings"
 	"testing"
 
-	"guavapier/internal/settings"
-
 	"github.com/cockroachdb/datadriven"
 	"github.com/pelletier/go-toml/v2"
 	"pgregory.net/rapid"
+
+	"guavapier/internal/settings"
 )
 
 func TestFindings(t *testing.T) {
--- a/internal/snapshot/find.go
+++ b/internal/snapshot/find.go
@@ -4,10 +4,10 @@
 	"context"
 	"errors"
 
+	"github.com/rotisserie/eris"
+
 	"guavapier/internal/platform"
 	"guavapier/internal/record"
-
-	"github.com/rotisserie/eris"
 )
 
 // ErrUnreachable says that records have aged out which no whole snapshot
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -7,10 +7,10 @@
 package snapshot
 
 import (
-	"guavapier/internal/record"
-
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
+
+	"guavapier/internal/record"
 )
 
 // ChunkBytes is the size of a chunk. It leaves room in an entry of the log,
--- a/internal/snapshot/snapshot_test.go
+++ b/internal/snapshot/snapshot_test.go
@@ -7,11 +7,11 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"guavapier/internal/platform"
 	"guavapier/internal/record"
 	"guavapier/internal/snapshot"
-
-	"pgregory.net/rapid"
 )
 
 // keptLog is a log that has dropped everything before first.
--- a/internal/snapshot/tracker.go
+++ b/internal/snapshot/tracker.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"guavapier/internal/record"
-
 	"github.com/google/uuid"
+
+	"guavapier/internal/record"
 )
 
 // Seen is a whole snapshot that went by on the stream.
