List a team's open sessions

Ruled out: making the list a condition of validity (docs/adr/0022); an outage would drop sessions. Measured: TestSessionEndsEverywhere lists at both instances, not to another team, and not after the end. The new lines of the process test were not shown red.

--- a/internal/cli/session.go
+++ b/internal/cli/session.go
@@ -10,8 +10,8 @@
 )
 
 func sessionCommand(o output) *ffcli.Command {
-	return parent("session", "guavapier session open|show|end", "Open, look at and end the sessions of a team, with its API key.",
-		"guavapier session open", sessionOpen(o), sessionShow(o), sessionEnd(o))
+	return parent("session", "guavapier session open|list|show|end", "Open, list and end the sessions of a team, with its API key.",
+		"guavapier session open", sessionOpen(o), sessionList(o), sessionShow(o), sessionEnd(o))
 }
 
 // sessionRow is a session on the callers' interface. The token is given only
@@ -44,6 +44,29 @@
 	}.command("open")
 }
 
+func sessionList(o output) *ffcli.Command {
+	fs := newFlagSet("list")
+	c := callerFlags(o, fs)
+	return leaf{
+		usage: "guavapier session list [flags]", help: "List the team's open sessions, oldest first.",
+		example: "guavapier session list -key-file dala.key",
+		flags:   fs,
+		run: func(ctx context.Context, _ []string) error {
+			var list struct {
+				Sessions []sessionRow `json:"sessions"`
+			}
+			if err := c.call(ctx, http.MethodGet, "/v1/sessions", nil, &list); err != nil {
+				return err
+			}
+			return c.show(list.Sessions, "SESSION\tHOME", func(add func(...any)) {
+				for _, row := range list.Sessions {
+					add(row.ID, row.Home)
+				}
+			})
+		},
+	}.command("list")
+}
+
 func sessionShow(o output) *ffcli.Command {
 	fs := newFlagSet("show")
 	c := callerFlags(o, fs)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -88,6 +88,7 @@
 		r.Use(c.authenticate)
 		r.Post("/v1/chat/completions", c.handleChat)
 		r.Post("/v1/sessions", c.handleOpenSession)
+		r.Get("/v1/sessions", c.handleSessions)
 		r.Get("/v1/sessions/{id}", c.handleSession)
 		r.Delete("/v1/sessions/{id}", c.handleEndSession)
 		r.HandleFunc("/v1/services/{service}/*", c.handleService)
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -12,6 +12,8 @@
 )
 
 const (
+	// listPatience bounds how long opening a session waits to be listed.
+	listPatience = 500 * time.Millisecond
 	// endPatience bounds ending a session while the log is slow.
 	endPatience = 5 * time.Second
 	// endRetry is when to come back, in seconds, while it is away.
@@ -31,9 +33,31 @@
 		writeProblem(w, http.StatusInternalServerError, problem{Type: typeServer, Code: "no_signing_key", Message: err.Error(), Outcome: record.OutcomeNotRun})
 		return
 	}
+	c.list(r.Context(), id)
 	writeJSON(w, http.StatusCreated, sessionBody{ID: string(id.ID), Token: token, Home: string(id.Home)})
 }
 
+// list puts a session on its team's list. The session is valid without it, so a
+// slow or absent log costs the caller listPatience at most and the row.
+func (c *Callers) list(ctx context.Context, id session.Identity) {
+	ctx, cancel := context.WithTimeout(ctx, listPatience)
+	defer cancel()
+	_ = c.Ends.List(ctx, id, time.Now())
+}
+
+type sessionList struct {
+	Sessions []sessionBody `json:"sessions"`
+}
+
+// handleSessions lists the team's open sessions, oldest first.
+func (c *Callers) handleSessions(w http.ResponseWriter, r *http.Request) {
+	list := sessionList{Sessions: []sessionBody{}}
+	for _, row := range c.Ends.Listed(teamOf(r).Name) {
+		list.Sessions = append(list.Sessions, sessionBody{ID: string(row.Session), Home: string(row.Zone)})
+	}
+	writeJSON(w, http.StatusOK, list)
+}
+
 // handleSession says whether a session was ended. A session that was never
 // opened is not told from an open one: identities are self-contained.
 func (c *Callers) handleSession(w http.ResponseWriter, r *http.Request) {
--- a/internal/fold/claims.go
+++ b/internal/fold/claims.go
@@ -54,6 +54,7 @@
 	// latest is the largest claim time seen. Only it decides what is old.
 	latest int64
 	ended  map[billKey]struct{}
+	opened sessionTable
 }
 
 func newClaimTables() claimTables {
@@ -62,6 +63,7 @@
 		current: map[record.RightID]*Shard{},
 		claims:  map[billKey]*Claim{},
 		ended:   map[billKey]struct{}{},
+		opened:  newSessionTable(),
 	}
 }
 
@@ -76,8 +78,13 @@
 		t.applyEnd(r)
 	case record.Close:
 		t.applyClose(r)
+	case record.SessionOpened:
+		if _, ended := t.ended[sessionKey(r.Team, r.Session)]; !ended {
+			t.opened.open(r)
+		}
 	case record.SessionEnded:
 		t.ended[sessionKey(r.Team, r.Session)] = struct{}{}
+		t.opened.end(sessionKey(r.Team, r.Session))
 	}
 }
 
--- a/internal/fold/ledger_snapshot.go
+++ b/internal/fold/ledger_snapshot.go
@@ -79,6 +79,7 @@
 	Order  []claimAgeState
 	Latest int64
 	Ended  []billKey
+	Opened []record.SessionOpened // In the order of opening.
 }
 
 type shardState struct {
@@ -213,6 +214,9 @@
 	for _, a := range t.order.items[t.order.head:] {
 		s.Order = append(s.Order, claimAgeState{Key: a.key, Run: a.run, UnixMilli: a.unixMilli})
 	}
+	for _, key := range t.opened.listed() {
+		s.Opened = append(s.Opened, t.opened.rows[key])
+	}
 	return s
 }
 
@@ -232,4 +236,7 @@
 	for _, key := range s.Ended {
 		t.ended[key] = struct{}{}
 	}
+	for _, r := range s.Opened {
+		t.opened.open(r)
+	}
 }
--- a/internal/fold/snapshot_test.go
+++ b/internal/fold/snapshot_test.go
@@ -39,6 +39,7 @@
 		record.ClaimEnd{Key: key, Run: run, Outcome: record.OutcomeAnswered},
 		record.ClaimEnd{Key: key, Run: run, Outcome: record.OutcomeNotRun},
 		record.SessionEnded{Session: record.SessionID(pick("session", 3)), Team: "a"},
+		record.SessionOpened{Session: record.SessionID(pick("session", 3)), Team: "a", UnixMilli: 7},
 		record.Change{ID: pick("change", 20), Ops: []record.ChangeOp{{Path: "/" + pick("path", 2), Value: "v", Base: uint64(rapid.IntRange(0, 4).Draw(t, "base"))}}},
 	}).Draw(t, "record")
 }
@@ -161,7 +162,8 @@
 		{reflect.TypeFor[billTable](), "seen order"},
 		{reflect.TypeFor[writerTable](), "last swept"},
 		{reflect.TypeFor[writer](), "seq offset"},
-		{reflect.TypeFor[claimTables](), "shards current claims order latest ended"},
+		{reflect.TypeFor[claimTables](), "shards current claims order latest ended opened"},
+		{reflect.TypeFor[sessionTable](), "rows order"},
 		{reflect.TypeFor[Shard](), "Shard Offset Closed"},
 		{reflect.TypeFor[Claim](), "Claim Outcome"},
 		{reflect.TypeFor[claimAge](), "key run unixMilli"},
--- a/test/process/claim_test.go
+++ b/test/process/claim_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -198,8 +199,18 @@
 	if got := r.attempt(r.fleet[1], "after-other", nil, true); got.status != http.StatusOK {
 		t.Fatalf("another team ended the session: %d %s", got.status, got.body)
 	}
+	listed := func(in *instance, key string) bool {
+		return strings.Contains(mustCall(t, http.MethodGet, in.callers+"/v1/sessions", key, nil).body, s.ID)
+	}
+	for _, in := range r.fleet {
+		eventually(t, "session listed", func() bool { return listed(in, r.key) })
+		if listed(in, other) {
+			t.Fatal("another team sees the session")
+		}
+	}
 	mustCall(t, http.MethodDelete, r.fleet[1].callers+"/v1/sessions/"+s.ID, r.key, nil)
 	for n, in := range r.fleet {
+		eventually(t, "session off the list", func() bool { return !listed(in, r.key) })
 		eventually(t, "session ended", func() bool {
 			return r.attempt(in, fmt.Sprint("ended-", n), nil, true).status == http.StatusForbidden
 		})
