Close grants and claim shards by hand through one function

Change: one generic closeRight; the hook ForceClose is CloseGrant, beside CloseShard. No change of behaviour.

--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -35,9 +35,9 @@
 	// Instances gives the instance list as this instance knows it, with its
 	// own row as it is now.
 	Instances func() []platform.Instance
-	// ForceClose closes the grant of a holder that is gone for good; its risk
+	// CloseGrant closes the grant of a holder that is gone for good; its risk
 	// is told at ledger.Ledger.ForceClose.
-	ForceClose func(context.Context, record.RightID) (fold.Grant, error)
+	CloseGrant func(context.Context, record.RightID) (fold.Grant, error)
 	// CloseShard closes a claim shard whose holder and witness are gone for
 	// good.
 	CloseShard func(context.Context, record.RightID) (fold.Shard, error)
@@ -73,7 +73,7 @@
 		{http.MethodGet, "/metrics", accessFleet, i.Metrics.ServeHTTP},
 		{http.MethodGet, "/teams", accessFleet, i.handleTeams},
 		{http.MethodPost, "/topups", accessFleet, i.handleTopUp},
-		{http.MethodPost, "/grants/{id}/close", accessFleet, i.handleForceClose},
+		{http.MethodPost, "/grants/{id}/close", accessFleet, i.handleCloseGrant},
 		{http.MethodPost, "/shards/{id}/close", accessFleet, i.handleCloseShard},
 		{http.MethodGet, "/budgets/{team}", accessTeam, i.handleBudgets},
 		{http.MethodGet, "/budgets/{team}/{name}", accessTeam, i.handleBudget},
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -100,7 +100,7 @@
 	i := &operator.Interface{
 		Token: fleetToken, Log: log, Config: log.config, Ledgers: []*replica.Replica[*fold.Ledger]{log.ledger},
 		State: state.New(), Metrics: metrics.New(), Instances: func() []platform.Instance { return nil }, Patience: shortWait,
-		ForceClose: func(context.Context, record.RightID) (fold.Grant, error) { return fold.Grant{}, ledger.ErrNoGrant },
+		CloseGrant: func(context.Context, record.RightID) (fold.Grant, error) { return fold.Grant{}, ledger.ErrNoGrant },
 		CloseShard: func(context.Context, record.RightID) (fold.Shard, error) { return fold.Shard{}, claim.ErrNoShard },
 	}
 	return i.Handler(), log
--- a/internal/server/budgets.go
+++ b/internal/server/budgets.go
@@ -79,9 +79,3 @@
 // holder chose it, so it follows all of them today. docs/adr/0010 says what
 // following fewer needs.
 func (s *Server) follows(*replica.Replica[*fold.Ledger]) bool { return true }
-
-// ForceClose closes a grant whose holder is gone for good; see
-// ledger.ForceClose for the risk. It is the operators' route's hook.
-func (s *Server) ForceClose(ctx context.Context, id record.RightID) (fold.Grant, error) {
-	return s.budgets.ForceClose(ctx, id)
-}
--- a/internal/server/operators.go
+++ b/internal/server/operators.go
@@ -22,7 +22,7 @@
 	o := &operator.Interface{
 		Token: s.secrets.Operator, Log: s.publisher, Config: s.config, Ledgers: s.partitions,
 		State: s.tables, Metrics: s.metrics, Instances: s.instances, Patience: changePatience,
-		ForceClose: s.ForceClose, CloseShard: s.holder.ForceClose,
+		CloseGrant: s.budgets.ForceClose, CloseShard: s.holder.ForceClose,
 	}
 	return s.metrics.Measure(metrics.OperatorsHTTP, o.Handler())
 }
