Draw on one budget through a cut between zones, in real processes

Cause: the users' first promise was proved through a cut in the state machine and in the driver's virtual time, not in processes. Change: TestBudgetAcrossACutBetweenZones: two zones of two instances, relays between them go silent, the far zone loses the platform, the near one tops up, 80 requests at both sides; after the cut every instance has each bill once.

--- a/test/process/cut_test.go
+++ b/test/process/cut_test.go
@@ -24,6 +24,9 @@
 	// cut makes the relays forward nothing more, in both directions, and take
 	// no new connection through.
 	cut atomic.Bool
+	// zone is the availability zone whose peers are shown as they are, so that
+	// a cut leaves the zone whole. Empty for none.
+	zone string
 
 	t      *testing.T
 	to     string
@@ -77,7 +80,7 @@
 	}
 	rows, _ := list["instances"].([]any)
 	for _, row := range rows {
-		if in, ok := row.(map[string]any); ok {
+		if in, ok := row.(map[string]any); ok && (v.zone == "" || in["zone"] != v.zone) {
 			in["peer"] = v.relay(fmt.Sprint(in["peer"]))
 		}
 	}
@@ -187,3 +190,68 @@
 		}
 	}
 }
+
+// Two availability zones draw on one budget through a cut between them, which
+// also takes the platform from one; the other one tops up meanwhile.
+func TestBudgetAcrossACutBetweenZones(t *testing.T) {
+	const prepaid, added, tokens, requests = 3_000, 500, 50, 40
+	s := startSite(t)
+	near, far := startView(t, s.platform), startView(t, s.platform)
+	near.zone, far.zone = "hall-a", "hall-b"
+	sides := map[*view][]*instance{
+		near: {startInstance(t, "a1", "hall-a", near.url, ""), startInstance(t, "a2", "hall-a", near.url, "")},
+		far:  {startInstance(t, "b1", "hall-b", far.url, ""), startInstance(t, "b2", "hall-b", far.url, "")},
+	}
+	operators := sides[near][0].operators
+	key := seedTeam(t, operators, "dala", prepaid)
+	var used, answered atomic.Int64
+	send := func(in *instance) bool {
+		got := call(http.MethodPost, in.callers+"/v1/chat/completions", key, chatBody(tokens, false))
+		var whole struct {
+			Usage struct {
+				Total int64 `json:"total_tokens"`
+			} `json:"usage"`
+		}
+		if got.status != http.StatusOK || json.Unmarshal([]byte(got.body), &whole) != nil {
+			return false
+		}
+		used.Add(whole.Usage.Total)
+		answered.Add(1)
+		return true
+	}
+	for _, side := range sides {
+		for _, in := range side {
+			eventually(t, "served before the cut", func() bool { return send(in) })
+		}
+	}
+	near.cut.Store(true)
+	far.cut.Store(true)
+	far.down.Store(true)
+	before := answered.Load()
+	topUp(t, operators, "dala", "during", added)
+	var wait sync.WaitGroup
+	for _, side := range sides {
+		for n := range requests {
+			wait.Go(func() { send(side[n%len(side)]) })
+		}
+	}
+	wait.Wait()
+	t.Logf("%d of %d requests answered during the cut, %d tokens used in all", answered.Load()-before, 2*requests, used.Load())
+	if answered.Load() == before {
+		t.Fatal("nothing was served during the cut")
+	}
+	near.cut.Store(false)
+	far.cut.Store(false)
+	far.down.Store(false)
+	for _, side := range sides {
+		for _, in := range side {
+			eventually(t, "the bills of both sides, none twice", func() bool {
+				row := budget(t, in.operators, "dala")
+				if row.Committed > row.Prepaid || row.Billed > prepaid+added {
+					t.Fatalf("overspent: %+v", row)
+				}
+				return row.Prepaid == prepaid+added && row.Billed == used.Load()
+			})
+		}
+	}
+}
