--- a/internal/claim/bench_test.go
+++ b/internal/claim/bench_test.go
@@ -42,13 +42,11 @@
 	defer func() { m.site.entries <- batch }()
 	batch.Seq++
 	batch.Records = nil
-	for _, r := range records {
-		env, err := record.Encode(r)
-		if err != nil {
-			return 0, err
-		}
-		batch.Records = append(batch.Records, env)
+	envelopes, err := record.EncodeAll(records...)
+	if err != nil {
+		return 0, err
 	}
+	batch.Records = envelopes
 	data, err := record.EncodeBatch(batch)
 	if err != nil {
 		return 0, err
--- a/internal/fold/ledger_test.go
+++ b/internal/fold/ledger_test.go
@@ -25,13 +25,11 @@
 func batchOf(t fataler, writer record.InstanceID, seq uint64, records ...record.Record) record.Batch {
 	t.Helper()
 	b := record.Batch{Writer: writer, Seq: seq}
-	for _, r := range records {
-		env, err := record.Encode(r)
-		if err != nil {
-			t.Fatal(err)
-		}
-		b.Records = append(b.Records, env)
+	envelopes, err := record.EncodeAll(records...)
+	if err != nil {
+		t.Fatal(err)
 	}
+	b.Records = envelopes
 	return b
 }
 
--- a/internal/ledger/world_test.go
+++ b/internal/ledger/world_test.go
@@ -206,13 +206,11 @@
 // a late copy by its writer's sequence number.
 func (w *world) batch(writer record.InstanceID, records []record.Record) record.Batch {
 	b := record.Batch{Writer: record.InstanceID(fmt.Sprint(writer, "/", len(w.entries), "/", len(w.delayed))), Seq: 1}
-	for _, r := range records {
-		env, err := record.Encode(r)
-		if err != nil {
-			panic(err)
-		}
-		b.Records = append(b.Records, env)
+	envelopes, err := record.EncodeAll(records...)
+	if err != nil {
+		panic(err)
 	}
+	b.Records = envelopes
 	return b
 }
 
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -49,13 +49,11 @@
 	}
 	l.seq++
 	batch := record.Batch{Writer: "w", Seq: l.seq}
-	for _, r := range records {
-		env, err := record.Encode(r)
-		if err != nil {
-			return 0, err
-		}
-		batch.Records = append(batch.Records, env)
+	envelopes, err := record.EncodeAll(records...)
+	if err != nil {
+		return 0, err
 	}
+	batch.Records = envelopes
 	data, err := record.EncodeBatch(batch)
 	if err != nil {
 		return 0, err
--- a/internal/platform/publisher.go
+++ b/internal/platform/publisher.go
@@ -77,13 +77,9 @@
 // Append commits records to a stream together and returns their batch's
 // offset. All of them share one batch.
 func (p *Publisher) Append(ctx context.Context, stream record.Stream, records ...record.Record) (uint64, error) {
-	envelopes := make([]record.Envelope, 0, len(records))
-	for _, r := range records {
-		env, err := record.Encode(r)
-		if err != nil {
-			return 0, err
-		}
-		envelopes = append(envelopes, env)
+	envelopes, err := record.EncodeAll(records...)
+	if err != nil {
+		return 0, err
 	}
 	return p.append(ctx, stream, envelopes)
 }
--- a/internal/record/codec.go
+++ b/internal/record/codec.go
@@ -40,6 +40,19 @@
 	return Envelope{Kind: r.Kind(), Body: body}, nil
 }
 
+// EncodeAll returns the envelopes of records, in their order.
+func EncodeAll(records ...Record) ([]Envelope, error) {
+	envelopes := make([]Envelope, 0, len(records))
+	for _, r := range records {
+		env, err := Encode(r)
+		if err != nil {
+			return nil, err
+		}
+		envelopes = append(envelopes, env)
+	}
+	return envelopes, nil
+}
+
 // Decode returns the typed record in e. A kind that this version does not
 // know comes back as Unknown, without an error.
 func Decode(e Envelope) (Record, error) {
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -84,13 +84,11 @@
 func (m *memoryLog) Append(_ context.Context, _ record.Stream, records ...record.Record) (uint64, error) {
 	m.seq++
 	batch := record.Batch{Writer: "w", Seq: m.seq}
-	for _, r := range records {
-		env, err := record.Encode(r)
-		if err != nil {
-			return 0, err
-		}
-		batch.Records = append(batch.Records, env)
+	envelopes, err := record.EncodeAll(records...)
+	if err != nil {
+		return 0, err
 	}
+	batch.Records = envelopes
 	data, err := record.EncodeBatch(batch)
 	if err != nil {
 		return 0, err
--- a/internal/snapshot/snapshot_test.go
+++ b/internal/snapshot/snapshot_test.go
@@ -34,13 +34,11 @@
 
 func (l *keptLog) append(t *rapid.T, records ...record.Record) {
 	batch := record.Batch{Writer: "w"}
-	for _, r := range records {
-		env, err := record.Encode(r)
-		if err != nil {
-			t.Fatal(err)
-		}
-		batch.Records = append(batch.Records, env)
+	envelopes, err := record.EncodeAll(records...)
+	if err != nil {
+		t.Fatal(err)
 	}
+	batch.Records = envelopes
 	data, err := record.EncodeBatch(batch)
 	if err != nil {
 		t.Fatal(err)
