Say not run only where it is known

Cause: found by following a request as a newcomer. Where the claim's holder is out of reach, a repeatable request goes on with an uncounted ticket; when it was then refused (budget, placement, endpoint), the caller was told not_run although an earlier attempt under the key may have run elsewhere. Any unforeseen error of Begin was told as not_run as well. Ruled out: the claim's own end; an uncounted run has none at the holder. Change: an uncounted ticket turns not_run into unknown unless the caller promised a first attempt; without a claim, only the holder's word (not counted, key reused) is not_run.

--- a/internal/run/chat.go
+++ b/internal/run/chat.go
@@ -17,12 +17,13 @@
 	}
 	ticket, err := r.Claims.Begin(ctx, c.claim(true))
 	if err != nil {
-		return ChatResult{}, notRun(err)
+		return ChatResult{}, unclaimed(err)
 	}
 	if ticket.Join {
 		return r.joinChat(ctx, c, ticket, sink, r.byClaim(c))
 	}
-	return r.ownChat(ctx, c, ticket.Run, sink)
+	result, err := r.ownChat(ctx, c, ticket.Run, sink)
+	return result, c.doubted(ticket, err)
 }
 
 // ownChat carries a run that this call has claimed. It returns when the run has
--- a/internal/run/failure.go
+++ b/internal/run/failure.go
@@ -48,9 +48,24 @@
 
 const comeBack = 2 * time.Second
 
-// notRun returns the failure for an error before anything was sent to an
-// endpoint.
-func notRun(err error) *Failure { return failure(err, false) }
+// unclaimed returns the failure for a request that got no claim. An earlier
+// attempt under its key may have run, so "not run" takes the word of the
+// claim's holder; every other error leaves it open.
+func unclaimed(err error) *Failure {
+	known := errors.Is(err, claim.ErrNotCounted) || errors.Is(err, claim.ErrKeyReused)
+	return failure(err, !known)
+}
+
+// doubted takes back a "not run" that this instance cannot know: the claim's
+// holder was out of reach, so an earlier attempt may have run elsewhere. The
+// caller's promise of a first attempt makes it true.
+func (q Request) doubted(ticket claim.Ticket, err error) error {
+	var f *Failure
+	if ticket.Uncounted && !q.First && errors.As(err, &f) && f.Outcome == record.OutcomeNotRun {
+		f.Outcome = record.OutcomeUnknown
+	}
+	return err
+}
 
 // failure returns the final outcome for an error; started says whether
 // anything may have run.
--- a/internal/run/join.go
+++ b/internal/run/join.go
@@ -108,7 +108,8 @@
 			return f.result, failure(err, true)
 		}
 		if !ticket.Join {
-			return r.ownChat(ctx, c, ticket.Run, sink)
+			result, err := r.ownChat(ctx, c, ticket.Run, sink)
+			return result, c.doubted(ticket, err)
 		}
 	}
 }
--- /dev/null
+++ b/internal/run/outcome_test.go
@@ -0,0 +1,60 @@
+package run
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"guavapier/internal/claim"
+	"guavapier/internal/record"
+	"guavapier/internal/standin"
+)
+
+// distant is Claims whose holder is out of reach.
+type distant struct {
+	claim.Claims
+	err error // Of Begin; nil for an uncounted ticket.
+}
+
+// Begin implements claim.Claims.
+func (d distant) Begin(context.Context, claim.Request) (claim.Ticket, error) {
+	return claim.Ticket{Run: record.NewRunID(), Runner: "a1", Uncounted: true}, d.err
+}
+
+// "Not run" speaks of earlier attempts too. Only who knows the claim table, or
+// the caller's promise of a first attempt, makes it true.
+func TestNotRunIsSaidOnlyWhereItIsKnown(t *testing.T) {
+	for name, c := range map[string]struct {
+		err   error
+		first bool
+		want  record.Outcome
+	}{
+		"uncounted":                {want: record.OutcomeUnknown},
+		"uncounted, first attempt": {first: true, want: record.OutcomeNotRun},
+		"not counted by holder":    {err: claim.ErrNotCounted, want: record.OutcomeNotRun},
+		"key reused":               {err: claim.ErrKeyReused, want: record.OutcomeNotRun},
+		"unknown":                  {err: claim.ErrUnknown, want: record.OutcomeUnknown},
+		"any other error":          {err: errors.New("surprise"), want: record.OutcomeUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			b.Claims = distant{Claims: b.Claims, err: c.err}
+			for _, e := range b.engines {
+				e.SetFaults(standin.EngineFaults{Refuse: true})
+			}
+			chat := chatOf("k", true)
+			chat.First = c.first
+			got := b.ask(t.Context(), chat, nil)
+			if f := failureOf(t, got.err); f.Outcome != c.want {
+				t.Errorf("chat: %+v", f)
+			}
+			for _, s := range b.services {
+				s.SetFaults(standin.ServiceFaults{Refuse: true})
+			}
+			_, err := b.Call(t.Context(), Call{Request: chat.Request, Service: "rig", Method: "POST", Path: "/x"})
+			if f := failureOf(t, err); f.Outcome != c.want {
+				t.Errorf("call: %+v", f)
+			}
+		})
+	}
+}
--- a/internal/run/service.go
+++ b/internal/run/service.go
@@ -45,12 +45,13 @@
 	repeatable := r.Repeatable(c.Service, c.Method, c.Path)
 	ticket, err := r.beginCall(ctx, c, repeatable)
 	if err != nil {
-		return endpoint.Answer{}, notRun(err)
+		return endpoint.Answer{}, unclaimed(err)
 	}
 	if ticket.Join {
 		return joinCall(ticket)
 	}
-	return r.ownCall(ctx, c, ticket.Run, repeatable)
+	answer, err := r.ownCall(ctx, c, ticket.Run, repeatable)
+	return answer, c.doubted(ticket, err)
 }
 
 // beginCall claims the call, or waits for the end of the run that it joins.
