Let the trace's callers come back on an unknown outcome too

Cause: since not_run is said only where it is known, a repeatable request that met a shard without a reachable holder and a stranded budget is told unknown with Retry-After. Change: the driver comes back whenever the answer says when, under the same key, which is safe after every outcome. The stated outcomes are unchanged.

--- a/internal/load/player.go
+++ b/internal/load/player.go
@@ -200,8 +200,9 @@
 	if body.Error.Outcome == "not_run" {
 		o.kind = notRun
 	}
+	// Coming back under the same key is safe after every outcome.
 	seconds, err := strconv.Atoi(resp.Header.Get("Retry-After"))
-	if err != nil || o.kind != notRun {
+	if err != nil {
 		return o, -1
 	}
 	return o, time.Duration(seconds) * time.Second
