--- a/internal/claim/bench_test.go
+++ b/internal/claim/bench_test.go
@@ -14,7 +14,7 @@
 	"guavapier/internal/claim"
 	"guavapier/internal/fold"
 	"guavapier/internal/peer"
-	"guavapier/internal/platform"
+	"guavapier/internal/logstore"
 	"guavapier/internal/record"
 	"guavapier/internal/replica"
 	"guavapier/internal/right"
@@ -52,7 +52,7 @@
 		return 0, err
 	}
 	for _, part := range m.site.parts {
-		if err := part.Apply(platform.Entry{Offset: batch.Seq, Data: data}); err != nil {
+		if err := part.Apply(logstore.Entry{Offset: batch.Seq, Data: data}); err != nil {
 			return 0, err
 		}
 	}
@@ -68,10 +68,10 @@
 	return "", false
 }
 
-func (m *member) Live() []platform.Instance {
-	var out []platform.Instance
+func (m *member) Live() []logstore.Instance {
+	var out []logstore.Instance
 	for _, other := range m.site.nodes {
-		out = append(out, platform.Instance{ID: other.id, Zone: homeZone})
+		out = append(out, logstore.Instance{ID: other.id, Zone: homeZone})
 	}
 	return out
 }
@@ -94,7 +94,7 @@
 	for _, m := range s.nodes {
 		pool := peer.NewPool(m.id, m, peer.Options{})
 		m.holder = claim.NewHolder(claim.Parts{
-			Self: platform.Instance{ID: m.id, Zone: homeZone}, Log: m, Caller: pool, Members: m,
+			Self: logstore.Instance{ID: m.id, Zone: homeZone}, Log: m, Caller: pool, Members: m,
 			Partitions: []*claim.Replica{m.part}, Logger: zerolog.Nop(),
 		}, claim.Options{})
 		m.fleet = claim.NewFleet(m.holder)
--- a/internal/claim/holder.go
+++ b/internal/claim/holder.go
@@ -11,7 +11,7 @@
 
 	"guavapier/internal/fold"
 	"guavapier/internal/peer"
-	"guavapier/internal/platform"
+	"guavapier/internal/logstore"
 	"guavapier/internal/record"
 	"guavapier/internal/right"
 )
@@ -29,7 +29,7 @@
 
 // Parts are what a Holder and a Fleet are made of.
 type Parts struct {
-	Self    platform.Instance
+	Self    logstore.Instance
 	Log     Appender
 	Caller  peer.Caller
 	Members Members
@@ -144,7 +144,7 @@
 
 // look acts on one shard, one action at a time. All actions need the log:
 // while it is away an epoch is worth more than a closed one.
-func (h *Holder) look(id shardID, part *Replica, live []platform.Instance) {
+func (h *Holder) look(id shardID, part *Replica, live []logstore.Instance) {
 	last, known := shardOf(part, id)
 	self := h.parts.Self.ID
 	h.forgetHeld(id, last)
--- a/internal/claim/options.go
+++ b/internal/claim/options.go
@@ -4,11 +4,11 @@
 	"context"
 	"time"
 
-	"guavapier/internal/platform"
+	"guavapier/internal/logstore"
 	"guavapier/internal/record"
 )
 
-// Appender appends records to the log in one batch; see platform.Publisher.
+// Appender appends records to the log in one batch; see logstore.Publisher.
 type Appender interface {
 	Append(ctx context.Context, stream record.Stream, records ...record.Record) (uint64, error)
 }
@@ -16,7 +16,7 @@
 // Members is what claims need of package membership: hints, never facts.
 type Members interface {
 	// Live returns the instances that answer and do not leave.
-	Live() []platform.Instance
+	Live() []logstore.Instance
 	// Reachable says whether a listed instance answers.
 	Reachable(id record.InstanceID) bool
 	// ZoneListed says whether the instance list has an instance of a zone that
--- a/internal/claim/plan.go
+++ b/internal/claim/plan.go
@@ -8,7 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"guavapier/internal/fold"
-	"guavapier/internal/platform"
+	"guavapier/internal/logstore"
 	"guavapier/internal/record"
 )
 
@@ -83,7 +83,7 @@
 // zone first; a shard without a home zone takes all alike. While the home zone
 // has a listed instance only its own hold the shard: the zone may be cut off
 // from here, and its callers are there. Any may be the witness.
-func rank(id shardID, live []platform.Instance, listed func(record.Zone) bool) (holders, witnesses []record.InstanceID) {
+func rank(id shardID, live []logstore.Instance, listed func(record.Zone) bool) (holders, witnesses []record.InstanceID) {
 	type scored struct {
 		id    record.InstanceID
 		home  bool
--- a/internal/claim/world_test.go
+++ b/internal/claim/world_test.go
@@ -12,7 +12,7 @@
 	"guavapier/internal/claim"
 	"guavapier/internal/fold"
 	"guavapier/internal/peer"
-	"guavapier/internal/platform"
+	"guavapier/internal/logstore"
 	"guavapier/internal/record"
 	"guavapier/internal/replica"
 	"guavapier/internal/right"
@@ -34,7 +34,7 @@
 	broken  breakage
 
 	mu      sync.Mutex // Guards all below.
-	entries []platform.Entry
+	entries []logstore.Entry
 	lose    int // Appends whose answer gets lost.
 	nodes   [worldSize]*node
 	started int
@@ -62,7 +62,7 @@
 	slot    int
 	id      record.InstanceID
 	part    *claim.Replica
-	log     *platform.Publisher
+	log     *logstore.Publisher
 	holder  *claim.Holder
 	fleet   *claim.Fleet
 	witness *right.Service[claim.Use]
@@ -88,11 +88,11 @@
 	ctx, cancel := context.WithCancel(w.ctx)
 	n.cancel = cancel
 	n.part = replica.New(record.LedgerStream(0), fold.NewLedger())
-	n.log = platform.NewPublisher(n, n.id, platform.PublisherOptions{
+	n.log = logstore.NewPublisher(n, n.id, logstore.PublisherOptions{
 		Linger: 5 * time.Millisecond, RetryEvery: 50 * time.Millisecond, MaxRecords: 100,
 	})
 	n.holder = claim.NewHolder(claim.Parts{
-		Self: platform.Instance{ID: n.id, Zone: homeZone}, Log: n.log, Caller: n, Members: n,
+		Self: logstore.Instance{ID: n.id, Zone: homeZone}, Log: n.log, Caller: n, Members: n,
 		Partitions: []*claim.Replica{n.part}, Logger: zerolog.Nop(),
 	}, claim.Options{Modes: modeOf(mode)})
 	n.fleet = claim.NewFleet(n.holder)
@@ -168,43 +168,43 @@
 	}
 }
 
-// Append implements platform.Log.
+// Append implements logstore.Log.
 func (n *node) Append(_ context.Context, _ record.Stream, data []byte) (uint64, error) {
 	if !n.alive() {
-		return 0, platform.ErrUnavailable
+		return 0, logstore.ErrUnavailable
 	}
 	w := n.w
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.offline[n.slot] {
-		return 0, platform.ErrUnavailable
+		return 0, logstore.ErrUnavailable
 	}
 	offset := w.appendLocked(data)
 	if w.lose > 0 {
 		w.lose--
-		return 0, platform.ErrUnavailable
+		return 0, logstore.ErrUnavailable
 	}
 	return offset, nil
 }
 
 func (w *world) appendLocked(data []byte) uint64 {
 	offset := uint64(len(w.entries))
-	w.entries = append(w.entries, platform.Entry{Offset: offset, Data: data})
+	w.entries = append(w.entries, logstore.Entry{Offset: offset, Data: data})
 	return offset
 }
 
-// Read implements platform.Log.
-func (n *node) Read(_ context.Context, _ record.Stream, from uint64, _ time.Duration) (platform.Page, error) {
+// Read implements logstore.Log.
+func (n *node) Read(_ context.Context, _ record.Stream, from uint64, _ time.Duration) (logstore.Page, error) {
 	if !n.alive() {
-		return platform.Page{}, platform.ErrUnavailable
+		return logstore.Page{}, logstore.ErrUnavailable
 	}
 	n.w.mu.Lock()
 	defer n.w.mu.Unlock()
 	if n.w.offline[n.slot] {
-		return platform.Page{}, platform.ErrUnavailable
+		return logstore.Page{}, logstore.ErrUnavailable
 	}
 	from = min(from, uint64(len(n.w.entries)))
-	return platform.Page{Entries: n.w.entries[from:len(n.w.entries):len(n.w.entries)], Next: uint64(len(n.w.entries))}, nil
+	return logstore.Page{Entries: n.w.entries[from:len(n.w.entries):len(n.w.entries)], Next: uint64(len(n.w.entries))}, nil
 }
 
 // follow keeps the instance's fold current while it reaches the platform.
@@ -228,12 +228,12 @@
 }
 
 // Live implements claim.Members.
-func (n *node) Live() []platform.Instance {
-	var out []platform.Instance
+func (n *node) Live() []logstore.Instance {
+	var out []logstore.Instance
 	for slot := range worldSize {
 		other := n.w.at(slot)
 		if other != nil && (other == n || n.Reachable(other.id)) {
-			out = append(out, platform.Instance{ID: other.id, Zone: homeZone})
+			out = append(out, logstore.Instance{ID: other.id, Zone: homeZone})
 		}
 	}
 	return out
--- a/internal/ledger/driver_test.go
+++ b/internal/ledger/driver_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"guavapier/internal/ledger"
-	"guavapier/internal/platform"
+	"guavapier/internal/logstore"
 	"guavapier/internal/record"
 )
 
@@ -341,11 +341,11 @@
 type membersOf struct {
 	w    *world
 	id   record.InstanceID
-	last []platform.Instance
+	last []logstore.Instance
 }
 
 // Live implements ledger.Members.
-func (m *membersOf) Live() []platform.Instance {
+func (m *membersOf) Live() []logstore.Instance {
 	m.w.mu.Lock()
 	defer m.w.mu.Unlock()
 	self := m.w.find(m.id)
@@ -355,7 +355,7 @@
 	m.last = m.last[:0:0]
 	for _, n := range m.w.nodes {
 		if !n.stopped && !n.lags {
-			m.last = append(m.last, platform.Instance{ID: n.id, Zone: n.zone})
+			m.last = append(m.last, logstore.Instance{ID: n.id, Zone: n.zone})
 		}
 	}
 	return m.last
--- a/internal/ledger/policy.go
+++ b/internal/ledger/policy.go
@@ -6,7 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"guavapier/internal/platform"
+	"guavapier/internal/logstore"
 	"guavapier/internal/record"
 )
 
@@ -117,7 +117,7 @@
 // and not in avoid, in the holder's zone if there is one, so that the pair
 // stays whole behind a cut of the zone. Among equals a hash spreads holders
 // over witnesses. It returns "" where no instance is left.
-func ChooseWitness(self record.InstanceID, zone record.Zone, live []platform.Instance, avoid func(record.InstanceID) bool) record.InstanceID {
+func ChooseWitness(self record.InstanceID, zone record.Zone, live []logstore.Instance, avoid func(record.InstanceID) bool) record.InstanceID {
 	var best record.InstanceID
 	var bestHash uint64
 	bestNear := false
@@ -136,7 +136,7 @@
 // ChooseOwner picks the instance of a zone that preferably holds a budget's
 // grants, by rendezvous hash of the budget's partition. It returns "" where
 // the zone has no instance left.
-func ChooseOwner(zone record.Zone, partition record.Stream, live []platform.Instance, avoid func(record.InstanceID) bool) record.InstanceID {
+func ChooseOwner(zone record.Zone, partition record.Stream, live []logstore.Instance, avoid func(record.InstanceID) bool) record.InstanceID {
 	var best record.InstanceID
 	var bestHash uint64
 	for _, in := range live {
--- a/internal/ledger/types.go
+++ b/internal/ledger/types.go
@@ -16,7 +16,7 @@
 
 	"guavapier/internal/fold"
 	"guavapier/internal/peer"
-	"guavapier/internal/platform"
+	"guavapier/internal/logstore"
 	"guavapier/internal/record"
 	"guavapier/internal/replica"
 	"guavapier/internal/right"
@@ -56,7 +56,7 @@
 	retryStopped = 2 * time.Second // The log or a peer did not answer.
 )
 
-// Appender appends records to the log in one batch; see platform.Publisher.
+// Appender appends records to the log in one batch; see logstore.Publisher.
 // After an error the records may or may not be on the log, or reach it later.
 type Appender interface {
 	Append(ctx context.Context, stream record.Stream, records ...record.Record) (uint64, error)
@@ -65,7 +65,7 @@
 // Members is the membership as this instance last knew it.
 type Members interface {
 	// Live returns the listed instances, leaving ones included. It may lag.
-	Live() []platform.Instance
+	Live() []logstore.Instance
 }
 
 // Usages asks endpoints what a run has used.
--- a/internal/ledger/view.go
+++ b/internal/ledger/view.go
@@ -9,7 +9,7 @@
 
 	"guavapier/internal/fold"
 	"guavapier/internal/peer"
-	"guavapier/internal/platform"
+	"guavapier/internal/logstore"
 	"guavapier/internal/record"
 	"guavapier/internal/right"
 )
@@ -70,7 +70,7 @@
 	return nil
 }
 
-func (l *Ledger) live() []platform.Instance {
+func (l *Ledger) live() []logstore.Instance {
 	if l.Members == nil {
 		return nil
 	}
@@ -78,12 +78,12 @@
 }
 
 // stays says whether an instance is listed and not leaving.
-func stays(id record.InstanceID, live []platform.Instance) bool {
-	return slices.ContainsFunc(live, func(in platform.Instance) bool { return in.ID == id && !in.Leaving })
+func stays(id record.InstanceID, live []logstore.Instance) bool {
+	return slices.ContainsFunc(live, func(in logstore.Instance) bool { return in.ID == id && !in.Leaving })
 }
 
 // witnessLeaves is called with the lock held.
-func (a *account) witnessLeaves(live []platform.Instance) bool {
+func (a *account) witnessLeaves(live []logstore.Instance) bool {
 	for _, g := range a.grants {
 		if witness := g.held.Terms().Witness; g.usable() && witness != "" && !stays(witness, live) {
 			return true
@@ -126,7 +126,7 @@
 }
 
 // zonesOf returns the instances of a zone.
-func zonesOf(live []platform.Instance, zone record.Zone) map[record.InstanceID]bool {
+func zonesOf(live []logstore.Instance, zone record.Zone) map[record.InstanceID]bool {
 	out := map[record.InstanceID]bool{}
 	for _, in := range live {
 		if in.Zone == zone {
@@ -138,7 +138,7 @@
 
 // keepsFar says whether a spare in another zone is wanted and possible: there
 // is a witness in this zone, and one elsewhere.
-func (l *Ledger) keepsFar(live []platform.Instance) bool {
+func (l *Ledger) keepsFar(live []logstore.Instance) bool {
 	if l.Options.Spare != SpareOtherZone {
 		return false
 	}
--- a/internal/ledger/world_test.go
+++ b/internal/ledger/world_test.go
@@ -11,7 +11,7 @@
 	"guavapier/internal/fold"
 	"guavapier/internal/ledger"
 	"guavapier/internal/peer"
-	"guavapier/internal/platform"
+	"guavapier/internal/logstore"
 	"guavapier/internal/record"
 	"guavapier/internal/replica"
 	"guavapier/internal/right"
@@ -54,12 +54,12 @@
 	stream  record.Stream
 
 	mu      sync.Mutex
-	entries []platform.Entry
+	entries []logstore.Entry
 	delayed []record.Batch
 	links   map[[2]record.InstanceID]linkMode
 	late    []func()
 	nodes   []*node
-	listed  []platform.Instance // What Live returns.
+	listed  []logstore.Instance // What Live returns.
 	now     time.Time
 	appends int
 	bytes   int
@@ -155,13 +155,13 @@
 	w.listed = nil
 	for _, n := range w.nodes {
 		if !n.stopped {
-			w.listed = append(w.listed, platform.Instance{ID: n.id, Zone: n.zone})
+			w.listed = append(w.listed, logstore.Instance{ID: n.id, Zone: n.zone})
 		}
 	}
 }
 
 // Live implements ledger.Members.
-func (w *world) Live() []platform.Instance {
+func (w *world) Live() []logstore.Instance {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.listed
@@ -174,7 +174,7 @@
 		panic(err)
 	}
 	offset := uint64(len(w.entries))
-	w.entries = append(w.entries, platform.Entry{Offset: offset, Data: data})
+	w.entries = append(w.entries, logstore.Entry{Offset: offset, Data: data})
 	w.appends++
 	w.bytes += len(data)
 	for _, n := range w.nodes {
@@ -225,13 +225,13 @@
 	}
 	switch {
 	case n.stopped || n.mode == logRefuses:
-		return 0, platform.ErrUnavailable
+		return 0, logstore.ErrUnavailable
 	case n.mode == logDelays:
 		w.delayed = append(w.delayed, b)
-		return 0, platform.ErrUnavailable
+		return 0, logstore.ErrUnavailable
 	case n.mode == logLoses:
 		w.commit(b)
-		return 0, platform.ErrUnavailable
+		return 0, logstore.ErrUnavailable
 	}
 	return w.commit(b), nil
 }
@@ -240,7 +240,7 @@
 func (n *node) pretend(b record.Batch) (uint64, error) {
 	data, _ := record.EncodeBatch(b)
 	offset := n.part.Next()
-	return offset, n.part.Apply(platform.Entry{Offset: offset, Data: data})
+	return offset, n.part.Apply(logstore.Entry{Offset: offset, Data: data})
 }
 
 func (w *world) tamper(records []record.Record) []record.Record {
--- a/internal/platform/client.go
+++ b/internal/logstore/client.go
@@ -1,4 +1,4 @@
-package platform
+package logstore
 
 import (
 	"bytes"
@@ -30,7 +30,7 @@
 }
 
 // errNotModified says that what a conditional request asks for has not changed.
-var errNotModified = eris.New("platform: not modified")
+var errNotModified = eris.New("logstore: not modified")
 
 // NewClient returns a client of the platform at base (http://ip:port). Each
 // call ends after timeout at the latest, a long poll after its wait more.
@@ -74,7 +74,7 @@
 	defer cancel()
 	body, err := json.Marshal(self)
 	if err != nil {
-		return eris.Wrap(err, "platform: encode instance")
+		return eris.Wrap(err, "logstore: encode instance")
 	}
 	return c.call(ctx, http.MethodPost, "/instances", body, nil)
 }
@@ -124,7 +124,7 @@
 func (c *Client) exchange(ctx context.Context, method, path string, body []byte, header http.Header, out any) (http.Header, error) {
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
-		return nil, eris.Wrap(err, "platform: build request")
+		return nil, eris.Wrap(err, "logstore: build request")
 	}
 	if header != nil {
 		req.Header = header
@@ -134,7 +134,7 @@
 		// A connection that failed once may be silent for good: none of the
 		// idle ones is trusted, the next call dials anew.
 		c.http.CloseIdleConnections()
-		return nil, eris.Wrap(errors.Join(ErrUnavailable, err), "platform: call")
+		return nil, eris.Wrap(errors.Join(ErrUnavailable, err), "logstore: call")
 	}
 	defer resp.Body.Close()
 	if err := statusError(resp); err != nil {
@@ -148,7 +148,7 @@
 		return resp.Header, nil
 	}
 	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
-		return nil, eris.Wrap(errors.Join(ErrUnavailable, err), "platform: decode answer")
+		return nil, eris.Wrap(errors.Join(ErrUnavailable, err), "logstore: decode answer")
 	}
 	return resp.Header, nil
 }
@@ -165,6 +165,6 @@
 		return ErrTrimmed
 	default:
 		text, _ := io.ReadAll(io.LimitReader(resp.Body, 256))
-		return eris.Wrapf(ErrUnavailable, "platform: status %d: %s", resp.StatusCode, text)
+		return eris.Wrapf(ErrUnavailable, "logstore: status %d: %s", resp.StatusCode, text)
 	}
 }
--- a/internal/platform/client_test.go
+++ b/internal/logstore/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package logstore_test
 
 import (
 	"net/http"
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"guavapier/internal/platform"
+	"guavapier/internal/logstore"
 	"guavapier/internal/standin"
 )
 
@@ -30,8 +30,8 @@
 		handler.ServeHTTP(statusRecorder{w, &explicit}, r)
 	}))
 	defer srv.Close()
-	client := platform.NewClient(srv.URL, time.Second)
-	read := func() platform.List {
+	client := logstore.NewClient(srv.URL, time.Second)
+	read := func() logstore.List {
 		t.Helper()
 		list, err := client.List(t.Context())
 		if err != nil {
--- a/internal/platform/log.go
+++ b/internal/logstore/log.go
@@ -1,7 +1,7 @@
-// Package platform meets the platform's two services: the append-only log and
+// Package logstore meets the platform's two services: the append-only log and
 // the lagging instance list. It has the HTTP clients, and the watermill
 // publisher and subscriber through which the rest of guavapier uses the log.
-package platform
+package logstore
 
 import (
 	"context"
@@ -16,12 +16,12 @@
 var (
 	// ErrUnavailable says that the platform did not answer, or answered that
 	// it is down. An append that ends so may have taken effect.
-	ErrUnavailable = eris.New("platform: unavailable")
+	ErrUnavailable = eris.New("logstore: unavailable")
 	// ErrThrottled says that the append rate limit refused an append. The
 	// append did not take effect.
-	ErrThrottled = eris.New("platform: append rate limit reached")
+	ErrThrottled = eris.New("logstore: append rate limit reached")
 	// ErrTrimmed says that the wanted offset has aged out of retention.
-	ErrTrimmed = eris.New("platform: offset aged out")
+	ErrTrimmed = eris.New("logstore: offset aged out")
 )
 
 // Entry is one appended entry.
--- a/internal/platform/publisher.go
+++ b/internal/logstore/publisher.go
@@ -1,4 +1,4 @@
-package platform
+package logstore
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 )
 
 // ErrClosed is returned by a publisher that has been closed.
-var ErrClosed = eris.New("platform: publisher closed")
+var ErrClosed = eris.New("logstore: publisher closed")
 
 // PublisherOptions bound a Publisher.
 type PublisherOptions struct {
@@ -103,7 +103,7 @@
 	select {
 	case w.queue <- waiting:
 	case <-ctx.Done():
-		return 0, eris.Wrap(ErrUnavailable, "platform: not queued in time")
+		return 0, eris.Wrap(ErrUnavailable, "logstore: not queued in time")
 	case <-p.ctx.Done():
 		return 0, ErrClosed
 	}
@@ -111,7 +111,7 @@
 	case got := <-waiting.done:
 		return got.offset, got.err
 	case <-ctx.Done():
-		return 0, eris.Wrap(ErrUnavailable, "platform: append not confirmed in time")
+		return 0, eris.Wrap(ErrUnavailable, "logstore: append not confirmed in time")
 	case <-p.ctx.Done():
 		return 0, ErrClosed
 	}
--- a/internal/platform/subscriber.go
+++ b/internal/logstore/subscriber.go
@@ -1,4 +1,4 @@
-package platform
+package logstore
 
 import (
 	"context"
--- a/internal/platform/subscriber_test.go
+++ b/internal/logstore/subscriber_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package logstore_test
 
 import (
 	"context"
@@ -9,30 +9,30 @@
 
 	"go.uber.org/goleak"
 
-	"guavapier/internal/platform"
+	"guavapier/internal/logstore"
 	"guavapier/internal/record"
 )
 
 // busyLog never has an empty page: each read finds entries, pages of them
 // full, and then one at a time. Up to trimmed it has dropped everything.
 type busyLog struct {
-	platform.Log
+	logstore.Log
 	trimmed, full uint64
 }
 
 const pageLength = 5
 
-func (l *busyLog) Read(_ context.Context, _ record.Stream, from uint64, _ time.Duration) (platform.Page, error) {
+func (l *busyLog) Read(_ context.Context, _ record.Stream, from uint64, _ time.Duration) (logstore.Page, error) {
 	if from < l.trimmed {
-		return platform.Page{First: l.trimmed}, platform.ErrTrimmed
+		return logstore.Page{First: l.trimmed}, logstore.ErrTrimmed
 	}
-	page := platform.Page{First: l.trimmed}
+	page := logstore.Page{First: l.trimmed}
 	length := uint64(1)
 	if from < l.full {
 		length = pageLength
 	}
 	for n := range length {
-		page.Entries = append(page.Entries, platform.Entry{Offset: from + n})
+		page.Entries = append(page.Entries, logstore.Entry{Offset: from + n})
 	}
 	return page, nil
 }
@@ -53,7 +53,7 @@
 			return log.trimmed, nil
 		}
 	}
-	sub := platform.NewSubscriber(log, start)
+	sub := logstore.NewSubscriber(log, start)
 	messages, err := sub.Subscribe(t.Context(), string(record.ConfigStream))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/membership/decide.go
+++ b/internal/membership/decide.go
@@ -4,28 +4,28 @@
 	"cmp"
 	"slices"
 
-	"guavapier/internal/platform"
+	"guavapier/internal/logstore"
 	"guavapier/internal/record"
 )
 
 // live decides whom to offer work to. Load: every claim and grant asks for
 // peers. Harm prevented: a peer that is known to be silent costs each asker a
 // timeout. The own zone goes first since other zones may be cut off.
-func live(listed []platform.Instance, self platform.Instance, unreachable map[record.InstanceID]struct{}) []platform.Instance {
-	out := make([]platform.Instance, 0, len(listed))
+func live(listed []logstore.Instance, self logstore.Instance, unreachable map[record.InstanceID]struct{}) []logstore.Instance {
+	out := make([]logstore.Instance, 0, len(listed))
 	for _, in := range listed {
 		if _, bad := unreachable[in.ID]; bad || in.Leaving {
 			continue
 		}
 		out = append(out, in)
 	}
-	rank := func(in platform.Instance) int {
+	rank := func(in logstore.Instance) int {
 		if in.Zone == self.Zone {
 			return 0
 		}
 		return 1
 	}
-	slices.SortFunc(out, func(a, b platform.Instance) int {
+	slices.SortFunc(out, func(a, b logstore.Instance) int {
 		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.ID, b.ID))
 	})
 	return out
@@ -36,7 +36,7 @@
 // prevented: heartbeats whose cost grows with the fleet, and a peer that came
 // back but is not asked. Limit: probesPerRound, at most half of it for peers
 // marked unreachable while there are others.
-func pick(listed []platform.Instance, self record.InstanceID, unreachable map[record.InstanceID]struct{}, lastTurn map[record.InstanceID]int) []record.InstanceID {
+func pick(listed []logstore.Instance, self record.InstanceID, unreachable map[record.InstanceID]struct{}, lastTurn map[record.InstanceID]int) []record.InstanceID {
 	var good, bad []record.InstanceID
 	for _, in := range listed {
 		if in.ID == self || in.Peer == "" {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -13,7 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"guavapier/internal/peer"
-	"guavapier/internal/platform"
+	"guavapier/internal/logstore"
 	"guavapier/internal/record"
 )
 
@@ -42,31 +42,31 @@
 
 // Members is this instance's view of the fleet. It is safe for concurrent use.
 type Members struct {
-	directory platform.Directory
-	self      func() platform.Instance
+	directory logstore.Directory
+	self      func() logstore.Instance
 	log       zerolog.Logger
 
 	mu sync.Mutex
 	// list is the last list that was read; it stays while the platform is away.
-	list        platform.List
+	list        logstore.List
 	seen        bool
 	answered    time.Time // The platform's last answer.
 	addresses   map[record.InstanceID]string
 	unreachable map[record.InstanceID]struct{}
 	turn        int
 	lastTurn    map[record.InstanceID]int // Of each peer's last heartbeat.
-	watchers    []func(platform.List)
+	watchers    []func(logstore.List)
 
 	// told is what the platform was last told about this instance, at toldAt.
 	// Only the goroutine of refresh uses them.
-	told   platform.Instance
+	told   logstore.Instance
 	toldAt time.Time
 }
 
 var _ peer.Addresses = (*Members)(nil)
 
 // New returns a view without any list. self is announced as it is at the time.
-func New(directory platform.Directory, self func() platform.Instance, log zerolog.Logger) *Members {
+func New(directory logstore.Directory, self func() logstore.Instance, log zerolog.Logger) *Members {
 	return &Members{
 		directory: directory, self: self, log: log,
 		addresses: map[record.InstanceID]string{}, unreachable: map[record.InstanceID]struct{}{},
@@ -76,7 +76,7 @@
 
 // OnList adds a function that is called with each list that is read. Add all
 // of them before Run.
-func (m *Members) OnList(f func(platform.List)) { m.watchers = append(m.watchers, f) }
+func (m *Members) OnList(f func(logstore.List)) { m.watchers = append(m.watchers, f) }
 
 // Run announces this instance, follows the list and sends heartbeats until ctx
 // ends.
@@ -126,7 +126,7 @@
 	}
 }
 
-func (m *Members) take(list platform.List) {
+func (m *Members) take(list logstore.List) {
 	addresses := make(map[record.InstanceID]string, len(list.Instances))
 	for _, in := range list.Instances {
 		addresses[in.ID] = in.Peer
@@ -143,7 +143,7 @@
 }
 
 // List returns the last list that was read.
-func (m *Members) List() platform.List {
+func (m *Members) List() logstore.List {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.list
@@ -168,7 +168,7 @@
 func (m *Members) ZoneListed(zone record.Zone) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return slices.ContainsFunc(m.list.Instances, func(in platform.Instance) bool {
+	return slices.ContainsFunc(m.list.Instances, func(in logstore.Instance) bool {
 		return in.Zone == zone && !in.Leaving
 	})
 }
@@ -183,7 +183,7 @@
 
 // Live returns the listed instances that are not leaving and not known to be
 // unreachable, this one included: its own zone first, each zone by identity.
-func (m *Members) Live() []platform.Instance {
+func (m *Members) Live() []logstore.Instance {
 	self := m.self()
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -13,7 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"guavapier/internal/membership"
-	"guavapier/internal/platform"
+	"guavapier/internal/logstore"
 	"guavapier/internal/record"
 )
 
@@ -21,21 +21,21 @@
 // bubble, which fails a test that leaves goroutines behind.
 type fleet struct {
 	mu     sync.Mutex
-	list   platform.List
+	list   logstore.List
 	away   bool
 	silent map[record.InstanceID]bool
 	pings  map[record.InstanceID]int
 }
 
-func (f *fleet) Announce(context.Context, platform.Instance) error { return nil }
+func (f *fleet) Announce(context.Context, logstore.Instance) error { return nil }
 
-func (f *fleet) List(context.Context) (platform.List, error) {
+func (f *fleet) List(context.Context) (logstore.List, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.away {
-		return platform.List{}, platform.ErrUnavailable
+		return logstore.List{}, logstore.ErrUnavailable
 	}
-	return platform.List{Instances: slices.Clone(f.list.Instances)}, nil
+	return logstore.List{Instances: slices.Clone(f.list.Instances)}, nil
 }
 
 func (f *fleet) Ping(ctx context.Context, to record.InstanceID) error {
@@ -56,11 +56,11 @@
 	change()
 }
 
-func instances(n int) []platform.Instance {
-	var out []platform.Instance
+func instances(n int) []logstore.Instance {
+	var out []logstore.Instance
 	for i := range n {
 		zone := record.Zone([]string{"z2", "z1", "z3"}[i%3])
-		out = append(out, platform.Instance{ID: record.InstanceID(fmt.Sprintf("i%03d", i)), Zone: zone, Peer: "127.0.0.1:1"})
+		out = append(out, logstore.Instance{ID: record.InstanceID(fmt.Sprintf("i%03d", i)), Zone: zone, Peer: "127.0.0.1:1"})
 	}
 	return out
 }
@@ -68,8 +68,8 @@
 func run(t *testing.T, size int, steps func(*fleet, *membership.Members)) {
 	t.Helper()
 	synctest.Test(t, func(*testing.T) {
-		f := &fleet{list: platform.List{Instances: instances(size)}, silent: map[record.InstanceID]bool{}, pings: map[record.InstanceID]int{}}
-		m := membership.New(f, func() platform.Instance { return platform.Instance{ID: "i001", Zone: "z1"} }, zerolog.Nop())
+		f := &fleet{list: logstore.List{Instances: instances(size)}, silent: map[record.InstanceID]bool{}, pings: map[record.InstanceID]int{}}
+		m := membership.New(f, func() logstore.Instance { return logstore.Instance{ID: "i001", Zone: "z1"} }, zerolog.Nop())
 		ctx, cancel := context.WithCancel(context.Background())
 		var running sync.WaitGroup
 		running.Go(func() { m.Run(ctx, f) })
@@ -80,7 +80,7 @@
 	})
 }
 
-func ids(live []platform.Instance) []record.InstanceID {
+func ids(live []logstore.Instance) []record.InstanceID {
 	var out []record.InstanceID
 	for _, in := range live {
 		out = append(out, in.ID)
--- a/internal/operator/instances.go
+++ b/internal/operator/instances.go
@@ -3,7 +3,7 @@
 import (
 	"net/http"
 
-	"guavapier/internal/platform"
+	"guavapier/internal/logstore"
 )
 
 // AppliedRow is the answer to GET /applied.
@@ -22,7 +22,7 @@
 func (i *Interface) handleInstances(w http.ResponseWriter, _ *http.Request) {
 	rows := i.Instances()
 	if rows == nil {
-		rows = []platform.Instance{}
+		rows = []logstore.Instance{}
 	}
 	writeJSON(w, http.StatusOK, rows)
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -12,13 +12,13 @@
 
 	"guavapier/internal/fold"
 	"guavapier/internal/metrics"
-	"guavapier/internal/platform"
+	"guavapier/internal/logstore"
 	"guavapier/internal/record"
 	"guavapier/internal/replica"
 	"guavapier/internal/state"
 )
 
-// Appender appends records to the log; see platform.Publisher.
+// Appender appends records to the log; see logstore.Publisher.
 type Appender interface {
 	Append(ctx context.Context, stream record.Stream, records ...record.Record) (uint64, error)
 }
@@ -34,7 +34,7 @@
 	Metrics *metrics.Registry
 	// Instances gives the instance list as this instance knows it, with its
 	// own row as it is now.
-	Instances func() []platform.Instance
+	Instances func() []logstore.Instance
 	// CloseGrant closes the grant of a holder that is gone for good; its risk
 	// is told at ledger.Ledger.ForceClose.
 	CloseGrant func(context.Context, record.RightID) (fold.Grant, error)
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -18,7 +18,7 @@
 	"guavapier/internal/ledger"
 	"guavapier/internal/metrics"
 	"guavapier/internal/operator"
-	"guavapier/internal/platform"
+	"guavapier/internal/logstore"
 	"guavapier/internal/record"
 	"guavapier/internal/replica"
 	"guavapier/internal/state"
@@ -45,7 +45,7 @@
 func (l *fakeLog) Append(ctx context.Context, stream record.Stream, records ...record.Record) (uint64, error) {
 	if l.down {
 		<-ctx.Done()
-		return 0, platform.ErrUnavailable
+		return 0, logstore.ErrUnavailable
 	}
 	l.seq++
 	batch := record.Batch{Writer: "w", Seq: l.seq}
@@ -58,14 +58,14 @@
 	if err != nil {
 		return 0, err
 	}
-	entry := platform.Entry{Offset: l.seq, Data: data}
+	entry := logstore.Entry{Offset: l.seq, Data: data}
 	if stream == record.ConfigStream {
 		err = l.config.Apply(entry)
 	} else {
 		err = l.ledger.Apply(entry)
 	}
 	if l.late {
-		return 0, platform.ErrUnavailable
+		return 0, logstore.ErrUnavailable
 	}
 	return entry.Offset, err
 }
@@ -97,7 +97,7 @@
 	}
 	i := &operator.Interface{
 		Token: fleetToken, Log: log, Config: log.config, Ledgers: []*replica.Replica[*fold.Ledger]{log.ledger},
-		State: state.New(), Metrics: metrics.New(), Instances: func() []platform.Instance { return nil }, Patience: shortWait,
+		State: state.New(), Metrics: metrics.New(), Instances: func() []logstore.Instance { return nil }, Patience: shortWait,
 		CloseGrant: func(context.Context, record.RightID) (fold.Grant, error) { return fold.Grant{}, ledger.ErrNoGrant },
 		CloseShard: func(context.Context, record.RightID) (fold.Shard, error) { return fold.Shard{}, claim.ErrNoShard },
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -11,7 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"guavapier/internal/peer"
-	"guavapier/internal/platform"
+	"guavapier/internal/logstore"
 	"guavapier/internal/record"
 )
 
@@ -36,13 +36,13 @@
 
 // Peers gives the live instances, nearest first; see package membership.
 type Peers interface {
-	Live() []platform.Instance
+	Live() []logstore.Instance
 }
 
 // Log is the platform's log with reads that fall back to peers. Appends go to
 // the platform only. It is safe for concurrent use.
 type Log struct {
-	platform platform.Log
+	platform logstore.Log
 	self     record.InstanceID
 	caller   peer.Caller
 	peers    Peers
@@ -53,31 +53,31 @@
 	turn   int
 }
 
-var _ platform.Log = (*Log)(nil)
+var _ logstore.Log = (*Log)(nil)
 
 // New returns a log over the platform's.
-func New(log platform.Log, self record.InstanceID, caller peer.Caller, peers Peers) *Log {
+func New(log logstore.Log, self record.InstanceID, caller peer.Caller, peers Peers) *Log {
 	return &Log{platform: log, self: self, caller: caller, peers: peers, rings: map[record.Stream]*ring{}}
 }
 
-// Append implements platform.Log.
+// Append implements logstore.Log.
 func (l *Log) Append(ctx context.Context, stream record.Stream, data []byte) (uint64, error) {
-	return l.platform.Append(ctx, stream, data)
+	return l.logstore.Append(ctx, stream, data)
 }
 
-// Read implements platform.Log. While the platform fails, peers are asked
+// Read implements logstore.Log. While the platform fails, peers are asked
 // first and the platform is tried again each probeEvery.
-func (l *Log) Read(ctx context.Context, stream record.Stream, from uint64, wait time.Duration) (platform.Page, error) {
+func (l *Log) Read(ctx context.Context, stream record.Stream, from uint64, wait time.Duration) (logstore.Page, error) {
 	try, away := l.plan(time.Now())
 	if away {
 		wait = 0
 	}
-	err := platform.ErrUnavailable
+	err := logstore.ErrUnavailable
 	if try {
-		var page platform.Page
-		page, err = l.platform.Read(ctx, stream, from, wait)
+		var page logstore.Page
+		page, err = l.logstore.Read(ctx, stream, from, wait)
 		l.note(stream, from, page, err)
-		if !errors.Is(err, platform.ErrUnavailable) {
+		if !errors.Is(err, logstore.ErrUnavailable) {
 			return page, err
 		}
 	}
@@ -85,7 +85,7 @@
 		return page, nil
 	}
 	pause(ctx, relayPoll)
-	return platform.Page{}, eris.Wrap(err, "relay: nothing new from peers")
+	return logstore.Page{}, eris.Wrap(err, "relay: nothing new from peers")
 }
 
 // plan decides whether a read tries the platform. Load: a platform out of
@@ -105,11 +105,11 @@
 	return true, true
 }
 
-func (l *Log) note(stream record.Stream, from uint64, page platform.Page, err error) {
+func (l *Log) note(stream record.Stream, from uint64, page logstore.Page, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, logstore.ErrUnavailable):
 		l.failed = time.Now()
 	case err == nil:
 		l.failed = time.Time{}
@@ -127,7 +127,7 @@
 	return r
 }
 
-func (l *Log) askPeers(ctx context.Context, stream record.Stream, from uint64) (platform.Page, bool) {
+func (l *Log) askPeers(ctx context.Context, stream record.Stream, from uint64) (logstore.Page, bool) {
 	for _, id := range l.choose() {
 		ask, cancel := context.WithTimeout(ctx, askTimeout)
 		var reply ReadReply
@@ -139,9 +139,9 @@
 		l.mu.Lock()
 		l.ring(stream).add(from, reply.Entries)
 		l.mu.Unlock()
-		return platform.Page{Entries: reply.Entries, Next: reply.Entries[len(reply.Entries)-1].Offset + 1}, true
+		return logstore.Page{Entries: reply.Entries, Next: reply.Entries[len(reply.Entries)-1].Offset + 1}, true
 	}
-	return platform.Page{}, false
+	return logstore.Page{}, false
 }
 
 // choose returns the peers to ask, others with each read.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -9,14 +9,14 @@
 	"time"
 
 	"guavapier/internal/peer"
-	"guavapier/internal/platform"
+	"guavapier/internal/logstore"
 	"guavapier/internal/record"
 	"guavapier/internal/relay"
 )
 
 // memory is a platform log that can be out of reach for one instance.
 type memory struct {
-	entries []platform.Entry
+	entries []logstore.Entry
 	down    map[record.InstanceID]bool
 }
 
@@ -27,17 +27,17 @@
 
 func (v view) Append(_ context.Context, _ record.Stream, data []byte) (uint64, error) {
 	offset := uint64(len(v.m.entries))
-	v.m.entries = append(v.m.entries, platform.Entry{Offset: offset, Data: data})
+	v.m.entries = append(v.m.entries, logstore.Entry{Offset: offset, Data: data})
 	return offset, nil
 }
 
-func (v view) Read(_ context.Context, _ record.Stream, from uint64, _ time.Duration) (platform.Page, error) {
+func (v view) Read(_ context.Context, _ record.Stream, from uint64, _ time.Duration) (logstore.Page, error) {
 	if v.m.down[v.id] {
-		return platform.Page{}, platform.ErrUnavailable
+		return logstore.Page{}, logstore.ErrUnavailable
 	}
 	from = min(from, uint64(len(v.m.entries)))
 	page := slices.Clone(v.m.entries[from:])
-	return platform.Page{Entries: page, Next: from + uint64(len(page))}, nil
+	return logstore.Page{Entries: page, Next: from + uint64(len(page))}, nil
 }
 
 // links calls services directly.
@@ -51,8 +51,8 @@
 	return s.Read(args.(relay.ReadArgs), reply.(*relay.ReadReply))
 }
 
-func (l links) Live() []platform.Instance {
-	return []platform.Instance{{ID: "a"}, {ID: "b"}, {ID: "gone"}}
+func (l links) Live() []logstore.Instance {
+	return []logstore.Instance{{ID: "a"}, {ID: "b"}, {ID: "gone"}}
 }
 
 // fleet is two instances over one memory; a cannot reach it.
@@ -68,12 +68,12 @@
 }
 
 // readTo reads from an offset until want entries are there, in bounded steps.
-func readTo(t *testing.T, log *relay.Log, from, want int) []platform.Entry {
+func readTo(t *testing.T, log *relay.Log, from, want int) []logstore.Entry {
 	t.Helper()
-	var got []platform.Entry
+	var got []logstore.Entry
 	for range 20 {
 		page, err := log.Read(context.Background(), "config", uint64(from+len(got)), time.Second)
-		if err != nil && !errors.Is(err, platform.ErrUnavailable) {
+		if err != nil && !errors.Is(err, logstore.ErrUnavailable) {
 			t.Fatal(err)
 		}
 		got = append(got, page.Entries...)
--- a/internal/relay/ring.go
+++ b/internal/relay/ring.go
@@ -1,17 +1,17 @@
 package relay
 
-import "guavapier/internal/platform"
+import "guavapier/internal/logstore"
 
 // ring keeps the recent entries of one stream without a gap: all entries with
 // offsets from first up to, not including, next.
 type ring struct {
 	first, next uint64
-	entries     []platform.Entry
+	entries     []logstore.Entry
 	bytes       int
 }
 
 // add takes in entries that were read from an offset on.
-func (r *ring) add(from uint64, entries []platform.Entry) {
+func (r *ring) add(from uint64, entries []logstore.Entry) {
 	if from > r.next || len(r.entries) == 0 {
 		*r = ring{first: from, next: from}
 	}
@@ -32,7 +32,7 @@
 
 // read returns the entries from an offset on, and whether the ring reaches
 // back that far.
-func (r *ring) read(from uint64) ([]platform.Entry, bool) {
+func (r *ring) read(from uint64) ([]logstore.Entry, bool) {
 	if from < r.first || from > r.next {
 		return nil, false
 	}
@@ -45,7 +45,7 @@
 }
 
 // bound cuts entries to what one answer may have, one at least.
-func bound(entries []platform.Entry) []platform.Entry {
+func bound(entries []logstore.Entry) []logstore.Entry {
 	size := 0
 	for n, e := range entries {
 		size += len(e.Data)
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"guavapier/internal/platform"
+	"guavapier/internal/logstore"
 	"guavapier/internal/record"
 )
 
@@ -15,7 +15,7 @@
 
 // ReadReply has the entries in offset order, without a gap; none where the
 // peer has none.
-type ReadReply struct{ Entries []platform.Entry }
+type ReadReply struct{ Entries []logstore.Entry }
 
 // Service serves an instance's entries over net/rpc, as ServiceName.
 type Service struct{ log *Log }
@@ -33,7 +33,7 @@
 	if !ok && up {
 		ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 		defer cancel()
-		page, err := s.log.platform.Read(ctx, args.Stream, args.From, 0)
+		page, err := s.log.logstore.Read(ctx, args.Stream, args.From, 0)
 		if err == nil {
 			entries = page.Entries
 		}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -13,7 +13,7 @@
 	"github.com/ThreeDotsLabs/watermill/message"
 	"github.com/rotisserie/eris"
 
-	"guavapier/internal/platform"
+	"guavapier/internal/logstore"
 	"guavapier/internal/record"
 	"guavapier/internal/snapshot"
 )
@@ -90,7 +90,7 @@
 }
 
 // Apply applies one entry of the log.
-func (r *Replica[F]) Apply(entry platform.Entry) error {
+func (r *Replica[F]) Apply(entry logstore.Entry) error {
 	batch, err := record.DecodeBatch(entry.Data)
 	if err != nil {
 		return err
@@ -128,11 +128,11 @@
 // decoded is the same for every instance; it is passed over, not retried.
 func (r *Replica[F]) Handle(onError func(error)) message.NoPublishHandlerFunc {
 	return func(msg *message.Message) error {
-		offset, err := strconv.ParseUint(msg.Metadata.Get(platform.MetaOffset), 10, 64)
+		offset, err := strconv.ParseUint(msg.Metadata.Get(logstore.MetaOffset), 10, 64)
 		if err != nil {
 			return eris.Wrap(err, "replica: message without offset")
 		}
-		if err := r.Apply(platform.Entry{Offset: offset, Data: msg.Payload}); err != nil {
+		if err := r.Apply(logstore.Entry{Offset: offset, Data: msg.Payload}); err != nil {
 			onError(eris.Wrapf(err, "replica: %s offset %d", r.stream, offset))
 		}
 		return nil
--- a/internal/server/operators.go
+++ b/internal/server/operators.go
@@ -8,7 +8,7 @@
 	"guavapier/internal/fold"
 	"guavapier/internal/metrics"
 	"guavapier/internal/operator"
-	"guavapier/internal/platform"
+	"guavapier/internal/logstore"
 	"guavapier/internal/record"
 	"guavapier/internal/snapshot"
 )
@@ -28,8 +28,8 @@
 }
 
 // instances returns the instance list with this instance's row as it is now.
-func (s *Server) instances() []platform.Instance {
-	rows := []platform.Instance{s.self()}
+func (s *Server) instances() []logstore.Instance {
+	rows := []logstore.Instance{s.self()}
 	for _, in := range s.members.List().Instances {
 		if in.ID != s.id {
 			rows = append(rows, in)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -20,7 +20,7 @@
 	"guavapier/internal/membership"
 	"guavapier/internal/metrics"
 	"guavapier/internal/peer"
-	"guavapier/internal/platform"
+	"guavapier/internal/logstore"
 	"guavapier/internal/record"
 	"guavapier/internal/relay"
 	"guavapier/internal/replica"
@@ -49,11 +49,11 @@
 	secrets  Secrets
 	log      zerolog.Logger
 
-	client     *platform.Client
-	publisher  *platform.Publisher
+	client     *logstore.Client
+	publisher  *logstore.Publisher
 	config     *replica.Replica[*fold.Config]
 	partitions ledger.Partitions
-	subscriber *platform.Subscriber
+	subscriber *logstore.Subscriber
 	dispatcher *dispatch.Dispatcher
 	clients    *endpointClients
 	endpoints  *endpointTable
@@ -87,11 +87,11 @@
 	if err := srv.listen(); err != nil {
 		return nil, err
 	}
-	srv.client = platform.NewClient(s.Platform.URL, s.Platform.Timeout.D())
+	srv.client = logstore.NewClient(s.Platform.URL, s.Platform.Timeout.D())
 	if srv.links.secured(settings.LinkPlatform) {
 		srv.client.Secure(srv.links.outside.Dial)
 	}
-	srv.publisher = platform.NewPublisher(srv.client, srv.id, platform.PublisherOptions{
+	srv.publisher = logstore.NewPublisher(srv.client, srv.id, logstore.PublisherOptions{
 		Linger: s.Ledger.Linger.D(), RetryEvery: publisherRetry, MaxRecords: publisherRecords,
 	})
 	srv.config = replica.New(record.ConfigStream, fold.NewConfig())
@@ -102,7 +102,7 @@
 	if err := srv.joinPeers(); err != nil {
 		return nil, err
 	}
-	srv.subscriber = platform.NewSubscriber(srv.relay, srv.startStream)
+	srv.subscriber = logstore.NewSubscriber(srv.relay, srv.startStream)
 	srv.clients = newEndpointClients(s.Limits, srv.links, srv.endpoints, srv.dispatcher)
 	srv.tables.Register("endpoint_answers", func() any { return srv.clients.counts.View() })
 	if err := srv.joinBudgets(); err != nil {
@@ -183,8 +183,8 @@
 	_ = operators.Shutdown(patience)
 }
 
-func (s *Server) self() platform.Instance {
-	return platform.Instance{
+func (s *Server) self() logstore.Instance {
+	return logstore.Instance{
 		ID: s.id, Zone: record.Zone(s.settings.Instance.Zone), Peer: s.PeersAddr(), Leaving: s.draining.Load(),
 		Applied: s.config.Next(),
 	}
--- a/internal/server/streams.go
+++ b/internal/server/streams.go
@@ -7,7 +7,7 @@
 	"github.com/ThreeDotsLabs/watermill/message"
 
 	"guavapier/internal/metrics"
-	"guavapier/internal/platform"
+	"guavapier/internal/logstore"
 	"guavapier/internal/record"
 	"guavapier/internal/replica"
 	"guavapier/internal/snapshot"
@@ -73,7 +73,7 @@
 	if err == nil && !st.Gap() {
 		return st.Next(), nil
 	}
-	if err != nil && !errors.Is(err, platform.ErrTrimmed) {
+	if err != nil && !errors.Is(err, logstore.ErrTrimmed) {
 		return 0, err
 	}
 	st.SetGap()
--- a/internal/server/table.go
+++ b/internal/server/table.go
@@ -10,7 +10,7 @@
 	"guavapier/internal/dispatch"
 	"guavapier/internal/endpoint"
 	"guavapier/internal/fold"
-	"guavapier/internal/platform"
+	"guavapier/internal/logstore"
 	"guavapier/internal/record"
 	"guavapier/internal/replica"
 )
@@ -38,7 +38,7 @@
 }
 
 // take takes a newly read list.
-func (t *endpointTable) take(list platform.List) {
+func (t *endpointTable) take(list logstore.List) {
 	rows := make([]decide.Endpoint, 0, len(list.Endpoints))
 	targets := make([]endpoint.Target, 0, len(list.Endpoints))
 	t.mu.Lock()
@@ -87,7 +87,7 @@
 	t.weights = t.teams.Weights
 }
 
-func listedRow(f *fold.Config, e platform.Endpoint) decide.Endpoint {
+func listedRow(f *fold.Config, e logstore.Endpoint) decide.Endpoint {
 	row := decide.Endpoint{Name: e.Name, Zone: e.Zone, Service: e.Service, Leaving: e.Leaving}
 	return withCapacity(row, e.Model, config.EngineOf(f, e.Name))
 }
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 
 	"guavapier/internal/fold"
-	"guavapier/internal/platform"
+	"guavapier/internal/logstore"
 	"guavapier/internal/record"
 	"guavapier/internal/replica"
 	"guavapier/internal/session"
@@ -94,7 +94,7 @@
 		return 0, err
 	}
 	offset := m.part.Next()
-	return offset, m.part.Apply(platform.Entry{Offset: offset, Data: data})
+	return offset, m.part.Apply(logstore.Entry{Offset: offset, Data: data})
 }
 
 func TestOnlyItsTeamEndsASession(t *testing.T) {
--- a/internal/snapshot/find.go
+++ b/internal/snapshot/find.go
@@ -6,7 +6,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"guavapier/internal/platform"
+	"guavapier/internal/logstore"
 	"guavapier/internal/record"
 )
 
@@ -19,7 +19,7 @@
 // stream that has lost nothing there may be none: ok is false and the stream
 // is read from its start. discarded is how many chunks and snapshots were not
 // usable. Errors: ErrUnreachable, and those of the log.
-func Find(ctx context.Context, log platform.Log, stream record.Stream) (whole Whole, ok bool, discarded int, err error) {
+func Find(ctx context.Context, log logstore.Log, stream record.Stream) (whole Whole, ok bool, discarded int, err error) {
 	assembly := NewAssembly()
 	first, err := scan(ctx, log, stream, assembly)
 	if err != nil {
@@ -37,11 +37,11 @@
 
 // scan hands every kept snapshot record to the assembly. It returns the first
 // offset that the log keeps at the end of the scan.
-func scan(ctx context.Context, log platform.Log, stream record.Stream, assembly *Assembly) (uint64, error) {
+func scan(ctx context.Context, log logstore.Log, stream record.Stream, assembly *Assembly) (uint64, error) {
 	next := uint64(0)
 	for {
 		page, err := log.Read(ctx, stream, next, 0)
-		if errors.Is(err, platform.ErrTrimmed) && page.First > next {
+		if errors.Is(err, logstore.ErrTrimmed) && page.First > next {
 			next = page.First
 			continue
 		}
@@ -59,7 +59,7 @@
 }
 
 // collect passes over what is no snapshot, as the folds do.
-func collect(assembly *Assembly, entry platform.Entry) {
+func collect(assembly *Assembly, entry logstore.Entry) {
 	batch, err := record.DecodeBatch(entry.Data)
 	if err != nil {
 		return
--- a/internal/snapshot/snapshot_test.go
+++ b/internal/snapshot/snapshot_test.go
@@ -9,22 +9,22 @@
 
 	"pgregory.net/rapid"
 
-	"guavapier/internal/platform"
+	"guavapier/internal/logstore"
 	"guavapier/internal/record"
 	"guavapier/internal/snapshot"
 )
 
 // keptLog is a log that has dropped everything before first.
 type keptLog struct {
-	platform.Log
+	logstore.Log
 	first   uint64
-	entries []platform.Entry
+	entries []logstore.Entry
 }
 
-func (l *keptLog) Read(_ context.Context, _ record.Stream, from uint64, _ time.Duration) (platform.Page, error) {
-	page := platform.Page{First: l.first, Next: l.first + uint64(len(l.entries))}
+func (l *keptLog) Read(_ context.Context, _ record.Stream, from uint64, _ time.Duration) (logstore.Page, error) {
+	page := logstore.Page{First: l.first, Next: l.first + uint64(len(l.entries))}
 	if from < l.first {
-		return page, platform.ErrTrimmed
+		return page, logstore.ErrTrimmed
 	}
 	if from < page.Next {
 		page.Entries = l.entries[from-l.first:]
@@ -43,7 +43,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l.entries = append(l.entries, platform.Entry{Offset: l.first + uint64(len(l.entries)), Data: data})
+	l.entries = append(l.entries, logstore.Entry{Offset: l.first + uint64(len(l.entries)), Data: data})
 }
 
 // written is a snapshot that the test put on the log.
