--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -62,7 +62,7 @@
 
 // Append implements logstore.Log.
 func (l *Log) Append(ctx context.Context, stream record.Stream, data []byte) (uint64, error) {
-	return l.logstore.Append(ctx, stream, data)
+	return l.platform.Append(ctx, stream, data)
 }
 
 // Read implements logstore.Log. While the platform fails, peers are asked
@@ -75,7 +75,7 @@
 	err := logstore.ErrUnavailable
 	if try {
 		var page logstore.Page
-		page, err = l.logstore.Read(ctx, stream, from, wait)
+		page, err = l.platform.Read(ctx, stream, from, wait)
 		l.note(stream, from, page, err)
 		if !errors.Is(err, logstore.ErrUnavailable) {
 			return page, err
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -33,7 +33,7 @@
 	if !ok && up {
 		ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 		defer cancel()
-		page, err := s.log.logstore.Read(ctx, args.Stream, args.From, 0)
+		page, err := s.log.platform.Read(ctx, args.Stream, args.From, 0)
 		if err == nil {
 			entries = page.Entries
 		}
