Give back what killed instances held, and move tokens between instances

Change: a process in touch with the log keeps to marks published a little ahead of its use; its successor on the machine gives the rest back where the clocks show that the dead one had no time to fall out of touch. Instances ask each other for tokens when the log has none or is away, and hand over what is left when they end without the log.

--- a/internal/gateway/clock.go
+++ b/internal/gateway/clock.go
@@ -1,9 +1,14 @@
 package gateway
 
 import (
+	"os"
+	"strings"
 	"time"
 
+	"github.com/rs/zerolog"
 	"golang.org/x/sys/unix"
+
+	"guavapier/internal/prepaid"
 )
 
 // bootClock returns a clock that also counts the time for which the machine was
@@ -22,3 +27,20 @@
 }
 
 var processStart = time.Now()
+
+// bootIDFile names the machine's boot; it is drawn anew at each.
+const bootIDFile = "/proc/sys/kernel/random/boot_id"
+
+// machineClocks returns the clocks by which a later process of this machine
+// judges this one.
+func machineClocks(log zerolog.Logger) prepaid.Clocks {
+	id, err := os.ReadFile(bootIDFile)
+	if err != nil {
+		// Two boots are then told apart by their clocks alone.
+		log.Warn().Err(err).Msg("gateway: boot identity not readable")
+	}
+	return prepaid.Clocks{
+		BootID: strings.TrimSpace(string(id)), Boot: bootTime,
+		Wall: func() int64 { return time.Now().UnixMilli() },
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,7 +85,7 @@
 	metrics   *metrics.Registry
 	tables    *state.Registry
 
-	callers, ready, operators net.Listener
+	callers, ready, operators, peers net.Listener
 }
 
 // New puts an instance together and binds its addresses.
@@ -102,9 +102,11 @@
 	}
 	g.endpoints = newEndpoints(p, placement.New(uint64(time.Now().UnixNano())), g.pool, clock, log)
 	self := prepaid.Identity{
-		Key: string(record.NewInstanceID(s.Gateway.Name)), Node: s.Gateway.Name, Started: time.Now().UnixMilli(),
+		Key: string(record.NewInstanceID(s.Gateway.Name)), Node: s.Gateway.Name + "@" + s.Gateway.Peers,
+		Started: time.Now().UnixMilli(), Peer: s.Gateway.Peers, Zone: s.Gateway.Zone,
 	}
-	g.keeper = prepaid.NewKeeper(prepaid.NewBook(self, prepaid.DefaultPolicy()), p.Store, clock, log)
+	book := prepaid.NewBook(self, prepaid.DefaultPolicy(), machineClocks(log))
+	g.keeper = prepaid.NewKeeper(book, prepaid.NewPeers(log), p.Store, clock, log)
 	g.registerTables()
 	return g, g.listen()
 }
@@ -114,7 +116,7 @@
 	for _, l := range []struct {
 		addr string
 		into *net.Listener
-	}{{in.Callers, &g.callers}, {in.Ready, &g.ready}, {in.Operators, &g.operators}} {
+	}{{in.Callers, &g.callers}, {in.Ready, &g.ready}, {in.Operators, &g.operators}, {in.Peers, &g.peers}} {
 		config := net.ListenConfig{KeepAliveConfig: callerProbes}
 		listener, err := config.Listen(context.Background(), "tcp", l.addr)
 		if err != nil {
@@ -144,6 +146,7 @@
 	work.Go(func() error { g.endpoints.follower().Run(background); return nil })
 	work.Go(func() error { g.keeper.Run(background); return nil })
 	work.Go(func() error { g.sweep(background); return nil })
+	serving.Go(func() error { return prepaid.Serve(g.peers, g.keeper.Book, g.clock) })
 	g.log.Info().Str("callers", g.callers.Addr().String()).Str("zone", g.settings.Gateway.Zone).
 		Str("store", g.settings.Store.URL).Msg("gateway: serving")
 	<-ctx.Done()
@@ -154,6 +157,7 @@
 	for _, server := range servers[1:] {
 		_ = server.Close()
 	}
+	_ = g.peers.Close()
 	err := serving.Wait()
 	g.log.Info().Msg("gateway: stopped")
 	return err
--- a/internal/prepaid/book.go
+++ b/internal/prepaid/book.go
@@ -1,19 +1,33 @@
 // Package prepaid keeps the organisations' prepaid tokens from being overspent
-// by a fleet whose instances can be cut off from each other and from the log.
+// by a fleet whose instances can be cut off from each other and from the log,
+// frozen, or killed all at once.
 //
-// Each instance publishes one statement under a key of its own: how many tokens
-// it claims of each budget, in all, and how many of them are used. A claim is
-// valid if, at its place on the log, all claims together stay within the
-// prepaid total. An instance spends valid claims only, so no clock, no list of
-// members and no answer from another instance is needed to spend, and a cut or
-// a freeze of any length changes nothing. A claim that turns out too large is
-// taken back by its own statement; until then the others count it.
+// Each process publishes one statement under a key of its own: how many tokens
+// it claims of each budget. A raised claim is valid if, at its place on the
+// log, all claims together stay within the prepaid total. A process uses valid
+// claims only, so neither a clock nor a list of members is needed to use them,
+// and a cut or a freeze of any length changes nothing. A claim that turns out
+// too large is taken back by its own process; until then the others count it.
 //
-// Invariant: at every place of the log, valid claims ≤ stated claims, and the
-// last valid raise saw stated claims ≤ prepaid. So tokens used ≤ prepaid.
+//	Invariant 1: valid claims <= stated claims, and the last valid raise saw
+//	stated claims <= prepaid. So tokens used <= prepaid.
+//
+// Processes hand tokens to each other without the log: what one gives, it no
+// longer has, and the other has what the first one says it gave (transfer.go).
+//
+//	Invariant 2: given >= taken, between any two processes.
+//
+// What a dead process held is lost, but for this: while it is in touch with the
+// log a process uses no more than a mark that it has published, a little ahead
+// of its use. A later process of the same machine that can tell that the dead
+// one had no time to fall out of touch gives the rest back (reclaim.go). Only
+// this step relies on clocks: on those of one machine, checked against the
+// fleet's.
+//
+//	Invariant 3: until TouchLasts after Touched, used + given <= mark on the log.
 //
 // Book is the state machine, without input or output; Keeper runs it against
-// the log.
+// the log, Peers against other processes.
 package prepaid
 
 import (
@@ -34,86 +48,67 @@
 	ErrShort = eris.New("prepaid: too little held here")
 )
 
-// Row is what a statement says of one budget, in tokens.
-type Row struct {
-	Team record.Team `cbor:"1,keyasint"`
-	// Claimed is what the instance may use in all, from its start on.
-	Claimed int64 `cbor:"2,keyasint"`
-	// Used is what it has used, requests in flight at their most included.
-	Used int64 `cbor:"3,keyasint"`
-	// Settled is what ended requests have used.
-	Settled int64 `cbor:"4,keyasint"`
-	// Rate is its recent use a second.
-	Rate int64 `cbor:"5,keyasint,omitempty"`
-	// Short is what requests want beyond its claim.
-	Short int64 `cbor:"6,keyasint,omitempty"`
-}
-
-// Statement is an instance's record.
-type Statement struct {
-	// Node is the instance's name; a later process of that name has replaced
-	// this one.
-	Node string `cbor:"1,keyasint"`
-	// Started is when the process started, in Unix milliseconds.
-	Started int64 `cbor:"2,keyasint"`
-	// Sequence counts the process's statements.
-	Sequence uint64 `cbor:"3,keyasint"`
-	// Closed says that the process has ended and uses nothing more.
-	Closed bool  `cbor:"4,keyasint,omitempty"`
-	Rows   []Row `cbor:"5,keyasint"`
-}
-
-// Identity names the process.
-type Identity struct {
-	Key     string
-	Node    string
-	Started int64
-}
-
-// holder is another instance as its newest statement shows it.
+// holder is another process as its newest statement shows it.
 type holder struct {
 	Statement
-	rows   map[record.Team]Row
 	seenAt time.Duration
 }
 
 // account is the own part of one budget.
 type account struct {
-	valid    int64 // What may be used in all.
+	claimed  int64 // Valid.
 	settled  int64
 	reserved int64
-	stated   int64 // Claimed in the last statement written.
-	short    int64 // Wanted by requests that wait.
-	rate     rate
-	largest  float64 // Decaying maximum of a request's size.
-	toldUsed int64
+	given    map[string]int64 // In all, by the other process's key.
+	taken    map[string]int64
+	givenSum int64
+	takenSum int64
+
+	stated     int64 // Claimed in the last statement.
+	markOnLog  int64 // Of the last statement that the log took.
+	markNow    int64 // Of the statement under way; else as markOnLog.
+	short      int64 // Wanted by requests that wait.
+	rate       rate
+	largest    float64 // Decaying maximum of a request's size.
+	statedUsed int64
 }
 
-func (a *account) used() int64    { return a.settled + a.reserved }
-func (a *account) unspent() int64 { return a.valid - a.used() }
+func (a *account) used() int64 { return a.settled + a.reserved }
+
+// gone is what the process can't use again.
+func (a *account) gone() int64 { return a.used() + a.givenSum }
+
+// unspent is what it holds.
+func (a *account) unspent() int64 { return a.claimed + a.takenSum - a.gone() }
 
-// Book is safe for concurrent use. Times are since any one origin.
+// Book is safe for concurrent use. Times are since any one origin and count
+// time for which the machine was suspended.
 type Book struct {
 	mu       sync.Mutex
 	self     Identity
 	policy   Policy
+	clocks   Clocks
 	prepaid  map[record.Team]int64
 	others   map[string]*holder
 	accounts map[record.Team]*account
-	pending  *Statement // Written or being written, not yet seen on the log.
+	pending  *Statement // Being written, or written and not yet seen on the log.
 	sequence uint64
 	toldAt   time.Duration
-	told     bool
 	freshAt  time.Duration // When the log was last read up to its end.
+	touched  Stamp         // When the log last took a statement.
+	touchAt  time.Duration // The same by the caller's time.
+	inTouch  bool          // touched is set.
+	started  Stamp
 	closed   bool
-	changed  chan struct{} // Closed and replaced when a claim becomes valid.
+	changed  chan struct{} // Closed and replaced when more may be at hand.
+	skews    map[string]skew
 }
 
 // NewBook returns a Book without budgets.
-func NewBook(self Identity, policy Policy) *Book {
+func NewBook(self Identity, policy Policy, clocks Clocks) *Book {
 	return &Book{
-		self: self, policy: policy, prepaid: map[record.Team]int64{}, others: map[string]*holder{},
-		accounts: map[record.Team]*account{}, changed: make(chan struct{}),
+		self: self, policy: policy, clocks: clocks, prepaid: map[record.Team]int64{}, others: map[string]*holder{},
+		accounts: map[record.Team]*account{}, changed: make(chan struct{}), skews: map[string]skew{}, started: clocks.Now(),
 	}
 }
 
@@ -128,18 +123,27 @@
 func (b *Book) account(team record.Team) *account {
 	a := b.accounts[team]
 	if a == nil {
-		a = &account{}
+		a = &account{given: map[string]int64{}, taken: map[string]int64{}}
 		b.accounts[team] = a
 	}
 	return a
 }
 
+// atHand is what may be used or given now: all that is held, but no more than
+// up to the mark while the process is in touch.
+func (b *Book) atHand(a *account, now time.Duration) int64 {
+	if b.inTouch && now-b.touchAt < TouchLasts {
+		return min(a.unspent(), min(a.markOnLog, a.markNow)-a.gone())
+	}
+	return a.unspent()
+}
+
 // Reserve sets tokens aside for a request at its most.
 func (b *Book) Reserve(team record.Team, tokens int64, now time.Duration) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(team)
-	if a.unspent() >= tokens {
+	if b.atHand(a, now) >= tokens && !b.closed {
 		a.reserved += tokens
 		a.rate.add(float64(tokens), now)
 		a.largest = max(a.largest*largestDecay, float64(tokens))
@@ -155,7 +159,7 @@
 func (b *Book) spentForGood(team record.Team) int64 {
 	sum := b.account(team).settled
 	for _, h := range b.others {
-		sum += h.rows[team].Settled
+		sum += h.row(team).Settled
 	}
 	return sum
 }
@@ -176,8 +180,7 @@
 	b.account(team).short += tokens
 }
 
-// Changed returns a channel that is closed when a claim has become valid or a
-// total has changed.
+// Changed returns a channel that is closed when more may be at hand.
 func (b *Book) Changed() <-chan struct{} {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -203,11 +206,8 @@
 		delete(b.others, key)
 		return
 	}
-	h := &holder{Statement: *s, rows: map[record.Team]Row{}, seenAt: now}
-	for _, r := range s.Rows {
-		h.rows[r.Team] = r
-	}
-	b.others[key] = h
+	b.others[key] = &holder{Statement: *s, seenAt: now}
+	b.hear(s, now)
 }
 
 // confirm makes the raises of the own pending statement valid, if at its place
@@ -215,18 +215,30 @@
 func (b *Book) confirm() {
 	for _, r := range b.pending.Rows {
 		a := b.account(r.Team)
-		if r.Claimed > a.valid && b.claimedByOthers(r.Team)+r.Claimed <= b.prepaid[r.Team] {
-			a.valid = r.Claimed
+		if r.Claimed > a.claimed && b.claimedByOthers(r.Team)+r.Claimed <= b.prepaid[r.Team] {
+			a.claimed = r.Claimed
 		}
 	}
 	b.pending = nil
 	b.wake()
 }
 
+// Taken tells that the log has taken the statement.
+func (b *Book) Taken(s *Statement, now time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, r := range s.Rows {
+		a := b.account(r.Team)
+		a.markOnLog, a.markNow = r.Mark, r.Mark
+	}
+	b.touched, b.touchAt, b.inTouch = b.stamp(now), now, true
+	b.wake()
+}
+
 func (b *Book) claimedByOthers(team record.Team) int64 {
 	sum := int64(0)
 	for _, h := range b.others {
-		sum += h.rows[team].Claimed
+		sum += h.row(team).Claimed
 	}
 	return sum
 }
@@ -239,6 +251,7 @@
 	defer b.mu.Unlock()
 	b.others = map[string]*holder{}
 	b.pending = nil
+	b.freshAt = 0
 }
 
 // Fresh tells that the log has been read up to its end.
@@ -282,9 +295,11 @@
 
 // Balance is one budget as a state dump shows it, in tokens.
 type Balance struct {
-	Team                                 record.Team
-	Prepaid, Valid, Settled, Reserved    int64
-	ClaimedByOthers, UsedByOthers, Short int64
+	Team                                record.Team
+	Prepaid, Claimed, Settled           int64
+	Reserved, Given, Taken, Mark        int64
+	ClaimedByOthers, UsedByOthers, Lost int64
+	Short                               int64
 }
 
 // View copies the budgets.
@@ -292,14 +307,18 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var list []Balance
-	for team, total := range b.prepaid {
+	for _, team := range b.teams() {
 		a := b.account(team)
 		row := Balance{
-			Team: team, Prepaid: total, Valid: a.valid, Settled: a.settled, Reserved: a.reserved,
-			ClaimedByOthers: b.claimedByOthers(team), Short: a.short,
+			Team: team, Prepaid: b.prepaid[team], Claimed: a.claimed, Settled: a.settled, Reserved: a.reserved,
+			Given: a.givenSum, Taken: a.takenSum, Mark: a.markOnLog, ClaimedByOthers: b.claimedByOthers(team), Short: a.short,
 		}
 		for _, h := range b.others {
-			row.UsedByOthers += h.rows[team].Used
+			r := h.row(team)
+			row.UsedByOthers += r.Used
+			if !b.alive(h) {
+				row.Lost += r.lost() - r.Used
+			}
 		}
 		list = append(list, row)
 	}
--- /dev/null
+++ b/internal/prepaid/clocks.go
@@ -0,0 +1,97 @@
+package prepaid
+
+import (
+	"slices"
+	"time"
+)
+
+// Clocks read one machine's clocks.
+type Clocks struct {
+	BootID string
+	// Boot returns the time since the machine's boot, time suspended included.
+	Boot func() time.Duration
+	// Wall returns the time of day in Unix milliseconds.
+	Wall func() int64
+}
+
+// Now returns the present moment, uncorrected.
+func (c Clocks) Now() Stamp { return Stamp{BootID: c.BootID, Boot: c.Boot(), Wall: c.Wall()} }
+
+const (
+	// TouchLasts is how long a process keeps to the marks on the log after the
+	// log has last taken a statement. It has to outlast a power loss: the age of
+	// the last statement (under 1 s), the loss and the start (2 s together).
+	TouchLasts = 4 * time.Second
+	// skewMargin covers what correcting a clock by the fleet's median leaves:
+	// statements are read up to half a second after they were drafted.
+	skewMargin = 700 * time.Millisecond
+	// bootMargin covers reading two clocks one after the other.
+	bootMargin = 50 * time.Millisecond
+	// sameBoot is how far the two clocks may drift apart over one boot.
+	sameBoot = time.Minute
+	// skewsNeeded is how many other machines' clocks make a median.
+	skewsNeeded = 2
+	// skewFresh is how long another machine's clock counts after it was heard.
+	skewFresh = 5 * time.Second
+)
+
+// skew is how far the own time of day stands before another machine's.
+type skew struct {
+	ms int64
+	at time.Duration
+}
+
+// hear notes the clock of a statement that has just been drafted. Those read
+// while the log is caught up with are older and don't count.
+func (b *Book) hear(s *Statement, now time.Duration) {
+	if s.Closed || b.freshAt == 0 || now-b.freshAt > skewFresh {
+		return
+	}
+	b.skews[s.Node] = skew{ms: b.clocks.Wall() - s.Wall, at: now}
+}
+
+// skewMS returns how far the own time of day stands before the fleet's median;
+// ok is false if too few others were heard of late.
+func (b *Book) skewMS(now time.Duration) (ms int64, ok bool) {
+	var known []int64
+	for node, s := range b.skews {
+		if now-s.at > skewFresh {
+			delete(b.skews, node)
+			continue
+		}
+		known = append(known, s.ms)
+	}
+	if len(known) < skewsNeeded {
+		return 0, false
+	}
+	slices.Sort(known)
+	return known[len(known)/2], true
+}
+
+// stamp returns the present moment, corrected if the fleet's clocks are known.
+func (b *Book) stamp(now time.Duration) Stamp {
+	s := b.clocks.Now()
+	if ms, ok := b.skewMS(now); ok {
+		s.Wall, s.Corrected = s.Wall-ms, true
+	}
+	return s
+}
+
+// diedInTouch says whether a process of this machine that published s had died
+// before it could fall out of touch. It is false when that can't be told.
+func (b *Book) diedInTouch(s *Statement, now time.Duration) bool {
+	boot := b.started.Boot - s.Touched.Boot
+	wall := time.Duration(b.started.Wall-s.Touched.Wall) * time.Millisecond
+	if s.Touched.Wall == 0 {
+		return false // It never was in touch: it used nothing under a mark.
+	}
+	if b.started.BootID == s.Touched.BootID && (boot-wall).Abs() < sameBoot {
+		return boot >= 0 && boot+bootMargin < TouchLasts
+	}
+	ms, ok := b.skewMS(now)
+	if !ok || !s.Touched.Corrected {
+		return false
+	}
+	wall -= time.Duration(ms) * time.Millisecond
+	return wall+skewMargin < TouchLasts && wall > -skewMargin
+}
--- a/internal/prepaid/keeper.go
+++ b/internal/prepaid/keeper.go
@@ -29,6 +29,9 @@
 	// InTouch is how old the last read may be for a request to wait for a
 	// claim; without the log it would wait in vain.
 	InTouch = 1500 * time.Millisecond
+	// claimTrips is how long a claim takes, with two round trips to the log,
+	// and room for one that collides with another's.
+	claimTrips = 60 * time.Millisecond
 	// WaitForClaim is the longest that a request waits for a claim: some round
 	// trips to the log, while another instance gives back.
 	WaitForClaim = 400 * time.Millisecond
@@ -37,6 +40,7 @@
 // Keeper runs a Book against the log.
 type Keeper struct {
 	Book  *Book
+	Peers *Peers
 	Log   logstore.Keyed
 	Clock func() time.Duration
 	Logs  zerolog.Logger
@@ -46,13 +50,14 @@
 	lastRead  atomic.Int64 // Clock at the last read, in nanoseconds; 0 for none.
 	sequence  uint64       // Of the next write.
 	epoch     uint64
-	away      bool // The reads fail.
+	away      bool              // The reads fail.
+	reclaimed map[string]uint64 // Sequences of the dead's statements that were made final.
 }
 
 // NewKeeper returns a Keeper; Run makes it work.
-func NewKeeper(book *Book, log logstore.Keyed, clock func() time.Duration, logs zerolog.Logger) *Keeper {
+func NewKeeper(book *Book, peers *Peers, log logstore.Keyed, clock func() time.Duration, logs zerolog.Logger) *Keeper {
 	return &Keeper{
-		Book: book, Log: log, Clock: clock, Logs: logs, epoch: 1,
+		Book: book, Peers: peers, Log: log, reclaimed: map[string]uint64{}, Clock: clock, Logs: logs, epoch: 1,
 		kickRead: make(chan struct{}, 1), kickWrite: make(chan struct{}, 1),
 	}
 }
@@ -78,13 +83,12 @@
 // Settle ends the reservation: used tokens stay spent. Call it once.
 func (r *Reservation) Settle(used int64) { r.keeper.Book.Settle(r.team, r.tokens, used) }
 
-// Reserve sets tokens aside. If too little is held here and the log answers,
-// it waits a moment for a claim.
+// Reserve sets tokens aside. If too little is held here, it waits a moment for
+// a claim while the log answers, and asks other instances.
 func (k *Keeper) Reserve(ctx context.Context, team record.Team, tokens int64) (*Reservation, error) {
-	changed := k.Book.Changed()
 	err := k.Book.Reserve(team, tokens, k.Clock())
-	if errors.Is(err, ErrShort) && k.inTouch() {
-		err = k.await(ctx, team, tokens, changed)
+	if errors.Is(err, ErrShort) {
+		err = k.find(ctx, team, tokens)
 	}
 	if err != nil {
 		return nil, err
@@ -92,13 +96,34 @@
 	return &Reservation{keeper: k, team: team, tokens: tokens}, nil
 }
 
-func (k *Keeper) await(ctx context.Context, team record.Team, tokens int64, changed <-chan struct{}) error {
+// find looks for tokens: on the log first, then at other instances.
+func (k *Keeper) find(ctx context.Context, team record.Team, tokens int64) error {
 	k.Book.Want(team, tokens)
 	defer k.Book.Want(team, -tokens)
-	kick(k.kickWrite)
-	limit := time.NewTimer(WaitForClaim)
+	began := k.Clock()
+	if k.inTouch() {
+		if err := k.await(ctx, team, tokens, claimTrips); !errors.Is(err, ErrShort) {
+			return err
+		}
+	}
+	k.Peers.Ask(ctx, k.Book, team, tokens, k.Clock())
+	if !k.inTouch() {
+		return k.Book.Reserve(team, tokens, k.Clock())
+	}
+	return k.await(ctx, team, tokens, WaitForClaim-(k.Clock()-began))
+}
+
+// await tries again whenever more may be at hand, for that long.
+func (k *Keeper) await(ctx context.Context, team record.Team, tokens int64, patience time.Duration) error {
+	limit := time.NewTimer(patience)
 	defer limit.Stop()
 	for {
+		changed := k.Book.Changed()
+		err := k.Book.Reserve(team, tokens, k.Clock())
+		if !errors.Is(err, ErrShort) {
+			return err
+		}
+		kick(k.kickWrite)
 		select {
 		case <-changed:
 		case <-limit.C:
@@ -106,12 +131,6 @@
 		case <-ctx.Done():
 			return ErrShort
 		}
-		changed = k.Book.Changed()
-		err := k.Book.Reserve(team, tokens, k.Clock())
-		if !errors.Is(err, ErrShort) {
-			return err
-		}
-		kick(k.kickWrite)
 	}
 }
 
@@ -164,27 +183,43 @@
 			continue
 		}
 		if s := k.Book.Draft(k.Clock()); s != nil {
-			k.put(ctx, s)
+			if k.put(ctx, k.Book.self.Key, s) {
+				k.Book.Taken(s, k.Clock())
+			}
 		}
+		k.reclaim(ctx)
 	}
 }
 
-// put writes a statement until the log has taken it. The repeats are the same
-// write, so one that arrives late has no second effect.
-func (k *Keeper) put(ctx context.Context, s *Statement) {
+// reclaim gives back what dead processes of this machine did not use.
+func (k *Keeper) reclaim(ctx context.Context) {
+	for _, r := range k.Book.Reclaims(k.Clock()) {
+		if k.reclaimed[r.Key] == r.Statement.Sequence {
+			continue // Written, but not read back yet.
+		}
+		if k.put(ctx, r.Key, &r.Statement) {
+			k.reclaimed[r.Key] = r.Statement.Sequence
+			k.Logs.Info().Str("dead", r.Key).Msg("prepaid: unused tokens of a dead process given back")
+		}
+	}
+}
+
+// put writes a statement until the log has taken it, and says whether it has.
+// The repeats are the same write, so one that arrives late has no second effect.
+func (k *Keeper) put(ctx context.Context, key string, s *Statement) bool {
 	value, err := cbor.Marshal(s)
 	if err != nil {
 		k.Logs.Error().Err(err).Msg("prepaid: encode statement")
-		return
+		return false
 	}
-	records := []logstore.KeyedRecord{{Key: k.Book.self.Key, Value: value}}
+	records := []logstore.KeyedRecord{{Key: key, Value: value}}
 	for ctx.Err() == nil {
 		w := logstore.Write{Writer: k.Book.self.Key, Epoch: k.epoch, Sequence: k.sequence}
 		err := k.Log.Put(ctx, logstore.TopicBudgets, w, records)
 		if err == nil {
 			k.sequence++
 			kick(k.kickRead)
-			return
+			return true
 		}
 		if eris.Is(err, logstore.ErrSequence) || eris.Is(err, logstore.ErrFenced) {
 			// Only this process writes under its name: the log has lost count.
@@ -194,15 +229,20 @@
 		}
 		logstore.Pause(ctx, retryEvery, nil)
 	}
+	return false
 }
 
-// Close gives back what is not used, as long as ctx lasts. Run must have ended.
+// Close gives back what is not used, as long as ctx lasts: to the log, or to
+// another instance if the log is away. Run must have ended.
 //
 // The epoch is a new one: a write that Run left unanswered may still arrive, and
 // must not come after this one.
 func (k *Keeper) Close(ctx context.Context) {
 	k.epoch++
-	k.put(ctx, k.Book.Close(k.Clock()))
+	if !k.inTouch() {
+		k.Peers.HandOver(ctx, k.Book, k.Clock())
+	}
+	k.put(ctx, k.Book.self.Key, k.Book.Close(k.Clock()))
 }
 
 func kick(c chan<- struct{}) {
--- a/internal/prepaid/policy.go
+++ b/internal/prepaid/policy.go
@@ -26,9 +26,9 @@
 // DefaultPolicy returns the policy for small fleets.
 func DefaultPolicy() Policy {
 	return Policy{
-		Horizon:   15 * time.Second, // Cuts of 9 s, and a rate that doubles in them.
-		Heartbeat: 2 * time.Second,
-		Quiet:     700 * time.Millisecond,
+		Horizon:   12 * time.Second,
+		Heartbeat: time.Second,
+		Quiet:     350 * time.Millisecond,
 		AliveFor:  8 * time.Second,
 	}
 }
@@ -43,6 +43,10 @@
 	// raiseBelow and returnAbove are the shares of the target between which
 	// nothing is claimed or given back, so that quiet budgets write nothing.
 	raiseBelow, returnAbove = 0.8, 1.4
+	// markShare and markFloor bound the part of its share of what is left that
+	// an instance may use before its next statement. Most of a kill's loss is
+	// this; a kill of all instances loses at most markShare of what is left.
+	markShare, markFloor = 0.15, 0.02
 	// helpShare is the part of its target that an instance keeps while another
 	// one is short and nothing is left to claim.
 	helpShare = 0.25
@@ -75,7 +79,7 @@
 }
 
 // Draft returns the next statement to write, or nil if there is nothing to say.
-// What it gives back is no longer spent from here on; what it claims is spent
+// What it gives back is no longer used from here on; what it claims is used
 // once it has been seen on the log. The caller writes one at a time, each until
 // the log has taken it.
 func (b *Book) Draft(now time.Duration) *Statement {
@@ -86,8 +90,8 @@
 	}
 	rows, pressing, news := b.draftRows(now)
 	since := now - b.toldAt
-	quiet := since < b.policy.Quiet && !pressing
-	if b.told && (quiet || !news && since < b.policy.Heartbeat) {
+	first := b.sequence == 0
+	if !first && (since < b.policy.Quiet && !pressing || !news && since < b.policy.Heartbeat) {
 		return nil
 	}
 	return b.state(rows, false, now)
@@ -101,21 +105,32 @@
 	var rows []Row
 	for _, team := range b.teams() {
 		a := b.account(team)
-		rows = append(rows, Row{Team: team, Claimed: a.used(), Used: a.used(), Settled: a.settled})
+		r := a.row(team, now)
+		r.Claimed, r.Mark = a.gone()-a.takenSum, a.gone()
+		rows = append(rows, r)
 	}
 	return b.state(rows, true, now)
 }
 
+// row fills what is known of the own part of a budget.
+func (a *account) row(team record.Team, now time.Duration) Row {
+	return Row{
+		Team: team, Used: a.used(), Settled: a.settled, Taken: a.takenSum, Given: a.givenSum,
+		Rate: int64(a.rate.perSecond(now)), Short: a.short,
+	}
+}
+
 func (b *Book) state(rows []Row, closed bool, now time.Duration) *Statement {
 	for _, r := range rows {
 		a := b.account(r.Team)
-		a.valid = min(a.valid, r.Claimed)
-		a.stated, a.toldUsed = r.Claimed, r.Used
+		a.claimed = min(a.claimed, r.Claimed)
+		a.stated, a.statedUsed, a.markNow = r.Claimed, r.Used, r.Mark
 	}
 	b.sequence++
-	b.told, b.toldAt = true, now
+	b.toldAt = now
 	b.pending = &Statement{
 		Node: b.self.Node, Started: b.self.Started, Sequence: b.sequence, Closed: closed, Rows: rows,
+		Touched: b.touched, Wall: b.clocks.Wall(), Peer: b.self.Peer, Zone: b.self.Zone,
 	}
 	return b.pending
 }
@@ -134,34 +149,43 @@
 	return teams
 }
 
-// draftRows sizes every claim. pressing says that a request waits for one, news
-// that a claim or a mark changes by more than a hundredth of its target.
+// draftRows sizes every claim and mark. pressing says that a request waits for
+// one, news that the statement would say something else than the last.
 func (b *Book) draftRows(now time.Duration) (rows []Row, pressing, news bool) {
 	n := b.instances()
 	for _, team := range b.teams() {
 		a := b.account(team)
-		claim := b.claim(team, a, n, now)
-		if claim > a.valid && a.short > 0 {
+		left, share := b.left(team, a, n, now)
+		r := a.row(team, now)
+		r.Claimed = b.claim(team, a, left, share, n, now)
+		r.Mark = a.mark(left, share, r.Claimed, now)
+		if a.short > 0 && (r.Claimed > a.claimed || r.Mark > a.markOnLog) {
 			pressing = true
 		}
-		if claim != a.stated || abs(a.used()-a.toldUsed)*100 > a.valid {
+		if r.Claimed != a.stated || r.Used != a.statedUsed {
 			news = true
 		}
-		rows = append(rows, Row{
-			Team: team, Claimed: claim, Used: a.used(), Settled: a.settled,
-			Rate: int64(a.rate.perSecond(now)), Short: a.short,
-		})
+		rows = append(rows, r)
 	}
 	return rows, pressing, news
 }
 
+// mark is how far the process goes while it is in touch: far enough for the
+// time until it would be out of touch, but near the end of a budget only for
+// some of that, since a kill would lose it.
+func (a *account) mark(left, share float64, claim int64, now time.Duration) int64 {
+	ahead := min(a.rate.perSecond(now)*TouchLasts.Seconds()+a.largest, markShare*left*share)
+	ahead = max(ahead, float64(a.short), markFloor*left*share)
+	return min(a.gone()+int64(ahead), max(claim, a.claimed)+a.takenSum)
+}
+
 // claim returns what to claim of a budget in all.
-func (b *Book) claim(team record.Team, a *account, n int, now time.Duration) int64 {
-	room := b.prepaid[team] - b.claimedByOthers(team) - a.valid
+func (b *Book) claim(team record.Team, a *account, left, share float64, n int, now time.Duration) int64 {
+	room := b.prepaid[team] - b.claimedByOthers(team) - a.claimed
 	if room < 0 {
-		return min(a.valid, a.used()) // The total was lowered: nothing unused is kept.
+		return min(a.claimed, a.gone()-a.takenSum) // The total was lowered: nothing unused is kept.
 	}
-	target := b.target(team, a, n, now)
+	target := b.target(a, left, share, n, now)
 	if short := b.shortElsewhere(team); short > 0 && room < short {
 		target *= helpShare
 	}
@@ -169,35 +193,43 @@
 	switch {
 	case a.short > a.unspent():
 		// Waiting requests go before the target.
-		return a.valid + min(room, max(a.short, int64(target))-a.unspent())
+		return a.claimed + min(room, max(a.short, int64(target))-a.unspent())
 	case unspent < raiseBelow*target:
-		return a.valid + min(room, int64(target)-a.unspent())
+		return a.claimed + min(room, int64(target)-a.unspent())
 	case unspent > returnAbove*target:
-		return a.used() + int64(target)
+		return a.claimed - (a.unspent() - int64(target))
 	}
-	return a.valid
+	return a.claimed
 }
 
-// target is how many unused tokens of the budget this instance is to hold.
-func (b *Book) target(team record.Team, a *account, n int, now time.Duration) float64 {
-	left, othersRate := float64(b.prepaid[team]-a.used()), 0.0
+// left returns how many tokens of the budget nobody has used or lost, and this
+// instance's share of their use.
+func (b *Book) left(team record.Team, a *account, n int, now time.Duration) (left, share float64) {
+	left = float64(b.prepaid[team] - a.used())
+	othersRate := 0.0
 	for _, h := range b.others {
-		r := h.rows[team]
+		r := h.row(team)
 		if !b.alive(h) {
-			left -= float64(r.Claimed)
+			left -= float64(r.lost())
 			continue
 		}
 		left -= float64(r.Used)
 		othersRate += float64(r.Rate)
 	}
 	own := a.rate.perSecond(now)
-	share := 1 / float64(n)
+	share = 1 / float64(n)
 	if own+othersRate > 0 {
 		share = own / (own + othersRate)
 	}
+	return max(0, left), share
+}
+
+// target is how many unused tokens of the budget this instance is to hold.
+func (b *Book) target(a *account, left, share float64, n int, now time.Duration) float64 {
 	floor := floorShare * left / float64(n)
 	top := floor + topShare*left*share
-	return max(0, min(max(own*b.policy.Horizon.Seconds()+a.largest, floor), top))
+	want := a.rate.perSecond(now)*b.policy.Horizon.Seconds() + a.largest
+	return max(0, min(max(want, floor), top))
 }
 
 // shortElsewhere is what requests lack at other instances.
@@ -205,15 +237,8 @@
 	sum := int64(0)
 	for _, h := range b.others {
 		if b.alive(h) {
-			sum += h.rows[team].Short
+			sum += h.row(team).Short
 		}
 	}
 	return sum
 }
-
-func abs(n int64) int64 {
-	if n < 0 {
-		return -n
-	}
-	return n
-}
--- /dev/null
+++ b/internal/prepaid/reclaim.go
@@ -0,0 +1,47 @@
+package prepaid
+
+import (
+	"time"
+)
+
+// Reclaim is a dead process's last word, written by its successor.
+type Reclaim struct {
+	Key       string
+	Statement Statement
+}
+
+// Reclaims returns the final statements of earlier processes of this machine
+// that died in touch with the log: they used no more than their marks, the rest
+// goes back. Those of which that can't be told keep their claims for good.
+//
+// A write of the dead process that arrives after this one only claims more,
+// which wastes tokens and overspends none: it never took effect for the dead.
+func (b *Book) Reclaims(now time.Duration) []Reclaim {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list []Reclaim
+	for key, h := range b.others {
+		if h.Node != b.self.Node || h.Started >= b.self.Started || h.Closed || !b.diedInTouch(&h.Statement, now) {
+			continue
+		}
+		list = append(list, Reclaim{Key: key, Statement: h.final()})
+	}
+	return list
+}
+
+// final returns the statement that leaves the process what it may have used or
+// given up to its marks.
+func (h *holder) final() Statement {
+	s := h.Statement
+	s.Closed = true
+	s.Rows = nil
+	for _, r := range h.Rows {
+		// Under the mark stand what it used and gave; what it took it has not
+		// claimed. Unstated takings make the claim larger than need be.
+		r.Claimed = min(r.Claimed, r.Mark-r.Taken)
+		r.Used = min(r.Used, r.Mark)
+		r.Short = 0
+		s.Rows = append(s.Rows, r)
+	}
+	return s
+}
--- /dev/null
+++ b/internal/prepaid/statement.go
@@ -0,0 +1,87 @@
+package prepaid
+
+import (
+	"time"
+
+	"guavapier/internal/record"
+)
+
+// Row is what a statement says of one budget, in tokens.
+type Row struct {
+	Team record.Team `cbor:"1,keyasint"`
+	// Claimed is the process's part of the budget, from its start on. It goes
+	// below zero when tokens taken from others were given back to the log.
+	Claimed int64 `cbor:"2,keyasint"`
+	// Mark bounds what the process has used and given while it was in touch
+	// with the log; see Touched.
+	Mark int64 `cbor:"3,keyasint"`
+	// Used is what it has used, requests in flight at their most included.
+	Used int64 `cbor:"4,keyasint"`
+	// Settled is what ended requests have used.
+	Settled int64 `cbor:"5,keyasint"`
+	// Taken and Given are what it has from and gave to other processes.
+	Taken int64 `cbor:"6,keyasint,omitempty"`
+	Given int64 `cbor:"7,keyasint,omitempty"`
+	// Rate is its recent use a second.
+	Rate int64 `cbor:"8,keyasint,omitempty"`
+	// Short is what waiting requests want beyond what it holds.
+	Short int64 `cbor:"9,keyasint,omitempty"`
+}
+
+// lost is what nobody can use any more once the process is dead.
+func (r Row) lost() int64 { return r.Claimed + r.Taken - r.Given }
+
+// Stamp is a moment by the clocks of one machine.
+type Stamp struct {
+	// BootID and Boot are the machine's boot and the time since it, time
+	// suspended included.
+	BootID string        `cbor:"1,keyasint"`
+	Boot   time.Duration `cbor:"2,keyasint"`
+	// Wall is the time of day in Unix milliseconds. Corrected says that it is
+	// taken back by how far the machine's clock stood before the median of the
+	// fleet's.
+	Wall      int64 `cbor:"3,keyasint"`
+	Corrected bool  `cbor:"4,keyasint,omitempty"`
+}
+
+// Statement is an instance's record.
+type Statement struct {
+	// Node is the instance's name and machine; a later process of that node
+	// has replaced this one.
+	Node string `cbor:"1,keyasint"`
+	// Started is when the process started, in Unix milliseconds.
+	Started int64 `cbor:"2,keyasint"`
+	// Sequence counts the process's statements.
+	Sequence uint64 `cbor:"3,keyasint"`
+	// Closed says that the process has ended and uses nothing more.
+	Closed bool  `cbor:"4,keyasint,omitempty"`
+	Rows   []Row `cbor:"5,keyasint"`
+	// Touched is when the log had last taken a statement of the process at the
+	// time of drafting this one. Until TouchLasts after it, the process uses
+	// and gives no more than the Marks on the log.
+	Touched Stamp `cbor:"6,keyasint"`
+	// Wall is the machine's own time of day at drafting, uncorrected.
+	Wall int64 `cbor:"7,keyasint"`
+	// Peer is where other instances reach the process; "" for nowhere.
+	Peer string `cbor:"8,keyasint,omitempty"`
+	Zone string `cbor:"9,keyasint,omitempty"`
+}
+
+// row returns the statement's row of a budget.
+func (s *Statement) row(team record.Team) Row {
+	for _, r := range s.Rows {
+		if r.Team == team {
+			return r
+		}
+	}
+	return Row{Team: team}
+}
+
+// Identity names the process.
+type Identity struct {
+	Key     string
+	Node    string
+	Started int64
+	Peer    string
+	Zone    string
+}
--- /dev/null
+++ b/internal/prepaid/transfer.go
@@ -0,0 +1,123 @@
+package prepaid
+
+import (
+	"slices"
+	"time"
+
+	"guavapier/internal/record"
+)
+
+// keepFor is the own use, at the recent rate, that a process keeps when it
+// gives: enough until it has found more itself.
+const keepFor = 2 * time.Second
+
+// Give hands tokens to another process that asks for that many, as far as this
+// one can spare them. It returns what it has given to that process in all: an
+// answer that is lost is made good by the next one.
+func (b *Book) Give(to string, team record.Team, tokens int64, now time.Duration) int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.account(team)
+	keep := int64(a.rate.perSecond(now) * keepFor.Seconds())
+	hand := b.atHand(a, now)
+	spare := min(hand, max(hand-keep, hand/2))
+	if spare > 0 && tokens > 0 {
+		amount := min(spare, tokens)
+		a.given[to] += amount
+		a.givenSum += amount
+	}
+	return a.given[to]
+}
+
+// GiveAll hands over everything that is left: the process is about to end and
+// the log is away.
+func (b *Book) GiveAll(to string, now time.Duration) map[record.Team]int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closed = true
+	all := map[record.Team]int64{}
+	for _, team := range b.teams() {
+		a := b.account(team)
+		if amount := b.atHand(a, now); amount > 0 {
+			a.given[to] += amount
+			a.givenSum += amount
+		}
+		if a.given[to] > 0 {
+			all[team] = a.given[to]
+		}
+	}
+	return all
+}
+
+// Take notes what another process has given to this one in all.
+func (b *Book) Take(from string, team record.Team, total int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.account(team)
+	if more := total - a.taken[from]; more > 0 {
+		a.taken[from] = total
+		a.takenSum += more
+		b.wake()
+	}
+}
+
+// Source is a process that may have tokens to give.
+type Source struct {
+	Key  string
+	Peer string
+	near bool
+	has  int64
+}
+
+// Sources lists the living processes that held unused tokens of the budget when
+// last heard of, those of the own zone first, the richest first.
+func (b *Book) Sources(team record.Team) []Source {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list []Source
+	for key, h := range b.others {
+		r := h.row(team)
+		if has := r.lost() - r.Used; h.Peer != "" && has > 0 && b.alive(h) {
+			list = append(list, Source{Key: key, Peer: h.Peer, near: h.Zone == b.self.Zone, has: has})
+		}
+	}
+	slices.SortFunc(list, func(x, y Source) int {
+		if x.near != y.near {
+			if x.near {
+				return -1
+			}
+			return 1
+		}
+		return int(min(max(y.has-x.has, -1), 1))
+	})
+	return list
+}
+
+// Heirs lists living processes that can take over what is left, the own zone first.
+func (b *Book) Heirs() []Source {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list []Source
+	for key, h := range b.others {
+		if h.Peer != "" && b.alive(h) {
+			list = append(list, Source{Key: key, Peer: h.Peer, near: h.Zone == b.self.Zone})
+		}
+	}
+	slices.SortFunc(list, func(x, y Source) int {
+		if x.near == y.near {
+			return 0
+		}
+		if x.near {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+// AtHand is what may be used of the budget now.
+func (b *Book) AtHand(team record.Team, now time.Duration) int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.atHand(b.account(team), now)
+}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -25,6 +25,7 @@
 	Callers   string `toml:"callers"`
 	Ready     string `toml:"ready"`
 	Operators string `toml:"operators"`
+	Peers     string `toml:"peers"`
 	MemoryMB  int64  `toml:"memory_mb"`
 }
 
@@ -74,6 +75,7 @@
 		{Name: "gateway.callers", Unit: "IP:port", form: formAddress, required: true, Doc: "Address for callers."},
 		{Name: "gateway.ready", Unit: "IP:port", form: formAddress, required: true, Doc: "Address on which the balancer asks whether the instance takes callers."},
 		{Name: "gateway.operators", Unit: "IP:port", form: formAddress, required: true, Doc: "Address for metrics and the state dump. Keep callers away from it."},
+		{Name: "gateway.peers", Unit: "IP:port", form: formAddress, required: true, Doc: "Address for the other instances of the fleet."},
 		{Name: "gateway.memory_mb", Unit: "MB", form: formCount, min: 64, max: 1 << 20, Doc: "Memory of the instance; above four fifths of it the collector works harder."},
 		{Name: "store.url", Unit: "URL", form: formURL, required: true, Doc: "Base URL of the platform's store."},
 		{Name: "store.timeout", Unit: "duration", form: formDuration, min: int64(10 * time.Millisecond), max: int64(maxPlatformTimeout), Doc: "Longest wait for one answer of the store; a long poll may take its own wait more."},
@@ -94,7 +96,7 @@
 	p := newParse(name, &g, GatewayKeys())
 	p.together = func() {
 		in := g.Gateway
-		p.checkAddresses([]listener{{"gateway.callers", in.Callers}, {"gateway.ready", in.Ready}, {"gateway.operators", in.Operators}})
+		p.checkAddresses([]listener{{"gateway.callers", in.Callers}, {"gateway.ready", in.Ready}, {"gateway.operators", in.Operators}, {"gateway.peers", in.Peers}})
 		if g.Retries.Ratio < 0 || g.Retries.Ratio > 1 {
 			p.add(p.place("retries.ratio"), "retries.ratio", "is %g; allowed: 0 to 1", g.Retries.Ratio)
 		}
