Charge a request only once its caller has had anything

Cause: a request that might have run was charged its prompt although its caller got nothing (left, timed out, endpoint lost).

Change: the prompt and the output count from the first piece that went out.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -159,6 +159,9 @@
 	c.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	c.first = time.Since(c.began)
 	c.opened = true
+	if a.status < http.StatusMultipleChoices {
+		c.pieces = max(1, c.MaxOutput) // How many tokens the body holds is not told: all are charged.
+	}
 	c.w.WriteHeader(a.status)
 	_, _ = io.Copy(c.w, bytes.NewReader(a.body))
 	return a.status
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -191,10 +191,11 @@
 	return reserved, nil
 }
 
-// used is what a request costs its organisation: its prompt once if any
-// attempt may have run, and the output that went to the caller.
+// used is what a request costs its organisation: once the caller has had
+// anything, its prompt and the output that went to it. A run of which the
+// caller got nothing is not charged.
 func (c *call) used(most int64) int64 {
-	if !c.mayRun {
+	if c.pieces == 0 {
 		return 0
 	}
 	perEvent := int64(1)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -60,13 +60,13 @@
 
 // pass sends one event at once and says whether the caller still takes it.
 func (c *call) pass(event []byte) bool {
+	c.pieces++ // Charged even if the write fails: it may have arrived.
 	if _, err := c.w.Write(event); err != nil {
 		return false
 	}
 	if err := http.NewResponseController(c.w).Flush(); err != nil {
 		return false
 	}
-	c.pieces++
 	if id := eventID(event); id != "" {
 		c.lastID = id
 	}
--- a/internal/prepaid/clocks.go
+++ b/internal/prepaid/clocks.go
@@ -1,6 +1,7 @@
 package prepaid
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -77,21 +78,30 @@
 	return s
 }
 
-// diedInTouch says whether a process of this machine that published s had died
-// before it could fall out of touch. It is false when that can't be told.
-func (b *Book) diedInTouch(s *Statement, now time.Duration) bool {
+// ageAtStart returns the time from a dead process's last touch to this process's
+// start, on the same machine, at its most; or unknownAge.
+func (b *Book) ageAtStart(s *Statement, now time.Duration) time.Duration {
 	boot := b.started.Boot - s.Touched.Boot
 	wall := time.Duration(b.started.Wall-s.Touched.Wall) * time.Millisecond
 	if s.Touched.Wall == 0 {
-		return false // It never was in touch: it used nothing under a mark.
+		return unknownAge // It never was in touch.
 	}
 	if b.started.BootID == s.Touched.BootID && (boot-wall).Abs() < sameBoot {
-		return boot >= 0 && boot+bootMargin < TouchLasts
+		return boot + bootMargin
 	}
 	ms, ok := b.skewMS(now)
 	if !ok || !s.Touched.Corrected {
-		return false
+		return unknownAge
 	}
-	wall -= time.Duration(ms) * time.Millisecond
-	return wall+skewMargin < TouchLasts && wall > -skewMargin
+	return wall - time.Duration(ms)*time.Millisecond + skewMargin
+}
+
+// unknownAge is longer than any touch lasts.
+const unknownAge = time.Duration(math.MaxInt64)
+
+// diedInTouch says whether a process of this machine that published s had died
+// before it could fall out of touch. It is false when that can't be told.
+func (b *Book) diedInTouch(s *Statement, now time.Duration) bool {
+	age := b.ageAtStart(s, now)
+	return age >= 0 && age < TouchLasts
 }
--- a/internal/prepaid/keeper.go
+++ b/internal/prepaid/keeper.go
@@ -199,7 +199,7 @@
 		}
 		if k.put(ctx, r.Key, &r.Statement) {
 			k.reclaimed[r.Key] = r.Statement.Sequence
-			k.Logs.Info().Str("dead", r.Key).Msg("prepaid: unused tokens of a dead process given back")
+			k.Logs.Info().Str("dead", r.Key).Int64("tokens", r.Tokens).Dur("age", r.Age).Msg("prepaid: unused tokens of a dead process given back")
 		}
 	}
 }
--- a/internal/prepaid/reclaim.go
+++ b/internal/prepaid/reclaim.go
@@ -8,6 +8,10 @@
 type Reclaim struct {
 	Key       string
 	Statement Statement
+	// Tokens is how much of all budgets goes back.
+	Tokens int64
+	// Age is the time from the dead process's last touch to this one's start.
+	Age time.Duration
 }
 
 // Reclaims returns the final statements of earlier processes of this machine
@@ -24,7 +28,8 @@
 		if h.Node != b.self.Node || h.Started >= b.self.Started || h.Closed || !b.diedInTouch(&h.Statement, now) {
 			continue
 		}
-		list = append(list, Reclaim{Key: key, Statement: h.final()})
+		final := h.final()
+		list = append(list, Reclaim{Key: key, Statement: final, Tokens: freed(h.Statement, final), Age: b.ageAtStart(&h.Statement, now)})
 	}
 	return list
 }
@@ -45,3 +50,11 @@
 	}
 	return s
 }
+
+func freed(was, final Statement) int64 {
+	sum := int64(0)
+	for i, r := range was.Rows {
+		sum += r.Claimed - final.Rows[i].Claimed
+	}
+	return sum
+}
