Shorten the time for which an instance keeps to its marks

Change: statements at most 150 ms apart, a touch lasts 3 s in place of 4, the clocks' correction takes the least of several readings, idle instances keep a small even part.

--- a/internal/prepaid/clocks.go
+++ b/internal/prepaid/clocks.go
@@ -20,12 +20,15 @@
 
 const (
 	// TouchLasts is how long a process keeps to the marks on the log after the
-	// log has last taken a statement. It has to outlast a power loss: the age of
-	// the last statement (under 1 s), the loss and the start (2 s together).
-	TouchLasts = 4 * time.Second
-	// skewMargin covers what correcting a clock by the fleet's median leaves:
-	// statements are read up to half a second after they were drafted.
-	skewMargin = 700 * time.Millisecond
+	// log has last taken a statement. In the first seconds of a cut it serves
+	// no further than its marks, so it should be short; what a power loss of
+	// all machines strands goes back only if the loss (up to 1.8 s), the age of
+	// the last statement, the start and the margins fit in.
+	TouchLasts = 3 * time.Second
+	// skewMargin covers what correcting a clock by the fleet's median leaves: a
+	// statement is read up to 0.35 s after it was drafted (a write and the pause
+	// between two reads), and the least of several readings counts.
+	skewMargin = 450 * time.Millisecond
 	// bootMargin covers reading two clocks one after the other.
 	bootMargin = 50 * time.Millisecond
 	// sameBoot is how far the two clocks may drift apart over one boot.
@@ -48,7 +51,11 @@
 	if s.Closed || b.freshAt == 0 || now-b.freshAt > skewFresh {
 		return
 	}
-	b.skews[s.Node] = skew{ms: b.clocks.Wall() - s.Wall, at: now}
+	ms := b.clocks.Wall() - s.Wall
+	if known, ok := b.skews[s.Node]; ok && known.ms < ms && now-known.at < skewFresh {
+		return // A statement that was read sooner tells more.
+	}
+	b.skews[s.Node] = skew{ms: ms, at: now}
 }
 
 // skewMS returns how far the own time of day stands before the fleet's median;
--- a/internal/prepaid/policy.go
+++ b/internal/prepaid/policy.go
@@ -28,7 +28,7 @@
 	return Policy{
 		Horizon:   12 * time.Second,
 		Heartbeat: time.Second,
-		Quiet:     350 * time.Millisecond,
+		Quiet:     150 * time.Millisecond,
 		AliveFor:  8 * time.Second,
 	}
 }
@@ -43,10 +43,10 @@
 	// raiseBelow and returnAbove are the shares of the target between which
 	// nothing is claimed or given back, so that quiet budgets write nothing.
 	raiseBelow, returnAbove = 0.8, 1.4
-	// markShare and markFloor bound the part of its share of what is left that
-	// an instance may use before its next statement. Most of a kill's loss is
-	// this; a kill of all instances loses at most markShare of what is left.
-	markShare, markFloor = 0.15, 0.02
+	// markShare and markEven are the parts of what is left that all instances
+	// together may use before their next statements: markShare by their rates,
+	// markEven evenly. A kill of all instances loses at most their sum.
+	markShare, markEven = 0.12, 0.04
 	// helpShare is the part of its target that an instance keeps while another
 	// one is short and nothing is left to claim.
 	helpShare = 0.25
@@ -158,7 +158,7 @@
 		left, share := b.left(team, a, n, now)
 		r := a.row(team, now)
 		r.Claimed = b.claim(team, a, left, share, n, now)
-		r.Mark = a.mark(left, share, r.Claimed, now)
+		r.Mark = a.mark(left, share, r.Claimed, n, now)
 		if a.short > 0 && (r.Claimed > a.claimed || r.Mark > a.markOnLog) {
 			pressing = true
 		}
@@ -173,9 +173,10 @@
 // mark is how far the process goes while it is in touch: far enough for the
 // time until it would be out of touch, but near the end of a budget only for
 // some of that, since a kill would lose it.
-func (a *account) mark(left, share float64, claim int64, now time.Duration) int64 {
-	ahead := min(a.rate.perSecond(now)*TouchLasts.Seconds()+a.largest, markShare*left*share)
-	ahead = max(ahead, float64(a.short), markFloor*left*share)
+func (a *account) mark(left, share float64, claim int64, n int, now time.Duration) int64 {
+	most := left * (markShare*share + markEven/float64(n))
+	ahead := min(a.rate.perSecond(now)*TouchLasts.Seconds()+a.largest, most)
+	ahead = max(ahead, float64(a.short), left*markEven/float64(n))
 	return min(a.gone()+int64(ahead), max(claim, a.claimed)+a.takenSum)
 }
 
