Hold and mark ever less near the end of a budget

Change: below a quarter (holdings) and a half (marks) of the total, the shares fall with what is left.

--- a/internal/prepaid/policy.go
+++ b/internal/prepaid/policy.go
@@ -47,6 +47,11 @@
 	// together may use before their next statements: markShare by their rates,
 	// markEven evenly. A kill of all instances loses at most their sum.
 	markShare, markEven = 0.12, 0.04
+	// holdPlenty and markPlenty are the shares of the prepaid total below which
+	// instances hold and use ahead ever less of what is left. The last tokens
+	// then lie on the log: of 3 % that may stay unused, the unused tokens of all
+	// instances and what a kill loses take under 2.
+	holdPlenty, markPlenty = 0.25, 0.5
 	// helpShare is the part of its target that an instance keeps while another
 	// one is short and nothing is left to claim.
 	helpShare = 0.25
@@ -155,10 +160,10 @@
 	n := b.instances()
 	for _, team := range b.teams() {
 		a := b.account(team)
-		left, share := b.left(team, a, n, now)
+		rest := b.rest(team, a, n, now)
 		r := a.row(team, now)
-		r.Claimed = b.claim(team, a, left, share, n, now)
-		r.Mark = a.mark(left, share, r.Claimed, n, now)
+		r.Claimed = b.claim(team, a, rest, now)
+		r.Mark = a.mark(rest, r.Claimed, now)
 		if a.short > 0 && (r.Claimed > a.claimed || r.Mark > a.markOnLog) {
 			pressing = true
 		}
@@ -173,20 +178,22 @@
 // mark is how far the process goes while it is in touch: far enough for the
 // time until it would be out of touch, but near the end of a budget only for
 // some of that, since a kill would lose it.
-func (a *account) mark(left, share float64, claim int64, n int, now time.Duration) int64 {
-	most := left * (markShare*share + markEven/float64(n))
+func (a *account) mark(r rest, claim int64, now time.Duration) int64 {
+	left := r.left * r.plenty(markPlenty)
+	even := left * markEven / r.instances
+	most := left*markShare*r.share + even
 	ahead := min(a.rate.perSecond(now)*TouchLasts.Seconds()+a.largest, most)
-	ahead = max(ahead, float64(a.short), left*markEven/float64(n))
+	ahead = max(ahead, float64(a.short), even)
 	return min(a.gone()+int64(ahead), max(claim, a.claimed)+a.takenSum)
 }
 
 // claim returns what to claim of a budget in all.
-func (b *Book) claim(team record.Team, a *account, left, share float64, n int, now time.Duration) int64 {
+func (b *Book) claim(team record.Team, a *account, r rest, now time.Duration) int64 {
 	room := b.prepaid[team] - b.claimedByOthers(team) - a.claimed
 	if room < 0 {
 		return min(a.claimed, a.gone()-a.takenSum) // The total was lowered: nothing unused is kept.
 	}
-	target := b.target(a, left, share, n, now)
+	target := b.target(a, r, now)
 	if short := b.shortElsewhere(team); short > 0 && room < short {
 		target *= helpShare
 	}
@@ -203,10 +210,26 @@
 	return a.claimed
 }
 
-// left returns how many tokens of the budget nobody has used or lost, and this
-// instance's share of their use.
-func (b *Book) left(team record.Team, a *account, n int, now time.Duration) (left, share float64) {
-	left = float64(b.prepaid[team] - a.used())
+// rest is what is left of a budget.
+type rest struct {
+	total     float64 // The prepaid total.
+	left      float64 // Neither used nor lost.
+	share     float64 // This instance's share of the use.
+	instances float64
+}
+
+// plenty is 1 while at least that share of the total is left, and falls to 0
+// with what is left below that.
+func (r rest) plenty(share float64) float64 {
+	if r.total <= 0 {
+		return 0
+	}
+	return min(1, r.left/(share*r.total))
+}
+
+func (b *Book) rest(team record.Team, a *account, n int, now time.Duration) rest {
+	total := float64(b.prepaid[team])
+	left := total - float64(a.used())
 	othersRate := 0.0
 	for _, h := range b.others {
 		r := h.row(team)
@@ -218,17 +241,18 @@
 		othersRate += float64(r.Rate)
 	}
 	own := a.rate.perSecond(now)
-	share = 1 / float64(n)
+	share := 1 / float64(n)
 	if own+othersRate > 0 {
 		share = own / (own + othersRate)
 	}
-	return max(0, left), share
+	return rest{total: total, left: max(0, left), share: share, instances: float64(n)}
 }
 
 // target is how many unused tokens of the budget this instance is to hold.
-func (b *Book) target(a *account, left, share float64, n int, now time.Duration) float64 {
-	floor := floorShare * left / float64(n)
-	top := floor + topShare*left*share
+func (b *Book) target(a *account, r rest, now time.Duration) float64 {
+	left := r.left * r.plenty(holdPlenty)
+	floor := floorShare * left / r.instances
+	top := floor + topShare*left*r.share
 	want := a.rate.perSecond(now)*b.policy.Horizon.Seconds() + a.largest
 	return max(0, min(max(want, floor), top))
 }
