Lose no tokens between two instances

A restarted instance answers under a new key, and its gift was thrown away; a caller that left ended the call of its request; nobody asked again after a lost reply.

Change: the reply's key counts, calls outlive their requests, lost replies are asked for again; where nothing can be found the request is refused at once.

--- a/internal/prepaid/keeper.go
+++ b/internal/prepaid/keeper.go
@@ -29,6 +29,8 @@
 	// InTouch is how old the last read may be for a request to wait for a
 	// claim; without the log it would wait in vain.
 	InTouch = 1500 * time.Millisecond
+	// resolveEvery is the pause between two rounds of asking again.
+	resolveEvery = 500 * time.Millisecond
 	// claimTrips is how long a claim takes, with two round trips to the log,
 	// and room for one that collides with another's.
 	claimTrips = 60 * time.Millisecond
@@ -67,6 +69,7 @@
 	var group errgroup.Group
 	group.Go(func() error { k.follower().Run(ctx); return nil })
 	group.Go(func() error { k.write(ctx); return nil })
+	group.Go(func() error { k.resolve(ctx); return nil })
 	_ = group.Wait()
 }
 
@@ -98,6 +101,9 @@
 
 // find looks for tokens: on the log first, then at other instances.
 func (k *Keeper) find(ctx context.Context, team record.Team, tokens int64) error {
+	if !k.Book.Findable(team) {
+		return ErrShort
+	}
 	k.Book.Want(team, tokens)
 	defer k.Book.Want(team, -tokens)
 	began := k.Clock()
@@ -191,6 +197,14 @@
 	}
 }
 
+// resolve makes good what lost replies of other instances hold back.
+func (k *Keeper) resolve(ctx context.Context) {
+	for ctx.Err() == nil {
+		logstore.Pause(ctx, resolveEvery, nil)
+		k.Peers.Resolve(k.Book)
+	}
+}
+
 // reclaim gives back what dead processes of this machine did not use.
 func (k *Keeper) reclaim(ctx context.Context) {
 	for _, r := range k.Book.Reclaims(k.Clock()) {
--- a/internal/prepaid/peers.go
+++ b/internal/prepaid/peers.go
@@ -74,11 +74,13 @@
 	asking  singleflight.Group
 	mu      sync.Mutex
 	clients map[string]*rpc.Client
+	// unresolved are calls whose replies were lost.
+	unresolved map[unresolved]bool
 }
 
 // NewPeers returns Peers without connections.
 func NewPeers(log zerolog.Logger) *Peers {
-	return &Peers{log: log, clients: map[string]*rpc.Client{}}
+	return &Peers{log: log, clients: map[string]*rpc.Client{}, unresolved: map[unresolved]bool{}}
 }
 
 // Serve answers other instances until the listener is closed.
@@ -107,16 +109,9 @@
 			if i >= mostAsked || ctx.Err() != nil {
 				break
 			}
-			var reply AskReply
-			args := AskArgs{From: book.self.Key, Team: team, Tokens: askFactor * tokens}
-			if err := p.call(ctx, source.Peer, "Transfers.Ask", args, &reply); err != nil {
-				p.log.Debug().Err(err).Str("peer", source.Peer).Msg("prepaid: peer not reached")
+			if !p.askOne(book, source.Peer, team, askFactor*tokens) {
 				continue
 			}
-			if reply.Key != source.Key {
-				continue // Another process has taken the address.
-			}
-			book.Take(source.Key, team, reply.Total)
 			if book.AtHand(team, now) >= tokens {
 				break
 			}
@@ -125,6 +120,47 @@
 	})
 }
 
+// askOne asks one instance and notes what it gave. The call outlives the request
+// that wants it: a reply that nobody reads would lose tokens. One that is lost
+// all the same is asked for again by Resolve.
+func (p *Peers) askOne(book *Book, peer string, team record.Team, tokens int64) bool {
+	var reply AskReply
+	args := AskArgs{From: book.self.Key, Team: team, Tokens: tokens}
+	err := p.call(context.Background(), peer, "Transfers.Ask", args, &reply)
+	p.mu.Lock()
+	if err != nil {
+		p.unresolved[unresolved{peer, team}] = true
+	} else {
+		delete(p.unresolved, unresolved{peer, team})
+	}
+	p.mu.Unlock()
+	if err != nil {
+		p.log.Debug().Err(err).Str("peer", peer).Msg("prepaid: peer not reached")
+		return false
+	}
+	book.Take(reply.Key, team, reply.Total)
+	return true
+}
+
+// unresolved is a call whose reply was lost: tokens may have been given.
+type unresolved struct {
+	peer string
+	team record.Team
+}
+
+// Resolve asks again, for no more tokens, where a reply was lost.
+func (p *Peers) Resolve(book *Book) {
+	p.mu.Lock()
+	var calls []unresolved
+	for call := range p.unresolved {
+		calls = append(calls, call)
+	}
+	p.mu.Unlock()
+	for _, call := range calls {
+		p.askOne(book, call.peer, call.team, 0)
+	}
+}
+
 // HandOver gives everything that is left to one other instance.
 func (p *Peers) HandOver(ctx context.Context, book *Book, now time.Duration) {
 	for i, heir := range book.Heirs() {
--- a/internal/prepaid/transfer.go
+++ b/internal/prepaid/transfer.go
@@ -69,6 +69,16 @@
 	has  int64
 }
 
+// Findable says whether more tokens of the budget may be found: on the log, by
+// the next mark, or at other processes.
+func (b *Book) Findable(team record.Team) bool {
+	b.mu.Lock()
+	a := b.account(team)
+	here := a.unspent() > 0 || b.prepaid[team]-b.claimedByOthers(team)-a.claimed > 0
+	b.mu.Unlock()
+	return here || len(b.Sources(team)) > 0
+}
+
 // Sources lists the living processes that held unused tokens of the budget when
 // last heard of, those of the own zone first, the richest first.
 func (b *Book) Sources(team record.Team) []Source {
