Mark for bursts, and say when held tokens are free again

Cause: in the first three seconds of a cut a single large request exceeded a quiet instance's mark; the refused came back after a second, to be refused again.

Change: marks cover twice the recent rate while much is left and less at the end; a refusal for tokens that are held but not free yet names the moment.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -43,6 +43,8 @@
 	// againShort suits a budget whose tokens are held elsewhere: a claim takes
 	// a round trip, a give-back by another instance up to a second.
 	againShort = time.Second
+	// spreadShort spreads callers that all wait for the same moment.
+	spreadShort = 200 * time.Millisecond
 	// againStart suits an instance that has no desired state yet; another one
 	// has.
 	againStart = 500 * time.Millisecond
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -186,11 +186,21 @@
 	case errors.Is(err, prepaid.ErrExhausted):
 		return nil, &refusal{status: http.StatusPaymentRequired, reason: ReasonExhausted}
 	case err != nil:
-		return nil, notRun(ReasonShort, againShort)
+		return nil, notRun(ReasonShort, whenShort(err))
 	}
 	return reserved, nil
 }
 
+// whenShort says when coming back helps a request without tokens: when those
+// that are held here are free, spread a little, else after some round trips.
+func whenShort(err error) time.Duration {
+	var short *prepaid.ShortError
+	if errors.As(err, &short) {
+		return short.After + rand.N(spreadShort)
+	}
+	return againShort
+}
+
 // used is what a request costs its organisation: once the caller has had
 // anything, its prompt and the output that went to it. A run of which the
 // caller got nothing is not charged.
--- a/internal/prepaid/book.go
+++ b/internal/prepaid/book.go
@@ -48,6 +48,15 @@
 	ErrShort = eris.New("prepaid: too little held here")
 )
 
+// ShortError is an ErrShort that knows when the tokens held here are free again.
+type ShortError struct{ After time.Duration }
+
+// Error implements error.
+func (e *ShortError) Error() string { return ErrShort.Error() }
+
+// Is makes it an ErrShort.
+func (e *ShortError) Is(target error) bool { return target == ErrShort }
+
 // holder is another process as its newest statement shows it.
 type holder struct {
 	Statement
@@ -152,6 +161,9 @@
 	if b.spentForGood(team)+tokens > b.prepaid[team] {
 		return ErrExhausted
 	}
+	if touched := now - b.touchAt; b.inTouch && touched < TouchLasts && a.unspent() >= tokens {
+		return &ShortError{After: TouchLasts - touched}
+	}
 	return ErrShort
 }
 
--- a/internal/prepaid/policy.go
+++ b/internal/prepaid/policy.go
@@ -46,7 +46,7 @@
 	// markShare and markEven are the parts of what is left that all instances
 	// together may use before their next statements: markShare by their rates,
 	// markEven evenly. A kill of all instances loses at most their sum.
-	markShare, markEven = 0.12, 0.04
+	markShare, markEven = 0.25, 0.06
 	// holdPlenty and markPlenty are the shares of the prepaid total below which
 	// instances hold and use ahead ever less of what is left. The last tokens
 	// then lie on the log: of 3 % that may stay unused, the unused tokens of all
@@ -179,10 +179,11 @@
 // time until it would be out of touch, but near the end of a budget only for
 // some of that, since a kill would lose it.
 func (a *account) mark(r rest, claim int64, now time.Duration) int64 {
-	left := r.left * r.plenty(markPlenty)
+	plenty := r.plenty(markPlenty)
+	left := r.left * plenty * plenty
 	even := left * markEven / r.instances
 	most := left*markShare*r.share + even
-	ahead := min(a.rate.perSecond(now)*TouchLasts.Seconds()+a.largest, most)
+	ahead := min(2*(a.rate.perSecond(now)*TouchLasts.Seconds()+a.largest), most)
 	ahead = max(ahead, float64(a.short), even)
 	return min(a.gone()+int64(ahead), max(claim, a.claimed)+a.takenSum)
 }
