Play budgets through kills, cuts, power losses and set clocks

A property test of the whole fleet (1 to 5 machines; lost answers, late writes, cuts, freezes, kills, power losses, clocks set on fewer than half of the machines, lost replies of peers, totals that rise and fall, lost history), and the single cases of giving back.

Found while writing them: the own clock could be set between two looks, and two others at odds made a median; skews are now forgotten when the own clock moves, and an even number must agree.

--- a/internal/prepaid/book.go
+++ b/internal/prepaid/book.go
@@ -111,13 +111,14 @@
 	closed   bool
 	changed  chan struct{} // Closed and replaced when more may be at hand.
 	skews    map[string]skew
+	offset   int64 // Of the own time of day against the time since boot.
 }
 
 // NewBook returns a Book without budgets.
 func NewBook(self Identity, policy Policy, clocks Clocks) *Book {
 	return &Book{
 		self: self, policy: policy, clocks: clocks, prepaid: map[record.Team]int64{}, others: map[string]*holder{},
-		accounts: map[record.Team]*account{}, changed: make(chan struct{}), skews: map[string]skew{}, started: clocks.Now(),
+		accounts: map[record.Team]*account{}, changed: make(chan struct{}), skews: map[string]skew{}, started: clocks.Now(), offset: clocks.offset(),
 	}
 }
 
--- a/internal/prepaid/clocks.go
+++ b/internal/prepaid/clocks.go
@@ -35,6 +35,11 @@
 	sameBoot = time.Minute
 	// skewsNeeded is how many other machines' clocks make a median.
 	skewsNeeded = 2
+	// skewsAgree is how far the two middle ones of an even number may lie apart.
+	skewsAgree = 250 * time.Millisecond
+	// clockMoved is a change of the time of day against the time since boot
+	// that no slewing of a clock makes between two looks.
+	clockMoved = 100 * time.Millisecond
 	// skewFresh is how long another machine's clock counts after it was heard.
 	skewFresh = 5 * time.Second
 )
@@ -45,9 +50,24 @@
 	at time.Duration
 }
 
+// offset is how far the time of day stands before the time since boot. It
+// changes only when someone sets the clock.
+func (c Clocks) offset() int64 { return c.Wall() - c.Boot().Milliseconds() }
+
+// watchClock forgets all skews when the own clock was set: they were heard by
+// the old one.
+func (b *Book) watchClock() {
+	now := b.clocks.offset()
+	if moved := now - b.offset; moved > clockMoved.Milliseconds() || moved < -clockMoved.Milliseconds() {
+		clear(b.skews)
+	}
+	b.offset = now
+}
+
 // hear notes the clock of a statement that has just been drafted. Those read
 // while the log is caught up with are older and don't count.
 func (b *Book) hear(s *Statement, now time.Duration) {
+	b.watchClock()
 	if s.Closed || b.freshAt == 0 || now-b.freshAt > skewFresh {
 		return
 	}
@@ -59,8 +79,9 @@
 }
 
 // skewMS returns how far the own time of day stands before the fleet's median;
-// ok is false if too few others were heard of late.
+// ok is false if too few others were heard of late, or they are at odds.
 func (b *Book) skewMS(now time.Duration) (ms int64, ok bool) {
+	b.watchClock()
 	var known []int64
 	for node, s := range b.skews {
 		if now-s.at > skewFresh {
@@ -69,17 +90,20 @@
 		}
 		known = append(known, s.ms)
 	}
-	if len(known) < skewsNeeded {
+	n := len(known)
+	if n < skewsNeeded {
 		return 0, false
 	}
 	slices.Sort(known)
-	return known[len(known)/2], true
+	low, high := known[(n-1)/2], known[n/2]
+	return low, high-low <= skewsAgree.Milliseconds()
 }
 
 // stamp returns the present moment, corrected if the fleet's clocks are known.
 func (b *Book) stamp(now time.Duration) Stamp {
+	ms, ok := b.skewMS(now)
 	s := b.clocks.Now()
-	if ms, ok := b.skewMS(now); ok {
+	if ok {
 		s.Wall, s.Corrected = s.Wall-ms, true
 	}
 	return s
@@ -88,15 +112,17 @@
 // ageAtStart returns the time from a dead process's last touch to this process's
 // start, on the same machine, at its most; or unknownAge.
 func (b *Book) ageAtStart(s *Statement, now time.Duration) time.Duration {
-	boot := b.started.Boot - s.Touched.Boot
-	wall := time.Duration(b.started.Wall-s.Touched.Wall) * time.Millisecond
 	if s.Touched.Wall == 0 {
 		return unknownAge // It never was in touch.
 	}
+	ms, ok := b.skewMS(now)
+	boot := b.started.Boot - s.Touched.Boot
+	// The start by the clock as it is set now.
+	started := b.clocks.Wall() - (b.clocks.Boot() - b.started.Boot).Milliseconds()
+	wall := time.Duration(started-s.Touched.Wall) * time.Millisecond
 	if b.started.BootID == s.Touched.BootID && (boot-wall).Abs() < sameBoot {
 		return boot + bootMargin
 	}
-	ms, ok := b.skewMS(now)
 	if !ok || !s.Touched.Corrected {
 		return unknownAge
 	}
--- /dev/null
+++ b/internal/prepaid/reclaim_test.go
@@ -0,0 +1,153 @@
+package prepaid_test
+
+import (
+	"testing"
+	"time"
+
+	"guavapier/internal/prepaid"
+)
+
+// steadyWorld is a fleet of so many machines that has worked for some seconds.
+func steadyWorld(t *testing.T, machines int) *world {
+	t.Helper()
+	w := newWorld(t, make([]int64, machines)...)
+	w.busy(60, 20, nil)
+	return w
+}
+
+// powerOff takes power from all machines for so long and starts them again.
+func (w *world) powerOff(down time.Duration) {
+	for i, m := range w.machines {
+		if p := w.living(m); p != nil {
+			w.kill(p)
+		}
+		m.boots++
+		m.boot, m.origin = w.now, time.Duration(i)*time.Minute
+	}
+	w.now += down
+	for _, m := range w.machines {
+		w.start(m)
+	}
+}
+
+// reclaimable is what the living processes give back for their predecessors,
+// after they have heard each other's clocks.
+func (w *world) reclaimable() (tokens int64) {
+	w.hearEachOther()
+	for _, p := range w.procs {
+		if !p.alive {
+			continue
+		}
+		for _, r := range p.Reclaims(w.now) {
+			tokens += r.Tokens
+		}
+	}
+	return tokens
+}
+
+// hearEachOther lets the living processes write and read without reclaiming.
+func (w *world) hearEachOther() {
+	for range 3 {
+		w.now += 400 * time.Millisecond
+		for _, p := range w.procs {
+			if p.alive {
+				p.write(w, true)
+				p.follow(w)
+			}
+		}
+	}
+}
+
+// Without what goes back, the loss of all machines strands what all of them
+// held: 20 % and more of each budget.
+func TestPowerLossOfAllGivesBackWhatWasHeld(t *testing.T) {
+	w := steadyWorld(t, 4)
+	var held int64
+	for _, p := range w.procs {
+		for _, b := range p.View() {
+			held += b.Claimed - b.Settled - b.Reserved
+		}
+	}
+	w.powerOff(1300 * time.Millisecond)
+	// All marks together may run ahead by 0.31 of what is left.
+	left := w.prepaid - w.total()
+	if got := w.reclaimable(); held-got > left*31/100 {
+		t.Errorf("gave back %d of %d held, with %d left", got, held, left)
+	}
+	w.busy(500, 400, nil)
+}
+
+func TestNothingGoesBackAfterALongLoss(t *testing.T) {
+	w := steadyWorld(t, 4)
+	w.powerOff(prepaid.TouchLasts)
+	if got := w.reclaimable(); got != 0 {
+		t.Errorf("gave back %d tokens of processes that may have been out of touch", got)
+	}
+}
+
+func TestNothingGoesBackFromBehindACut(t *testing.T) {
+	w := steadyWorld(t, 4)
+	cut := map[*machine]bool{}
+	for _, m := range w.machines {
+		cut[m] = true
+	}
+	w.busy(2000, 28, cut) // Beyond the marks, out of touch.
+	w.powerOff(300 * time.Millisecond)
+	if got := w.reclaimable(); got != 0 {
+		t.Errorf("gave back %d tokens of processes that went beyond their marks", got)
+	}
+	w.busy(500, 400, nil)
+}
+
+// A clock that is set back across the loss makes a long loss look short.
+func TestAClockSetBackDoesNotMakeAProcessYoung(t *testing.T) {
+	w := steadyWorld(t, 5)
+	one := w.machines[0]
+	cut := map[*machine]bool{one: true}
+	w.busy(2000, 24, cut)
+	one.wallMS -= 2500
+	w.powerOff(300 * time.Millisecond)
+	w.hearEachOther()
+	if got := w.living(one).Reclaims(w.now); len(got) != 0 {
+		t.Errorf("gave back %d tokens, age %s", got[0].Tokens, got[0].Age)
+	}
+	w.busy(500, 400, nil)
+}
+
+// A clock that is set ahead while its process is in touch, and back again during
+// the loss, does the same.
+func TestAClockSetAheadAndBackDoesNotMakeAProcessYoung(t *testing.T) {
+	w := steadyWorld(t, 5)
+	one := w.machines[0]
+	one.wallMS += 3000
+	w.busy(60, 3, nil)
+	cut := map[*machine]bool{one: true}
+	w.busy(2000, 24, cut)
+	one.wallMS -= 3000
+	w.powerOff(300 * time.Millisecond)
+	w.hearEachOther()
+	if got := w.living(one).Reclaims(w.now); len(got) != 0 {
+		t.Errorf("gave back %d tokens, age %s", got[0].Tokens, got[0].Age)
+	}
+}
+
+// One machine alone can't check its clock, so nothing goes back.
+func TestOneMachineTrustsNoClockAcrossAPowerLoss(t *testing.T) {
+	w := steadyWorld(t, 1)
+	w.powerOff(time.Second)
+	if got := w.reclaimable(); got != 0 {
+		t.Errorf("gave back %d tokens on the word of one clock", got)
+	}
+}
+
+// A process that is killed alone comes back under the same boot.
+func TestAKilledProcessGivesBackByTheBootClock(t *testing.T) {
+	w := steadyWorld(t, 1)
+	w.kill(w.procs[0])
+	w.now += 500 * time.Millisecond
+	w.start(w.machines[0])
+	if got := w.reclaimable(); got == 0 {
+		t.Error("gave nothing back")
+	}
+	w.busy(500, 400, nil)
+}
--- /dev/null
+++ b/internal/prepaid/world_test.go
@@ -0,0 +1,382 @@
+package prepaid_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"guavapier/internal/prepaid"
+	"guavapier/internal/record"
+)
+
+const team = record.Team("dala")
+
+// machine is one host with its clocks.
+type machine struct {
+	node   string
+	boot   time.Duration // Of the world's time at its last boot.
+	origin time.Duration // What its boot clock showed then.
+	boots  int
+	wallMS int64 // Its time of day minus the world's time.
+}
+
+// process is one life of an instance.
+type process struct {
+	*prepaid.Book
+	key     string
+	m       *machine
+	alive   bool
+	read    int                // Offset of the next record.
+	pending *prepaid.Statement // Being written.
+	landed  bool               // The pending statement is on the log.
+	running []int64            // Reservations.
+	spent   int64              // What it has used for good.
+	taken   map[string]int64   // The peers' last answers that arrived.
+}
+
+type entry struct {
+	key       string
+	statement *prepaid.Statement
+}
+
+// failer is a test of either kind.
+type failer interface {
+	Helper()
+	Fatalf(format string, args ...any)
+}
+
+// world is a fleet, its log and its clocks.
+type world struct {
+	t        failer
+	now      time.Duration
+	log      []entry
+	late     []entry // Writes that may still arrive.
+	machines []*machine
+	procs    []*process
+	prepaid  int64
+	most     int64 // The highest total ever.
+	used     int64 // By processes that have ended.
+}
+
+func newWorld(t failer, skews ...int64) *world {
+	w := &world{t: t, now: time.Hour, prepaid: 100_000, most: 100_000}
+	for i, skew := range skews {
+		w.machines = append(w.machines, &machine{node: fmt.Sprintf("node-%d", i), wallMS: skew, origin: time.Duration(i+1) * time.Hour})
+	}
+	for _, m := range w.machines {
+		w.start(m)
+	}
+	return w
+}
+
+func (w *world) clocks(m *machine) prepaid.Clocks {
+	return prepaid.Clocks{
+		BootID: fmt.Sprintf("%s-%d", m.node, m.boots),
+		Boot:   func() time.Duration { return m.origin + w.now - m.boot },
+		Wall:   func() int64 { return w.now.Milliseconds() + m.wallMS },
+	}
+}
+
+func (w *world) start(m *machine) {
+	p := &process{m: m, key: fmt.Sprintf("%s.%d", m.node, len(w.procs)), alive: true, taken: map[string]int64{}}
+	self := prepaid.Identity{Key: p.key, Node: m.node, Started: int64(len(w.procs)), Peer: p.key}
+	p.Book = prepaid.NewBook(self, prepaid.DefaultPolicy(), w.clocks(m))
+	p.SetPrepaid(map[record.Team]int64{team: w.prepaid})
+	w.procs = append(w.procs, p)
+	newest := map[string]*prepaid.Statement{}
+	for _, e := range w.log {
+		newest[e.key] = e.statement
+	}
+	p.Reload()
+	for key, s := range newest {
+		p.Apply(key, s, w.now)
+	}
+	p.Fresh(w.now)
+	p.read = len(w.log)
+}
+
+func (w *world) kill(p *process) {
+	p.alive = false
+	for _, r := range p.running {
+		w.used += r // Its callers may have had all of it.
+	}
+	w.used += p.spent
+	if p.pending != nil && !p.landed {
+		w.late = append(w.late, entry{p.key, p.pending})
+	}
+}
+
+func (w *world) living(m *machine) *process {
+	for _, p := range w.procs {
+		if p.m == m && p.alive {
+			return p
+		}
+	}
+	return nil
+}
+
+// write brings the pending statement onto the log, once, and answers if told.
+func (p *process) write(w *world, answered bool) {
+	if p.pending == nil {
+		if p.pending = p.Draft(w.now); p.pending == nil {
+			return
+		}
+		p.landed = false
+	}
+	if !p.landed {
+		p.landed = true
+		w.log = append(w.log, entry{p.key, p.pending})
+	}
+	if answered {
+		p.Taken(p.pending, w.now)
+		p.pending = nil
+	}
+}
+
+func (p *process) follow(w *world) {
+	for ; p.read < len(w.log); p.read++ {
+		p.Apply(w.log[p.read].key, w.log[p.read].statement, w.now)
+	}
+	p.Fresh(w.now)
+}
+
+func (w *world) total() int64 {
+	sum := w.used
+	for _, p := range w.procs {
+		if !p.alive {
+			continue
+		}
+		sum += p.spent
+		for _, r := range p.running {
+			sum += r
+		}
+	}
+	return sum
+}
+
+func (w *world) check() {
+	if total := w.total(); total > w.most {
+		w.t.Fatalf("used %d of %d at %s", total, w.most, w.now)
+	}
+}
+
+func (w *world) pick(t *rapid.T) *process {
+	var alive []*process
+	for _, p := range w.procs {
+		if p.alive {
+			alive = append(alive, p)
+		}
+	}
+	if len(alive) == 0 {
+		return nil
+	}
+	return alive[rapid.IntRange(0, len(alive)-1).Draw(t, "process")]
+}
+
+func seldom(t *rapid.T) bool { return rapid.IntRange(0, 4).Draw(t, "seldom") == 0 }
+
+func drawBusy(t *rapid.T, cut map[*machine]bool) (size int64, rounds int, _ map[*machine]bool) {
+	return int64(rapid.IntRange(50, 3000).Draw(t, "request")), rapid.IntRange(1, 25).Draw(t, "rounds"), cut
+}
+
+// busy plays some seconds in which every living process serves all it can.
+func (w *world) busy(size int64, rounds int, cut map[*machine]bool) {
+	for range rounds {
+		w.now += 150 * time.Millisecond
+		for _, p := range w.procs {
+			if p.alive {
+				p.serve(w, size, cut[p.m])
+			}
+		}
+		w.check()
+	}
+}
+
+// serve reserves for a few requests, ends some and does the log's work.
+func (p *process) serve(w *world, size int64, cut bool) {
+	for i := range int64(4) {
+		if p.Reserve(team, size+i, w.now) == nil {
+			p.running = append(p.running, size+i)
+		} else {
+			p.Want(team, size)
+			defer p.Want(team, -size)
+		}
+	}
+	for len(p.running) > 3 {
+		n := p.running[0]
+		p.running = p.running[1:]
+		p.Settle(team, n, n)
+		p.spent += n
+	}
+	if cut {
+		return
+	}
+	p.write(w, true)
+	p.follow(w)
+	for _, r := range p.Reclaims(w.now) {
+		final := r.Statement
+		w.log = append(w.log, entry{r.Key, &final})
+	}
+}
+
+// TestNothingOverspends plays a fleet through lost answers, late writes, cuts of
+// any length, freezes, kills, power losses, clocks that are set, lost replies of
+// peers, and totals that rise and fall.
+func TestNothingOverspends(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, rapid.SliceOfN(rapid.Int64Range(-3000, 3000), 1, 5).Draw(t, "skews")...)
+		cut := map[*machine]bool{}
+		setBack := 0
+		t.Repeat(map[string]func(*rapid.T){
+			"reserve": func(t *rapid.T) {
+				if p := w.pick(t); p != nil {
+					n := int64(rapid.IntRange(1, 9000).Draw(t, "tokens"))
+					if p.Reserve(team, n, w.now) == nil {
+						p.running = append(p.running, n)
+					}
+				}
+			},
+			"settle": func(t *rapid.T) {
+				if p := w.pick(t); p != nil && len(p.running) > 0 {
+					n := p.running[0]
+					used := n * int64(rapid.IntRange(0, 4).Draw(t, "quarters")) / 4
+					p.running = p.running[1:]
+					p.Settle(team, n, used)
+					p.spent += used
+				}
+			},
+			"write": func(t *rapid.T) {
+				if p := w.pick(t); p != nil && !cut[p.m] {
+					p.write(w, rapid.IntRange(0, 3).Draw(t, "answered") > 0)
+				}
+			},
+			"follow": func(t *rapid.T) {
+				if p := w.pick(t); p != nil && !cut[p.m] {
+					p.follow(w)
+				}
+			},
+			"busy seconds":      func(t *rapid.T) { w.busy(drawBusy(t, cut)) },
+			"more busy seconds": func(t *rapid.T) { w.busy(drawBusy(t, cut)) },
+			"late write arrives": func(*rapid.T) {
+				if len(w.late) > 0 {
+					w.log = append(w.log, w.late[0])
+					w.late = w.late[1:]
+				}
+			},
+			"reclaim": func(t *rapid.T) {
+				p := w.pick(t)
+				if p == nil || cut[p.m] {
+					return
+				}
+				for _, r := range p.Reclaims(w.now) {
+					final := r.Statement
+					w.log = append(w.log, entry{r.Key, &final})
+				}
+			},
+			"time passes": func(t *rapid.T) {
+				w.now += time.Duration(rapid.IntRange(1, 2500).Draw(t, "ms")) * time.Millisecond
+			},
+			"cut": func(t *rapid.T) {
+				m := w.machines[rapid.IntRange(0, len(w.machines)-1).Draw(t, "machine")]
+				cut[m] = !cut[m]
+			},
+			"kill": func(t *rapid.T) {
+				if p := w.pick(t); p != nil && seldom(t) {
+					w.kill(p)
+				}
+			},
+			"power off": func(t *rapid.T) {
+				if !seldom(t) {
+					return
+				}
+				all := rapid.Bool().Draw(t, "all")
+				down := time.Duration(rapid.IntRange(300, 5000).Draw(t, "down ms")) * time.Millisecond
+				chosen := w.machines[rapid.IntRange(0, len(w.machines)-1).Draw(t, "machine")]
+				for _, m := range w.machines {
+					if !all && m != chosen {
+						continue
+					}
+					if p := w.living(m); p != nil {
+						w.kill(p)
+					}
+					m.boots++
+					m.boot, m.origin = w.now, time.Duration(rapid.IntRange(0, 1_000_000).Draw(t, "boot s"))*time.Second
+				}
+				w.now += down
+			},
+			"start": func(*rapid.T) {
+				for _, m := range w.machines {
+					if w.living(m) == nil && !cut[m] {
+						w.start(m)
+					}
+				}
+			},
+			"clock is set": func(t *rapid.T) {
+				// Fewer than half of the machines.
+				if 2*(setBack+1) >= len(w.machines) {
+					return
+				}
+				w.machines[setBack].wallMS += int64(rapid.SampledFrom([]int{-2000, 2000, -3500}).Draw(t, "step"))
+				setBack++
+			},
+			"peers give": func(t *rapid.T) {
+				from, to := w.pick(t), w.pick(t)
+				if from == nil || from == to {
+					return
+				}
+				total := from.Give(to.key, team, int64(rapid.IntRange(1, 20_000).Draw(t, "asked")), w.now)
+				if rapid.Bool().Draw(t, "reply arrives") {
+					to.Take(from.key, team, total)
+				}
+			},
+			"hand over": func(t *rapid.T) {
+				from, to := w.pick(t), w.pick(t)
+				if from == nil || from == to || !seldom(t) {
+					return
+				}
+				totals := from.GiveAll(to.key, w.now)
+				if rapid.Bool().Draw(t, "call arrives") {
+					to.Take(from.key, team, totals[team])
+				}
+				w.kill(from)
+			},
+			"close": func(t *rapid.T) {
+				p := w.pick(t)
+				if p == nil || cut[p.m] || len(p.running) > 0 || p.pending != nil || !seldom(t) {
+					return
+				}
+				w.log = append(w.log, entry{p.key, p.Close(w.now)})
+				w.kill(p)
+			},
+			"total changes": func(t *rapid.T) {
+				w.prepaid += int64(rapid.SampledFrom([]int{-30_000, 50_000}).Draw(t, "by"))
+				w.prepaid = max(w.prepaid, 10_000)
+				w.most = max(w.most, w.prepaid)
+				for _, p := range w.procs {
+					if p.alive && !cut[p.m] {
+						p.SetPrepaid(map[record.Team]int64{team: w.prepaid})
+					}
+				}
+			},
+			"history is lost": func(t *rapid.T) {
+				p := w.pick(t)
+				if p == nil || cut[p.m] {
+					return
+				}
+				newest := map[string]*prepaid.Statement{}
+				for _, e := range w.log {
+					newest[e.key] = e.statement
+				}
+				p.Reload()
+				for key, s := range newest {
+					p.Apply(key, s, w.now)
+				}
+				p.Fresh(w.now)
+				p.read = len(w.log)
+			},
+			"": func(*rapid.T) { w.check() },
+		})
+	})
+}
