Explain a request from its lines, and document the gateway

Log lines: one for each attempt that was not in time, one for each budget refusal with the ages of what decided; a stopped reader of the output drops and counts lines (test).

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -128,6 +128,7 @@
 		"guavapier serve -standalone",
 		serveCommand(o),
 		checkCommand(o),
+		explainCommand(o),
 		settingsCommand(o),
 		teamCommand(o),
 		budgetCommand(o),
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -31,7 +31,7 @@
 	g, err := gateway.New(s, gateway.Platform{
 		Store:       platform.NewStore(base.Host, s.Store.Timeout.D()),
 		DecodeState: platform.DecodeState, DecodeEndpoint: platform.DecodeEndpoint,
-		Codec: platform.Codec{}, ReadyPath: platform.ReadyPath,
+		Codec: platform.Codec{}, ReadyPath: platform.ReadyPath, LinesDropped: ring.Dropped,
 	}, log)
 	if err != nil {
 		return err
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"guavapier/internal/placement"
 	"guavapier/internal/route"
 	"guavapier/internal/upstream"
@@ -56,17 +58,20 @@
 	}
 	c.attempts++
 	c.endpoint = ticket.Endpoint.ID
-	outcome := placement.Failed
+	outcome, began := placement.Failed, time.Now()
 	defer func() { ticket.Done(outcome, c.f.Clock()) }()
 	ctx, cancel := c.bound(ctx)
 	defer cancel()
 	answer, err := c.f.Pool.Send(ctx, ticket.Endpoint.ID, ticket.Endpoint.Address, c.outgoing(ticket.Endpoint.ID))
 	if err != nil {
-		return c.unanswered(ctx, err, &outcome)
+		result := c.unanswered(ctx, err, &outcome)
+		c.logAttempt(ticket, result, 0, began, err)
+		return result
 	}
 	defer answer.Close()
 	ticket.Begun()
 	result := c.take(ctx, answer)
+	c.logAttempt(ticket, result, answer.Status, began, nil)
 	if result.final || result.reason == ReasonCallerLeft {
 		outcome = placement.Answered
 	}
@@ -76,6 +81,20 @@
 	return result
 }
 
+// logAttempt writes the attempt's line: what chose the endpoint and how it
+// ended. Those that gave the final answer in time are the bulk, and only for
+// debugging.
+func (c *call) logAttempt(k *placement.Ticket, r attemptResult, status int, began time.Time, err error) {
+	level := zerolog.InfoLevel
+	if r.final && c.first <= c.route.Target {
+		level = zerolog.DebugLevel
+	}
+	c.f.Log.WithLevel(level).Str("request", c.ID).Int("attempt", c.attempts).Str("endpoint", k.Endpoint.ID).
+		Str("address", k.Endpoint.Address).Str("zone", k.Endpoint.Zone).Float64("cost_ms", k.Cost).Float64("missing_tokens", k.Missing).
+		Int("in_flight", k.InFlight).Int("status", status).Str("reason", string(r.reason)).Bool("may_have_run", c.mayRun).
+		Dur("took", time.Since(began)).AnErr("error", err).Msg("forward: attempt ended")
+}
+
 // bound gives an idempotent attempt less than the whole time while another
 // endpoint may be tried.
 func (c *call) bound(ctx context.Context) (context.Context, context.CancelFunc) {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -6,7 +6,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -182,6 +181,10 @@
 		return nil, nil
 	}
 	reserved, err := c.f.Budgets.Reserve(ctx, c.org.Name, tokens)
+	if err != nil {
+		c.f.Log.Info().Str("request", c.ID).Str("team", string(c.org.Name)).Int64("tokens", tokens).Err(err).
+			Interface("budget", c.f.Budgets.Explain(c.org.Name)).Msg("forward: budget refused")
+	}
 	switch {
 	case errors.Is(err, prepaid.ErrExhausted):
 		return nil, &refusal{status: http.StatusPaymentRequired, reason: ReasonExhausted}
@@ -285,8 +288,6 @@
 // abort cuts the answer so that it can't look complete.
 func (c *call) abort() { panic(http.ErrAbortHandler) }
 
-func (c *call) tries(endpoint string) bool { return slices.Contains(c.tried, endpoint) }
-
 func (c *call) team() record.Team {
 	if c.org == nil {
 		return ""
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -25,7 +25,7 @@
 	events := bufio.NewReader(a.Body)
 	for {
 		event, err := readEvent(events)
-		if err == io.EOF && len(event) == 0 {
+		if errors.Is(err, io.EOF) && len(event) == 0 {
 			c.open(a)
 			c.finishStream()
 			return done(a.Status)
@@ -89,7 +89,7 @@
 			}
 			continue
 		case err != nil:
-			if err == io.EOF && len(event) > 0 {
+			if errors.Is(err, io.EOF) && len(event) > 0 {
 				return nil, io.ErrUnexpectedEOF
 			}
 			return event, err
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"guavapier/internal/placement"
+	"guavapier/internal/prepaid"
 	"guavapier/internal/record"
 )
 
@@ -76,4 +77,6 @@
 type Budgets interface {
 	// Reserve fails with prepaid.ErrExhausted or prepaid.ErrShort.
 	Reserve(ctx context.Context, team record.Team, tokens int64) (Reservation, error)
+	// Explain returns what decides on the team's budget at the moment.
+	Explain(team record.Team) prepaid.Balance
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,6 +36,8 @@
 	DecodeState    func(value []byte) (route.State, error)
 	DecodeEndpoint func(id string, value []byte) (discovery.Endpoint, error)
 	Codec          forward.Codec
+	// LinesDropped returns how many log lines were dropped; nil for none.
+	LinesDropped func() int64
 	// ReadyPath is where the balancer asks whether the instance takes callers.
 	ReadyPath string
 }
@@ -244,3 +246,8 @@
 	}
 	return r, nil
 }
+
+// Explain implements forward.Budgets.
+func (b budgets) Explain(team record.Team) prepaid.Balance {
+	return b.keeper.Book.Balance(team, b.keeper.Clock())
+}
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -12,11 +12,14 @@
 )
 
 func (g *Gateway) registerTables() {
-	g.tables.Register("budgets", func() any { return g.keeper.Book.View() })
+	g.tables.Register("budgets", func() any { return g.keeper.Book.View(g.clock()) })
 	g.tables.Register("endpoints", func() any { return g.endpoints.placed.View() })
 	g.tables.Register("state", func() any { return map[string]int64{"version": g.version()} })
 	g.metrics.Gauge(metrics.GatewayInstances, func() int64 { return int64(g.keeper.Book.Instances()) })
 	g.metrics.Gauge(metrics.GatewayState, g.version)
+	if g.platform.LinesDropped != nil {
+		g.metrics.Gauge(metrics.GatewayDropped, g.platform.LinesDropped)
+	}
 }
 
 // observer counts requests' ends.
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -13,6 +13,11 @@
 	"guavapier/internal/settings"
 )
 
+// timeFormat has the milliseconds that order a request's lines.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
+func init() { zerolog.TimeFieldFormat = timeFormat }
+
 // New returns a logger that writes to w. The level must be one that the
 // settings allow.
 func New(l settings.Log, w io.Writer) (zerolog.Logger, error) {
@@ -42,6 +47,10 @@
 		{"ledger", "Grants, reservations and bills."},
 		{"claim", "Claim shards and claims."},
 		{"run", "Requests on their way to an endpoint and back."},
+		{"gateway", "Start, drain, reload and end of an instance on an outside platform; its desired state and endpoints."},
+		{"forward", "Requests of an outside platform's callers."},
+		{"prepaid", "Claims on prepaid totals, tokens moved between instances and given back."},
+		{"logging", "Lines that were dropped."},
 		{"operator", "Changes and top-ups by operators."},
 	}
 }
--- /dev/null
+++ b/internal/logging/ring_test.go
@@ -0,0 +1,62 @@
+package logging_test
+
+import (
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"guavapier/internal/logging"
+)
+
+// blocked is a reader of the output that takes nothing until it is released.
+type blocked struct {
+	release chan struct{}
+	mu      sync.Mutex
+	text    strings.Builder
+}
+
+func (b *blocked) Write(p []byte) (int, error) {
+	<-b.release
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *blocked) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+// A reader that stops must neither hold up requests nor make memory grow; what
+// is lost is counted and told.
+func TestAStoppedReaderBlocksNothing(t *testing.T) {
+	out := &blocked{release: make(chan struct{})}
+	ring := logging.NewRing(out, 100)
+	log := zerolog.New(ring)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for i := range 20_000 {
+		log.Info().Int("i", i).Str("text", strings.Repeat("x", 200)).Msg("logging: test")
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	if grown := int64(after.HeapInuse) - int64(before.HeapInuse); grown > 8<<20 {
+		t.Errorf("the heap grew by %d bytes", grown)
+	}
+	close(out.release)
+	for limit := time.Now().Add(20 * time.Second); !strings.Contains(out.String(), "logging: lines dropped"); {
+		if time.Now().After(limit) {
+			t.Fatal("dropped lines are not told")
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	if ring.Dropped() < 15_000 {
+		t.Errorf("%d lines counted as dropped", ring.Dropped())
+	}
+	_ = ring.Close()
+}
--- a/internal/metrics/catalogue.go
+++ b/internal/metrics/catalogue.go
@@ -71,10 +71,15 @@
 }
 
 // Reference returns the catalogue as a table in Markdown.
-func Reference() string {
+func Reference() string { return referenceOf(Catalogue()) }
+
+// GatewayReference returns a gateway's catalogue as a table in Markdown.
+func GatewayReference() string { return referenceOf(GatewayCatalogue()) }
+
+func referenceOf(catalogue []Metric) string {
 	var b strings.Builder
 	b.WriteString("| metric | kind | unit | what it says |\n| --- | --- | --- | --- |\n")
-	for _, m := range Catalogue() {
+	for _, m := range catalogue {
 		fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", m.Name, m.Kind, m.Unit, m.Help)
 	}
 	return b.String()
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -8,6 +8,7 @@
 	GatewayFirst     = "gateway.first"
 	GatewayInstances = "gateway.instances"
 	GatewayState     = "gateway.state_version"
+	GatewayDropped   = "gateway.lines_dropped"
 	// GatewayEnds begins the name of each counter of requests that ended
 	// without an endpoint's answer; the reason follows.
 	GatewayEnds = "gateway.ends."
@@ -23,6 +24,7 @@
 		{GatewayFirst, KindHistogram, "microseconds", "From a request's arrival to the head of its answer."},
 		{GatewayInstances, KindGauge, "instances", "Instances whose statements are recent, this one included."},
 		{GatewayState, KindGauge, "version", "Version of the desired state in force."},
+		{GatewayDropped, KindGauge, "lines", "Log lines dropped because nobody read the output in time."},
 		{GatewayEnds, KindCounter, "requests", "Requests that ended without an endpoint's answer, by reason."},
 	}
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -125,6 +125,12 @@
 // Ticket is one placed attempt.
 type Ticket struct {
 	Endpoint discovery.Endpoint
+	// Cost, Missing and InFlight are what decided: the endpoint's cost in
+	// milliseconds, the prompt tokens that it lacked, and the own requests
+	// there, this one not included.
+	Cost     float64
+	Missing  float64
+	InFlight int
 	id       uint64
 	row      *row
 	table    *Table
@@ -141,13 +147,18 @@
 	if best == nil {
 		return nil
 	}
+	k := &Ticket{
+		Endpoint: best.Endpoint, Cost: best.cost(q, now), Missing: best.missing(q.Parts, now), InFlight: best.inFlight,
+		row: best, table: t,
+	}
 	t.lastID++
+	k.id = t.lastID
 	best.inFlight++
 	best.waiting[t.lastID] = now
 	for _, p := range q.Parts {
 		best.sent[p.ID] = now
 	}
-	return &Ticket{Endpoint: best.Endpoint, id: t.lastID, row: best, table: t}
+	return k
 }
 
 // cheapest picks among the service's endpoints; those paused only if desperate.
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,174 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"guavapier/internal/discovery"
+	"guavapier/internal/placement"
+)
+
+func table(n int) *placement.Table {
+	t := placement.New(1)
+	for i := range n {
+		t.Put(discovery.Endpoint{ID: fmt.Sprintf("e%d", i), Service: "s", Zone: fmt.Sprintf("z%d", i%2), Born: 1})
+	}
+	return t
+}
+
+func prompt(id string) []placement.Part {
+	return []placement.Part{{ID: "shared", Tokens: 512}, {ID: id, Tokens: 4870}}
+}
+
+func TestNoEndpointTakesWhatItMayNot(t *testing.T) {
+	p := placement.New(1)
+	p.Put(discovery.Endpoint{ID: "leaving", Service: "s", Leaving: true})
+	p.Put(discovery.Endpoint{ID: "other", Service: "t"})
+	p.Put(discovery.Endpoint{ID: "tried", Service: "s"})
+	if got := p.Place(placement.Query{Service: "s", Avoid: []string{"tried"}}, 0); got != nil {
+		t.Errorf("placed on %s", got.Endpoint.ID)
+	}
+	p.Remove("tried")
+	if got := p.Place(placement.Query{Service: "s"}, 0); got != nil {
+		t.Errorf("placed on %s", got.Endpoint.ID)
+	}
+}
+
+// One session after the other comes back to where its prompt was read.
+func TestPromptsComeBackToWhereTheyWereRead(t *testing.T) {
+	p := table(6)
+	homes := map[string]string{}
+	for round := range 4 {
+		for s := range 6 {
+			id := fmt.Sprintf("session%d", s)
+			k := p.Place(placement.Query{Service: "s", Zone: "z0", Parts: prompt(id)}, time.Duration(round)*time.Second)
+			if round > 0 && k.Endpoint.ID != homes[id] {
+				t.Errorf("%s went from %s to %s", id, homes[id], k.Endpoint.ID)
+			}
+			homes[id] = k.Endpoint.ID
+			k.Done(placement.Answered, time.Duration(round)*time.Second)
+		}
+	}
+}
+
+// A burst on one prompt spreads before its queue costs more than reading the
+// prompt again: under plain affinity all 60 would queue at one endpoint.
+func TestABurstOnOnePromptSpreads(t *testing.T) {
+	p := table(6)
+	at := map[string]int{}
+	for range 60 {
+		at[p.Place(placement.Query{Service: "s", Zone: "z0", Parts: prompt("hot")}, 0).Endpoint.ID]++
+	}
+	for id, n := range at {
+		if n > 20 {
+			t.Errorf("%d of 60 on %s", n, id)
+		}
+	}
+	if len(at) < 4 {
+		t.Errorf("only %d endpoints share the burst", len(at))
+	}
+}
+
+// Long prompts in a mix must not push short calls to a queue: load counts in
+// requests, and each request goes to the least loaded of its zone.
+func TestEvenLoadIsEven(t *testing.T) {
+	p := table(4)
+	at := map[string]int{}
+	for i := range 40 {
+		k := p.Place(placement.Query{Service: "s", Zone: fmt.Sprintf("z%d", i%2)}, 0)
+		at[k.Endpoint.ID]++
+	}
+	for id, n := range at {
+		if n < 8 || n > 12 {
+			t.Errorf("%d of 40 on %s", n, id)
+		}
+	}
+}
+
+func TestTheOwnZoneGoesFirstUntilItQueues(t *testing.T) {
+	p := table(2)
+	for i := range 2 {
+		if k := p.Place(placement.Query{Service: "s", Zone: "z0"}, 0); k.Endpoint.Zone != "z0" {
+			t.Errorf("request %d left its zone", i)
+		}
+	}
+	away := 0
+	for range 6 {
+		if k := p.Place(placement.Query{Service: "s", Zone: "z0"}, 0); k.Endpoint.Zone != "z0" {
+			away++
+		}
+	}
+	if away == 0 {
+		t.Error("a queue in the own zone sends nothing away")
+	}
+}
+
+// A dark endpoint takes requests and answers none: after half a second it costs
+// more than the others. Least loaded alone would give it a fifth of all.
+func TestADarkEndpointGetsFewRequests(t *testing.T) {
+	p := table(5)
+	dark := 0
+	for ms := 0; ms < 5000; ms += 10 {
+		now := time.Duration(ms) * time.Millisecond
+		k := p.Place(placement.Query{Service: "s", Zone: "z0"}, now)
+		if k.Endpoint.ID == "e0" {
+			dark++
+			continue
+		}
+		k.Begun()
+		k.Done(placement.Answered, now)
+	}
+	if dark > 20 {
+		t.Errorf("%d of 500 requests went to the dark endpoint", dark)
+	}
+}
+
+func TestAnEndpointThatFailsIsAvoidedForATime(t *testing.T) {
+	p := table(2)
+	fail := func(now time.Duration) {
+		for range 2 {
+			k := p.Place(placement.Query{Service: "s", Zone: "z0", Avoid: []string{"e1"}}, now)
+			k.Done(placement.Failed, now)
+		}
+	}
+	fail(0)
+	for range 5 {
+		if k := p.Place(placement.Query{Service: "s", Zone: "z0"}, time.Millisecond); k.Endpoint.ID == "e0" {
+			t.Error("placed on the failing endpoint")
+		}
+	}
+	if k := p.Place(placement.Query{Service: "s", Zone: "z0", Avoid: []string{"e1"}}, time.Millisecond); k == nil {
+		t.Error("with no other endpoint the failing one is worth a try")
+	}
+	if k := p.Place(placement.Query{Service: "s", Zone: "z0"}, 5*time.Second); k.Endpoint.ID != "e0" {
+		t.Error("avoided for longer than its pause")
+	}
+}
+
+func TestARebornEndpointKnowsNothing(t *testing.T) {
+	p := table(2)
+	k := p.Place(placement.Query{Service: "s", Zone: "z0", Parts: prompt("a")}, 0)
+	k.Done(placement.Answered, 0)
+	p.Put(discovery.Endpoint{ID: k.Endpoint.ID, Service: "s", Zone: k.Endpoint.Zone, Born: 2})
+	for _, row := range p.View() {
+		if row.Parts != 0 {
+			t.Errorf("%s remembers %d parts", row.ID, row.Parts)
+		}
+	}
+}
+
+func BenchmarkPlace140Endpoints12Parts(b *testing.B) {
+	p := table(140)
+	var parts []placement.Part
+	for i := range 12 {
+		parts = append(parts, placement.Part{ID: fmt.Sprintf("p%d", i), Tokens: 400})
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now := time.Duration(i) * time.Millisecond
+		k := p.Place(placement.Query{Service: "s", Zone: "z0", Parts: parts}, now)
+		k.Begun()
+		k.Done(placement.Answered, now)
+	}
+}
--- a/internal/prepaid/keeper_test.go
+++ b/internal/prepaid/keeper_test.go
@@ -127,7 +127,9 @@
 	waitFor(t, "b's holding is known", func() bool { return len(a.Book.Sources(team)) == 1 })
 	log.SetDown(true)
 	// The marks bind until the touch has lapsed.
-	waitFor(t, "free", func() bool { return a.Book.AtHand(team, sinceOrigin()) > 9000 && b.Book.AtHand(team, sinceOrigin()) > 9000 })
+	waitFor(t, "free", func() bool {
+		return a.Book.AtHand(team, sinceOrigin()) > 9000 && b.Book.AtHand(team, sinceOrigin()) > 9000
+	})
 	held := a.Book.AtHand(team, sinceOrigin())
 	spent := int64(0)
 	for spent <= held {
@@ -147,7 +149,9 @@
 	b, _ := runKeeper(t, log, "b", 100_000)
 	waitFor(t, "a knows b", func() bool { return len(a.Book.Heirs()) == 1 && a.Book.AtHand(team, sinceOrigin()) > 1000 })
 	log.SetDown(true)
-	waitFor(t, "free", func() bool { return a.Book.AtHand(team, sinceOrigin()) > 9000 && b.Book.AtHand(team, sinceOrigin()) > 9000 })
+	waitFor(t, "free", func() bool {
+		return a.Book.AtHand(team, sinceOrigin()) > 9000 && b.Book.AtHand(team, sinceOrigin()) > 9000
+	})
 	before, left := b.Book.AtHand(team, sinceOrigin()), a.Book.AtHand(team, sinceOrigin())
 	stop()
 	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
--- a/internal/prepaid/reclaim_test.go
+++ b/internal/prepaid/reclaim_test.go
@@ -64,7 +64,7 @@
 	w := steadyWorld(t, 4)
 	var held int64
 	for _, p := range w.procs {
-		for _, b := range p.View() {
+		for _, b := range p.View(w.now) {
 			held += b.Claimed - b.Settled - b.Reserved
 		}
 	}
--- /dev/null
+++ b/internal/route/config_test.go
@@ -0,0 +1,68 @@
+package route_test
+
+import (
+	"testing"
+
+	"guavapier/internal/route"
+)
+
+func compiled() *route.Config {
+	priority := 0
+	return route.Compile(route.State{
+		Version: 1,
+		Routes: []route.Route{
+			{Name: "all", Host: "a.example", Prefix: "/", Priority: 2, Backends: []route.Backend{{Service: "s", Weight: 1}}},
+			{Name: "deep", Host: "a.example", Prefix: "/x/y/", Backends: []route.Backend{{Service: "s", Weight: 90}, {Service: "t", Weight: 10}, {Service: "u"}}},
+			{Name: "x", Host: "a.example", Prefix: "/x/", Public: true},
+			{Name: "other", Host: "B.example", Prefix: "/x/"},
+		},
+		Services:      []route.Service{{Name: "s", Slots: 4}},
+		Organisations: []route.Organisation{{Name: "o", Keys: []string{"k1", "k2"}, Priority: &priority}, {Name: "p", Keys: []string{"k3"}}},
+	})
+}
+
+func TestTheLongestPrefixOfTheHostMatches(t *testing.T) {
+	c := compiled()
+	for _, test := range []struct{ host, path, want string }{
+		{"a.example", "/x/y/z", "deep"}, {"A.EXAMPLE:8080", "/x/yz", "x"}, {"a.example", "/x", "all"},
+		{"b.example", "/x/", "other"}, {"b.example", "/y/", ""}, {"c.example", "/x/", ""}, {"", "", ""},
+	} {
+		got := ""
+		if r := c.Match(test.host, test.path); r != nil {
+			got = r.Name
+		}
+		if got != test.want {
+			t.Errorf("%s%s matches %q, want %q", test.host, test.path, got, test.want)
+		}
+	}
+}
+
+func TestServicesByWeight(t *testing.T) {
+	deep := compiled().Match("a.example", "/x/y/")
+	for draw, want := range map[float64]string{0: "s", 0.89: "s", 0.91: "t", 0.999: "t"} {
+		if got := deep.Pick(draw); got != want {
+			t.Errorf("%g picks %q, want %q", draw, got, want)
+		}
+	}
+	if !deep.Allows("t") || deep.Allows("u") || deep.Allows("v") {
+		t.Error("a service without weight is allowed, or one with weight is not")
+	}
+	if got := (&route.Route{}).Pick(0.5); got != "" {
+		t.Errorf("a route without services picks %q", got)
+	}
+}
+
+func TestKeysAndPriorities(t *testing.T) {
+	c := compiled()
+	o, p := c.KeyHolder("k2"), c.KeyHolder("k3")
+	if o.Name != "o" || p.Name != "p" || c.KeyHolder("") != nil || c.KeyHolder("k4") != nil {
+		t.Error("keys")
+	}
+	all, x := c.Match("a.example", "/"), c.Match("a.example", "/x/")
+	if !c.NeedsKey(all) || c.NeedsKey(x) || route.Compile(route.State{}).NeedsKey(all) {
+		t.Error("which routes need a key")
+	}
+	if route.EffectivePriority(all, o) != 0 || route.EffectivePriority(all, p) != 2 || route.EffectivePriority(all, nil) != 2 {
+		t.Error("the organisation's priority goes first")
+	}
+}
--- /dev/null
+++ b/internal/settings/gateway_test.go
@@ -0,0 +1,115 @@
+package settings_test
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"guavapier/internal/settings"
+)
+
+// placeholders stand for what the platform fills in.
+var placeholders = map[string]string{
+	"node_name": "edge-hall-a-1", "zone": "hall-a", "listen.front": "10.1.0.40:8227", "listen.ready": "10.1.0.40:8220",
+	"ip": "10.1.0.40", "port_range.0": "7340", "limits.memory_mb": "284", "platform.address": "10.200.1.7:8223",
+	"bounds.grace_s": "8", "bounds.retry_ratio": "0.2", "bounds.retry_extra": "56", "bounds.retry_window_s": "10",
+}
+
+func render(t *testing.T, values map[string]string) string {
+	t.Helper()
+	template, err := os.ReadFile("../../deploy/settings.toml.tmpl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return regexp.MustCompile(`\{\{([^}]*)\}\}`).ReplaceAllStringFunc(string(template), func(m string) string {
+		return values[strings.Trim(m, "{}")]
+	})
+}
+
+func TestTheDeployedTemplateIsRight(t *testing.T) {
+	g, err := settings.ParseGateway("t.toml", []byte(render(t, placeholders)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if g.Drain.Within.D() != 8*time.Second || g.Retries.Extra != 56 || g.Gateway.Peers != "10.1.0.40:7340" || g.Store.URL != "http://10.200.1.7:8223" {
+		t.Errorf("%+v", g)
+	}
+}
+
+// A template value that is missing, or a file half written, is told with all
+// its findings at once.
+func TestABrokenTemplateIsTold(t *testing.T) {
+	values := map[string]string{}
+	for name, value := range placeholders {
+		values[name] = value
+	}
+	values["zone"], values["bounds.grace_s"], values["limits.memory_mb"] = "", "soon", ""
+	_, err := settings.ParseGateway("t.toml", []byte(render(t, values)))
+	if err == nil {
+		t.Fatal("no finding")
+	}
+	for _, want := range []string{"t.toml:5: gateway.zone: is missing", "t.toml:10: toml: "} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("no %q in\n%s", want, err)
+		}
+	}
+	text := render(t, placeholders)
+	if _, err := settings.ParseGateway("t.toml", []byte(text[:len(text)/2])); err == nil {
+		t.Error("half a file is right")
+	}
+}
+
+func TestGatewayFindings(t *testing.T) {
+	text := render(t, placeholders) + "unready = \"9s\"\nmore = 1\n"
+	text = strings.Replace(text, "ratio = 0.2", "ratio = 1.5", 1)
+	text = strings.Replace(text, "10.1.0.40:8220", "10.1.0.40:8227", 1)
+	text = strings.Replace(text, "[drain]\n", "[drain]\nunready = \"9s\"\n", 1)
+	_, err := settings.ParseGateway("t.toml", []byte(text))
+	if err == nil {
+		t.Fatal("no finding")
+	}
+	for _, want := range []string{
+		"retries.ratio: is 1.5; allowed: 0 to 1", "drain.unready: is 9s; allowed: less than drain.within", "retries.more: is not a known key",
+		"gateway.ready: is \"10.1.0.40:8227\" as gateway.callers is",
+	} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("no %q in\n%s", want, err)
+		}
+	}
+}
+
+func TestWhichFileIsAGateways(t *testing.T) {
+	dir := t.TempDir()
+	for name, test := range map[string]struct {
+		text string
+		want bool
+	}{
+		"gateway":        {"# x\n[gateway]\nname = \"a\"\n", true},
+		"broken gateway": {"[gateway]\nname = \n", true},
+		"own":            {"[instance]\nname = \"gateway\"\n", false},
+	} {
+		file := filepath.Join(dir, strings.ReplaceAll(name, " ", "-"))
+		if err := os.WriteFile(file, []byte(test.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if got := settings.IsGateway(file); got != test.want {
+			t.Errorf("%s: %v", name, got)
+		}
+	}
+	if settings.IsGateway(filepath.Join(dir, "missing")) {
+		t.Error("a missing file is a gateway's")
+	}
+}
+
+func TestGatewayKeysAreInTheOperatorsPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(string(page), settings.GatewayReference()) {
+		t.Errorf("docs/OPERATIONS.md lacks this table:\n%s", settings.GatewayReference())
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -74,7 +74,7 @@
 // quiet says that nothing has come and the connection has not idled too long.
 func (c *conn) quiet(now time.Time) bool {
 	select {
-	case <-c.readyCh:
+	case <-c.readyCh: //nolint:errcheck // Bytes or an end that nobody asked for: either way it is not quiet.
 		return false
 	default:
 		return now.Sub(c.idleAt) < c.idleFor
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -66,7 +66,7 @@
 		c = fresh
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	resp, written, err := c.send(ctx, out)
+	resp, written, err := c.send(ctx, out) //nolint:bodyclose // Answer.Close ends the exchange.
 	if err != nil {
 		stop()
 		_ = c.Close()
@@ -156,7 +156,7 @@
 func (b *answerBody) Read(into []byte) (int, error) {
 	n, err := b.resp.Body.Read(into)
 	switch {
-	case err == io.EOF:
+	case errors.Is(err, io.EOF):
 		b.whole = true
 	case err != nil:
 		err = eris.Wrap(errors.Join(ErrBroken, err), "upstream: read answer")
