Try another endpoint where one can't be reached

An attempt that reached no endpoint drew on the fleet's repeats. Ruled out: no endpoint listed (the lines name one that did not answer the dial).

Change: only attempts that were sent count as repeats; an endpoint that takes no connection is avoided at once.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -98,7 +98,7 @@
 // bound gives an idempotent attempt less than the whole time while another
 // endpoint may be tried.
 func (c *call) bound(ctx context.Context) (context.Context, context.CancelFunc) {
-	another := len(c.tried)+1 < c.route.MaxEndpoints
+	another := c.sent+1 < c.route.MaxEndpoints
 	if c.route.Repeat != route.Idempotent || !another || c.route.Target <= 0 {
 		return context.WithCancel(ctx)
 	}
@@ -137,8 +137,12 @@
 	}
 	c.tried = append(c.tried, c.endpoint)
 	if errors.Is(err, upstream.ErrNotSent) {
+		if *outcome == placement.Failed {
+			*outcome = placement.Unreachable
+		}
 		return attemptResult{reason: ReasonUnreachable}
 	}
+	c.sent++
 	c.mayRun = true
 	return attemptResult{reason: ReasonBroken, sent: true}
 }
@@ -147,6 +151,7 @@
 func (c *call) take(ctx context.Context, a *upstream.Answer) attemptResult {
 	reply := c.f.Codec.Reply(a.Status, a.Header)
 	c.tried = append(c.tried, c.endpoint)
+	c.sent++
 	if reply.NotRun {
 		_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, wholeAnswer)) // So that the connection can be kept.
 		return attemptResult{reason: ReasonRefused, sent: true}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -26,6 +26,10 @@
 	maxBody = 4 << 20
 	// wholeAnswer bounds an answer that is held whole before it is passed on.
 	wholeAnswer = 16 << 20
+	// mostAttempts bounds the endpoints tried for one request, those that could
+	// not be reached included: behind a cut of one zone in four, one of four
+	// tries in a row meets only lost ones in 1 of 250 requests.
+	mostAttempts = 5
 	// leastLeft is the shortest time for which a send to an endpoint is worth
 	// its arrival there.
 	leastLeft = 20 * time.Millisecond
@@ -71,7 +75,8 @@
 
 	began    time.Time
 	deadline time.Time // When the caller leaves or the route's timeout ends.
-	tried    []string  // Endpoints that were sent the request.
+	tried    []string  // Endpoints that were tried.
+	sent     int       // Those of them that were sent the request.
 	mayRun   bool      // An attempt may have run.
 	attempts int
 	pieces   int64 // Events that went to the caller.
@@ -234,7 +239,8 @@
 			return c.giveUp(ReasonTimeout, http.StatusGatewayTimeout, result)
 		case !c.mayRepeat(result):
 			return c.giveUp(result.reason, http.StatusBadGateway, result)
-		case !c.f.Retries.Allow(c.service, c.f.Clock()):
+		case result.sent && !c.f.Retries.Allow(c.service, c.f.Clock()):
+			// A send that reached no endpoint is no load on any, and free.
 			return c.giveUp(result.reason, http.StatusBadGateway, result)
 		}
 	}
@@ -242,7 +248,7 @@
 
 // mayRepeat says whether the request may go to another endpoint.
 func (c *call) mayRepeat(result attemptResult) bool {
-	if result.none || len(c.tried) >= c.route.MaxEndpoints && result.sent {
+	if result.none || c.sent >= c.route.MaxEndpoints || c.attempts >= mostAttempts {
 		return false
 	}
 	if !c.mayRun {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -75,6 +75,8 @@
 	Answered Outcome = iota
 	// Failed: refused, broken off, silent or an error of the endpoint's own.
 	Failed
+	// Unreachable: no connection could be made.
+	Unreachable
 	// Abandoned: the caller left; says nothing about the endpoint.
 	Abandoned
 )
@@ -233,10 +235,22 @@
 	case Failed:
 		r.fails++
 		if r.fails >= failuresToPause {
-			r.pause = min(max(2*r.pause, firstPause), longestPause)
-			r.until = now + r.pause
+			r.avoid(now)
 		}
+	case Unreachable:
+		r.fails++
+		r.avoid(now) // An endpoint that takes no connection is down or cut off.
+	}
+}
+
+// avoid pauses the endpoint, twice as long each time. Attempts that failed
+// together count as one.
+func (r *row) avoid(now time.Duration) {
+	if now < r.until {
+		return
 	}
+	r.pause = min(max(2*r.pause, firstPause), longestPause)
+	r.until = now + r.pause
 }
 
 // Sweep forgets parts that count as evicted.
