Give each prompt a home that all instances know

Change: the endpoint with the highest hash of the longest shared part and its own identity counts as having the part with 0.9. Queues still cost more than reading again, so a burst spreads.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"guavapier/internal/discovery"
 )
 
@@ -32,6 +34,9 @@
 	// taken to be cached there; re-reads later than this are not counted
 	// against anyone.
 	remember = 10 * time.Second
+	// homeBelief is how sure it is that a prompt's home has its shared parts by
+	// other instances' sends.
+	homeBelief = 0.9
 	// warming is what an endpoint adds that says it is still slow.
 	warming = 50.0 // ms
 	// unansweredAfter is the age from which an answer that has not begun
@@ -64,6 +69,8 @@
 	Parts []Part
 	// Avoid lists endpoints that this request has been sent to.
 	Avoid []string
+
+	home *row // Where all instances send the prompt first.
 }
 
 // Outcome is how an attempt ended, for learning.
@@ -142,6 +149,7 @@
 func (t *Table) Place(q Query, now time.Duration) *Ticket {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	q.home = t.home(q)
 	best := t.cheapest(q, now, false)
 	if best == nil {
 		best = t.cheapest(q, now, true)
@@ -186,7 +194,11 @@
 }
 
 func (r *row) cost(q Query, now time.Duration) float64 {
-	cost := perRequest*float64(r.inFlight) + r.missing(q.Parts, now)/readPerMS
+	missing := r.missing(q.Parts, now)
+	if r == q.home {
+		missing *= 1 - homeBelief
+	}
+	cost := perRequest*float64(r.inFlight) + missing/readPerMS
 	if r.Zone != q.Zone {
 		cost += otherZone
 	}
@@ -201,6 +213,28 @@
 	return cost
 }
 
+// home returns the endpoint where all instances, without a word with each other,
+// send a prompt first: the highest by a hash of its longest shared part and the
+// endpoint. The last part is the request's own. Without it each instance has
+// the part read at an endpoint of its own.
+func (t *Table) home(q Query) *row {
+	if len(q.Parts) < 2 {
+		return nil
+	}
+	key := q.Parts[len(q.Parts)-2].ID
+	var home *row
+	highest := uint64(0)
+	for _, r := range t.rows {
+		if r.Service != q.Service || r.Leaving {
+			continue
+		}
+		if h := xxhash.Sum64String(key + "@" + r.ID); home == nil || h > highest {
+			home, highest = r, h
+		}
+	}
+	return home
+}
+
 // missing returns the tokens of the parts that the endpoint does not have; a
 // part counts as cached only if all before it are.
 func (r *row) missing(parts []Part, now time.Duration) float64 {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -52,6 +52,25 @@
 	}
 }
 
+// Eight instances that never talk send a prompt to one endpoint, so that it is
+// read about once. By own sends alone each had it read at an endpoint of its own.
+func TestInstancesAgreeOnAPromptsHome(t *testing.T) {
+	const instances, sessions = 8, 30
+	reads := map[string]int{}
+	for i := range instances {
+		p := table(12)
+		for s := range sessions {
+			id := fmt.Sprintf("session%d", s)
+			k := p.Place(placement.Query{Service: "s", Zone: fmt.Sprintf("z%d", i%2), Parts: append(prompt(id), placement.Part{ID: "own", Tokens: 900})}, 0)
+			reads[id+"@"+k.Endpoint.ID] = 1
+			k.Done(placement.Answered, 0)
+		}
+	}
+	if got := len(reads); got > 2*sessions {
+		t.Errorf("%d prompts were read at %d endpoints in all", sessions, got)
+	}
+}
+
 // A burst on one prompt spreads before its queue costs more than reading the
 // prompt again: under plain affinity all 60 would queue at one endpoint.
 func TestABurstOnOnePromptSpreads(t *testing.T) {
