--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -58,6 +58,7 @@
 	}
 	c.attempts++
 	c.endpoint = ticket.Endpoint.ID
+	c.f.Placed(ticket)
 	outcome, began := placement.Failed, time.Now()
 	defer func() { ticket.Done(outcome, c.f.Clock()) }()
 	ctx, cancel := c.bound(ctx)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -50,6 +50,8 @@
 	Draining func() bool
 	Log      zerolog.Logger
 	Observe  func(Event)
+	// Placed is told of each attempt that is about to be sent.
+	Placed func(*placement.Ticket)
 }
 
 // Event is a request's end, for metrics.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"guavapier/internal/forward"
 	"guavapier/internal/logstore"
 	"guavapier/internal/metrics"
+	"guavapier/internal/peer"
 	"guavapier/internal/placement"
 	"guavapier/internal/prepaid"
 	"guavapier/internal/record"
@@ -80,6 +81,9 @@
 	config    atomic.Pointer[route.Config]
 	endpoints *endpoints
 	keeper    *prepaid.Keeper
+	loads     *loads
+	calls     *peer.Pool   // To other instances.
+	answers   *peer.Server // Their calls.
 	retries   *retry.Keeper
 	pool      *upstream.Pool
 	idle      *idleLimit
@@ -108,11 +112,20 @@
 	g.endpoints = newEndpoints(p, placement.New(uint64(time.Now().UnixNano())), g.pool, clock, log)
 	peers := g.peers.Addr().String()
 	self := prepaid.Identity{
-		Key: string(record.NewInstanceID(s.Gateway.Name)), Node: s.Gateway.Name + "@" + peers,
+		Key: record.NewInstanceID(s.Gateway.Name), Node: s.Gateway.Name + "@" + peers,
 		Started: time.Now().UnixMilli(), Peer: peers, Zone: s.Gateway.Zone,
 	}
 	book := prepaid.NewBook(self, prepaid.DefaultPolicy(), machineClocks(log))
-	g.keeper = prepaid.NewKeeper(book, prepaid.NewPeers(log), p.Store, clock, log)
+	g.calls = peer.NewPool(self.Key, book, peer.Options{})
+	g.keeper = prepaid.NewKeeper(book, prepaid.NewPeers(g.calls, log), p.Store, clock, log)
+	g.answers = peer.NewServer(self.Key)
+	if err := g.answers.Register(prepaid.ServiceName, prepaid.NewTransfers(book, clock)); err != nil {
+		return nil, err
+	}
+	g.loads = newLoads(g.calls, book, g.endpoints.placed, clock)
+	if err := g.answers.Register(loadsService, g.loads); err != nil {
+		return nil, err
+	}
 	g.registerTables()
 	return g, nil
 }
@@ -160,8 +173,9 @@
 	work.Go(func() error { g.stateFollower().Run(background); return nil })
 	work.Go(func() error { g.endpoints.follower().Run(background); return nil })
 	work.Go(func() error { g.keeper.Run(background); return nil })
+	work.Go(func() error { g.loads.run(background); return nil })
 	work.Go(func() error { g.sweep(background); return nil })
-	serving.Go(func() error { return prepaid.Serve(g.peers, g.keeper.Book, g.clock) })
+	serving.Go(func() error { return g.answers.Serve(g.peers) })
 	g.log.Info().Str("callers", g.callers.Addr().String()).Str("zone", g.settings.Gateway.Zone).
 		Str("store", g.settings.Store.URL).Msg("gateway: serving")
 	<-ctx.Done()
@@ -173,6 +187,8 @@
 		_ = server.Close()
 	}
 	_ = g.peers.Close()
+	g.answers.Close()
+	g.calls.Close()
 	err := serving.Wait()
 	g.log.Info().Msg("gateway: stopped")
 	return err
@@ -204,7 +220,7 @@
 	handler := &forward.Forwarder{
 		Zone: g.settings.Gateway.Zone, Codec: g.platform.Codec, State: g.config.Load, Budgets: budgets{g.keeper},
 		Endpoints: g.endpoints.placed, Retries: g.retries, Pool: g.pool, Clock: g.clock,
-		Draining: g.draining.Load, Log: g.log, Observe: g.observer(),
+		Draining: g.draining.Load, Log: g.log, Observe: g.observer(), Placed: g.loads.placed,
 	}
 	server := &http.Server{Handler: handler, MaxHeaderBytes: headerBytes, ConnState: g.idle.connState}
 	server.DisableGeneralOptionsHandler = true
--- /dev/null
+++ b/internal/gateway/loads.go
@@ -0,0 +1,135 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"guavapier/internal/logstore"
+	"guavapier/internal/peer"
+	"guavapier/internal/placement"
+	"guavapier/internal/prepaid"
+	"guavapier/internal/record"
+)
+
+const (
+	// loadsService is under which loads is registered, see peer.Server.
+	loadsService = "Loads"
+	// worthTelling is the reading time from which a prompt is told to the other
+	// instances: an endpoint reads one of 60,000 tokens for 0.65 s, and what
+	// they sent there meanwhile came late (28 of the first 45 late requests of
+	// a calm day). Shorter ones are done before the word is round.
+	worthTelling = 30 * time.Millisecond
+	// tellEvery gathers what is told at once.
+	tellEvery = 5 * time.Millisecond
+	// tellWithin bounds one call: older news is useless.
+	tellWithin = 100 * time.Millisecond
+	// mostTold bounds what waits to be told; the rest is dropped.
+	mostTold = 64
+)
+
+// Busy says that an endpoint was sent a prompt that takes so long to read.
+type Busy struct {
+	Endpoint string
+	Work     time.Duration
+}
+
+// BusyArgs is what one instance tells another.
+type BusyArgs struct{ Sent []Busy }
+
+// BusyReply is empty.
+type BusyReply struct{}
+
+// loads tells other instances of long prompts, and hears of theirs. It is a
+// hint: what is lost or late costs a worse placement and nothing else.
+type loads struct {
+	caller  peer.Caller
+	book    *prepaid.Book // Knows the other instances.
+	table   *placement.Table
+	clock   func() time.Duration
+	news    chan Busy
+	mu      sync.Mutex
+	calling map[record.InstanceID]bool // One call to each at a time.
+}
+
+func newLoads(caller peer.Caller, book *prepaid.Book, table *placement.Table, clock func() time.Duration) *loads {
+	return &loads{
+		caller: caller, book: book, table: table, clock: clock, news: make(chan Busy, mostTold),
+		calling: map[record.InstanceID]bool{},
+	}
+}
+
+// Tell is called by other instances.
+func (l *loads) Tell(args BusyArgs, _ *BusyReply) error {
+	now := l.clock()
+	for _, b := range args.Sent {
+		l.table.Busy(b.Endpoint, min(max(b.Work, 0), time.Minute), now)
+	}
+	return nil
+}
+
+// placed notes an attempt that is about to be sent.
+func (l *loads) placed(k *placement.Ticket) {
+	if k.Work < worthTelling {
+		return
+	}
+	select {
+	case l.news <- Busy{Endpoint: k.Endpoint.ID, Work: k.Work}:
+	default: // Too much to tell: the others place without it.
+	}
+}
+
+// run tells the news until ctx ends.
+func (l *loads) run(ctx context.Context) {
+	for {
+		select {
+		case first := <-l.news:
+			logstore.Pause(ctx, tellEvery, nil)
+			l.tell(l.gather(first))
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (l *loads) gather(first Busy) []Busy {
+	sent := []Busy{first}
+	for {
+		select {
+		case b := <-l.news:
+			sent = append(sent, b)
+		default:
+			return sent
+		}
+	}
+}
+
+func (l *loads) tell(sent []Busy) {
+	for _, other := range l.book.Heirs() {
+		if l.begin(other.Key) {
+			go l.call(other.Key, sent)
+		}
+	}
+}
+
+// begin says whether the instance can be called: a silent one is not called
+// again before its call has ended.
+func (l *loads) begin(to record.InstanceID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.calling[to] {
+		return false
+	}
+	l.calling[to] = true
+	return true
+}
+
+func (l *loads) call(to record.InstanceID, sent []Busy) {
+	ctx, cancel := context.WithTimeout(context.Background(), tellWithin)
+	defer cancel()
+	// A hint that is lost needs no word: the next one follows.
+	_ = l.caller.Call(ctx, to, loadsService+".Tell", BusyArgs{Sent: sent}, &BusyReply{})
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.calling, to)
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -30,6 +30,9 @@
 	// readPerMS is how many prompt tokens a model endpoint reads in a
 	// millisecond; 92 to 112 on the deployments that we know.
 	readPerMS = 92.0
+	// pairMS is what each pair of prompt tokens adds to reading, in milliseconds:
+	// a prompt of 65,000 takes 1.4 s, twice what its length alone would.
+	pairMS = 1.75e-7
 	// remember is how long a part of a prompt that was sent to an endpoint is
 	// taken to be cached there; re-reads later than this are not counted
 	// against anyone.
@@ -37,6 +40,10 @@
 	// homeBelief is how sure it is that a prompt's home has its shared parts by
 	// other instances' sends.
 	homeBelief = 0.9
+	// againWeight counts reading a shared part again by so much more: it evicts
+	// another part, delays every stream that runs there, and is time that the
+	// fleet of endpoints does not have for others.
+	againWeight = 4.0
 	// warming is what an endpoint adds that says it is still slow.
 	warming = 50.0 // ms
 	// unansweredAfter is the age from which an answer that has not begun
@@ -88,15 +95,25 @@
 	Abandoned
 )
 
+// pending is an attempt whose answer has not begun.
+type pending struct {
+	since time.Duration
+	// work is what reading its prompt takes, in milliseconds.
+	work float64
+}
+
 type row struct {
 	discovery.Endpoint
 	inFlight int
 	// waiting are the starts of attempts whose answer has not begun.
-	waiting map[uint64]time.Duration
+	waiting map[uint64]pending
 	sent    map[string]time.Duration // When each part was last sent there.
-	fails   int
-	pause   time.Duration
-	until   time.Duration // Avoided until then.
+	// busyUntil is when the endpoint will have read the long prompts that other
+	// instances sent there.
+	busyUntil time.Duration
+	fails     int
+	pause     time.Duration
+	until     time.Duration // Avoided until then.
 }
 
 // Table holds the endpoints. It is safe for concurrent use.
@@ -118,7 +135,7 @@
 	defer t.mu.Unlock()
 	r, known := t.rows[e.ID]
 	if !known || r.Born != e.Born {
-		r = &row{waiting: map[uint64]time.Duration{}, sent: map[string]time.Duration{}}
+		r = &row{waiting: map[uint64]pending{}, sent: map[string]time.Duration{}}
 		t.rows[e.ID] = r
 	}
 	r.Endpoint = e
@@ -140,9 +157,11 @@
 	Cost     float64
 	Missing  float64
 	InFlight int
-	id       uint64
-	row      *row
-	table    *Table
+	// Work is how long the endpoint is expected to read the prompt.
+	Work  time.Duration
+	id    uint64
+	row   *row
+	table *Table
 }
 
 // Place returns the cheapest endpoint, or nil if none may take the request.
@@ -157,14 +176,15 @@
 	if best == nil {
 		return nil
 	}
+	work, missing, _ := best.reading(q, now)
 	k := &Ticket{
-		Endpoint: best.Endpoint, Cost: best.cost(q, now), Missing: best.missing(q.Parts, now), InFlight: best.inFlight,
-		row: best, table: t,
+		Endpoint: best.Endpoint, Cost: best.cost(q, now), Missing: missing, InFlight: best.inFlight,
+		Work: time.Duration(work * float64(time.Millisecond)), row: best, table: t,
 	}
 	t.lastID++
 	k.id = t.lastID
 	best.inFlight++
-	best.waiting[t.lastID] = now
+	best.waiting[t.lastID] = pending{since: now, work: work}
 	for _, p := range q.Parts {
 		best.sent[p.ID] = now
 	}
@@ -194,25 +214,61 @@
 }
 
 func (r *row) cost(q Query, now time.Duration) float64 {
-	missing := r.missing(q.Parts, now)
-	if r == q.home {
-		missing *= 1 - homeBelief
-	}
-	cost := perRequest*float64(r.inFlight) + missing/readPerMS
+	reading, _, shared := r.reading(q, now)
+	cost := perRequest*float64(r.inFlight) + reading + againWeight*shared/readPerMS
 	if r.Zone != q.Zone {
 		cost += otherZone
 	}
 	if r.Warming > 0 {
 		cost += warming
 	}
-	for _, since := range r.waiting {
-		if age := now - since; age > unansweredAfter {
-			cost += float64((age - unansweredAfter).Milliseconds())
-		}
+	cost += max(0, inMS(r.busyUntil-now))
+	for _, p := range r.waiting {
+		age := now - p.since
+		cost += max(0, p.work-inMS(age)) + max(0, inMS(age-unansweredAfter))
 	}
 	return cost
 }
 
+func inMS(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// reading is how long the endpoint is expected to read the request's prompt, in
+// milliseconds, how many of its tokens it lacks, and how many of these are of
+// shared parts. At the prompt's home the
+// shared parts count as there with homeBelief; the last part is the request's own.
+func (r *row) reading(q Query, now time.Duration) (ms, missing, shared float64) {
+	total := 0.0
+	cached := true
+	for i, p := range q.Parts {
+		total += float64(p.Tokens)
+		at, sent := r.sent[p.ID]
+		cached = cached && sent && now-at < remember
+		if cached {
+			continue
+		}
+		missing += float64(p.Tokens)
+		if i < len(q.Parts)-1 {
+			shared += float64(p.Tokens)
+		}
+	}
+	if r == q.home {
+		missing -= homeBelief * shared
+		shared -= homeBelief * shared
+	}
+	kept := total - missing
+	return missing/readPerMS + pairMS*(total*total-kept*kept), missing, shared
+}
+
+// Busy tells that another instance has sent the endpoint a prompt that takes so
+// long to read.
+func (t *Table) Busy(endpoint string, work, now time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.rows[endpoint]; r != nil {
+		r.busyUntil = max(r.busyUntil, now) + work
+	}
+}
+
 // home returns the endpoint where all instances, without a word with each other,
 // send a prompt first: the highest by a hash of its longest shared part and the
 // endpoint. The last part is the request's own. Without it each instance has
@@ -235,20 +291,6 @@
 	return home
 }
 
-// missing returns the tokens of the parts that the endpoint does not have; a
-// part counts as cached only if all before it are.
-func (r *row) missing(parts []Part, now time.Duration) float64 {
-	tokens, cached := int64(0), true
-	for _, p := range parts {
-		at, sent := r.sent[p.ID]
-		cached = cached && sent && now-at < remember
-		if !cached {
-			tokens += p.Tokens
-		}
-	}
-	return float64(tokens)
-}
-
 // Begun tells that the answer has begun.
 func (k *Ticket) Begun() {
 	k.table.mu.Lock()
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -143,6 +143,31 @@
 	}
 }
 
+// A question must not queue behind a report of 60,000 tokens that another
+// instance has just sent: until it is read, 1.3 s, the endpoint costs more.
+func TestQuestionsAvoidAnEndpointThatReadsALongPrompt(t *testing.T) {
+	long := []placement.Part{{ID: "system", Tokens: 500}, {ID: "dossier", Tokens: 5000}, {ID: "own", Tokens: 54_500}}
+	question := []placement.Part{{ID: "system", Tokens: 500}, {ID: "own question", Tokens: 100}}
+	one, other := table(4), table(4)
+	k := one.Place(placement.Query{Service: "s", Zone: "z0", Parts: long}, 0)
+	if k.Work < time.Second || k.Work > 2*time.Second {
+		t.Errorf("reading takes %s", k.Work)
+	}
+	other.Busy(k.Endpoint.ID, k.Work, 0)
+	behind := 0
+	for range 40 {
+		if q := other.Place(placement.Query{Service: "s", Zone: "z0", Parts: question}, 100*time.Millisecond); q.Endpoint.ID == k.Endpoint.ID {
+			behind++
+		}
+	}
+	if behind > 0 {
+		t.Errorf("%d of 40 questions wait behind the report", behind)
+	}
+	if q := other.Place(placement.Query{Service: "s", Zone: k.Endpoint.Zone, Parts: question}, 3*time.Second); q.Endpoint.ID != k.Endpoint.ID {
+		t.Errorf("the report has been read, and %s gets the question with %d in flight", q.Endpoint.ID, q.InFlight)
+	}
+}
+
 func TestAnEndpointThatFailsIsAvoidedForATime(t *testing.T) {
 	p := table(2)
 	fail := func(now time.Duration) {
--- a/internal/prepaid/book.go
+++ b/internal/prepaid/book.go
@@ -68,8 +68,8 @@
 	claimed  int64 // Valid.
 	settled  int64
 	reserved int64
-	given    map[string]int64 // In all, by the other process's key.
-	taken    map[string]int64
+	given    map[record.InstanceID]int64 // In all, by the other process.
+	taken    map[record.InstanceID]int64
 	givenSum int64
 	takenSum int64
 
@@ -98,7 +98,7 @@
 	policy   Policy
 	clocks   Clocks
 	prepaid  map[record.Team]int64
-	others   map[string]*holder
+	others   map[record.InstanceID]*holder
 	accounts map[record.Team]*account
 	pending  *Statement // Being written, or written and not yet seen on the log.
 	sequence uint64
@@ -117,7 +117,7 @@
 // NewBook returns a Book without budgets.
 func NewBook(self Identity, policy Policy, clocks Clocks) *Book {
 	return &Book{
-		self: self, policy: policy, clocks: clocks, prepaid: map[record.Team]int64{}, others: map[string]*holder{},
+		self: self, policy: policy, clocks: clocks, prepaid: map[record.Team]int64{}, others: map[record.InstanceID]*holder{},
 		accounts: map[record.Team]*account{}, changed: make(chan struct{}), skews: map[string]skew{}, started: clocks.Now(), offset: clocks.offset(),
 	}
 }
@@ -133,7 +133,7 @@
 func (b *Book) account(team record.Team) *account {
 	a := b.accounts[team]
 	if a == nil {
-		a = &account{given: map[string]int64{}, taken: map[string]int64{}}
+		a = &account{given: map[record.InstanceID]int64{}, taken: map[record.InstanceID]int64{}}
 		b.accounts[team] = a
 	}
 	return a
@@ -206,7 +206,7 @@
 }
 
 // Apply takes the next record of the log, in order. A nil statement ends the key.
-func (b *Book) Apply(key string, s *Statement, now time.Duration) {
+func (b *Book) Apply(key record.InstanceID, s *Statement, now time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if key == b.self.Key {
@@ -262,11 +262,26 @@
 func (b *Book) Reload() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.others = map[string]*holder{}
+	b.others = map[record.InstanceID]*holder{}
 	b.pending = nil
 	b.freshAt = 0
 }
 
+// PeerAddr implements peer.Addresses: the address of a process by its statement.
+func (b *Book) PeerAddr(id record.InstanceID) (string, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h, known := b.others[id]
+	return addressOf(h), known && h.Peer != ""
+}
+
+func addressOf(h *holder) string {
+	if h == nil {
+		return ""
+	}
+	return h.Peer
+}
+
 // Fresh tells that the log has been read up to its end.
 func (b *Book) Fresh(now time.Duration) {
 	b.mu.Lock()
--- a/internal/prepaid/keeper.go
+++ b/internal/prepaid/keeper.go
@@ -52,14 +52,14 @@
 	lastRead  atomic.Int64 // Clock at the last read, in nanoseconds; 0 for none.
 	sequence  uint64       // Of the next write.
 	epoch     uint64
-	away      bool              // The reads fail.
-	reclaimed map[string]uint64 // Sequences of the dead's statements that were made final.
+	away      bool                         // The reads fail.
+	reclaimed map[record.InstanceID]uint64 // Sequences of the dead's statements that were made final.
 }
 
 // NewKeeper returns a Keeper; Run makes it work.
 func NewKeeper(book *Book, peers *Peers, log logstore.Keyed, clock func() time.Duration, logs zerolog.Logger) *Keeper {
 	return &Keeper{
-		Book: book, Peers: peers, Log: log, reclaimed: map[string]uint64{}, Clock: clock, Logs: logs, epoch: 1,
+		Book: book, Peers: peers, Log: log, reclaimed: map[record.InstanceID]uint64{}, Clock: clock, Logs: logs, epoch: 1,
 		kickRead: make(chan struct{}, 1), kickWrite: make(chan struct{}, 1),
 	}
 }
@@ -178,7 +178,7 @@
 			return
 		}
 	}
-	k.Book.Apply(r.Key, s, k.Clock())
+	k.Book.Apply(record.InstanceID(r.Key), s, k.Clock())
 }
 
 // write states claims while ctx lasts. It begins once the log has been read.
@@ -213,22 +213,22 @@
 		}
 		if k.put(ctx, r.Key, &r.Statement) {
 			k.reclaimed[r.Key] = r.Statement.Sequence
-			k.Logs.Info().Str("dead", r.Key).Int64("tokens", r.Tokens).Dur("age", r.Age).Msg("prepaid: unused tokens of a dead process given back")
+			k.Logs.Info().Str("dead", string(r.Key)).Int64("tokens", r.Tokens).Dur("age", r.Age).Msg("prepaid: unused tokens of a dead process given back")
 		}
 	}
 }
 
 // put writes a statement until the log has taken it, and says whether it has.
 // The repeats are the same write, so one that arrives late has no second effect.
-func (k *Keeper) put(ctx context.Context, key string, s *Statement) bool {
+func (k *Keeper) put(ctx context.Context, key record.InstanceID, s *Statement) bool {
 	value, err := cbor.Marshal(s)
 	if err != nil {
 		k.Logs.Error().Err(err).Msg("prepaid: encode statement")
 		return false
 	}
-	records := []logstore.KeyedRecord{{Key: key, Value: value}}
+	records := []logstore.KeyedRecord{{Key: string(key), Value: value}}
 	for ctx.Err() == nil {
-		w := logstore.Write{Writer: k.Book.self.Key, Epoch: k.epoch, Sequence: k.sequence}
+		w := logstore.Write{Writer: string(k.Book.self.Key), Epoch: k.epoch, Sequence: k.sequence}
 		err := k.Log.Put(ctx, logstore.TopicBudgets, w, records)
 		if err == nil {
 			k.sequence++
--- a/internal/prepaid/keeper_test.go
+++ b/internal/prepaid/keeper_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"guavapier/internal/peer"
 	"guavapier/internal/prepaid"
 	"guavapier/internal/record"
 	"guavapier/internal/standin"
@@ -25,28 +26,35 @@
 
 // runKeeper starts a process with a budget of so many tokens. The returned
 // function kills it.
-func runKeeper(t *testing.T, log *standin.Keyed, key string, total int64) (*prepaid.Keeper, func()) {
+func runKeeper(t *testing.T, log *standin.Keyed, key record.InstanceID, total int64) (*prepaid.Keeper, func()) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	self := prepaid.Identity{Key: key, Node: key, Started: time.Now().UnixMilli(), Peer: listener.Addr().String()}
+	self := prepaid.Identity{Key: key, Node: string(key), Started: time.Now().UnixMilli(), Peer: listener.Addr().String()}
 	book := prepaid.NewBook(self, prepaid.DefaultPolicy(), hostClocks())
 	book.SetPrepaid(map[record.Team]int64{team: total})
-	k := prepaid.NewKeeper(book, prepaid.NewPeers(zerolog.Nop()), log, sinceOrigin, zerolog.Nop())
+	pool := peer.NewPool(key, book, peer.Options{})
+	server := peer.NewServer(key)
+	if err := server.Register(prepaid.ServiceName, prepaid.NewTransfers(book, sinceOrigin)); err != nil {
+		t.Fatal(err)
+	}
+	k := prepaid.NewKeeper(book, prepaid.NewPeers(pool, zerolog.Nop()), log, sinceOrigin, zerolog.Nop())
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { k.Run(ctx) })
-	running.Go(func() { _ = prepaid.Serve(listener, book, sinceOrigin) })
+	running.Go(func() { _ = server.Serve(listener) })
 	var once sync.Once
 	stop := func() {
 		once.Do(func() {
 			cancel()
 			_ = listener.Close()
+			server.Close()
 			running.Wait()
 		})
 	}
+	t.Cleanup(pool.Close)
 	t.Cleanup(stop)
 	return k, stop
 }
--- a/internal/prepaid/peers.go
+++ b/internal/prepaid/peers.go
@@ -2,15 +2,14 @@
 
 import (
 	"context"
-	"net"
-	"net/rpc"
+	"errors"
 	"sync"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/singleflight"
 
+	"guavapier/internal/peer"
 	"guavapier/internal/record"
 )
 
@@ -25,22 +24,22 @@
 	askFactor = 3
 )
 
+// ServiceName is under which Transfers is registered, see peer.Server.
+const ServiceName = "Transfers"
+
 // AskArgs asks for tokens of a budget.
 type AskArgs struct {
-	From   string // The asking process's key.
+	From   record.InstanceID
 	Team   record.Team
 	Tokens int64
 }
 
 // AskReply says what the answering process has given to the asking one in all.
-type AskReply struct {
-	Key   string
-	Total int64
-}
+type AskReply struct{ Total int64 }
 
 // HandArgs hands over what a process that ends has given in all, by budget.
 type HandArgs struct {
-	From   string
+	From   record.InstanceID
 	Totals map[record.Team]int64
 }
 
@@ -53,9 +52,13 @@
 	clock func() time.Duration
 }
 
+// NewTransfers returns the service of a book.
+func NewTransfers(book *Book, clock func() time.Duration) *Transfers {
+	return &Transfers{book: book, clock: clock}
+}
+
 // Ask gives tokens to the caller.
 func (t *Transfers) Ask(args AskArgs, reply *AskReply) error {
-	reply.Key = t.book.self.Key
 	reply.Total = t.book.Give(args.From, args.Team, args.Tokens, t.clock())
 	return nil
 }
@@ -68,37 +71,24 @@
 	return nil
 }
 
-// Peers calls other instances. It is safe for concurrent use.
+// Peers asks other instances for tokens. It is safe for concurrent use.
 type Peers struct {
-	log     zerolog.Logger
-	asking  singleflight.Group
-	mu      sync.Mutex
-	clients map[string]*rpc.Client
-	// unresolved are calls whose replies were lost.
+	caller peer.Caller
+	log    zerolog.Logger
+	asking singleflight.Group
+	mu     sync.Mutex
+	// unresolved are calls whose replies were lost: tokens may have been given.
 	unresolved map[unresolved]bool
 }
 
-// NewPeers returns Peers without connections.
-func NewPeers(log zerolog.Logger) *Peers {
-	return &Peers{log: log, clients: map[string]*rpc.Client{}, unresolved: map[unresolved]bool{}}
+type unresolved struct {
+	peer record.InstanceID
+	team record.Team
 }
 
-// Serve answers other instances until the listener is closed.
-func Serve(l net.Listener, book *Book, clock func() time.Duration) error {
-	server := rpc.NewServer()
-	if err := server.Register(&Transfers{book: book, clock: clock}); err != nil {
-		return eris.Wrap(err, "prepaid: register transfers")
-	}
-	for {
-		c, err := l.Accept()
-		if err != nil {
-			if eris.Is(err, net.ErrClosed) {
-				return nil
-			}
-			return eris.Wrap(err, "prepaid: accept")
-		}
-		go server.ServeConn(c)
-	}
+// NewPeers returns Peers that call through caller.
+func NewPeers(caller peer.Caller, log zerolog.Logger) *Peers {
+	return &Peers{caller: caller, log: log, unresolved: map[unresolved]bool{}}
 }
 
 // Ask looks for tokens of a budget at other instances. Requests of one budget
@@ -109,10 +99,7 @@
 			if i >= mostAsked || ctx.Err() != nil {
 				break
 			}
-			if !p.askOne(book, source.Peer, team, askFactor*tokens) {
-				continue
-			}
-			if book.AtHand(team, now) >= tokens {
+			if p.askOne(book, source.Key, team, askFactor*tokens) && book.AtHand(team, now) >= tokens {
 				break
 			}
 		}
@@ -123,29 +110,29 @@
 // askOne asks one instance and notes what it gave. The call outlives the request
 // that wants it: a reply that nobody reads would lose tokens. One that is lost
 // all the same is asked for again by Resolve.
-func (p *Peers) askOne(book *Book, peer string, team record.Team, tokens int64) bool {
+func (p *Peers) askOne(book *Book, to record.InstanceID, team record.Team, tokens int64) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), callWithin)
+	defer cancel()
 	var reply AskReply
-	args := AskArgs{From: book.self.Key, Team: team, Tokens: tokens}
-	err := p.call(context.Background(), peer, "Transfers.Ask", args, &reply)
-	p.mu.Lock()
-	if err != nil {
-		p.unresolved[unresolved{peer, team}] = true
-	} else {
-		delete(p.unresolved, unresolved{peer, team})
-	}
-	p.mu.Unlock()
+	err := p.caller.Call(ctx, to, ServiceName+".Ask", AskArgs{From: book.self.Key, Team: team, Tokens: tokens}, &reply)
+	p.note(unresolved{to, team}, err != nil && !errors.Is(err, peer.ErrNotSent))
 	if err != nil {
-		p.log.Debug().Err(err).Str("peer", peer).Msg("prepaid: peer not reached")
+		p.log.Debug().Err(err).Str("peer", string(to)).Msg("prepaid: peer not reached")
 		return false
 	}
-	book.Take(reply.Key, team, reply.Total)
+	book.Take(to, team, reply.Total)
 	return true
 }
 
-// unresolved is a call whose reply was lost: tokens may have been given.
-type unresolved struct {
-	peer string
-	team record.Team
+// note keeps or forgets a call for Resolve. One that was not sent changes nothing.
+func (p *Peers) note(call unresolved, lost bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if lost {
+		p.unresolved[call] = true
+	} else {
+		delete(p.unresolved, call)
+	}
 }
 
 // Resolve asks again, for no more tokens, where a reply was lost.
@@ -167,67 +154,15 @@
 		if i >= mostAsked || ctx.Err() != nil {
 			return
 		}
-		var probe AskReply // An instance that answers is worth giving to.
-		if p.call(ctx, heir.Peer, "Transfers.Ask", AskArgs{From: book.self.Key}, &probe) != nil || probe.Key != heir.Key {
+		// Asking for nothing shows an instance that can take over.
+		if !p.askOne(book, heir.Key, "", 0) {
 			continue
 		}
+		ctx, cancel := context.WithTimeout(ctx, callWithin)
+		defer cancel()
 		args := HandArgs{From: book.self.Key, Totals: book.GiveAll(heir.Key, now)}
-		err := p.call(ctx, heir.Peer, "Transfers.Hand", args, &HandReply{})
-		p.log.Info().Err(err).Str("to", heir.Key).Msg("prepaid: unused tokens handed over")
+		err := p.caller.Call(ctx, heir.Key, ServiceName+".Hand", args, &HandReply{})
+		p.log.Info().Err(err).Str("to", string(heir.Key)).Msg("prepaid: unused tokens handed over")
 		return
 	}
 }
-
-// call makes one call over a kept connection.
-func (p *Peers) call(ctx context.Context, address, method string, args, reply any) error {
-	ctx, cancel := context.WithTimeout(ctx, callWithin)
-	defer cancel()
-	client, err := p.client(ctx, address)
-	if err != nil {
-		return err
-	}
-	done := client.Go(method, args, reply, make(chan *rpc.Call, 1)).Done
-	select {
-	case call := <-done:
-		if call.Error != nil {
-			p.drop(address, client)
-			return eris.Wrap(call.Error, "prepaid: call peer")
-		}
-		return nil
-	case <-ctx.Done():
-		p.drop(address, client) // It may be silent for good.
-		return eris.Wrap(ctx.Err(), "prepaid: call peer")
-	}
-}
-
-func (p *Peers) client(ctx context.Context, address string) (*rpc.Client, error) {
-	p.mu.Lock()
-	known := p.clients[address]
-	p.mu.Unlock()
-	if known != nil {
-		return known, nil
-	}
-	var dialer net.Dialer
-	c, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, eris.Wrap(err, "prepaid: dial peer")
-	}
-	client := rpc.NewClient(c)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if known := p.clients[address]; known != nil {
-		_ = client.Close()
-		return known, nil
-	}
-	p.clients[address] = client
-	return client, nil
-}
-
-func (p *Peers) drop(address string, client *rpc.Client) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.clients[address] == client {
-		delete(p.clients, address)
-	}
-	_ = client.Close()
-}
--- a/internal/prepaid/reclaim.go
+++ b/internal/prepaid/reclaim.go
@@ -2,11 +2,13 @@
 
 import (
 	"time"
+
+	"guavapier/internal/record"
 )
 
 // Reclaim is a dead process's last word, written by its successor.
 type Reclaim struct {
-	Key       string
+	Key       record.InstanceID
 	Statement Statement
 	// Tokens is how much of all budgets goes back.
 	Tokens int64
--- a/internal/prepaid/statement.go
+++ b/internal/prepaid/statement.go
@@ -79,7 +79,7 @@
 
 // Identity names the process.
 type Identity struct {
-	Key     string
+	Key     record.InstanceID
 	Node    string
 	Started int64
 	Peer    string
--- a/internal/prepaid/transfer.go
+++ b/internal/prepaid/transfer.go
@@ -14,10 +14,13 @@
 // Give hands tokens to another process that asks for that many, as far as this
 // one can spare them. It returns what it has given to that process in all: an
 // answer that is lost is made good by the next one.
-func (b *Book) Give(to string, team record.Team, tokens int64, now time.Duration) int64 {
+func (b *Book) Give(to record.InstanceID, team record.Team, tokens int64, now time.Duration) int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	a := b.account(team)
+	a := b.accounts[team]
+	if a == nil {
+		return 0
+	}
 	keep := int64(a.rate.perSecond(now) * keepFor.Seconds())
 	hand := b.atHand(a, now)
 	spare := min(hand, max(hand-keep, hand/2))
@@ -31,7 +34,7 @@
 
 // GiveAll hands over everything that is left: the process is about to end and
 // the log is away.
-func (b *Book) GiveAll(to string, now time.Duration) map[record.Team]int64 {
+func (b *Book) GiveAll(to record.InstanceID, now time.Duration) map[record.Team]int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.closed = true
@@ -50,7 +53,7 @@
 }
 
 // Take notes what another process has given to this one in all.
-func (b *Book) Take(from string, team record.Team, total int64) {
+func (b *Book) Take(from record.InstanceID, team record.Team, total int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(team)
@@ -63,8 +66,7 @@
 
 // Source is a process that may have tokens to give.
 type Source struct {
-	Key  string
-	Peer string
+	Key  record.InstanceID
 	near bool
 	has  int64
 }
@@ -88,7 +90,7 @@
 	for key, h := range b.others {
 		r := h.row(team)
 		if has := r.lost() - r.Used; h.Peer != "" && has > 0 && b.alive(h) {
-			list = append(list, Source{Key: key, Peer: h.Peer, near: h.Zone == b.self.Zone, has: has})
+			list = append(list, Source{Key: key, near: h.Zone == b.self.Zone, has: has})
 		}
 	}
 	slices.SortFunc(list, func(x, y Source) int {
@@ -110,7 +112,7 @@
 	var list []Source
 	for key, h := range b.others {
 		if h.Peer != "" && b.alive(h) {
-			list = append(list, Source{Key: key, Peer: h.Peer, near: h.Zone == b.self.Zone})
+			list = append(list, Source{Key: key, near: h.Zone == b.self.Zone})
 		}
 	}
 	slices.SortFunc(list, func(x, y Source) int {
--- a/internal/prepaid/world_test.go
+++ b/internal/prepaid/world_test.go
@@ -25,7 +25,7 @@
 // process is one life of an instance.
 type process struct {
 	*prepaid.Book
-	key     string
+	key     record.InstanceID
 	m       *machine
 	alive   bool
 	read    int                // Offset of the next record.
@@ -37,7 +37,7 @@
 }
 
 type entry struct {
-	key       string
+	key       record.InstanceID
 	statement *prepaid.Statement
 }
 
@@ -80,12 +80,12 @@
 }
 
 func (w *world) start(m *machine) {
-	p := &process{m: m, key: fmt.Sprintf("%s.%d", m.node, len(w.procs)), alive: true, taken: map[string]int64{}}
-	self := prepaid.Identity{Key: p.key, Node: m.node, Started: int64(len(w.procs)), Peer: p.key}
+	p := &process{m: m, key: record.InstanceID(fmt.Sprintf("%s.%d", m.node, len(w.procs))), alive: true}
+	self := prepaid.Identity{Key: p.key, Node: m.node, Started: int64(len(w.procs)), Peer: string(p.key)}
 	p.Book = prepaid.NewBook(self, prepaid.DefaultPolicy(), w.clocks(m))
 	p.SetPrepaid(map[record.Team]int64{team: w.prepaid})
 	w.procs = append(w.procs, p)
-	newest := map[string]*prepaid.Statement{}
+	newest := map[record.InstanceID]*prepaid.Statement{}
 	for _, e := range w.log {
 		newest[e.key] = e.statement
 	}
@@ -377,7 +377,7 @@
 	if p == nil || w.cuts[p.m] {
 		return
 	}
-	newest := map[string]*prepaid.Statement{}
+	newest := map[record.InstanceID]*prepaid.Statement{}
 	for _, e := range w.log {
 		newest[e.key] = e.statement
 	}
