--- a/internal/prepaid/world_test.go
+++ b/internal/prepaid/world_test.go
@@ -33,7 +33,6 @@
 	landed  bool               // The pending statement is on the log.
 	running []int64            // Reservations.
 	spent   int64              // What it has used for good.
-	taken   map[string]int64   // The peers' last answers that arrived.
 }
 
 type entry struct {
