--- a/internal/prepaid/book.go
+++ b/internal/prepaid/book.go
@@ -168,11 +168,17 @@
 	return ErrShort
 }
 
-// spentForGood is what ended requests have used, as far as it is known.
+// spentForGood is what ended requests have used, as far as it is known, and all
+// that processes which are certainly dead may have used.
 func (b *Book) spentForGood(team record.Team) int64 {
 	sum := b.account(team).settled
 	for _, h := range b.others {
-		sum += h.row(team).Settled
+		r := h.row(team)
+		if h.Closed || b.replaced(h) {
+			sum += r.lost()
+		} else {
+			sum += r.Settled
+		}
 	}
 	return sum
 }
@@ -313,12 +319,20 @@
 	if h.Closed || h.seenAt < b.freshAt-b.policy.AliveFor || h.Node == b.self.Node {
 		return false
 	}
+	return !b.replaced(h)
+}
+
+// replaced says whether a later process of the same node has been heard.
+func (b *Book) replaced(h *holder) bool {
+	if h.Node == b.self.Node && h.Started < b.self.Started {
+		return true
+	}
 	for _, other := range b.others {
 		if other.Node == h.Node && other.Started > h.Started {
-			return false
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 // Balance is one budget as a log line or a state dump shows it: tokens, and the
--- a/internal/prepaid/reclaim_test.go
+++ b/internal/prepaid/reclaim_test.go
@@ -1,6 +1,7 @@
 package prepaid_test
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -151,3 +152,20 @@
 	}
 	w.busy(500, 400, nil)
 }
+
+// What a dead process holds may have been used, and nobody will free it: a
+// request that would need it is refused for good, not asked to come back.
+func TestWhatADeadProcessHoldsIsSpent(t *testing.T) {
+	w := steadyWorld(t, 2)
+	w.busy(2000, 30, nil)
+	dead := w.procs[0]
+	w.kill(dead)
+	w.now += time.Minute // Too long to tell what it used.
+	w.start(dead.m)
+	w.hearEachOther()
+	live := w.procs[1]
+	held := live.Balance(team, w.now).AtHand
+	if err := live.Reserve(team, w.prepaid-held, w.now); !errors.Is(err, prepaid.ErrExhausted) {
+		t.Errorf("got %v, want %v", err, prepaid.ErrExhausted)
+	}
+}
