Let the test of a dead process's tokens fail without the change

As first written it passed on the code before too: the amount asked for did not fit by settled tokens alone. Now it fails there (too little held here) and passes on the change.

--- a/internal/prepaid/reclaim_test.go
+++ b/internal/prepaid/reclaim_test.go
@@ -164,8 +164,9 @@
 	w.start(dead.m)
 	w.hearEachOther()
 	live := w.procs[1]
-	held := live.Balance(team, w.now).AtHand
-	if err := live.Reserve(team, w.prepaid-held, w.now); !errors.Is(err, prepaid.ErrExhausted) {
+	// It would fit into what ended requests have left.
+	fits := w.prepaid - live.spent - dead.spent - 1
+	if err := live.Reserve(team, fits, w.now); !errors.Is(err, prepaid.ErrExhausted) {
 		t.Errorf("got %v, want %v", err, prepaid.ErrExhausted)
 	}
 }
