Tell a caller that a model is unknown with 404, not 503

Cause: an unknown model was refused as if no endpoint could answer in time, with 503 and Retry-After, so that an ordinary client library came back for ever.

Change: a model that no endpoint has served to the team since the start is model_not_found, 404; one whose endpoints are gone stays 503.

--- a/internal/decide/admit.go
+++ b/internal/decide/admit.go
@@ -46,6 +46,10 @@
 func (d *Decider) admitRow(row *requestRow) {
 	row.submitted = d.now
 	p := d.find(&row.Request)
+	if p == nil && d.unknownModel(&row.Request) {
+		d.refuseRow(row, CodeUnknownModel)
+		return
+	}
 	if p == nil || !d.anyFor(p, row) {
 		d.refuseRow(row, CodeNoEndpoint)
 		return
--- a/internal/decide/decider.go
+++ b/internal/decide/decider.go
@@ -19,6 +19,7 @@
 	generation uint64         // Counts the changes of the endpoint table.
 	pools      []*pool        // In the order of their keys.
 	poolByKey  map[poolKey]*pool
+	served     map[poolKey]bool // Every key that had a pool since the start.
 	weights    map[record.Team]float64
 	prefixes   prefixTable
 
@@ -42,6 +43,7 @@
 		opts:      opts,
 		rng:       rand.New(rand.NewPCG(opts.Seed, seedStream)),
 		poolByKey: map[poolKey]*pool{},
+		served:    map[poolKey]bool{},
 		weights:   map[record.Team]float64{},
 		prefixes:  newPrefixTable(),
 		queued:    map[RequestID]*requestRow{},
--- a/internal/decide/pool.go
+++ b/internal/decide/pool.go
@@ -82,6 +82,7 @@
 			continue
 		}
 		for _, key := range e.poolKeys() {
+			d.served[key] = true
 			d.poolOf(key)
 		}
 	}
@@ -188,6 +189,15 @@
 	return nil
 }
 
+// unknownModel says that no endpoint has served the request's model to its team
+// since the start. While nothing at all is known it is false.
+func (d *Decider) unknownModel(r *Request) bool {
+	if r.Service != "" || len(d.served) == 0 {
+		return false
+	}
+	return !d.served[poolKey{model: r.Model, team: r.Team}] && !d.served[poolKey{model: r.Model}]
+}
+
 // span returns the seconds that the row should take on an endpoint like its
 // peers, its answer as long as it may be.
 func (p *pool) span(row *requestRow) float64 {
--- a/internal/decide/types.go
+++ b/internal/decide/types.go
@@ -113,6 +113,9 @@
 	CodeOverloaded Code = "overloaded"
 	CodeNoEndpoint Code = "no_endpoint"
 	CodeDeadline   Code = "deadline"
+	// CodeUnknownModel refuses a model that no endpoint has served to the team
+	// since the start: coming back does not help, unlike after CodeNoEndpoint.
+	CodeUnknownModel Code = "model_not_found"
 	// CodeRetryBudget refuses a retry while retries are too large a share.
 	CodeRetryBudget Code = "retry_budget"
 )
--- a/internal/entry/problem.go
+++ b/internal/entry/problem.go
@@ -91,6 +91,8 @@
 	switch f.Code {
 	case run.CodeBudgetExhausted, run.CodeNoBudget:
 		status, p.Type = http.StatusPaymentRequired, typeQuota
+	case run.Code(decide.CodeUnknownModel):
+		status, p.Type = http.StatusNotFound, typeInvalid
 	case run.CodeKeyReused:
 		status, p.Type = http.StatusUnprocessableEntity, typeInvalid
 	case run.CodeRejected:
--- a/internal/run/failure.go
+++ b/internal/run/failure.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"guavapier/internal/claim"
+	"guavapier/internal/decide"
 	"guavapier/internal/dispatch"
 	"guavapier/internal/endpoint"
 	"guavapier/internal/ledger"
@@ -95,6 +96,8 @@
 		return &Failure{Code: CodeRunGone, Message: "The run that the Last-Event-ID names cannot be continued."}
 	case errors.Is(err, errAnswerGone):
 		return &Failure{Code: CodeAnswerGone, Message: "The request was answered; its answer is kept no longer."}
+	case errors.As(err, &refusal) && refusal.Code == decide.CodeUnknownModel:
+		return &Failure{Code: Code(refusal.Code), Message: "No endpoint serves this model."}
 	case errors.As(err, &refusal):
 		return &Failure{Code: Code(refusal.Code), Message: "No endpoint can answer in time.", RetryAfter: refusal.RetryAfter}
 	case errors.Is(err, ledger.ErrExhausted):
