--- /dev/null
+++ b/internal/gateway/counted.go
@@ -0,0 +1,56 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"guavapier/internal/logstore"
+	"guavapier/internal/metrics"
+)
+
+// countedStore counts the calls to the store by outcome.
+type countedStore struct {
+	logstore.Keyed
+	metrics *metrics.Registry
+}
+
+// Newest implements logstore.Keyed.
+func (c countedStore) Newest(ctx context.Context, topic logstore.Topic) (logstore.KeyedPage, error) {
+	page, err := c.Keyed.Newest(ctx, topic)
+	c.count(err)
+	return page, err
+}
+
+// Follow implements logstore.Keyed.
+func (c countedStore) Follow(ctx context.Context, topic logstore.Topic, from uint64, wait time.Duration) (logstore.KeyedPage, error) {
+	page, err := c.Keyed.Follow(ctx, topic, from, wait)
+	c.count(err)
+	return page, err
+}
+
+// Put implements logstore.Keyed.
+func (c countedStore) Put(ctx context.Context, topic logstore.Topic, w logstore.Write, records []logstore.KeyedRecord) error {
+	err := c.Keyed.Put(ctx, topic, w, records)
+	c.count(err)
+	return err
+}
+
+func (c countedStore) count(err error) {
+	c.metrics.Counter(metrics.GatewayStore + outcomeOf(err)).Inc(1)
+}
+
+func outcomeOf(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.Is(err, logstore.ErrThrottled):
+		return "throttled"
+	case errors.Is(err, logstore.ErrTrimmed):
+		return "trimmed"
+	case errors.Is(err, logstore.ErrFenced), errors.Is(err, logstore.ErrSequence):
+		return "fenced"
+	default:
+		return "unavailable"
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -109,6 +109,8 @@
 	if err := g.listen(); err != nil {
 		return nil, err
 	}
+	p.Store = countedStore{p.Store, g.metrics}
+	g.platform = p
 	g.endpoints = newEndpoints(p, placement.New(uint64(time.Now().UnixNano())), g.pool, clock, log)
 	peers := g.peers.Addr().String()
 	self := prepaid.Identity{
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -9,6 +9,7 @@
 
 	"guavapier/internal/forward"
 	"guavapier/internal/metrics"
+	"guavapier/internal/prepaid"
 )
 
 func (g *Gateway) registerTables() {
@@ -17,11 +18,34 @@
 	g.tables.Register("state", func() any { return map[string]int64{"version": g.version()} })
 	g.metrics.Gauge(metrics.GatewayInstances, func() int64 { return int64(g.keeper.Book.Instances()) })
 	g.metrics.Gauge(metrics.GatewayState, g.version)
+	g.budgetGauges()
 	if g.platform.LinesDropped != nil {
 		g.metrics.Gauge(metrics.GatewayDropped, g.platform.LinesDropped)
 	}
 }
 
+// budgetGauges publish sums over all budgets.
+func (g *Gateway) budgetGauges() {
+	for name, of := range map[string]func(prepaid.Balance) int64{
+		metrics.GatewayHeld: func(b prepaid.Balance) int64 { return b.Claimed + b.Taken - b.Given - b.Settled - b.Reserved },
+		metrics.GatewayUsed: func(b prepaid.Balance) int64 { return b.Settled + b.Reserved },
+		metrics.GatewayLost: func(b prepaid.Balance) int64 { return b.Lost },
+	} {
+		g.metrics.Gauge(name, func() int64 {
+			sum := int64(0)
+			for _, b := range g.keeper.Book.View(g.clock()) {
+				sum += of(b)
+			}
+			return sum
+		})
+	}
+	g.metrics.Gauge(metrics.GatewayReadAge, func() int64 { return g.keeper.Book.Balance("", g.clock()).ReadAgeMS })
+	g.metrics.Gauge(metrics.GatewayTouchAge, func() int64 { return g.keeper.Book.Balance("", g.clock()).TouchAgeMS })
+	g.metrics.Gauge(metrics.GatewayReclaimed, g.keeper.Reclaimed)
+	g.metrics.Gauge(metrics.GatewayRepeats, func() int64 { allowed, _ := g.retries.Counts(); return allowed })
+	g.metrics.Gauge(metrics.GatewayRepeatsDenied, func() int64 { _, denied := g.retries.Counts(); return denied })
+}
+
 // observer counts requests' ends.
 func (g *Gateway) observer() func(forward.Event) {
 	requests := g.metrics.Counter(metrics.GatewayRequests)
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -9,6 +9,18 @@
 	GatewayInstances = "gateway.instances"
 	GatewayState     = "gateway.state_version"
 	GatewayDropped   = "gateway.lines_dropped"
+	GatewayHeld      = "gateway.budget_held"
+	GatewayUsed      = "gateway.budget_used"
+	GatewayLost      = "gateway.budget_lost"
+	GatewayReadAge   = "gateway.budget_read_age"
+	GatewayTouchAge  = "gateway.budget_touch_age"
+	GatewayReclaimed = "gateway.budget_reclaimed"
+	// GatewayStore begins the name of each counter of calls to the store; the
+	// outcome follows.
+	GatewayStore = "gateway.store."
+	// GatewayRepeats and GatewayRepeatsDenied count sends beyond a request's first.
+	GatewayRepeats       = "gateway.repeats"
+	GatewayRepeatsDenied = "gateway.repeats_denied"
 	// GatewayEnds begins the name of each counter of requests that ended
 	// without an endpoint's answer; the reason follows.
 	GatewayEnds = "gateway.ends."
@@ -25,6 +37,15 @@
 		{GatewayInstances, KindGauge, "instances", "Instances whose statements are recent, this one included."},
 		{GatewayState, KindGauge, "version", "Version of the desired state in force."},
 		{GatewayDropped, KindGauge, "lines", "Log lines dropped because nobody read the output in time."},
+		{GatewayHeld, KindGauge, "tokens", "Tokens of all budgets that this instance holds unused."},
+		{GatewayUsed, KindGauge, "tokens", "Tokens that this instance has used since its start, requests in flight at their most."},
+		{GatewayLost, KindGauge, "tokens", "Tokens that lie with processes that are not alive."},
+		{GatewayReadAge, KindGauge, "milliseconds", "Time since the budgets topic was last read to its end."},
+		{GatewayTouchAge, KindGauge, "milliseconds", "Time since the store last took a statement of this instance."},
+		{GatewayReclaimed, KindGauge, "tokens", "Tokens of dead processes of this machine that were given back."},
+		{GatewayRepeats, KindGauge, "sends", "Sends of a request beyond its first, from the fleet's budget of repeats."},
+		{GatewayRepeatsDenied, KindGauge, "sends", "Repeats that this instance's share of that budget did not cover."},
+		{GatewayStore, KindCounter, "calls", "Calls to the store, by outcome: ok, unavailable, throttled, trimmed, fenced."},
 		{GatewayEnds, KindCounter, "requests", "Requests that ended without an endpoint's answer, by reason."},
 	}
 }
--- a/internal/prepaid/book.go
+++ b/internal/prepaid/book.go
@@ -366,7 +366,10 @@
 }
 
 func (b *Book) balance(team record.Team, now time.Duration) Balance {
-	a := b.account(team)
+	a := b.accounts[team]
+	if a == nil {
+		a = &account{} // Nothing is held of it; a look must not open it.
+	}
 	row := Balance{
 		Team: team, Prepaid: b.prepaid[team], Claimed: a.claimed, Settled: a.settled, Reserved: a.reserved,
 		Given: a.givenSum, Taken: a.takenSum, Mark: a.markOnLog, AtHand: b.atHand(a, now),
--- a/internal/prepaid/keeper.go
+++ b/internal/prepaid/keeper.go
@@ -23,7 +23,7 @@
 	// read of all others.
 	followPause = 250 * time.Millisecond
 	// writeEvery is how often it is looked whether there is something to state.
-	writeEvery = 50 * time.Millisecond
+	writeEvery = 100 * time.Millisecond
 	// retryEvery is the pause after a failed call.
 	retryEvery = 150 * time.Millisecond
 	// InTouch is how old the last read may be for a request to wait for a
@@ -52,7 +52,8 @@
 	lastRead  atomic.Int64 // Clock at the last read, in nanoseconds; 0 for none.
 	sequence  uint64       // Of the next write.
 	epoch     uint64
-	away      bool                         // The reads fail.
+	away      bool // The reads fail.
+	givenBack atomic.Int64
 	reclaimed map[record.InstanceID]uint64 // Sequences of the dead's statements that were made final.
 }
 
@@ -213,6 +214,7 @@
 		}
 		if k.put(ctx, r.Key, &r.Statement) {
 			k.reclaimed[r.Key] = r.Statement.Sequence
+			k.givenBack.Add(r.Tokens)
 			k.Logs.Info().Str("dead", string(r.Key)).Int64("tokens", r.Tokens).Dur("age", r.Age).Msg("prepaid: unused tokens of a dead process given back")
 		}
 	}
@@ -266,5 +268,8 @@
 	}
 }
 
+// Reclaimed returns how many tokens of dead processes were given back.
+func (k *Keeper) Reclaimed() int64 { return k.givenBack.Load() }
+
 // Loaded says whether the log has been read.
 func (k *Keeper) Loaded() bool { return k.lastRead.Load() != 0 }
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -42,6 +42,8 @@
 	budget    Budget
 	instances int
 	services  map[string]*account
+	allowed   int64
+	denied    int64
 }
 
 // NewKeeper returns a Keeper that takes itself to be one of so many instances
@@ -71,12 +73,21 @@
 	defer k.mu.Unlock()
 	a := k.account(service, now)
 	if a.tokens < 1 {
+		k.denied++
 		return false
 	}
 	a.tokens--
+	k.allowed++
 	return true
 }
 
+// Counts returns how many repeats were allowed and denied since the start.
+func (k *Keeper) Counts() (allowed, denied int64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.allowed, k.denied
+}
+
 // share is this instance's part of the fixed number.
 func (k *Keeper) share() float64 { return caution * k.budget.Extra / float64(k.instances) }
 
