Use the rest of a drain to give tokens back

An instance that ended behind a cut tried for 0.3 s to give back its tokens and lost them otherwise; it now tries until the end of its grace, unless another instance has taken them over. An instance that can't serve one of its addresses ends. Run and drain stand in a file of their own.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -14,7 +13,6 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
-	"golang.org/x/sync/errgroup"
 
 	"guavapier/internal/discovery"
 	"guavapier/internal/forward"
@@ -60,8 +58,9 @@
 	headerBytes = 64 << 10
 	// idleCallers closes callers' connections where the desired state says nothing.
 	idleCallers = 2 * time.Minute
-	// forEnd is kept of the drain's time for closing the budgets.
-	forEnd = 500 * time.Millisecond
+	// forExit and forBudgets are kept of the drain's time for ending the process
+	// and, before that, for giving back tokens.
+	forExit, forBudgets = 200 * time.Millisecond, 300 * time.Millisecond
 	// assumedInstances shares the retry budget until the others are known.
 	assumedInstances = 16
 	// sweepEvery is the pause between two rounds of housekeeping.
@@ -161,63 +160,6 @@
 // some seconds: a ready answer is still delivered after it.
 var callerProbes = net.KeepAliveConfig{Enable: true, Idle: 10 * time.Second, Interval: 5 * time.Second, Count: 3}
 
-// Run serves until ctx ends, then drains.
-func (g *Gateway) Run(ctx context.Context) error {
-	background, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	servers := []*http.Server{g.callersServer(), {Handler: g.readyHandler()}, {Handler: g.operatorsHandler()}}
-	listeners := []net.Listener{g.callers, g.ready, g.operators}
-	var serving, work errgroup.Group
-	for i, server := range servers {
-		server.ReadHeaderTimeout = headerWithin
-		serving.Go(func() error { return ignoreClosed(server.Serve(listeners[i])) })
-	}
-	work.Go(func() error { g.stateFollower().Run(background); return nil })
-	work.Go(func() error { g.endpoints.follower().Run(background); return nil })
-	work.Go(func() error { g.keeper.Run(background); return nil })
-	work.Go(func() error { g.loads.run(background); return nil })
-	work.Go(func() error { g.sweep(background); return nil })
-	serving.Go(func() error { return g.answers.Serve(g.peers) })
-	g.log.Info().Str("callers", g.callers.Addr().String()).Str("zone", g.settings.Gateway.Zone).
-		Str("store", g.settings.Store.URL).Msg("gateway: serving")
-	<-ctx.Done()
-	g.drain(servers[0])
-	stop()
-	_ = work.Wait()
-	g.giveBack()
-	for _, server := range servers[1:] {
-		_ = server.Close()
-	}
-	_ = g.peers.Close()
-	g.answers.Close()
-	g.calls.Close()
-	err := serving.Wait()
-	g.log.Info().Msg("gateway: stopped")
-	return err
-}
-
-// drain leaves the balancer's rotation, goes on serving until it has noticed,
-// and finishes what is under way.
-func (g *Gateway) drain(callers *http.Server) {
-	began := time.Now()
-	g.draining.Store(true)
-	g.log.Info().Msg("gateway: draining")
-	logstore.Pause(context.Background(), g.settings.Drain.Unready.D(), nil)
-	rest := g.settings.Drain.Within.D() - time.Since(began) - forEnd
-	patience, cancel := context.WithTimeout(context.Background(), rest)
-	defer cancel()
-	if err := callers.Shutdown(patience); err != nil {
-		g.log.Warn().Err(err).Msg("gateway: requests cut off at the end of the drain")
-		_ = callers.Close()
-	}
-}
-
-func (g *Gateway) giveBack() {
-	ctx, cancel := context.WithTimeout(context.Background(), forEnd*3/5)
-	defer cancel()
-	g.keeper.Close(ctx)
-}
-
 func (g *Gateway) callersServer() *http.Server {
 	handler := &forward.Forwarder{
 		Zone: g.settings.Gateway.Zone, Codec: g.platform.Codec, State: g.config.Load, Budgets: budgets{g.keeper},
@@ -235,24 +177,6 @@
 	return !g.draining.Load() && g.config.Load() != nil && g.endpoints.loaded.Load() && g.keeper.Loaded()
 }
 
-// sweep does the housekeeping that time alone brings.
-func (g *Gateway) sweep(ctx context.Context) {
-	for ctx.Err() == nil {
-		logstore.Pause(ctx, sweepEvery, nil)
-		g.pool.Sweep()
-		g.endpoints.sweep()
-		g.idle.sweep()
-		g.retries.SetInstances(g.keeper.Book.Instances())
-	}
-}
-
-func ignoreClosed(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
-
 // budgets gives the keeper's reservations their interface.
 type budgets struct{ keeper *prepaid.Keeper }
 
--- /dev/null
+++ b/internal/gateway/run.go
@@ -0,0 +1,94 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"guavapier/internal/logstore"
+)
+
+// Run serves until ctx ends, then drains.
+func (g *Gateway) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	ctx, ended := context.WithCancel(ctx)
+	defer ended()
+	servers := []*http.Server{g.callersServer(), {Handler: g.readyHandler()}, {Handler: g.operatorsHandler()}}
+	listeners := []net.Listener{g.callers, g.ready, g.operators}
+	var serving, work errgroup.Group
+	for i, server := range servers {
+		server.ReadHeaderTimeout = headerWithin
+		serving.Go(func() error {
+			defer ended() // An instance that can't serve one of its addresses ends.
+			return ignoreClosed(server.Serve(listeners[i]))
+		})
+	}
+	work.Go(func() error { g.stateFollower().Run(background); return nil })
+	work.Go(func() error { g.endpoints.follower().Run(background); return nil })
+	work.Go(func() error { g.keeper.Run(background); return nil })
+	work.Go(func() error { g.loads.run(background); return nil })
+	work.Go(func() error { g.sweep(background); return nil })
+	serving.Go(func() error { return g.answers.Serve(g.peers) })
+	g.log.Info().Str("callers", g.callers.Addr().String()).Str("zone", g.settings.Gateway.Zone).
+		Str("store", g.settings.Store.URL).Msg("gateway: serving")
+	<-ctx.Done()
+	limit := time.Now().Add(g.settings.Drain.Within.D() - forExit)
+	g.drain(servers[0], limit.Add(-forBudgets))
+	stop()
+	_ = work.Wait()
+	g.giveBack(limit)
+	for _, server := range servers[1:] {
+		_ = server.Close()
+	}
+	_ = g.peers.Close()
+	g.answers.Close()
+	g.calls.Close()
+	err := serving.Wait()
+	g.log.Info().Msg("gateway: stopped")
+	return err
+}
+
+// drain leaves the balancer's rotation, goes on serving until it has noticed,
+// and finishes what is under way, until limit.
+func (g *Gateway) drain(callers *http.Server, limit time.Time) {
+	g.draining.Store(true)
+	g.log.Info().Msg("gateway: draining")
+	logstore.Pause(context.Background(), g.settings.Drain.Unready.D(), nil)
+	patience, cancel := context.WithDeadline(context.Background(), limit)
+	defer cancel()
+	if err := callers.Shutdown(patience); err != nil {
+		g.log.Warn().Err(err).Msg("gateway: requests cut off at the end of the drain")
+		_ = callers.Close()
+	}
+}
+
+// giveBack gives back the tokens that are not used. Behind a cut that may take
+// all the time that is left.
+func (g *Gateway) giveBack(limit time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), limit)
+	defer cancel()
+	g.keeper.Close(ctx)
+}
+
+// sweep does the housekeeping that time alone brings.
+func (g *Gateway) sweep(ctx context.Context) {
+	for ctx.Err() == nil {
+		logstore.Pause(ctx, sweepEvery, nil)
+		g.pool.Sweep()
+		g.endpoints.sweep()
+		g.idle.sweep()
+		g.retries.SetInstances(g.keeper.Book.Instances())
+	}
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
--- a/internal/prepaid/keeper.go
+++ b/internal/prepaid/keeper.go
@@ -255,8 +255,11 @@
 // must not come after this one.
 func (k *Keeper) Close(ctx context.Context) {
 	k.epoch++
-	if !k.inTouch() {
-		k.Peers.HandOver(ctx, k.Book, k.Clock())
+	if !k.inTouch() && k.Peers.HandOver(ctx, k.Book, k.Clock()) {
+		// Nothing is left that would be worth waiting for the log.
+		short, cancel := context.WithTimeout(ctx, retryEvery)
+		defer cancel()
+		ctx = short
 	}
 	k.put(ctx, k.Book.self.Key, k.Book.Close(k.Clock()))
 }
--- a/internal/prepaid/peers.go
+++ b/internal/prepaid/peers.go
@@ -148,11 +148,12 @@
 	}
 }
 
-// HandOver gives everything that is left to one other instance.
-func (p *Peers) HandOver(ctx context.Context, book *Book, now time.Duration) {
+// HandOver gives everything that is left to one other instance, and says whether
+// that one has it.
+func (p *Peers) HandOver(ctx context.Context, book *Book, now time.Duration) bool {
 	for i, heir := range book.Heirs() {
 		if i >= mostAsked || ctx.Err() != nil {
-			return
+			return false
 		}
 		// Asking for nothing shows an instance that can take over.
 		if !p.askOne(book, heir.Key, "", 0) {
@@ -163,6 +164,7 @@
 		args := HandArgs{From: book.self.Key, Totals: book.GiveAll(heir.Key, now)}
 		err := p.caller.Call(ctx, heir.Key, ServiceName+".Hand", args, &HandReply{})
 		p.log.Info().Err(err).Str("to", string(heir.Key)).Msg("prepaid: unused tokens handed over")
-		return
+		return err == nil
 	}
+	return false
 }
