Hold callers' heads to the desired state's limit

A head larger than the limit in force was forwarded; only net/http's own bound of 64 KB held. Left: the limit on the time a head may take is a constant of 10 s.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -17,6 +17,7 @@
 	ReasonBadRequest   Reason = "malformed request"
 	ReasonNoRoute      Reason = "no route"
 	ReasonUnknownKey   Reason = "unknown key"
+	ReasonHeadTooLarge Reason = "head too large"
 	ReasonBodyTooLarge Reason = "body too large"
 	ReasonBodyBroken   Reason = "body not received"
 	ReasonExhausted    Reason = "budget exhausted"
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -130,6 +130,9 @@
 	if c.config == nil {
 		return notRun(ReasonNoState, againStart)
 	}
+	if limit := c.config.Limits.HeaderBytes; limit > 0 && headBytes(r) > limit {
+		return &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: ReasonHeadTooLarge}
+	}
 	var err error
 	if c.Request, err = c.f.Codec.Request(r); err != nil {
 		return &refusal{status: http.StatusBadRequest, reason: ReasonBadRequest}
@@ -150,6 +153,19 @@
 	return c.readBody(r)
 }
 
+// headBytes is the size of a request's head as it came, near enough: the server
+// has parsed it.
+func headBytes(r *http.Request) int {
+	const separators = 4 // ": " and the line's end.
+	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + separators + len("Host") + len(r.Host) + separators
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + separators
+		}
+	}
+	return size
+}
+
 // patience is how long the caller may be kept waiting.
 func (c *call) patience() time.Duration {
 	patience := c.Patience
