Thin log lines that come too fast

Change: 100 lines a second and level (log.lines), errors always, what is thinned is counted and told each 0.25 s at most; the budget's state is not read for a line that is not written.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -24,6 +24,8 @@
 	if err != nil {
 		return err
 	}
+	limit := logging.NewLimit(s.Log.Lines)
+	log = log.Sample(limit)
 	base, err := url.Parse(s.Store.URL)
 	if err != nil {
 		return eris.Wrap(err, "cli: store.url")
@@ -31,7 +33,7 @@
 	g, err := gateway.New(s, gateway.Platform{
 		Store:       platform.NewStore(base.Host, s.Store.Timeout.D()),
 		DecodeState: platform.DecodeState, DecodeEndpoint: platform.DecodeEndpoint,
-		Codec: platform.Codec{}, ReadyPath: platform.ReadyPath, LinesDropped: ring.Dropped,
+		Codec: platform.Codec{}, ReadyPath: platform.ReadyPath, LinesDropped: func() int64 { return ring.Dropped() + limit.Thinned() },
 	}, log)
 	if err != nil {
 		return err
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -205,8 +205,7 @@
 	}
 	reserved, err := c.f.Budgets.Reserve(ctx, c.org.Name, tokens)
 	if err != nil {
-		c.f.Log.Info().Str("request", c.ID).Str("team", string(c.org.Name)).Int64("tokens", tokens).Err(err).
-			Interface("budget", c.f.Budgets.Explain(c.org.Name)).Msg("forward: budget refused")
+		c.logBudget(tokens, err)
 	}
 	switch {
 	case errors.Is(err, prepaid.ErrExhausted):
@@ -217,6 +216,16 @@
 	return reserved, nil
 }
 
+// logBudget writes what decided on the request's budget.
+func (c *call) logBudget(tokens int64, err error) {
+	line := c.f.Log.Info()
+	if line == nil {
+		return // Lines come too fast; the budget need not be read.
+	}
+	line.Str("request", c.ID).Str("team", string(c.org.Name)).Int64("tokens", tokens).Err(err).
+		Interface("budget", c.f.Budgets.Explain(c.org.Name)).Msg("forward: budget refused")
+}
+
 // whenShort says when coming back helps a request without tokens: when those
 // that are held here are free, spread a little, else after some round trips.
 func whenShort(err error) time.Duration {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -77,8 +77,10 @@
 
 // sweep does the housekeeping that time alone brings.
 func (g *Gateway) sweep(ctx context.Context) {
+	lost := int64(0)
 	for ctx.Err() == nil {
 		logstore.Pause(ctx, sweepEvery, nil)
+		lost = g.tellLost(lost)
 		g.pool.Sweep()
 		g.endpoints.sweep()
 		g.idle.sweep()
@@ -92,3 +94,16 @@
 	}
 	return err
 }
+
+// tellLost writes a line when log lines were lost since it was last told; it is
+// an error so that it passes itself.
+func (g *Gateway) tellLost(told int64) int64 {
+	if g.platform.LinesDropped == nil {
+		return told
+	}
+	now := g.platform.LinesDropped()
+	if now > told {
+		g.log.Error().Int64("lines", now-told).Msg("logging: lines dropped or thinned")
+	}
+	return now
+}
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -36,7 +36,7 @@
 		{GatewayFirst, KindHistogram, "microseconds", "From a request's arrival to the head of its answer."},
 		{GatewayInstances, KindGauge, "instances", "Instances whose statements are recent, this one included."},
 		{GatewayState, KindGauge, "version", "Version of the desired state in force."},
-		{GatewayDropped, KindGauge, "lines", "Log lines dropped because nobody read the output in time."},
+		{GatewayDropped, KindGauge, "lines", "Log lines dropped because nobody read the output in time, or thinned because they came too fast."},
 		{GatewayHeld, KindGauge, "tokens", "Tokens of all budgets that this instance holds unused."},
 		{GatewayUsed, KindGauge, "tokens", "Tokens that this instance has used since its start, requests in flight at their most."},
 		{GatewayLost, KindGauge, "tokens", "Tokens that lie with processes that are not alive."},
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -41,6 +41,8 @@
 	Format string `toml:"format"`
 	// Buffer is how many lines wait for a slow reader of standard output.
 	Buffer int `toml:"buffer"`
+	// Lines is how many lines a second are written of each level below error.
+	Lines int `toml:"lines"`
 }
 
 // Drain sets how an instance ends.
@@ -61,7 +63,7 @@
 	return Gateway{
 		Gateway: GatewayInstance{MemoryMB: 256},
 		Store:   Store{Timeout: Duration(time.Second)},
-		Log:     GatewayLog{Level: "info", Format: "json", Buffer: 4096},
+		Log:     GatewayLog{Level: "info", Format: "json", Buffer: 4096, Lines: 100},
 		Drain:   Drain{Within: Duration(8 * time.Second), Unready: Duration(3200 * time.Millisecond)},
 		Retries: Retries{Ratio: 0.1, Extra: 20, Window: Duration(10 * time.Second)},
 	}
@@ -82,6 +84,7 @@
 		{Name: "log.level", Unit: "level", form: formChoice, choices: []string{"debug", "info", "warn", "error"}, Doc: "Lowest level that is logged."},
 		{Name: "log.format", Unit: "format", form: formChoice, choices: []string{"json", "console"}, Doc: "JSON for programs, console for people."},
 		{Name: "log.buffer", Unit: "lines", form: formCount, min: 16, max: 1 << 20, Doc: "Lines that wait for a slow reader of standard output; beyond that the oldest are dropped and counted."},
+		{Name: "log.lines", Unit: "lines", form: formCount, min: 1, max: 1 << 20, Doc: "Lines a second and level that are written; more are thinned and counted, errors never."},
 		{Name: "drain.within", Unit: "duration", form: formDuration, min: int64(time.Second), max: int64(time.Hour), Doc: "Time from the signal to end until the process is killed."},
 		{Name: "drain.unready", Unit: "duration", form: formDuration, min: 0, max: int64(time.Minute), Doc: "How long new connections are still accepted after the signal: until the balancer has seen that the instance is not ready."},
 		{Name: "retries.ratio", Unit: "share", form: formText, Doc: "Repeated sends that the whole fleet may add for each request to a service."},
