Split the cost model and the others' statements off

Files of one job: placement's cost model, prepaid's view of other processes and its balances stand by themselves; what an endpoint has to read is a type in place of three numbers. The code says host where it said machine.

--- a/internal/gateway/clock.go
+++ b/internal/gateway/clock.go
@@ -11,7 +11,7 @@
 	"guavapier/internal/prepaid"
 )
 
-// bootClock returns a clock that also counts the time for which the machine was
+// bootClock returns a clock that also counts the time for which the host was
 // suspended; Go's monotonic clock does not.
 func bootClock() func() time.Duration {
 	origin := bootTime()
@@ -28,12 +28,12 @@
 
 var processStart = time.Now()
 
-// bootIDFile names the machine's boot; it is drawn anew at each.
+// bootIDFile names the host's boot; it is drawn anew at each.
 const bootIDFile = "/proc/sys/kernel/random/boot_id"
 
-// machineClocks returns the clocks by which a later process of this machine
+// hostClocks returns the clocks by which a later process of this host
 // judges this one.
-func machineClocks(log zerolog.Logger) prepaid.Clocks {
+func hostClocks(log zerolog.Logger) prepaid.Clocks {
 	id, err := os.ReadFile(bootIDFile)
 	if err != nil {
 		// Two boots are then told apart by their clocks alone.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -116,7 +116,7 @@
 		Key: record.NewInstanceID(s.Gateway.Name), Node: s.Gateway.Name + "@" + peers,
 		Started: time.Now().UnixMilli(), Peer: peers, Zone: s.Gateway.Zone,
 	}
-	book := prepaid.NewBook(self, prepaid.DefaultPolicy(), machineClocks(log))
+	book := prepaid.NewBook(self, prepaid.DefaultPolicy(), hostClocks(log))
 	g.calls = peer.NewPool(self.Key, book, peer.Options{})
 	g.keeper = prepaid.NewKeeper(book, prepaid.NewPeers(g.calls, log), p.Store, clock, log)
 	g.answers = peer.NewServer(self.Key)
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -42,7 +42,7 @@
 		{GatewayLost, KindGauge, "tokens", "Tokens that lie with processes that are not alive."},
 		{GatewayReadAge, KindGauge, "milliseconds", "Time since the budgets topic was last read to its end."},
 		{GatewayTouchAge, KindGauge, "milliseconds", "Time since the store last took a statement of this instance."},
-		{GatewayReclaimed, KindGauge, "tokens", "Tokens of dead processes of this machine that were given back."},
+		{GatewayReclaimed, KindGauge, "tokens", "Tokens of dead processes of this host that were given back."},
 		{GatewayRepeats, KindGauge, "sends", "Sends of a request beyond its first, from the fleet's budget of repeats."},
 		{GatewayRepeatsDenied, KindGauge, "sends", "Repeats that this instance's share of that budget did not cover."},
 		{GatewayStore, KindCounter, "calls", "Calls to the store, by outcome: ok, unavailable, throttled, trimmed, fenced."},
--- /dev/null
+++ b/internal/placement/cost.go
@@ -0,0 +1,119 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// perRequest is what one own request in flight adds at an endpoint. An
+	// instance sees an n-th of the load, so it stands for n requests. 20 ms did
+	// worse (worth 0.795 against 0.807 on a calm day, one run each).
+	perRequest = 10.0 // ms
+	// otherZone is what a hop to another availability zone adds: a few
+	// milliseconds of round trip, and bytes that are dear. 20 ms kept nine in
+	// ten requests in their zone without queueing them there (trial).
+	otherZone = 20.0 // ms
+	// readPerMS is how many prompt tokens a model endpoint reads in a
+	// millisecond; 92 to 112 on the deployments that we know.
+	readPerMS = 92.0
+	// pairMS is what each pair of prompt tokens adds to reading, in milliseconds:
+	// a prompt of 65,000 takes 1.4 s, twice what its length alone would.
+	pairMS = 1.75e-7
+	// remember is how long a part of a prompt that was sent to an endpoint is
+	// taken to be cached there; re-reads later than this are not counted
+	// against anyone.
+	remember = 10 * time.Second
+	// homeBelief is how sure it is that a prompt's home has its shared parts by
+	// other instances' sends.
+	homeBelief = 0.9
+	// againWeight counts reading a shared part again by so much more: it evicts
+	// another part, delays every stream that runs there, and is time that the
+	// fleet of endpoints does not have for others.
+	againWeight = 4.0
+	// warming is what an endpoint adds that says it is still slow.
+	warming = 50.0 // ms
+	// unansweredAfter is the age from which an answer that has not begun
+	// counts against its endpoint, at its age: a dark endpoint takes few
+	// requests before others are cheaper.
+	unansweredAfter = 500 * time.Millisecond
+)
+
+// cost is what placing the request at the endpoint costs, in milliseconds.
+func (r *row) cost(q Query, now time.Duration) float64 {
+	reading := r.reading(q, now)
+	cost := perRequest*float64(r.inFlight) + reading.ms + againWeight*reading.shared/readPerMS
+	if r.Zone != q.Zone {
+		cost += otherZone
+	}
+	if r.Warming > 0 {
+		cost += warming
+	}
+	cost += max(0, inMS(r.busyUntil-now))
+	for _, p := range r.waiting {
+		age := now - p.since
+		cost += max(0, p.work-inMS(age)) + max(0, inMS(age-unansweredAfter))
+	}
+	return cost
+}
+
+func inMS(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// reading is what an endpoint has to read of a request's prompt.
+type reading struct {
+	ms float64 // How long it takes.
+	// missing are the tokens that it lacks, shared those of them that other
+	// requests have too.
+	missing, shared float64
+}
+
+// reading estimates it from what this instance has sent there. At the prompt's
+// home the shared parts count as there with homeBelief; the last part is the
+// request's own.
+func (r *row) reading(q Query, now time.Duration) reading {
+	var out reading
+	total, cached := 0.0, true
+	for i, p := range q.Parts {
+		total += float64(p.Tokens)
+		at, sent := r.sent[p.ID]
+		cached = cached && sent && now-at < remember
+		if cached {
+			continue
+		}
+		out.missing += float64(p.Tokens)
+		if i < len(q.Parts)-1 {
+			out.shared += float64(p.Tokens)
+		}
+	}
+	if r == q.home {
+		there := homeBelief * out.shared
+		out.missing -= there
+		out.shared -= there
+	}
+	kept := total - out.missing
+	out.ms = out.missing/readPerMS + pairMS*(total*total-kept*kept)
+	return out
+}
+
+// home returns the endpoint where all instances, without a word with each other,
+// send a prompt first: the highest by a hash of its longest shared part and the
+// endpoint. The last part is the request's own. Without it each instance has
+// the part read at an endpoint of its own.
+func (t *Table) home(q Query) *row {
+	if len(q.Parts) < 2 {
+		return nil
+	}
+	key := q.Parts[len(q.Parts)-2].ID
+	var home *row
+	highest := uint64(0)
+	for _, r := range t.rows {
+		if r.Service != q.Service || r.Leaving {
+			continue
+		}
+		if h := xxhash.Sum64String(key + "@" + r.ID); home == nil || h > highest {
+			home, highest = r, h
+		}
+	}
+	return home
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -10,48 +10,13 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"guavapier/internal/discovery"
 )
 
-const (
-	// perRequest is what one own request in flight adds at an endpoint. An
-	// instance sees an n-th of the load, so it stands for n requests. 20 ms did
-	// worse (worth 0.795 against 0.807 on a calm day, one run each).
-	perRequest = 10.0 // ms
-	// otherZone is what a hop to another availability zone adds: a few
-	// milliseconds of round trip, and bytes that are dear. 20 ms kept nine in
-	// ten requests in their zone without queueing them there (trial).
-	otherZone = 20.0 // ms
-	// readPerMS is how many prompt tokens a model endpoint reads in a
-	// millisecond; 92 to 112 on the deployments that we know.
-	readPerMS = 92.0
-	// pairMS is what each pair of prompt tokens adds to reading, in milliseconds:
-	// a prompt of 65,000 takes 1.4 s, twice what its length alone would.
-	pairMS = 1.75e-7
-	// remember is how long a part of a prompt that was sent to an endpoint is
-	// taken to be cached there; re-reads later than this are not counted
-	// against anyone.
-	remember = 10 * time.Second
-	// homeBelief is how sure it is that a prompt's home has its shared parts by
-	// other instances' sends.
-	homeBelief = 0.9
-	// againWeight counts reading a shared part again by so much more: it evicts
-	// another part, delays every stream that runs there, and is time that the
-	// fleet of endpoints does not have for others.
-	againWeight = 4.0
-	// warming is what an endpoint adds that says it is still slow.
-	warming = 50.0 // ms
-	// unansweredAfter is the age from which an answer that has not begun
-	// counts against its endpoint, at its age: a dark endpoint takes few
-	// requests before others are cheaper.
-	unansweredAfter = 500 * time.Millisecond
-)
-
 const (
 	// firstPause and longestPause bound how long an endpoint is avoided after
 	// failures in a row; each doubles it. A restarted endpoint is back within
@@ -176,15 +141,15 @@
 	if best == nil {
 		return nil
 	}
-	work, missing, _ := best.reading(q, now)
+	reading := best.reading(q, now)
 	k := &Ticket{
-		Endpoint: best.Endpoint, Cost: best.cost(q, now), Missing: missing, InFlight: best.inFlight,
-		Work: time.Duration(work * float64(time.Millisecond)), row: best, table: t,
+		Endpoint: best.Endpoint, Cost: best.cost(q, now), Missing: reading.missing, InFlight: best.inFlight,
+		Work: time.Duration(reading.ms * float64(time.Millisecond)), row: best, table: t,
 	}
 	t.lastID++
 	k.id = t.lastID
 	best.inFlight++
-	best.waiting[t.lastID] = pending{since: now, work: work}
+	best.waiting[t.lastID] = pending{since: now, work: reading.ms}
 	for _, p := range q.Parts {
 		best.sent[p.ID] = now
 	}
@@ -196,7 +161,7 @@
 	var best *row
 	least, ties := 0.0, 0
 	for _, r := range t.rows {
-		if r.Service != q.Service || r.Leaving || contains(q.Avoid, r.ID) || (now < r.until && !desperate) {
+		if r.Service != q.Service || r.Leaving || slices.Contains(q.Avoid, r.ID) || (now < r.until && !desperate) {
 			continue
 		}
 		cost := r.cost(q, now)
@@ -213,52 +178,6 @@
 	return best
 }
 
-func (r *row) cost(q Query, now time.Duration) float64 {
-	reading, _, shared := r.reading(q, now)
-	cost := perRequest*float64(r.inFlight) + reading + againWeight*shared/readPerMS
-	if r.Zone != q.Zone {
-		cost += otherZone
-	}
-	if r.Warming > 0 {
-		cost += warming
-	}
-	cost += max(0, inMS(r.busyUntil-now))
-	for _, p := range r.waiting {
-		age := now - p.since
-		cost += max(0, p.work-inMS(age)) + max(0, inMS(age-unansweredAfter))
-	}
-	return cost
-}
-
-func inMS(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
-
-// reading is how long the endpoint is expected to read the request's prompt, in
-// milliseconds, how many of its tokens it lacks, and how many of these are of
-// shared parts. At the prompt's home the
-// shared parts count as there with homeBelief; the last part is the request's own.
-func (r *row) reading(q Query, now time.Duration) (ms, missing, shared float64) {
-	total := 0.0
-	cached := true
-	for i, p := range q.Parts {
-		total += float64(p.Tokens)
-		at, sent := r.sent[p.ID]
-		cached = cached && sent && now-at < remember
-		if cached {
-			continue
-		}
-		missing += float64(p.Tokens)
-		if i < len(q.Parts)-1 {
-			shared += float64(p.Tokens)
-		}
-	}
-	if r == q.home {
-		missing -= homeBelief * shared
-		shared -= homeBelief * shared
-	}
-	kept := total - missing
-	return missing/readPerMS + pairMS*(total*total-kept*kept), missing, shared
-}
-
 // Busy tells that another instance has sent the endpoint a prompt that takes so
 // long to read.
 func (t *Table) Busy(endpoint string, work, now time.Duration) {
@@ -269,28 +188,6 @@
 	}
 }
 
-// home returns the endpoint where all instances, without a word with each other,
-// send a prompt first: the highest by a hash of its longest shared part and the
-// endpoint. The last part is the request's own. Without it each instance has
-// the part read at an endpoint of its own.
-func (t *Table) home(q Query) *row {
-	if len(q.Parts) < 2 {
-		return nil
-	}
-	key := q.Parts[len(q.Parts)-2].ID
-	var home *row
-	highest := uint64(0)
-	for _, r := range t.rows {
-		if r.Service != q.Service || r.Leaving {
-			continue
-		}
-		if h := xxhash.Sum64String(key + "@" + r.ID); home == nil || h > highest {
-			home, highest = r, h
-		}
-	}
-	return home
-}
-
 // Begun tells that the answer has begun.
 func (k *Ticket) Begun() {
 	k.table.mu.Lock()
@@ -360,12 +257,3 @@
 	}
 	return rows
 }
-
-func contains(list []string, s string) bool {
-	for _, have := range list {
-		if have == s {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/prepaid/book.go
+++ b/internal/prepaid/book.go
@@ -19,9 +19,9 @@
 //
 // What a dead process held is lost, but for this: while it is in touch with the
 // log a process uses no more than a mark that it has published, a little ahead
-// of its use. A later process of the same machine that can tell that the dead
+// of its use. A later process of the same host that can tell that the dead
 // one had no time to fall out of touch gives the rest back (reclaim.go). Only
-// this step relies on clocks: on those of one machine, checked against the
+// this step relies on clocks: on those of one host, checked against the
 // fleet's.
 //
 //	Invariant 3: until TouchLasts after Touched, used + given <= mark on the log.
@@ -57,34 +57,6 @@
 // Is makes it an ErrShort.
 func (e *ShortError) Is(target error) bool { return target == ErrShort }
 
-// holder is another process as its newest statement shows it.
-type holder struct {
-	Statement
-	rows   map[record.Team]Row
-	seenAt time.Duration
-}
-
-func newHolder(s *Statement, now time.Duration) *holder {
-	h := &holder{Statement: *s, rows: make(map[record.Team]Row, len(s.Rows)), seenAt: now}
-	for _, r := range s.Rows {
-		h.rows[r.Team] = r
-	}
-	return h
-}
-
-// row returns the statement's row of a budget; a zero one if it has none.
-func (h *holder) row(team record.Team) Row { return h.rows[team] }
-
-// sums are what the others' statements say of one budget in all. They are kept
-// between two records of the log: a flood of refused requests asks for them some
-// thousand times a second, and there are as many statements as instances.
-type sums struct {
-	claimed int64
-	// forGood is what ended requests have used, and what processes that are
-	// certainly dead may have used.
-	forGood int64
-}
-
 // account is the own part of one budget.
 type account struct {
 	claimed  int64 // Valid.
@@ -113,7 +85,7 @@
 func (a *account) unspent() int64 { return a.claimed + a.takenSum - a.gone() }
 
 // Book is safe for concurrent use. Times are since any one origin and count
-// time for which the machine was suspended.
+// time for which the host was suspended.
 type Book struct {
 	mu       sync.Mutex
 	self     Identity
@@ -192,30 +164,6 @@
 	return ErrShort
 }
 
-// spentForGood is what ended requests have used, as far as it is known, and all
-// that processes which are certainly dead may have used.
-func (b *Book) spentForGood(team record.Team) int64 {
-	return b.account(team).settled + b.sumsOf(team).forGood
-}
-
-func (b *Book) sumsOf(team record.Team) sums {
-	if known, ok := b.sums[team]; ok {
-		return known
-	}
-	var s sums
-	for _, h := range b.others {
-		r := h.row(team)
-		s.claimed += r.Claimed
-		if h.Closed || b.replaced(h) {
-			s.forGood += r.lost()
-		} else {
-			s.forGood += r.Settled
-		}
-	}
-	b.sums[team] = s
-	return s
-}
-
 // Settle ends a reservation: used of its tokens stay spent.
 func (b *Book) Settle(team record.Team, reserved, used int64) {
 	b.mu.Lock()
@@ -289,10 +237,6 @@
 	b.wake()
 }
 
-func (b *Book) claimedByOthers(team record.Team) int64 {
-	return b.sumsOf(team).claimed
-}
-
 // Reload forgets the others before the newest records are applied anew: part of
 // the history was lost. A pending raise can't be judged then and is dropped;
 // the next statement takes it back.
@@ -327,100 +271,3 @@
 	defer b.mu.Unlock()
 	b.freshAt = now
 }
-
-// Instances returns how many processes are alive as far as their statements
-// show, this one included.
-func (b *Book) Instances() int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.instances()
-}
-
-func (b *Book) instances() int {
-	n := 1
-	for _, h := range b.others {
-		if b.alive(h) {
-			n++
-		}
-	}
-	return n
-}
-
-// alive says whether the other process counts as running. It guides sizes
-// only: the claims of a dead one count like all others.
-func (b *Book) alive(h *holder) bool {
-	if h.Closed || h.seenAt < b.freshAt-b.policy.AliveFor || h.Node == b.self.Node {
-		return false
-	}
-	return !b.replaced(h)
-}
-
-// replaced says whether a later process of the same node has been heard.
-func (b *Book) replaced(h *holder) bool {
-	if h.Node == b.self.Node && h.Started < b.self.Started {
-		return true
-	}
-	return b.latest[h.Node] > h.Started
-}
-
-// Balance is one budget as a log line or a state dump shows it: tokens, and the
-// ages of what is known.
-type Balance struct {
-	Team            record.Team `json:"team"`
-	Prepaid         int64       `json:"prepaid"`
-	Claimed         int64       `json:"claimed"`
-	Settled         int64       `json:"settled"`
-	Reserved        int64       `json:"reserved"`
-	Given           int64       `json:"given"`
-	Taken           int64       `json:"taken"`
-	Mark            int64       `json:"mark"`
-	AtHand          int64       `json:"at_hand"`
-	ClaimedByOthers int64       `json:"claimed_by_others"`
-	UsedByOthers    int64       `json:"used_by_others"`
-	// Lost is what dead processes hold for good.
-	Lost  int64 `json:"lost"`
-	Short int64 `json:"short"`
-	// ReadAgeMS is the time since the log was last read up to its end;
-	// TouchAgeMS since it last took a statement.
-	ReadAgeMS  int64 `json:"read_age_ms"`
-	TouchAgeMS int64 `json:"touch_age_ms"`
-}
-
-// Balance returns one budget.
-func (b *Book) Balance(team record.Team, now time.Duration) Balance {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.balance(team, now)
-}
-
-func (b *Book) balance(team record.Team, now time.Duration) Balance {
-	a := b.accounts[team]
-	if a == nil {
-		a = &account{} // Nothing is held of it; a look must not open it.
-	}
-	row := Balance{
-		Team: team, Prepaid: b.prepaid[team], Claimed: a.claimed, Settled: a.settled, Reserved: a.reserved,
-		Given: a.givenSum, Taken: a.takenSum, Mark: a.markOnLog, AtHand: b.atHand(a, now),
-		ClaimedByOthers: b.claimedByOthers(team), Short: a.short,
-		ReadAgeMS: (now - b.freshAt).Milliseconds(), TouchAgeMS: (now - b.touchAt).Milliseconds(),
-	}
-	for _, h := range b.others {
-		r := h.row(team)
-		row.UsedByOthers += r.Used
-		if !b.alive(h) {
-			row.Lost += r.lost() - r.Used
-		}
-	}
-	return row
-}
-
-// View copies the budgets.
-func (b *Book) View(now time.Duration) []Balance {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var list []Balance
-	for _, team := range b.teams() {
-		list = append(list, b.balance(team, now))
-	}
-	return list
-}
--- a/internal/prepaid/clocks.go
+++ b/internal/prepaid/clocks.go
@@ -6,10 +6,10 @@
 	"time"
 )
 
-// Clocks read one machine's clocks.
+// Clocks read one host's clocks.
 type Clocks struct {
 	BootID string
-	// Boot returns the time since the machine's boot, time suspended included.
+	// Boot returns the time since the host's boot, time suspended included.
 	Boot func() time.Duration
 	// Wall returns the time of day in Unix milliseconds.
 	Wall func() int64
@@ -22,7 +22,7 @@
 	// TouchLasts is how long a process keeps to the marks on the log after the
 	// log has last taken a statement. In the first seconds of a cut it serves
 	// no further than its marks, so it should be short; what a power loss of
-	// all machines strands goes back only if the loss (up to 1.8 s), the age of
+	// all hosts strands goes back only if the loss (up to 1.8 s), the age of
 	// the last statement, the start and the margins fit in.
 	TouchLasts = 3 * time.Second
 	// skewMargin covers what correcting a clock by the fleet's median leaves: a
@@ -33,18 +33,18 @@
 	bootMargin = 50 * time.Millisecond
 	// sameBoot is how far the two clocks may drift apart over one boot.
 	sameBoot = time.Minute
-	// skewsNeeded is how many other machines' clocks make a median.
+	// skewsNeeded is how many other hosts' clocks make a median.
 	skewsNeeded = 2
 	// skewsAgree is how far the two middle ones of an even number may lie apart.
 	skewsAgree = 250 * time.Millisecond
 	// clockMoved is a change of the time of day against the time since boot
 	// that no slewing of a clock makes between two looks.
 	clockMoved = 100 * time.Millisecond
-	// skewFresh is how long another machine's clock counts after it was heard.
+	// skewFresh is how long another host's clock counts after it was heard.
 	skewFresh = 5 * time.Second
 )
 
-// skew is how far the own time of day stands before another machine's.
+// skew is how far the own time of day stands before another host's.
 type skew struct {
 	ms int64
 	at time.Duration
@@ -110,7 +110,7 @@
 }
 
 // ageAtStart returns the time from a dead process's last touch to this process's
-// start, on the same machine, at its most; or unknownAge.
+// start, on the same host, at its most; or unknownAge.
 func (b *Book) ageAtStart(s *Statement, now time.Duration) time.Duration {
 	if s.Touched.Wall == 0 {
 		return unknownAge // It never was in touch.
@@ -132,7 +132,7 @@
 // unknownAge is longer than any touch lasts.
 const unknownAge = time.Duration(math.MaxInt64)
 
-// diedInTouch says whether a process of this machine that published s had died
+// diedInTouch says whether a process of this host that published s had died
 // before it could fall out of touch. It is false when that can't be told.
 func (b *Book) diedInTouch(s *Statement, now time.Duration) bool {
 	age := b.ageAtStart(s, now)
--- a/internal/prepaid/keeper.go
+++ b/internal/prepaid/keeper.go
@@ -206,7 +206,7 @@
 	}
 }
 
-// reclaim gives back what dead processes of this machine did not use.
+// reclaim gives back what dead processes of this host did not use.
 func (k *Keeper) reclaim(ctx context.Context) {
 	for _, r := range k.Book.Reclaims(k.Clock()) {
 		if k.reclaimed[r.Key] == r.Statement.Sequence {
--- a/internal/prepaid/reclaim.go
+++ b/internal/prepaid/reclaim.go
@@ -16,7 +16,7 @@
 	Age time.Duration
 }
 
-// Reclaims returns the final statements of earlier processes of this machine
+// Reclaims returns the final statements of earlier processes of this host
 // that died in touch with the log: they used no more than their marks, the rest
 // goes back. Those of which that can't be told keep their claims for good.
 //
--- a/internal/prepaid/statement.go
+++ b/internal/prepaid/statement.go
@@ -31,14 +31,14 @@
 // lost is what nobody can use any more once the process is dead.
 func (r Row) lost() int64 { return r.Claimed + r.Taken - r.Given }
 
-// Stamp is a moment by the clocks of one machine.
+// Stamp is a moment by the clocks of one host.
 type Stamp struct {
-	// BootID and Boot are the machine's boot and the time since it, time
+	// BootID and Boot are the host's boot and the time since it, time
 	// suspended included.
 	BootID string        `cbor:"1,keyasint"`
 	Boot   time.Duration `cbor:"2,keyasint"`
 	// Wall is the time of day in Unix milliseconds. Corrected says that it is
-	// taken back by how far the machine's clock stood before the median of the
+	// taken back by how far the host's clock stood before the median of the
 	// fleet's.
 	Wall      int64 `cbor:"3,keyasint"`
 	Corrected bool  `cbor:"4,keyasint,omitempty"`
@@ -46,7 +46,7 @@
 
 // Statement is an instance's record.
 type Statement struct {
-	// Node is the instance's name and machine; a later process of that node
+	// Node is the instance's name and host; a later process of that node
 	// has replaced this one.
 	Node string `cbor:"1,keyasint"`
 	// Started is when the process started, in Unix milliseconds.
@@ -60,7 +60,7 @@
 	// time of drafting this one. Until TouchLasts after it, the process uses
 	// and gives no more than the Marks on the log.
 	Touched Stamp `cbor:"6,keyasint"`
-	// Wall is the machine's own time of day at drafting, uncorrected.
+	// Wall is the host's own time of day at drafting, uncorrected.
 	Wall int64 `cbor:"7,keyasint"`
 	// Peer is where other instances reach the process; "" for nowhere.
 	Peer string `cbor:"8,keyasint,omitempty"`
