Let a claim outlive the request that wanted it

With a slow log the statement that a waiting request asked for came after the request had given up, and the next one took it back before the caller came again. Ruled out: lost gifts (given and taken agree but for 0).

Change: what requests lacked counts for two seconds after they stop waiting.

--- a/internal/prepaid/book.go
+++ b/internal/prepaid/book.go
@@ -71,6 +71,8 @@
 	markOnLog  int64 // Of the last statement that the log took.
 	markNow    int64 // Of the statement under way; else as markOnLog.
 	short      int64 // Wanted by requests that wait.
+	wanted     int64 // The most of short in the drafts of the last wantedFor.
+	wantedAt   time.Duration
 	rate       rate
 	largest    float64 // Decaying maximum of a request's size.
 	statedUsed int64
--- a/internal/prepaid/keeper_test.go
+++ b/internal/prepaid/keeper_test.go
@@ -74,6 +74,13 @@
 // good, and returns the sum.
 func spendAll(t *testing.T, size int64, keepers ...*prepaid.Keeper) (sum int64) {
 	t.Helper()
+	t.Cleanup(func() {
+		if t.Failed() {
+			for _, k := range keepers {
+				t.Logf("spent %d; %+v", sum, k.Book.View(sinceOrigin()))
+			}
+		}
+	})
 	waitFor(t, "exhausted", func() bool {
 		refused := 0
 		for _, k := range keepers {
--- a/internal/prepaid/policy.go
+++ b/internal/prepaid/policy.go
@@ -160,6 +160,7 @@
 	n := b.instances()
 	for _, team := range b.teams() {
 		a := b.account(team)
+		a.want(now)
 		rest := b.rest(team, a, n, now)
 		r := a.row(team, now)
 		r.Claimed = b.claim(team, a, rest, now)
@@ -175,6 +176,18 @@
 	return rows, pressing, news
 }
 
+// wantedFor is how long a claim or mark for a request outlives the request. A
+// slow log takes longer than the request waits; what it brings must not be given
+// back before the caller has come back for it.
+const wantedFor = 2 * time.Second
+
+// want notes what waiting requests lack at a draft.
+func (a *account) want(now time.Duration) {
+	if a.short >= a.wanted || now-a.wantedAt >= wantedFor {
+		a.wanted, a.wantedAt = a.short, now
+	}
+}
+
 // mark is how far the process goes while it is in touch: far enough for the
 // time until it would be out of touch, but near the end of a budget only for
 // some of that, since a kill would lose it.
@@ -184,7 +197,7 @@
 	even := left * markEven / r.instances
 	most := left*markShare*r.share + even
 	ahead := min(2*(a.rate.perSecond(now)*TouchLasts.Seconds()+a.largest), most)
-	ahead = max(ahead, float64(a.short), even)
+	ahead = max(ahead, float64(a.wanted), even)
 	return min(a.gone()+int64(ahead), max(claim, a.claimed)+a.takenSum)
 }
 
@@ -194,15 +207,15 @@
 	if room < 0 {
 		return min(a.claimed, a.gone()-a.takenSum) // The total was lowered: nothing unused is kept.
 	}
-	target := b.target(a, r, now)
+	target := max(b.target(a, r, now), float64(a.wanted))
 	if short := b.shortElsewhere(team); short > 0 && room < short {
 		target *= helpShare
 	}
 	unspent := float64(a.unspent())
 	switch {
-	case a.short > a.unspent():
+	case a.wanted > a.unspent():
 		// Waiting requests go before the target.
-		return a.claimed + min(room, max(a.short, int64(target))-a.unspent())
+		return a.claimed + min(room, int64(max(target, float64(a.wanted)))-a.unspent())
 	case unspent < raiseBelow*target:
 		return a.claimed + min(room, int64(target)-a.unspent())
 	case unspent > returnAbove*target:
