Take over the run of a gone instance

Cause: a chat whose instance was killed stayed open at the holder of its claim. A retry joined it and waited for its whole time where no endpoint went on: the run had not been placed yet, its endpoint had left the list, or the connection to its endpoint was lost rather than refused.

Change: a joiner whose run's instance is gone asks the engines for the run (it may have moved). Where none has it, or it was cancelled there, the joiner takes the run over under its id, so that it is billed once, and goes on after the text that it has read. The holder gives it to the first attempt that found it lost; the others join that. A caller who came back with a part that nobody else has is told run_gone at once.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -40,6 +40,10 @@
 	// Minted says that the entry drew the key itself, so that no retry can
 	// name the request again. A repeatable one then needs no claim.
 	Minted bool
+	// Lost is the run that this attempt joined before and found nowhere: its
+	// runner is gone and no endpoint goes on with it. A repeatable request then
+	// takes the run over. Empty for none.
+	Lost record.RunID
 }
 
 // Answer is a plain service's whole answer, kept for retries.
--- a/internal/claim/holder.go
+++ b/internal/claim/holder.go
@@ -356,6 +356,9 @@
 		err = errNotHolder
 	}
 	ticket.RunnerGone = ticket.Join && ticket.Runner != h.parts.Self.ID && !h.parts.Members.Reachable(ticket.Runner)
+	if ticket.RunnerGone && r.Repeatable && r.Lost == ticket.Run && ticket.Outcome == 0 {
+		return s.takeOver(r, attempt, runner, ticket), nil
+	}
 	return ticket, err
 }
 
--- a/internal/run/chat.go
+++ b/internal/run/chat.go
@@ -22,14 +22,15 @@
 	if ticket.Join {
 		return r.joinChat(ctx, c, ticket, sink, r.byClaim(c))
 	}
-	result, err := r.ownChat(ctx, c, ticket.Run, sink)
+	result, err := r.ownChat(ctx, c, ticket.Run, &follower{order: c.order(ticket.Run), sink: sink})
 	return result, c.doubted(ticket, err)
 }
 
-// ownChat carries a run that this call has claimed. It returns when the run has
-// its final outcome, which may be after the caller has left.
-func (r *Runner) ownChat(ctx context.Context, c Chat, run record.RunID, sink Sink) (ChatResult, error) {
-	p := r.attend(ctx, c.Request, sink)
+// ownChat carries a run that this call has claimed, after what it has read of
+// the run while it was another's. It returns when the run has its final
+// outcome, which may be after the caller has left.
+func (r *Runner) ownChat(ctx context.Context, c Chat, run record.RunID, read *follower) (ChatResult, error) {
+	p := r.attend(ctx, c.Request, read.sink)
 	defer p.stop()
 	worst := int64(c.PromptTokens + c.MaxTokens)
 	reserved, err := r.Accounts.Reserve(p.work, c.Key, run, c.Team.Budget, worst)
@@ -37,6 +38,7 @@
 		return ChatResult{}, r.end(ctx, c.Key, p.explain(err), false, nil)
 	}
 	g := newGeneration(c, run, p)
+	g.goOn(read)
 	err = p.explain(r.generate(p.work, g))
 	r.settleLater(ctx, g, reserved, err)
 	return g.result, r.end(ctx, c.Key, err, g.started, nil)
@@ -81,6 +83,19 @@
 	return &generation{chat: c, caller: p, order: c.order(run), result: ChatResult{Run: run}}
 }
 
+// goOn continues after the part of the answer that was read from its earlier
+// runner's endpoints.
+func (g *generation) goOn(read *follower) {
+	if read.order.From == 0 {
+		return
+	}
+	g.order.From, g.order.Attempt = read.order.From, read.order.Attempt
+	g.text.add(endpoint.Token{Text: read.text.String()})
+	g.moved = time.Now()
+	g.started = true
+	g.caller.late.Stop()
+}
+
 // take passes a token on and moves the order's offset past it.
 func (g *generation) take(t endpoint.Token) {
 	g.order.From = t.Index + 1
--- a/internal/run/join.go
+++ b/internal/run/join.go
@@ -29,6 +29,8 @@
 	order  endpoint.Order
 	sink   Sink
 	result ChatResult
+	// text is what was read, from the caller's offset on.
+	text tokenText
 	// left marks an error of the caller's own connection.
 	left bool
 }
@@ -85,6 +87,11 @@
 func (r *Runner) joinChat(ctx context.Context, c Chat, ticket claim.Ticket, sink Sink, where locate) (ChatResult, error) {
 	f := &follower{order: c.order(ticket.Run), sink: sink, result: ChatResult{Run: ticket.Run}}
 	f.order.ResumeOnly, f.order.From = true, c.Have.Tokens
+	return r.joinRun(ctx, c, ticket, f, where)
+}
+
+// joinRun follows the run from endpoint to endpoint to its end, or takes it over.
+func (r *Runner) joinRun(ctx context.Context, c Chat, ticket claim.Ticket, f *follower, where locate) (ChatResult, error) {
 	patience := time.Now().Add(c.Wait)
 	for {
 		before := f.order.From
@@ -104,11 +111,17 @@
 		if time.Now().After(patience) {
 			return f.result, failure(errors.Join(errLate, err), true)
 		}
+		last := err
 		if ticket, err = r.again(ctx, c, f.order, where); err != nil {
 			return f.result, failure(err, true)
 		}
+		if ticket.RunnerGone && ticket.Outcome == 0 {
+			if ticket, err = r.seek(ctx, c, ticket, f, last); err != nil {
+				return f.result, failure(err, true)
+			}
+		}
 		if !ticket.Join {
-			result, err := r.ownChat(ctx, c, ticket.Run, sink)
+			result, err := r.ownChat(ctx, c, ticket.Run, f)
 			return result, c.doubted(ticket, err)
 		}
 	}
@@ -121,12 +134,38 @@
 		return claim.ErrUnknown
 	case t.Outcome == record.OutcomeAnswered && errors.Is(err, endpoint.ErrRefused):
 		return errAnswerGone
-	case t.RunnerGone && errors.Is(err, endpoint.ErrRefused):
-		return claim.ErrUnknown
 	}
 	return nil
 }
 
+// seek finds the endpoint that goes on with a run whose runner is gone. Where
+// none does, nobody will bring the rest: the run is taken over at once. Load:
+// an instance and an endpoint that die in the same seconds. Harm prevented:
+// callers who wait out their whole time for a run that nobody has. Limit: only
+// a joiner that has read the answer from its start can go on with it elsewhere;
+// a caller who came with a part of it is told that the run is gone.
+func (r *Runner) seek(ctx context.Context, c Chat, ticket claim.Ticket, f *follower, last error) (claim.Ticket, error) {
+	if r.Finder != nil && !errors.Is(last, endpoint.ErrCancelled) {
+		if name, ok := r.Finder.Find(ctx, ticket.Run); ok {
+			ticket.Endpoint = name
+			return ticket, nil
+		}
+	}
+	if c.Have.Tokens > 0 {
+		return ticket, errRunGone
+	}
+	again := c.claim(true)
+	again.Lost = ticket.Run
+	taken, err := r.Claims.Begin(ctx, again)
+	if err == nil && taken.Run != ticket.Run && f.order.From > 0 {
+		if !taken.Join {
+			r.Claims.End(ctx, c.Key, claim.End{Outcome: record.OutcomeNotRun})
+		}
+		return taken, errRunGone
+	}
+	return taken, err
+}
+
 // again asks again where the run is, after a pause.
 func (r *Runner) again(ctx context.Context, c Chat, order endpoint.Order, where locate) (claim.Ticket, error) {
 	timer := time.NewTimer(joinPause)
@@ -179,6 +218,7 @@
 		}
 		progress.token()
 		f.order.From = token.Index + 1
+		f.text.add(token)
 		if err := f.sink(f.order.Run, token); err != nil {
 			f.left = true
 			return err
--- a/internal/run/run_test.go
+++ b/internal/run/run_test.go
@@ -245,6 +245,10 @@
 	if known.digest != r.Digest {
 		return claim.Ticket{}, claim.ErrKeyReused
 	}
+	if known.ticket.RunnerGone && r.Lost == known.ticket.Run {
+		known.ticket.Runner, known.ticket.RunnerGone, known.ticket.Endpoint = "a1", false, ""
+		return known.ticket, nil
+	}
 	joined := known.ticket
 	joined.Join = true
 	return joined, nil
