Find an answer whose place the claim's holder does not know

Cause: the place of a run is told to the claim's holder once, in the background; it can be lost, or arrive after the end. Ruled out: the runner (alive), the engines (they have the answer).

Change: the end carries the run's last endpoint. A joiner of an answered run that cannot be read where the holder says asks the engines, and where none has it learns that at once (answer_gone) instead of late.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -80,6 +80,9 @@
 	Outcome record.Outcome
 	// Answer is kept for retries up to MaxAnswerBytes; nil for none.
 	Answer *Answer
+	// Endpoint is where the run was placed last; empty where it is not known.
+	// Place may be lost or arrive after the end.
+	Endpoint string
 }
 
 // Claims is what a run needs.
--- a/internal/claim/fleet.go
+++ b/internal/claim/fleet.go
@@ -42,6 +42,7 @@
 	run        record.RunID
 	repeatable bool
 	uncounted  bool
+	endpoint   string // Where it was placed last.
 }
 
 var _ Claims = (*Fleet)(nil)
@@ -139,6 +140,10 @@
 func (f *Fleet) Place(_ context.Context, key record.RequestKey, endpoint string) {
 	f.mu.Lock()
 	way, ok := f.inFlight[key]
+	if ok {
+		way.endpoint = endpoint
+		f.inFlight[key] = way
+	}
 	f.mu.Unlock()
 	if !ok || way.uncounted {
 		return
@@ -161,7 +166,7 @@
 	if !ok || way.uncounted {
 		return
 	}
-	end.Run = way.run
+	end.Run, end.Endpoint = way.run, way.endpoint
 	if end.Answer != nil && len(end.Answer.Body) > MaxAnswerBytes {
 		end.Answer = nil
 	}
--- a/internal/claim/table.go
+++ b/internal/claim/table.go
@@ -136,6 +136,9 @@
 		return nil
 	}
 	w.outcome = e.Outcome
+	if e.Endpoint != "" {
+		w.claim.Endpoint = e.Endpoint
+	}
 	if e.Outcome == record.OutcomeNotRun {
 		delete(t.rows, key)
 		t.freed[w.claim.Run] = struct{}{}
--- a/internal/claim/takeover_test.go
+++ b/internal/claim/takeover_test.go
@@ -119,3 +119,26 @@
 	}
 	return ticket
 }
+
+// TestEndNamesTheEndpoint loses the word of a run's place: a retry must learn
+// from its end where the answer is.
+func TestEndNamesTheEndpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(breakage{}, claim.Serve)
+		defer w.stop()
+		time.Sleep(5 * time.Second)
+		r := claim.Request{Key: record.RequestKey{Team: "t", Key: "k"}, Digest: 1, Home: homeZone, Repeatable: true}
+		holder := w.holderSlot(t)
+		runner := (holder + 1) % worldSize
+		begin(t, w, w.at(runner).fleet, r)
+		w.do(op{Kind: opCut, A: runner, B: holder}, claim.Serve)
+		w.at(runner).fleet.Place(w.ctx, r.Key, "e1")
+		time.Sleep(6 * time.Second) // The telling has been given up.
+		w.do(op{Kind: opHeal}, claim.Serve)
+		w.at(runner).fleet.End(w.ctx, r.Key, claim.End{Outcome: record.OutcomeAnswered})
+		time.Sleep(2 * time.Second)
+		if got := begin(t, w, w.at(holder).fleet, r); got.Outcome != record.OutcomeAnswered || got.Endpoint != "e1" {
+			t.Fatalf("%+v", got)
+		}
+	})
+}
--- a/internal/run/join.go
+++ b/internal/run/join.go
@@ -102,8 +102,8 @@
 		if f.left || ctx.Err() != nil {
 			return f.result, failure(errors.Join(errLeft, err), true)
 		}
-		if final := ended(ticket, err); final != nil {
-			return f.result, failure(final, true)
+		if ticket.Outcome == record.OutcomeUnknown {
+			return f.result, failure(claim.ErrUnknown, true)
 		}
 		if f.order.From > before {
 			patience = time.Now().Add(c.Wait)
@@ -115,7 +115,7 @@
 		if ticket, err = r.again(ctx, c, f.order, where); err != nil {
 			return f.result, failure(err, true)
 		}
-		if ticket.RunnerGone && ticket.Outcome == 0 {
+		if ticket.RunnerGone || ticket.Outcome == record.OutcomeAnswered {
 			if ticket, err = r.seek(ctx, c, ticket, f, last); err != nil {
 				return f.result, failure(err, true)
 			}
@@ -127,23 +127,13 @@
 	}
 }
 
-// ended returns the final error of a run that has ended, nil while it may go on.
-func ended(t claim.Ticket, err error) error {
-	switch {
-	case t.Outcome == record.OutcomeUnknown:
-		return claim.ErrUnknown
-	case t.Outcome == record.OutcomeAnswered && errors.Is(err, endpoint.ErrRefused):
-		return errAnswerGone
-	}
-	return nil
-}
-
-// seek finds the endpoint that goes on with a run whose runner is gone. Where
-// none does, nobody will bring the rest: the run is taken over at once. Load:
-// an instance and an endpoint that die in the same seconds. Harm prevented:
-// callers who wait out their whole time for a run that nobody has. Limit: only
-// a joiner that has read the answer from its start can go on with it elsewhere;
-// a caller who came with a part of it is told that the run is gone.
+// seek finds the endpoint that has a run which nobody will move any more: its
+// runner is gone, or it has its answer. Where none has it, a run without an
+// outcome is taken over at once. Load: an instance and an endpoint that die in
+// the same seconds, and placements that never reached the holder. Harm
+// prevented: callers who wait out their whole time for a run that nobody has.
+// Limit: only a joiner that has read the answer from its start can go on with
+// it elsewhere; a caller who came with a part of it is told that the run is gone.
 func (r *Runner) seek(ctx context.Context, c Chat, ticket claim.Ticket, f *follower, last error) (claim.Ticket, error) {
 	if r.Finder != nil && !errors.Is(last, endpoint.ErrCancelled) {
 		if name, ok := r.Finder.Find(ctx, ticket.Run); ok {
@@ -151,7 +141,12 @@
 			return ticket, nil
 		}
 	}
-	if c.Have.Tokens > 0 {
+	switch {
+	case ticket.Outcome == record.OutcomeAnswered:
+		return ticket, errAnswerGone
+	case ticket.Outcome != 0:
+		return ticket, claim.ErrUnknown
+	case c.Have.Tokens > 0:
 		return ticket, errRunGone
 	}
 	again := c.claim(true)
--- a/internal/run/takeover_test.go
+++ b/internal/run/takeover_test.go
@@ -109,3 +109,25 @@
 		t.Fatalf("%q, %v", got.text, got.err)
 	}
 }
+
+// TestAnswerIsFoundWhereverItIs has runs that ended, with their endpoint unknown
+// or wrong at the holder, and with nobody left who has the answer.
+func TestAnswerIsFoundWhereverItIs(t *testing.T) {
+	for name, at := range map[string]string{"unknown": "", "left the list": "e9", "another": "e2"} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			chat := chatOf("k", true)
+			owner := b.ask(t.Context(), chat, nil)
+			claims := b.Claims.(*table)
+			claims.rows[chat.Key].ticket.Endpoint = at
+			got := b.ask(t.Context(), chat, nil)
+			if got.err != nil || got.text != textOf(0, testTokens) || got.result.Run != owner.result.Run {
+				t.Fatalf("%q, %v", got.text, got.err)
+			}
+			b.kill(0)
+			if f := failureOf(t, b.ask(t.Context(), chat, nil).err); f.Code != CodeAnswerGone || f.Outcome != record.OutcomeUnknown {
+				t.Fatalf("nobody has it: %+v", f)
+			}
+		})
+	}
+}
