Take over a run that its living runner does not know

Ruled out: runs queued at their runner (no own run of 12 s or more was seen there).

Change: a joiner whose run brings nothing for 2 s asks the engines, then names the run as lost; the claim's holder asks the runner, and gives the run to the joiner where the runner does not know it. No answer counts as yes.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -40,9 +40,9 @@
 	// Minted says that the entry drew the key itself, so that no retry can
 	// name the request again. A repeatable one then needs no claim.
 	Minted bool
-	// Lost is the run that this attempt joined before and found nowhere: its
-	// runner is gone and no endpoint goes on with it. A repeatable request then
-	// takes the run over. Empty for none.
+	// Lost is the run that this attempt joined before and found at no endpoint.
+	// A repeatable request takes it over where its runner is gone or does not
+	// know it. Empty for none.
 	Lost record.RunID
 }
 
--- a/internal/claim/fleet.go
+++ b/internal/claim/fleet.go
@@ -49,11 +49,21 @@
 
 // NewFleet returns the claims of an instance whose own shards are holder's.
 func NewFleet(holder *Holder) *Fleet {
-	return &Fleet{
+	f := &Fleet{
 		holder: holder, parts: holder.parts, opts: holder.opts,
 		telling:  make(chan struct{}, maxTelling),
 		inFlight: map[record.RequestKey]route{},
 	}
+	holder.running = f.running
+	return f
+}
+
+// running says whether this instance was given a run and has not ended it.
+func (f *Fleet) running(key record.RequestKey, run record.RunID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	way, ok := f.inFlight[key]
+	return ok && way.run == run
 }
 
 // Close waits until all holders have been told.
--- a/internal/claim/holder.go
+++ b/internal/claim/holder.go
@@ -45,6 +45,8 @@
 	opts    Options
 	batcher *right.Batcher[Use]
 	witness *right.Service[Use]
+	// running says whether a run is under way at this instance; see Fleet.
+	running func(record.RequestKey, record.RunID) bool
 
 	ctx     context.Context // Ends with Close.
 	cancel  context.CancelFunc
@@ -356,12 +358,24 @@
 		err = errNotHolder
 	}
 	ticket.RunnerGone = ticket.Join && ticket.Runner != h.parts.Self.ID && !h.parts.Members.Reachable(ticket.Runner)
-	if ticket.RunnerGone && r.Repeatable && r.Lost == ticket.Run && ticket.Outcome == 0 {
+	lost := err == nil && ticket.Join && ticket.Outcome == 0 && r.Repeatable && r.Lost == ticket.Run
+	if lost && (ticket.RunnerGone || !h.runs(ctx, ticket.Runner, r.Key, ticket.Run)) {
 		return s.takeOver(r, attempt, runner, ticket), nil
 	}
 	return ticket, err
 }
 
+// runs asks a run's runner whether it knows the run. It may not: the answer to
+// its Begin, or its word of the end, can be lost. No answer counts as yes.
+func (h *Holder) runs(ctx context.Context, runner record.InstanceID, key record.RequestKey, run record.RunID) bool {
+	if runner == h.parts.Self.ID {
+		return h.running(key, run)
+	}
+	var reply RunningReply
+	err := h.parts.Caller.Call(ctx, runner, ServiceName+".Running", RunningArgs{Key: key, Run: run}, &reply)
+	return err != nil || reply.Running
+}
+
 func (h *Holder) shardOf(r Request) shardID {
 	return shardID{Zone: r.Home, Shard: record.ClaimPartition(r.Key, len(h.parts.Partitions))}
 }
--- a/internal/claim/service.go
+++ b/internal/claim/service.go
@@ -87,6 +87,15 @@
 // EndReply says whether the holder knows the run.
 type EndReply struct{ Known bool }
 
+// RunningArgs ask a runner whether it knows a run.
+type RunningArgs struct {
+	Key record.RequestKey
+	Run record.RunID
+}
+
+// RunningReply says whether the run is under way there.
+type RunningReply struct{ Running bool }
+
 // Empty is no answer.
 type Empty struct{}
 
@@ -123,6 +132,12 @@
 	return nil
 }
 
+// Running is the net/rpc method.
+func (s *Service) Running(args RunningArgs, reply *RunningReply) error {
+	reply.Running = s.holder.running(args.Key, args.Run)
+	return nil
+}
+
 // validator looks claim shards up in the fold, for right.Service.
 type validator struct{ partitions []*Replica }
 
--- a/internal/claim/takeover_test.go
+++ b/internal/claim/takeover_test.go
@@ -142,3 +142,40 @@
 		}
 	})
 }
+
+// TestRunThatItsRunnerNeverGotIsTakenOver loses the answer to a Begin and the
+// word that the attempt was given up: the runner lives and knows of no run.
+func TestRunThatItsRunnerNeverGotIsTakenOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(breakage{}, claim.Serve)
+		defer w.stop()
+		time.Sleep(5 * time.Second)
+		r := claim.Request{Key: record.RequestKey{Team: "t", Key: "k"}, Digest: 1, Home: homeZone, Repeatable: true}
+		holder := w.holderSlot(t)
+		runner := (holder + 1) % worldSize
+		w.do(op{Kind: opDeaf, A: runner, B: holder}, claim.Serve)
+		w.running.Go(func() {
+			time.Sleep(time.Second)
+			w.do(op{Kind: opHeal}, claim.Serve)
+			w.do(op{Kind: opCut, A: runner, B: holder}, claim.Serve)
+		})
+		if got := begin(t, w, w.at(runner).fleet, r); !got.Uncounted {
+			t.Fatalf("the runner got %+v", got)
+		}
+		time.Sleep(8 * time.Second) // The telling has been given up.
+		w.do(op{Kind: opHeal}, claim.Serve)
+		time.Sleep(2 * time.Second)
+		found := begin(t, w, w.at(holder).fleet, r)
+		if !found.Join || found.RunnerGone || found.Outcome != 0 {
+			t.Fatalf("joined: %+v", found)
+		}
+		r.Lost = found.Run
+		if got := begin(t, w, w.at(holder).fleet, r); got.Join || got.Run != found.Run {
+			t.Fatalf("taken over: %+v", got)
+		}
+		// The new runner is this instance and knows the run, so others join it.
+		if got := begin(t, w, w.at(runner).fleet, r); !got.Join {
+			t.Fatalf("taken over twice: %+v", got)
+		}
+	})
+}
--- a/internal/claim/world_test.go
+++ b/internal/claim/world_test.go
@@ -335,6 +335,10 @@
 		var out claim.EndReply
 		_ = service.End(a, &out)
 		return func() { *reply.(*claim.EndReply) = out }
+	case claim.RunningArgs:
+		var out claim.RunningReply
+		_ = service.Running(a, &out)
+		return func() { *reply.(*claim.RunningReply) = out }
 	case right.AcknowledgeArgs[claim.Use]:
 		var out right.AcknowledgeReply
 		_ = n.witness.Acknowledge(a, &out)
--- a/internal/run/join.go
+++ b/internal/run/join.go
@@ -24,6 +24,12 @@
 // run is: while it is queued, or on its way to another endpoint.
 const joinPause = 100 * time.Millisecond
 
+// strayAfter is how long a joined run may bring nothing before its joiner asks
+// whether anybody has it. A queued run has no endpoint either, and each such
+// question goes to every engine: 2 s is well over the usual wait for a slot and
+// well under the callers' waits.
+const strayAfter = 2 * time.Second
+
 // follower reads a run that another request owns.
 type follower struct {
 	order  endpoint.Order
@@ -92,7 +98,7 @@
 
 // joinRun follows the run from endpoint to endpoint to its end, or takes it over.
 func (r *Runner) joinRun(ctx context.Context, c Chat, ticket claim.Ticket, f *follower, where locate) (ChatResult, error) {
-	patience := time.Now().Add(c.Wait)
+	patience, asked := time.Now().Add(c.Wait), time.Now()
 	for {
 		before := f.order.From
 		err := r.follow(ctx, ticket, f)
@@ -106,7 +112,7 @@
 			return f.result, failure(claim.ErrUnknown, true)
 		}
 		if f.order.From > before {
-			patience = time.Now().Add(c.Wait)
+			patience, asked = time.Now().Add(c.Wait), time.Now()
 		}
 		if time.Now().After(patience) {
 			return f.result, failure(errors.Join(errLate, err), true)
@@ -115,7 +121,8 @@
 		if ticket, err = r.again(ctx, c, f.order, where); err != nil {
 			return f.result, failure(err, true)
 		}
-		if ticket.RunnerGone || ticket.Outcome == record.OutcomeAnswered {
+		if ticket.RunnerGone || ticket.Outcome == record.OutcomeAnswered || time.Since(asked) > strayAfter {
+			asked = time.Now()
 			if ticket, err = r.seek(ctx, c, ticket, f, last); err != nil {
 				return f.result, failure(err, true)
 			}
@@ -127,9 +134,9 @@
 	}
 }
 
-// seek finds the endpoint that has a run which nobody will move any more: its
-// runner is gone, or it has its answer. Where none has it, a run without an
-// outcome is taken over at once. Load: an instance and an endpoint that die in
+// seek finds the endpoint that has a run: its runner is gone, it has its answer,
+// or it has brought nothing for long. Where none has it, a run without an
+// outcome is taken over, unless its runner still knows it. Load: an instance and an endpoint that die in
 // the same seconds, and placements that never reached the holder. Harm
 // prevented: callers who wait out their whole time for a run that nobody has.
 // Limit: only a joiner that has read the answer from its start can go on with
@@ -146,8 +153,10 @@
 		return ticket, errAnswerGone
 	case ticket.Outcome != 0:
 		return ticket, claim.ErrUnknown
-	case c.Have.Tokens > 0:
+	case c.Have.Tokens > 0 && ticket.RunnerGone:
 		return ticket, errRunGone
+	case c.Have.Tokens > 0:
+		return ticket, nil
 	}
 	again := c.claim(true)
 	again.Lost = ticket.Run
