--- a/internal/claim/holder.go
+++ b/internal/claim/holder.go
@@ -365,17 +365,6 @@
 	return ticket, err
 }
 
-// runs asks a run's runner whether it knows the run. It may not: the answer to
-// its Begin, or its word of the end, can be lost. No answer counts as yes.
-func (h *Holder) runs(ctx context.Context, runner record.InstanceID, key record.RequestKey, run record.RunID) bool {
-	if runner == h.parts.Self.ID {
-		return h.running(key, run)
-	}
-	var reply RunningReply
-	err := h.parts.Caller.Call(ctx, runner, ServiceName+".Running", RunningArgs{Key: key, Run: run}, &reply)
-	return err != nil || reply.Running
-}
-
 func (h *Holder) shardOf(r Request) shardID {
 	return shardID{Zone: r.Home, Shard: record.ClaimPartition(r.Key, len(h.parts.Partitions))}
 }
--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -247,25 +247,6 @@
 	s.held.Flush()
 }
 
-// takeOver gives a run whose runner is gone to the attempt that found it lost.
-// The run keeps its id, so that it is billed once even if the runner was only
-// cut off. Of several such attempts the first gets the run, the others join it.
-func (s *shard) takeOver(r Request, attempt string, runner record.InstanceID, found Ticket) Ticket {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	w, ok := s.table.rows[r.Key]
-	if ok && (w.claim.Run != found.Run || w.claim.Runner != found.Runner || w.outcome != 0) {
-		return w.ticket(true)
-	}
-	if !ok {
-		w = s.table.adopt(r, found.Run, s.terms.Right, s.opts.Now())
-	}
-	w.claim.Runner, w.claim.Endpoint, w.attempt = runner, "", attempt
-	s.held.Change(use(w.claim, 0))
-	s.held.Flush()
-	return w.ticket(false)
-}
-
 // end notes a run's outcome and sends it to the log. It returns false where
 // the run is not known here.
 func (s *shard) end(key record.RequestKey, attempt string, e End) bool {
--- a/internal/claim/table.go
+++ b/internal/claim/table.go
@@ -112,19 +112,6 @@
 	return Ticket{Run: c.Run, Join: true, Outcome: c.Outcome, Runner: c.Runner, Endpoint: c.Endpoint}
 }
 
-// adopt enters a run that was claimed in an earlier epoch and is known from the
-// fold only.
-func (t *table) adopt(r Request, run record.RunID, right record.RightID, now time.Time) *row {
-	t.seq++
-	w := &row{
-		claim:      record.Claim{Key: r.Key, Digest: r.Digest, Run: run, Right: right, UnixMilli: now.UnixMilli(), Seq: t.seq},
-		repeatable: r.Repeatable, counted: true, decided: make(chan struct{}),
-	}
-	close(w.decided)
-	t.rows[r.Key] = w
-	return w
-}
-
 // open returns the number of claims that have to stay in memory.
 func (t *table) open() int { return len(t.rows) - len(t.ended) }
 
--- a/internal/claim/takeover_test.go
+++ b/internal/claim/takeover_test.go
@@ -10,6 +10,22 @@
 	"guavapier/internal/record"
 )
 
+// inSettledWorld plays in a bubble of fake time, with a fleet whose shard has its
+// holder and witness.
+func inSettledWorld(t *testing.T, play func(*testing.T, *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(breakage{}, claim.Serve)
+		defer w.stop()
+		time.Sleep(5 * time.Second)
+		play(t, w)
+	})
+}
+
+func repeatable() claim.Request {
+	return claim.Request{Key: record.RequestKey{Team: "t", Key: "k"}, Digest: 1, Home: homeZone, Repeatable: true}
+}
+
 // orphaned has an instance that does not hold the shard claim a repeatable
 // request and die. It returns the slots of the two that are left, and the run.
 func orphaned(t *testing.T, w *world, r claim.Request) (left [2]int, run record.RunID) {
@@ -46,11 +62,8 @@
 // lost. One gets it under the same id, the other joins it, and its end is what
 // later attempts learn.
 func TestLostRunIsTakenOverOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(breakage{}, claim.Serve)
-		defer w.stop()
-		time.Sleep(5 * time.Second)
-		r := claim.Request{Key: record.RequestKey{Team: "t", Key: "k"}, Digest: 1, Home: homeZone, Repeatable: true}
+	inSettledWorld(t, func(t *testing.T, w *world) {
+		r := repeatable()
 		left, run := orphaned(t, w, r)
 		first, second := w.at(left[0]).fleet, w.at(left[1]).fleet
 		if got := begin(t, w, second, r); !got.Join || !got.RunnerGone || got.Run != run {
@@ -75,11 +88,8 @@
 // its own run: the next holder knows the claim from the log only, and the end
 // must reach the log for the holder after that.
 func TestLostRunIsTakenOverByTheNextHolder(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(breakage{}, claim.Serve)
-		defer w.stop()
-		time.Sleep(5 * time.Second)
-		r := claim.Request{Key: record.RequestKey{Team: "t", Key: "k"}, Digest: 1, Home: homeZone, Repeatable: true}
+	inSettledWorld(t, func(t *testing.T, w *world) {
+		r := repeatable()
 		holder := w.holderSlot(t)
 		ticket := begin(t, w, w.at(holder).fleet, r)
 		time.Sleep(time.Second)
@@ -123,11 +133,8 @@
 // TestEndNamesTheEndpoint loses the word of a run's place: a retry must learn
 // from its end where the answer is.
 func TestEndNamesTheEndpoint(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(breakage{}, claim.Serve)
-		defer w.stop()
-		time.Sleep(5 * time.Second)
-		r := claim.Request{Key: record.RequestKey{Team: "t", Key: "k"}, Digest: 1, Home: homeZone, Repeatable: true}
+	inSettledWorld(t, func(t *testing.T, w *world) {
+		r := repeatable()
 		holder := w.holderSlot(t)
 		runner := (holder + 1) % worldSize
 		begin(t, w, w.at(runner).fleet, r)
@@ -146,11 +153,8 @@
 // TestRunThatItsRunnerNeverGotIsTakenOver loses the answer to a Begin and the
 // word that the attempt was given up: the runner lives and knows of no run.
 func TestRunThatItsRunnerNeverGotIsTakenOver(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(breakage{}, claim.Serve)
-		defer w.stop()
-		time.Sleep(5 * time.Second)
-		r := claim.Request{Key: record.RequestKey{Team: "t", Key: "k"}, Digest: 1, Home: homeZone, Repeatable: true}
+	inSettledWorld(t, func(t *testing.T, w *world) {
+		r := repeatable()
 		holder := w.holderSlot(t)
 		runner := (holder + 1) % worldSize
 		w.do(op{Kind: opDeaf, A: runner, B: holder}, claim.Serve)
