Keep a late claim, not every claim, for its caller's return

Cause: claims and marks were kept 2 s for every request that had given up, also where the claim had come in time and others had used it up: near the end of a budget, where many give up, that raised the marks, which a kill of all instances loses. Ruled out: a limit by the log's own trip time (TestThreeInstancesSpendABudgetToItsEnd red 1 of 24 beside a busy machine).

Change: what was wanted is kept only if it came after its request had given up.

--- a/internal/prepaid/book.go
+++ b/internal/prepaid/book.go
@@ -67,15 +67,16 @@
 	givenSum int64
 	takenSum int64
 
-	stated     int64 // Claimed in the last statement.
-	markOnLog  int64 // Of the last statement that the log took.
-	markNow    int64 // Of the statement under way; else as markOnLog.
-	short      int64 // Wanted by requests that wait.
-	wanted     int64 // The most of short in the drafts of the last wantedFor.
-	wantedAt   time.Duration
-	rate       rate
-	largest    float64 // Decaying maximum of a request's size.
-	statedUsed int64
+	stated    int64 // Claimed in the last statement.
+	markOnLog int64 // Of the last statement that the log took.
+	markNow   int64 // Of the statement under way; else as markOnLog.
+	short     int64 // Wanted by requests that wait.
+	wanted    int64 // Short at the last draft, or what came late for it.
+	// wantedUntil is how long wanted is kept although no request waits.
+	wantedUntil time.Duration
+	rate        rate
+	largest     float64 // Decaying maximum of a request's size.
+	statedUsed  int64
 }
 
 func (a *account) used() int64 { return a.settled + a.reserved }
@@ -200,7 +201,7 @@
 	defer b.mu.Unlock()
 	if key == b.self.Key {
 		if s != nil && b.pending != nil && s.Sequence == b.pending.Sequence {
-			b.confirm()
+			b.confirm(now)
 		}
 		return
 	}
@@ -216,12 +217,13 @@
 
 // confirm makes the raises of the own pending statement valid, if at its place
 // on the log all claims stay within the prepaid totals.
-func (b *Book) confirm() {
+func (b *Book) confirm(now time.Duration) {
 	for _, r := range b.pending.Rows {
 		a := b.account(r.Team)
 		if r.Claimed > a.claimed && b.claimedByOthers(r.Team)+r.Claimed <= b.prepaid[r.Team] {
 			a.claimed = r.Claimed
 		}
+		a.late(r, now)
 	}
 	b.pending = nil
 	b.wake()
--- a/internal/prepaid/policy.go
+++ b/internal/prepaid/policy.go
@@ -197,15 +197,25 @@
 	return rows, pressing, news
 }
 
-// wantedFor is how long a claim or mark for a request outlives the request. A
-// slow log takes longer than the request waits; what it brings must not be given
-// back before the caller has come back for it.
+// wantedFor is how long a claim or mark that came after its request had given up
+// is kept for the caller's return. Load: a log that is slower than requests
+// wait. Harm prevented: what it brings is given back before the caller has come
+// back for it. Limit: only what came late is kept, since a kill of all instances
+// loses what is marked, and near the end of a budget many requests give up.
 const wantedFor = 2 * time.Second
 
 // want notes what waiting requests lack at a draft.
 func (a *account) want(now time.Duration) {
-	if a.short >= a.wanted || now-a.wantedAt >= wantedFor {
-		a.wanted, a.wantedAt = a.short, now
+	if a.short >= a.wanted || now >= a.wantedUntil {
+		a.wanted = a.short
+	}
+}
+
+// late notes whether a confirmed row brought what requests wanted that have
+// given up meanwhile.
+func (a *account) late(r Row, now time.Duration) {
+	if a.short < a.wanted && a.unspent() >= a.wanted && r.Mark-a.gone() >= a.wanted {
+		a.wantedUntil = now + wantedFor
 	}
 }
 
