Look whether a statement is due before drafting its rows

Cause: each request that waits for tokens asks for a statement whenever anything changes, and the look drafted all rows first: 258 us among 81 instances with 24 organisations, on machines of a fifth of a core.

Change: the pause is looked at first, and a draft adds up the others' rows in one pass.

--- a/internal/prepaid/others.go
+++ b/internal/prepaid/others.go
@@ -62,6 +62,55 @@
 	return b.sumsOf(team).claimed
 }
 
+// tally is what the other processes say of all budgets, as one draft needs it.
+type tally struct {
+	instances int // Alive, this one included.
+	budgets   map[record.Team]*share
+}
+
+// share is what the others have of one budget: the living have used and lack so
+// much, at such a rate a second; the dead hold so much for good.
+type share struct{ used, rate, short, lost int64 }
+
+// of returns the others' share of a budget.
+func (t tally) of(team record.Team) share {
+	if s := t.budgets[team]; s != nil {
+		return *s
+	}
+	return share{}
+}
+
+// tally adds the statements up, each row once: among 81 instances with 24
+// organisations a statement takes 0.13 ms to draft, with a sum for each budget 0.27.
+func (b *Book) tally() tally {
+	t := tally{instances: 1, budgets: make(map[record.Team]*share, len(b.prepaid))}
+	for _, h := range b.others {
+		alive := b.alive(h)
+		if alive {
+			t.instances++
+		}
+		for i := range h.Rows {
+			t.add(&h.Rows[i], alive)
+		}
+	}
+	return t
+}
+
+func (t tally) add(r *Row, alive bool) {
+	s := t.budgets[r.Team]
+	if s == nil {
+		s = &share{}
+		t.budgets[r.Team] = s
+	}
+	if !alive {
+		s.lost += r.lost()
+		return
+	}
+	s.used += r.Used
+	s.rate += r.Rate
+	s.short += r.Short
+}
+
 // Instances returns how many processes are alive as far as their statements
 // show, this one included.
 func (b *Book) Instances() int {
--- a/internal/prepaid/policy.go
+++ b/internal/prepaid/policy.go
@@ -102,15 +102,27 @@
 	if b.pending != nil || b.closed {
 		return nil
 	}
+	first, since := b.sequence == 0, now-b.toldAt
+	if !first && since < b.pause(b.waiting()) {
+		return nil // Too soon whatever the rows say, and those cost 0.1 ms in a large fleet.
+	}
 	rows, pressing, news := b.draftRows(now)
-	since := now - b.toldAt
-	first := b.sequence == 0
 	if !first && (since < b.pause(pressing) || !news && since < b.policy.Heartbeat) {
 		return nil
 	}
 	return b.state(rows, false, now)
 }
 
+// waiting says whether any request waits for tokens.
+func (b *Book) waiting() bool {
+	for _, a := range b.accounts {
+		if a.short > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // pause is the shortest time between two statements. Load: a large fleet, each
 // of whose instances reads all statements. Harm prevented: small links and
 // processors full of them, 70 instances at 7 a second each are 9 Mbit/s. Limit:
@@ -178,13 +190,13 @@
 // draftRows sizes every claim and mark. pressing says that a request waits for
 // one, news that the statement would say something else than the last.
 func (b *Book) draftRows(now time.Duration) (rows []Row, pressing, news bool) {
-	n := b.instances()
+	others := b.tally()
 	for _, team := range b.teams() {
 		a := b.account(team)
 		a.want(now)
-		rest := b.rest(team, a, n, now)
+		rest := b.rest(team, a, others, now)
 		r := a.row(team, now)
-		r.Claimed = b.claim(team, a, rest, now)
+		r.Claimed = b.claim(team, a, rest, others.of(team).short, now)
 		r.Mark = a.mark(rest, r.Claimed, now)
 		if a.short > 0 && (r.Claimed > a.claimed || r.Mark > a.markOnLog) {
 			pressing = true
@@ -233,13 +245,13 @@
 }
 
 // claim returns what to claim of a budget in all.
-func (b *Book) claim(team record.Team, a *account, r rest, now time.Duration) int64 {
+func (b *Book) claim(team record.Team, a *account, r rest, shortElsewhere int64, now time.Duration) int64 {
 	room := b.prepaid[team] - b.claimedByOthers(team) - a.claimed
 	if room < 0 {
 		return min(a.claimed, a.gone()-a.takenSum) // The total was lowered: nothing unused is kept.
 	}
 	target := max(b.target(a, r, now), float64(a.wanted))
-	if short := b.shortElsewhere(team); short > 0 && room < short {
+	if shortElsewhere > 0 && room < shortElsewhere {
 		target *= helpShare
 	}
 	unspent := float64(a.unspent())
@@ -272,25 +284,15 @@
 	return min(1, r.left/(share*r.total))
 }
 
-func (b *Book) rest(team record.Team, a *account, n int, now time.Duration) rest {
-	total := float64(b.prepaid[team])
-	left := total - float64(a.used())
-	othersRate := 0.0
-	for _, h := range b.others {
-		r := h.row(team)
-		if !b.alive(h) {
-			left -= float64(r.lost())
-			continue
-		}
-		left -= float64(r.Used)
-		othersRate += float64(r.Rate)
-	}
+func (b *Book) rest(team record.Team, a *account, others tally, now time.Duration) rest {
+	total, o := float64(b.prepaid[team]), others.of(team)
 	own := a.rate.perSecond(now)
-	share := 1 / float64(n)
-	if own+othersRate > 0 {
-		share = own / (own + othersRate)
+	share := 1 / float64(others.instances)
+	if own+float64(o.rate) > 0 {
+		share = own / (own + float64(o.rate))
 	}
-	return rest{total: total, left: max(0, left), share: share, instances: float64(n)}
+	left := total - float64(a.used()+o.used+o.lost)
+	return rest{total: total, left: max(0, left), share: share, instances: float64(others.instances)}
 }
 
 // target is how many unused tokens of the budget this instance is to hold.
@@ -301,14 +303,3 @@
 	want := a.rate.perSecond(now)*b.policy.Horizon.Seconds() + a.largest
 	return max(0, min(max(want, floor), top))
 }
-
-// shortElsewhere is what requests lack at other instances.
-func (b *Book) shortElsewhere(team record.Team) int64 {
-	sum := int64(0)
-	for _, h := range b.others {
-		if b.alive(h) {
-			sum += h.row(team).Short
-		}
-	}
-	return sum
-}
