Never say of a lost run that it has not run

Cause: a run that was taken over ended as "not run" where no endpoint took it or the budget did not cover it, although its first runner may have run it.

Change: a run taken over counts as begun from the start. A holder without a fleet knows of no run under way, in place of a nil call.

Before: TestLostRunIsNeverSaidNotToHaveRun red in both cases. After: green, all tests of internal/run with it.

--- a/internal/claim/holder.go
+++ b/internal/claim/holder.go
@@ -45,7 +45,7 @@
 	opts    Options
 	batcher *right.Batcher[Use]
 	witness *right.Service[Use]
-	// running says whether a run is under way at this instance; see Fleet.
+	// running says whether a run is under way at this instance; a Fleet sets it.
 	running func(record.RequestKey, record.RunID) bool
 
 	ctx     context.Context // Ends with Close.
@@ -68,7 +68,8 @@
 		batcher: right.NewBatcher[Use](parts.Caller, right.BatcherOptions{
 			Service: WitnessServiceName, Deadline: opts.Acknowledge, Attempts: acknowledgeAttempts,
 		}),
-		shards: map[shardID]*shard{}, busy: map[shardID]bool{}, away: map[record.InstanceID]time.Time{},
+		running: func(record.RequestKey, record.RunID) bool { return false },
+		shards:  map[shardID]*shard{}, busy: map[shardID]bool{}, away: map[record.InstanceID]time.Time{},
 	}
 	h.witness = right.NewService[Use](parts.Self.ID, validator{parts.Partitions}, opts.Acknowledge)
 	return h
--- a/internal/run/chat.go
+++ b/internal/run/chat.go
@@ -35,7 +35,7 @@
 	worst := int64(c.PromptTokens + c.MaxTokens)
 	reserved, err := r.Accounts.Reserve(p.work, c.Key, run, c.Team.Budget, worst)
 	if err != nil {
-		return ChatResult{}, r.end(ctx, c.Key, p.explain(err), false, nil)
+		return ChatResult{}, r.end(ctx, c.Key, p.explain(err), read.taken, nil)
 	}
 	g := newGeneration(c, run, p)
 	g.goOn(read)
@@ -86,13 +86,13 @@
 // goOn continues after the part of the answer that was read from its earlier
 // runner's endpoints.
 func (g *generation) goOn(read *follower) {
+	g.started = read.taken
 	if read.order.From == 0 {
 		return
 	}
 	g.order.From, g.order.Attempt = read.order.From, read.order.Attempt
 	g.text.add(endpoint.Token{Text: read.text.String()})
 	g.moved = time.Now()
-	g.started = true
 	g.caller.late.Stop()
 }
 
--- a/internal/run/join.go
+++ b/internal/run/join.go
@@ -37,6 +37,8 @@
 	result ChatResult
 	// text is what was read, from the caller's offset on.
 	text tokenText
+	// taken says that the run was taken over: its earlier runner may have run it.
+	taken bool
 	// left marks an error of the caller's own connection.
 	left bool
 }
@@ -128,6 +130,7 @@
 			}
 		}
 		if !ticket.Join {
+			f.taken = ticket.Run == f.order.Run
 			result, err := r.ownChat(ctx, c, ticket.Run, f)
 			return result, c.doubted(ticket, err)
 		}
--- a/internal/run/takeover_test.go
+++ b/internal/run/takeover_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"testing"
 
+	"guavapier/internal/ledger"
 	"guavapier/internal/record"
 )
 
@@ -131,3 +132,30 @@
 		})
 	}
 }
+
+// TestLostRunIsNeverSaidNotToHaveRun has a run taken over that no endpoint takes
+// now, or that the budget does not cover: its first runner may have run it.
+func TestLostRunIsNeverSaidNotToHaveRun(t *testing.T) {
+	for name, hinder := range map[string]func(*bench){
+		"no endpoint": func(b *bench) { b.kill(0); b.kill(1) },
+		"no tokens":   func(b *bench) { b.Accounts = emptyBooks{b.books} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			chat := chatOf("k", true)
+			b.orphan(chat, "")
+			hinder(b)
+			if f := failureOf(t, b.ask(t.Context(), chat, nil).err); f.Outcome != record.OutcomeUnknown {
+				t.Fatalf("%+v", f)
+			}
+		})
+	}
+}
+
+// emptyBooks has no tokens.
+type emptyBooks struct{ *books }
+
+// Reserve implements Accounts.
+func (emptyBooks) Reserve(context.Context, record.RequestKey, record.RunID, record.BudgetID, int64) (ledger.Reservation, error) {
+	return ledger.Reservation{}, ledger.ErrExhausted
+}
