Tell what a drain cuts, what it waited for and how long its end took

Change: a reason of its own and the phase of a cut request, the number under way at the drain's begin and end, a line for each step of the end, one for SIGHUP, one line for the first listing. No decision changes.

--- a/internal/cli/reload.go
+++ b/internal/cli/reload.go
@@ -32,6 +32,7 @@
 	for {
 		select {
 		case <-signals:
+			log.Info().Msg("gateway: SIGHUP, looking at the settings file")
 		case <-ticker.C:
 		case <-ctx.Done():
 			return
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -29,6 +29,7 @@
 	ReasonTimeout      Reason = "timeout"
 	ReasonBroken       Reason = "answer broken off"
 	ReasonCallerLeft   Reason = "caller left"
+	ReasonCut          Reason = "cut at the end of the drain"
 )
 
 // refusal is a final answer of the instance's own.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -57,6 +57,7 @@
 	c.attempts++
 	c.endpoint = ticket.Endpoint.ID
 	c.f.Placed(ticket)
+	c.phase = phaseEndpoint
 	outcome, began := placement.Failed, time.Now()
 	defer func() { ticket.Done(outcome, c.f.Clock()) }()
 	ctx, cancel := c.bound(ctx)
@@ -174,6 +175,7 @@
 	c.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	c.first = time.Since(c.began)
 	c.opened = true
+	c.phase = phaseCaller
 	if isSuccess(a.status) {
 		c.pieces = max(1, c.MaxOutput) // How many tokens the body holds is not told: all are charged.
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -50,7 +50,10 @@
 	Draining func() bool
 	// Ends is when this instance ends, once it is so near that callers had time to
 	// go elsewhere; zero before.
-	Ends    func() time.Time
+	Ends func() time.Time
+	// Cut says that callers' connections are being closed with their requests
+	// under way, so that a caller who is gone has not left.
+	Cut     func() bool
 	Log     zerolog.Logger
 	Observe func(Event)
 	// Placed is told of each attempt that is about to be sent.
@@ -90,6 +93,7 @@
 	first    time.Duration
 	reason   Reason
 	endpoint string
+	phase    phase
 }
 
 // ServeHTTP implements http.Handler.
@@ -203,6 +207,7 @@
 	if limit <= 0 {
 		limit = maxBody
 	}
+	c.phase = phaseBody
 	body, err := io.ReadAll(http.MaxBytesReader(c.w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -221,6 +226,7 @@
 	if c.org == nil || c.org.Prepaid == nil || tokens <= 0 {
 		return nil, nil
 	}
+	c.phase = phaseTokens
 	reserved, err := c.f.Budgets.Reserve(ctx, c.org.Name, tokens)
 	if err != nil {
 		c.logBudget(tokens, err)
@@ -319,13 +325,21 @@
 
 // left ends a request whose caller is gone.
 func (c *call) left() int {
-	c.reason = ReasonCallerLeft
+	c.reason = c.whyGone()
 	if c.opened {
 		c.abort()
 	}
 	return 0
 }
 
+// whyGone tells a caller who left from one whose connection this instance closes.
+func (c *call) whyGone() Reason {
+	if c.f.Cut() {
+		return ReasonCut
+	}
+	return ReasonCallerLeft
+}
+
 // abort cuts the answer so that it can't look complete.
 func (c *call) abort() { panic(http.ErrAbortHandler) }
 
--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -9,6 +9,17 @@
 	"guavapier/internal/placement"
 )
 
+// phase is what a request waits for, as its last line tells it.
+type phase string
+
+// The phases.
+const (
+	phaseBody     phase = "body"
+	phaseTokens   phase = "tokens"
+	phaseEndpoint phase = "endpoint"
+	phaseCaller   phase = "caller" // It takes what the endpoint has sent.
+)
+
 // logAttempt writes the attempt's line: what chose the endpoint and how it
 // ended. Those that gave the final answer in time are the bulk, and only for
 // debugging.
@@ -54,7 +65,7 @@
 	}
 	line.Str("request", c.ID).Str("route", name).Str("team", string(c.team())).Int("status", status).
 		Str("reason", string(c.reason)).Str("endpoint", c.endpoint).Str("zone", c.f.Zone).Int("attempts", c.attempts).
-		Bool("late", c.late()).
+		Bool("late", c.late()).Str("phase", string(c.phase)).
 		Dur("took", took).Dur("first", c.first).Int64("events", c.pieces).
 		Int64("prompt", c.PromptTokens).Int64("state", c.version()).Msg("forward: request ended")
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -60,6 +60,7 @@
 
 // pass sends one event at once and says whether the caller still takes it.
 func (c *call) pass(event []byte) bool {
+	c.phase = phaseCaller
 	c.pieces++ // Charged even if the write fails: it may have arrived.
 	if _, err := c.w.Write(event); err != nil {
 		return false
@@ -67,6 +68,7 @@
 	if err := http.NewResponseController(c.w).Flush(); err != nil {
 		return false
 	}
+	c.phase = phaseEndpoint
 	if id := eventID(event); id != "" {
 		c.lastID = id
 	}
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -82,7 +82,7 @@
 		e.pool.Forget(decoded.ID)
 		e.told(decoded.ID, "endpoint started again")
 	case discovery.Added:
-		e.told(decoded.ID, "endpoint added")
+		e.toldAdded(decoded.ID)
 	case discovery.LeavingNow:
 		e.told(decoded.ID, "endpoint leaves")
 	}
@@ -104,6 +104,14 @@
 	e.told(id, "endpoint gone")
 }
 
+// toldAdded writes a line for an endpoint that comes later; those of the first
+// listing have one line together, since hundreds would crowd out all others.
+func (e *endpoints) toldAdded(id string) {
+	if e.loaded.Load() {
+		e.told(id, "endpoint added")
+	}
+}
+
 func (e *endpoints) told(id, what string) {
 	e.log.Info().Str("endpoint", id).Msg("gateway: " + what)
 }
@@ -117,7 +125,9 @@
 			e.drop(id)
 		}
 	}
-	e.loaded.Store(true)
+	if !e.loaded.Swap(true) {
+		e.log.Info().Int("endpoints", len(e.seen)).Msg("gateway: endpoints listed")
+	}
 }
 
 func (e *endpoints) outcome(err error) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -88,6 +88,8 @@
 	idle      *idleLimit
 	draining  atomic.Bool
 	ends      atomic.Pointer[time.Time] // Set in the last part of a drain.
+	cut       atomic.Bool               // Callers' connections are being closed under way.
+	underWay  atomic.Int64              // Callers' requests.
 	metrics   *metrics.Registry
 	tables    *state.Registry
 
@@ -165,9 +167,9 @@
 	handler := &forward.Forwarder{
 		Zone: g.settings.Gateway.Zone, Codec: g.platform.Codec, State: g.config.Load, Budgets: budgets{g.keeper},
 		Endpoints: g.endpoints.placed, Retries: g.retries, Pool: g.pool, Clock: g.clock,
-		Draining: g.draining.Load, Ends: g.endsAt, Log: g.log, Observe: g.observer(), Placed: g.loads.placed,
+		Draining: g.draining.Load, Ends: g.endsAt, Cut: g.cut.Load, Log: g.log, Observe: g.observer(), Placed: g.loads.placed,
 	}
-	server := &http.Server{Handler: handler, MaxHeaderBytes: headerBytes, ConnState: g.idle.connState}
+	server := &http.Server{Handler: g.counting(handler), MaxHeaderBytes: headerBytes, ConnState: g.idle.connState}
 	server.DisableGeneralOptionsHandler = true
 	return server
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -38,11 +38,15 @@
 	g.log.Info().Str("callers", g.callers.Addr().String()).Str("zone", g.settings.Gateway.Zone).
 		Str("store", g.settings.Store.URL).Msg("gateway: serving")
 	<-ctx.Done()
+	steps := newSteps(g.log)
 	limit := time.Now().Add(g.settings.Drain.Within.D() - forExit)
 	g.drain(servers[0], limit.Add(-forBudgets))
+	steps.done("requests")
 	stop()
 	_ = work.Wait()
+	steps.done("background")
 	g.giveBack(limit)
+	steps.done("tokens")
 	for _, server := range servers[1:] {
 		_ = server.Close()
 	}
@@ -50,6 +54,7 @@
 	g.answers.Close()
 	g.calls.Close()
 	err := serving.Wait()
+	steps.done("servers")
 	g.log.Info().Msg("gateway: stopped")
 	return err
 }
@@ -58,7 +63,7 @@
 // and finishes what is under way, until limit.
 func (g *Gateway) drain(callers *http.Server, limit time.Time) {
 	g.draining.Store(true)
-	g.log.Info().Msg("gateway: draining")
+	g.log.Info().Int64("under_way", g.underWay.Load()).Msg("gateway: draining")
 	last := g.settings.Drain.LastCallers.D()
 	logstore.Pause(context.Background(), g.settings.Drain.Unready.D()-last, nil)
 	g.ends.Store(&limit)
@@ -67,7 +72,8 @@
 	patience, cancel := context.WithDeadline(context.Background(), limit)
 	defer cancel()
 	if err := callers.Shutdown(patience); err != nil {
-		g.log.Warn().Err(err).Msg("gateway: requests cut off at the end of the drain")
+		g.cut.Store(true)
+		g.log.Warn().Err(err).Int64("under_way", g.underWay.Load()).Msg("gateway: requests cut off at the end of the drain")
 		_ = callers.Close()
 	}
 }
