Catch SIGHUP until the process is gone

What callers saw: when instances were restarted while settings files changed, whole streams and calls ended without an answer, seconds before the end of the grace time. Cause: the goroutine that listens for SIGHUP ended with the context that SIGTERM ends, and took the handler with it; the signal's default action ends the process. The same held before the goroutine first ran, at a start. Class: a shared resource's life tied to the wrong context. Change: SIGHUP is caught first thing and until the process is gone; settings are reloaded also while the instance drains. Why it holds: nothing ever restores the default action.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -14,6 +14,7 @@
 
 // runGateway runs an instance on the outside platform.
 func runGateway(ctx context.Context, o output, file string) error {
+	hangups := catchHangups()
 	s, err := settings.LoadGateway(file)
 	if err != nil {
 		return err
@@ -38,6 +39,9 @@
 	if err != nil {
 		return err
 	}
-	go reloadOn(ctx, g, file, log)
+	// Settings apply until the instance has ended, also while it drains.
+	reloading, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	go reloadOn(reloading, hangups, g, file, log)
 	return g.Run(ctx)
 }
--- a/internal/cli/reload.go
+++ b/internal/cli/reload.go
@@ -18,11 +18,18 @@
 // a signal.
 const lookEvery = 2 * time.Second
 
-// reloadOn applies the settings file again when it changes and on SIGHUP.
-func reloadOn(ctx context.Context, g *gateway.Gateway, file string, log zerolog.Logger) {
+// catchHangups returns SIGHUPs from now on until the process is gone. It is never
+// undone: without a listener the signal ends the process, whatever is under way,
+// and it may also come while an instance starts or drains.
+func catchHangups() <-chan os.Signal {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
+	return signals
+}
+
+// reloadOn applies the settings file again when it changes and on a hangup,
+// until ctx ends.
+func reloadOn(ctx context.Context, hangups <-chan os.Signal, g *gateway.Gateway, file string, log zerolog.Logger) {
 	ticker := time.NewTicker(lookEvery)
 	defer ticker.Stop()
 	last, err := os.ReadFile(file)
@@ -31,7 +38,7 @@
 	}
 	for {
 		select {
-		case <-signals:
+		case <-hangups:
 			log.Info().Msg("gateway: SIGHUP, looking at the settings file")
 		case <-ticker.C:
 		case <-ctx.Done():
