Outlive the reader of the log

What callers see: every request of an instance ends without an answer when the process that reads its standard output goes. Cause: the same class as the SIGHUP in a drain, a signal's default action in a process that holds requests; Go ends a program whose standard output is a broken pipe. Change: serve ignores that signal; the write fails, and the ring of lines drops it.

--- a/internal/cli/reload.go
+++ b/internal/cli/reload.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -18,15 +16,6 @@
 // a signal.
 const lookEvery = 2 * time.Second
 
-// catchHangups returns SIGHUPs from now on until the process is gone. It is never
-// undone: without a listener the signal ends the process, whatever is under way,
-// and it may also come while an instance starts or drains.
-func catchHangups() <-chan os.Signal {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	return signals
-}
-
 // reloadOn applies the settings file again when it changes and on a hangup,
 // until ctx ends.
 func reloadOn(ctx context.Context, hangups <-chan os.Signal, g *gateway.Gateway, file string, log zerolog.Logger) {
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -39,6 +39,7 @@
 			case *file == "":
 				return usagef("it needs -settings FILE or -standalone")
 			}
+			outliveLogReader()
 			if settings.IsGateway(*file) {
 				return runGateway(ctx, o, *file)
 			}
