Let a hangup end no instance of the built-in platform

What callers see: a SIGHUP ends the instance at once, without a drain, and every request under way with it. Cause: the same as in the drain of a gateway; this path never listened for the signal. Change: it is caught first thing, and told; there is nothing to reload.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -49,6 +49,7 @@
 }
 
 func runInstance(ctx context.Context, o output, file string) error {
+	hangups := catchHangups()
 	s, err := settings.Load(file)
 	if err != nil {
 		return err
@@ -65,6 +66,7 @@
 	if err != nil {
 		return err
 	}
+	go tellHangups(hangups, log)
 	return runUntilCut(ctx, srv)
 }
 
