--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -26,7 +26,6 @@
 		return err
 	}
 	limit := logging.NewLimit(s.Log.Lines)
-	log = log.Sample(limit)
 	base, err := url.Parse(s.Store.URL)
 	if err != nil {
 		return eris.Wrap(err, "cli: store.url")
@@ -35,6 +34,7 @@
 		Store:       platform.NewStore(base.Host, s.Store.Timeout.D()),
 		DecodeState: platform.DecodeState, DecodeEndpoint: platform.DecodeEndpoint,
 		Codec: platform.Codec{}, ReadyPath: platform.ReadyPath, LinesDropped: func() int64 { return ring.Dropped() + limit.Thinned() },
+		Thin: limit,
 	}, log)
 	if err != nil {
 		return err
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -28,7 +28,8 @@
 	placed   *placement.Table
 	pool     *upstream.Pool
 	clock    func() time.Duration
-	log      zerolog.Logger
+	log      zerolog.Logger // For lines of single endpoints; thinned.
+	lifeLog  zerolog.Logger
 	loaded   atomic.Bool
 
 	mu    sync.Mutex // Guards what follows.
@@ -37,8 +38,8 @@
 	away  bool
 }
 
-func newEndpoints(p Platform, placed *placement.Table, pool *upstream.Pool, clock func() time.Duration, log zerolog.Logger) *endpoints {
-	return &endpoints{platform: p, placed: placed, pool: pool, clock: clock, log: log, table: discovery.New(), seen: map[string]bool{}}
+func newEndpoints(p Platform, placed *placement.Table, pool *upstream.Pool, clock func() time.Duration, log, lifeLog zerolog.Logger) *endpoints {
+	return &endpoints{platform: p, placed: placed, pool: pool, clock: clock, log: log, lifeLog: lifeLog, table: discovery.New(), seen: map[string]bool{}}
 }
 
 func (e *endpoints) follower() *logstore.Follower {
@@ -126,7 +127,7 @@
 		}
 	}
 	if !e.loaded.Swap(true) {
-		e.log.Info().Int("endpoints", len(e.seen)).Msg("gateway: endpoints listed")
+		e.lifeLog.Info().Int("endpoints", len(e.seen)).Msg("gateway: endpoints listed")
 	}
 }
 
@@ -140,9 +141,9 @@
 	}
 	switch {
 	case err != nil && !e.away:
-		e.log.Warn().Err(err).Msg("gateway: endpoint list lost; the last one stays in use")
+		e.lifeLog.Warn().Err(err).Msg("gateway: endpoint list lost; the last one stays in use")
 	case err == nil && e.away:
-		e.log.Info().Msg("gateway: endpoint list regained")
+		e.lifeLog.Info().Msg("gateway: endpoint list regained")
 	}
 	e.away = err != nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,6 +37,9 @@
 	Codec          forward.Codec
 	// LinesDropped returns how many log lines were dropped; nil for none.
 	LinesDropped func() int64
+	// Thin passes over lines that come too fast; nil for none. Lines of the
+	// instance's own life and of its dependencies always pass.
+	Thin zerolog.Sampler
 	// ReadyPath is where the balancer asks whether the instance takes callers.
 	ReadyPath string
 }
@@ -75,6 +78,7 @@
 	settings settings.Gateway
 	platform Platform
 	log      zerolog.Logger
+	busyLog  zerolog.Logger // For lines that come with load; thinned.
 	clock    func() time.Duration
 
 	config    atomic.Pointer[route.Config]
@@ -101,7 +105,7 @@
 	debug.SetMemoryLimit(int64(float64(s.Gateway.MemoryMB<<20) * memoryShare))
 	clock := bootClock()
 	g := &Gateway{
-		settings: s, platform: p, log: log, clock: clock, metrics: metrics.New(), tables: state.New(),
+		settings: s, platform: p, log: log, busyLog: log.Sample(p.Thin), clock: clock, metrics: metrics.New(), tables: state.New(),
 		pool: upstream.NewPool(upstream.Options{DialWithin: dialWithin, IdleFor: idleFor, SilentFor: silentFor}),
 		retries: retry.NewKeeper(retry.Budget{
 			Ratio: s.Retries.Ratio, Extra: float64(s.Retries.Extra), Window: s.Retries.Window.D(),
@@ -113,7 +117,7 @@
 	}
 	p.Store = countedStore{p.Store, g.metrics}
 	g.platform = p
-	g.endpoints = newEndpoints(p, placement.New(uint64(time.Now().UnixNano())), g.pool, clock, log)
+	g.endpoints = newEndpoints(p, placement.New(uint64(time.Now().UnixNano())), g.pool, clock, g.busyLog, log)
 	peers := g.peers.Addr().String()
 	self := prepaid.Identity{
 		Key: record.NewInstanceID(s.Gateway.Name), Node: s.Gateway.Name + "@" + peers,
@@ -121,7 +125,7 @@
 	}
 	book := prepaid.NewBook(self, prepaid.DefaultPolicy(), hostClocks(log))
 	g.calls = peer.NewPool(self.Key, book, peer.Options{})
-	g.keeper = prepaid.NewKeeper(book, prepaid.NewPeers(g.calls, log), p.Store, clock, log)
+	g.keeper = prepaid.NewKeeper(book, prepaid.NewPeers(g.calls, g.busyLog), p.Store, clock, log)
 	g.answers = peer.NewServer(self.Key)
 	if err := g.answers.Register(prepaid.ServiceName, prepaid.NewTransfers(book, clock)); err != nil {
 		return nil, err
@@ -167,7 +171,7 @@
 	handler := &forward.Forwarder{
 		Zone: g.settings.Gateway.Zone, Codec: g.platform.Codec, State: g.config.Load, Budgets: budgets{g.keeper},
 		Endpoints: g.endpoints.placed, Retries: g.retries, Pool: g.pool, Clock: g.clock,
-		Draining: g.draining.Load, Ends: g.endsAt, Cut: g.cut.Load, Log: g.log, Observe: g.observer(), Placed: g.loads.placed,
+		Draining: g.draining.Load, Ends: g.endsAt, Cut: g.cut.Load, Log: g.busyLog, Observe: g.observer(), Placed: g.loads.placed,
 	}
 	server := &http.Server{Handler: g.counting(handler), MaxHeaderBytes: headerBytes, ConnState: g.idle.connState}
 	server.DisableGeneralOptionsHandler = true
@@ -175,7 +179,7 @@
 }
 
 func (g *Gateway) prober() *probes {
-	return &probes{table: g.endpoints.placed, pool: g.pool, log: g.log}
+	return &probes{table: g.endpoints.placed, pool: g.pool, log: g.busyLog}
 }
 
 // endsAt is when the instance ends, in the last part of a drain; else zero.
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -87,7 +87,7 @@
 		{Name: "log.level", Unit: "level", form: formChoice, choices: []string{"debug", "info", "warn", "error"}, Doc: "Lowest level that is logged."},
 		{Name: "log.format", Unit: "format", form: formChoice, choices: []string{"json", "console"}, Doc: "JSON for programs, console for people."},
 		{Name: "log.buffer", Unit: "lines", form: formCount, min: 16, max: 1 << 20, Doc: "Lines that wait for a slow reader of standard output; beyond that the oldest are dropped and counted."},
-		{Name: "log.lines", Unit: "lines", form: formCount, min: 1, max: 1 << 20, Doc: "Lines a second and level that are written; more are thinned and counted, errors never."},
+		{Name: "log.lines", Unit: "lines", form: formCount, min: 1, max: 1 << 20, Doc: "Lines a second and level that are written; more are thinned and counted, errors and lines of its own life never."},
 		{Name: "drain.within", Unit: "duration", form: formDuration, min: int64(time.Second), max: int64(time.Hour), Doc: "Time from the signal to end until the process is killed."},
 		{Name: "drain.unready", Unit: "duration", form: formDuration, min: 0, max: int64(time.Minute), Doc: "How long new connections are still accepted after the signal: until the balancer has seen that the instance is not ready."},
 		{Name: "drain.last_callers", Unit: "duration", form: formDuration, min: 0, max: int64(time.Minute), Doc: "The end of drain.unready: a request that comes in it or later and may last longer than the drain is refused, not run."},
