End calls that are asked again with the instance

What callers see: an instance that is restarted under load is killed at its grace time, and tokens that it still held are refused elsewhere. Cause: Resolve asks again for lost replies, 120 ms each, one after the other, without the context of the background work; Run waits for the round before it gives tokens back. HandOver's question to an heir had no limit either. Change: Resolve and HandOver end with their context. Asking for a request still outlives it.

--- a/internal/prepaid/keeper.go
+++ b/internal/prepaid/keeper.go
@@ -209,7 +209,7 @@
 func (k *Keeper) resolve(ctx context.Context) {
 	for ctx.Err() == nil {
 		logstore.Pause(ctx, resolveEvery, nil)
-		k.Peers.Resolve(k.Book)
+		k.Peers.Resolve(ctx, k.Book)
 	}
 }
 
--- a/internal/prepaid/peers.go
+++ b/internal/prepaid/peers.go
@@ -99,7 +99,10 @@
 			if i >= mostAsked || ctx.Err() != nil {
 				break
 			}
-			if p.askOne(book, source.Key, team, askFactor*tokens) && book.AtHand(team, now) >= tokens {
+			// The call outlives the request that wants it: a reply that nobody reads
+			// would lose tokens.
+			call := context.WithoutCancel(ctx)
+			if p.askOne(call, book, source.Key, team, askFactor*tokens) && book.AtHand(team, now) >= tokens {
 				break
 			}
 		}
@@ -107,11 +110,10 @@
 	})
 }
 
-// askOne asks one instance and notes what it gave. The call outlives the request
-// that wants it: a reply that nobody reads would lose tokens. One that is lost
-// all the same is asked for again by Resolve.
-func (p *Peers) askOne(book *Book, to record.InstanceID, team record.Team, tokens int64) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), callWithin)
+// askOne asks one instance and notes what it gave. A reply that is lost is asked
+// for again by Resolve.
+func (p *Peers) askOne(ctx context.Context, book *Book, to record.InstanceID, team record.Team, tokens int64) bool {
+	ctx, cancel := context.WithTimeout(ctx, callWithin)
 	defer cancel()
 	var reply AskReply
 	err := p.caller.Call(ctx, to, ServiceName+".Ask", AskArgs{From: book.self.Key, Team: team, Tokens: tokens}, &reply)
@@ -135,8 +137,10 @@
 	}
 }
 
-// Resolve asks again, for no more tokens, where a reply was lost.
-func (p *Peers) Resolve(book *Book) {
+// Resolve asks again, for no more tokens, where a reply was lost, until ctx ends.
+// Instances that stay silent cost a call's whole time each, one after the other: an
+// instance that ends must not wait for them.
+func (p *Peers) Resolve(ctx context.Context, book *Book) {
 	p.mu.Lock()
 	var calls []unresolved
 	for call := range p.unresolved {
@@ -144,7 +148,10 @@
 	}
 	p.mu.Unlock()
 	for _, call := range calls {
-		p.askOne(book, call.peer, call.team, 0)
+		if ctx.Err() != nil {
+			return
+		}
+		p.askOne(ctx, book, call.peer, call.team, 0)
 	}
 }
 
@@ -156,7 +163,7 @@
 			return false
 		}
 		// Asking for nothing shows an instance that can take over.
-		if !p.askOne(book, heir.Key, "", 0) {
+		if !p.askOne(ctx, book, heir.Key, "", 0) {
 			continue
 		}
 		ctx, cancel := context.WithTimeout(ctx, callWithin)
