Bound each step of an instance's end

What callers see: an instance that is restarted is killed at its grace time, with tokens that it could have given back. Cause: after the drain Run waited for all background work without a limit, then gave tokens back, then waited for the servers without a limit; one call that does not end with its context was enough. Change: budgets' work first, then tokens, both until the drain's limit; the rest (followers, probes, hints), connections and servers within 0.1 s after it. A step that does not end is told and left to the end of the process. Work that hangs elsewhere no longer keeps the tokens back.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,6 +64,9 @@
 	// forExit and forBudgets are kept of the drain's time for ending the process
 	// and, before that, for giving back tokens.
 	forExit, forBudgets = 200 * time.Millisecond, 300 * time.Millisecond
+	// forServers is the part of forExit for what is left of the background work
+	// and for closing the other servers.
+	forServers = 100 * time.Millisecond
 	// assumedInstances shares the retry budget until the others are known.
 	assumedInstances = 16
 	// sweepEvery is the pause between two rounds of housekeeping.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -12,7 +12,8 @@
 	"guavapier/internal/logstore"
 )
 
-// Run serves until ctx ends, then drains.
+// Run serves until ctx ends, then drains. It returns within the drain's time
+// whatever hangs; what still runs then ends with the process.
 func (g *Gateway) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -20,7 +21,7 @@
 	defer ended()
 	servers := []*http.Server{g.callersServer(), {Handler: g.readyHandler()}, {Handler: g.operatorsHandler()}}
 	listeners := []net.Listener{g.callers, g.ready, g.operators}
-	var serving, work errgroup.Group
+	var serving, budgeting, work errgroup.Group
 	for i, server := range servers {
 		server.ReadHeaderTimeout = headerWithin
 		serving.Go(func() error {
@@ -30,7 +31,7 @@
 	}
 	work.Go(func() error { g.stateFollower().Run(background); return nil })
 	work.Go(func() error { g.endpoints.follower().Run(background); return nil })
-	work.Go(func() error { g.keeper.Run(background); return nil })
+	budgeting.Go(func() error { g.keeper.Run(background); return nil })
 	work.Go(func() error { g.loads.run(background); return nil })
 	work.Go(func() error { g.prober().run(background); return nil })
 	work.Go(func() error { g.sweep(background); return nil })
@@ -38,25 +39,39 @@
 	g.log.Info().Str("callers", g.callers.Addr().String()).Str("zone", g.settings.Gateway.Zone).
 		Str("store", g.settings.Store.URL).Msg("gateway: serving")
 	<-ctx.Done()
-	steps := newSteps(g.log)
+	return g.end(servers, stop, &budgeting, &work, &serving)
+}
+
+// end drains and stops what Run has started, each step within a time of its own.
+func (g *Gateway) end(servers []*http.Server, stop func(), budgeting, work, serving *errgroup.Group) error {
 	limit := time.Now().Add(g.settings.Drain.Within.D() - forExit)
+	steps := newSteps(g.log)
 	g.drain(servers[0], limit.Add(-forBudgets))
 	steps.done("requests")
 	stop()
-	_ = work.Wait()
-	steps.done("background")
-	g.giveBack(limit)
-	steps.done("tokens")
-	for _, server := range servers[1:] {
+	// Tokens go first: nothing else of the end is of use to callers.
+	if steps.wait("budgets", limit, func() { _ = budgeting.Wait() }) {
+		steps.wait("tokens", limit, func() { g.giveBack(limit) })
+	}
+	last := limit.Add(forServers)
+	steps.wait("background", last, func() { _ = work.Wait() })
+	steps.wait("connections", last, func() { g.close(servers[1:]) })
+	var err error
+	if !steps.wait("servers", last, func() { err = serving.Wait() }) {
+		return nil // The log has the step; err may still be written to.
+	}
+	g.log.Info().Msg("gateway: stopped")
+	return err
+}
+
+// close ends the connections of operators and other instances.
+func (g *Gateway) close(servers []*http.Server) {
+	for _, server := range servers {
 		_ = server.Close()
 	}
 	_ = g.peers.Close()
 	g.answers.Close()
 	g.calls.Close()
-	err := serving.Wait()
-	steps.done("servers")
-	g.log.Info().Msg("gateway: stopped")
-	return err
 }
 
 // drain leaves the balancer's rotation, goes on serving until it has noticed,
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -7,8 +7,11 @@
 	"github.com/rs/zerolog"
 )
 
-// steps tells how long each step of an instance's end took: one that does not
-// end leaves the line of the step before it as the last one.
+// leastWait is what a step has when those before it took all the time: enough if
+// it has nothing to wait for.
+const leastWait = 5 * time.Millisecond
+
+// steps bounds the steps of an instance's end and tells how long each took.
 type steps struct {
 	log   zerolog.Logger
 	began time.Time
@@ -27,6 +30,34 @@
 	s.last = now
 }
 
+// wait does a step and waits for it, until limit at the latest, and says whether
+// it has ended. A call that does not end with its context must not keep the
+// process past its kill.
+func (s *steps) wait(step string, limit time.Time, work func()) bool {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		work()
+	}()
+	patience := time.NewTimer(max(time.Until(limit), leastWait))
+	defer patience.Stop()
+	select {
+	case <-ended:
+		s.done(step)
+		return true
+	case <-patience.C:
+		s.hung(step)
+		return false
+	}
+}
+
+// hung writes the line of a step that has not ended in its time.
+func (s *steps) hung(step string) {
+	now := time.Now()
+	s.log.Error().Str("step", step).Dur("waited", now.Sub(s.last)).Dur("since_signal", now.Sub(s.began)).Msg("gateway: not ended in time")
+	s.last = now
+}
+
 // counting counts callers' requests while they are under way.
 func (g *Gateway) counting(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
