Show that a stopped reader of the log holds up the end (fails)

A process whose standard output is full and not read does not end: Close of the ring of lines waits until the reader has taken the last one, after the gateway has stopped. That the last lines reach a reader that takes them passes.

--- a/internal/logging/ring_test.go
+++ b/internal/logging/ring_test.go
@@ -60,3 +60,41 @@
 	}
 	_ = ring.Close()
 }
+
+// A reader that takes no lines holds up the end of a process for ever: Close waits
+// until it has taken the last one.
+func TestAStoppedReaderHoldsUpNoEnd(t *testing.T) {
+	out := &blocked{release: make(chan struct{})}
+	t.Cleanup(func() { close(out.release) })
+	ring := logging.NewRing(out, 100)
+	log := zerolog.New(ring)
+	log.Info().Msg("logging: test")
+	closed := make(chan error, 1)
+	go func() { closed <- ring.Close() }()
+	select {
+	case err := <-closed:
+		if err == nil {
+			t.Error("lines are left, and Close says nothing")
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("still waiting after 5 s")
+	}
+}
+
+// What was written before the end is read whole by a reader that takes it.
+func TestTheLastLinesAreWritten(t *testing.T) {
+	const lines = 500
+	out := &blocked{release: make(chan struct{})}
+	close(out.release)
+	ring := logging.NewRing(out, 2*lines)
+	log := zerolog.New(ring)
+	for range lines {
+		log.Info().Msg("logging: test")
+	}
+	if err := ring.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if got := strings.Count(out.String(), "logging: test"); got != lines {
+		t.Errorf("%d of %d lines", got, lines)
+	}
+}
