Bound the wait for the log's reader at the end

What callers see: nothing known; by reading, a process whose standard output is not read is killed at its grace time though its instance has ended. Cause: Close of the ring waited without a limit for the reader of the output. Change: Close gives the lines that are left up after 70 ms, the last part of the time to end.

--- a/internal/logging/ring.go
+++ b/internal/logging/ring.go
@@ -6,11 +6,19 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog/diode"
 )
 
-// ringPoll is how often the ring's reader looks for lines.
-const ringPoll = 20 * time.Millisecond
+const (
+	// ringPoll is how often the ring's reader looks for lines.
+	ringPoll = 20 * time.Millisecond
+	// lastLinesWithin bounds Close, which comes last within an instance's time to end.
+	lastLinesWithin = 70 * time.Millisecond
+)
+
+// ErrLinesLeft says that the output's reader did not take the last lines in time.
+var ErrLinesLeft = eris.New("logging: last lines not taken by the output's reader")
 
 // Ring is a writer that never blocks: lines wait for the reader of the output
 // in a ring, and the oldest are dropped and counted when it is full.
@@ -29,5 +37,18 @@
 	return r
 }
 
+// Close writes the lines that are left. A reader that takes none must not keep the
+// process from ending: its lines are given up.
+func (r *Ring) Close() error {
+	closed := make(chan error, 1)
+	go func() { closed <- r.WriteCloser.Close() }()
+	select {
+	case err := <-closed:
+		return err
+	case <-time.After(lastLinesWithin):
+		return ErrLinesLeft
+	}
+}
+
 // Dropped returns how many lines were dropped.
 func (r *Ring) Dropped() int64 { return r.dropped.Load() }
--- a/internal/logging/ring_test.go
+++ b/internal/logging/ring_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -61,8 +62,10 @@
 	_ = ring.Close()
 }
 
-// A reader that takes no lines holds up the end of a process for ever: Close waits
-// until it has taken the last one.
+// What callers saw: nothing; by reading, a process whose output is full and not read
+// is killed at its end. Order of events: the reader of the output stops; the pipe and
+// the ring fill; the instance has ended, and Close waits for the reader. Cause: Close
+// had no limit.
 func TestAStoppedReaderHoldsUpNoEnd(t *testing.T) {
 	out := &blocked{release: make(chan struct{})}
 	t.Cleanup(func() { close(out.release) })
@@ -83,18 +86,20 @@
 
 // What was written before the end is read whole by a reader that takes it.
 func TestTheLastLinesAreWritten(t *testing.T) {
-	const lines = 500
-	out := &blocked{release: make(chan struct{})}
-	close(out.release)
-	ring := logging.NewRing(out, 2*lines)
-	log := zerolog.New(ring)
-	for range lines {
-		log.Info().Msg("logging: test")
-	}
-	if err := ring.Close(); err != nil {
-		t.Fatal(err)
-	}
-	if got := strings.Count(out.String(), "logging: test"); got != lines {
-		t.Errorf("%d of %d lines", got, lines)
-	}
+	synctest.Test(t, func(t *testing.T) { // Time stands still while anything runs.
+		const lines = 500
+		out := &blocked{release: make(chan struct{})}
+		close(out.release)
+		ring := logging.NewRing(out, 2*lines)
+		log := zerolog.New(ring)
+		for range lines {
+			log.Info().Msg("logging: test")
+		}
+		if err := ring.Close(); err != nil {
+			t.Fatal(err)
+		}
+		if got := strings.Count(out.String(), "logging: test"); got != lines {
+			t.Errorf("%d of %d lines", got, lines)
+		}
+	})
 }
