Give back unused tokens while a leaving instance's last requests run

Cause: tokens were given back only after the last request, with 0.3 s for it. Change: from the end of drain.unready on the instance's target is zero: its statements give back what no request has or waits for, and what ends, in the ordinary way (a statement's cut binds from its draft). A request that still comes claims what it needs. While the log is away it keeps all, for the hand-over at the end. TestALeavingInstanceHoldsNothingAndServes, a second case of TestAnEndWithoutTheLogHandsOver, and leaving in TestNothingOverspends (5,000 plays).

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -46,6 +46,8 @@
 func (g *Gateway) end(servers []*http.Server, stop func(), budgeting, work, serving *errgroup.Group) error {
 	limit := time.Now().Add(g.settings.Drain.Within.D() - forExit)
 	steps := newSteps(g.log)
+	leaving := time.AfterFunc(g.settings.Drain.Unready.D(), g.keeper.Leave)
+	defer leaving.Stop()
 	g.drain(servers[0], limit.Add(-forBudgets))
 	steps.done("requests")
 	stop()
--- a/internal/prepaid/book.go
+++ b/internal/prepaid/book.go
@@ -111,6 +111,7 @@
 	touchAt  time.Duration // The same by the caller's time.
 	inTouch  bool          // touched is set.
 	started  Stamp
+	leaving  bool // Nothing is held beyond what requests want.
 	closed   bool
 	changed  chan struct{} // Closed and replaced when more may be at hand.
 	skews    map[string]skew
--- a/internal/prepaid/keeper.go
+++ b/internal/prepaid/keeper.go
@@ -60,6 +60,7 @@
 	sequence  uint64       // Of the next write.
 	epoch     uint64
 	away      bool // The reads fail.
+	leaving   atomic.Bool
 	givenBack atomic.Int64
 	reclaimed map[record.InstanceID]uint64 // Sequences of the dead's statements that were made final.
 }
@@ -196,6 +197,9 @@
 		if k.lastRead.Load() == 0 {
 			continue
 		}
+		if k.leaving.Load() && k.inTouch() {
+			k.Book.Leave()
+		}
 		if s := k.Book.Draft(k.Clock()); s != nil {
 			if k.put(ctx, k.Book.self.Key, s) {
 				k.Book.Taken(s, k.Clock())
@@ -205,6 +209,11 @@
 	}
 }
 
+// Leave says that the instance ends soon: what no request has or waits for is given
+// back to the log already now. While the log is away it stays here, for Close to
+// hand over.
+func (k *Keeper) Leave() { k.leaving.Store(true) }
+
 // resolve makes good what lost replies of other instances hold back.
 func (k *Keeper) resolve(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/prepaid/keeper_test.go
+++ b/internal/prepaid/keeper_test.go
@@ -169,8 +169,20 @@
 	return b.AtHand > 9000 && b.AtHand == b.Claimed+b.Taken-b.Given-b.Settled-b.Reserved
 }
 
-// An instance that ends behind the cut leaves what it holds to another.
+// An instance that ends behind the cut leaves what it holds to another, also when it
+// has said before that it will.
 func TestAnEndWithoutTheLogHandsOver(t *testing.T) {
+	t.Run("at once", func(t *testing.T) { endsWithoutTheLog(t, func(*prepaid.Keeper) {}) })
+	t.Run("leaving before", func(t *testing.T) {
+		endsWithoutTheLog(t, func(k *prepaid.Keeper) {
+			k.Leave()
+			time.Sleep(500 * time.Millisecond) // Some rounds of statements.
+		})
+	})
+}
+
+func endsWithoutTheLog(t *testing.T, leave func(*prepaid.Keeper)) {
+	t.Helper()
 	log := standin.NewKeyed()
 	a, stop := runKeeper(t, log, "a", 100_000)
 	b, _ := runKeeper(t, log, "b", 100_000)
@@ -179,6 +191,7 @@
 	waitFor(t, "out of touch and free", func() bool {
 		return outOfTouch(a) && outOfTouch(b) && allAtHand(a) && allAtHand(b)
 	})
+	leave(a)
 	before, left := b.Book.AtHand(team, sinceOrigin()), a.Book.AtHand(team, sinceOrigin())
 	stop()
 	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
@@ -213,3 +226,19 @@
 		t.Errorf("%d writes in the time of three heartbeats", now-began)
 	}
 }
+
+// An instance that will end gives back what it does not use, and still serves: it
+// claims what a request needs.
+func TestALeavingInstanceHoldsNothingAndServes(t *testing.T) {
+	log := standin.NewKeyed()
+	a, _ := runKeeper(t, log, "a", 100_000)
+	waitFor(t, "a claim", func() bool { return a.Book.AtHand(team, sinceOrigin()) > 1000 })
+	a.Leave()
+	waitFor(t, "all given back", func() bool { return a.Book.Balance(team, sinceOrigin()).Claimed == 0 })
+	r, err := a.Reserve(t.Context(), team, 700)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Settle(200)
+	waitFor(t, "the rest given back", func() bool { return a.Book.Balance(team, sinceOrigin()).Claimed == 200 })
+}
--- a/internal/prepaid/play_test.go
+++ b/internal/prepaid/play_test.go
@@ -150,6 +150,12 @@
 	w.kill(p)
 }
 
+func (w *play) leave(t *rapid.T) {
+	if p := w.pick(t); p != nil && seldom(t) {
+		p.Leave()
+	}
+}
+
 func (w *play) totalChanges(t *rapid.T) {
 	w.prepaid += int64(rapid.SampledFrom([]int{-30_000, 50_000}).Draw(t, "by"))
 	w.prepaid = max(w.prepaid, 10_000)
@@ -206,6 +212,7 @@
 			"peers give":         w.peersGive,
 			"hand over":          w.handOver,
 			"close":              w.close,
+			"leave":              w.leave,
 			"total changes":      w.totalChanges,
 			"history is lost":    w.historyIsLost,
 		})
--- a/internal/prepaid/policy.go
+++ b/internal/prepaid/policy.go
@@ -278,8 +278,22 @@
 	return rest{total: total, left: max(0, left), share: share, instances: float64(others.instances)}
 }
 
+// Leave makes the next statements give back what no request has or waits for.
+//
+// Load: an instance that ends, whose last requests run for seconds. Harm prevented:
+// callers refused elsewhere for want of what it holds and won't use, and that lost
+// if it is killed. Limit: a request that still comes waits for a claim.
+func (b *Book) Leave() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.leaving = true
+}
+
 // target is how many unused tokens of the budget this instance is to hold.
 func (b *Book) target(a *account, r rest, now time.Duration) float64 {
+	if b.leaving {
+		return 0
+	}
 	left := r.left * r.plenty(holdPlenty)
 	floor := floorShare * left / r.instances
 	top := floor + topShare*left*r.share
