Settle requests that are cut off before the last statement

What callers see: tokens that nobody used are gone from an organisation's budget after a restart. Cause: the last statement was drafted while the requests that the end of the drain had just cut off still ended; their reservations counted at their most, for good.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -50,6 +50,8 @@
 	defer leaving.Stop()
 	g.drain(servers[0], limit.Add(-forBudgets))
 	steps.done("requests")
+	g.settle(limit.Add(forSettling - forBudgets))
+	steps.done("settling")
 	stop()
 	// Tokens go first: nothing else of the end is of use to callers.
 	if steps.wait("budgets", limit, func() { _ = budgeting.Wait() }) {
@@ -95,6 +97,17 @@
 	}
 }
 
+// settle waits, until limit, until the requests that were cut off have ended: what
+// still runs when the last statement is written counts as used for good.
+func (g *Gateway) settle(limit time.Time) {
+	for g.underWay.Load() > 0 && time.Now().Before(limit) {
+		logstore.Pause(context.Background(), settlingLook, nil)
+	}
+	if left := g.underWay.Load(); left > 0 {
+		g.log.Warn().Int64("under_way", left).Msg("gateway: requests not ended, their tokens count as used")
+	}
+}
+
 // giveBack gives back the tokens that are not used. Behind a cut that may take
 // all the time that is left.
 func (g *Gateway) giveBack(limit time.Time) {
