Tell when an instance ends without giving its tokens back

An instance that ends behind a cut and finds no heir loses its unused tokens until its host's next process; nothing said so. A warning does now. Test: TestAnInstanceEndsInTimeWhenNeitherLogNorOthersAnswer looks for the line.

--- a/internal/prepaid/keeper.go
+++ b/internal/prepaid/keeper.go
@@ -271,13 +271,16 @@
 // must not come after this one.
 func (k *Keeper) Close(ctx context.Context) {
 	k.epoch++
-	if !k.inTouch() && k.Peers.HandOver(ctx, k.Book, k.Clock()) {
+	handedOver := !k.inTouch() && k.Peers.HandOver(ctx, k.Book, k.Clock())
+	if handedOver {
 		// Nothing is left that would be worth waiting for the log.
 		short, cancel := context.WithTimeout(ctx, retryEvery)
 		defer cancel()
 		ctx = short
 	}
-	k.put(ctx, k.Book.self.Key, k.Book.Close(k.Clock()))
+	if !k.put(ctx, k.Book.self.Key, k.Book.Close(k.Clock())) && !handedOver {
+		k.Logs.Warn().Msg("prepaid: unused tokens not given back")
+	}
 }
 
 func kick(c chan<- struct{}) {
