Cut a request whose caller left, in place of an empty answer

A caller that shut down its sending side while its endpoint worked read "200 OK" without a body and without a signature, which no endpoint gave: the handler returned without writing, and net/http then answers by itself. The handler now aborts, as it did once an answer had begun.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -275,7 +275,7 @@
 		c.reason = result.reason
 		switch {
 		case caller.Err() != nil:
-			return c.left()
+			c.left()
 		case ctx.Err() != nil || time.Until(c.deadline) < leastLeft:
 			return c.giveUp(ReasonTimeout, http.StatusGatewayTimeout, result)
 		case !c.mayRepeat(result):
@@ -323,13 +323,12 @@
 	return f.status
 }
 
-// left ends a request whose caller is gone.
-func (c *call) left() int {
+// left ends a request whose caller is gone, by a cut: a caller that only shut
+// down its sending side still reads, and a handler that returns without a word
+// makes the server send an empty 200 that no endpoint gave.
+func (c *call) left() {
 	c.reason = c.whyGone()
-	if c.opened {
-		c.abort()
-	}
-	return 0
+	c.abort()
 }
 
 // whyGone tells a caller who left from one whose connection this instance closes.
