End idle connections only while nothing was read from them

What callers saw: a request sent on a kept connection near the idle limit ended with the connection, without an answer, also though it had been read. Cause: the limit went by net/http's states, and StateActive comes only after a request's whole head was read and parsed; until then the connection was closed from outside. Change: package callers owns callers' connections. One ends by its read deadline: the reader finds it expired and has read nothing, or has read a byte and takes the deadline back, under one lock. Before giving up it looks once more for bytes that came while the process had no processor.

--- /dev/null
+++ b/internal/callers/callers.go
@@ -0,0 +1,94 @@
+// Package callers owns the connections of callers: which are open, what each of
+// them is doing, and when one of them may end. A connection ends only while
+// nothing was read from it since its last answer: a request that was read is
+// answered.
+package callers
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Connections are the open connections of callers. As a listener and a hook for
+// states they belong to one http.Server.
+type Connections struct {
+	*net.TCPListener
+
+	mu        sync.Mutex
+	idleLimit time.Duration
+	open      map[*conn]struct{}
+}
+
+// New wraps a listener; idleLimit is how long a kept connection may idle.
+func New(listener *net.TCPListener, idleLimit time.Duration) *Connections {
+	return &Connections{TCPListener: listener, idleLimit: idleLimit, open: map[*conn]struct{}{}}
+}
+
+// Accept implements net.Listener.
+func (cs *Connections) Accept() (net.Conn, error) {
+	accepted, err := cs.TCPListener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := newConn(accepted, cs.forget)
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.open[c] = struct{}{}
+	return c, nil
+}
+
+func (cs *Connections) forget(c *conn) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	delete(cs.open, c)
+}
+
+// Open returns how many connections are open.
+func (cs *Connections) Open() int {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	return len(cs.open)
+}
+
+// ConnState is the server's hook.
+func (cs *Connections) ConnState(c net.Conn, s http.ConnState) {
+	ours, ok := c.(*conn)
+	if !ok {
+		return
+	}
+	switch s {
+	case http.StateActive:
+		ours.setBusy()
+	case http.StateIdle:
+		ours.setIdle(time.Now())
+	}
+}
+
+// SetIdleLimit changes how long a kept connection may idle.
+func (cs *Connections) SetIdleLimit(limit time.Duration) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.idleLimit = limit
+}
+
+// Sweep ends the connections that have idled longer than the limit. net/http's
+// own limit is fixed when a server starts.
+func (cs *Connections) Sweep() {
+	open, limit := cs.snapshot()
+	now := time.Now()
+	for _, c := range open {
+		c.endIdle(now, limit)
+	}
+}
+
+func (cs *Connections) snapshot() ([]*conn, time.Duration) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	open := make([]*conn, 0, len(cs.open))
+	for c := range cs.open {
+		open = append(open, c)
+	}
+	return open, cs.idleLimit
+}
--- /dev/null
+++ b/internal/callers/callers_test.go
@@ -0,0 +1,149 @@
+package callers_test
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"guavapier/internal/callers"
+)
+
+const limit = 20 * time.Millisecond
+
+// served is a server over Connections that notes which requests it handled.
+type served struct {
+	conns  *callers.Connections
+	server *http.Server
+
+	mu      sync.Mutex
+	handled map[string]bool
+}
+
+func serve(t *testing.T) *served {
+	t.Helper()
+	listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &served{conns: callers.New(listener, limit), handled: map[string]bool{}}
+	s.server = &http.Server{Handler: s, ConnState: s.conns.ConnState}
+	ended := make(chan error, 1)
+	go func() { ended <- s.server.Serve(s.conns) }()
+	t.Cleanup(func() {
+		_ = s.server.Close()
+		if err := <-ended; !errors.Is(err, http.ErrServerClosed) {
+			t.Error(err)
+		}
+	})
+	return s
+}
+
+func (s *served) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.handled[r.URL.Path] = true
+	s.mu.Unlock()
+	_, _ = io.WriteString(w, r.URL.Path)
+}
+
+func (s *served) hasHandled(path string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.handled[path]
+}
+
+// caller is one connection that sends one request after another.
+type caller struct {
+	net.Conn
+	answers *bufio.Reader
+}
+
+func (s *served) dial(t *testing.T) *caller {
+	t.Helper()
+	c, err := net.Dial("tcp", s.conns.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return &caller{Conn: c, answers: bufio.NewReader(c)}
+}
+
+// ask sends a request and reads its answer.
+func (c *caller) ask(path string) error {
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path); err != nil {
+		return err
+	}
+	resp, err := http.ReadResponse(c.answers, nil)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err
+}
+
+// Requests come at the very moment at which the idle limit ends their
+// connections: one that was read is answered, one that was not read may be sent
+// again elsewhere.
+func TestARequestThatCrossesTheIdleLimitIsAnsweredOrNotRead(t *testing.T) {
+	const together, rounds = 50, 20
+	s := serve(t)
+	var crossed, answered sync.Map
+	for round := range rounds {
+		var asking sync.WaitGroup
+		for n := range together {
+			c := s.dial(t)
+			if err := c.ask("/first"); err != nil {
+				t.Fatal(err)
+			}
+			asking.Go(func() {
+				path := fmt.Sprintf("/%d/%d", round, n)
+				time.Sleep(limit + time.Duration(n-together/2)*400*time.Microsecond)
+				if err := c.ask(path); err != nil {
+					crossed.Store(path, err)
+					return
+				}
+				answered.Store(path, true)
+			})
+		}
+		for range 20 {
+			time.Sleep(2 * time.Millisecond)
+			s.conns.Sweep()
+		}
+		asking.Wait()
+	}
+	ends := map[bool]int{}
+	answered.Range(func(any, any) bool { ends[true]++; return true })
+	crossed.Range(func(path, err any) bool {
+		ends[false]++
+		if s.hasHandled(path.(string)) {
+			t.Errorf("%s was read and not answered: %v", path, err)
+		}
+		return true
+	})
+	t.Logf("%d answered, %d closed unread", ends[true], ends[false])
+}
+
+// What has idled longer than the limit is closed, and no longer counted.
+func TestAConnectionThatIsEndedIsForgotten(t *testing.T) {
+	s := serve(t)
+	c := s.dial(t)
+	if err := c.ask("/first"); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(10 * time.Second); s.conns.Open() > 0; time.Sleep(limit) {
+		if time.Now().After(end) {
+			t.Fatal("the connection stays")
+		}
+		s.conns.Sweep()
+	}
+	if err := c.ask("/second"); err == nil {
+		t.Error("an answer on a connection that has ended")
+	}
+}
--- /dev/null
+++ b/internal/callers/conn.go
@@ -0,0 +1,165 @@
+package callers
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+const (
+	// lastLook is how long a connection that is to end is still read from: bytes
+	// may have come while the process had no processor to read them.
+	lastLook = 10 * time.Millisecond
+	// beginWithin bounds the time from the first byte of a request on a kept
+	// connection to the moment from which net/http bounds its head.
+	beginWithin = 10 * time.Second
+)
+
+// phase is what net/http does with a connection.
+type phase int
+
+const (
+	// phaseFresh waits for its first request.
+	phaseFresh phase = iota
+	// phaseIdle waits for its next request. net/http tells that it has one only
+	// once the request's whole head was read.
+	phaseIdle
+	// phaseBusy serves a request.
+	phaseBusy
+)
+
+// conn is a caller's connection. It ends by its read deadline, never by a close
+// from outside: the reader that finds it expired has read nothing, and one that
+// was faster takes the deadline back.
+type conn struct {
+	net.Conn
+	forget func(*conn)
+
+	mu    sync.Mutex
+	phase phase
+	since time.Time // When the phase began.
+	// unanswered is when bytes were first read since the last write; zero if none.
+	unanswered time.Time
+	deadline   time.Time // For reads, as net/http set it.
+	ending     bool      // The read deadline stands in the past, to end the connection.
+}
+
+func newConn(accepted net.Conn, forget func(*conn)) *conn {
+	return &conn{Conn: accepted, forget: forget, phase: phaseFresh, since: time.Now()}
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isEnding() {
+		n, err = c.lookAgain(p)
+	}
+	if n > 0 {
+		c.hasRead()
+	}
+	return n, err
+}
+
+// lookAgain reads what has come before the deadline expired.
+func (c *conn) lookAgain(p []byte) (int, error) {
+	if err := c.Conn.SetReadDeadline(time.Now().Add(lastLook)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(p)
+}
+
+// Write implements net.Conn. A request is over once its answer is out; the
+// caller's next one can't come before.
+func (c *conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	c.unanswered = time.Time{}
+	c.mu.Unlock()
+	return c.Conn.Write(p)
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	if c.ending {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// CloseWrite lets net/http close after a refusal so that the caller sees it.
+func (c *conn) CloseWrite() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return nil
+	}
+	return half.CloseWrite()
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.forget(c)
+	return c.Conn.Close()
+}
+
+func (c *conn) isEnding() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ending
+}
+
+// hasRead notes that a request has begun, or goes on.
+func (c *conn) hasRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.unanswered.IsZero() {
+		c.unanswered = time.Now()
+	}
+	c.stay()
+}
+
+// stay takes back the decision to end.
+func (c *conn) stay() {
+	if !c.ending {
+		return
+	}
+	c.ending = false
+	_ = c.Conn.SetReadDeadline(c.deadline) // On a connection that is closed already the next read fails.
+}
+
+// setBusy notes that net/http has a request.
+func (c *conn) setBusy() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase, c.since = phaseBusy, time.Now()
+	c.stay()
+}
+
+// setIdle notes that net/http has sent an answer to its end.
+func (c *conn) setIdle(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase, c.since = phaseIdle, now
+}
+
+// endIdle ends the connection if it has idled longer than limit.
+func (c *conn) endIdle(now time.Time, limit time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.phase != phaseIdle || c.ending:
+	case c.unanswered.IsZero() && now.Sub(c.since) > limit:
+		c.end()
+	case !c.unanswered.IsZero() && now.Sub(c.unanswered) > beginWithin:
+		_ = c.Conn.Close() // A request that was begun and never came: there is no whole one to answer.
+	}
+}
+
+// end makes the connection's reader give up unless it finds a request.
+func (c *conn) end() {
+	c.ending = true
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // Of a connection that is closed already nothing is to end.
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"guavapier/internal/callers"
 	"guavapier/internal/discovery"
 	"guavapier/internal/forward"
 	"guavapier/internal/logstore"
@@ -95,7 +96,7 @@
 	answers   *peer.Server // Their calls.
 	retries   *retry.Keeper
 	pool      *upstream.Pool
-	idle      *idleLimit
+	conns     *callers.Connections // Those of callers.
 	draining  atomic.Bool
 	ends      atomic.Pointer[time.Time] // Set in the last part of a drain.
 	cut       atomic.Bool               // Callers' connections are being closed under way.
@@ -116,11 +117,11 @@
 		retries: retry.NewKeeper(retry.Budget{
 			Ratio: s.Retries.Ratio, Extra: float64(s.Retries.Extra), Window: s.Retries.Window.D(),
 		}, assumedInstances),
-		idle: newIdleLimit(idleCallers),
 	}
 	if err := g.listen(); err != nil {
 		return nil, err
 	}
+	g.conns = callers.New(g.callers.(*net.TCPListener), idleCallers)
 	p.Store = countedStore{p.Store, g.metrics}
 	g.platform = p
 	g.endpoints = newEndpoints(p, placement.New(uint64(time.Now().UnixNano())), g.pool, clock, g.busyLog, log)
@@ -179,7 +180,7 @@
 		Endpoints: g.endpoints.placed, Retries: g.retries, Pool: g.pool, Clock: g.clock,
 		Draining: g.draining.Load, Ends: g.endsAt, Cut: g.cut.Load, Log: g.busyLog, Observe: g.observer(), Placed: g.loads.placed,
 	}
-	server := &http.Server{Handler: g.counting(handler), MaxHeaderBytes: headerBytes, ConnState: g.idle.connState}
+	server := &http.Server{Handler: g.counting(handler), MaxHeaderBytes: headerBytes, ConnState: g.conns.ConnState}
 	server.DisableGeneralOptionsHandler = true
 	return server
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -20,7 +20,7 @@
 	ctx, ended := context.WithCancel(ctx)
 	defer ended()
 	servers := []*http.Server{g.callersServer(), {Handler: g.readyHandler()}, {Handler: g.operatorsHandler()}}
-	listeners := []net.Listener{g.callers, g.ready, g.operators}
+	listeners := []net.Listener{g.conns, g.ready, g.operators}
 	var serving, budgeting, work errgroup.Group
 	for i, server := range servers {
 		server.ReadHeaderTimeout = headerWithin
@@ -124,7 +124,7 @@
 		lost = g.tellLost(lost)
 		g.pool.Sweep()
 		g.endpoints.sweep()
-		g.idle.sweep()
+		g.conns.Sweep()
 		g.retries.SetInstances(g.keeper.Book.Instances())
 	}
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -53,7 +53,7 @@
 	}
 	config := route.Compile(decoded)
 	g.keeper.Book.SetPrepaid(prepaidTotals(decoded))
-	g.idle.set(decoded.Limits.Idle)
+	g.conns.SetIdleLimit(idleLimit(decoded))
 	g.config.Store(config)
 	g.log.Info().Int64("state", decoded.Version).Int("routes", len(decoded.Routes)).
 		Int("organisations", len(decoded.Organisations)).Msg("gateway: desired state in force")
@@ -66,6 +66,14 @@
 	return 0
 }
 
+// idleLimit is how long callers' kept connections may idle.
+func idleLimit(s route.State) time.Duration {
+	if s.Limits.Idle <= 0 {
+		return idleCallers
+	}
+	return s.Limits.Idle
+}
+
 func prepaidTotals(s route.State) map[record.Team]int64 {
 	totals := map[record.Team]int64{}
 	for _, org := range s.Organisations {
