Answer in a drain whatever was read, wait for nobody silent

What callers saw: a request that came just as a draining instance stopped taking connections ended with a cleanly closed connection and no answer, though the process had read it: on a new connection at any time after Shutdown was called, on a kept one while its head came in. Cause: http.Server.Shutdown goes by states that come late, and drops what is read after the call. It also waits 5 s for a connection on which nothing was asked. Change: Connections.Drain takes the place of Shutdown. It takes the connections that wait in the listener's queue (for 200 ms at most), ends those that wait for a request by their read deadline (a new one after 500 ms), and waits for the others.

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -19,6 +19,8 @@
 	mu        sync.Mutex
 	idleLimit time.Duration
 	open      map[*conn]struct{}
+	drains    time.Time // Since when; zero while connections are taken.
+	closed    bool      // No more connections are taken.
 }
 
 // New wraps a listener; idleLimit is how long a kept connection may idle.
@@ -29,6 +31,9 @@
 // Accept implements net.Listener.
 func (cs *Connections) Accept() (net.Conn, error) {
 	accepted, err := cs.TCPListener.Accept()
+	if err != nil && cs.isDraining() {
+		accepted, err = cs.acceptQueued(err)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -39,6 +44,14 @@
 	return c, nil
 }
 
+// Close implements net.Listener.
+func (cs *Connections) Close() error {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.closed = true
+	return cs.TCPListener.Close()
+}
+
 func (cs *Connections) forget(c *conn) {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
--- a/internal/callers/callers_test.go
+++ b/internal/callers/callers_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,6 +23,9 @@
 	conns  *callers.Connections
 	server *http.Server
 
+	// draining asks callers to leave.
+	draining atomic.Bool
+
 	mu      sync.Mutex
 	handled map[string]bool
 }
@@ -48,6 +53,9 @@
 	s.mu.Lock()
 	s.handled[r.URL.Path] = true
 	s.mu.Unlock()
+	if s.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	_, _ = io.WriteString(w, r.URL.Path)
 }
 
@@ -73,6 +81,9 @@
 	return &caller{Conn: c, answers: bufio.NewReader(c)}
 }
 
+// errLeave says that the answer, whole, asks the caller to leave.
+var errLeave = errors.New("asked to leave")
+
 // ask sends a request and reads its answer.
 func (c *caller) ask(path string) error {
 	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
@@ -84,8 +95,13 @@
 		return err
 	}
 	defer resp.Body.Close()
-	_, err = io.Copy(io.Discard, resp.Body)
-	return err
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return err
+	}
+	if resp.Close {
+		return errLeave
+	}
+	return nil
 }
 
 // Requests come at the very moment at which the idle limit ends their
@@ -147,3 +163,55 @@
 		t.Error("an answer on a connection that has ended")
 	}
 }
+
+// Callers ask again and again, on kept and on new connections, while a drain takes
+// the connections from them: what was read is answered, and the drain ends soon.
+func TestWhatIsReadInADrainIsAnswered(t *testing.T) {
+	const together, rounds = 20, 20
+	var answered, unread atomic.Int64
+	for range rounds {
+		s := serve(t)
+		var asking sync.WaitGroup
+		for n := range together {
+			asking.Go(func() {
+				for turn := 0; ; turn++ {
+					c, err := net.Dial("tcp", s.conns.Addr().String())
+					if err != nil {
+						return // No more connections are taken.
+					}
+					answered.Add(s.askUntilCut(t, c, fmt.Sprintf("/%d/%d", n, turn), &unread))
+				}
+			})
+		}
+		time.Sleep(10 * time.Millisecond)
+		s.draining.Store(true)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		if err := s.conns.Drain(ctx); err != nil {
+			t.Errorf("%d open: %v", s.conns.Open(), err)
+		}
+		cancel()
+		asking.Wait()
+	}
+	t.Logf("%d answered, %d closed unread", answered.Load(), unread.Load())
+}
+
+// askUntilCut asks on one connection until it ends, and returns how often it was
+// answered. A request that was handled must have been.
+func (s *served) askUntilCut(t *testing.T, conn net.Conn, name string, unread *atomic.Int64) int64 {
+	defer conn.Close()
+	c := &caller{Conn: conn, answers: bufio.NewReader(conn)}
+	for turn := int64(0); ; turn++ {
+		path := fmt.Sprintf("%s/%d", name, turn)
+		err := c.ask(path)
+		switch {
+		case errors.Is(err, errLeave):
+			return turn + 1
+		case err != nil && s.hasHandled(path):
+			t.Errorf("%s was read and not answered: %v", path, err)
+			return turn
+		case err != nil:
+			unread.Add(1)
+			return turn
+		}
+	}
+}
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -12,6 +12,9 @@
 	// lastLook is how long a connection that is to end is still read from: bytes
 	// may have come while the process had no processor to read them.
 	lastLook = 10 * time.Millisecond
+	// askWithin is how long a new connection is left to its first request while the
+	// others end: its caller has just chosen this instance.
+	askWithin = 500 * time.Millisecond
 	// beginWithin bounds the time from the first byte of a request on a kept
 	// connection to the moment from which net/http bounds its head.
 	beginWithin = 10 * time.Second
@@ -101,7 +104,7 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
-	c.forget(c)
+	defer c.forget(c)
 	return c.Conn.Close()
 }
 
@@ -158,6 +161,17 @@
 	}
 }
 
+// endUnasked ends the connection if it waits for a request.
+func (c *conn) endUnasked(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.ending || !c.unanswered.IsZero():
+	case c.phase == phaseIdle, c.phase == phaseFresh && now.Sub(c.since) > askWithin:
+		c.end()
+	}
+}
+
 // end makes the connection's reader give up unless it finds a request.
 func (c *conn) end() {
 	c.ending = true
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -90,7 +90,7 @@
 	logstore.Pause(context.Background(), last, nil)
 	patience, cancel := context.WithDeadline(context.Background(), limit)
 	defer cancel()
-	if err := callers.Shutdown(patience); err != nil {
+	if err := g.conns.Drain(patience); err != nil {
 		g.cut.Store(true)
 		g.log.Warn().Err(err).Int64("under_way", g.underWay.Load()).Msg("gateway: requests cut off at the end of the drain")
 		_ = callers.Close()
