Ask the kernel, not the clock, whether a caller's bytes have come

By reading, not reproduced: the last look before a connection ends waited 10 ms for bytes; where the process stands still for longer, its deadline is over before it reads, though bytes have come, and the connection ends over a request that waits in the kernel. The same at the listener: its queue was taken for 200 ms from the drain's begin, which a stall may outlast. Change: the last look asks poll(2), which tells what is there; the queue's time counts from the first look.

A stall of the process is not made by a test.

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -19,7 +19,8 @@
 	mu        sync.Mutex
 	idleLimit time.Duration
 	open      map[*conn]struct{}
-	drains    time.Time // Since when; zero while connections are taken.
+	draining  bool
+	queued    time.Time // Since when a drain takes connections from the queue.
 	closed    bool      // No more connections are taken.
 }
 
@@ -30,7 +31,7 @@
 
 // Accept implements net.Listener.
 func (cs *Connections) Accept() (net.Conn, error) {
-	accepted, err := cs.TCPListener.Accept()
+	accepted, err := cs.AcceptTCP()
 	if err != nil && cs.isDraining() {
 		accepted, err = cs.acceptQueued(err)
 	}
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -9,9 +9,6 @@
 )
 
 const (
-	// lastLook is how long a connection that is to end is still read from: bytes
-	// may have come while the process had no processor to read them.
-	lastLook = 10 * time.Millisecond
 	// askWithin is how long a new connection is left to its first request while the
 	// others end: its caller has just chosen this instance.
 	askWithin = 500 * time.Millisecond
@@ -37,8 +34,9 @@
 // from outside: the reader that finds it expired has read nothing, and one that
 // was faster takes the deadline back.
 type conn struct {
-	net.Conn
-	forget func(*conn)
+	net.Conn // For its other methods: those of tcp alone would write past Write.
+	tcp      *net.TCPConn
+	forget   func(*conn)
 
 	mu    sync.Mutex
 	phase phase
@@ -49,13 +47,13 @@
 	ending     bool      // The read deadline stands in the past, to end the connection.
 }
 
-func newConn(accepted net.Conn, forget func(*conn)) *conn {
-	return &conn{Conn: accepted, forget: forget, phase: phaseFresh, since: time.Now()}
+func newConn(accepted *net.TCPConn, forget func(*conn)) *conn {
+	return &conn{Conn: accepted, tcp: accepted, forget: forget, phase: phaseFresh, since: time.Now()}
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	n, err := c.tcp.Read(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isEnding() {
 		n, err = c.lookAgain(p)
 	}
@@ -65,12 +63,16 @@
 	return n, err
 }
 
-// lookAgain reads what has come before the deadline expired.
+// lookAgain reads what has come although the deadline has expired: the process may
+// have had no processor to read it before.
 func (c *conn) lookAgain(p []byte) (int, error) {
-	if err := c.Conn.SetReadDeadline(time.Now().Add(lastLook)); err != nil {
+	if !isReadable(c.tcp) {
+		return 0, os.ErrDeadlineExceeded
+	}
+	if err := c.tcp.SetReadDeadline(time.Time{}); err != nil {
 		return 0, err
 	}
-	return c.Conn.Read(p)
+	return c.tcp.Read(p)
 }
 
 // Write implements net.Conn. A request is over once its answer is out; the
@@ -79,7 +81,7 @@
 	c.mu.Lock()
 	c.unanswered = time.Time{}
 	c.mu.Unlock()
-	return c.Conn.Write(p)
+	return c.tcp.Write(p)
 }
 
 // SetReadDeadline implements net.Conn.
@@ -90,22 +92,18 @@
 	if c.ending {
 		return nil
 	}
-	return c.Conn.SetReadDeadline(t)
+	return c.tcp.SetReadDeadline(t)
 }
 
 // CloseWrite lets net/http close after a refusal so that the caller sees it.
 func (c *conn) CloseWrite() error {
-	half, ok := c.Conn.(interface{ CloseWrite() error })
-	if !ok {
-		return nil
-	}
-	return half.CloseWrite()
+	return c.tcp.CloseWrite()
 }
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	defer c.forget(c)
-	return c.Conn.Close()
+	return c.tcp.Close()
 }
 
 func (c *conn) isEnding() bool {
@@ -130,7 +128,7 @@
 		return
 	}
 	c.ending = false
-	_ = c.Conn.SetReadDeadline(c.deadline) // On a connection that is closed already the next read fails.
+	_ = c.tcp.SetReadDeadline(c.deadline) // On a connection that is closed already the next read fails.
 }
 
 // setBusy notes that net/http has a request.
@@ -157,7 +155,7 @@
 	case c.unanswered.IsZero() && now.Sub(c.since) > limit:
 		c.end()
 	case !c.unanswered.IsZero() && now.Sub(c.unanswered) > beginWithin:
-		_ = c.Conn.Close() // A request that was begun and never came: there is no whole one to answer.
+		_ = c.tcp.Close() // A request that was begun and never came: there is no whole one to answer.
 	}
 }
 
@@ -175,5 +173,5 @@
 // end makes the connection's reader give up unless it finds a request.
 func (c *conn) end() {
 	c.ending = true
-	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // Of a connection that is closed already nothing is to end.
+	_ = c.tcp.SetReadDeadline(time.Unix(1, 0)) // Of a connection that is closed already nothing is to end.
 }
--- a/internal/callers/drain.go
+++ b/internal/callers/drain.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// queueFor bounds how long connections are taken after a drain has begun: those
-	// that callers had made before, which a listener resets when it closes.
+	// queueFor bounds how long a drain takes the connections that callers had made
+	// before it: a listener resets them when it closes.
 	queueFor = 200 * time.Millisecond
 	// drainEvery is the pause between two looks for connections that wait for a
 	// request.
@@ -43,14 +43,14 @@
 func (cs *Connections) beginDrain(now time.Time) {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	cs.drains = now
+	cs.draining = true
 	_ = cs.SetDeadline(now) // Fails where the listener is closed already.
 }
 
 func (cs *Connections) isDraining() bool {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	return !cs.drains.IsZero()
+	return cs.draining
 }
 
 // endUnasked ends the connections that wait for a request and says whether none
@@ -67,19 +67,24 @@
 
 // acceptQueued takes a connection that was made before the listener closes. When
 // there is none, it closes the listener. err is how the regular accept ended.
-func (cs *Connections) acceptQueued(err error) (net.Conn, error) {
-	if errors.Is(err, os.ErrDeadlineExceeded) && cs.takesQueued(time.Now()) {
-		_ = cs.SetDeadline(time.Now().Add(lastLook)) // On a closed listener the accept fails.
-		if accepted, err := cs.TCPListener.Accept(); err == nil {
-			return accepted, nil
+func (cs *Connections) acceptQueued(err error) (*net.TCPConn, error) {
+	if errors.Is(err, os.ErrDeadlineExceeded) && cs.takesQueued(time.Now()) && isReadable(cs.TCPListener) {
+		_ = cs.SetDeadline(time.Now().Add(queueFor)) // On a closed listener the accept fails.
+		if accepted, err := cs.AcceptTCP(); err == nil {
+			return accepted, cs.SetDeadline(time.Now())
 		}
 	}
 	_ = cs.Close() // Fails where it is closed already.
 	return nil, http.ErrServerClosed
 }
 
+// takesQueued bounds the time for the queue; it counts from the first look, which
+// may come late.
 func (cs *Connections) takesQueued(now time.Time) bool {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	return now.Sub(cs.drains) <= queueFor
+	if cs.queued.IsZero() {
+		cs.queued = now
+	}
+	return now.Sub(cs.queued) <= queueFor
 }
