--- a/internal/callers/drain.go
+++ b/internal/callers/drain.go
@@ -27,7 +27,7 @@
 // the call, closes a kept connection while a head comes in on it, and waits for
 // seconds for a connection on which nothing was asked.
 func (cs *Connections) Drain(ctx context.Context) error {
-	cs.beginDrain(time.Now())
+	cs.beginDrain()
 	ticker := time.NewTicker(drainEvery)
 	defer ticker.Stop()
 	for !cs.endUnasked(time.Now()) {
@@ -40,11 +40,11 @@
 	return nil
 }
 
-func (cs *Connections) beginDrain(now time.Time) {
+func (cs *Connections) beginDrain() {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	cs.draining = true
-	_ = cs.SetDeadline(now) // Fails where the listener is closed already.
+	_ = cs.SetDeadline(time.Now()) // Fails where the listener is closed already.
 }
 
 func (cs *Connections) isDraining() bool {
