Catch SIGTERM until the process is gone

What the supervisor saw: instances that had drained in time ended by a signal instead of with exit code 0. Cause: the command line stopped listening for SIGTERM when the command had ended; a second SIGTERM before the exit met the default action. No request was under way any more. Change: SIGTERM and the interrupt stay caught until the process is gone. The window is the second that the race detector waits at the exit; without it, it is the time from the command's return to the exit.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -51,8 +51,9 @@
 // Main runs the command line and returns the exit code.
 func Main(args []string, stdin io.Reader, stdout, stderr io.Writer) int {
 	o := output{in: stdin, out: stdout, err: stderr}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
+	// Never undone: a signal that comes once more while the process leaves would end
+	// it by its default action, and an orderly end would look like a failure.
+	ctx, _ := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	root := rootCommand(o)
 	command := commandOf(root, args)
 	if err := root.Parse(args); err != nil {
