Give a log's last lines the time that is left

What operators see: an instance that ended in time without its last lines (steps, stopped), as if it had been killed. Cause, by reading: 70 ms for the last lines, in which an instance of a fifth of a core may get no time at all. TestAStoppedReaderHoldsUpNoEnd as before.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/url"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -12,6 +13,9 @@
 	"guavapier/platform"
 )
 
+// lastLines is the time for a log's last lines where no instance was started.
+const lastLines = time.Second
+
 // runGateway runs an instance on the outside platform.
 func runGateway(ctx context.Context, o output, file string) error {
 	hangups := catchHangups()
@@ -20,7 +24,8 @@
 		return err
 	}
 	ring := logging.NewRing(o.out, s.Log.Buffer)
-	defer ring.Close()
+	left := lastLines
+	defer func() { _ = ring.CloseWithin(left) }() // Lines that are lost then can't be told.
 	log, err := logging.New(settings.Log{Level: s.Log.Level, Format: s.Log.Format}, ring)
 	if err != nil {
 		return err
@@ -43,5 +48,7 @@
 	reloading, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	go reloadOn(reloading, hangups, g, file, log)
-	return g.Run(ctx)
+	err = g.Run(ctx)
+	left = g.TimeLeft()
+	return err
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,6 +72,8 @@
 	// forServers is the part of forExit for what is left of the background work
 	// and for closing the other servers.
 	forServers = 100 * time.Millisecond
+	// forProcess is the last part of forExit, for the process itself to end.
+	forProcess = 30 * time.Millisecond
 	// assumedInstances shares the retry budget until the others are known.
 	assumedInstances = 16
 	// sweepEvery is the pause between two rounds of housekeeping.
@@ -98,6 +100,7 @@
 	retries   *retry.Keeper
 	pool      *upstream.Pool
 	conns     *callers.Connections // Those of callers.
+	gone      time.Time            // When the process is to be gone; set by end.
 	draining  atomic.Bool
 	gate      *drain.Gate
 	cut       atomic.Bool  // Callers' connections are being closed under way.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -45,7 +45,8 @@
 
 // end drains and stops what Run has started, each step within a time of its own.
 func (g *Gateway) end(servers []*http.Server, stop func(), budgeting, work, serving *errgroup.Group) error {
-	limit := time.Now().Add(g.settings.Drain.Within.D() - forExit)
+	g.gone = time.Now().Add(g.settings.Drain.Within.D())
+	limit := g.gone.Add(-forExit)
 	steps := newSteps(g.log)
 	leaving := time.AfterFunc(g.settings.Drain.Unready.D(), g.keeper.Leave)
 	defer leaving.Stop()
@@ -69,6 +70,9 @@
 	return err
 }
 
+// TimeLeft is how long the process may go on after Run: for the last lines of its log.
+func (g *Gateway) TimeLeft() time.Duration { return time.Until(g.gone) - forProcess }
+
 // close ends the connections of operators and other instances.
 func (g *Gateway) close(servers []*http.Server) {
 	for _, server := range servers {
--- a/internal/logging/ring.go
+++ b/internal/logging/ring.go
@@ -10,12 +10,8 @@
 	"github.com/rs/zerolog/diode"
 )
 
-const (
-	// ringPoll is how often the ring's reader looks for lines.
-	ringPoll = 20 * time.Millisecond
-	// lastLinesWithin bounds Close, which comes last within an instance's time to end.
-	lastLinesWithin = 70 * time.Millisecond
-)
+// ringPoll is how often the ring's reader looks for lines.
+const ringPoll = 20 * time.Millisecond
 
 // ErrLinesLeft says that the output's reader did not take the last lines in time.
 var ErrLinesLeft = eris.New("logging: last lines not taken by the output's reader")
@@ -37,15 +33,15 @@
 	return r
 }
 
-// Close writes the lines that are left. A reader that takes none must not keep the
-// process from ending: its lines are given up.
-func (r *Ring) Close() error {
+// CloseWithin writes the lines that are left, for that long at most. A reader that
+// takes none must not keep the process from ending: its lines are given up.
+func (r *Ring) CloseWithin(patience time.Duration) error {
 	closed := make(chan error, 1)
-	go func() { closed <- r.WriteCloser.Close() }()
+	go func() { closed <- r.Close() }()
 	select {
 	case err := <-closed:
 		return err
-	case <-time.After(lastLinesWithin):
+	case <-time.After(patience):
 		return ErrLinesLeft
 	}
 }
--- a/internal/logging/ring_test.go
+++ b/internal/logging/ring_test.go
@@ -73,7 +73,7 @@
 	log := zerolog.New(ring)
 	log.Info().Msg("logging: test")
 	closed := make(chan error, 1)
-	go func() { closed <- ring.Close() }()
+	go func() { closed <- ring.CloseWithin(50 * time.Millisecond) }()
 	select {
 	case err := <-closed:
 		if err == nil {
@@ -84,22 +84,33 @@
 	}
 }
 
-// What was written before the end is read whole by a reader that takes it.
+// What was written before the end is read whole by a reader that takes it, as slowly
+// as the time that is left allows: the last lines tell how a process ended.
 func TestTheLastLinesAreWritten(t *testing.T) {
+	const lines, each = 20, 10 * time.Millisecond
 	synctest.Test(t, func(t *testing.T) { // Time stands still while anything runs.
-		const lines = 500
-		out := &blocked{release: make(chan struct{})}
-		close(out.release)
+		out := &slow{each: each}
 		ring := logging.NewRing(out, 2*lines)
 		log := zerolog.New(ring)
 		for range lines {
 			log.Info().Msg("logging: test")
 		}
-		if err := ring.Close(); err != nil {
+		if err := ring.CloseWithin(2 * lines * each); err != nil {
 			t.Fatal(err)
 		}
-		if got := strings.Count(out.String(), "logging: test"); got != lines {
+		if got := strings.Count(out.text.String(), "logging: test"); got != lines {
 			t.Errorf("%d of %d lines", got, lines)
 		}
 	})
 }
+
+// slow is a reader of the output that takes its time for each line.
+type slow struct {
+	each time.Duration
+	text strings.Builder
+}
+
+func (s *slow) Write(p []byte) (int, error) {
+	time.Sleep(s.each)
+	return s.text.Write(p)
+}
