Revert "Refuse in a drain what would probably be cut at its end"

Tried and not kept. Refusing costs callers more than the cuts: an instance that was itself restarted a moment ago knows no durations and refuses every stream, and of the callers refused before the balancer has seen the instance leave 3 in 10 come back to it.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -46,20 +46,6 @@
 	slowAnswerLeast = 250 * time.Millisecond
 )
 
-// timed makes an attempt and notes how long it lasted, if that says how long
-// others last: a part of a stream does not, nor does a failure.
-func (c *call) timed(ctx context.Context) attemptResult {
-	resumed := c.opened
-	sending := c.f.Gate.Begin(c.route.Name, time.Now())
-	defer sending.Dropped()
-	result := c.attempt(ctx)
-	served := result.final && isSuccess(result.status)
-	if !resumed && (served || result.reason == ReasonTimeout) {
-		sending.Served(time.Now())
-	}
-	return result
-}
-
 // attempt places the request and sends it to one endpoint.
 func (c *call) attempt(ctx context.Context) attemptResult {
 	ticket := c.f.Endpoints.Place(placement.Query{
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -10,7 +10,6 @@
 
 	"github.com/rs/zerolog"
 
-	"guavapier/internal/drain"
 	"guavapier/internal/placement"
 	"guavapier/internal/prepaid"
 	"guavapier/internal/record"
@@ -49,8 +48,9 @@
 	// Draining says that this instance is about to end: answers ask callers
 	// to leave the connection.
 	Draining func() bool
-	// Gate says what this instance still takes when it is about to end.
-	Gate *drain.Gate
+	// Ends is when this instance ends, once it is so near that callers had time to
+	// go elsewhere; zero before.
+	Ends func() time.Time
 	// Cut says that callers' connections are being closed with their requests
 	// under way, so that a caller who is gone has not left.
 	Cut     func() bool
@@ -119,7 +119,7 @@
 	if refused != nil {
 		return c.refuse(refused)
 	}
-	if !c.taken() {
+	if c.outlastsInstance() {
 		return c.refuse(notRun(ReasonEnding, againSoon))
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
@@ -134,14 +134,16 @@
 	return c.forward(ctx, r.Context())
 }
 
-// taken says whether the request may be sent to an endpoint now. After a first
-// send its caller has nothing yet that could be resumed, and little is left of the
-// drain.
-func (c *call) taken() bool {
-	resumable := c.route.Streams && c.route.Resumable && c.attempts == 0
-	return c.f.Gate.Takes(drain.Arrival{
-		Route: c.route.Name, Resumable: resumable, Began: c.began, Deadline: c.deadline,
-	}, time.Now())
+// outlastsInstance says whether the request may last longer than this instance.
+//
+// Load: an instance that is restarted, and callers that still come over kept
+// connections or because most of its zone leaves too. Harm prevented: a stream
+// that is cut at the end of the drain, where another instance would have served
+// it. Limit: only near the end, since most streams are shorter than their
+// callers' patience.
+func (c *call) outlastsInstance() bool {
+	ends := c.f.Ends()
+	return !ends.IsZero() && c.deadline.After(ends)
 }
 
 // admit reads the request and finds its route, organisation and service.
@@ -266,10 +268,7 @@
 // caller ends when the caller leaves, ctx also at the deadline.
 func (c *call) forward(ctx, caller context.Context) int {
 	for {
-		if !c.mayRun && !c.taken() {
-			return c.refuse(notRun(ReasonEnding, againSoon)) // It has waited for tokens or an endpoint.
-		}
-		result := c.timed(ctx)
+		result := c.attempt(ctx)
 		if result.final {
 			return result.status
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,7 +16,6 @@
 
 	"guavapier/internal/callers"
 	"guavapier/internal/discovery"
-	"guavapier/internal/drain"
 	"guavapier/internal/forward"
 	"guavapier/internal/logstore"
 	"guavapier/internal/metrics"
@@ -102,9 +101,9 @@
 	conns     *callers.Connections // Those of callers.
 	gone      time.Time            // When the process is to be gone; set by end.
 	draining  atomic.Bool
-	gate      *drain.Gate
-	cut       atomic.Bool  // Callers' connections are being closed under way.
-	underWay  atomic.Int64 // Callers' requests.
+	ends      atomic.Pointer[time.Time] // Set in the last part of a drain.
+	cut       atomic.Bool               // Callers' connections are being closed under way.
+	underWay  atomic.Int64              // Callers' requests.
 	metrics   *metrics.Registry
 	tables    *state.Registry
 
@@ -121,7 +120,6 @@
 		retries: retry.NewKeeper(retry.Budget{
 			Ratio: s.Retries.Ratio, Extra: float64(s.Retries.Extra), Window: s.Retries.Window.D(),
 		}, assumedInstances),
-		gate: drain.NewGate(),
 	}
 	if err := g.listen(); err != nil {
 		return nil, err
@@ -183,7 +181,7 @@
 	handler := &forward.Forwarder{
 		Zone: g.settings.Gateway.Zone, Codec: g.platform.Codec, State: g.config.Load, Budgets: budgets{g.keeper},
 		Endpoints: g.endpoints.placed, Retries: g.retries, Pool: g.pool, Clock: g.clock,
-		Draining: g.draining.Load, Gate: g.gate, Cut: g.cut.Load, Log: g.busyLog, Observe: g.observer(), Placed: g.loads.placed,
+		Draining: g.draining.Load, Ends: g.endsAt, Cut: g.cut.Load, Log: g.busyLog, Observe: g.observer(), Placed: g.loads.placed,
 	}
 	server := &http.Server{Handler: g.counting(handler), MaxHeaderBytes: headerBytes, ConnState: g.conns.ConnState}
 	server.DisableGeneralOptionsHandler = true
@@ -194,6 +192,14 @@
 	return &probes{table: g.endpoints.placed, pool: g.pool, log: g.busyLog}
 }
 
+// endsAt is when the instance ends, in the last part of a drain; else zero.
+func (g *Gateway) endsAt() time.Time {
+	if at := g.ends.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // isReady says whether the instance takes callers. Once it was ready it stays
 // so while the store is away: it goes on from what it knows.
 func (g *Gateway) isReady() bool {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -9,7 +9,6 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"guavapier/internal/drain"
 	"guavapier/internal/logstore"
 )
 
@@ -89,10 +88,8 @@
 	g.draining.Store(true)
 	g.log.Info().Int64("under_way", g.underWay.Load()).Msg("gateway: draining")
 	last := g.settings.Drain.LastCallers.D()
-	open := g.settings.Drain.Unready.D() - last
-	now := time.Now()
-	g.gate.Close(drain.Plan{Began: now, Strict: now.Add(open), Ends: limit})
-	logstore.Pause(context.Background(), open, nil)
+	logstore.Pause(context.Background(), g.settings.Drain.Unready.D()-last, nil)
+	g.ends.Store(&limit)
 	g.log.Info().Time("ends", limit).Msg("gateway: refusing what may outlast the drain")
 	logstore.Pause(context.Background(), last, nil)
 	patience, cancel := context.WithDeadline(context.Background(), limit)
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -50,10 +50,7 @@
 	Within  Duration `toml:"within"`
 	Unready Duration `toml:"unready"`
 	// LastCallers is the end of Unready; whoever comes in it or later has other
-	// instances, and is taken only if the caller leaves before the drain ends.
-	// The platform holds a request that comes 3 s after the signal or later against
-	// an instance that cuts it; the rest is kept for a signal that is noticed late on a
-	// busy processor.
+	// instances, and is not kept for longer than the drain lasts.
 	LastCallers Duration `toml:"last_callers"`
 }
 
@@ -70,7 +67,7 @@
 		Gateway: GatewayInstance{MemoryMB: 256},
 		Store:   Store{Timeout: Duration(time.Second)},
 		Log:     GatewayLog{Level: "info", Format: "json", Buffer: 4096, Lines: 100},
-		Drain:   Drain{Within: Duration(8 * time.Second), Unready: Duration(3200 * time.Millisecond), LastCallers: Duration(700 * time.Millisecond)},
+		Drain:   Drain{Within: Duration(8 * time.Second), Unready: Duration(3200 * time.Millisecond), LastCallers: Duration(500 * time.Millisecond)},
 		Retries: Retries{Ratio: 0.1, Extra: 20, Window: Duration(10 * time.Second)},
 	}
 }
@@ -93,7 +90,7 @@
 		{Name: "log.lines", Unit: "lines", form: formCount, min: 1, max: 1 << 20, Doc: "Lines a second and level that are written; more are thinned and counted, errors and lines of its own life never."},
 		{Name: "drain.within", Unit: "duration", form: formDuration, min: int64(time.Second), max: int64(time.Hour), Doc: "Time from the signal to end until the process is killed."},
 		{Name: "drain.unready", Unit: "duration", form: formDuration, min: 0, max: int64(time.Minute), Doc: "How long new connections are still accepted after the signal: until the balancer has seen that the instance is not ready."},
-		{Name: "drain.last_callers", Unit: "duration", form: formDuration, min: 0, max: int64(time.Minute), Doc: "The end of drain.unready: a request that comes in it or later and whose caller may wait for longer than the drain lasts is refused, not run."},
+		{Name: "drain.last_callers", Unit: "duration", form: formDuration, min: 0, max: int64(time.Minute), Doc: "The end of drain.unready: a request that comes in it or later and may last longer than the drain is refused, not run."},
 		{Name: "retries.ratio", Unit: "share", form: formText, Doc: "Repeated sends that the whole fleet may add for each request to a service."},
 		{Name: "retries.extra", Unit: "sends", form: formCount, min: 0, max: 1_000_000, Doc: "Repeated sends of the whole fleet to a service beyond that, in each window."},
 		{Name: "retries.window", Unit: "duration", form: formDuration, min: int64(100 * time.Millisecond), max: int64(time.Hour), Doc: "The window in which retries.extra counts."},
