Ask before each send in a drain whether there is time for it

What callers see: a request that waited for tokens, or whose first endpoint refused it, late in a drain, is sent on and cut without an answer at the drain's end; a refusal would have sent it to another instance at once. Cause: whether there is time was asked once, when the request had been read.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -120,7 +120,7 @@
 		return c.refuse(refused)
 	}
 	if c.outlastsInstance() {
-		return c.refuse(notRun(ReasonEnding, againSoon))
+		return c.refuse(notRun(ReasonEnding, againSoon)) // Before it waits for tokens.
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
@@ -139,8 +139,9 @@
 // Load: an instance that is restarted, and callers that still come over kept
 // connections or because most of its zone leaves too. Harm prevented: a stream
 // that is cut at the end of the drain, where another instance would have served
-// it. Limit: only near the end, since most streams are shorter than their
-// callers' patience.
+// it. Limit: only near the end, when the balancer leads callers elsewhere, since
+// most streams are shorter than their callers' patience. It is asked before each
+// send: a wait for tokens or for an endpoint that refuses takes it to the end.
 func (c *call) outlastsInstance() bool {
 	ends := c.f.Ends()
 	return !ends.IsZero() && c.deadline.After(ends)
@@ -268,6 +269,9 @@
 // caller ends when the caller leaves, ctx also at the deadline.
 func (c *call) forward(ctx, caller context.Context) int {
 	for {
+		if !c.mayRun && c.outlastsInstance() {
+			return c.refuse(notRun(ReasonEnding, againSoon))
+		}
 		result := c.attempt(ctx)
 		if result.final {
 			return result.status
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -67,7 +67,7 @@
 		Gateway: GatewayInstance{MemoryMB: 256},
 		Store:   Store{Timeout: Duration(time.Second)},
 		Log:     GatewayLog{Level: "info", Format: "json", Buffer: 4096, Lines: 100},
-		Drain:   Drain{Within: Duration(8 * time.Second), Unready: Duration(3200 * time.Millisecond), LastCallers: Duration(500 * time.Millisecond)},
+		Drain:   Drain{Within: Duration(8 * time.Second), Unready: Duration(3200 * time.Millisecond), LastCallers: Duration(700 * time.Millisecond)},
 		Retries: Retries{Ratio: 0.1, Extra: 20, Window: Duration(10 * time.Second)},
 	}
 }
