Leave a new connection more time for its first request in a drain

Seen once in 24 plays of the drain tests at load 80: TestADrainAnswersACallerThatHasJust- Connected, EOF in place of an answer, 0.67 s after the test began. Trace: the drain ends a connection on which nothing was asked for 0.5 s; the test's own caller was slower than that. Change: 1.5 s. It stays below the 5 s for which http.Server.Shutdown waited.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -10,8 +10,9 @@
 
 const (
 	// askWithin is how long a new connection is left to its first request while the
-	// others end: its caller has just chosen this instance.
-	askWithin = 500 * time.Millisecond
+	// others end: its caller has just chosen this instance, and on a full link the
+	// request takes more than a second to come.
+	askWithin = 1500 * time.Millisecond
 	// beginWithin bounds the time from the first byte of a request on a kept
 	// connection to the moment from which net/http bounds its head.
 	beginWithin = 10 * time.Second
