Let no stalled head hold up a drain

What callers see: nothing by itself; a drain that one caller's unfinished head keeps until its very end ends later, and its log tells of requests cut off with none under way. Cause: a connection from which a byte was read was left to net/http's 10 s. Change: 2 s in a drain; the idle limit ends such a connection by its read deadline too, not by a close that could come after a read (by reading, not reproduced).

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -14,8 +14,11 @@
 	// request takes more than a second to come.
 	askWithin = 1500 * time.Millisecond
 	// beginWithin bounds the time from the first byte of a request on a kept
-	// connection to the moment from which net/http bounds its head.
+	// connection to the end of its head.
 	beginWithin = 10 * time.Second
+	// beginWithinDrain is the same in a drain, on any connection: a caller that has
+	// sent a part of a head and stalls must not hold up the others' end.
+	beginWithinDrain = 2 * time.Second
 )
 
 // phase is what net/http does with a connection.
@@ -156,16 +159,21 @@
 	case c.unanswered.IsZero() && now.Sub(c.since) > limit:
 		c.end()
 	case !c.unanswered.IsZero() && now.Sub(c.unanswered) > beginWithin:
-		_ = c.tcp.Close() // A request that was begun and never came: there is no whole one to answer.
+		c.end() // A request that was begun and never came: there is no whole one to answer.
 	}
 }
 
-// endUnasked ends the connection if it waits for a request.
+// endUnasked ends the connection if it waits for a request, or for the rest of a
+// head that does not come.
 func (c *conn) endUnasked(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case c.ending || !c.unanswered.IsZero():
+	case c.ending || c.phase == phaseBusy:
+	case !c.unanswered.IsZero():
+		if now.Sub(c.unanswered) > beginWithinDrain {
+			c.end()
+		}
 	case c.phase == phaseIdle, c.phase == phaseFresh && now.Sub(c.since) > askWithin:
 		c.end()
 	}
