Apply settings that change while an instance starts

What operators see: a settings file that changes between an instance's read of it and its first look at it, with or without SIGHUP, is not applied until the next change. Cause: the first look read the file anew and took that for the text in force. Change: the text in force is the one that was read for the start. Class: one fact read twice. Also: the built-in platform names no idle limit that its connections never use.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/url"
+	"os"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -19,7 +20,11 @@
 // runGateway runs an instance on the outside platform.
 func runGateway(ctx context.Context, o output, file string) error {
 	hangups := catchHangups()
-	s, err := settings.LoadGateway(file)
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return eris.Wrap(err, "cli: read settings")
+	}
+	s, err := settings.ParseGateway(file, text)
 	if err != nil {
 		return err
 	}
@@ -47,7 +52,8 @@
 	// Settings apply until the instance has ended, also while it drains.
 	reloading, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	go reloadOn(reloading, hangups, g, file, log)
+	reload := &reloader{file: file, last: text, apply: g.Reload, log: log}
+	go reload.run(reloading, hangups)
 	err = g.Run(ctx)
 	left = g.TimeLeft()
 	return err
--- a/internal/cli/reload.go
+++ b/internal/cli/reload.go
@@ -8,7 +8,6 @@
 
 	"github.com/rs/zerolog"
 
-	"guavapier/internal/gateway"
 	"guavapier/internal/settings"
 )
 
@@ -16,33 +15,43 @@
 // a signal.
 const lookEvery = 2 * time.Second
 
-// reloadOn applies the settings file again when it changes and on a hangup,
-// until ctx ends.
-func reloadOn(ctx context.Context, hangups <-chan os.Signal, g *gateway.Gateway, file string, log zerolog.Logger) {
+// reloader applies a settings file again when it changes.
+type reloader struct {
+	file string
+	// last is the text in force: a change between the first read of the file and
+	// the first look at it is one too.
+	last  []byte
+	apply func(settings.Gateway)
+	log   zerolog.Logger
+}
+
+// run looks at the file now and then and on each hangup, until ctx ends.
+func (r *reloader) run(ctx context.Context, hangups <-chan os.Signal) {
 	ticker := time.NewTicker(lookEvery)
 	defer ticker.Stop()
-	last, err := os.ReadFile(file)
-	if err != nil {
-		log.Warn().Err(err).Msg("gateway: settings file not readable")
-	}
 	for {
 		select {
 		case <-hangups:
-			log.Info().Msg("gateway: SIGHUP, looking at the settings file")
+			r.log.Info().Msg("gateway: SIGHUP, looking at the settings file")
 		case <-ticker.C:
 		case <-ctx.Done():
 			return
 		}
-		data, err := os.ReadFile(file)
-		if err != nil || bytes.Equal(data, last) {
-			continue // A file that is being replaced is read at the next look.
-		}
-		last = data
-		s, err := settings.ParseGateway(file, data)
-		if err != nil {
-			log.Error().Err(err).Msg("gateway: changed settings are wrong; the last ones stay in force")
-			continue
-		}
-		g.Reload(s)
+		r.look()
+	}
+}
+
+// look applies the file if it has changed and is right.
+func (r *reloader) look() {
+	data, err := os.ReadFile(r.file)
+	if err != nil || bytes.Equal(data, r.last) {
+		return // A file that is being replaced is read at the next look.
+	}
+	r.last = data
+	s, err := settings.ParseGateway(r.file, data)
+	if err != nil {
+		r.log.Error().Err(err).Msg("gateway: changed settings are wrong; the last ones stay in force")
+		return
 	}
+	r.apply(s)
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -64,11 +64,9 @@
 	Ready func() bool
 }
 
-// IdleWithin is how long a kept connection may idle.
-const IdleWithin = 2 * time.Minute
-
 const (
 	headWithin     = 10 * time.Second
+	idleWithin     = 2 * time.Minute
 	maxHeaderBytes = 32 << 10
 )
 
@@ -76,7 +74,7 @@
 // requests, since a stream may last; the handlers bound each read and write.
 func NewServer(h http.Handler) *http.Server {
 	return &http.Server{
-		Handler: h, ReadHeaderTimeout: headWithin, IdleTimeout: IdleWithin, MaxHeaderBytes: maxHeaderBytes,
+		Handler: h, ReadHeaderTimeout: headWithin, IdleTimeout: idleWithin, MaxHeaderBytes: maxHeaderBytes,
 	}
 }
 
