Let a stopped reader of the log hold up no drain of the built-in platform

What callers and operators see: an instance whose standard error is not read does not drain when it is told to, and is killed with what it holds. Cause: its log wrote to the reader without a bound (the gateway's goes through a ring). Change: the same ring, and a bound for the last lines. Test: TestAStoppedReaderOfTheLogHoldsUpNoDrain, still there after 30 s before, green after.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -15,6 +15,9 @@
 	"guavapier/internal/settings"
 )
 
+// logLines is how many log lines wait for a slow reader.
+const logLines = 4096
+
 // settingsVariable names the settings file where no flag does.
 const settingsVariable = "GUAVAPIER_CONFIG"
 
@@ -58,7 +61,10 @@
 	if err != nil {
 		return err
 	}
-	log, err := logging.New(s.Log, o.err)
+	// Lines never wait for their reader: it may stop, and callers go on.
+	ring := logging.NewRing(o.err, logLines)
+	defer func() { _ = ring.CloseWithin(lastLines) }() // Lines that are lost then can't be told.
+	log, err := logging.New(s.Log, ring)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/test/process/log_reader_test.go
@@ -0,0 +1,69 @@
+package process_test
+
+import (
+	"net/http"
+	"os"
+	"os/exec"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// An instance whose standard error is a full pipe that nobody reads did not even
+// begin its drain: each log line waited for the reader.
+func TestAStoppedReaderOfTheLogHoldsUpNoDrain(t *testing.T) {
+	_, platform := startStandin(t, "platform")
+	file := instanceSettings(t, "entry-1", "hall-a", platform, "")
+	const callers = "127.23.45.67:8191"
+	text, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fixed := strings.Replace(string(text), `callers = "127.0.0.1:0"`, `callers = "`+callers+`"`, 1)
+	if err := os.WriteFile(file, []byte(fixed), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(binary, "serve", "-settings", file)
+	cmd.Stderr = fullPipe(t)
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- cmd.Wait() }()
+	t.Cleanup(func() { _ = cmd.Process.Kill() })
+	eventually(t, "ready", func() bool {
+		resp, err := http.Get("http://" + callers + "/readyz")
+		if err != nil {
+			return false
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(waitLimit):
+		t.Fatal("still there")
+	}
+}
+
+// fullPipe returns a pipe's end for writing that takes no more bytes.
+func fullPipe(t *testing.T) *os.File {
+	t.Helper()
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _, _ = reader.Close(), writer.Close() })
+	_ = writer.SetWriteDeadline(time.Now().Add(200 * time.Millisecond))
+	for err == nil {
+		_, err = writer.Write(make([]byte, 4096))
+	}
+	return writer
+}
