--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,17 +62,6 @@
 	headerBytes = 64 << 10
 	// idleCallers closes callers' connections where the desired state says nothing.
 	idleCallers = 2 * time.Minute
-	// forExit and forBudgets are kept of the drain's time for ending the process
-	// and, before that, for giving back tokens.
-	forExit, forBudgets = 200 * time.Millisecond, 300 * time.Millisecond
-	// forSettling is the part of forBudgets for requests that were cut off to end;
-	// settlingLook is how often it is looked whether they have.
-	forSettling, settlingLook = 120 * time.Millisecond, 2 * time.Millisecond
-	// forServers is the part of forExit for what is left of the background work
-	// and for closing the other servers.
-	forServers = 100 * time.Millisecond
-	// forProcess is the last part of forExit, for the process itself to end.
-	forProcess = 30 * time.Millisecond
 	// assumedInstances shares the retry budget until the others are known.
 	assumedInstances = 16
 	// sweepEvery is the pause between two rounds of housekeeping.
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -86,3 +86,12 @@
 	})
 	return r
 }
+
+// counting counts callers' requests while they are under way.
+func (g *Gateway) counting(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		g.underWay.Add(1)
+		defer g.underWay.Add(-1)
+		next.ServeHTTP(w, r)
+	})
+}
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -57,12 +56,3 @@
 	s.log.Error().Str("step", step).Dur("waited", now.Sub(s.last)).Dur("since_signal", now.Sub(s.began)).Msg("gateway: not ended in time")
 	s.last = now
 }
-
-// counting counts callers' requests while they are under way.
-func (g *Gateway) counting(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		g.underWay.Add(1)
-		defer g.underWay.Add(-1)
-		next.ServeHTTP(w, r)
-	})
-}
