Leave a log's output open at the end of its ring

What operators saw: an instance of the built-in platform that a second signal cut off no longer said what it cut off. Cause: since its lines go through a ring, closing that closed standard error before the last word. Change: the ring gets the output without its Close.

--- a/internal/logging/ring.go
+++ b/internal/logging/ring.go
@@ -26,7 +26,10 @@
 // NewRing returns a Ring of so many lines in front of w.
 func NewRing(w io.Writer, lines int) *Ring {
 	r := &Ring{}
-	r.WriteCloser = diode.NewWriter(w, lines, ringPoll, func(missed int) {
+	// The writer's Close closes what it writes to, if it can: the output must stay
+	// open for what is written after the ring.
+	unowned := struct{ io.Writer }{w}
+	r.WriteCloser = diode.NewWriter(unowned, lines, ringPoll, func(missed int) {
 		r.dropped.Add(int64(missed))
 		fmt.Fprintf(w, "{\"level\":\"warn\",\"dropped\":%d,\"message\":\"logging: lines dropped\"}\n", missed)
 	})
--- a/internal/logging/ring_test.go
+++ b/internal/logging/ring_test.go
@@ -1,6 +1,7 @@
 package logging_test
 
 import (
+	"bytes"
 	"runtime"
 	"strings"
 	"sync"
@@ -114,3 +115,22 @@
 	time.Sleep(s.each)
 	return s.text.Write(p)
 }
+
+// closer is an output that notes whether it was closed.
+type closer struct {
+	bytes.Buffer
+	closed bool
+}
+
+func (c *closer) Close() error {
+	c.closed = true
+	return nil
+}
+
+// The ring does not own its output: what ends after it still writes there.
+func TestTheEndOfARingLeavesItsOutputOpen(t *testing.T) {
+	var out closer
+	if err := logging.NewRing(&out, 16).CloseWithin(time.Second); err != nil || out.closed {
+		t.Errorf("%v, closed: %v", err, out.closed)
+	}
+}
