Keep a late claim for its caller only for some time

What callers saw: refused elsewhere for want of tokens that an instance kept and had no use for; an instance that ends kept them until it was gone. Cause: a claim that comes after its request has given up is kept for 2 s for the caller's return, and each confirmed statement, one a second, began those 2 s anew. Change: the time begins once for what is wanted.

--- a/internal/prepaid/book.go
+++ b/internal/prepaid/book.go
@@ -73,7 +73,7 @@
 	drafted allowance // Of the statement under way; else as onLog.
 	short   int64     // Wanted by requests that wait.
 	wanted  int64     // Short at the last draft, or what came late for it.
-	// wantedUntil is how long wanted is kept although no request waits.
+	// wantedUntil is how long wanted is kept although no request waits; 0 if it is not.
 	wantedUntil time.Duration
 	rate        rate
 	largest     float64 // Decaying maximum of a request's size.
--- a/internal/prepaid/policy.go
+++ b/internal/prepaid/policy.go
@@ -216,12 +216,16 @@
 func (a *account) want(now time.Duration) {
 	if a.short >= a.wanted || now >= a.wantedUntil {
 		a.wanted = a.short
+		a.wantedUntil = 0
 	}
 }
 
 // late notes whether a confirmed row brought what requests wanted that have
 // given up meanwhile.
 func (a *account) late(r Row, now time.Duration) {
+	if a.wantedUntil != 0 {
+		return // The time runs: every statement is confirmed, and none may begin it anew.
+	}
 	if a.short < a.wanted && a.unspent() >= a.wanted && r.Mark-a.drawn() >= a.wanted {
 		a.wantedUntil = now + wantedFor
 	}
--- a/internal/prepaid/want_test.go
+++ b/internal/prepaid/want_test.go
@@ -45,3 +45,31 @@
 		})
 	}
 }
+
+// What comes late for a request is kept for its caller's return for some time, and
+// not for as long as the instance goes on stating.
+//
+// What callers saw: refused elsewhere for want of tokens that an instance kept and had
+// no use for, also one that was about to end. Order of events: a request gives up while
+// its claim is on its way; the claim comes; each statement after it is confirmed. Cause:
+// each confirmation began the time of keeping anew, and there is one a second. Evidence:
+// five statements of an instance that ends, a second apart, all with the same 100 and
+// 200 tokens of a request that had gone.
+func TestALateClaimIsNotKeptForEver(t *testing.T) {
+	const wanted = 1 << 39
+	b := crowd(7, 0)
+	b.Want(team, wanted)
+	s := b.Draft(0)
+	b.Taken(s, 0)
+	b.Want(team, -wanted)
+	b.Apply("self", s, 0)
+	for now := time.Second; now <= 5*time.Second; now += time.Second {
+		if s := b.Draft(now); s != nil {
+			b.Taken(s, now)
+			b.Apply("self", s, now)
+		}
+	}
+	if got := b.Balance(team, 5*time.Second).Claimed; got >= wanted {
+		t.Errorf("%d still claimed", got)
+	}
+}
