--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -84,7 +84,11 @@
 	busyLog  zerolog.Logger // For lines that come with load; thinned.
 	clock    func() time.Duration
 
-	config    atomic.Pointer[route.Config]
+	config atomic.Pointer[route.Config]
+	// stateRead is when the last read of the desired state began, stateConfirmed when the
+	// last one that succeeded did; both of clock, in nanoseconds, 0 for never.
+	stateRead, stateConfirmed atomic.Int64
+
 	endpoints *endpoints
 	keeper    *prepaid.Keeper
 	loads     *loads
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -17,9 +17,12 @@
 	g.tables.Register("budgets", func() any { return g.keeper.Book.View(g.clock()) })
 	g.tables.Register("endpoints", func() any { return g.endpoints.placed.View() })
 	g.tables.Register("zone", func() any { return g.zoneView() })
-	g.tables.Register("state", func() any { return map[string]int64{"version": g.version()} })
+	g.tables.Register("state", func() any {
+		return map[string]int64{"version": g.version(), "age_ms": g.stateAge().Milliseconds()}
+	})
 	g.metrics.Gauge(metrics.GatewayInstances, func() int64 { return int64(g.keeper.Book.Instances()) })
 	g.metrics.Gauge(metrics.GatewayState, g.version)
+	g.metrics.Gauge(metrics.GatewayStateAge, func() int64 { return g.stateAge().Milliseconds() })
 	g.budgetGauges()
 	if g.platform.LinesDropped != nil {
 		g.metrics.Gauge(metrics.GatewayDropped, g.platform.LinesDropped)
