Bound the age of the desired state that is served; read large ones over slow links

Cause: a read of the desired state ended after 1 s and its wait, whatever had come (76,858 of some 250,000 bytes in 1.8 s), dropped that and began anew, asking for every version since: each try larger than the last. And nothing bounded the age of what was served. Class: a cache without a bound on its age, refreshed by work that starts over and grows.

Change: a read goes on while bytes come; a reader of the state passes over versions that have been replaced; an instance whose state is older than state_within (less 200 ms) refuses, is not ready and sends callers elsewhere while a newer one is on its way or its own link is over half full. Out of reach of the store it serves on.

Why it works: the refusal does not depend on the read being fast; the reads now end.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -14,6 +14,7 @@
 // The reasons.
 const (
 	ReasonNoState      Reason = "no desired state yet"
+	ReasonOutdated     Reason = "desired state too old here"
 	ReasonEnding       Reason = "instance ends"
 	ReasonBadRequest   Reason = "malformed request"
 	ReasonNoRoute      Reason = "no route"
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -48,6 +48,8 @@
 	// SendsAway says whether answers ask callers to leave the connection, since this
 	// instance is about to end or its link is full.
 	SendsAway func() bool
+	// Outdated says that this instance knows less than others that callers can reach.
+	Outdated func() bool
 	// Ends is when this instance ends, once it is so near that callers had time to
 	// go elsewhere; zero before.
 	Ends func() time.Time
@@ -150,6 +152,9 @@
 	if c.config == nil {
 		return notRun(ReasonNoState, againStart)
 	}
+	if c.f.Outdated() {
+		return notRun(ReasonOutdated, againSoon)
+	}
 	if limit := c.config.Limits.HeaderBytes; limit > 0 && headBytes(r) > limit {
 		return &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: ReasonHeadTooLarge}
 	}
@@ -269,6 +274,9 @@
 		if !c.mayRun && c.outlastsInstance() {
 			return c.refuse(notRun(ReasonEnding, againSoon))
 		}
+		if !c.mayRun && c.f.Outdated() {
+			return c.refuse(notRun(ReasonOutdated, againSoon))
+		}
 		result := c.attempt(ctx)
 		if result.final {
 			return result.status
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -84,28 +84,25 @@
 	busyLog  zerolog.Logger // For lines that come with load; thinned.
 	clock    func() time.Duration
 
-	config atomic.Pointer[route.Config]
-	// stateRead is when the last read of the desired state began, stateConfirmed when the
-	// last one that succeeded did; both of clock, in nanoseconds, 0 for never.
-	stateRead, stateConfirmed atomic.Int64
-
-	endpoints *endpoints
-	keeper    *prepaid.Keeper
-	loads     *loads
-	calls     *peer.Pool   // To other instances.
-	answers   *peer.Server // Their calls.
-	retries   *retry.Keeper
-	meter     linkload.Meter
-	shedder   *linkload.Shedder
-	pool      *upstream.Pool
-	conns     *callers.Connections // Those of callers.
-	gone      time.Time            // When the process is to be gone; set by end.
-	draining  atomic.Bool
-	ends      atomic.Pointer[time.Time] // Set in the last part of a drain.
-	cut       atomic.Bool               // Callers' connections are being closed under way.
-	underWay  atomic.Int64              // Callers' requests.
-	metrics   *metrics.Registry
-	tables    *state.Registry
+	config     atomic.Pointer[route.Config]
+	stateFresh *freshness
+	endpoints  *endpoints
+	keeper     *prepaid.Keeper
+	loads      *loads
+	calls      *peer.Pool   // To other instances.
+	answers    *peer.Server // Their calls.
+	retries    *retry.Keeper
+	meter      linkload.Meter
+	shedder    *linkload.Shedder
+	pool       *upstream.Pool
+	conns      *callers.Connections // Those of callers.
+	gone       time.Time            // When the process is to be gone; set by end.
+	draining   atomic.Bool
+	ends       atomic.Pointer[time.Time] // Set in the last part of a drain.
+	cut        atomic.Bool               // Callers' connections are being closed under way.
+	underWay   atomic.Int64              // Callers' requests.
+	metrics    *metrics.Registry
+	tables     *state.Registry
 
 	callers, ready, operators, peers net.Listener
 }
@@ -121,6 +118,7 @@
 			Ratio: s.Retries.Ratio, Extra: float64(s.Retries.Extra), Window: s.Retries.Window.D(),
 		}, assumedInstances),
 	}
+	g.stateFresh = newFreshness(s.Store.StateWithin.D(), clock)
 	if err := g.listen(); err != nil {
 		return nil, err
 	}
@@ -185,7 +183,7 @@
 	handler := &forward.Forwarder{
 		Zone: g.settings.Gateway.Zone, Codec: g.platform.Codec, State: g.config.Load, Budgets: budgets{g.keeper},
 		Endpoints: g.endpoints.placed, Retries: g.retries, Pool: g.pool, Clock: g.clock,
-		SendsAway: g.sendsAway, Ends: g.endsAt, Cut: g.cut.Load, Log: g.busyLog, Observe: g.observer(), Placed: g.loads.placed,
+		SendsAway: g.sendsAway, Outdated: g.outdated, Ends: g.endsAt, Cut: g.cut.Load, Log: g.busyLog, Observe: g.observer(), Placed: g.loads.placed,
 	}
 	server := &http.Server{Handler: g.counting(handler), MaxHeaderBytes: headerBytes, ConnState: g.conns.ConnState}
 	server.DisableGeneralOptionsHandler = true
@@ -207,11 +205,16 @@
 // isReady says whether the instance takes callers. Once it was ready it stays
 // so while the store is away: it goes on from what it knows.
 func (g *Gateway) isReady() bool {
-	return !g.draining.Load() && !g.shedder.Sheds() && g.config.Load() != nil && g.endpoints.loaded.Load() && g.keeper.Loaded()
+	return !g.draining.Load() && !g.shedder.Sheds() && !g.outdated() && g.config.Load() != nil && g.endpoints.loaded.Load() && g.keeper.Loaded()
 }
 
 // sendsAway says whether answers ask callers to leave their connections.
-func (g *Gateway) sendsAway() bool { return g.draining.Load() || g.shedder.SendsAway(g.clock()) }
+func (g *Gateway) sendsAway() bool {
+	return g.draining.Load() || g.outdated() || g.shedder.SendsAway(g.clock())
+}
+
+// outdated says whether this instance knows less than others that its callers can reach.
+func (g *Gateway) outdated() bool { return g.stateFresh.outdated(g.shedder.Crowded()) }
 
 // budgets gives the keeper's reservations their interface.
 type budgets struct{ keeper *prepaid.Keeper }
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -18,11 +18,11 @@
 	g.tables.Register("endpoints", func() any { return g.endpoints.placed.View() })
 	g.tables.Register("zone", func() any { return g.zoneView() })
 	g.tables.Register("state", func() any {
-		return map[string]int64{"version": g.version(), "age_ms": g.stateAge().Milliseconds()}
+		return map[string]int64{"version": g.version(), "age_ms": g.stateFresh.age().Milliseconds()}
 	})
 	g.metrics.Gauge(metrics.GatewayInstances, func() int64 { return int64(g.keeper.Book.Instances()) })
 	g.metrics.Gauge(metrics.GatewayState, g.version)
-	g.metrics.Gauge(metrics.GatewayStateAge, func() int64 { return g.stateAge().Milliseconds() })
+	g.metrics.Gauge(metrics.GatewayStateAge, func() int64 { return g.stateFresh.age().Milliseconds() })
 	g.budgetGauges()
 	if g.platform.LinesDropped != nil {
 		g.metrics.Gauge(metrics.GatewayDropped, g.platform.LinesDropped)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -43,10 +43,11 @@
 
 // sweep does the housekeeping that time alone brings.
 func (g *Gateway) sweep(ctx context.Context) {
-	lost := int64(0)
+	lost, outdated := int64(0), false
 	for ctx.Err() == nil {
 		logstore.Pause(ctx, sweepEvery, nil)
 		lost = g.tellLost(lost)
+		outdated = g.tellOutdated(outdated)
 		g.pool.Sweep()
 		g.watchLink()
 		g.endpoints.sweep()
@@ -64,6 +65,16 @@
 		Msg("gateway: callers sent elsewhere, or taken again, for the load of the link")
 }
 
+// tellOutdated writes a line when the instance becomes outdated or is so no more.
+func (g *Gateway) tellOutdated(told bool) bool {
+	outdated := g.outdated()
+	if outdated != told {
+		g.log.Warn().Bool("outdated", outdated).Int64("state", g.version()).Dur("state_age", g.stateFresh.age()).
+			Msg("gateway: callers refused, or served again, for the age of what is known here")
+	}
+	return outdated
+}
+
 func ignoreClosed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -28,42 +28,33 @@
 // stateFollower keeps the desired state in force current.
 func (g *Gateway) stateFollower() *logstore.Follower {
 	away := false
+	fresh := g.stateFresh
 	return &logstore.Follower{
-		Log: g.platform.Store, Topic: logstore.TopicState, Wait: stateWait(g.settings.Store.StateWithin.D(), g.settings.Store.Timeout.D()), Pause: statePause,
-		Begin: func() { g.stateRead.Store(int64(g.clock())) }, Reset: func() {}, Loaded: func() {},
+		Log: g.platform.Store, Topic: logstore.TopicState, Sole: logstore.StateKey,
+		Wait: stateWait(g.settings.Store.StateWithin.D(), g.settings.Store.Timeout.D()), Pause: statePause,
+		Begin: fresh.begin, Came: fresh.came, Current: fresh.confirm, Reset: func() {}, Loaded: func() {},
 		Record: func(r logstore.KeyedRecord) {
 			if r.Key == logstore.StateKey && r.Value != nil {
 				g.applyState(r.Value)
 			}
 		},
 		Outcome: func(err error) {
-			age := g.stateAge()
+			if err != nil {
+				fresh.fail()
+			}
 			switch {
 			case err != nil && !away:
-				g.log.Warn().Err(err).Int64("state", g.version()).Dur("unconfirmed", age).Msg("gateway: desired state lost; the last one stays in force")
+				g.log.Warn().Err(err).Int64("state", g.version()).Dur("unconfirmed", fresh.age()).Msg("gateway: desired state lost; the last one stays in force")
 			case err != nil:
-				g.log.Info().Err(err).Int64("state", g.version()).Dur("unconfirmed", age).Msg("gateway: desired state not read")
+				g.log.Info().Err(err).Int64("state", g.version()).Dur("unconfirmed", fresh.age()).Msg("gateway: desired state not read")
 			case away:
-				g.log.Info().Int64("state", g.version()).Dur("unconfirmed", age).Msg("gateway: desired state regained")
-			}
-			if err == nil {
-				g.stateConfirmed.Store(g.stateRead.Load())
+				g.log.Info().Int64("state", g.version()).Dur("unconfirmed", fresh.age()).Msg("gateway: desired state regained")
 			}
 			away = err != nil
 		},
 	}
 }
 
-// stateAge is how long ago the last read of the desired state began that succeeded: a
-// version that was acknowledged before is in force. It is 0 before the first one.
-func (g *Gateway) stateAge() time.Duration {
-	confirmed := g.stateConfirmed.Load()
-	if confirmed == 0 {
-		return 0
-	}
-	return g.clock() - time.Duration(confirmed)
-}
-
 // applyState puts a newer desired state in force. One that can't be read, or is
 // older, changes nothing.
 func (g *Gateway) applyState(value []byte) {
--- a/internal/linkload/shedder.go
+++ b/internal/linkload/shedder.go
@@ -96,6 +96,9 @@
 	return s.load
 }
 
+// Crowded says whether the link is too full to take callers.
+func (s *Shedder) Crowded() bool { return s.Load() > clearShare }
+
 // Sheds says whether the balancer is told to send no new callers.
 func (s *Shedder) Sheds() bool {
 	s.mu.Lock()
--- a/internal/logstore/follower.go
+++ b/internal/logstore/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 )
 
@@ -21,9 +22,16 @@
 	// records in place of all that came meanwhile; 0 for never. It pays where
 	// few keys are written often.
 	Afresh time.Duration
+	// Sole names the only key of a topic that matters, where each record replaces the
+	// one before: a reader that is behind passes over all but the last one. "" reads all.
+	Sole string
 
 	// Begin is called before each read; may be nil.
 	Begin func()
+	// Came is called whenever a part of an answer has come; may be nil.
+	Came func()
+	// Current is called after a read that reached the topic's end; may be nil.
+	Current func()
 	// Reset is called before the newest records are handed over again.
 	Reset func()
 	// Record gets each record in order.
@@ -40,17 +48,18 @@
 
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	next, loaded, current := uint64(0), false, time.Now()
+	var at position
+	current := time.Now()
 	for ctx.Err() == nil {
-		page, err := f.read(ctx, next, loaded)
+		page, err := f.read(ctx, at)
 		if ctx.Err() != nil {
 			return
 		}
 		if err == nil {
-			f.hand(page, !loaded)
-			next, loaded, current = page.Next, true, time.Now()
+			at = f.take(page, at)
+			current = time.Now()
 		} else if errors.Is(err, ErrTrimmed) || f.Afresh > 0 && time.Since(current) > f.Afresh {
-			loaded = false
+			at.loaded = false
 		}
 		f.Outcome(err)
 		if err != nil {
@@ -61,16 +70,50 @@
 	}
 }
 
-func (f *Follower) read(ctx context.Context, next uint64, loaded bool) (KeyedPage, error) {
+// position is where the next read begins.
+type position struct {
+	next   uint64
+	loaded bool // The newest records have been read.
+	passed bool // Records before next were passed over.
+}
+
+func (f *Follower) read(ctx context.Context, at position) (KeyedPage, error) {
 	if f.Begin != nil {
 		f.Begin()
 	}
-	if loaded {
-		return f.Log.Follow(ctx, f.Topic, next, f.Wait)
+	if f.Came != nil {
+		ctx = WithProgress(ctx, f.Came)
+	}
+	if at.loaded {
+		return f.Log.Follow(ctx, f.Topic, at.next, f.Wait)
 	}
 	return f.Log.Newest(ctx, f.Topic)
 }
 
+// take hands a page over and returns where the next read begins.
+func (f *Follower) take(page KeyedPage, at position) position {
+	if at.passed && len(page.Records) > 0 && !f.names(page) {
+		return position{} // The key's last record is among those that were passed over.
+	}
+	f.hand(page, !at.loaded)
+	next := position{next: page.Next, loaded: true, passed: at.passed && len(page.Records) == 0}
+	if page.End <= page.Next {
+		if f.Current != nil && !next.passed {
+			f.Current()
+		}
+		return next
+	}
+	if last := page.End - 1; f.Sole != "" && last > page.Next {
+		next.next, next.passed = last, true
+	}
+	return next
+}
+
+// names says whether a page has a record of the sole key.
+func (f *Follower) names(page KeyedPage) bool {
+	return slices.ContainsFunc(page.Records, func(r KeyedRecord) bool { return r.Key == f.Sole })
+}
+
 func (f *Follower) hand(page KeyedPage, first bool) {
 	if first {
 		f.Reset()
--- a/internal/logstore/follower_test.go
+++ b/internal/logstore/follower_test.go
@@ -113,3 +113,103 @@
 		})
 	}
 }
+
+// pagedLog is a keyed log that hands out one record a read. While one is read, the next
+// burst is written.
+type pagedLog struct {
+	records []KeyedRecord
+	first   uint64 // Records before it are trimmed.
+	bursts  [][]KeyedRecord
+	trims   bool // Each burst ends what was before its end.
+	idle    func()
+}
+
+func (l *pagedLog) end() uint64 { return uint64(len(l.records)) }
+
+func (l *pagedLog) write() {
+	if len(l.bursts) == 0 {
+		return
+	}
+	l.records = append(l.records, l.bursts[0]...)
+	l.bursts = l.bursts[1:]
+	if l.trims {
+		l.first = l.end()
+	}
+}
+
+// Newest implements Keyed.
+func (l *pagedLog) Newest(context.Context, Topic) (KeyedPage, error) {
+	page := KeyedPage{Next: l.end(), End: l.end()}
+	seen := map[string]bool{}
+	for i := len(l.records) - 1; i >= 0; i-- {
+		if r := l.records[i]; !seen[r.Key] {
+			seen[r.Key] = true
+			page.Records = append(page.Records, r)
+		}
+	}
+	l.write()
+	return page, nil
+}
+
+// Follow implements Keyed.
+func (l *pagedLog) Follow(ctx context.Context, _ Topic, from uint64, _ time.Duration) (KeyedPage, error) {
+	switch {
+	case from < l.first:
+		return KeyedPage{}, ErrTrimmed
+	case from == l.end():
+		l.idle()
+		return KeyedPage{Next: from, End: l.end()}, nil
+	}
+	Progress(ctx)
+	page := KeyedPage{Records: l.records[from : from+1], Next: from + 1, End: l.end()}
+	l.write()
+	return page, nil
+}
+
+// Put implements Keyed.
+func (l *pagedLog) Put(context.Context, Topic, Write, []KeyedRecord) error { return nil }
+
+// TestAReaderThatIsBehindTakesTheLastRecord plays changes that come faster than they can
+// be read, where only the last one matters.
+func TestAReaderThatIsBehindTakesTheLastRecord(t *testing.T) {
+	config := func(values ...string) (burst []KeyedRecord) {
+		for _, value := range values {
+			burst = append(burst, KeyedRecord{Key: "config", Value: []byte(value)})
+		}
+		return burst
+	}
+	other := KeyedRecord{Key: "other", Value: []byte("x")}
+	for name, c := range map[string]struct {
+		bursts [][]KeyedRecord
+		trims  bool
+		want   string
+	}{
+		"one at a time":         {bursts: [][]KeyedRecord{config("1"), config("2"), config("3")}, want: "[0 1 2 3]"},
+		"several at a time":     {bursts: [][]KeyedRecord{config("1", "2", "3"), config("4", "5", "6"), config("7")}, want: "[0 1 3 6 7]"},
+		"another key's at last": {bursts: [][]KeyedRecord{append(config("1", "2", "3"), other)}, want: "[0 1 3]"},
+		"history trimmed":       {bursts: [][]KeyedRecord{config("1", "2"), config("3", "4")}, trims: true, want: "[0 2 4]"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			log := &pagedLog{records: config("0"), bursts: c.bursts, trims: c.trims, idle: cancel}
+			var got []string
+			ends, parts := 0, 0
+			f := Follower{
+				Log: log, Sole: "config", Reset: func() {}, Loaded: func() {}, Outcome: func(error) {},
+				Came: func() { parts++ }, Current: func() { ends++ },
+				Record: func(r KeyedRecord) {
+					if r.Key == "config" {
+						got = append(got, string(r.Value))
+					}
+				},
+			}
+			f.Run(ctx)
+			if fmt.Sprint(got) != c.want {
+				t.Errorf("took %v, want %s", got, c.want)
+			}
+			if ends == 0 || parts == 0 && !c.trims {
+				t.Errorf("told of the end %d times, of %d parts", ends, parts)
+			}
+		})
+	}
+}
--- a/internal/logstore/keyed.go
+++ b/internal/logstore/keyed.go
@@ -41,10 +41,12 @@
 }
 
 // KeyedPage is a part of a topic's records in order. Next is the offset after
-// the last one.
+// the last one. End is the topic's end when the page was made; where it is above Next,
+// more records follow.
 type KeyedPage struct {
 	Records []KeyedRecord
 	Next    uint64
+	End     uint64
 }
 
 // Write identifies one write, so that a repeat has no second effect.
--- a/internal/standin/keyed.go
+++ b/internal/standin/keyed.go
@@ -95,7 +95,8 @@
 		return logstore.KeyedPage{}, logstore.ErrUnavailable
 	}
 	t := k.topic(topic)
-	page := logstore.KeyedPage{Next: t.first + uint64(len(t.records))}
+	end := t.first + uint64(len(t.records))
+	page := logstore.KeyedPage{Next: end, End: end}
 	for _, r := range t.newest {
 		page.Records = append(page.Records, r)
 	}
@@ -134,7 +135,8 @@
 	}
 	rest := t.records[from-t.first:]
 	records := append([]logstore.KeyedRecord(nil), rest...)
-	return logstore.KeyedPage{Records: records, Next: from + uint64(len(rest))}, k.grown, nil
+	end := from + uint64(len(rest))
+	return logstore.KeyedPage{Records: records, Next: end, End: end}, k.grown, nil
 }
 
 // Put implements logstore.Keyed.
