Bound the age of the endpoint list that requests are placed by

Change: the list has the same bound, by leaving_within. The test plays a list that trickles in with the end of an endpoint in it; red before (one request at the leaving endpoint, 200, ready), green now. A gauge has the list's age.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -14,7 +14,7 @@
 // The reasons.
 const (
 	ReasonNoState      Reason = "no desired state yet"
-	ReasonOutdated     Reason = "desired state too old here"
+	ReasonOutdated     Reason = "instance behind the store"
 	ReasonEnding       Reason = "instance ends"
 	ReasonBadRequest   Reason = "malformed request"
 	ReasonNoRoute      Reason = "no route"
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -10,6 +10,7 @@
 	"guavapier/internal/discovery"
 	"guavapier/internal/logstore"
 	"guavapier/internal/placement"
+	"guavapier/internal/settings"
 	"guavapier/internal/upstream"
 )
 
@@ -38,6 +39,7 @@
 	lifeLog  zerolog.Logger
 	pause    time.Duration // Between two reads.
 	loaded   atomic.Bool
+	fresh    *freshness
 
 	mu    sync.Mutex // Guards what follows.
 	table *discovery.Table
@@ -46,13 +48,18 @@
 	away  bool
 }
 
-func newEndpoints(p Platform, pause time.Duration, placed *placement.Table, pool *upstream.Pool, clock func() time.Duration, log, lifeLog zerolog.Logger) *endpoints {
-	return &endpoints{platform: p, placed: placed, pool: pool, clock: clock, log: log, lifeLog: lifeLog, pause: pause, table: discovery.New(), seen: map[string]bool{}}
+func newEndpoints(p Platform, store settings.Store, placed *placement.Table, pool *upstream.Pool, clock func() time.Duration, log, lifeLog zerolog.Logger) *endpoints {
+	within := store.LeavingWithin.D()
+	return &endpoints{
+		platform: p, placed: placed, pool: pool, clock: clock, log: log, lifeLog: lifeLog, pause: endpointsPause(within, store.Timeout.D()),
+		fresh: newFreshness(within, clock), table: discovery.New(), seen: map[string]bool{},
+	}
 }
 
 func (e *endpoints) follower() *logstore.Follower {
 	return &logstore.Follower{
 		Log: e.platform.Store, Topic: logstore.TopicEndpoints, Wait: endpointsWait, Pause: e.pause,
+		Begin: e.fresh.begin, Came: e.fresh.came, Current: e.fresh.confirm,
 		Reset: e.reset, Record: e.record, Loaded: e.complete, Outcome: e.outcome,
 	}
 }
@@ -145,6 +152,7 @@
 	defer e.mu.Unlock()
 	if err != nil {
 		e.table.StoreFailed()
+		e.fresh.fail()
 	} else {
 		e.table.StoreAnswered(e.clock())
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -128,7 +128,7 @@
 	g.conns = callers.New(g.callers.(*net.TCPListener), idleCallers, &g.meter)
 	p.Store = countedStore{p.Store, g.metrics}
 	g.platform = p
-	g.endpoints = newEndpoints(p, endpointsPause(s.Store.LeavingWithin.D(), s.Store.Timeout.D()), placement.New(uint64(time.Now().UnixNano())), g.pool, clock, g.busyLog, log)
+	g.endpoints = newEndpoints(p, s.Store, placement.New(uint64(time.Now().UnixNano())), g.pool, clock, g.busyLog, log)
 	peers := g.peers.Addr().String()
 	self := prepaid.Identity{
 		Key: record.NewInstanceID(s.Gateway.Name), Node: s.Gateway.Name + "@" + peers,
@@ -214,7 +214,10 @@
 }
 
 // outdated says whether this instance knows less than others that its callers can reach.
-func (g *Gateway) outdated() bool { return g.stateFresh.outdated(g.shedder.Crowded()) }
+func (g *Gateway) outdated() bool {
+	crowded := g.shedder.Crowded()
+	return g.stateFresh.outdated(crowded) || g.endpoints.fresh.outdated(crowded)
+}
 
 // budgets gives the keeper's reservations their interface.
 type budgets struct{ keeper *prepaid.Keeper }
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -23,6 +23,7 @@
 	g.metrics.Gauge(metrics.GatewayInstances, func() int64 { return int64(g.keeper.Book.Instances()) })
 	g.metrics.Gauge(metrics.GatewayState, g.version)
 	g.metrics.Gauge(metrics.GatewayStateAge, func() int64 { return g.stateFresh.age().Milliseconds() })
+	g.metrics.Gauge(metrics.GatewayListAge, func() int64 { return g.endpoints.fresh.age().Milliseconds() })
 	g.budgetGauges()
 	if g.platform.LinesDropped != nil {
 		g.metrics.Gauge(metrics.GatewayDropped, g.platform.LinesDropped)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -69,7 +69,7 @@
 func (g *Gateway) tellOutdated(told bool) bool {
 	outdated := g.outdated()
 	if outdated != told {
-		g.log.Warn().Bool("outdated", outdated).Int64("state", g.version()).Dur("state_age", g.stateFresh.age()).
+		g.log.Warn().Bool("outdated", outdated).Int64("state", g.version()).Dur("state_age", g.stateFresh.age()).Dur("endpoints_age", g.endpoints.fresh.age()).
 			Msg("gateway: callers refused, or served again, for the age of what is known here")
 	}
 	return outdated
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -9,6 +9,7 @@
 	GatewayInstances = "gateway.instances"
 	GatewayState     = "gateway.state_version"
 	GatewayStateAge  = "gateway.state_age"
+	GatewayListAge   = "gateway.endpoints_age"
 	GatewayDropped   = "gateway.lines_dropped"
 	GatewayHeld      = "gateway.budget_held"
 	GatewayUsed      = "gateway.budget_used"
@@ -39,6 +40,7 @@
 		{GatewayInstances, KindGauge, "instances", "Instances whose statements are recent, this one included."},
 		{GatewayState, KindGauge, "version", "Version of the desired state in force."},
 		{GatewayStateAge, KindGauge, "milliseconds", "Time since the last read of the desired state that succeeded began."},
+		{GatewayListAge, KindGauge, "milliseconds", "Time since the last read of the endpoint list that succeeded began."},
 		{GatewayDropped, KindGauge, "lines", "Log lines dropped because nobody read the output in time, or thinned because they came too fast."},
 		{GatewayHeld, KindGauge, "tokens", "Tokens of all budgets that this instance holds unused."},
 		{GatewayUsed, KindGauge, "tokens", "Tokens that this instance has used since its start, requests in flight at their most."},
