Tell in the log which requests have the same content, and what broke an answer

From its logs it could not be told which of the requests under way at an endpoint's end had been under way at another's: the lines name the route, and each repeat has an identity of its own.

The line of an attempt that broke off has a hash of the organisation, method, host, path and body, keyed by the organisation, and the error that ended the connection (streams had none). It is taken only for requests that break.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -26,6 +26,8 @@
 	none bool
 	// failure is the endpoint's own failing answer, held whole.
 	failure *whole
+	// err is what ended the connection under way, or kept it from being made.
+	err error
 }
 
 // whole is an answer that has been read to its end.
@@ -65,13 +67,13 @@
 	answer, err := c.f.Pool.Send(ctx, ticket.Endpoint.ID, ticket.Endpoint.Address, c.outgoing(ticket))
 	if err != nil {
 		result := c.unanswered(ctx, err, &outcome)
-		c.logAttempt(ticket, result, 0, began, err)
+		c.logAttempt(ticket, result, 0, began)
 		return result
 	}
 	defer answer.Close()
 	ticket.Begun(c.f.Clock(), isSuccess(answer.Status))
 	result := c.take(ctx, answer)
-	c.logAttempt(ticket, result, answer.Status, began, nil)
+	c.logAttempt(ticket, result, answer.Status, began)
 	if result.final || result.reason == ReasonCallerLeft {
 		outcome = placement.Answered
 	}
@@ -126,11 +128,11 @@
 		if *outcome == placement.Failed {
 			*outcome = placement.Unreachable
 		}
-		return attemptResult{reason: ReasonUnreachable}
+		return attemptResult{reason: ReasonUnreachable, err: err}
 	}
 	c.sent++
 	c.mayRun = true
-	return attemptResult{reason: ReasonBroken, sent: true}
+	return attemptResult{reason: ReasonBroken, sent: true, err: err}
 }
 
 // take turns an endpoint's answer into the caller's, or into a failed attempt.
@@ -155,7 +157,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(a.Body, wholeAnswer))
 	if err != nil {
-		return attemptResult{reason: ReasonBroken, sent: true}
+		return attemptResult{reason: ReasonBroken, sent: true, err: err}
 	}
 	got := &whole{status: a.Status, header: a.Header, body: body}
 	if a.Status >= http.StatusInternalServerError {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -12,6 +12,7 @@
 
 	"guavapier/internal/placement"
 	"guavapier/internal/prepaid"
+	"guavapier/internal/quarantine"
 	"guavapier/internal/record"
 	"guavapier/internal/retry"
 	"guavapier/internal/route"
@@ -351,6 +352,11 @@
 // abort cuts the answer so that it can't look complete.
 func (c *call) abort() { panic(http.ErrAbortHandler) }
 
+// fingerprint stands for the request's content, to be told apart from its repeats.
+func (c *call) fingerprint() quarantine.Fingerprint {
+	return quarantine.Content{Organisation: c.team(), Method: c.Method, Host: c.Host, Target: c.Target, Body: c.body}.Fingerprint()
+}
+
 func (c *call) team() record.Team {
 	if c.org == nil {
 		return ""
--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -23,15 +23,22 @@
 // logAttempt writes the attempt's line: what chose the endpoint and how it
 // ended. Those that gave the final answer in time are the bulk, and only for
 // debugging.
-func (c *call) logAttempt(k *placement.Ticket, r attemptResult, status int, began time.Time, err error) {
+func (c *call) logAttempt(k *placement.Ticket, r attemptResult, status int, began time.Time) {
 	level := zerolog.InfoLevel
 	if r.final && !c.late() {
 		level = zerolog.DebugLevel
 	}
-	c.f.Log.WithLevel(level).Str("request", c.ID).Int("attempt", c.attempts).Str("endpoint", k.Endpoint.ID).
+	line := c.f.Log.WithLevel(level)
+	if line == nil {
+		return
+	}
+	if r.reason == ReasonBroken {
+		line.Stringer("content", c.fingerprint())
+	}
+	line.Str("request", c.ID).Int("attempt", c.attempts).Str("endpoint", k.Endpoint.ID).
 		Str("address", k.Endpoint.Address).Str("zone", k.Endpoint.Zone).Float64("cost_ms", k.Cost).Float64("missing_tokens", k.Missing).
 		Int("in_flight", k.InFlight).Str("fetch", k.FetchFrom).Int("status", status).Str("reason", string(r.reason)).Bool("may_have_run", c.mayRun).
-		Dur("took", time.Since(began)).AnErr("error", err).Msg("forward: attempt ended")
+		Dur("took", time.Since(began)).AnErr("error", r.err).Msg("forward: attempt ended")
 }
 
 // logBudget writes what decided on the request's budget.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -31,7 +31,7 @@
 			return done(a.Status)
 		}
 		if err != nil {
-			return attemptResult{reason: brokenOff(ctx), sent: true}
+			return attemptResult{reason: brokenOff(ctx), sent: true, err: err}
 		}
 		c.open(a)
 		if !c.pass(event) {
