Hold back requests under which endpoints end, at all instances

Cause: nothing remembers how a request has ended before: what an instance knows of tried endpoints lives for one request. Class: a retry without memory of what its work did.

Change: internal/quarantine. The content of each request that was under way at an endpoint that ended is reported on the platform's log under a keyed hash; from three ends on that no other request explains better it is held at all instances, refused with 503, and tried once for the whole fleet when the hold ends. No third endpoint is tried within a request after two ended under it.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -26,6 +26,7 @@
 	ReasonShort        Reason = "budget not at hand"
 	ReasonNoEndpoint   Reason = "no endpoint"
 	ReasonRefused      Reason = "endpoints refused"
+	ReasonHeld         Reason = "endpoints ended under this request"
 	ReasonUnreachable  Reason = "endpoint unreachable"
 	ReasonTimeout      Reason = "timeout"
 	ReasonBroken       Reason = "answer broken off"
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -39,6 +39,10 @@
 
 func done(status int) attemptResult { return attemptResult{final: true, status: status} }
 
+// mostEnded is how many endpoints may end under one request's own attempts: one is bad
+// luck, and the request may come again.
+const mostEnded = 2
+
 // slowAnswer is the multiple of a route's target after which an attempt of an
 // idempotent request is given up for another endpoint, and slowAnswerLeast its
 // floor. An endpoint that went dark answers nothing; one in a queue answers
@@ -68,12 +72,14 @@
 	if err != nil {
 		result := c.unanswered(ctx, err, &outcome)
 		c.logAttempt(ticket, result, 0, began)
+		c.learn(ctx, ticket, result, began)
 		return result
 	}
 	defer answer.Close()
 	ticket.Begun(c.f.Clock(), isSuccess(answer.Status))
 	result := c.take(ctx, answer)
 	c.logAttempt(ticket, result, answer.Status, began)
+	c.learn(ctx, ticket, result, began)
 	if result.final || result.reason == ReasonCallerLeft {
 		outcome = placement.Answered
 	}
@@ -83,6 +89,18 @@
 	return result
 }
 
+// learn tells the quarantine what the attempt says of the request.
+func (c *call) learn(ctx context.Context, k *placement.Ticket, r attemptResult, began time.Time) {
+	switch {
+	case r.final:
+		c.f.Quarantine.Answered(c.content())
+	case r.sent && r.reason == ReasonBroken && r.err != nil && ctx.Err() == nil:
+		if c.f.Quarantine.Broke(ctx, c.content(), k.Endpoint.ID, k.Endpoint.Address, time.Since(began)) {
+			c.ended++
+		}
+	}
+}
+
 // bound gives an idempotent attempt less than the whole time while another
 // endpoint may be tried.
 func (c *call) bound(ctx context.Context) (context.Context, context.CancelFunc) {
--- a/internal/forward/ending_test.go
+++ b/internal/forward/ending_test.go
@@ -14,6 +14,7 @@
 	"guavapier/internal/forward"
 	"guavapier/internal/placement"
 	"guavapier/internal/prepaid"
+	"guavapier/internal/quarantine"
 	"guavapier/internal/record"
 	"guavapier/internal/retry"
 	"guavapier/internal/route"
@@ -41,6 +42,17 @@
 
 func (slowBudgets) Explain(record.Team) prepaid.Balance { return prepaid.Balance{} }
 
+// openQuarantine holds nothing.
+type openQuarantine struct{}
+
+func (openQuarantine) Admit(context.Context, quarantine.Content) error { return nil }
+
+func (openQuarantine) Broke(context.Context, quarantine.Content, string, string, time.Duration) bool {
+	return false
+}
+
+func (openQuarantine) Answered(quarantine.Content) {}
+
 type reservation struct{}
 
 func (reservation) Tokens() int64 { return 10 }
@@ -64,7 +76,7 @@
 	}
 	return &forward.Forwarder{
 		Codec: plainCodec{}, State: func() *route.Config { return config }, Budgets: slowBudgets{wait},
-		Endpoints: placement.New(1), Retries: retry.NewKeeper(retry.Budget{}, 1), Pool: upstream.NewPool(upstream.Options{}),
+		Endpoints: placement.New(1), Retries: retry.NewKeeper(retry.Budget{}, 1), Quarantine: openQuarantine{}, Pool: upstream.NewPool(upstream.Options{}),
 		Clock: func() time.Duration { return time.Since(now) }, SendsAway: func() bool { return true }, Outdated: func() bool { return false }, Ends: ends, Cut: func() bool { return false },
 		Log: zerolog.Nop(), Observe: func(forward.Event) {}, Placed: func(*placement.Ticket) {},
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -44,8 +44,10 @@
 	Budgets   Budgets
 	Endpoints *placement.Table
 	Retries   *retry.Keeper
-	Pool      *upstream.Pool
-	Clock     func() time.Duration
+	// Quarantine knows which requests are not to be sent.
+	Quarantine Quarantine
+	Pool       *upstream.Pool
+	Clock      func() time.Duration
 	// SendsAway says whether answers ask callers to leave the connection, since this
 	// instance is about to end or its link is full.
 	SendsAway func() bool
@@ -88,6 +90,7 @@
 	deadline time.Time // When the caller leaves or the route's timeout ends.
 	tried    []string  // Endpoints that were tried.
 	sent     int       // Those of them that were sent the request.
+	ended    int       // Those of them that ended with it under way.
 	mayRun   bool      // An attempt may have run.
 	attempts int
 	pieces   int64 // Events that went to the caller.
@@ -127,6 +130,9 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	if held := c.held(ctx); held != nil {
+		return c.refuse(held)
+	}
 	reserved, refused := c.reserve(ctx)
 	if refused != nil {
 		return c.refuse(refused)
@@ -293,10 +299,21 @@
 		case result.sent && !c.f.Retries.Allow(c.service, c.f.Clock()):
 			// A send that reached no endpoint is no load on any, and free.
 			return c.giveUp(result.reason, http.StatusBadGateway, result)
+		case c.ended >= mostEnded || result.sent && c.held(ctx) != nil:
+			return c.giveUp(ReasonHeld, http.StatusBadGateway, result)
 		}
 	}
 }
 
+// held returns the refusal of a request that is not to be sent, else nil.
+func (c *call) held(ctx context.Context) *refusal {
+	var held *quarantine.HeldError
+	if !errors.As(c.f.Quarantine.Admit(ctx, c.content()), &held) {
+		return nil
+	}
+	return notRun(ReasonHeld, max(held.After, againShort))
+}
+
 // mayRepeat says whether the request may go to another endpoint.
 func (c *call) mayRepeat(result attemptResult) bool {
 	if result.none || c.sent >= c.route.MaxEndpoints || c.attempts >= mostAttempts {
@@ -352,9 +369,9 @@
 // abort cuts the answer so that it can't look complete.
 func (c *call) abort() { panic(http.ErrAbortHandler) }
 
-// fingerprint stands for the request's content, to be told apart from its repeats.
-func (c *call) fingerprint() quarantine.Fingerprint {
-	return quarantine.Content{Organisation: c.team(), Method: c.Method, Host: c.Host, Target: c.Target, Body: c.body}.Fingerprint()
+// content is what the request has in common with its repeats.
+func (c *call) content() quarantine.Content {
+	return quarantine.Content{Organisation: c.team(), Method: c.Method, Host: c.Host, Target: c.Target, Body: c.body}
 }
 
 func (c *call) team() record.Team {
--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -33,7 +33,7 @@
 		return
 	}
 	if r.reason == ReasonBroken {
-		line.Stringer("content", c.fingerprint())
+		line.Stringer("content", c.content().Fingerprint())
 	}
 	line.Str("request", c.ID).Int("attempt", c.attempts).Str("endpoint", k.Endpoint.ID).
 		Str("address", k.Endpoint.Address).Str("zone", k.Endpoint.Zone).Float64("cost_ms", k.Cost).Float64("missing_tokens", k.Missing).
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -15,6 +15,7 @@
 
 	"guavapier/internal/placement"
 	"guavapier/internal/prepaid"
+	"guavapier/internal/quarantine"
 	"guavapier/internal/record"
 )
 
@@ -84,3 +85,14 @@
 	// Explain returns what decides on the team's budget at the moment.
 	Explain(team record.Team) prepaid.Balance
 }
+
+// Quarantine keeps back requests under which endpoints end.
+type Quarantine interface {
+	// Admit fails with a quarantine.HeldError where the request may not be sent.
+	Admit(ctx context.Context, c quarantine.Content) error
+	// Broke tells that the connection to an endpoint broke with the request under way
+	// there for that long, and returns whether the endpoint is gone.
+	Broke(ctx context.Context, c quarantine.Content, endpoint, address string, underWay time.Duration) (gone bool)
+	// Answered tells that an endpoint has answered the request.
+	Answered(c quarantine.Content)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"guavapier/internal/peer"
 	"guavapier/internal/placement"
 	"guavapier/internal/prepaid"
+	"guavapier/internal/quarantine"
 	"guavapier/internal/record"
 	"guavapier/internal/retry"
 	"guavapier/internal/route"
@@ -92,6 +93,7 @@
 	calls      *peer.Pool   // To other instances.
 	answers    *peer.Server // Their calls.
 	retries    *retry.Keeper
+	held       *quarantine.Keeper // Requests that are not to be sent.
 	meter      linkload.Meter
 	shedder    *linkload.Shedder
 	pool       *upstream.Pool
@@ -138,6 +140,7 @@
 	zone := allocator.New(allocator.Self{Key: self.Key, Peer: peers, Zone: self.Zone, LinkMbps: s.Gateway.LinkMbps})
 	g.calls = peer.NewPool(self.Key, book, peer.Options{})
 	g.keeper = prepaid.NewKeeper(book, zone, prepaid.NewPeers(g.calls, g.busyLog), p.Store, clock, log)
+	g.held = quarantine.NewKeeper(self.Key, p.Store, g.pool.Probe, log)
 	g.answers = peer.NewServer(self.Key)
 	if err := g.answers.Register(prepaid.ServiceName, prepaid.NewTransfers(g.keeper)); err != nil {
 		return nil, err
@@ -182,7 +185,7 @@
 func (g *Gateway) callersServer() *http.Server {
 	handler := &forward.Forwarder{
 		Zone: g.settings.Gateway.Zone, Codec: g.platform.Codec, State: g.config.Load, Budgets: budgets{g.keeper},
-		Endpoints: g.endpoints.placed, Retries: g.retries, Pool: g.pool, Clock: g.clock,
+		Endpoints: g.endpoints.placed, Retries: g.retries, Quarantine: g.held, Pool: g.pool, Clock: g.clock,
 		SendsAway: g.sendsAway, Outdated: g.outdated, Ends: g.endsAt, Cut: g.cut.Load, Log: g.busyLog, Observe: g.observer(), Placed: g.loads.placed,
 	}
 	server := &http.Server{Handler: g.counting(handler), MaxHeaderBytes: headerBytes, ConnState: g.conns.ConnState}
@@ -205,7 +208,7 @@
 // isReady says whether the instance takes callers. Once it was ready it stays
 // so while the store is away: it goes on from what it knows.
 func (g *Gateway) isReady() bool {
-	return !g.draining.Load() && !g.shedder.Sheds() && !g.outdated() && g.config.Load() != nil && g.endpoints.loaded.Load() && g.keeper.Loaded()
+	return !g.draining.Load() && !g.shedder.Sheds() && !g.outdated() && g.config.Load() != nil && g.endpoints.loaded.Load() && g.keeper.Loaded() && g.held.Loaded()
 }
 
 // sendsAway says whether answers ask callers to leave their connections.
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/go-chi/chi/v5"
 
@@ -17,6 +18,7 @@
 	g.tables.Register("budgets", func() any { return g.keeper.Book.View(g.clock()) })
 	g.tables.Register("endpoints", func() any { return g.endpoints.placed.View() })
 	g.tables.Register("zone", func() any { return g.zoneView() })
+	g.tables.Register("quarantine", func() any { return g.held.Table.View(time.Now()) })
 	g.tables.Register("state", func() any {
 		return map[string]int64{"version": g.version(), "age_ms": g.stateFresh.age().Milliseconds()}
 	})
@@ -24,6 +26,7 @@
 	g.metrics.Gauge(metrics.GatewayState, g.version)
 	g.metrics.Gauge(metrics.GatewayStateAge, func() int64 { return g.stateFresh.age().Milliseconds() })
 	g.metrics.Gauge(metrics.GatewayListAge, func() int64 { return g.endpoints.fresh.age().Milliseconds() })
+	g.metrics.Gauge(metrics.GatewayHeldBack, func() int64 { return g.held.Table.Held(time.Now()) })
 	g.budgetGauges()
 	if g.platform.LinesDropped != nil {
 		g.metrics.Gauge(metrics.GatewayDropped, g.platform.LinesDropped)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -31,6 +31,7 @@
 	work.Go(func() error { g.stateFollower().Run(background); return nil })
 	work.Go(func() error { g.endpoints.follower().Run(background); return nil })
 	budgeting.Go(func() error { g.keeper.Run(background); return nil })
+	work.Go(func() error { g.held.Run(background); return nil })
 	work.Go(func() error { g.loads.run(background); return nil })
 	work.Go(func() error { g.prober().run(background); return nil })
 	work.Go(func() error { g.sweep(background); return nil })
--- a/internal/logstore/follower.go
+++ b/internal/logstore/follower.go
@@ -136,3 +136,11 @@
 	case <-ctx.Done():
 	}
 }
+
+// Kick cuts a Pause short, now or the next one; c has room for one kick.
+func Kick(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
--- a/internal/logstore/keyed.go
+++ b/internal/logstore/keyed.go
@@ -21,6 +21,8 @@
 	// TopicAllocators has one record an availability zone and slot: who claims
 	// tokens there for the others.
 	TopicAllocators Topic = "allocators"
+	// TopicQuarantine has one record a request under which endpoints have ended.
+	TopicQuarantine Topic = "quarantine"
 )
 
 // StateKey is the key of the newest desired state.
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -10,6 +10,7 @@
 	GatewayState     = "gateway.state_version"
 	GatewayStateAge  = "gateway.state_age"
 	GatewayListAge   = "gateway.endpoints_age"
+	GatewayHeldBack  = "gateway.requests_held_back"
 	GatewayDropped   = "gateway.lines_dropped"
 	GatewayHeld      = "gateway.budget_held"
 	GatewayUsed      = "gateway.budget_used"
@@ -40,6 +41,7 @@
 		{GatewayInstances, KindGauge, "instances", "Instances whose statements are recent, this one included."},
 		{GatewayState, KindGauge, "version", "Version of the desired state in force."},
 		{GatewayStateAge, KindGauge, "milliseconds", "Time since the last read of the desired state that succeeded began."},
+		{GatewayHeldBack, KindGauge, "requests", "Contents of requests that are held back, since endpoints ended under them."},
 		{GatewayListAge, KindGauge, "milliseconds", "Time since the last read of the endpoint list that succeeded began."},
 		{GatewayDropped, KindGauge, "lines", "Log lines dropped because nobody read the output in time, or thinned because they came too fast."},
 		{GatewayHeld, KindGauge, "tokens", "Tokens of all budgets that this instance holds unused."},
--- a/internal/prepaid/keeper.go
+++ b/internal/prepaid/keeper.go
@@ -147,7 +147,7 @@
 		if !errors.Is(err, ErrShort) {
 			return err
 		}
-		kick(k.kickWrite)
+		logstore.Kick(k.kickWrite)
 		select {
 		case <-changed:
 		case <-limit.C:
@@ -260,7 +260,7 @@
 		err := k.Log.Put(ctx, logstore.TopicBudgets, w, records)
 		if err == nil {
 			k.sequence++
-			kick(k.kickRead)
+			logstore.Kick(k.kickRead)
 			return true
 		}
 		if eris.Is(err, logstore.ErrSequence) || eris.Is(err, logstore.ErrFenced) {
@@ -293,13 +293,6 @@
 	}
 }
 
-func kick(c chan<- struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
-}
-
 // Reclaimed returns how many tokens of dead processes were given back.
 func (k *Keeper) Reclaimed() int64 { return k.givenBack.Load() }
 
--- a/internal/prepaid/predecessors.go
+++ b/internal/prepaid/predecessors.go
@@ -54,7 +54,7 @@
 // awaitRead waits until a read of the log has succeeded that began after the call.
 func (k *Keeper) awaitRead() bool {
 	called := k.Clock()
-	kick(k.kickRead)
+	logstore.Kick(k.kickRead)
 	for k.Clock()-called < readWithin {
 		if time.Duration(k.readBegan.Load()) > called {
 			return true
--- a/internal/prepaid/roles.go
+++ b/internal/prepaid/roles.go
@@ -302,7 +302,7 @@
 		if k.Book.AtHand(team, k.Clock()) >= tokens {
 			return
 		}
-		kick(k.kickWrite)
+		logstore.Kick(k.kickWrite)
 		select {
 		case <-changed:
 		case <-limit.C:
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -5,17 +5,25 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"hash"
 
 	"guavapier/internal/record"
 )
 
-// fingerprintBytes is enough that nobody finds two requests with the same one.
-const fingerprintBytes = 16
+const (
+	placeBytes = 8
+	// fingerprintBytes is enough that nobody finds two requests with the same one.
+	fingerprintBytes = placeBytes + 16
+)
 
 // Fingerprint stands for a request's content and its caller. Requests of two
-// organisations never share one, so that none can have another's requests refused.
+// organisations never share one, so that none can have another's requests refused. It
+// begins with the request's place.
 type Fingerprint [fingerprintBytes]byte
 
+// place stands for a request but for its body. It is cheap to take.
+type place [placeBytes]byte
+
 // Content is what makes two requests the same.
 type Content struct {
 	// Organisation is whom the caller's key stands for; "" for none.
@@ -27,6 +35,22 @@
 
 // Fingerprint returns the content's keyed hash.
 func (c Content) Fingerprint() Fingerprint {
+	h := c.head()
+	var f Fingerprint
+	copy(f[:placeBytes], h.Sum(nil))
+	h.Write(c.Body)
+	copy(f[placeBytes:], h.Sum(nil))
+	return f
+}
+
+func (c Content) place() place {
+	var p place
+	copy(p[:], c.head().Sum(nil))
+	return p
+}
+
+// head returns the hash of all but the body.
+func (c Content) head() hash.Hash {
 	h := hmac.New(sha256.New, []byte(c.Organisation))
 	for _, part := range []string{c.Method, c.Host, c.Target} {
 		var length [4]byte
@@ -34,12 +58,11 @@
 		h.Write(length[:])
 		h.Write([]byte(part))
 	}
-	h.Write(c.Body)
-	var f Fingerprint
-	copy(f[:], h.Sum(nil))
-	return f
+	return h
 }
 
+func (f Fingerprint) place() place { return place(f[:placeBytes]) }
+
 // String implements fmt.Stringer.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
--- /dev/null
+++ b/internal/quarantine/keeper.go
@@ -0,0 +1,282 @@
+package quarantine
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/singleflight"
+
+	"guavapier/internal/logstore"
+	"guavapier/internal/record"
+)
+
+const (
+	// followWait is the longest wait of one read. Records are rare; a connection that
+	// fell silent without an error is noticed after it.
+	followWait = 5 * time.Second
+	// followPause spaces reads while endpoints end.
+	followPause = 200 * time.Millisecond
+	// writeEvery gathers what is written at once.
+	writeEvery = 100 * time.Millisecond
+	// writeAgain is the pause after a write that failed.
+	writeAgain = 150 * time.Millisecond
+	// sweepEvery is the pause between two looks for what is no more worth keeping.
+	sweepEvery = time.Second
+	// mostWritten bounds the records of one write.
+	mostWritten = 256
+	// probeWithin bounds the look whether an endpoint is gone: its host refuses
+	// connections at once, and one that does not answer says nothing.
+	probeWithin = 100 * time.Millisecond
+	// trialWithin is how long a request waits for the right to a trial, some round trips
+	// to the log; trialLook is how often it is looked for.
+	trialWithin, trialLook = 500 * time.Millisecond, 5 * time.Millisecond
+)
+
+// Probe makes a connection to an endpoint by name and address (IP:port), to be kept for use.
+type Probe func(ctx context.Context, endpoint, address string) error
+
+// Keeper runs a Table against the log. It is safe for concurrent use.
+type Keeper struct {
+	Table *Table
+
+	log    logstore.Keyed
+	probe  Probe
+	logs   zerolog.Logger
+	probes singleflight.Group
+	claims singleflight.Group
+	kick   chan struct{} // Reads the log at once.
+	write  chan struct{} // Writes at once.
+	loaded atomic.Bool
+	away   atomic.Bool // The reads fail.
+
+	mu      sync.Mutex // Guards pending.
+	pending map[Fingerprint]*news
+	epoch   uint64 // Of the last write.
+}
+
+// NewKeeper returns a Keeper; Run makes it work.
+func NewKeeper(self record.InstanceID, log logstore.Keyed, probe Probe, logs zerolog.Logger) *Keeper {
+	return &Keeper{
+		Table: NewTable(self), log: log, probe: probe, logs: logs,
+		kick: make(chan struct{}, 1), write: make(chan struct{}, 1), pending: map[Fingerprint]*news{},
+	}
+}
+
+// Run follows the log and writes to it until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	var group errgroup.Group
+	group.Go(func() error { k.follower().Run(ctx); return nil })
+	group.Go(func() error { k.writes(ctx); return nil })
+	group.Go(func() error { k.sweeps(ctx); return nil })
+	_ = group.Wait()
+}
+
+// Loaded says whether the log has been read.
+func (k *Keeper) Loaded() bool { return k.loaded.Load() }
+
+// Admit says whether a request may be sent. It fails with a HeldError. Where a hold has
+// ended it waits for the right to try the request for the whole fleet.
+func (k *Keeper) Admit(ctx context.Context, c Content) error {
+	f, known := k.Table.find(c)
+	if !known {
+		return nil
+	}
+	held, due := k.Table.held(f, time.Now())
+	if held == nil {
+		return nil
+	}
+	if due && !k.away.Load() && k.mayTry(ctx, f) {
+		k.logs.Info().Stringer("content", f).Int("ends", held.Ends).Msg("quarantine: held request is tried")
+		return nil
+	}
+	if again, _ := k.Table.held(f, time.Now()); again != nil {
+		held = again
+	}
+	k.logs.Info().Stringer("content", f).Int("ends", held.Ends).Dur("after", held.After).Msg("quarantine: request held back")
+	return held
+}
+
+// mayTry asks for the right to a trial and says whether this request has it.
+func (k *Keeper) mayTry(ctx context.Context, f Fingerprint) bool {
+	mine := false
+	_, _, _ = k.claims.Do(f.String(), func() (any, error) {
+		n := k.Table.claim(f, time.Now())
+		if n == nil {
+			mine = true // Cleared meanwhile.
+			return nil, nil
+		}
+		k.tell(f, n)
+		logstore.Kick(k.write)
+		ctx, cancel := context.WithTimeout(ctx, trialWithin)
+		defer cancel()
+		for decided := false; !decided && ctx.Err() == nil; {
+			logstore.Pause(ctx, trialLook, nil)
+			decided, mine = k.Table.decided(f, n.Round)
+		}
+		return nil, nil
+	})
+	return mine // Of those that asked together, the one whose call it was.
+}
+
+// Broke tells that the connection to an endpoint broke with a request under way there for
+// that long. It looks whether the endpoint is gone, reports the request if it is, and
+// returns that.
+func (k *Keeper) Broke(ctx context.Context, c Content, endpoint, address string, underWay time.Duration) (gone bool) {
+	if !k.isGone(ctx, endpoint, address) {
+		return false
+	}
+	f := c.Fingerprint()
+	n := k.Table.ended(f, c.Organisation, endpoint, underWay, time.Now())
+	if n == nil {
+		return true
+	}
+	line := k.logs.Info()
+	if n.Ends >= endsToHold {
+		line = k.logs.Warn()
+	}
+	line.Stringer("content", f).Str("team", string(c.Organisation)).Str("endpoint", endpoint).Int("ends", n.Ends).
+		Dur("under_way", underWay).Msg("quarantine: endpoint ended under a request")
+	k.tell(f, n)
+	return true
+}
+
+// isGone says whether the endpoint's host refuses connections. All requests that broke
+// there ask together.
+func (k *Keeper) isGone(ctx context.Context, endpoint, address string) bool {
+	gone, _, _ := k.probes.Do(endpoint, func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeWithin)
+		defer cancel()
+		return errors.Is(k.probe(ctx, endpoint, address), syscall.ECONNREFUSED), nil
+	})
+	return gone.(bool)
+}
+
+// Answered tells that an endpoint has answered a request: it is not to blame.
+func (k *Keeper) Answered(c Content) {
+	f, known := k.Table.find(c)
+	if !known || !k.Table.clear(f) {
+		return
+	}
+	k.logs.Info().Stringer("content", f).Msg("quarantine: request answered, cleared")
+	k.tell(f, nil)
+}
+
+// tell has news written; nil clears the request.
+func (k *Keeper) tell(f Fingerprint, n *news) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.pending[f] = n
+}
+
+func (k *Keeper) follower() *logstore.Follower {
+	old := false
+	return &logstore.Follower{
+		Log: k.log, Topic: logstore.TopicQuarantine, Wait: followWait, Pause: followPause, Kick: k.kick,
+		Reset: func() { old = true }, Record: func(r logstore.KeyedRecord) { k.hear(r, old) },
+		Loaded: func() { old = false; k.loaded.Store(true) },
+		Outcome: func(err error) {
+			if was := k.away.Swap(err != nil); err != nil && !was {
+				k.logs.Warn().Err(err).Msg("quarantine: log lost; holding back what is known here")
+			}
+		},
+	}
+}
+
+// hear takes a record of the log; old says that it has been there for a while.
+func (k *Keeper) hear(r logstore.KeyedRecord, old bool) {
+	f, err := parseFingerprint(r.Key)
+	if err != nil {
+		k.logs.Error().Err(err).Str("key", r.Key).Msg("quarantine: unreadable record passed over")
+		return
+	}
+	if r.Value == nil {
+		k.Table.clear(f)
+		return
+	}
+	n, err := decodeNews(r.Value)
+	if err != nil {
+		k.logs.Error().Err(err).Str("key", r.Key).Msg("quarantine: unreadable record passed over")
+		return
+	}
+	k.Table.hear(f, n, old, time.Now())
+}
+
+// writes writes what is pending until ctx ends.
+func (k *Keeper) writes(ctx context.Context) {
+	for ctx.Err() == nil {
+		logstore.Pause(ctx, writeEvery, k.write)
+		batch := k.take()
+		if len(batch) == 0 {
+			continue
+		}
+		if err := k.put(ctx, batch); err != nil {
+			k.putBack(batch)
+			logstore.Pause(ctx, writeAgain, nil)
+			continue
+		}
+		logstore.Kick(k.kick)
+	}
+}
+
+// take returns pending news, no more than one write may have.
+func (k *Keeper) take() map[Fingerprint]*news {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	batch := map[Fingerprint]*news{}
+	for f, n := range k.pending {
+		if len(batch) == mostWritten {
+			break
+		}
+		batch[f] = n
+		delete(k.pending, f)
+	}
+	return batch
+}
+
+// putBack keeps what was not written, but for what is newer.
+func (k *Keeper) putBack(batch map[Fingerprint]*news) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for f, n := range batch {
+		if _, newer := k.pending[f]; !newer {
+			k.pending[f] = n
+		}
+	}
+}
+
+// put writes records. Each write has an epoch of its own: one that arrives late is fenced
+// off by those after it.
+func (k *Keeper) put(ctx context.Context, batch map[Fingerprint]*news) error {
+	records := make([]logstore.KeyedRecord, 0, len(batch))
+	for f, n := range batch {
+		r := logstore.KeyedRecord{Key: f.String()}
+		if n != nil {
+			value, err := n.encode()
+			if err != nil {
+				k.logs.Error().Err(err).Stringer("content", f).Msg("quarantine: record not written")
+				continue
+			}
+			r.Value = value
+		}
+		records = append(records, r)
+	}
+	k.epoch++
+	w := logstore.Write{Writer: string(k.Table.self), Epoch: k.epoch}
+	return k.log.Put(ctx, logstore.TopicQuarantine, w, records)
+}
+
+// sweeps clears what is no more worth keeping, until ctx ends.
+func (k *Keeper) sweeps(ctx context.Context) {
+	for ctx.Err() == nil {
+		logstore.Pause(ctx, sweepEvery, nil)
+		for _, f := range k.Table.sweep(time.Now()) {
+			k.tell(f, nil)
+		}
+	}
+}
--- /dev/null
+++ b/internal/quarantine/news.go
@@ -0,0 +1,56 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"guavapier/internal/record"
+)
+
+// news is a record on the log, under the fingerprint of a request: what its writer knows
+// of it. The newest one is enough for an instance that starts. A record without a value
+// clears the request.
+type news struct {
+	Team   record.Team       `cbor:"1,keyasint,omitempty"`
+	Writer record.InstanceID `cbor:"2,keyasint"`
+	// Endpoints have ended under the request, the latest last.
+	Endpoints []string `cbor:"3,keyasint"`
+	// UnderWay is for how long the request had been under way at the last of them.
+	UnderWay time.Duration `cbor:"4,keyasint,omitempty"`
+	// Ends counts those that ended one after the other.
+	Ends int `cbor:"5,keyasint"`
+	// Round counts trials. The first record of a round on the log has the right to it.
+	Round int `cbor:"6,keyasint,omitempty"`
+	// Until is the end of the hold in Unix milliseconds; 0 for none.
+	Until int64 `cbor:"7,keyasint,omitempty"`
+}
+
+func (n *news) encode() ([]byte, error) {
+	data, err := cbor.Marshal(n)
+	return data, eris.Wrap(err, "quarantine: encode record")
+}
+
+func decodeNews(data []byte) (*news, error) {
+	var n news
+	err := cbor.Unmarshal(data, &n)
+	return &n, eris.Wrap(err, "quarantine: decode record")
+}
+
+func (e *entry) news(writer record.InstanceID) *news {
+	n := &news{Team: e.team, Writer: writer, Endpoints: slices.Clone(e.endpoints), Ends: e.ends, Round: e.round}
+	if !e.until.IsZero() {
+		n.Until = e.until.UnixMilli()
+	}
+	return n
+}
+
+// until is the end of the hold; zero for none.
+func (n *news) until() time.Time {
+	if n.Until == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(n.Until)
+}
