Quarantine: hash bodies of the right length only; thin its lines of single requests

Found on reading the diff. All requests of a route may have one path: after a wide crash each of them would have its body hashed, twice. The place, taken first, has the body's length now. Lines of single requests come with load and are thinned like the others; those of the third end and later always pass.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -140,7 +140,7 @@
 	zone := allocator.New(allocator.Self{Key: self.Key, Peer: peers, Zone: self.Zone, LinkMbps: s.Gateway.LinkMbps})
 	g.calls = peer.NewPool(self.Key, book, peer.Options{})
 	g.keeper = prepaid.NewKeeper(book, zone, prepaid.NewPeers(g.calls, g.busyLog), p.Store, clock, log)
-	g.held = quarantine.NewKeeper(self.Key, p.Store, g.pool.Probe, log)
+	g.held = quarantine.NewKeeper(self.Key, p.Store, g.pool.Probe, log, g.busyLog)
 	g.answers = peer.NewServer(self.Key)
 	if err := g.answers.Register(prepaid.ServiceName, prepaid.NewTransfers(g.keeper)); err != nil {
 		return nil, err
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -21,7 +21,8 @@
 // begins with the request's place.
 type Fingerprint [fingerprintBytes]byte
 
-// place stands for a request but for its body. It is cheap to take.
+// place stands for a request but for its body, of which it has the length only. It is
+// cheap to take.
 type place [placeBytes]byte
 
 // Content is what makes two requests the same.
@@ -49,18 +50,19 @@
 	return p
 }
 
-// head returns the hash of all but the body.
+// head returns the hash of all but the body's bytes.
 func (c Content) head() hash.Hash {
 	h := hmac.New(sha256.New, []byte(c.Organisation))
 	for _, part := range []string{c.Method, c.Host, c.Target} {
-		var length [4]byte
-		binary.BigEndian.PutUint32(length[:], uint32(len(part)))
-		h.Write(length[:])
+		h.Write(length(len(part)))
 		h.Write([]byte(part))
 	}
+	h.Write(length(len(c.Body)))
 	return h
 }
 
+func length(n int) []byte { return binary.BigEndian.AppendUint64(nil, uint64(n)) }
+
 func (f Fingerprint) place() place { return place(f[:placeBytes]) }
 
 // String implements fmt.Stringer.
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -48,6 +48,7 @@
 	log    logstore.Keyed
 	probe  Probe
 	logs   zerolog.Logger
+	busy   zerolog.Logger // For lines that come with load; thinned.
 	probes singleflight.Group
 	claims singleflight.Group
 	kick   chan struct{} // Reads the log at once.
@@ -61,9 +62,9 @@
 }
 
 // NewKeeper returns a Keeper; Run makes it work.
-func NewKeeper(self record.InstanceID, log logstore.Keyed, probe Probe, logs zerolog.Logger) *Keeper {
+func NewKeeper(self record.InstanceID, log logstore.Keyed, probe Probe, logs, busy zerolog.Logger) *Keeper {
 	return &Keeper{
-		Table: NewTable(self), log: log, probe: probe, logs: logs,
+		Table: NewTable(self), log: log, probe: probe, logs: logs, busy: busy,
 		kick: make(chan struct{}, 1), write: make(chan struct{}, 1), pending: map[Fingerprint]*news{},
 	}
 }
@@ -98,7 +99,7 @@
 	if again, _ := k.Table.held(f, time.Now()); again != nil {
 		held = again
 	}
-	k.logs.Info().Stringer("content", f).Int("ends", held.Ends).Dur("after", held.After).Msg("quarantine: request held back")
+	k.busy.Info().Stringer("content", f).Int("ends", held.Ends).Dur("after", held.After).Msg("quarantine: request held back")
 	return held
 }
 
@@ -136,7 +137,7 @@
 	if n == nil {
 		return true
 	}
-	line := k.logs.Info()
+	line := k.busy.Info()
 	if n.Ends >= endsToHold {
 		line = k.logs.Warn()
 	}
@@ -163,7 +164,7 @@
 	if !known || !k.Table.clear(f) {
 		return
 	}
-	k.logs.Info().Stringer("content", f).Msg("quarantine: request answered, cleared")
+	k.busy.Info().Stringer("content", f).Msg("quarantine: request answered, cleared")
 	k.tell(f, nil)
 }
 
--- a/internal/quarantine/keeper_test.go
+++ b/internal/quarantine/keeper_test.go
@@ -30,7 +30,7 @@
 	t.Helper()
 	var keepers []*Keeper
 	for i := range n {
-		k := NewKeeper(record.InstanceID(fmt.Sprint("instance-", i)), log, refuses, zerolog.Nop())
+		k := NewKeeper(record.InstanceID(fmt.Sprint("instance-", i)), log, refuses, zerolog.Nop(), zerolog.Nop())
 		go k.Run(t.Context())
 		keepers = append(keepers, k)
 	}
@@ -156,7 +156,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				k := NewKeeper("me", standin.NewKeyed(), probe, zerolog.Nop())
+				k := NewKeeper("me", standin.NewKeyed(), probe, zerolog.Nop(), zerolog.Nop())
 				if k.Broke(t.Context(), deadly, "e", "address", time.Second) || len(k.Table.View(time.Now())) > 0 {
 					t.Error("reported")
 				}
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -237,8 +237,13 @@
 	if f, known := table.find(c); !known || f != c.Fingerprint() {
 		t.Errorf("%s, known %v", f, known)
 	}
-	c.Body = []byte("another")
-	if _, known := table.find(c); known {
-		t.Error("another body is known")
+	for _, body := range []string{"ydob", "another"} {
+		c.Body = []byte(body)
+		if _, known := table.find(c); known {
+			t.Errorf("body %q is known", body)
+		}
+	}
+	if c.place() == (Content{Organisation: "org", Method: "POST", Host: "h", Target: "/x", Body: []byte("body")}).place() {
+		t.Error("a body of another length has the same place")
 	}
 }
