A read that waits for news confirms what is known when it is answered

Reads wait for news, up to 0.8 s, so with a pause of 0.4 s the endpoint list was up to 2.0 s old where 1.8 s are allowed, and where changes may take 10 s the state 15.7 s.

Change: the age counts from when the answer was made, half a second (what a full link holds) before it begins to come. A test plays the paces of both readers for bounds of 2 to 10 s: red before (2.1 s, 15.75 s), green now.

--- a/internal/gateway/freshness.go
+++ b/internal/gateway/freshness.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// longestDelay is how long a full link may hold the begin of an answer.
+const longestDelay = 500 * time.Millisecond
+
 // freshness knows how current a followed topic is, and whether that is too old to act on.
 // It is safe for concurrent use.
 //
@@ -16,8 +19,10 @@
 	within time.Duration // After which a change has to be known.
 	clock  func() time.Duration
 
-	began     atomic.Int64 // When the last read began, of clock, in nanoseconds.
-	confirmed atomic.Int64 // When the last read that reached the topic's end began; 0 for never.
+	// Times are those of clock, in nanoseconds.
+	began     atomic.Int64 // When the last read began.
+	answered  atomic.Int64 // When its answer began to come; 0 before.
+	confirmed atomic.Int64 // When nothing was to be known beyond what is known; 0 for never.
 	coming    atomic.Bool  // More is to be read, and the last read has not failed.
 }
 
@@ -26,22 +31,30 @@
 }
 
 // begin is called before each read.
-func (f *freshness) begin() { f.began.Store(int64(f.clock())) }
+func (f *freshness) begin() {
+	f.answered.Store(0)
+	f.began.Store(int64(f.clock()))
+}
 
 // came is called when a part of an answer has come.
-func (f *freshness) came() { f.coming.Store(true) }
+func (f *freshness) came() {
+	f.answered.CompareAndSwap(0, int64(f.clock()))
+	f.coming.Store(true)
+}
 
 // fail is called after a read that failed: the store may be out of reach.
 func (f *freshness) fail() { f.coming.Store(false) }
 
 // confirm is called after a read that reached the topic's end: what was acknowledged
-// before it began is known.
+// before the answer was made is known. A read waits for news before that, and the answer
+// may take long to come.
 func (f *freshness) confirm() {
-	f.confirmed.Store(f.began.Load())
+	made := max(f.began.Load(), f.answered.Load()-int64(longestDelay))
+	f.confirmed.Store(made)
 	f.coming.Store(false)
 }
 
-// age is how long ago the last read began that reached the topic's end; 0 before.
+// age is for how long there may be news that are not known; 0 before the first read.
 func (f *freshness) age() time.Duration {
 	confirmed := f.confirmed.Load()
 	if confirmed == 0 {
--- a/internal/gateway/pace_test.go
+++ b/internal/gateway/pace_test.go
@@ -23,3 +23,27 @@
 		}
 	}
 }
+
+// What is read without a fault is never too old, however long its reads wait for news.
+func TestReadsThatWaitForNewsKeepATopicFresh(t *testing.T) {
+	const timeout, trip = time.Second, 50 * time.Millisecond
+	for _, within := range []time.Duration{2 * time.Second, 3 * time.Second, 4 * time.Second, 10 * time.Second} {
+		for name, pace := range map[string]struct{ wait, pause time.Duration }{
+			"desired state": {stateWait(within, timeout), statePause},
+			"endpoint list": {endpointsWait, endpointsPause(within, timeout)},
+		} {
+			now := time.Minute
+			f := newFreshness(within, func() time.Duration { return now })
+			for read := range 5 {
+				f.begin()
+				now += pace.wait + trip
+				f.came()
+				if read > 0 && f.outdated(true) {
+					t.Errorf("%s within %s: too old at the age of %s", name, within, f.age())
+				}
+				f.confirm()
+				now += pace.pause
+			}
+		}
+	}
+}
