A held request's line names it, so that explain tells why

The line of a request that is held back was written by the quarantine, which does not know the request's identity, so that `guavapier explain REQUEST-ID` showed the refusal's reason only. The forwarder writes it, with content, ends and when one is tried again. An unreadable key's error names the key.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -311,6 +311,7 @@
 	if !errors.As(c.f.Quarantine.Admit(ctx, c.content()), &held) {
 		return nil
 	}
+	c.logHeld(held)
 	return notRun(ReasonHeld, max(held.After, againShort))
 }
 
--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"guavapier/internal/placement"
+	"guavapier/internal/quarantine"
 )
 
 // phase is what a request waits for, as its last line tells it.
@@ -51,6 +52,12 @@
 		Interface("budget", c.f.Budgets.Explain(c.org.Name)).Msg("forward: budget refused")
 }
 
+// logHeld writes why the request is held back.
+func (c *call) logHeld(held *quarantine.HeldError) {
+	c.f.Log.Info().Str("request", c.ID).Str("team", string(c.team())).Stringer("content", held.Fingerprint).
+		Int("ends", held.Ends).Dur("after", held.After).Msg("forward: request held back")
+}
+
 // late says whether the answer began after its route's target.
 func (c *call) late() bool { return c.route != nil && c.route.Target > 0 && c.first > c.route.Target }
 
--- a/internal/quarantine/doc.go
+++ b/internal/quarantine/doc.go
@@ -16,13 +16,8 @@
 import (
 	"fmt"
 	"time"
-
-	"github.com/rotisserie/eris"
 )
 
-// errNoFingerprint says that a key of the topic stands for no request.
-var errNoFingerprint = eris.New("quarantine: not a fingerprint")
-
 // HeldError says that a request is held back.
 type HeldError struct {
 	Fingerprint Fingerprint
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -7,6 +7,8 @@
 	"encoding/hex"
 	"hash"
 
+	"github.com/rotisserie/eris"
+
 	"guavapier/internal/record"
 )
 
@@ -73,7 +75,7 @@
 	var f Fingerprint
 	data, err := hex.DecodeString(text)
 	if err != nil || len(data) != fingerprintBytes {
-		return f, errNoFingerprint
+		return f, eris.Errorf("quarantine: key %q is no fingerprint of %d bytes in hexadecimal", text, fingerprintBytes)
 	}
 	copy(f[:], data)
 	return f, nil
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -97,9 +97,8 @@
 		return nil
 	}
 	if again, _ := k.Table.held(f, time.Now()); again != nil {
-		held = again
+		return again
 	}
-	k.busy.Info().Stringer("content", f).Int("ends", held.Ends).Dur("after", held.After).Msg("quarantine: request held back")
 	return held
 }
 
