Quarantine: orphaned records are cleared by one instance after the other

Found on reading the diff: the wait before an instance clears the records of one that is gone was drawn anew each second, so that nearly all instances of a fleet would have cleared them within a minute of each other, each with a write. It is drawn once an entry.

TestOrphansAreClearedByOneAfterTheOther: red before (over half of 40 instances within a minute), green now.

--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -40,6 +40,8 @@
 	trialBy   record.InstanceID
 	until     time.Time // Held until then, if it is to blame.
 	writer    record.InstanceID
+	// orphanAfter is for how long the entry may be stale until its writer counts as gone.
+	orphanAfter time.Duration
 }
 
 // holdOf is how long a request is held after so many trials.
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -198,7 +198,7 @@
 	var cleared []Fingerprint
 	for f, e := range t.entries {
 		stale := e.staleFor(now)
-		if stale < 0 || e.writer != t.self && stale < keepFor+rand.N(keepFor) {
+		if stale < 0 || e.writer != t.self && stale < e.orphanAfter {
 			continue
 		}
 		t.drop(f)
@@ -213,7 +213,7 @@
 		return e
 	}
 	t.makeRoom(team)
-	e := &entry{team: team}
+	e := &entry{team: team, orphanAfter: keepFor + rand.N(keepFor)} // Not all instances at once.
 	t.entries[f] = e
 	t.places[f.place()]++
 	t.teams[team]++
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -247,3 +247,21 @@
 		t.Error("a body of another length has the same place")
 	}
 }
+
+// Many instances know the records of one that is gone; they don't all clear them at once.
+func TestOrphansAreClearedByOneAfterTheOther(t *testing.T) {
+	const instances = 40
+	cleared := 0
+	for range instances {
+		table := NewTable("me")
+		table.hear(fingerprint("x"), &news{Writer: "gone", Endpoints: []string{"e"}, Ends: 1}, false, origin)
+		for at := keepFor; at < 2*keepFor+keepFor/10; at += time.Second {
+			if len(table.sweep(origin.Add(at))) > 0 {
+				cleared++
+			}
+		}
+	}
+	if cleared > instances/2 {
+		t.Errorf("%d of %d instances cleared it within %s", cleared, instances, keepFor/10)
+	}
+}
