Instances of a zone that is cut off tell each other under which requests endpoints end

While the log is away each instance exchanges what it knows with another one of its zone every 500 ms (net/rpc; members call their allocators). Nothing is called while the log answers.

A record names who has the last trial, as its writer may now be another one. The keeper's parts come in an Options struct, they had become too many.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -140,8 +140,13 @@
 	zone := allocator.New(allocator.Self{Key: self.Key, Peer: peers, Zone: self.Zone, LinkMbps: s.Gateway.LinkMbps})
 	g.calls = peer.NewPool(self.Key, book, peer.Options{})
 	g.keeper = prepaid.NewKeeper(book, zone, prepaid.NewPeers(g.calls, g.busyLog), p.Store, clock, log)
-	g.held = quarantine.NewKeeper(self.Key, p.Store, g.pool.Probe, log, g.busyLog)
+	g.held = quarantine.NewKeeper(quarantine.Options{
+		Self: self.Key, Log: p.Store, Probe: g.pool.Probe, Caller: g.calls, Neighbours: book.Neighbours, Logs: log, Busy: g.busyLog,
+	})
 	g.answers = peer.NewServer(self.Key)
+	if err := g.answers.Register(quarantine.ServiceName, quarantine.NewExchange(g.held)); err != nil {
+		return nil, err
+	}
 	if err := g.answers.Register(prepaid.ServiceName, prepaid.NewTransfers(g.keeper)); err != nil {
 		return nil, err
 	}
--- a/internal/prepaid/transfer.go
+++ b/internal/prepaid/transfer.go
@@ -148,6 +148,17 @@
 	return list
 }
 
+// Neighbours lists living processes of the own zone; a member knows the allocators only.
+func (b *Book) Neighbours() []record.InstanceID {
+	var list []record.InstanceID
+	for _, heir := range b.Heirs() {
+		if heir.near {
+			list = append(list, heir.Key)
+		}
+	}
+	return list
+}
+
 // AtHand is what may be used of the budget now.
 func (b *Book) AtHand(team record.Team, now time.Duration) int64 {
 	b.mu.Lock()
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"guavapier/internal/logstore"
+	"guavapier/internal/peer"
 	"guavapier/internal/record"
 )
 
@@ -41,14 +42,23 @@
 // Probe makes a connection to an endpoint by name and address (IP:port), to be kept for use.
 type Probe func(ctx context.Context, endpoint, address string) error
 
+// Options are what a Keeper works with. All must be set.
+type Options struct {
+	Self  record.InstanceID
+	Log   logstore.Keyed
+	Probe Probe
+	// Caller reaches the instances that Neighbours lists: those of the own zone.
+	Caller     peer.Caller
+	Neighbours func() []record.InstanceID
+	Logs       zerolog.Logger
+	Busy       zerolog.Logger // For lines that come with load; thinned.
+}
+
 // Keeper runs a Table against the log. It is safe for concurrent use.
 type Keeper struct {
+	Options
 	Table *Table
 
-	log    logstore.Keyed
-	probe  Probe
-	logs   zerolog.Logger
-	busy   zerolog.Logger // For lines that come with load; thinned.
 	probes singleflight.Group
 	claims singleflight.Group
 	kick   chan struct{} // Reads the log at once.
@@ -62,9 +72,9 @@
 }
 
 // NewKeeper returns a Keeper; Run makes it work.
-func NewKeeper(self record.InstanceID, log logstore.Keyed, probe Probe, logs, busy zerolog.Logger) *Keeper {
+func NewKeeper(o Options) *Keeper {
 	return &Keeper{
-		Table: NewTable(self), log: log, probe: probe, logs: logs, busy: busy,
+		Options: o, Table: NewTable(o.Self),
 		kick: make(chan struct{}, 1), write: make(chan struct{}, 1), pending: map[Fingerprint]*news{},
 	}
 }
@@ -75,6 +85,7 @@
 	group.Go(func() error { k.follower().Run(ctx); return nil })
 	group.Go(func() error { k.writes(ctx); return nil })
 	group.Go(func() error { k.sweeps(ctx); return nil })
+	group.Go(func() error { k.swaps(ctx); return nil })
 	_ = group.Wait()
 }
 
@@ -93,7 +104,7 @@
 		return nil
 	}
 	if due && !k.away.Load() && k.mayTry(ctx, f) {
-		k.logs.Info().Stringer("content", f).Int("ends", held.Ends).Msg("quarantine: held request is tried")
+		k.Logs.Info().Stringer("content", f).Int("ends", held.Ends).Msg("quarantine: held request is tried")
 		return nil
 	}
 	if again, _ := k.Table.held(f, time.Now()); again != nil {
@@ -136,9 +147,9 @@
 	if n == nil {
 		return true
 	}
-	line := k.busy.Info()
+	line := k.Busy.Info()
 	if n.Ends >= endsToHold {
-		line = k.logs.Warn()
+		line = k.Logs.Warn()
 	}
 	line.Stringer("content", f).Str("team", string(c.Organisation)).Str("endpoint", endpoint).Int("ends", n.Ends).
 		Dur("under_way", underWay).Msg("quarantine: endpoint ended under a request")
@@ -152,7 +163,7 @@
 	gone, _, _ := k.probes.Do(endpoint, func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeWithin)
 		defer cancel()
-		return errors.Is(k.probe(ctx, endpoint, address), syscall.ECONNREFUSED), nil
+		return errors.Is(k.Probe(ctx, endpoint, address), syscall.ECONNREFUSED), nil
 	})
 	return gone.(bool)
 }
@@ -163,7 +174,7 @@
 	if !known || !k.Table.clear(f) {
 		return
 	}
-	k.busy.Info().Stringer("content", f).Msg("quarantine: request answered, cleared")
+	k.Busy.Info().Stringer("content", f).Msg("quarantine: request answered, cleared")
 	k.tell(f, nil)
 }
 
@@ -177,12 +188,12 @@
 func (k *Keeper) follower() *logstore.Follower {
 	old := false
 	return &logstore.Follower{
-		Log: k.log, Topic: logstore.TopicQuarantine, Wait: followWait, Pause: followPause, Kick: k.kick,
+		Log: k.Log, Topic: logstore.TopicQuarantine, Wait: followWait, Pause: followPause, Kick: k.kick,
 		Reset: func() { old = true }, Record: func(r logstore.KeyedRecord) { k.hear(r, old) },
 		Loaded: func() { old = false; k.loaded.Store(true) },
 		Outcome: func(err error) {
 			if was := k.away.Swap(err != nil); err != nil && !was {
-				k.logs.Warn().Err(err).Msg("quarantine: log lost; holding back what is known here")
+				k.Logs.Warn().Err(err).Msg("quarantine: log lost; holding back what is known here")
 			}
 		},
 	}
@@ -192,7 +203,7 @@
 func (k *Keeper) hear(r logstore.KeyedRecord, old bool) {
 	f, err := parseFingerprint(r.Key)
 	if err != nil {
-		k.logs.Error().Err(err).Str("key", r.Key).Msg("quarantine: unreadable record passed over")
+		k.Logs.Error().Err(err).Str("key", r.Key).Msg("quarantine: unreadable record passed over")
 		return
 	}
 	if r.Value == nil {
@@ -201,7 +212,7 @@
 	}
 	n, err := decodeNews(r.Value)
 	if err != nil {
-		k.logs.Error().Err(err).Str("key", r.Key).Msg("quarantine: unreadable record passed over")
+		k.Logs.Error().Err(err).Str("key", r.Key).Msg("quarantine: unreadable record passed over")
 		return
 	}
 	k.Table.hear(f, n, old, time.Now())
@@ -211,7 +222,7 @@
 func (k *Keeper) writes(ctx context.Context) {
 	for ctx.Err() == nil {
 		logstore.Pause(ctx, writeEvery, k.write)
-		batch := k.take()
+		batch := k.nextBatch()
 		if len(batch) == 0 {
 			continue
 		}
@@ -224,8 +235,8 @@
 	}
 }
 
-// take returns pending news, no more than one write may have.
-func (k *Keeper) take() map[Fingerprint]*news {
+// nextBatch returns pending news, no more than one write may have.
+func (k *Keeper) nextBatch() map[Fingerprint]*news {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	batch := map[Fingerprint]*news{}
@@ -259,7 +270,7 @@
 		if n != nil {
 			value, err := n.encode()
 			if err != nil {
-				k.logs.Error().Err(err).Stringer("content", f).Msg("quarantine: record not written")
+				k.Logs.Error().Err(err).Stringer("content", f).Msg("quarantine: record not written")
 				continue
 			}
 			r.Value = value
@@ -268,7 +279,7 @@
 	}
 	k.epoch++
 	w := logstore.Write{Writer: string(k.Table.self), Epoch: k.epoch}
-	return k.log.Put(ctx, logstore.TopicQuarantine, w, records)
+	return k.Log.Put(ctx, logstore.TopicQuarantine, w, records)
 }
 
 // sweeps clears what is no more worth keeping, until ctx ends.
--- a/internal/quarantine/keeper_test.go
+++ b/internal/quarantine/keeper_test.go
@@ -25,12 +25,20 @@
 	return fmt.Errorf("dial: %w", syscall.ECONNREFUSED)
 }
 
+// newKeeper returns an instance without neighbours.
+func newKeeper(self string, log logstore.Keyed, probe Probe) *Keeper {
+	return NewKeeper(Options{
+		Self: record.InstanceID(self), Log: log, Probe: probe, Neighbours: func() []record.InstanceID { return nil },
+		Logs: zerolog.Nop(), Busy: zerolog.Nop(),
+	})
+}
+
 // startKeepers runs instances on one log.
 func startKeepers(t *testing.T, log *standin.Keyed, n int) []*Keeper {
 	t.Helper()
 	var keepers []*Keeper
 	for i := range n {
-		k := NewKeeper(record.InstanceID(fmt.Sprint("instance-", i)), log, refuses, zerolog.Nop(), zerolog.Nop())
+		k := newKeeper(fmt.Sprint("instance-", i), log, refuses)
 		go k.Run(t.Context())
 		keepers = append(keepers, k)
 	}
@@ -156,7 +164,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				k := NewKeeper("me", standin.NewKeyed(), probe, zerolog.Nop(), zerolog.Nop())
+				k := newKeeper("me", standin.NewKeyed(), probe)
 				if k.Broke(t.Context(), deadly, "e", "address", time.Second) || len(k.Table.View(time.Now())) > 0 {
 					t.Error("reported")
 				}
@@ -177,3 +185,50 @@
 		}
 	})
 }
+
+// callerTo reaches keepers by their names, but for those that are cut off.
+type callerTo struct {
+	keepers map[record.InstanceID]*Keeper
+	cut     map[record.InstanceID]bool
+}
+
+// Call implements peer.Caller.
+func (c callerTo) Call(_ context.Context, to record.InstanceID, method string, args, reply any) error {
+	if c.cut[to] || method != ServiceName+".Swap" {
+		return fmt.Errorf("%s of %q not reached", method, to)
+	}
+	return NewExchange(c.keepers[to]).Swap(args.(SwapArgs), reply.(*SwapReply))
+}
+
+func TestInstancesOfAZoneTellEachOtherWhileTheLogIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := standin.NewKeyed()
+		caller := callerTo{map[record.InstanceID]*Keeper{}, map[record.InstanceID]bool{"instance-4": true}}
+		var names []record.InstanceID
+		var keepers []*Keeper
+		for i := range 5 {
+			k := newKeeper(fmt.Sprint("instance-", i), log, refuses)
+			k.Caller, k.Neighbours = caller, func() []record.InstanceID { return names }
+			names, keepers = append(names, k.Self), append(keepers, k)
+			caller.keepers[k.Self] = k
+		}
+		for _, k := range keepers {
+			go k.Run(t.Context())
+		}
+		time.Sleep(time.Second)
+		log.SetDown(true)
+		time.Sleep(10 * time.Second)
+		endThree(t, keepers[:3])
+		time.Sleep(2 * time.Second)
+		for i, k := range keepers[:4] {
+			if err := k.Admit(t.Context(), deadly); !isHeld(err) {
+				t.Errorf("instance %d: %v", i, err)
+			}
+		}
+		log.SetDown(false)
+		time.Sleep(10 * time.Second)
+		if err := keepers[4].Admit(t.Context(), deadly); !isHeld(err) {
+			t.Errorf("the one that was cut off, when the log is back: %v", err)
+		}
+	})
+}
--- a/internal/quarantine/news.go
+++ b/internal/quarantine/news.go
@@ -24,6 +24,8 @@
 	Ends int `cbor:"5,keyasint"`
 	// Round counts trials. The first record of a round on the log has the right to it.
 	Round int `cbor:"6,keyasint,omitempty"`
+	// TrialBy has the right to the last trial.
+	TrialBy record.InstanceID `cbor:"8,keyasint,omitempty"`
 	// Until is the end of the hold in Unix milliseconds; 0 for none.
 	Until int64 `cbor:"7,keyasint,omitempty"`
 }
@@ -39,8 +41,8 @@
 	return &n, eris.Wrap(err, "quarantine: decode record")
 }
 
-func (e *entry) news(writer record.InstanceID) *news {
-	n := &news{Team: e.team, Writer: writer, Endpoints: slices.Clone(e.endpoints), Ends: e.ends, Round: e.round}
+func (e *entry) news() *news {
+	n := &news{Team: e.team, Writer: e.writer, Endpoints: slices.Clone(e.endpoints), Ends: e.ends, Round: e.round, TrialBy: e.trialBy}
 	if !e.until.IsZero() {
 		n.Until = e.until.UnixMilli()
 	}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -68,7 +68,7 @@
 	}
 	t.end(e, endpoint, now.Add(-underWay), now, true)
 	e.writer = t.self
-	n := e.news(t.self)
+	n := e.news()
 	n.UnderWay = underWay
 	return n
 }
@@ -99,7 +99,7 @@
 		}
 	}
 	if n.Round > e.round {
-		e.round, e.trialBy = n.Round, n.Writer
+		e.round, e.trialBy = n.Round, n.TrialBy
 	}
 	if n.Ends > e.ends {
 		e.ends, e.lastEnd, e.seenHere = n.Ends, now, false
@@ -173,12 +173,24 @@
 	if e == nil {
 		return nil
 	}
-	n := e.news(t.self)
+	n := e.news()
+	n.Writer, n.TrialBy = t.self, t.self
 	n.Round++
 	n.Until = now.Add(holdOf(n.Round)).UnixMilli()
 	return n
 }
 
+// all returns what is known of each request.
+func (t *Table) all() map[Fingerprint]*news {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	all := make(map[Fingerprint]*news, len(t.entries))
+	for f, e := range t.entries {
+		all[f] = e.news()
+	}
+	return all
+}
+
 // decided says whether a trial has been given, and whether to this instance.
 func (t *Table) decided(f Fingerprint, round int) (decided, won bool) {
 	t.mu.Lock()
