--- a/internal/gateway/freshness.go
+++ b/internal/gateway/freshness.go
@@ -22,7 +22,7 @@
 	// Times are those of clock, in nanoseconds.
 	began     atomic.Int64 // When the last read began.
 	answered  atomic.Int64 // When its answer began to come; 0 before.
-	confirmed atomic.Int64 // When nothing was to be known beyond what is known; 0 for never.
+	confirmed atomic.Int64 // When the last answer was made that reached the topic's end; 0 for none.
 	coming    atomic.Bool  // More is to be read, and the last read has not failed.
 }
 
@@ -45,16 +45,16 @@
 // fail is called after a read that failed: the store may be out of reach.
 func (f *freshness) fail() { f.coming.Store(false) }
 
-// confirm is called after a read that reached the topic's end: what was acknowledged
-// before the answer was made is known. A read waits for news before that, and the answer
-// may take long to come.
+// confirm is called after a read that reached the topic's end: every change that was
+// acknowledged before the answer was made is known. A read may wait long for a change
+// before that, and the answer may take long to come.
 func (f *freshness) confirm() {
 	made := max(f.began.Load(), f.answered.Load()-int64(longestDelay))
 	f.confirmed.Store(made)
 	f.coming.Store(false)
 }
 
-// age is for how long there may be news that are not known; 0 before the first read.
+// age is how long a change may have gone unseen; 0 before the first read.
 func (f *freshness) age() time.Duration {
 	confirmed := f.confirmed.Load()
 	if confirmed == 0 {
@@ -63,8 +63,8 @@
 	return f.clock() - time.Duration(confirmed)
 }
 
-// outdated says whether a change may be unknown for longer than it may be while it could
-// be known; crowded says that the own link is nearly full.
+// outdated says whether a change may have gone unseen for too long though the store is in
+// reach; crowded says that the own link is nearly full.
 func (f *freshness) outdated(crowded bool) bool {
 	return f.age() > f.within-readSpare && (crowded || f.coming.Load())
 }
--- a/internal/quarantine/gossip.go
+++ b/internal/quarantine/gossip.go
@@ -64,8 +64,8 @@
 // records returns what is known, encoded, by fingerprint.
 func (k *Keeper) records() map[string][]byte {
 	out := map[string][]byte{}
-	for f, n := range k.Table.all() {
-		if value, err := n.encode(); err == nil {
+	for f, r := range k.Table.all() {
+		if value, err := r.encode(); err == nil {
 			out[f.String()] = value
 		} else {
 			k.Logs.Error().Err(err).Stringer("content", f).Msg("quarantine: record not sent")
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -67,7 +67,7 @@
 	away   atomic.Bool // The reads fail.
 
 	mu      sync.Mutex // Guards pending.
-	pending map[Fingerprint]*news
+	pending map[Fingerprint]*report
 	epoch   uint64 // Of the last write.
 }
 
@@ -75,7 +75,7 @@
 func NewKeeper(o Options) *Keeper {
 	return &Keeper{
 		Options: o, Table: NewTable(o.Self),
-		kick: make(chan struct{}, 1), write: make(chan struct{}, 1), pending: map[Fingerprint]*news{},
+		kick: make(chan struct{}, 1), write: make(chan struct{}, 1), pending: map[Fingerprint]*report{},
 	}
 }
 
@@ -117,18 +117,18 @@
 func (k *Keeper) mayTry(ctx context.Context, f Fingerprint) bool {
 	mine := false
 	_, _, _ = k.claims.Do(f.String(), func() (any, error) {
-		n := k.Table.claim(f, time.Now())
-		if n == nil {
+		r := k.Table.claim(f, time.Now())
+		if r == nil {
 			mine = true // Cleared meanwhile.
 			return nil, nil
 		}
-		k.tell(f, n)
+		k.tell(f, r)
 		logstore.Kick(k.write)
 		ctx, cancel := context.WithTimeout(ctx, trialWithin)
 		defer cancel()
 		for decided := false; !decided && ctx.Err() == nil; {
 			logstore.Pause(ctx, trialLook, nil)
-			decided, mine = k.Table.decided(f, n.Round)
+			decided, mine = k.Table.decided(f, r.Round)
 		}
 		return nil, nil
 	})
@@ -143,17 +143,17 @@
 		return false
 	}
 	f := c.Fingerprint()
-	n := k.Table.ended(f, c.Organisation, endpoint, underWay, time.Now())
-	if n == nil {
+	r := k.Table.ended(f, c.Organisation, endpoint, underWay, time.Now())
+	if r == nil {
 		return true
 	}
 	line := k.Busy.Info()
-	if n.Ends >= endsToHold {
+	if r.Ends >= endsToHold {
 		line = k.Logs.Warn()
 	}
-	line.Stringer("content", f).Str("team", string(c.Organisation)).Str("endpoint", endpoint).Int("ends", n.Ends).
+	line.Stringer("content", f).Str("team", string(c.Organisation)).Str("endpoint", endpoint).Int("ends", r.Ends).
 		Dur("under_way", underWay).Msg("quarantine: endpoint ended under a request")
-	k.tell(f, n)
+	k.tell(f, r)
 	return true
 }
 
@@ -178,11 +178,11 @@
 	k.tell(f, nil)
 }
 
-// tell has news written; nil clears the request.
-func (k *Keeper) tell(f Fingerprint, n *news) {
+// tell has a report written; nil clears the request.
+func (k *Keeper) tell(f Fingerprint, r *report) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.pending[f] = n
+	k.pending[f] = r
 }
 
 func (k *Keeper) follower() *logstore.Follower {
@@ -200,22 +200,22 @@
 }
 
 // hear takes a record of the log; old says that it has been there for a while.
-func (k *Keeper) hear(r logstore.KeyedRecord, old bool) {
-	f, err := parseFingerprint(r.Key)
+func (k *Keeper) hear(record logstore.KeyedRecord, old bool) {
+	f, err := parseFingerprint(record.Key)
 	if err != nil {
-		k.Logs.Error().Err(err).Str("key", r.Key).Msg("quarantine: unreadable record passed over")
+		k.Logs.Error().Err(err).Str("key", record.Key).Msg("quarantine: unreadable record passed over")
 		return
 	}
-	if r.Value == nil {
+	if record.Value == nil {
 		k.Table.clear(f)
 		return
 	}
-	n, err := decodeNews(r.Value)
+	r, err := decodeReport(record.Value)
 	if err != nil {
-		k.Logs.Error().Err(err).Str("key", r.Key).Msg("quarantine: unreadable record passed over")
+		k.Logs.Error().Err(err).Str("key", record.Key).Msg("quarantine: unreadable record passed over")
 		return
 	}
-	k.Table.hear(f, n, old, time.Now())
+	k.Table.hear(f, r, old, time.Now())
 }
 
 // writes writes what is pending until ctx ends.
@@ -235,47 +235,47 @@
 	}
 }
 
-// nextBatch returns pending news, no more than one write may have.
-func (k *Keeper) nextBatch() map[Fingerprint]*news {
+// nextBatch returns pending reports, no more than one write may have.
+func (k *Keeper) nextBatch() map[Fingerprint]*report {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	batch := map[Fingerprint]*news{}
-	for f, n := range k.pending {
+	batch := map[Fingerprint]*report{}
+	for f, r := range k.pending {
 		if len(batch) == mostWritten {
 			break
 		}
-		batch[f] = n
+		batch[f] = r
 		delete(k.pending, f)
 	}
 	return batch
 }
 
 // putBack keeps what was not written, but for what is newer.
-func (k *Keeper) putBack(batch map[Fingerprint]*news) {
+func (k *Keeper) putBack(batch map[Fingerprint]*report) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for f, n := range batch {
+	for f, r := range batch {
 		if _, newer := k.pending[f]; !newer {
-			k.pending[f] = n
+			k.pending[f] = r
 		}
 	}
 }
 
 // put writes records. Each write has an epoch of its own: one that arrives late is fenced
 // off by those after it.
-func (k *Keeper) put(ctx context.Context, batch map[Fingerprint]*news) error {
+func (k *Keeper) put(ctx context.Context, batch map[Fingerprint]*report) error {
 	records := make([]logstore.KeyedRecord, 0, len(batch))
-	for f, n := range batch {
-		r := logstore.KeyedRecord{Key: f.String()}
-		if n != nil {
-			value, err := n.encode()
+	for f, r := range batch {
+		out := logstore.KeyedRecord{Key: f.String()}
+		if r != nil {
+			value, err := r.encode()
 			if err != nil {
 				k.Logs.Error().Err(err).Stringer("content", f).Msg("quarantine: record not written")
 				continue
 			}
-			r.Value = value
+			out.Value = value
 		}
-		records = append(records, r)
+		records = append(records, out)
 	}
 	k.epoch++
 	w := logstore.Write{Writer: string(k.Table.self), Epoch: k.epoch}
--- a/internal/quarantine/news.go
+++ b/internal/quarantine/report.go
@@ -10,10 +10,10 @@
 	"guavapier/internal/record"
 )
 
-// news is a record on the log, under the fingerprint of a request: what its writer knows
+// report is a record on the log, under the fingerprint of a request: what its writer knows
 // of it. The newest one is enough for an instance that starts. A record without a value
 // clears the request.
-type news struct {
+type report struct {
 	Team   record.Team       `cbor:"1,keyasint,omitempty"`
 	Writer record.InstanceID `cbor:"2,keyasint"`
 	// Endpoints have ended under the request, the latest last.
@@ -30,29 +30,29 @@
 	Until int64 `cbor:"7,keyasint,omitempty"`
 }
 
-func (n *news) encode() ([]byte, error) {
-	data, err := cbor.Marshal(n)
+func (r *report) encode() ([]byte, error) {
+	data, err := cbor.Marshal(r)
 	return data, eris.Wrap(err, "quarantine: encode record")
 }
 
-func decodeNews(data []byte) (*news, error) {
-	var n news
-	err := cbor.Unmarshal(data, &n)
-	return &n, eris.Wrap(err, "quarantine: decode record")
+func decodeReport(data []byte) (*report, error) {
+	var r report
+	err := cbor.Unmarshal(data, &r)
+	return &r, eris.Wrap(err, "quarantine: decode record")
 }
 
-func (e *entry) news() *news {
-	n := &news{Team: e.team, Writer: e.writer, Endpoints: slices.Clone(e.endpoints), Ends: e.ends, Round: e.round, TrialBy: e.trialBy}
+func (e *entry) report() *report {
+	r := &report{Team: e.team, Writer: e.writer, Endpoints: slices.Clone(e.endpoints), Ends: e.ends, Round: e.round, TrialBy: e.trialBy}
 	if !e.until.IsZero() {
-		n.Until = e.until.UnixMilli()
+		r.Until = e.until.UnixMilli()
 	}
-	return n
+	return r
 }
 
 // until is the end of the hold; zero for none.
-func (n *news) until() time.Time {
-	if n.Until == 0 {
+func (r *report) until() time.Time {
+	if r.Until == 0 {
 		return time.Time{}
 	}
-	return time.UnixMilli(n.Until)
+	return time.UnixMilli(r.Until)
 }
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -59,7 +59,7 @@
 
 // ended notes that an endpoint ended under a request, and returns what others are to
 // know of that; nil for nothing.
-func (t *Table) ended(f Fingerprint, team record.Team, endpoint string, underWay time.Duration, now time.Time) *news {
+func (t *Table) ended(f Fingerprint, team record.Team, endpoint string, underWay time.Duration, now time.Time) *report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.entry(f, team)
@@ -68,9 +68,9 @@
 	}
 	t.end(e, endpoint, now.Add(-underWay), now, true)
 	e.writer = t.self
-	n := e.news()
-	n.UnderWay = underWay
-	return n
+	r := e.report()
+	r.UnderWay = underWay
+	return r
 }
 
 func (t *Table) end(e *entry, endpoint string, began, now time.Time, here bool) {
@@ -84,27 +84,27 @@
 }
 
 // hear takes a record of the log; old says that it has been there for a while.
-func (t *Table) hear(f Fingerprint, n *news, old bool, now time.Time) {
+func (t *Table) hear(f Fingerprint, r *report, old bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := t.entry(f, n.Team)
-	e.writer = n.Writer
+	e := t.entry(f, r.Team)
+	e.writer = r.Writer
 	known := now
 	if old {
 		known = now.Add(-settleFor)
 	}
-	for _, endpoint := range n.Endpoints {
+	for _, endpoint := range r.Endpoints {
 		if !e.has(endpoint) {
-			t.end(e, endpoint, known.Add(-n.UnderWay), known, false)
+			t.end(e, endpoint, known.Add(-r.UnderWay), known, false)
 		}
 	}
-	if n.Round > e.round {
-		e.round, e.trialBy = n.Round, n.TrialBy
+	if r.Round > e.round {
+		e.round, e.trialBy = r.Round, r.TrialBy
 	}
-	if n.Ends > e.ends {
-		e.ends, e.lastEnd, e.seenHere = n.Ends, now, false
+	if r.Ends > e.ends {
+		e.ends, e.lastEnd, e.seenHere = r.Ends, now, false
 	}
-	e.hold(earlier(n.until(), now.Add(holdOf(e.round)))) // The clocks of two instances may differ.
+	e.hold(earlier(r.until(), now.Add(holdOf(e.round)))) // The clocks of two instances may differ.
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -166,27 +166,27 @@
 func (a *ending) isSettled(now time.Time) bool { return now.Sub(a.known) >= settleFor }
 
 // claim returns the record that asks for the right to the next trial.
-func (t *Table) claim(f Fingerprint, now time.Time) *news {
+func (t *Table) claim(f Fingerprint, now time.Time) *report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.entries[f]
 	if e == nil {
 		return nil
 	}
-	n := e.news()
-	n.Writer, n.TrialBy = t.self, t.self
-	n.Round++
-	n.Until = now.Add(holdOf(n.Round)).UnixMilli()
-	return n
+	r := e.report()
+	r.Writer, r.TrialBy = t.self, t.self
+	r.Round++
+	r.Until = now.Add(holdOf(r.Round)).UnixMilli()
+	return r
 }
 
 // all returns what is known of each request.
-func (t *Table) all() map[Fingerprint]*news {
+func (t *Table) all() map[Fingerprint]*report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	all := make(map[Fingerprint]*news, len(t.entries))
+	all := make(map[Fingerprint]*report, len(t.entries))
 	for f, e := range t.entries {
-		all[f] = e.news()
+		all[f] = e.report()
 	}
 	return all
 }
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -65,7 +65,7 @@
 	table, f := NewTable("me"), fingerprint("x")
 	for i := range 6 {
 		now := origin.Add(time.Duration(i) * 70 * time.Millisecond)
-		table.hear(f, &news{Team: "org", Writer: "other", Endpoints: []string{fmt.Sprint("e", i)}, UnderWay: 20 * time.Millisecond, Ends: 1}, false, now)
+		table.hear(f, &report{Team: "org", Writer: "other", Endpoints: []string{fmt.Sprint("e", i)}, UnderWay: 20 * time.Millisecond, Ends: 1}, false, now)
 	}
 	if table.isHeldAt(f, origin.Add(time.Minute)) {
 		t.Error("held after one loss of six endpoints")
@@ -124,7 +124,7 @@
 
 func TestWhatIsReadAtTheStartIsHeldAtOnce(t *testing.T) {
 	known, fresh, f := NewTable("me"), NewTable("new"), fingerprint("x")
-	var last *news
+	var last *report
 	for i := range 3 {
 		last = known.ended(f, "org", fmt.Sprint("e", i), time.Millisecond, origin.Add(time.Duration(i)*time.Second))
 	}
@@ -138,7 +138,7 @@
 
 func TestAWrongClockDoesNotHoldForEver(t *testing.T) {
 	table, f := NewTable("me"), fingerprint("x")
-	table.hear(f, &news{Writer: "other", Endpoints: []string{"a", "b", "c"}, Ends: 3, Until: origin.Add(24 * time.Hour).UnixMilli()}, true, origin)
+	table.hear(f, &report{Writer: "other", Endpoints: []string{"a", "b", "c"}, Ends: 3, Until: origin.Add(24 * time.Hour).UnixMilli()}, true, origin)
 	if held, _ := table.held(f, origin); held == nil || held.After != firstHold {
 		t.Errorf("held %+v, want %s at most", held, firstHold)
 	}
@@ -215,7 +215,7 @@
 	mine, theirs := fingerprint("mine"), fingerprint("theirs")
 	table := NewTable("me")
 	table.ended(mine, "org", "e1", time.Millisecond, origin)
-	table.hear(theirs, &news{Writer: "other", Endpoints: []string{"e2"}, Ends: 1}, false, origin)
+	table.hear(theirs, &report{Writer: "other", Endpoints: []string{"e2"}, Ends: 1}, false, origin)
 	if cleared := table.sweep(origin.Add(keepFor - time.Second)); len(cleared) > 0 {
 		t.Errorf("cleared early: %v", cleared)
 	}
@@ -254,7 +254,7 @@
 	cleared := 0
 	for range instances {
 		table := NewTable("me")
-		table.hear(fingerprint("x"), &news{Writer: "gone", Endpoints: []string{"e"}, Ends: 1}, false, origin)
+		table.hear(fingerprint("x"), &report{Writer: "gone", Endpoints: []string{"e"}, Ends: 1}, false, origin)
 		for at := keepFor; at < 2*keepFor+keepFor/10; at += time.Second {
 			if len(table.sweep(origin.Add(at))) > 0 {
 				cleared++
