A record that fits into no page is read with the newest ones

A page without records though some follow makes the reader take the newest records. The test's case never ended before; green now.

--- a/internal/logstore/follower.go
+++ b/internal/logstore/follower.go
@@ -92,13 +92,16 @@
 
 // take hands a page over and returns where the next read begins.
 func (f *Follower) take(page KeyedPage, at position) position {
-	if at.passed && len(page.Records) > 0 && !f.names(page) {
+	switch {
+	case at.passed && len(page.Records) > 0 && !f.names(page):
 		return position{} // The key's last record is among those that were passed over.
+	case at.loaded && len(page.Records) == 0 && page.End > page.Next:
+		return position{} // The next record does not fit into a page.
 	}
 	f.hand(page, !at.loaded)
-	next := position{next: page.Next, loaded: true, passed: at.passed && len(page.Records) == 0}
+	next := position{next: page.Next, loaded: true}
 	if page.End <= page.Next {
-		if f.Current != nil && !next.passed {
+		if f.Current != nil {
 			f.Current()
 		}
 		return next
--- a/internal/logstore/follower_test.go
+++ b/internal/logstore/follower_test.go
@@ -121,6 +121,7 @@
 	first   uint64 // Records before it are trimmed.
 	bursts  [][]KeyedRecord
 	trims   bool // Each burst ends what was before its end.
+	tight   bool // No record fits into a page.
 	idle    func()
 }
 
@@ -161,6 +162,9 @@
 		return KeyedPage{Next: from, End: l.end()}, nil
 	}
 	Progress(ctx)
+	if l.tight {
+		return KeyedPage{Next: from, End: l.end()}, nil
+	}
 	page := KeyedPage{Records: l.records[from : from+1], Next: from + 1, End: l.end()}
 	l.write()
 	return page, nil
@@ -182,16 +186,18 @@
 	for name, c := range map[string]struct {
 		bursts [][]KeyedRecord
 		trims  bool
+		tight  bool
 		want   string
 	}{
 		"one at a time":         {bursts: [][]KeyedRecord{config("1"), config("2"), config("3")}, want: "[0 1 2 3]"},
 		"several at a time":     {bursts: [][]KeyedRecord{config("1", "2", "3"), config("4", "5", "6"), config("7")}, want: "[0 1 3 6 7]"},
 		"another key's at last": {bursts: [][]KeyedRecord{append(config("1", "2", "3"), other)}, want: "[0 1 3]"},
 		"history trimmed":       {bursts: [][]KeyedRecord{config("1", "2"), config("3", "4")}, trims: true, want: "[0 2 4]"},
+		"too large for a page":  {bursts: [][]KeyedRecord{config("1", "2"), config("3")}, tight: true, want: "[0 2 3]"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
-			log := &pagedLog{records: config("0"), bursts: c.bursts, trims: c.trims, idle: cancel}
+			log := &pagedLog{records: config("0"), bursts: c.bursts, trims: c.trims, tight: c.tight, idle: cancel}
 			var got []string
 			ends, parts := 0, 0
 			f := Follower{
