--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -18,7 +18,7 @@
 	// settleFor is how long the reports of an end take to come from all instances: only
 	// then it is known under which of the requests there most endpoints have ended.
 	settleFor = 500 * time.Millisecond
-	// firstHold is how long a request is held; each trial that fails makes it holdFactor
+	// firstHold is how long a request is held; each retest that fails makes it holdFactor
 	// times longer, up to longestHold.
 	firstHold   = 2 * time.Minute
 	holdFactor  = 4
@@ -37,17 +37,17 @@
 	lastEnd   time.Time
 	seenHere  bool // The last end was seen by this instance itself.
 	round     int  // Trials.
-	trialBy   record.InstanceID
+	retestBy   record.InstanceID
 	until     time.Time // Held until then, if it is to blame.
 	writer    record.InstanceID
 	// orphanAfter is for how long the entry may be stale until its writer counts as gone.
 	orphanAfter time.Duration
 }
 
-// holdOf is how long a request is held after so many trials.
-func holdOf(trials int) time.Duration {
+// holdOf is how long a request is held after so many retests.
+func holdOf(retests int) time.Duration {
 	hold := firstHold
-	for range trials {
+	for range retests {
 		if hold = holdFactor * hold; hold >= longestHold {
 			return longestHold
 		}
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -34,9 +34,9 @@
 	// probeWithin bounds the look whether an endpoint is gone: its host refuses
 	// connections at once, and one that does not answer says nothing.
 	probeWithin = 100 * time.Millisecond
-	// trialWithin is how long a request waits for the right to a trial, some round trips
-	// to the log; trialLook is how often it is looked for.
-	trialWithin, trialLook = 500 * time.Millisecond, 5 * time.Millisecond
+	// retestWithin is how long a request waits for the right to a retest, some round trips
+	// to the log; retestLook is how often it is looked for.
+	retestWithin, retestLook = 500 * time.Millisecond, 5 * time.Millisecond
 )
 
 // Probe makes a connection to an endpoint by name and address (IP:port), to be kept for use.
@@ -103,8 +103,8 @@
 	if held == nil {
 		return nil
 	}
-	if due && !k.away.Load() && k.mayTry(ctx, f) {
-		k.Logs.Info().Stringer("content", f).Int("ends", held.Ends).Msg("quarantine: held request is tried")
+	if due && !k.away.Load() && k.mayRetest(ctx, f) {
+		k.Logs.Info().Stringer("content", f).Int("ends", held.Ends).Msg("quarantine: held request is retested")
 		return nil
 	}
 	if again, _ := k.Table.held(f, time.Now()); again != nil {
@@ -113,8 +113,8 @@
 	return held
 }
 
-// mayTry asks for the right to a trial and says whether this request has it.
-func (k *Keeper) mayTry(ctx context.Context, f Fingerprint) bool {
+// mayRetest asks for the right to a retest and says whether this request has it.
+func (k *Keeper) mayRetest(ctx context.Context, f Fingerprint) bool {
 	mine := false
 	_, _, _ = k.claims.Do(f.String(), func() (any, error) {
 		r := k.Table.claim(f, time.Now())
@@ -124,10 +124,10 @@
 		}
 		k.tell(f, r)
 		logstore.Kick(k.write)
-		ctx, cancel := context.WithTimeout(ctx, trialWithin)
+		ctx, cancel := context.WithTimeout(ctx, retestWithin)
 		defer cancel()
 		for decided := false; !decided && ctx.Err() == nil; {
-			logstore.Pause(ctx, trialLook, nil)
+			logstore.Pause(ctx, retestLook, nil)
 			decided, mine = k.Table.decided(f, r.Round)
 		}
 		return nil, nil
--- a/internal/quarantine/keeper_test.go
+++ b/internal/quarantine/keeper_test.go
@@ -84,7 +84,7 @@
 	})
 }
 
-func TestOneTrialInTheFleetAtATime(t *testing.T) {
+func TestOneRetestInTheFleetAtATime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := standin.NewKeyed()
 		keepers := startKeepers(t, log, 4)
@@ -111,19 +111,19 @@
 		time.Sleep(firstHold)
 		tried, n := admit()
 		if n != 1 {
-			t.Fatalf("%d trials, want 1", n)
+			t.Fatalf("%d retests, want 1", n)
 		}
 		if _, n := admit(); n != 0 {
-			t.Errorf("%d admitted while a trial is under way", n)
+			t.Errorf("%d admitted while a retest is under way", n)
 		}
 		tried.Broke(t.Context(), deadly, "e9", "address", 50*time.Millisecond)
 		time.Sleep(firstHold)
 		if _, n := admit(); n != 0 {
-			t.Errorf("%d admitted after a trial that failed and the first hold's time", n)
+			t.Errorf("%d admitted after a retest that failed and the first hold's time", n)
 		}
 		time.Sleep(holdOf(1))
 		if tried, n = admit(); n != 1 {
-			t.Fatalf("%d trials after the second hold, want 1", n)
+			t.Fatalf("%d retests after the second hold, want 1", n)
 		}
 		tried.Answered(deadly)
 		time.Sleep(time.Second)
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -22,10 +22,10 @@
 	UnderWay time.Duration `cbor:"4,keyasint,omitempty"`
 	// Ends counts those that ended one after the other.
 	Ends int `cbor:"5,keyasint"`
-	// Round counts trials. The first record of a round on the log has the right to it.
+	// Round counts retests. The first record of a round on the log has the right to it.
 	Round int `cbor:"6,keyasint,omitempty"`
-	// TrialBy has the right to the last trial.
-	TrialBy record.InstanceID `cbor:"8,keyasint,omitempty"`
+	// RetestBy has the right to the last retest.
+	RetestBy record.InstanceID `cbor:"8,keyasint,omitempty"`
 	// Until is the end of the hold in Unix milliseconds; 0 for none.
 	Until int64 `cbor:"7,keyasint,omitempty"`
 }
@@ -42,7 +42,7 @@
 }
 
 func (e *entry) report() *report {
-	r := &report{Team: e.team, Writer: e.writer, Endpoints: slices.Clone(e.endpoints), Ends: e.ends, Round: e.round, TrialBy: e.trialBy}
+	r := &report{Team: e.team, Writer: e.writer, Endpoints: slices.Clone(e.endpoints), Ends: e.ends, Round: e.round, RetestBy: e.retestBy}
 	if !e.until.IsZero() {
 		r.Until = e.until.UnixMilli()
 	}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -99,7 +99,7 @@
 		}
 	}
 	if r.Round > e.round {
-		e.round, e.trialBy = r.Round, r.TrialBy
+		e.round, e.retestBy = r.Round, r.RetestBy
 	}
 	if r.Ends > e.ends {
 		e.ends, e.lastEnd, e.seenHere = r.Ends, now, false
@@ -165,7 +165,7 @@
 
 func (a *ending) isSettled(now time.Time) bool { return now.Sub(a.known) >= settleFor }
 
-// claim returns the record that asks for the right to the next trial.
+// claim returns the record that asks for the right to the next retest.
 func (t *Table) claim(f Fingerprint, now time.Time) *report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -174,7 +174,7 @@
 		return nil
 	}
 	r := e.report()
-	r.Writer, r.TrialBy = t.self, t.self
+	r.Writer, r.RetestBy = t.self, t.self
 	r.Round++
 	r.Until = now.Add(holdOf(r.Round)).UnixMilli()
 	return r
@@ -191,7 +191,7 @@
 	return all
 }
 
-// decided says whether a trial has been given, and whether to this instance.
+// decided says whether a retest has been given, and whether to this instance.
 func (t *Table) decided(f Fingerprint, round int) (decided, won bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -199,7 +199,7 @@
 	if e == nil {
 		return true, true // Cleared meanwhile.
 	}
-	return e.round >= round, e.round == round && e.trialBy == t.self
+	return e.round >= round, e.round == round && e.retestBy == t.self
 }
 
 // sweep forgets what is no more worth keeping, and returns what is to be cleared on the
@@ -301,7 +301,7 @@
 	Organisation record.Team `json:"organisation"`
 	Ends         int         `json:"ends"`
 	Endpoints    []string    `json:"endpoints"`
-	Trials       int         `json:"trials"`
+	Retests       int         `json:"retests"`
 	HeldUntil    *time.Time  `json:"held_until,omitempty"`
 }
 
@@ -311,7 +311,7 @@
 	defer t.mu.Unlock()
 	rows := make([]Row, 0, len(t.entries))
 	for f, e := range t.entries {
-		row := Row{Content: f.String(), Organisation: e.team, Ends: e.ends, Endpoints: slices.Clone(e.endpoints), Trials: e.round}
+		row := Row{Content: f.String(), Organisation: e.team, Ends: e.ends, Endpoints: slices.Clone(e.endpoints), Retests: e.round}
 		if t.isHeld(e, now) {
 			until := e.until
 			row.HeldUntil = &until
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -144,7 +144,7 @@
 	}
 }
 
-func TestEachTrialHoldsLonger(t *testing.T) {
+func TestEachRetestHoldsLonger(t *testing.T) {
 	table, f := NewTable("me"), fingerprint("x")
 	for i := range 3 {
 		table.ended(f, "org", fmt.Sprint("e", i), time.Millisecond, origin.Add(time.Duration(i)*time.Second))
@@ -153,16 +153,16 @@
 	for round, want := range []time.Duration{8 * time.Minute, 32 * time.Minute, longestHold, longestHold} {
 		table.hear(f, table.claim(f, now), false, now)
 		if decided, won := table.decided(f, round+1); !decided || !won {
-			t.Errorf("trial %d: decided %v, won %v", round+1, decided, won)
+			t.Errorf("retest %d: decided %v, won %v", round+1, decided, won)
 		}
 		if held, due := table.held(f, now); held == nil || due || held.After != want {
-			t.Errorf("after trial %d: %+v, due %v; want %s", round+1, held, due, want)
+			t.Errorf("after retest %d: %+v, due %v; want %s", round+1, held, due, want)
 		}
 		now = now.Add(want)
 	}
 }
 
-func TestTheFirstClaimOnTheLogHasTheTrial(t *testing.T) {
+func TestTheFirstClaimOnTheLogHasTheRetest(t *testing.T) {
 	me, other, f := NewTable("me"), NewTable("other"), fingerprint("x")
 	for i := range 3 {
 		n := me.ended(f, "org", fmt.Sprint("e", i), time.Millisecond, origin.Add(time.Duration(i)*time.Second))
