--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -36,8 +36,8 @@
 	ends      int      // Those that ended one after the other.
 	lastEnd   time.Time
 	seenHere  bool // The last end was seen by this instance itself.
-	round     int  // Trials.
-	retestBy   record.InstanceID
+	round     int  // Retests.
+	retestBy  record.InstanceID
 	until     time.Time // Held until then, if it is to blame.
 	writer    record.InstanceID
 	// orphanAfter is for how long the entry may be stale until its writer counts as gone.
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -301,7 +301,7 @@
 	Organisation record.Team `json:"organisation"`
 	Ends         int         `json:"ends"`
 	Endpoints    []string    `json:"endpoints"`
-	Retests       int         `json:"retests"`
+	Retests      int         `json:"retests"`
 	HeldUntil    *time.Time  `json:"held_until,omitempty"`
 }
 
