--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -50,6 +50,7 @@
 		{"gateway", "Start, drain, reload and end of an instance on an outside platform; its desired state and endpoints."},
 		{"forward", "Requests of an outside platform's callers."},
 		{"prepaid", "Claims on prepaid totals, tokens moved between instances and given back."},
+		{"quarantine", "Requests under which endpoints ended, and those that are held back for it."},
 		{"logging", "Lines that were dropped."},
 		{"operator", "Changes and top-ups by operators."},
 	}
