Instances of a cut-off zone call each other in turn; known red in the allocators' test

The test's neighbours no longer name the instance itself, as the product's do not; its bound is as it was.

--- a/internal/quarantine/gossip.go
+++ b/internal/quarantine/gossip.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"slices"
 	"time"
 
 	"guavapier/internal/logstore"
@@ -40,13 +40,14 @@
 // swaps exchanges what is known with instances of the own zone, one after the other,
 // while the log is away, until ctx ends.
 func (k *Keeper) swaps(ctx context.Context) {
-	for ctx.Err() == nil {
+	for turn := 0; ctx.Err() == nil; turn++ {
 		logstore.Pause(ctx, swapEvery, nil)
 		neighbours := k.Neighbours()
 		if !k.away.Load() || len(neighbours) == 0 {
 			continue
 		}
-		k.swap(ctx, neighbours[rand.N(len(neighbours))])
+		slices.Sort(neighbours) // So that each has its turn.
+		k.swap(ctx, neighbours[turn%len(neighbours)])
 	}
 }
 
--- a/internal/quarantine/keeper_test.go
+++ b/internal/quarantine/keeper_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -208,7 +209,9 @@
 		var keepers []*Keeper
 		for i := range 5 {
 			k := newKeeper(fmt.Sprint("instance-", i), log, refuses)
-			k.Caller, k.Neighbours = caller, func() []record.InstanceID { return names }
+			k.Caller, k.Neighbours = caller, func() []record.InstanceID {
+				return slices.DeleteFunc(slices.Clone(names), func(name record.InstanceID) bool { return name == k.Self })
+			}
 			names, keepers = append(names, k.Self), append(keepers, k)
 			caller.keepers[k.Self] = k
 		}
