gateway, placement: a cordoned zone gets nothing new

Cause: op/evacuate/ZONE was read by nothing.

Change: the adapter tells the zone from the record's key (CordonedZone); inside it is a cordon. stateTracker follows the desired state and the cordons; it changes nothing in the middle of a reload, so that a new instance knows the cordons before its first state and a zone whose record hasn't come yet isn't used. A follower that needs only the newest records (NewestOnly, in place of SoleKey) reloads when it is behind: as many bytes as the last record, and no key is missed. placement.condition is the one type that says whether an endpoint may get a request and why not; Place, the preferred endpoint, sources of fetches and the prober ask it.

Weighed for the follower: reading every record (falls behind, ADR 0065), a reload (kept), a second follower of the other keys (twice the calls).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,6 +38,9 @@
 	Store          logstore.KeyedLog
 	DecodeState    func(value []byte) (route.DesiredState, error)
 	DecodeEndpoint func(id string, value []byte) (discovery.Endpoint, error)
+	// CordonedZone returns the availability zone that is cordoned while a record of this key
+	// exists in logstore.TopicState; false if the key is of another kind.
+	CordonedZone func(key string) (zone string, ok bool)
 	Codec          forward.Codec
 	// LinesDropped returns how many log lines were dropped or rate limited since the start.
 	// If nil, they are not reported.
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -18,7 +18,7 @@
 // metrics page.
 func (g *Gateway) registerTablesAndMetrics() {
 	g.tables.Register("budgets", func() any { return g.budgets.Accounts.Balances(g.clock()) })
-	g.tables.Register("endpoints", func() any { return g.endpoints.placementTable.View() })
+	g.tables.Register("endpoints", func() any { return g.endpoints.placementTable.View(g.clock()) })
 	g.tables.Register("zone", func() any { return g.zoneView() })
 	g.tables.Register("quarantine", func() any { return g.quarantine.Table.View(time.Now()) })
 	g.tables.Register("state", func() any {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -29,7 +29,7 @@
 			return ignoreServerClosed(server.Serve(listeners[i]))
 		})
 	}
-	backgroundWork.Go(func() error { g.stateFollower().Run(backgroundCtx); return nil })
+	backgroundWork.Go(func() error { g.newStateTracker().follower(g.settings.Store).Run(backgroundCtx); return nil })
 	backgroundWork.Go(func() error { g.endpoints.follower().Run(backgroundCtx); return nil })
 	budgetWork.Go(func() error { g.budgets.Run(backgroundCtx); return nil })
 	backgroundWork.Go(func() error { g.quarantine.Run(backgroundCtx); return nil })
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -1,11 +1,15 @@
 package gateway
 
 import (
+	"maps"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"guavapier/internal/logstore"
 	"guavapier/internal/record"
 	"guavapier/internal/route"
+	"guavapier/internal/settings"
 )
 
 const (
@@ -26,33 +30,117 @@
 	return max(minStatePollTimeout, changeTimeout-2*callTimeout-readDeadlineMargin)
 }
 
-// stateFollower returns a Follower that puts each new desired state in force.
-func (g *Gateway) stateFollower() *logstore.Follower {
-	storeUnavailable := false
-	fresh := g.stateFreshness
+// stateTracker follows what operators write to the store: the desired state and the cordons
+// of availability zones. It passes each change on.
+type stateTracker struct {
+	platform  Platform
+	freshness *freshness
+	log       zerolog.Logger
+	// applyState puts an encoded desired state in force. version returns the one in force.
+	applyState func(value []byte)
+	version    func() int64
+	// applyCordons is called with all cordoned zones, in a map that is not changed later.
+	applyCordons func(zones map[string]bool)
+
+	// The fields below belong to the follower's goroutine.
+	cordons          map[string]bool
+	isReloading      bool            // Between onReset and onLoaded.
+	listedCordons    map[string]bool // Those read since onReset.
+	listedState      []byte          // The desired state read since onReset; nil if none.
+	storeUnavailable bool
+}
+
+// follower returns a Follower that reads the operators' records into the tracker.
+func (s *stateTracker) follower(store settings.Store) *logstore.Follower {
 	return &logstore.Follower{
-		Log: g.platform.Store, Topic: logstore.TopicState, SoleKey: logstore.StateKey,
-		PollTimeout: statePollTimeout(g.settings.Store.StateWithin.D(), g.settings.Store.Timeout.D()), ReadInterval: statePollPause,
-		OnReadStart: fresh.onReadStart, OnReceive: fresh.onReceive, OnCaughtUp: fresh.onCaughtUp, OnReset: func() {}, OnLoaded: func() {},
-		OnRecord: func(r logstore.KeyedRecord) {
-			if r.Key == logstore.StateKey && r.Value != nil {
-				g.applyState(r.Value)
-			}
-		},
-		OnReadEnd: func(err error) {
-			if err != nil {
-				fresh.onReadFailure()
-			}
-			switch {
-			case err != nil && !storeUnavailable:
-				g.log.Warn().Err(err).Int64("state", g.stateVersion()).Dur("unconfirmed", fresh.age()).Msg("gateway: desired state lost; the last one stays in force")
-			case err != nil:
-				g.log.Info().Err(err).Int64("state", g.stateVersion()).Dur("unconfirmed", fresh.age()).Msg("gateway: desired state not read")
-			case storeUnavailable:
-				g.log.Info().Int64("state", g.stateVersion()).Dur("unconfirmed", fresh.age()).Msg("gateway: desired state readable again")
-			}
-			storeUnavailable = err != nil
-		},
+		Log: s.platform.Store, Topic: logstore.TopicState, NewestOnly: true,
+		PollTimeout: statePollTimeout(store.StateWithin.D(), store.Timeout.D()), ReadInterval: statePollPause,
+		OnReadStart: s.freshness.onReadStart, OnReceive: s.freshness.onReceive, OnCaughtUp: s.freshness.onCaughtUp,
+		OnReset: s.onReset, OnRecord: s.onRecord, OnLoaded: s.onLoaded, OnReadEnd: s.onReadEnd,
+	}
+}
+
+// onReset is called before the newest records are delivered. Nothing changes until onLoaded:
+// without a complete list, a zone whose cordon has not been delivered yet would be used.
+func (s *stateTracker) onReset() {
+	s.isReloading, s.listedCordons, s.listedState = true, map[string]bool{}, nil
+}
+
+// onRecord applies one record. Those of unknown keys are skipped.
+func (s *stateTracker) onRecord(r logstore.KeyedRecord) {
+	zone, isCordon := s.platform.CordonedZone(r.Key)
+	switch {
+	case isCordon && s.isReloading:
+		s.listedCordons[zone] = r.Value != nil
+	case isCordon:
+		s.setCordon(zone, r.Value != nil)
+	case r.Key != logstore.StateKey || r.Value == nil:
+	case s.isReloading:
+		s.listedState = r.Value
+	default:
+		s.applyState(r.Value)
+	}
+}
+
+// onLoaded is called after the newest records were delivered. A cordon that is not among
+// them has been taken back. The cordons precede the desired state, as nothing is served
+// before the first one.
+func (s *stateTracker) onLoaded() {
+	s.isReloading = false
+	for zone := range s.cordons {
+		if !s.listedCordons[zone] {
+			s.setCordon(zone, false)
+		}
+	}
+	for zone, cordoned := range s.listedCordons {
+		s.setCordon(zone, cordoned)
+	}
+	if s.listedState != nil {
+		s.applyState(s.listedState)
+	}
+}
+
+// setCordon puts the cordon of a zone in force, or takes it back.
+func (s *stateTracker) setCordon(zone string, cordoned bool) {
+	if s.cordons[zone] == cordoned {
+		return
+	}
+	cordons := maps.Clone(s.cordons)
+	if cordons == nil {
+		cordons = map[string]bool{}
+	}
+	if cordoned {
+		cordons[zone] = true
+	} else {
+		delete(cordons, zone)
+	}
+	s.cordons = cordons
+	s.applyCordons(cordons)
+	s.log.Warn().Str("zone", zone).Bool("cordoned", cordoned).Msg("gateway: zone cordoned, or its cordon taken back")
+}
+
+// onReadEnd is called after each read with its error, and logs when the store becomes
+// unreachable or reachable.
+func (s *stateTracker) onReadEnd(err error) {
+	if err != nil {
+		s.freshness.onReadFailure()
+	}
+	switch {
+	case err != nil && !s.storeUnavailable:
+		s.log.Warn().Err(err).Int64("state", s.version()).Dur("unconfirmed", s.freshness.age()).Msg("gateway: desired state lost; the last one stays in force")
+	case err != nil:
+		s.log.Info().Err(err).Int64("state", s.version()).Dur("unconfirmed", s.freshness.age()).Msg("gateway: desired state not read")
+	case s.storeUnavailable:
+		s.log.Info().Int64("state", s.version()).Dur("unconfirmed", s.freshness.age()).Msg("gateway: desired state readable again")
+	}
+	s.storeUnavailable = err != nil
+}
+
+// newStateTracker returns a tracker that has read nothing.
+func (g *Gateway) newStateTracker() *stateTracker {
+	return &stateTracker{
+		platform: g.platform, freshness: g.stateFreshness, log: g.log,
+		applyState: g.applyState, version: g.stateVersion, applyCordons: g.endpoints.placementTable.SetCordons,
 	}
 }
 
--- a/internal/logstore/follower.go
+++ b/internal/logstore/follower.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 )
 
@@ -24,10 +23,9 @@
 	// reading all records written meanwhile; 0 means never. It saves reading where few keys
 	// are written often.
 	ReloadThreshold time.Duration
-	// SoleKey is the only key of the topic that the reader uses, if each of its records
-	// replaces the one before: a follower that is behind then skips to the topic's last
-	// record. "" reads all records.
-	SoleKey string
+	// NewestOnly states that the reader needs only the newest record of each key. A follower
+	// that is behind then reloads instead of reading all records in between.
+	NewestOnly bool
 
 	// OnReadStart is called before each read; may be nil.
 	OnReadStart func()
@@ -76,9 +74,8 @@
 
 // position is where the next read begins. The zero value reads the newest records.
 type position struct {
-	next    uint64
-	loaded  bool // The newest records have been read.
-	skipped bool // Records before next were skipped.
+	next   uint64
+	loaded bool // The newest records have been read.
 }
 
 // read returns the next page, or the newest records if those are not loaded.
@@ -97,29 +94,17 @@
 
 // applyPage delivers a page and returns where the next read begins.
 func (f *Follower) applyPage(page KeyedPage, pos position) position {
-	switch {
-	case pos.skipped && len(page.Records) > 0 && !f.containsSoleKey(page):
-		return position{} // SoleKey's last record is among those that were skipped: reload.
-	case pos.loaded && len(page.Records) == 0 && page.End > page.Next:
+	if pos.loaded && len(page.Records) == 0 && page.End > page.Next {
 		return position{} // The next record does not fit into a page: reload.
 	}
 	f.deliverRecords(page, !pos.loaded)
-	next := position{next: page.Next, loaded: true}
-	if page.End <= page.Next {
-		if f.OnCaughtUp != nil {
-			f.OnCaughtUp()
-		}
-		return next
+	if page.End <= page.Next && f.OnCaughtUp != nil {
+		f.OnCaughtUp()
 	}
-	if last := page.End - 1; f.SoleKey != "" && last > page.Next {
-		next.next, next.skipped = last, true
+	if f.NewestOnly && page.End > page.Next+1 {
+		return position{}
 	}
-	return next
-}
-
-// containsSoleKey reports whether a page has a record of SoleKey.
-func (f *Follower) containsSoleKey(page KeyedPage) bool {
-	return slices.ContainsFunc(page.Records, func(r KeyedRecord) bool { return r.Key == f.SoleKey })
+	return position{next: page.Next, loaded: true}
 }
 
 // deliverRecords calls the callbacks with a page's records; reload states that they are the
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -135,7 +135,7 @@
 	var preferred *endpointState
 	highest := uint64(0)
 	for _, e := range t.endpoints {
-		if e.Service != q.Service || e.Leaving || e.unreachable {
+		if e.Service != q.Service || !e.mayBePreferred() {
 			continue
 		}
 		if h := mixHash(key ^ e.idHash); preferred == nil || h > highest {
--- a/internal/placement/fetch.go
+++ b/internal/placement/fetch.go
@@ -58,7 +58,7 @@
 		}
 	}
 	for _, e := range t.endpoints {
-		if e != q.preferred && e.Service == q.Service && !e.Leaving && e.answeredRecently(now) && e.hasSharedParts(q, now) {
+		if e != q.preferred && e.Service == q.Service && e.answeredRecently(now) && e.hasSharedParts(q, now) {
 			consider(e, sentCacheProbability)
 		}
 	}
@@ -72,8 +72,9 @@
 	return found && now-sentAt < cachedPartTTL
 }
 
+// answeredRecently reports whether a fetch from the endpoint will hardly have to wait.
 func (e *endpointState) answeredRecently(now time.Duration) bool {
-	return !e.isAvoided(now) && e.lastAnswerAt > 0 && now-e.lastAnswerAt < recentAnswerWindow
+	return e.mayBeFetchedFrom(now) && e.lastAnswerAt > 0 && now-e.lastAnswerAt < recentAnswerWindow
 }
 
 // fetchSourceFor returns the source for a request that is placed on e. The source's
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -50,6 +50,7 @@
 // endpointState is an endpoint with what the table knows of its load, cache and speed.
 type endpointState struct {
 	discovery.Endpoint
+	condition
 	idHash   uint64 // Hash of the endpoint's ID.
 	inFlight int    // This instance's requests.
 	// unanswered holds the attempts whose answer has not started, by assignment ID.
@@ -59,13 +60,8 @@
 	// other instances announced.
 	busyUntil             time.Duration
 	speed                 speedEstimator
-	normalizedTokensPerMS float64 // Prefill speed for costs; see normalizeSpeeds.
-	// unreachable is set when a connection fails and cleared when one succeeds.
-	unreachable         bool
-	lastAnswerAt        time.Duration // When an answer last started; 0 for never.
-	consecutiveFailures int
-	backoff             time.Duration // Length of the latest back-off; 0 for none.
-	avoidedUntil        time.Duration // End of the latest back-off.
+	normalizedTokensPerMS float64       // Prefill speed for costs; see normalizeSpeeds.
+	lastAnswerAt          time.Duration // When an answer last started; 0 for never.
 }
 
 // Table holds the known endpoints and places requests on them. It is safe for
@@ -74,7 +70,8 @@
 	mu        sync.Mutex
 	rng       *rand.Rand
 	endpoints map[string]*endpointState
-	lastID    uint64 // Of the latest assignment.
+	cordons   map[string]bool // Cordoned availability zones.
+	lastID    uint64          // Of the latest assignment.
 }
 
 // New returns an empty table. The seed determines how ties are broken, so that tests are
@@ -94,6 +91,18 @@
 		t.endpoints[e.ID] = state
 	}
 	state.Endpoint = e
+	state.leaving, state.cordoned = e.Leaving, t.cordons[e.Zone]
+}
+
+// SetCordons sets the availability zones to whose endpoints nothing new is sent. Requests
+// that are in progress there go on.
+func (t *Table) SetCordons(zones map[string]bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.cordons = zones
+	for _, e := range t.endpoints {
+		e.cordoned = zones[e.Zone]
+	}
 }
 
 // Remove removes the endpoint with this ID.
@@ -104,16 +113,16 @@
 }
 
 // Place assigns the request to the cheapest endpoint and counts it as in flight there
-// until Done is called. Endpoints that are unreachable or in a back-off are used only if
-// there is no other. The result is nil if no endpoint may take the request.
+// until Done is called. Endpoints of UseLastResort are used only if there is no other. The
+// result is nil if no endpoint may take the request; Obstacles tells why.
 func (t *Table) Place(q Query, now time.Duration) *Assignment {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	q.preferred = t.preferredEndpoint(q)
 	q.bestSource, q.alternativeSource = t.fetchSources(q, now)
-	best := t.cheapest(q, now, false)
+	best := t.cheapest(q, now, UseNormal)
 	if best == nil {
-		best = t.cheapest(q, now, true)
+		best = t.cheapest(q, now, UseLastResort)
 	}
 	if best == nil {
 		return nil
@@ -140,14 +149,16 @@
 	return a
 }
 
-// cheapest returns the cheapest of the service's endpoints that are neither leaving nor
-// excluded, breaking ties at random; nil if there is none. Avoided endpoints are
-// considered only if includeAvoided is set.
-func (t *Table) cheapest(q Query, now time.Duration, includeAvoided bool) *endpointState {
+// cheapest returns the cheapest of the service's endpoints that are of this use and not
+// excluded, breaking ties at random; nil if there is none.
+func (t *Table) cheapest(q Query, now time.Duration, wanted Use) *endpointState {
 	var best *endpointState
 	lowest, ties := 0.0, 0
 	for _, e := range t.endpoints {
-		if e.Service != q.Service || e.Leaving || slices.Contains(q.Exclude, e.ID) || (e.isAvoided(now) && !includeAvoided) {
+		if e.Service != q.Service || slices.Contains(q.Exclude, e.ID) {
+			continue
+		}
+		if use, _ := e.use(now); use != wanted {
 			continue
 		}
 		cost := e.cost(q, now)
@@ -164,6 +175,19 @@
 	return best
 }
 
+// Obstacles counts the service's endpoints that are not UseNormal, by the reason.
+func (t *Table) Obstacles(service string, now time.Duration) map[Reason]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	counts := map[Reason]int{}
+	for _, e := range t.endpoints {
+		if use, reason := e.use(now); e.Service == service && use != UseNormal {
+			counts[reason]++
+		}
+	}
+	return counts
+}
+
 // RecordRemotePrefill records that another instance has sent the endpoint a prompt with
 // this prefill time. An unknown endpoint is ignored.
 func (t *Table) RecordRemotePrefill(endpoint string, prefillTime, now time.Duration) {
@@ -196,18 +220,20 @@
 // Row is the state of one endpoint in a state dump.
 type Row struct {
 	discovery.Endpoint
-	InFlight int // This instance's requests.
-	Failures int // Consecutive ones.
-	Parts    int // Parts that are assumed to be cached.
+	InFlight int    // This instance's requests.
+	Failures int    // Consecutive ones.
+	Parts    int    // Parts that are assumed to be cached.
+	Obstacle Reason // Why the endpoint is not chosen by its cost; "" if it is.
 }
 
-// View returns a row for each endpoint, in no particular order.
-func (t *Table) View() []Row {
+// View returns a row for each endpoint as of now, in no particular order.
+func (t *Table) View(now time.Duration) []Row {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var rows []Row
 	for _, e := range t.endpoints {
-		rows = append(rows, Row{Endpoint: e.Endpoint, InFlight: e.inFlight, Failures: e.consecutiveFailures, Parts: len(e.partSentAt)})
+		_, obstacle := e.use(now)
+		rows = append(rows, Row{Endpoint: e.Endpoint, InFlight: e.inFlight, Failures: e.failureCount(), Parts: len(e.partSentAt), Obstacle: obstacle})
 	}
 	return rows
 }
--- a/internal/placement/ticket.go
+++ b/internal/placement/ticket.go
@@ -65,7 +65,8 @@
 		a.endpointState.speed.observe(p.missingTokens, now-p.sentAt)
 	}
 	delete(a.endpointState.unanswered, a.id)
-	a.endpointState.unreachable, a.endpointState.lastAnswerAt = false, now
+	a.endpointState.onConnected()
+	a.endpointState.lastAnswerAt = now
 }
 
 // Done records the end of the attempt. It has to be called exactly once.
@@ -77,15 +78,10 @@
 	delete(e.unanswered, a.id)
 	switch outcome {
 	case Answered:
-		e.consecutiveFailures, e.backoff = 0, 0
+		e.onAnswered()
 	case Failed:
-		e.consecutiveFailures++
-		if e.consecutiveFailures >= failuresBeforeBackoff {
-			e.startBackoff(now)
-		}
+		e.onFailed(now)
 	case Unreachable:
-		// The endpoint is down or cut off by a network partition. It is avoided
-		// until a connection succeeds.
-		e.unreachable = true
+		e.onUnreachable()
 	}
 }
