placement, registry: a bound on what all instances send to a cold endpoint

Cause: warmup_s and warmup_per_s were read by nothing, warmup_left_ms added 50 ms to a cost and never ran down; nothing summed what all instances send to a cold endpoint.

Change: an endpoint is cold while its entry's warm-up time runs down, and for warmup_s after its zone's cordon is taken back. In any second all instances together send it at most warmup_per_s x warm_up.ratio + warm_up.extra requests. One that was unreachable is used after the others until its next entry tells that it is warm. Requests are counted from when they are placed until a second after they were written. A process sends nothing to a cold endpoint in its first second, nor to one that turns cold in use in the first second that it knows of it.

The allocators' allowances were not built: a call for each request and a second authority while a slot changes hands.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -127,7 +127,7 @@
 			Endpoint: assignment.Endpoint.ID, Organisation: c.team(), Timeout: time.Until(c.deadline),
 			Urgency: c.config.Urgency(c.route, c.org, promptSizeClass(assignment.PrefillTime, c.route.LatencyTarget)), LastEventID: lastEventID, FetchFrom: assignment.FetchFrom,
 		}),
-		Matches: c.matchesAnswer,
+		Matches: c.matchesAnswer, OnSend: func() { assignment.OnSend(c.f.Clock()) },
 	}
 }
 
--- a/internal/forward/drain_test.go
+++ b/internal/forward/drain_test.go
@@ -77,7 +77,7 @@
 	}
 	return &forward.Forwarder{
 		Codec: stubCodec{}, State: func() *route.Config { return config }, Budgets: slowBudgets{tokensDelay},
-		Endpoints: placement.New(1), Retries: retry.NewLimiter(retry.Budget{}, 1), Quarantine: emptyQuarantine{}, Pool: upstream.NewPool(upstream.Options{}),
+		Endpoints: placement.New(1, 0), Retries: retry.NewLimiter(retry.Budget{}, 1), Quarantine: emptyQuarantine{}, Pool: upstream.NewPool(upstream.Options{}),
 		Clock: func() time.Duration { return time.Since(start) }, ClosesConnections: func() bool { return true }, IsOutdated: func() bool { return false }, ShutdownTime: shutdownTime, IsForceClosing: func() bool { return false },
 		Log: zerolog.Nop(), OnRequestEnd: func(forward.RequestSummary) {}, OnPlaced: func(*placement.Assignment) {},
 	}
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -100,10 +100,7 @@
 // closed.
 func (e *endpointTracker) update(decoded discovery.Endpoint) {
 	change := e.table.Put(decoded)
-	if change == discovery.Unchanged {
-		return
-	}
-	e.placementTable.Put(decoded)
+	e.placementTable.Put(decoded, e.clock())
 	switch change {
 	case discovery.Restarted:
 		e.pool.CloseIdle(decoded.ID)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"guavapier/internal/prepaid"
 	"guavapier/internal/quarantine"
 	"guavapier/internal/record"
+	"guavapier/internal/registry"
 	"guavapier/internal/retry"
 	"guavapier/internal/route"
 	"guavapier/internal/settings"
@@ -41,7 +42,7 @@
 	// CordonedZone returns the availability zone that is cordoned while a record of this key
 	// exists in logstore.TopicState; false if the key is of another kind.
 	CordonedZone func(key string) (zone string, ok bool)
-	Codec          forward.Codec
+	Codec        forward.Codec
 	// LinesDropped returns how many log lines were dropped or rate limited since the start.
 	// If nil, they are not reported.
 	LinesDropped func() int64
@@ -103,6 +104,7 @@
 	peerServer       *peer.Server // Calls from other instances.
 	retryLimiter     *retry.Limiter
 	quarantine       *quarantine.Syncer // Requests that must not be sent to endpoints.
+	registry         *registry.Registry // The fleet's instances.
 	linkMeter        linkload.Meter
 	linkShedder      *linkload.Shedder
 	upstreamPool     *upstream.Pool
@@ -140,7 +142,7 @@
 	g.callerConns = callers.New(g.callersListener.(*net.TCPListener), defaultCallerIdleTimeout, &g.linkMeter)
 	p.Store = instrumentedStore{p.Store, g.metrics}
 	g.platform = p
-	g.endpoints = newEndpointTracker(p, s.Store, placement.New(uint64(time.Now().UnixNano())), g.upstreamPool, clock, g.sampledLog, log)
+	g.endpoints = newEndpointTracker(p, s.Store, placement.New(uint64(time.Now().UnixNano()), clock()), g.upstreamPool, clock, g.sampledLog, log)
 	peersAddr := g.peersListener.Addr().String()
 	self := prepaid.Identity{
 		Key: record.NewInstanceID(s.Gateway.Name), Node: s.Gateway.Name + "@" + peersAddr,
@@ -153,6 +155,10 @@
 	g.quarantine = quarantine.NewSyncer(quarantine.Options{
 		Self: self.Key, Log: p.Store, Probe: g.upstreamPool.Probe, Caller: g.peerPool, Neighbours: accounts.Neighbours, Logger: log, ThinnedLogger: g.sampledLog,
 	})
+	g.registry = &registry.Registry{
+		Log: p.Store, Name: s.Gateway.Name, Process: self.Key, Logger: log,
+		OnChange: func(names []string) { g.endpoints.placementTable.SetInstances(s.Gateway.Name, names) },
+	}
 	g.peerServer = peer.NewServer(self.Key)
 	if err := g.peerServer.Register(quarantine.ServiceName, quarantine.NewPeerService(g.quarantine)); err != nil {
 		return nil, err
@@ -214,7 +220,7 @@
 
 // newProber returns the prober of the endpoints in the placement table.
 func (g *Gateway) newProber() *prober {
-	return &prober{endpoints: g.endpoints.placementTable, pool: g.upstreamPool, log: g.sampledLog}
+	return &prober{endpoints: g.endpoints.placementTable, pool: g.upstreamPool, clock: g.clock, log: g.sampledLog}
 }
 
 // requestCutoffTime returns when requests in flight are aborted, in the last part of a
--- a/internal/gateway/loads_test.go
+++ b/internal/gateway/loads_test.go
@@ -32,9 +32,9 @@
 	self := prepaid.Identity{Key: key, Node: string(key), Started: 1, Peer: address}
 	accounts := prepaid.NewAccounts(self, prepaid.DefaultPolicy(), prepaid.Clocks{SinceBoot: bootTime, Wall: func() int64 { return 1 }})
 	pool := peer.NewPool(key, accounts, peer.Options{})
-	endpoints := placement.New(1)
+	endpoints := placement.New(1, 0)
 	for _, id := range []string{"e1", "e2"} {
-		endpoints.Put(discovery.Endpoint{ID: id, Service: "s", Address: id + ":1"})
+		endpoints.Put(discovery.Endpoint{ID: id, Service: "s", Address: id + ":1"}, 0)
 	}
 	instance := &testInstance{loadReporter: newLoadReporter(pool, accounts, endpoints, clock), endpoints: endpoints}
 	server := peer.NewServer(key)
--- a/internal/gateway/probes.go
+++ b/internal/gateway/probes.go
@@ -26,6 +26,7 @@
 type prober struct {
 	endpoints *placement.Table
 	pool      *upstream.Pool
+	clock     func() time.Duration
 	log       zerolog.Logger
 }
 
@@ -48,6 +49,6 @@
 	if err := p.pool.Probe(ctx, e.ID, e.Address); err != nil {
 		return // Still unreachable; the attempt that found out was logged.
 	}
-	p.endpoints.MarkReachable(e.ID)
+	p.endpoints.MarkReachable(e.ID, p.clock())
 	p.log.Info().Str("endpoint", e.ID).Str("address", e.Address).Msg("gateway: endpoint reachable again")
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -33,6 +33,7 @@
 	backgroundWork.Go(func() error { g.endpoints.follower().Run(backgroundCtx); return nil })
 	budgetWork.Go(func() error { g.budgets.Run(backgroundCtx); return nil })
 	backgroundWork.Go(func() error { g.quarantine.Run(backgroundCtx); return nil })
+	backgroundWork.Go(func() error { g.registry.Run(backgroundCtx); return nil })
 	backgroundWork.Go(func() error { g.loadReporter.run(backgroundCtx); return nil })
 	backgroundWork.Go(func() error { g.newProber().run(backgroundCtx); return nil })
 	backgroundWork.Go(func() error { g.runHousekeeping(backgroundCtx); return nil })
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"guavapier/internal/logstore"
+	"guavapier/internal/placement"
 	"guavapier/internal/record"
 	"guavapier/internal/route"
 	"guavapier/internal/settings"
@@ -140,7 +141,7 @@
 func (g *Gateway) newStateTracker() *stateTracker {
 	return &stateTracker{
 		platform: g.platform, freshness: g.stateFreshness, log: g.log,
-		applyState: g.applyState, version: g.stateVersion, applyCordons: g.endpoints.placementTable.SetCordons,
+		applyState: g.applyState, version: g.stateVersion, applyCordons: func(zones map[string]bool) { g.endpoints.placementTable.SetCordons(zones, g.clock()) },
 	}
 }
 
@@ -158,6 +159,7 @@
 	config := route.Compile(decoded)
 	g.budgets.Accounts.SetPrepaid(prepaidTotals(decoded))
 	g.callerConns.SetIdleTimeout(callerIdleTimeout(decoded))
+	g.endpoints.placementTable.SetWarmUps(warmUps(decoded, g.settings.WarmUp))
 	g.config.Store(config)
 	g.log.Info().Int64("state", decoded.Version).Int("routes", len(decoded.Routes)).
 		Int("organisations", len(decoded.Organisations)).Msg("gateway: desired state in force")
@@ -179,6 +181,17 @@
 	return state.Limits.IdleTimeout
 }
 
+// warmUps returns the warm-up of each service whose endpoints are cold after a start.
+func warmUps(state route.DesiredState, limits settings.WarmUp) map[string]placement.WarmUp {
+	byService := map[string]placement.WarmUp{}
+	for _, s := range state.Services {
+		if s.WarmUp > 0 && s.WarmUpRate > 0 {
+			byService[s.Name] = placement.WarmUp{Duration: s.WarmUp, MaxPerSecond: s.WarmUpRate*limits.Ratio + float64(limits.Extra)}
+		}
+	}
+	return byService
+}
+
 // prepaidTotals returns the prepaid total of each organisation that has one, in tokens.
 func prepaidTotals(s route.DesiredState) map[record.Team]int64 {
 	totals := map[record.Team]int64{}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -54,6 +54,7 @@
 		{"forward", "Requests of an outside platform's callers."},
 		{"prepaid", "Claims on prepaid totals, tokens moved between instances and given back."},
 		{"quarantine", "Requests under which endpoints ended, and those that are held back for it."},
+		{"registry", "The list of the fleet's instances by name."},
 		{"logging", "Lines that were dropped."},
 		{"operator", "Changes and top-ups by operators."},
 	}
--- a/internal/logstore/keyed.go
+++ b/internal/logstore/keyed.go
@@ -23,6 +23,8 @@
 	TopicAllocators Topic = "allocators"
 	// TopicQuarantine has one record per request that endpoints crashed while serving.
 	TopicQuarantine Topic = "quarantine"
+	// TopicInstances has one record per instance, under its name.
+	TopicInstances Topic = "instances"
 )
 
 // StateKey is the key of the desired state in TopicState.
--- a/internal/placement/condition.go
+++ b/internal/placement/condition.go
@@ -5,11 +5,13 @@
 // Use is what an endpoint may be used for at a moment.
 type Use uint8
 
-// The values of Use.
+// The values of Use, the best first.
 const (
 	// UseNormal endpoints are chosen by their cost.
 	UseNormal Use = iota
-	// UseLastResort endpoints are chosen only if no endpoint is UseNormal.
+	// UseReserve endpoints are chosen by their cost if no endpoint is UseNormal.
+	UseReserve
+	// UseLastResort endpoints, which will hardly answer, are chosen if there is no other.
 	UseLastResort
 	// UseNone endpoints get no requests.
 	UseNone
@@ -22,6 +24,8 @@
 const (
 	ReasonLeaving     Reason = "leaving"
 	ReasonCordoned    Reason = "zone cordoned"
+	ReasonCold        Reason = "cold"        // And this instance's share of it is used up.
+	ReasonUnconfirmed Reason = "unconfirmed" // Reachable again, and perhaps cold.
 	ReasonUnreachable Reason = "unreachable"
 	ReasonBackoff     Reason = "back-off"
 )
@@ -47,10 +51,34 @@
 	// unreachable is set when a connection fails and cleared when one succeeds, so that
 	// callers' requests don't find out one after the other that a network partition
 	// persists.
-	unreachable         bool
+	unreachable bool
+	// unconfirmedUntil is until when an endpoint that was unreachable may be cold. Its next
+	// entry tells earlier.
+	unconfirmedUntil    time.Duration
 	consecutiveFailures int
 	backoff             time.Duration // Length of the latest back-off; 0 for none.
 	avoidedUntil        time.Duration // End of the latest back-off.
+
+	coldUntil time.Duration // End of the warm-up; in the past if the endpoint is not cold.
+	// limitedFrom is when the first request may be sent during the warm-up: an endpoint that
+	// was in use until it was known to be cold may have got its share just before.
+	limitedFrom  time.Duration
+	limited      bool // Requests to the cold endpoint are limited to share.
+	share        int  // How many this instance may send in any warmUpWindow.
+	shareVersion int  // Of the fleet by which share was computed.
+	coldSends    sendWindow
+}
+
+// isCold reports whether the endpoint is warming up.
+func (c *condition) isCold(now time.Duration) bool { return now < c.coldUntil }
+
+// allowance returns how many more requests this instance may send to the endpoint now while
+// it is cold.
+func (c *condition) allowance(now time.Duration) int {
+	if now < c.limitedFrom {
+		return 0
+	}
+	return c.share - c.coldSends.count(now)
 }
 
 // use returns what the endpoint may be used for, and why not for everything.
@@ -60,25 +88,29 @@
 		return UseNone, ReasonLeaving
 	case c.cordoned:
 		return UseNone, ReasonCordoned
+	case c.isCold(now) && c.limited && c.allowance(now) <= 0:
+		return UseNone, ReasonCold
 	case c.unreachable:
 		return UseLastResort, ReasonUnreachable
 	case now < c.avoidedUntil:
 		return UseLastResort, ReasonBackoff
+	case now < c.unconfirmedUntil:
+		return UseReserve, ReasonUnconfirmed
 	}
 	return UseNormal, ""
 }
 
 // mayBePreferred reports whether prompts may be assigned to the endpoint by its hash. A
 // back-off is too short, and known to too few instances, to move prompts elsewhere.
-func (c *condition) mayBePreferred() bool {
-	return !c.leaving && !c.cordoned && !c.unreachable
+func (c *condition) mayBePreferred(now time.Duration) bool {
+	return !c.leaving && !c.cordoned && !c.unreachable && !c.isCold(now)
 }
 
 // mayBeFetchedFrom reports whether other endpoints may fetch cached parts of prompts from
 // this one.
 func (c *condition) mayBeFetchedFrom(now time.Duration) bool {
 	use, _ := c.use(now)
-	return use == UseNormal
+	return use == UseNormal && !c.isCold(now)
 }
 
 // needsProbe reports whether it is to be found out without a request whether the endpoint
@@ -88,8 +120,34 @@
 // failureCount returns the number of consecutive failures.
 func (c *condition) failureCount() int { return c.consecutiveFailures }
 
+// onEntry records an entry that the endpoint has published. warming is the warm-up time that
+// was left; inUse states that this instance knew the endpoint before.
+func (c *condition) onEntry(leaving bool, warming time.Duration, inUse bool, now time.Duration) {
+	c.leaving, c.unconfirmedUntil = leaving, 0
+	if warming <= 0 {
+		return
+	}
+	if inUse && !c.isCold(now) && !c.cordoned {
+		c.limitedFrom = now + warmUpWindow
+	}
+	c.coldUntil = max(c.coldUntil, now+warming)
+}
+
+// onCordon records whether the endpoint's zone is cordoned. Once the cordon is taken back,
+// the endpoint may be cold.
+func (c *condition) onCordon(cordoned bool, warmUp, now time.Duration) {
+	if c.cordoned && !cordoned {
+		c.coldUntil = max(c.coldUntil, now+warmUp)
+	}
+	c.cordoned = cordoned
+}
+
 // onConnected records that a connection to the endpoint could be made.
-func (c *condition) onConnected() { c.unreachable = false }
+func (c *condition) onConnected(warmUp, now time.Duration) {
+	if c.unreachable {
+		c.unreachable, c.unconfirmedUntil = false, now+warmUp
+	}
+}
 
 // onAnswered records the complete answer to a request.
 func (c *condition) onAnswered() { c.consecutiveFailures, c.backoff = 0, 0 }
--- a/internal/placement/condition_test.go
+++ b/internal/placement/condition_test.go
@@ -22,8 +22,8 @@
 		a.OnAnswerStart(time.Second, true)
 		a.Done(placement.Answered, time.Second)
 	}
-	p.SetCordons(map[string]bool{"z1": true})
-	p.Put(discovery.Endpoint{ID: "later", Service: "s", Zone: "z1"})
+	p.SetCordons(map[string]bool{"z1": true}, time.Second)
+	p.Put(discovery.Endpoint{ID: "later", Service: "s", Zone: "z1"}, 0)
 	for s := range 20 {
 		a := p.Place(placement.Query{Service: "s", Zone: "z1", Parts: sharedPrompt(fmt.Sprint(s))}, time.Second)
 		if a.Endpoint.Zone != "z0" {
@@ -39,7 +39,7 @@
 	if got := p.Obstacles("s", time.Second); !maps.Equal(got, want) {
 		t.Errorf("obstacles %v, want %v", got, want)
 	}
-	p.SetCordons(map[string]bool{"z0": true, "z1": true})
+	p.SetCordons(map[string]bool{"z0": true, "z1": true}, time.Second)
 	if a := p.Place(placement.Query{Service: "s"}, time.Second); a != nil {
 		t.Errorf("placed on %s although all zones are cordoned", a.Endpoint.ID)
 	}
@@ -49,11 +49,11 @@
 func TestACordonedEndpointIsNotProbed(t *testing.T) {
 	p := newTable(1)
 	p.Place(placement.Query{Service: "s"}, 0).Done(placement.Unreachable, 0)
-	p.SetCordons(map[string]bool{"z0": true})
+	p.SetCordons(map[string]bool{"z0": true}, time.Second)
 	if got := p.Unreachable(); len(got) > 0 {
 		t.Errorf("%v is to be probed in a cordoned zone", got)
 	}
-	p.SetCordons(nil)
+	p.SetCordons(nil, time.Second)
 	if got := p.Unreachable(); len(got) != 1 {
 		t.Errorf("%v is to be probed after the cordon, want e0", got)
 	}
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -32,8 +32,7 @@
 	// evicts other cached parts, slows down every stream on the endpoint and
 	// takes time that the fleet of endpoints lacks for other requests.
 	recomputeWeight = 4.0
-	// warmupCost is the cost of an endpoint that reports that it is still
-	// warming up after its start.
+	// warmupCost is the cost of an endpoint that is warming up.
 	warmupCost = 50.0 // ms
 	// unansweredGracePeriod is the age of an unanswered attempt above which each
 	// further millisecond adds one to the endpoint's cost. An endpoint that
@@ -51,7 +50,7 @@
 	if e.Zone != q.Zone {
 		cost += crossZoneCost
 	}
-	if e.Warming > 0 {
+	if e.isCold(now) {
 		cost += warmupCost
 	}
 	cost += max(0, milliseconds(e.busyUntil-now))
@@ -127,7 +126,7 @@
 // If each instance chose for itself, the shared parts would be computed at a
 // different endpoint for each. Instances that a network partition cuts off from an
 // availability zone agree on another endpoint that they can reach.
-func (t *Table) preferredEndpoint(q Query) *endpointState {
+func (t *Table) preferredEndpoint(q Query, now time.Duration) *endpointState {
 	if len(q.Parts) < 2 {
 		return nil
 	}
@@ -135,7 +134,7 @@
 	var preferred *endpointState
 	highest := uint64(0)
 	for _, e := range t.endpoints {
-		if e.Service != q.Service || !e.mayBePreferred() {
+		if e.Service != q.Service || !e.mayBePreferred(now) {
 			continue
 		}
 		if h := mixHash(key ^ e.idHash); preferred == nil || h > highest {
--- a/internal/placement/fetch_test.go
+++ b/internal/placement/fetch_test.go
@@ -104,7 +104,7 @@
 		"leaving": func(p *placement.Table, a *placement.Assignment) time.Duration {
 			e := a.Endpoint
 			e.Leaving = true
-			p.Put(e)
+			p.Put(e, now)
 			return now
 		},
 		"silent": func(*placement.Table, *placement.Assignment) time.Duration { return now + 3*time.Second },
@@ -138,7 +138,7 @@
 func TestOnlyTheOwnServiceIsFetchedFrom(t *testing.T) {
 	const now = time.Second
 	p := newAnsweringTable(1, now)
-	p.Put(discovery.Endpoint{ID: "other", Service: "t", Address: "other:1", Born: 1})
+	p.Put(discovery.Endpoint{ID: "other", Service: "t", Address: "other:1", Born: 1}, 0)
 	a := p.Place(placement.Query{Service: "t", Parts: sessionParts("a", "own")}, now)
 	a.OnAnswerStart(now, true)
 	if got := p.Place(placement.Query{Service: "s", Parts: sessionParts("a", "own")}, now); got.FetchFrom != "" {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -71,37 +71,43 @@
 	rng       *rand.Rand
 	endpoints map[string]*endpointState
 	cordons   map[string]bool // Cordoned availability zones.
-	lastID    uint64          // Of the latest assignment.
+	warmUps   map[string]WarmUp
+	fleet     fleet
+	lastID    uint64 // Of the latest assignment.
 }
 
-// New returns an empty table. The seed determines how ties are broken, so that tests are
-// reproducible.
-func New(seed uint64) *Table {
-	return &Table{rng: rand.New(rand.NewPCG(seed, seed)), endpoints: map[string]*endpointState{}}
+// New returns an empty table for a process that starts at now. The seed determines how ties
+// are broken, so that tests are reproducible.
+func New(seed uint64, now time.Duration) *Table {
+	return &Table{rng: rand.New(rand.NewPCG(seed, seed)), endpoints: map[string]*endpointState{}, fleet: fleet{usedFrom: now + warmUpWindow, version: 1}}
 }
 
 // Put adds or updates an endpoint. All that was recorded of it is discarded if it has
 // restarted with a new incarnation.
-func (t *Table) Put(e discovery.Endpoint) {
+func (t *Table) Put(e discovery.Endpoint, now time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	state, known := t.endpoints[e.ID]
-	if !known || state.Born != e.Born {
+	known = known && state.Born == e.Born
+	if !known {
 		state = &endpointState{speed: newSpeedEstimator(), normalizedTokensPerMS: defaultTokensPerMS, idHash: xxhash.Sum64String(e.ID), unanswered: map[uint64]unansweredAttempt{}, partSentAt: map[string]time.Duration{}}
 		t.endpoints[e.ID] = state
 	}
 	state.Endpoint = e
-	state.leaving, state.cordoned = e.Leaving, t.cordons[e.Zone]
+	state.onCordon(t.cordons[e.Zone], 0, now)
+	state.onEntry(e.Leaving, e.Warming, known, now)
+	state.limitedFrom = max(state.limitedFrom, t.fleet.usedFrom)
 }
 
 // SetCordons sets the availability zones to whose endpoints nothing new is sent. Requests
-// that are in progress there go on.
-func (t *Table) SetCordons(zones map[string]bool) {
+// that are in progress there go on. The endpoints of a zone that is no longer among them may
+// be cold.
+func (t *Table) SetCordons(zones map[string]bool, now time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.cordons = zones
 	for _, e := range t.endpoints {
-		e.cordoned = zones[e.Zone]
+		e.onCordon(zones[e.Zone], t.warmUps[e.Service].Duration, now)
 	}
 }
 
@@ -113,16 +119,15 @@
 }
 
 // Place assigns the request to the cheapest endpoint and counts it as in flight there
-// until Done is called. Endpoints of UseLastResort are used only if there is no other. The
-// result is nil if no endpoint may take the request; Obstacles tells why.
+// until Done is called. Those of the best Use come first. The result is nil if no endpoint may take the request; Obstacles tells why.
 func (t *Table) Place(q Query, now time.Duration) *Assignment {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	q.preferred = t.preferredEndpoint(q)
+	q.preferred = t.preferredEndpoint(q, now)
 	q.bestSource, q.alternativeSource = t.fetchSources(q, now)
-	best := t.cheapest(q, now, UseNormal)
-	if best == nil {
-		best = t.cheapest(q, now, UseLastResort)
+	var best *endpointState
+	for use := UseNormal; use < UseNone && best == nil; use++ {
+		best = t.cheapest(q, now, use)
 	}
 	if best == nil {
 		return nil
@@ -139,6 +144,10 @@
 	t.lastID++
 	a.id = t.lastID
 	best.inFlight++
+	if best.isCold(now) {
+		a.usesShare = true
+		best.coldSends.pending++
+	}
 	best.unanswered[t.lastID] = unansweredAttempt{
 		sentAt: now, prefillMS: prefill.ms, missingTokens: prefill.missingTokens,
 		updatesSpeed: prefill.fetchFrom == nil && len(q.Parts) > 0,
@@ -158,7 +167,7 @@
 		if e.Service != q.Service || slices.Contains(q.Exclude, e.ID) {
 			continue
 		}
-		if use, _ := e.use(now); use != wanted {
+		if use, _ := t.use(e, now); use != wanted {
 			continue
 		}
 		cost := e.cost(q, now)
@@ -175,13 +184,21 @@
 	return best
 }
 
+// use returns what the endpoint may be used for, and why not for everything.
+func (t *Table) use(e *endpointState, now time.Duration) (Use, Reason) {
+	if e.isCold(now) {
+		t.updateShare(e)
+	}
+	return e.condition.use(now)
+}
+
 // Obstacles counts the service's endpoints that are not UseNormal, by the reason.
 func (t *Table) Obstacles(service string, now time.Duration) map[Reason]int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	counts := map[Reason]int{}
 	for _, e := range t.endpoints {
-		if use, reason := e.use(now); e.Service == service && use != UseNormal {
+		if use, reason := t.use(e, now); e.Service == service && use != UseNormal {
 			counts[reason]++
 		}
 	}
@@ -232,7 +249,7 @@
 	defer t.mu.Unlock()
 	var rows []Row
 	for _, e := range t.endpoints {
-		_, obstacle := e.use(now)
+		_, obstacle := t.use(e, now)
 		rows = append(rows, Row{Endpoint: e.Endpoint, InFlight: e.inFlight, Failures: e.failureCount(), Parts: len(e.partSentAt), Obstacle: obstacle})
 	}
 	return rows
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -12,9 +12,9 @@
 // newTable returns a table of n endpoints e0, e1, ... of service s, alternately in the
 // zones z0 and z1.
 func newTable(n int) *placement.Table {
-	t := placement.New(1)
+	t := placement.New(1, 0)
 	for i := range n {
-		t.Put(discovery.Endpoint{ID: fmt.Sprintf("e%d", i), Address: fmt.Sprintf("e%d:1", i), Service: "s", Zone: fmt.Sprintf("z%d", i%2), Born: 1})
+		t.Put(discovery.Endpoint{ID: fmt.Sprintf("e%d", i), Address: fmt.Sprintf("e%d:1", i), Service: "s", Zone: fmt.Sprintf("z%d", i%2), Born: 1}, 0)
 	}
 	return t
 }
@@ -25,10 +25,10 @@
 }
 
 func TestLeavingOrExcludedEndpointsAndOtherServicesAreNotChosen(t *testing.T) {
-	p := placement.New(1)
-	p.Put(discovery.Endpoint{ID: "leaving", Service: "s", Leaving: true})
-	p.Put(discovery.Endpoint{ID: "other", Service: "t"})
-	p.Put(discovery.Endpoint{ID: "tried", Service: "s"})
+	p := placement.New(1, 0)
+	p.Put(discovery.Endpoint{ID: "leaving", Service: "s", Leaving: true}, 0)
+	p.Put(discovery.Endpoint{ID: "other", Service: "t"}, 0)
+	p.Put(discovery.Endpoint{ID: "tried", Service: "s"}, 0)
 	if got := p.Place(placement.Query{Service: "s", Exclude: []string{"tried"}}, 0); got != nil {
 		t.Errorf("placed on %s, want no endpoint", got.Endpoint.ID)
 	}
@@ -245,7 +245,7 @@
 	if got := p.Unreachable(); len(got) != 1 || got[0].ID != "e0" {
 		t.Fatalf("unreachable endpoints are %v, want e0", got)
 	}
-	p.MarkReachable("e0")
+	p.MarkReachable("e0", 0)
 	if got := p.Unreachable(); len(got) != 0 {
 		t.Errorf("unreachable endpoints are %v after a connection, want none", got)
 	}
@@ -267,7 +267,7 @@
 	p := newTable(2)
 	a := p.Place(placement.Query{Service: "s", Zone: "z0", Parts: promptParts("a")}, 0)
 	a.Done(placement.Answered, 0)
-	p.Put(discovery.Endpoint{ID: a.Endpoint.ID, Service: "s", Zone: a.Endpoint.Zone, Born: 2})
+	p.Put(discovery.Endpoint{ID: a.Endpoint.ID, Service: "s", Zone: a.Endpoint.Zone, Born: 2}, 0)
 	for _, row := range p.View(0) {
 		if row.Parts != 0 {
 			t.Errorf("%s has %d cached parts after its restart, want none", row.ID, row.Parts)
--- a/internal/placement/reachable.go
+++ b/internal/placement/reachable.go
@@ -1,6 +1,10 @@
 package placement
 
-import "guavapier/internal/discovery"
+import (
+	"time"
+
+	"guavapier/internal/discovery"
+)
 
 // Unreachable returns the endpoints that may be used again once a connection succeeds, in
 // no particular order.
@@ -18,10 +22,10 @@
 
 // MarkReachable records that a connection to the endpoint could be made. An unknown
 // endpoint is ignored.
-func (t *Table) MarkReachable(endpoint string) {
+func (t *Table) MarkReachable(endpoint string, now time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e := t.endpoints[endpoint]; e != nil {
-		e.onConnected()
+		e.onConnected(t.warmUps[e.Service].Duration, now)
 	}
 }
--- a/internal/placement/ticket.go
+++ b/internal/placement/ticket.go
@@ -52,10 +52,23 @@
 	// PrefillTime is the expected duration of the prefill, including a fetch.
 	PrefillTime   time.Duration
 	id            uint64
+	usesShare     bool // It counts against the share of a cold endpoint.
+	sent          bool
 	endpointState *endpointState
 	table         *Table
 }
 
+// OnSend records that the request is about to be written to the endpoint.
+func (a *Assignment) OnSend(now time.Duration) {
+	a.table.mu.Lock()
+	defer a.table.mu.Unlock()
+	if a.usesShare && !a.sent {
+		a.endpointState.coldSends.pending--
+		a.endpointState.coldSends.sentAt = append(a.endpointState.coldSends.sentAt, now)
+	}
+	a.sent = true
+}
+
 // OnAnswerStart records that an answer has started. prefilled states that the endpoint
 // has processed the prompt for it, which it has not for a refusal.
 func (a *Assignment) OnAnswerStart(now time.Duration, prefilled bool) {
@@ -65,7 +78,7 @@
 		a.endpointState.speed.observe(p.missingTokens, now-p.sentAt)
 	}
 	delete(a.endpointState.unanswered, a.id)
-	a.endpointState.onConnected()
+	a.endpointState.onConnected(a.table.warmUps[a.Endpoint.Service].Duration, now)
 	a.endpointState.lastAnswerAt = now
 }
 
@@ -75,6 +88,9 @@
 	defer a.table.mu.Unlock()
 	e := a.endpointState
 	e.inFlight--
+	if a.usesShare && !a.sent {
+		e.coldSends.pending--
+	}
 	delete(e.unanswered, a.id)
 	switch outcome {
 	case Answered:
--- /dev/null
+++ b/internal/registry/registry.go
@@ -0,0 +1,122 @@
+// Package registry lists the instances of the fleet by their names. Each instance keeps one
+// record on the platform's log, under its name, for as long as it exists: a restart, a crash
+// or an outage doesn't change the list, so that decisions that are shared by hash among the
+// instances don't either.
+//
+// The list may lack an instance that was just added, and may have one that is gone. Nothing
+// that must always hold may depend on either.
+package registry
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"guavapier/internal/logstore"
+	"guavapier/internal/record"
+)
+
+const (
+	// maxReadWait is how long one read waits for new records, and readInterval the pause
+	// between two reads. Instances are rarely added, and each record wakes all readers.
+	maxReadWait, readInterval = 10 * time.Second, 2 * time.Second
+	// renewInterval is the pause between two records of an instance.
+	renewInterval = 10 * time.Minute
+	// expiry is the age at which the record of an instance that is gone is ignored.
+	expiry = 3 * renewInterval
+	// writeRetryDelay is the pause after a write that failed.
+	writeRetryDelay = 500 * time.Millisecond
+)
+
+// Registry follows the list and keeps this instance's record. All fields must be set.
+type Registry struct {
+	Log logstore.KeyedLog
+	// Name is this instance's name, which restarted processes keep. Process is unique to the
+	// process.
+	Name    string
+	Process record.InstanceID
+	Logger  zerolog.Logger
+	// OnChange is called with the sorted names of all instances, this one included, at first
+	// when the list was read.
+	OnChange func(names []string)
+}
+
+// Run keeps the record and calls OnChange until ctx ends.
+func (r *Registry) Run(ctx context.Context) {
+	l := &list{self: r.Name, seenAt: map[string]time.Time{}}
+	loaded := make(chan struct{})
+	go r.keepRecord(ctx, loaded)
+	follower := &logstore.Follower{
+		Log: r.Log, Topic: logstore.TopicInstances, PollTimeout: maxReadWait, ReadInterval: readInterval, NewestOnly: true,
+		OnReset: func() { clear(l.seenAt) }, OnRecord: func(record logstore.KeyedRecord) { l.observe(record, time.Now()) },
+		OnLoaded: func() {
+			if !l.loaded {
+				l.loaded = true
+				close(loaded)
+			}
+		},
+		OnReadEnd: func(error) {
+			if names, changed := l.names(time.Now()); changed {
+				r.Logger.Info().Int("instances", len(names)).Msg("registry: instances of the fleet")
+				r.OnChange(names)
+			}
+		},
+	}
+	follower.Run(ctx)
+}
+
+// keepRecord writes this instance's record once the list was read, and renews it.
+func (r *Registry) keepRecord(ctx context.Context, loaded <-chan struct{}) {
+	select {
+	case <-loaded:
+	case <-ctx.Done():
+		return
+	}
+	records := []logstore.KeyedRecord{{Key: r.Name, Value: []byte(r.Process)}}
+	for epoch := uint64(1); ctx.Err() == nil; epoch++ {
+		pause := renewInterval - rand.N(renewInterval/4)
+		if err := r.Log.Put(ctx, logstore.TopicInstances, logstore.WriteID{Writer: string(r.Process), Epoch: epoch}, records); err != nil {
+			r.Logger.Debug().Err(err).Msg("registry: record not written")
+			pause = writeRetryDelay
+		}
+		logstore.Pause(ctx, pause, nil)
+	}
+}
+
+// list is the list of instances as last read.
+type list struct {
+	self     string
+	loaded   bool
+	seenAt   map[string]time.Time // When the record of each name was last read.
+	reported []string             // Result of the last call of names that reported a change.
+}
+
+// observe applies one record.
+func (l *list) observe(record logstore.KeyedRecord, now time.Time) {
+	if record.Value == nil {
+		delete(l.seenAt, record.Key)
+		return
+	}
+	l.seenAt[record.Key] = now
+}
+
+// names returns the sorted names of the instances whose records have not expired and of this
+// one, and whether they differ from the last call; false until the list was read.
+func (l *list) names(now time.Time) (names []string, changed bool) {
+	if !l.loaded {
+		return nil, false
+	}
+	names = []string{l.self}
+	for name, at := range l.seenAt {
+		if name != l.self && now.Sub(at) < expiry {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	changed = !slices.Equal(names, l.reported)
+	l.reported = names
+	return names, changed
+}
--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,80 @@
+package registry
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"guavapier/internal/logstore"
+	"guavapier/internal/record"
+	"guavapier/internal/standin"
+)
+
+// testInstance is a Registry that runs, and the names that it reported last.
+type testInstance struct {
+	names []string
+	stop  context.CancelFunc
+}
+
+// start runs an instance's registry on the log.
+func start(t *testing.T, log logstore.KeyedLog, name string) *testInstance {
+	t.Helper()
+	ctx, stop := context.WithCancel(t.Context())
+	i := &testInstance{stop: stop}
+	r := &Registry{Log: log, Name: name, Process: record.NewInstanceID(name), Logger: zerolog.Nop(), OnChange: func(names []string) { i.names = names }}
+	go r.Run(ctx)
+	return i
+}
+
+// wantNames lets the instance read the log and checks what it reports.
+func (i *testInstance) wantNames(t *testing.T, when string, want ...string) {
+	t.Helper()
+	time.Sleep(2 * maxReadWait)
+	synctest.Wait()
+	if !slices.Equal(i.names, want) {
+		t.Errorf("%s: instances %q, want %q", when, i.names, want)
+	}
+}
+
+func TestAllInstancesAreListed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := standin.NewKeyed()
+		var instances []*testInstance
+		var names []string
+		for i := range 5 {
+			names = append(names, fmt.Sprint("i", i))
+			instances = append(instances, start(t, log, names[i]))
+		}
+		for _, i := range instances {
+			i.wantNames(t, "after the start", names...)
+		}
+		instances[0].stop()
+		instances[1].wantNames(t, "after one has ended", names...)
+		log.SetDown(true)
+		instances[1].wantNames(t, "while the log is down", names...)
+		late := start(t, log, "late")
+		late.wantNames(t, "started while the log is down")
+		log.SetDown(false)
+		late.wantNames(t, "when the log is back", append(names, "late")...)
+		instances[2].wantNames(t, "after one was added", append(names, "late")...)
+		log.Compact(logstore.TopicInstances)
+		start(t, log, "i0")
+		instances[1].wantNames(t, "after a restart and a loss of history", append(names, "late")...)
+	})
+}
+
+func TestAnInstanceThatIsGoneExpires(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := standin.NewKeyed()
+		gone, other := start(t, log, "a"), start(t, log, "b")
+		other.wantNames(t, "after the start", "a", "b")
+		gone.stop()
+		time.Sleep(expiry + 2*maxReadWait)
+		other.wantNames(t, "long after one has ended", "b")
+	})
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -64,6 +64,10 @@
 	// Slots is the number of requests that an endpoint of a model runs at once; 0 for a
 	// service without a model.
 	Slots int
+	// WarmUp is how long an endpoint is cold after its start; 0 if it never is. A cold one bears
+	// WarmUpRate requests a second from all instances together.
+	WarmUp     time.Duration
+	WarmUpRate float64
 	// TokensPerEvent is the maximum number of output tokens in one event of a stream; 0
 	// counts as 1.
 	TokensPerEvent int64
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -18,6 +18,7 @@
 	Log     GatewayLog      `toml:"log"`
 	Drain   Drain           `toml:"drain"`
 	Retries Retries         `toml:"retries"`
+	WarmUp  WarmUp          `toml:"warm_up"`
 }
 
 // GatewayInstance identifies the instance and holds its listen addresses
@@ -78,6 +79,17 @@
 	Window Duration `toml:"window"`
 }
 
+// WarmUp is how many requests the whole fleet may send to an endpoint that is warming up: in
+// any second, Ratio times the rate that the desired state has for its service, and Extra in
+// addition.
+type WarmUp struct {
+	Ratio float64 `toml:"ratio"`
+	Extra int64   `toml:"extra"`
+}
+
+// maxWarmUpRatio is the highest allowed WarmUp.Ratio.
+const maxWarmUpRatio = 100
+
 // DefaultGateway returns the values of the keys that the file does not set.
 func DefaultGateway() Gateway {
 	return Gateway{
@@ -86,6 +98,7 @@
 		Log:     GatewayLog{Level: "info", Format: "json", Buffer: 4096, Lines: 100},
 		Drain:   Drain{Within: Duration(8 * time.Second), Unready: Duration(3200 * time.Millisecond), LastCallers: Duration(700 * time.Millisecond)},
 		Retries: Retries{Ratio: 0.1, Extra: 20, Window: Duration(10 * time.Second)},
+		WarmUp:  WarmUp{Ratio: 1},
 	}
 }
 
@@ -114,6 +127,8 @@
 		{Name: "retries.ratio", Unit: "share", kind: kindText, Doc: "Repeated sends that the whole fleet may add for each request to a service."},
 		{Name: "retries.extra", Unit: "sends", kind: kindCount, min: 0, max: 1_000_000, Doc: "Repeated sends of the whole fleet to a service beyond that, in each window."},
 		{Name: "retries.window", Unit: "duration", kind: kindDuration, min: int64(100 * time.Millisecond), max: int64(time.Hour), Doc: "The window in which retries.extra counts."},
+		{Name: "warm_up.ratio", Unit: "ratio", kind: kindText, Doc: "Requests that the whole fleet may send in any second to an endpoint that is warming up, for each that the desired state allows its service."},
+		{Name: "warm_up.extra", Unit: "requests", kind: kindCount, min: 0, max: 1_000_000, Doc: "Requests beyond that in any second."},
 	}
 }
 
@@ -128,6 +143,9 @@
 		if allowed := g.Retries.Ratio >= 0 && g.Retries.Ratio <= 1; !allowed { // NaN fails both comparisons.
 			p.addFinding(p.lineForKey("retries.ratio"), "retries.ratio", "is %g; allowed: 0 to 1", g.Retries.Ratio)
 		}
+		if allowed := g.WarmUp.Ratio >= 0 && g.WarmUp.Ratio <= maxWarmUpRatio; !allowed {
+			p.addFinding(p.lineForKey("warm_up.ratio"), "warm_up.ratio", "is %g; allowed: 0 to %d", g.WarmUp.Ratio, maxWarmUpRatio)
+		}
 		if allowed := instance.LinkMbps >= 0; !allowed {
 			p.addFinding(p.lineForKey("gateway.link_mbps"), "gateway.link_mbps", "is %g; allowed: 0 or more", instance.LinkMbps)
 		}
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -1,6 +1,7 @@
 package settings_test
 
 import (
+	"maps"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -19,24 +20,51 @@
 	"bounds.config_apply_ms": "2000", "bounds.drain_ms": "2000", "bounds.grace_s": "8", "bounds.retry_ratio": "0.2", "bounds.retry_extra": "56", "bounds.retry_window_s": "10",
 }
 
+// warmUpValues are the values that only a platform with cold endpoints has.
+var warmUpValues = map[string]string{"bounds.warmup_overage": "1.5", "bounds.warmup_slack": "5"}
+
 // renderTemplate returns the deployed template with its placeholders substituted;
-// one without a value becomes empty.
+// one without a value becomes empty, as does a section.
 func renderTemplate(t *testing.T, values map[string]string) string {
 	t.Helper()
 	template, err := os.ReadFile("../../deploy/settings.toml.tmpl")
 	if err != nil {
 		t.Fatal(err)
 	}
-	return regexp.MustCompile(`\{\{([^}]*)\}\}`).ReplaceAllStringFunc(string(template), func(m string) string {
+	sections := regexp.MustCompile(`(?s)\{\{#([^}]*)\}\}(.*?)\{\{/[^}]*\}\}`)
+	text := sections.ReplaceAllStringFunc(string(template), func(m string) string {
+		parts := sections.FindStringSubmatch(m)
+		value, present := values[parts[1]]
+		if !present {
+			return ""
+		}
+		return strings.ReplaceAll(parts[2], "{{.}}", value)
+	})
+	return regexp.MustCompile(`\{\{([^}]*)\}\}`).ReplaceAllStringFunc(text, func(m string) string {
 		return values[strings.Trim(m, "{}")]
 	})
 }
 
+func TestTheDeployedTemplateHasTheWarmUp(t *testing.T) {
+	values := maps.Clone(templateValues)
+	maps.Copy(values, warmUpValues)
+	g, err := settings.ParseGateway("t.toml", []byte(renderTemplate(t, values)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if g.WarmUp.Ratio != 1.5 || g.WarmUp.Extra != 5 {
+		t.Errorf("the warm-up is %+v, want ratio 1.5 and extra 5", g.WarmUp)
+	}
+}
+
 func TestTheDeployedTemplateIsRight(t *testing.T) {
 	g, err := settings.ParseGateway("t.toml", []byte(renderTemplate(t, templateValues)))
 	if err != nil {
 		t.Fatal(err)
 	}
+	if g.WarmUp.Ratio != 1 || g.WarmUp.Extra != 0 {
+		t.Errorf("a platform without cold endpoints has the warm-up %+v, want the defaults", g.WarmUp)
+	}
 	if g.Drain.Within.D() != 8*time.Second || g.Retries.Extra != 56 || g.Gateway.Peers != "10.1.0.40:7340" || g.Store.URL != "http://10.200.1.7:8223" {
 		t.Errorf("settings of the rendered template: %+v", g)
 	}
@@ -127,13 +155,11 @@
 // A fraction is valid for every number that the deployed template takes from the
 // platform.
 func TestEveryNumberOfTheTemplateBearsAFraction(t *testing.T) {
-	for _, name := range []string{"limits.memory_mb", "bounds.config_apply_ms", "bounds.drain_ms", "bounds.grace_s", "bounds.retry_ratio", "bounds.retry_extra", "bounds.retry_window_s"} {
-		values := map[string]string{}
-		for other, value := range templateValues {
-			values[other] = value
-		}
+	for _, name := range []string{"limits.memory_mb", "bounds.config_apply_ms", "bounds.drain_ms", "bounds.grace_s", "bounds.retry_ratio", "bounds.retry_extra", "bounds.retry_window_s", "bounds.warmup_overage", "bounds.warmup_slack"} {
+		values := maps.Clone(templateValues)
+		maps.Copy(values, warmUpValues)
 		values[name] += ".158"
-		if name == "bounds.retry_ratio" {
+		if name == "bounds.retry_ratio" || name == "bounds.warmup_overage" {
 			values[name] = "0.2158"
 		}
 		if _, err := settings.ParseGateway("t.toml", []byte(renderTemplate(t, values))); err != nil {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -95,6 +95,9 @@
 	// Matches reports whether an answer belongs to this request; answers to others are
 	// discarded. Nil accepts every answer.
 	Matches func(status int, h http.Header) bool
+	// OnSend is called when there is a connection and the request is about to be written;
+	// may be nil.
+	OnSend func()
 }
 
 // send writes the request and reads the answer's status and header. The channel receives
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -74,6 +74,9 @@
 		}
 		c = fresh
 	}
+	if out.OnSend != nil {
+		out.OnSend()
+	}
 	unwatch := context.AfterFunc(ctx, func() { _ = c.Close() })
 	resp, writeErr, err := c.send(ctx, out) //nolint:bodyclose // Answer.Close ends the exchange.
 	if err != nil {
