--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -125,9 +125,9 @@
 func (s *Syncer) acquireRetest(ctx context.Context, f Fingerprint) bool {
 	acquired := false
 	_, _, _ = s.retestGroup.Do(f.String(), func() (any, error) {
-		r := s.Table.retestClaim(f, time.Now())
+		r, cleared := s.Table.retestClaim(f, time.Now())
 		if r == nil {
-			acquired = true // The request has been cleared meanwhile.
+			acquired = cleared
 			return nil, nil
 		}
 		s.enqueue(f, r)
--- a/internal/quarantine/keeper_test.go
+++ b/internal/quarantine/keeper_test.go
@@ -140,6 +140,25 @@
 	})
 }
 
+// Two requests at one instance may both find that the quarantine has ended before either of
+// them claims the retest.
+func TestALateClaimDoesNotBeginAnotherRetest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		syncers := startSyncers(t, standin.NewKeyed(), 2)
+		crashThreeEndpoints(t, syncers)
+		time.Sleep(initialQuarantine)
+		f := crashingContent.Fingerprint()
+		if !syncers[0].acquireRetest(t.Context(), f) {
+			t.Fatal("no retest is acquired after the quarantine")
+		}
+		for i, s := range syncers {
+			if s.acquireRetest(t.Context(), f) {
+				t.Errorf("instance %d acquires another retest while one is in progress", i)
+			}
+		}
+	})
+}
+
 func TestAQuarantinedRequestIsRefusedAtOnceWhileTheLogIsUnavailable(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := standin.NewKeyed()
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -178,20 +178,24 @@
 	return now.Sub(c.knownSince) >= reportGracePeriod
 }
 
-// retestClaim returns the record with which this instance claims the next retest; nil if
-// there is no entry.
-func (t *Table) retestClaim(f Fingerprint, now time.Time) *entryRecord {
+// retestClaim returns the record with which this instance claims the next retest, and nil if
+// no retest is due, since another one has begun or the request has been cleared after the
+// caller last checked it. cleared reports the latter: the request may be sent.
+func (t *Table) retestClaim(f Fingerprint, now time.Time) (claim *entryRecord, cleared bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.entries[f]
 	if e == nil {
-		return nil
+		return nil, true
+	}
+	if now.Before(e.quarantinedUntil) {
+		return nil, false
 	}
 	r := e.toRecord()
 	r.Writer, r.RetestBy = t.self, t.self
 	r.RetestRound++
 	r.Until = now.Add(quarantineDuration(r.RetestRound)).UnixMilli()
-	return r
+	return r, false
 }
 
 // records returns the record of each entry.
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -147,6 +147,16 @@
 	}
 }
 
+// mustClaimRetest returns the table's claim of a retest that is due.
+func mustClaimRetest(t *testing.T, table *Table, f Fingerprint, now time.Time) *entryRecord {
+	t.Helper()
+	claim, _ := table.retestClaim(f, now)
+	if claim == nil {
+		t.Fatalf("no claim of a retest at %s, when one is due", now)
+	}
+	return claim
+}
+
 func TestEachRetestQuarantinesLonger(t *testing.T) {
 	table, f := NewTable("me"), fingerprint("x")
 	for i := range 3 {
@@ -154,7 +164,7 @@
 	}
 	now := startTime.Add(time.Hour)
 	for round, want := range []time.Duration{8 * time.Minute, 32 * time.Minute, maxQuarantine, maxQuarantine} {
-		table.observe(f, table.retestClaim(f, now), false, now)
+		table.observe(f, mustClaimRetest(t, table, f, now), false, now)
 		if decided, won := table.retestResult(f, round+1); !decided || !won {
 			t.Errorf("retest %d: decided %v, won %v", round+1, decided, won)
 		}
@@ -172,7 +182,7 @@
 		other.observe(f, r, false, startTime.Add(time.Duration(i)*time.Second))
 	}
 	now := startTime.Add(initialQuarantine + 3*time.Second)
-	first, second := other.retestClaim(f, now), me.retestClaim(f, now)
+	first, second := mustClaimRetest(t, other, f, now), mustClaimRetest(t, me, f, now)
 	for _, table := range []*Table{me, other} {
 		table.observe(f, first, false, now)
 		table.observe(f, second, false, now)
