callers: the idle limit is tested with a simulated clock

TestAConnectionIdlesNoLongerThanTheLimit slept 400 of the limit's 500 ms between requests on the host's clock, so that a delay of 100 ms made it fail. That a pause of exactly the limit is allowed and one a nanosecond longer is not now stands in internal/callers on a simulated clock.

--- a/internal/callers/look_test.go
+++ b/internal/callers/look_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 )
@@ -32,18 +33,23 @@
 	return c
 }
 
-// A request arrives while the process has no CPU time, and its connection is expired before
-// anything was read. The request must be read all the same, and the connection must continue
-// with the deadline that net/http had set.
-func TestBytesReceivedBeforeExpiryAreRead(t *testing.T) {
-	cs := newConnections(t)
-	client := dial(t, cs)
+// connect makes a connection to cs and returns both its ends.
+func connect(t *testing.T, cs *Connections) (server *conn, client net.Conn) {
+	t.Helper()
+	client = dial(t, cs)
 	accepted, err := cs.Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer accepted.Close()
-	c := accepted.(*conn)
+	t.Cleanup(func() { _ = accepted.Close() })
+	return accepted.(*conn), client
+}
+
+// A request arrives while the process has no CPU time, and its connection is expired before
+// anything was read. The request must be read all the same, and the connection must continue
+// with the deadline that net/http had set.
+func TestBytesReceivedBeforeExpiryAreRead(t *testing.T) {
+	c, client := connect(t, newConnections(t))
 	c.setIdle(time.Now())
 	if err := c.SetReadDeadline(time.Now().Add(time.Minute)); err != nil {
 		t.Fatal(err)
@@ -100,3 +106,28 @@
 		t.Error("listener was not closed")
 	}
 }
+
+// A pause as long as the idle timeout is allowed; one that is longer by any time ends the
+// connection. Each answer begins the time anew.
+func TestAConnectionExpiresOnlyAfterTheIdleTimeout(t *testing.T) {
+	const timeout = 500 * time.Millisecond
+	server, _ := connect(t, newConnections(t))
+	now := time.Now()
+	for range 3 {
+		server.setActive()
+		server.expireIfIdle(now.Add(time.Hour), timeout)
+		server.setIdle(now)
+		now = now.Add(timeout)
+		server.expireIfIdle(now, timeout)
+		if server.isExpired() {
+			t.Fatalf("expired after a pause of %s, which the timeout allows", timeout)
+		}
+	}
+	server.expireIfIdle(now.Add(time.Nanosecond), timeout)
+	if !server.isExpired() {
+		t.Fatal("not expired after a pause that is longer than the timeout")
+	}
+	if _, err := server.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("a read of the expired connection returns %v, want %v", err, os.ErrDeadlineExceeded)
+	}
+}
