prepaid: an instance that is no allocator says so at once

TestAnAllocatorCutFromTheLogNamesNoPredecessors, red in 6 of 32 runs four at a time: the instance that it asks had become a member. Two instances may take one slot at first, and the one whose announcement was replaced stops reading the log; asked for predecessors it waited for a read that never came and answered "log not read yet". Traced by its role, "member" in each of the six.

Change: it answers "not an allocator" at once, and the caller asks another one. A wait for a read also allows for two whole reads now: with nothing written to the log, the one under way and the next last 1 s each, and 1.25 s were allowed (TestAnAllocatorNamesPredecessorsWhileTheLogIsQuiet: 3 of 3 red before). The test asks allocators whose roles have lasted; what it checks of their answers is unchanged.

--- a/internal/prepaid/peers.go
+++ b/internal/prepaid/peers.go
@@ -116,6 +116,9 @@
 // outdated record understates what the dead process may have used. It returns an error if no
 // such read succeeds in time.
 func (t *Transfers) Predecessors(args PredecessorsArgs, reply *PredecessorsReply) error {
+	if !t.controller.servesMembers() {
+		return errNotAllocator // Only allocators read the log.
+	}
 	read := t.controller.awaitRead()
 	list, ok := t.controller.Accounts.Predecessors(args.Node, args.Started)
 	if !read || !ok {
--- a/internal/prepaid/pool_test.go
+++ b/internal/prepaid/pool_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -51,6 +52,20 @@
 	return allocators, members
 }
 
+// awaitSettledRoles waits for roles as awaitRoles does that last. Two instances may take the
+// same slot at first; the one whose announcement was replaced then becomes a member.
+func awaitSettledRoles(t *testing.T, controllers []*prepaid.Controller) (allocators, members []int) {
+	t.Helper()
+	const settled = 1500 * time.Millisecond // Longer than it takes to read an announcement back.
+	for {
+		allocators, members = awaitRoles(t, controllers)
+		time.Sleep(settled)
+		if now, _ := awaitRoles(t, controllers); slices.Equal(now, allocators) {
+			return allocators, members
+		}
+	}
+}
+
 func TestAZoneSpendsABudgetToItsEnd(t *testing.T) {
 	controllers, _ := runZone(t, standin.NewKeyed(), 6)
 	if sum := spendAll(t, 700, controllers...); sum > 100_000 {
--- a/internal/prepaid/predecessors.go
+++ b/internal/prepaid/predecessors.go
@@ -10,9 +10,10 @@
 )
 
 const (
-	// freshReadTimeout limits the wait for a read of the log that starts from now on. A
-	// read in progress may last maxReadWait.
-	freshReadTimeout = maxReadWait + readInterval
+	// freshReadTimeout limits the wait for a read of the log that starts from now on. If
+	// nothing is written to the log, that read lasts maxReadWait after one in progress that
+	// may last as long, and each of the two takes its own round trip.
+	freshReadTimeout = 2*(maxReadWait+callTimeout) + readInterval
 	// readPollInterval is the interval between two checks whether the read has ended.
 	readPollInterval = 20 * time.Millisecond
 	// predecessorsInterval is the pause between two requests for the records of dead
--- a/internal/prepaid/predecessors_test.go
+++ b/internal/prepaid/predecessors_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -54,7 +55,7 @@
 		c, _ := runControllerOnHost(t, link, key, string(key), 1_000_000, allocatorPolicy())
 		links, controllers = append(links, link), append(controllers, c)
 	}
-	allocators, _ := awaitRoles(t, controllers)
+	allocators, _ := awaitSettledRoles(t, controllers)
 	queried, other := allocators[0], allocators[1]
 	args := prepaid.PredecessorsArgs{Node: fmt.Sprint("k", other), Started: time.Now().Add(time.Hour).UnixMilli()}
 	transfers := prepaid.NewTransfers(controllers[queried])
@@ -82,6 +83,56 @@
 	checkNewest()
 }
 
+// quietLog is a log to which nothing more is written once it is quiet: reads last their
+// whole wait and return nothing new.
+type quietLog struct {
+	logstore.KeyedLog
+	quiet atomic.Bool
+}
+
+// Follow implements logstore.KeyedLog.
+func (l *quietLog) Follow(ctx context.Context, topic logstore.Topic, from uint64, wait time.Duration) (logstore.KeyedPage, error) {
+	if !l.quiet.Load() {
+		return l.KeyedLog.Follow(ctx, topic, from, wait)
+	}
+	logstore.Pause(ctx, wait, nil)
+	return logstore.KeyedPage{Next: from, End: from}, nil
+}
+
+// Guards against an allocator that never answers while nothing is written to the log: a read
+// is in progress when the question comes, and the next one lasts its whole wait as well.
+func TestAnAllocatorNamesPredecessorsWhileTheLogIsQuiet(t *testing.T) {
+	log := &quietLog{KeyedLog: standin.NewKeyed()}
+	var controllers []*prepaid.Controller
+	for i := range 5 {
+		key := record.InstanceID(fmt.Sprint("k", i))
+		c, _ := runControllerOnHost(t, log, key, string(key), 1_000_000, allocatorPolicy())
+		controllers = append(controllers, c)
+	}
+	allocators, _ := awaitSettledRoles(t, controllers)
+	sendAtInterval(t, controllers[allocators[1]], 300, time.Second)
+	log.quiet.Store(true)
+	time.Sleep(1500 * time.Millisecond) // Until the reads that were in progress have ended.
+	args := prepaid.PredecessorsArgs{Node: fmt.Sprint("k", allocators[1]), Started: time.Now().Add(time.Hour).UnixMilli()}
+	var reply prepaid.PredecessorsReply
+	if err := prepaid.NewTransfers(controllers[allocators[0]]).Predecessors(args, &reply); err != nil {
+		t.Errorf("error %v on a quiet log, want the records", err)
+	}
+}
+
+// A member doesn't read the log. It has to say so at once, so that the caller asks another
+// instance.
+func TestAMemberNamesNoPredecessors(t *testing.T) {
+	controllers, _ := runZone(t, standin.NewKeyed(), 5)
+	_, members := awaitSettledRoles(t, controllers)
+	start := time.Now()
+	var reply prepaid.PredecessorsReply
+	err := prepaid.NewTransfers(controllers[members[0]]).Predecessors(prepaid.PredecessorsArgs{Node: "k", Started: math.MaxInt64}, &reply)
+	if took := time.Since(start); err == nil || took > 500*time.Millisecond {
+		t.Errorf("error %v after %s, want one at once", err, took)
+	}
+}
+
 // newestSequence returns the sequence number of a process's newest record on the log.
 func newestSequence(t *testing.T, log *standin.Keyed, key string) uint64 {
 	t.Helper()
