gateway: an instance on a busy link serves on while the store is out of reach

Change: a congested link delays an answer by half a second at most. If nothing at all has come from the store for 2 s, on either followed topic, it is out of reach and the instance serves on. A full link (0.8 of its speed counted) refuses as before: that case of TestWhenAFollowedTopicIsTooOld stands, two for a congested link are added, with and without another topic's answers.

--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -53,11 +53,11 @@
 
 // newEndpointTracker returns a tracker with an empty list; follower returns what keeps it
 // current.
-func newEndpointTracker(p Platform, store settings.Store, placementTable *placement.Table, pool *upstream.Pool, clock func() time.Duration, sampledLog, lifecycleLog zerolog.Logger) *endpointTracker {
+func newEndpointTracker(p Platform, store settings.Store, contact *storeContact, placementTable *placement.Table, pool *upstream.Pool, clock func() time.Duration, sampledLog, lifecycleLog zerolog.Logger) *endpointTracker {
 	leavingTimeout := store.LeavingWithin.D()
 	return &endpointTracker{
 		platform: p, placementTable: placementTable, pool: pool, clock: clock, sampledLog: sampledLog, lifecycleLog: lifecycleLog, pollPause: endpointsPollPause(leavingTimeout, store.Timeout.D()),
-		freshness: newFreshness(leavingTimeout, clock), table: discovery.New(), listed: map[string]bool{},
+		freshness: newFreshness(leavingTimeout, clock, contact), table: discovery.New(), listed: map[string]bool{},
 	}
 }
 
--- a/internal/gateway/freshness.go
+++ b/internal/gateway/freshness.go
@@ -5,8 +5,34 @@
 	"time"
 )
 
-// maxResponseDelay is how long a congested link may delay the first byte of a response.
-const maxResponseDelay = 500 * time.Millisecond
+const (
+	// maxResponseDelay is how long a congested link may delay the first byte of a response.
+	maxResponseDelay = 500 * time.Millisecond
+	// contactTimeout is how long nothing comes from the store, on any followed topic, if it is
+	// out of reach. A response without news comes within a second, and a link with room left
+	// delays none by more than maxResponseDelay.
+	contactTimeout = 2 * time.Second
+)
+
+// storeContact tracks when something was last received from the store. It is safe for
+// concurrent use.
+type storeContact struct{ receivedAt atomic.Int64 } // Reading of the clock, in nanoseconds.
+
+// isRecent reports whether something was received within contactTimeout.
+func (c *storeContact) isRecent(now time.Duration) bool {
+	return now-time.Duration(c.receivedAt.Load()) < contactTimeout
+}
+
+// linkUse is how much of the instance's own network link is in use.
+type linkUse uint8
+
+const (
+	linkFree linkUse = iota
+	// linkCongested: too much to take on more callers.
+	linkCongested
+	// linkFull: nothing may come through in time.
+	linkFull
+)
 
 // freshness tracks how current the local copy of a followed topic is, and reports whether
 // it is too old to serve callers from. It is safe for concurrent use.
@@ -14,10 +40,12 @@
 // A copy is never outdated because the store is unreachable: a zone that is partitioned
 // from the store keeps serving from its last copy. It is outdated if a response is still
 // being received, or if the instance's own link is too congested to carry one. Other
-// instances then have a newer copy, and callers are better served there.
+// instances then have a newer copy, and callers are better served there. If the link has
+// room left and nothing comes from the store at all, the store is out of reach.
 type freshness struct {
-	maxAge time.Duration // Time within which a change must be known here.
-	clock  func() time.Duration
+	maxAge  time.Duration // Time within which a change must be known here.
+	clock   func() time.Duration
+	contact *storeContact // Shared by the followed topics.
 
 	// Readings of clock, in nanoseconds.
 	readStartedAt      atomic.Int64 // Start of the last read.
@@ -28,8 +56,8 @@
 
 // newFreshness returns the state of a topic that has not been read. Its changes must be
 // known within maxAge.
-func newFreshness(maxAge time.Duration, clock func() time.Duration) *freshness {
-	return &freshness{maxAge: maxAge, clock: clock}
+func newFreshness(maxAge time.Duration, clock func() time.Duration, contact *storeContact) *freshness {
+	return &freshness{maxAge: maxAge, clock: clock, contact: contact}
 }
 
 // onReadStart is called before each read.
@@ -40,7 +68,9 @@
 
 // onReceive is called whenever a part of a response has arrived.
 func (f *freshness) onReceive() {
-	f.responseStartedAt.CompareAndSwap(0, int64(f.clock()))
+	now := int64(f.clock())
+	f.contact.receivedAt.Store(now)
+	f.responseStartedAt.CompareAndSwap(0, now)
 	f.responseInProgress.Store(true)
 }
 
@@ -68,7 +98,11 @@
 }
 
 // isOutdated reports whether a change may have gone unseen for too long although the store
-// is reachable. linkCongested means that the instance's own link is nearly full.
-func (f *freshness) isOutdated(linkCongested bool) bool {
-	return f.age() > f.maxAge-readDeadlineMargin && (linkCongested || f.responseInProgress.Load())
+// is reachable.
+func (f *freshness) isOutdated(link linkUse) bool {
+	if f.age() <= f.maxAge-readDeadlineMargin {
+		return false
+	}
+	delayed := link == linkFull || link == linkCongested && f.contact.isRecent(f.clock())
+	return delayed || f.responseInProgress.Load()
 }
--- a/internal/gateway/freshness_test.go
+++ b/internal/gateway/freshness_test.go
@@ -10,16 +10,16 @@
 func TestWhenAFollowedTopicIsTooOld(t *testing.T) {
 	const maxAge = 3 * time.Second
 	for name, c := range map[string]struct {
-		events        func(f *freshness, now *time.Duration)
-		linkCongested bool
-		want          bool
+		events func(f *freshness, now *time.Duration)
+		link   linkUse
+		want   bool
 	}{
 		"never read": {events: func(f *freshness, now *time.Duration) {
 			f.onReadStart()
 			f.onReceive()
 			*now += 2 * maxAge
 		}},
-		"current": {linkCongested: true, events: func(f *freshness, now *time.Duration) {
+		"current": {link: linkCongested, events: func(f *freshness, now *time.Duration) {
 			f.onReadStart()
 			f.onReceive()
 			f.onCaughtUp()
@@ -54,13 +54,29 @@
 			*now += maxAge
 			f.onReadStart()
 		}},
-		"own link full": {linkCongested: true, want: true, events: func(f *freshness, now *time.Duration) {
+		"own link full": {link: linkFull, want: true, events: func(f *freshness, now *time.Duration) {
 			f.onReadStart()
 			f.onCaughtUp()
 			f.onReadStart()
 			*now += maxAge
 			f.onReadFailure()
 		}},
+		"own link congested, another topic's answers come": {link: linkCongested, want: true, events: func(f *freshness, now *time.Duration) {
+			f.onReadStart()
+			f.onCaughtUp()
+			f.onReadStart()
+			*now += maxAge
+			f.contact.receivedAt.Store(int64(*now - contactTimeout/2))
+			f.onReadFailure()
+		}},
+		"own link congested, nothing comes from the store": {link: linkCongested, events: func(f *freshness, now *time.Duration) {
+			f.onReadStart()
+			f.onReceive()
+			f.onCaughtUp()
+			f.onReadStart()
+			*now += maxAge
+			f.onReadFailure()
+		}},
 		"confirmed by an answer that came long": {want: true, events: func(f *freshness, now *time.Duration) {
 			f.onReadStart()
 			f.onReceive()
@@ -70,7 +86,7 @@
 			f.onReadStart()
 			f.onReceive()
 		}},
-		"confirmed by a read that waited long": {linkCongested: true, events: func(f *freshness, now *time.Duration) {
+		"confirmed by a read that waited long": {link: linkCongested, events: func(f *freshness, now *time.Duration) {
 			f.onReadStart()
 			*now += maxAge
 			f.onReceive()
@@ -80,9 +96,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			now := time.Minute
-			f := newFreshness(maxAge, func() time.Duration { return now })
+			f := newFreshness(maxAge, func() time.Duration { return now }, &storeContact{})
 			c.events(f, &now)
-			if got := f.isOutdated(c.linkCongested); got != c.want {
+			if got := f.isOutdated(c.link); got != c.want {
 				t.Errorf("isOutdated returned %v at age %s, want %v", got, f.age(), c.want)
 			}
 		})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -132,7 +132,8 @@
 			Ratio: s.Retries.Ratio, Extra: float64(s.Retries.Extra), Window: s.Retries.Window.D(),
 		}, initialInstanceCount),
 	}
-	g.stateFreshness = newFreshness(s.Store.StateWithin.D(), clock)
+	contact := &storeContact{}
+	g.stateFreshness = newFreshness(s.Store.StateWithin.D(), clock, contact)
 	if err := g.listen(); err != nil {
 		return nil, err
 	}
@@ -142,7 +143,7 @@
 	g.callerConns = callers.New(g.callersListener.(*net.TCPListener), defaultCallerIdleTimeout, &g.linkMeter)
 	p.Store = instrumentedStore{p.Store, g.metrics}
 	g.platform = p
-	g.endpoints = newEndpointTracker(p, s.Store, placement.New(uint64(time.Now().UnixNano()), clock()), g.upstreamPool, clock, g.sampledLog, log)
+	g.endpoints = newEndpointTracker(p, s.Store, contact, placement.New(uint64(time.Now().UnixNano()), clock()), g.upstreamPool, clock, g.sampledLog, log)
 	peersAddr := g.peersListener.Addr().String()
 	self := prepaid.Identity{
 		Key: record.NewInstanceID(s.Gateway.Name), Node: s.Gateway.Name + "@" + peersAddr,
@@ -247,8 +248,14 @@
 // isOutdated reports whether this instance's copy of the desired state or of the endpoint
 // list is older than those of other instances that its callers can reach.
 func (g *Gateway) isOutdated() bool {
-	linkCongested := g.linkShedder.IsCongested()
-	return g.stateFreshness.isOutdated(linkCongested) || g.endpoints.freshness.isOutdated(linkCongested)
+	link := linkFree
+	switch {
+	case g.linkShedder.IsFull():
+		link = linkFull
+	case g.linkShedder.IsCongested():
+		link = linkCongested
+	}
+	return g.stateFreshness.isOutdated(link) || g.endpoints.freshness.isOutdated(link)
 }
 
 // budgetAdapter implements forward.Budgets on the controller of prepaid budgets, whose
--- a/internal/gateway/pace_test.go
+++ b/internal/gateway/pace_test.go
@@ -34,12 +34,12 @@
 			"endpoint list": {endpointsPollTimeout, endpointsPollPause(changeTimeout, timeout)},
 		} {
 			now := time.Minute
-			f := newFreshness(changeTimeout, func() time.Duration { return now })
+			f := newFreshness(changeTimeout, func() time.Duration { return now }, &storeContact{})
 			for read := range 5 {
 				f.onReadStart()
 				now += timing.wait + roundTrip
 				f.onReceive()
-				if read > 0 && f.isOutdated(true) {
+				if read > 0 && f.isOutdated(linkFull) {
 					t.Errorf("%s with a limit of %s is outdated at age %s", name, changeTimeout, f.age())
 				}
 				f.onCaughtUp()
--- a/internal/gateway/state_test.go
+++ b/internal/gateway/state_test.go
@@ -31,7 +31,7 @@
 	tracker := &stateTracker{
 		platform: Platform{Store: log, CordonedZone: func(key string) (string, bool) { return strings.CutPrefix(key, "cordon/") }},
 		log:      zerolog.Nop(), version: func() int64 { return 0 }, applyCordons: func(zones map[string]bool) { f.cordons = zones },
-		freshness: newFreshness(time.Second, func() time.Duration { return 0 }),
+		freshness: newFreshness(time.Second, func() time.Duration { return 0 }, &storeContact{}),
 		applyState: func(value []byte) {
 			if len(f.states) == 0 {
 				f.cordonsAtFirstState = f.cordons
--- a/internal/linkload/shedder.go
+++ b/internal/linkload/shedder.go
@@ -12,6 +12,9 @@
 	shedThreshold = 0.7
 	// clearThreshold is the utilisation at or below which shedding ends.
 	clearThreshold = 0.5
+	// fullThreshold is the counted utilisation at which the link is full, with the
+	// traffic that is not counted.
+	fullThreshold = 0.8
 	// rateWindow is the time over which the utilisation is averaged, because prompts
 	// arrive in bursts.
 	rateWindow = time.Second
@@ -103,6 +106,9 @@
 // IsCongested reports whether the utilisation is too high to take on more callers.
 func (s *Shedder) IsCongested() bool { return s.Load() > clearThreshold }
 
+// IsFull reports whether the link can carry no more.
+func (s *Shedder) IsFull() bool { return s.Load() >= fullThreshold }
+
 // IsShedding reports whether the load balancer should send no new callers.
 func (s *Shedder) IsShedding() bool {
 	s.mu.Lock()
