forward, placement: an attempt that another endpoint refused is no attempt of its endpoint

The 421 counted against the route's endpoints (1 for two of three model routes), so that the request was refused after one; and nothing was learned from it, so that the idle-looking endpoint was chosen again and again.

Change: after a 421 the endpoint is out until its entry changes (condition: replaced; a connection that succeeds shows nothing), and the attempt does not count against the route's endpoints. It does count against the five attempts of a request and against the budget of repeats, and not as a run. A request that has run out of endpoints names why the tried ones did not answer.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -23,6 +23,8 @@
 	reason Reason
 	// sent reports whether the request was sent to an endpoint.
 	sent bool
+	// misdirected reports whether another endpoint has answered at the address.
+	misdirected bool
 	// noEndpoint reports whether no endpoint was available.
 	noEndpoint bool
 	// failure is the endpoint's complete answer if its status was 5xx.
@@ -83,10 +85,13 @@
 	result := c.handleAnswer(ctx, answer)
 	c.logAttempt(assignment, result, answer.Status, start)
 	c.updateQuarantine(ctx, assignment, result, start)
-	if result.final || result.reason == ReasonCallerDisconnected {
+	switch {
+	case result.final || result.reason == ReasonCallerDisconnected:
 		outcome = placement.Answered
+	case result.misdirected:
+		outcome = placement.Replaced
 	}
-	if ctx.Err() != nil && errors.Is(context.Cause(ctx), context.Canceled) {
+	if !result.misdirected && ctx.Err() != nil && errors.Is(context.Cause(ctx), context.Canceled) {
 		outcome = placement.Abandoned
 	}
 	return result
@@ -108,7 +113,7 @@
 // withAttemptTimeout limits an attempt of an idempotent request to less than the
 // remaining time if another endpoint may be tried after it.
 func (c *call) withAttemptTimeout(ctx context.Context) (context.Context, context.CancelFunc) {
-	mayTryAnother := c.sentCount+1 < c.route.MaxEndpoints
+	mayTryAnother := c.reachedCount+1 < c.route.MaxEndpoints
 	if c.route.Repeat != route.Idempotent || !mayTryAnother || c.route.LatencyTarget <= 0 {
 		return context.WithCancel(ctx)
 	}
@@ -154,7 +159,7 @@
 		}
 		return attemptResult{reason: ReasonUnreachable, err: err}
 	}
-	c.sentCount++
+	c.reachedCount++
 	c.mayHaveRun = true
 	return attemptResult{reason: ReasonAnswerFailed, sent: true, err: err}
 }
@@ -164,11 +169,14 @@
 func (c *call) handleAnswer(ctx context.Context, a *upstream.Answer) attemptResult {
 	reply := c.f.Codec.Reply(a.Status, a.Header)
 	c.tried = append(c.tried, c.endpoint)
-	c.sentCount++
 	if reply.NotRun {
 		_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, maxBufferedAnswerBytes)) // The connection can be reused only if the body was read to its end.
-		return attemptResult{reason: ReasonEndpointsRefused, sent: true}
+		if !reply.Misdirected {
+			c.reachedCount++
+		}
+		return attemptResult{reason: ReasonEndpointsRefused, sent: true, misdirected: reply.Misdirected}
 	}
+	c.reachedCount++
 	c.mayHaveRun = true
 	success := isSuccess(a.Status)
 	if success && (!reply.Signed || a.Header.Get("Content-Encoding") != "") {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -36,8 +36,8 @@
 	// maxBufferedAnswerBytes bounds the body of an answer that is read into memory before
 	// it is passed on. Longer bodies are truncated.
 	maxBufferedAnswerBytes = 16 << 20
-	// maxAttempts bounds the endpoints tried for one request, including unreachable
-	// ones. If one of four availability zones is cut off, 1 of 250 requests would find
+	// maxAttempts bounds the endpoints tried for one request, including those that were
+	// unreachable or replaced. If one of four availability zones is cut off, 1 of 250 requests would find
 	// only unreachable endpoints in four attempts.
 	maxAttempts = 5
 	// minRetryTimeLeft is the least time before the deadline at which a request is
@@ -102,7 +102,7 @@
 	start        time.Time
 	deadline     time.Time // Earlier of the caller's and the route's timeout.
 	tried        []string  // IDs of the endpoints that were tried.
-	sentCount    int       // Endpoints that were sent the request.
+	reachedCount int       // Endpoints that got the request, if it was meant for them.
 	crashes      int       // Endpoints that crashed while serving it.
 	mayHaveRun   bool      // An endpoint may have run the request.
 	attempts     int
@@ -307,6 +307,9 @@
 		if result.final {
 			return result.status
 		}
+		if result.noEndpoint && c.reason != "" {
+			result.reason = c.reason // Why the endpoints that were tried have not answered.
+		}
 		c.reason = result.reason
 		switch {
 		case caller.Err() != nil:
@@ -336,7 +339,7 @@
 
 // mayRetry reports whether the request may be sent to another endpoint after result.
 func (c *call) mayRetry(result attemptResult) bool {
-	if result.noEndpoint || c.sentCount >= c.route.MaxEndpoints || c.attempts >= maxAttempts {
+	if result.noEndpoint || c.reachedCount >= c.route.MaxEndpoints || c.attempts >= maxAttempts {
 		return false
 	}
 	if !c.mayHaveRun {
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -56,6 +56,9 @@
 	RequestID string // ID of the request that was answered; "" if not stated.
 	// NotRun reports whether the endpoint states that it has not run the request.
 	NotRun bool
+	// Misdirected reports whether another endpoint than the one that was meant has answered.
+	// The request has not run then.
+	Misdirected bool
 	// Signed reports whether the answer carries the endpoint's signature; the signature is
 	// not verified.
 	Signed bool
--- a/internal/placement/condition.go
+++ b/internal/placement/condition.go
@@ -24,6 +24,7 @@
 const (
 	ReasonLeaving     Reason = "leaving"
 	ReasonCordoned    Reason = "zone cordoned"
+	ReasonReplaced    Reason = "replaced"    // Another endpoint has its address.
 	ReasonCold        Reason = "cold"        // And this instance's share of it is used up.
 	ReasonUnconfirmed Reason = "unconfirmed" // Reachable again, and perhaps cold.
 	ReasonUnreachable Reason = "unreachable"
@@ -48,6 +49,9 @@
 type condition struct {
 	leaving  bool // It is about to end, by its entry.
 	cordoned bool // Operators have cordoned its availability zone.
+	// replaced is set when another endpoint answers at the address and cleared when the entry
+	// changes. A connection that succeeds is one to the other endpoint and shows nothing.
+	replaced bool
 	// unreachable is set when a connection fails and cleared when one succeeds, so that
 	// callers' requests don't find out one after the other that a network partition
 	// persists.
@@ -88,6 +92,8 @@
 		return UseNone, ReasonLeaving
 	case c.cordoned:
 		return UseNone, ReasonCordoned
+	case c.replaced:
+		return UseNone, ReasonReplaced
 	case c.isCold(now) && c.limited && c.allowance(now) <= 0:
 		return UseNone, ReasonCold
 	case c.unreachable:
@@ -103,7 +109,7 @@
 // mayBePreferred reports whether prompts may be assigned to the endpoint by its hash. A
 // back-off is too short, and known to too few instances, to move prompts elsewhere.
 func (c *condition) mayBePreferred(now time.Duration) bool {
-	return !c.leaving && !c.cordoned && !c.unreachable && !c.isCold(now)
+	return !c.leaving && !c.cordoned && !c.replaced && !c.unreachable && !c.isCold(now)
 }
 
 // mayBeFetchedFrom reports whether other endpoints may fetch cached parts of prompts from
@@ -115,19 +121,21 @@
 
 // needsProbe reports whether it is to be found out without a request whether the endpoint
 // can be reached.
-func (c *condition) needsProbe() bool { return c.unreachable && !c.cordoned }
+func (c *condition) needsProbe() bool { return c.unreachable && !c.cordoned && !c.replaced }
 
 // failureCount returns the number of consecutive failures.
 func (c *condition) failureCount() int { return c.consecutiveFailures }
 
 // onEntry records an entry that the endpoint has published. warming is the warm-up time that
-// was left; inUse states that this instance knew the endpoint before.
-func (c *condition) onEntry(leaving bool, warming time.Duration, inUse bool, now time.Duration) {
+// was left. known states that this instance knew the endpoint before, changed that its entry
+// was another one.
+func (c *condition) onEntry(leaving bool, warming time.Duration, known, changed bool, now time.Duration) {
 	c.leaving, c.unconfirmedUntil = leaving, 0
+	c.replaced = c.replaced && !changed
 	if warming <= 0 {
 		return
 	}
-	if inUse && !c.isCold(now) && !c.cordoned {
+	if known && !c.isCold(now) && !c.cordoned {
 		c.limitedFrom = now + warmUpWindow
 	}
 	c.coldUntil = max(c.coldUntil, now+warming)
@@ -160,6 +168,9 @@
 	}
 }
 
+// onReplaced records that another endpoint has answered at the address.
+func (c *condition) onReplaced() { c.replaced = true }
+
 // onUnreachable records that no connection could be made.
 func (c *condition) onUnreachable() { c.unreachable = true }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -93,9 +93,10 @@
 		state = &endpointState{speed: newSpeedEstimator(), normalizedTokensPerMS: defaultTokensPerMS, idHash: xxhash.Sum64String(e.ID), unanswered: map[uint64]unansweredAttempt{}, partSentAt: map[string]time.Duration{}}
 		t.endpoints[e.ID] = state
 	}
+	changed := e != state.Endpoint
 	state.Endpoint = e
 	state.onCordon(t.cordons[e.Zone], 0, now)
-	state.onEntry(e.Leaving, e.Warming, known, now)
+	state.onEntry(e.Leaving, e.Warming, known, changed, now)
 	state.limitedFrom = max(state.limitedFrom, t.fleet.usedFrom)
 }
 
--- a/internal/placement/ticket.go
+++ b/internal/placement/ticket.go
@@ -18,6 +18,8 @@
 	Failed
 	// Unreachable means that no connection could be made.
 	Unreachable
+	// Replaced means that another endpoint has answered at the address.
+	Replaced
 	// Abandoned means that the caller left, which says nothing about the endpoint.
 	Abandoned
 )
@@ -97,6 +99,8 @@
 		e.onAnswered()
 	case Failed:
 		e.onFailed(now)
+	case Replaced:
+		e.onReplaced()
 	case Unreachable:
 		e.onUnreachable()
 	}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -43,7 +43,8 @@
 	MaxEventGap time.Duration
 	// Priority orders requests in endpoints' queues; 0 is served first.
 	Priority int
-	// MaxEndpoints is the number of endpoints that one request may be sent to.
+	// MaxEndpoints is the number of endpoints that one request may be sent to. One that was
+	// replaced, so that another endpoint refused the request, does not count.
 	MaxEndpoints int
 	// Public reports whether requests need no API key and are not charged to an
 	// organisation.
