--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -15,6 +15,10 @@
 	"guavapier/internal/upstream"
 )
 
+// maxBufferedAnswerBytes bounds the body of an answer that is read into memory before
+// it is passed on. Longer bodies are truncated.
+const maxBufferedAnswerBytes = 16 << 20
+
 // attemptResult is the outcome of one attempt: the final answer, or the reason why
 // there is none.
 type attemptResult struct {
@@ -63,6 +67,7 @@
 		Service: c.service, Zone: c.f.Zone, Parts: c.PromptParts, Exclude: c.tried,
 	}, c.f.Clock())
 	if assignment == nil {
+		c.logNoEndpoint()
 		return attemptResult{reason: ReasonNoEndpoint, noEndpoint: true}
 	}
 	c.attempts++
--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -42,6 +42,17 @@
 		Dur("took", time.Since(start)).AnErr("error", result.err).Msg("forward: attempt ended")
 }
 
+// logNoEndpoint logs why no endpoint may get the request: how many of the service's endpoints
+// are not chosen by their cost, by the reason. The others have been tried.
+func (c *call) logNoEndpoint() {
+	line := c.f.Log.Info()
+	if line == nil {
+		return
+	}
+	line.Str("request", c.ID).Str("service", c.service).Int("tried", len(c.tried)).
+		Interface("obstacles", c.f.Endpoints.Obstacles(c.service, c.f.Clock())).Msg("forward: no endpoint may get the request")
+}
+
 // logBudget logs why no tokens were reserved, with the state of the organisation's budget.
 func (c *call) logBudget(tokens int64, err error) {
 	line := c.f.Log.Info()
