--- a/internal/claim/holder.go
+++ b/internal/claim/holder.go
@@ -246,7 +246,7 @@
 	s := newShard(h.ctx, terms, right.NewHeldRight(terms, h.batcher), partition, h.deps.Log, h.opts)
 	h.shards[id] = s
 	h.background.Go(s.runLogWriter)
-	h.deps.Logger.Info().Str("zone", string(id.Zone)).Int("shard", id.Shard).Uint64("epoch", latest.Epoch).
+	h.deps.Logger.Debug().Str("zone", string(id.Zone)).Int("shard", id.Shard).Uint64("epoch", latest.Epoch).
 		Str("witness", string(latest.Witness)).Msg("claim: shard acquired")
 }
 
--- a/internal/server/streams.go
+++ b/internal/server/streams.go
@@ -105,7 +105,7 @@
 		Log: s.publisher, FirstOffset: s.subscriber.OldestOffset, MaxAge: s.settings.Snapshots.Every.D(),
 		OnWritten: func(name record.Stream, covers uint64, bytes int) {
 			s.metrics.Counter(metrics.SnapshotsWritten).Inc(1)
-			s.log.Info().Str("stream", string(name)).Uint64("covers", covers).Int("bytes", bytes).Msg("snapshot: written")
+			s.log.Debug().Str("stream", string(name)).Uint64("covers", covers).Int("bytes", bytes).Msg("snapshot: written")
 		},
 		OnError: func(name record.Stream, err error) {
 			s.log.Error().Err(err).Str("stream", string(name)).Msg("snapshot: not written")
