--- a/internal/placement/condition.go
+++ b/internal/placement/condition.go
@@ -44,8 +44,9 @@
 )
 
 // condition is what decides whether an endpoint may be sent requests. It has no clock and
-// does no I/O. All questions of this kind go to its methods; its fields are read nowhere
-// else. docs/ARCHITECTURE.md has its states as a diagram.
+// does no I/O. All questions of this kind go to its methods, which alone read its fields; the
+// share of a cold endpoint is set in warmup.go. docs/ARCHITECTURE.md has the states as a
+// diagram.
 type condition struct {
 	leaving  bool // It is about to end, by its entry.
 	cordoned bool // Operators have cordoned its availability zone.
@@ -64,12 +65,13 @@
 	avoidedUntil        time.Duration // End of the latest back-off.
 
 	coldUntil time.Duration // End of the warm-up; in the past if the endpoint is not cold.
-	// limitedFrom is when the first request may be sent during the warm-up: an endpoint that
-	// was in use until it was known to be cold may have got its share just before.
+	// limitedFrom is when the first request may be sent during the warm-up. It is later than
+	// the warm-up's start if the endpoint may have got its share just before: from a process
+	// that has ended, or because it was in use until it was known to be cold.
 	limitedFrom  time.Duration
 	limited      bool // Requests to the cold endpoint are limited to share.
 	share        int  // How many this instance may send in any warmUpWindow.
-	shareVersion int  // Of the fleet by which share was computed.
+	shareVersion int  // The fleet.version by which share was computed.
 	coldSends    sendWindow
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -120,7 +120,8 @@
 }
 
 // Place assigns the request to the cheapest endpoint and counts it as in flight there
-// until Done is called. Those of the best Use come first. The result is nil if no endpoint may take the request; Obstacles tells why.
+// until Done is called. Endpoints of a better Use come first. The result is nil if no
+// endpoint may take the request; Obstacles tells why.
 func (t *Table) Place(q Query, now time.Duration) *Assignment {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -168,7 +169,7 @@
 		if e.Service != q.Service || slices.Contains(q.Exclude, e.ID) {
 			continue
 		}
-		if use, _ := t.use(e, now); use != wanted {
+		if use, _ := t.useOf(e, now); use != wanted {
 			continue
 		}
 		cost := e.cost(q, now)
@@ -185,12 +186,12 @@
 	return best
 }
 
-// use returns what the endpoint may be used for, and why not for everything.
-func (t *Table) use(e *endpointState, now time.Duration) (Use, Reason) {
+// useOf returns what the endpoint may be used for, and why not for everything.
+func (t *Table) useOf(e *endpointState, now time.Duration) (Use, Reason) {
 	if e.isCold(now) {
 		t.updateShare(e)
 	}
-	return e.condition.use(now)
+	return e.use(now)
 }
 
 // Obstacles counts the service's endpoints that are not UseNormal, by the reason.
@@ -199,7 +200,7 @@
 	defer t.mu.Unlock()
 	counts := map[Reason]int{}
 	for _, e := range t.endpoints {
-		if use, reason := t.use(e, now); e.Service == service && use != UseNormal {
+		if use, reason := t.useOf(e, now); e.Service == service && use != UseNormal {
 			counts[reason]++
 		}
 	}
@@ -250,7 +251,7 @@
 	defer t.mu.Unlock()
 	var rows []Row
 	for _, e := range t.endpoints {
-		_, obstacle := t.use(e, now)
+		_, obstacle := t.useOf(e, now)
 		rows = append(rows, Row{Endpoint: e.Endpoint, InFlight: e.inFlight, Failures: e.failureCount(), Parts: len(e.partSentAt), Obstacle: obstacle})
 	}
 	return rows
