registry: a list that can't be read is logged

The follower's read errors were dropped without a line. At debug: the store's outages are logged by the other followers.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -58,7 +58,10 @@
 				close(loaded)
 			}
 		},
-		OnReadEnd: func(error) {
+		OnReadEnd: func(err error) {
+			if err != nil {
+				r.Logger.Debug().Err(err).Msg("registry: list not read; the last one stays in use")
+			}
 			if names, changed := l.names(time.Now()); changed {
 				r.Logger.Info().Int("instances", len(names)).Msg("registry: instances of the fleet")
 				r.OnChange(names)
