Tests of the registry and of the cordons read what they check under a lock

The test read the names that the registry's goroutine reported and synctest.Wait orders only what came before; a later report raced with an earlier read.

--- a/internal/gateway/state_test.go
+++ b/internal/gateway/state_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,7 +18,9 @@
 
 // trackedState is a stateTracker that follows a log, and what it put in force.
 type trackedState struct {
-	log     *standin.Keyed
+	log *standin.Keyed
+
+	mu      sync.Mutex // Guards the rest.
 	states  []string
 	cordons map[string]bool
 	// cordonsAtFirstState are the cordons in force when the first state was.
@@ -30,14 +33,9 @@
 	f := &trackedState{log: log}
 	tracker := &stateTracker{
 		platform: Platform{Store: log, CordonedZone: func(key string) (string, bool) { return strings.CutPrefix(key, "cordon/") }},
-		log:      zerolog.Nop(), version: func() int64 { return 0 }, applyCordons: func(zones map[string]bool) { f.cordons = zones },
+		log:      zerolog.Nop(), version: func() int64 { return 0 }, applyCordons: f.applyCordons,
 		freshness: newFreshness(time.Second, func() time.Duration { return 0 }, &storeContact{}),
-		applyState: func(value []byte) {
-			if len(f.states) == 0 {
-				f.cordonsAtFirstState = f.cordons
-			}
-			f.states = append(f.states, string(value))
-		},
+		applyState: f.applyState,
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
@@ -45,11 +43,28 @@
 	return f
 }
 
+func (f *trackedState) applyCordons(zones map[string]bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cordons = zones
+}
+
+func (f *trackedState) applyState(value []byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.states) == 0 {
+		f.cordonsAtFirstState = f.cordons
+	}
+	f.states = append(f.states, string(value))
+}
+
 // wait lets the tracker read everything, and checks the cordons and the last state.
 func (f *trackedState) wait(t *testing.T, state string, cordons ...string) {
 	t.Helper()
 	time.Sleep(5 * time.Second)
 	synctest.Wait()
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	want := map[string]bool{}
 	for _, zone := range cordons {
 		want[zone] = true
@@ -127,6 +142,8 @@
 		f := followState(t, log)
 		time.Sleep(time.Second)
 		synctest.Wait()
+		f.mu.Lock()
+		defer f.mu.Unlock()
 		if got := len(f.cordonsAtFirstState); got != 20 {
 			t.Errorf("%d cordons are in force with the first state, want 20", got)
 		}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,8 +18,16 @@
 
 // testInstance is a Registry that runs, and the names that it reported last.
 type testInstance struct {
+	stop context.CancelFunc
+
+	mu    sync.Mutex // Guards names.
 	names []string
-	stop  context.CancelFunc
+}
+
+func (i *testInstance) setNames(names []string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.names = names
 }
 
 // start runs an instance's registry on the log.
@@ -26,7 +35,7 @@
 	t.Helper()
 	ctx, stop := context.WithCancel(t.Context())
 	i := &testInstance{stop: stop}
-	r := &Registry{Log: log, Name: name, Process: record.NewInstanceID(name), Logger: zerolog.Nop(), OnChange: func(names []string) { i.names = names }}
+	r := &Registry{Log: log, Name: name, Process: record.NewInstanceID(name), Logger: zerolog.Nop(), OnChange: i.setNames}
 	go r.Run(ctx)
 	return i
 }
@@ -36,6 +45,8 @@
 	t.Helper()
 	time.Sleep(2 * maxReadWait)
 	synctest.Wait()
+	i.mu.Lock()
+	defer i.mu.Unlock()
 	if !slices.Equal(i.names, want) {
 		t.Errorf("%s: instances %q, want %q", when, i.names, want)
 	}
