--- a/internal/gateway/state_test.go
+++ b/internal/gateway/state_test.go
@@ -34,7 +34,7 @@
 	tracker := &stateTracker{
 		platform: Platform{Store: log, CordonedZone: func(key string) (string, bool) { return strings.CutPrefix(key, "cordon/") }},
 		log:      zerolog.Nop(), version: func() int64 { return 0 }, applyCordons: f.applyCordons,
-		freshness: newFreshness(time.Second, func() time.Duration { return 0 }, &storeContact{}),
+		freshness:  newFreshness(time.Second, func() time.Duration { return 0 }, &storeContact{}),
 		applyState: f.applyState,
 	}
 	ctx, cancel := context.WithCancel(t.Context())
