registry: an outage does not shorten the list

Cause, by reading: the age of a record counted by the clock. In a cut of over 30 minutes no record is renewed, so each instance forgot all others and took the whole bound of a cold endpoint as its share; all of them together would have sent it n times too much.

Change: ages count in time in which the log was readable; a read adds at most 24 s. Run waits for its writer.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -11,6 +11,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -25,8 +26,11 @@
 	maxReadWait, readInterval = 10 * time.Second, 2 * time.Second
 	// renewInterval is the pause between two records of an instance.
 	renewInterval = 10 * time.Minute
-	// expiry is the age at which the record of an instance that is gone is ignored.
+	// expiry is the age, in time in which the log was readable, at which the record of an
+	// instance that is gone is ignored.
 	expiry = 3 * renewInterval
+	// maxReadGap is the most that one read adds to that time.
+	maxReadGap = 2 * (maxReadWait + readInterval)
 	// writeRetryDelay is the pause after a write that failed.
 	writeRetryDelay = 500 * time.Millisecond
 )
@@ -46,12 +50,14 @@
 
 // Run keeps the record and calls OnChange until ctx ends.
 func (r *Registry) Run(ctx context.Context) {
-	l := &list{self: r.Name, seenAt: map[string]time.Time{}}
+	l := &list{self: r.Name, seenAt: map[string]time.Duration{}}
 	loaded := make(chan struct{})
-	go r.keepRecord(ctx, loaded)
+	var background sync.WaitGroup
+	background.Go(func() { r.keepRecord(ctx, loaded) })
+	defer background.Wait()
 	follower := &logstore.Follower{
 		Log: r.Log, Topic: logstore.TopicInstances, PollTimeout: maxReadWait, ReadInterval: readInterval, NewestOnly: true,
-		OnReset: func() { clear(l.seenAt) }, OnRecord: func(record logstore.KeyedRecord) { l.observe(record, time.Now()) },
+		OnReset: func() { clear(l.seenAt) }, OnRecord: l.observe,
 		OnLoaded: func() {
 			if !l.loaded {
 				l.loaded = true
@@ -61,8 +67,10 @@
 		OnReadEnd: func(err error) {
 			if err != nil {
 				r.Logger.Debug().Err(err).Msg("registry: list not read; the last one stays in use")
+				return
 			}
-			if names, changed := l.names(time.Now()); changed {
+			l.addReadTime(time.Now())
+			if names, changed := l.names(); changed {
 				r.Logger.Info().Int("instances", len(names)).Msg("registry: instances of the fleet")
 				r.OnChange(names)
 			}
@@ -89,32 +97,44 @@
 	}
 }
 
-// list is the list of instances as last read.
+// list is the list of instances as last read. Ages are in time in which the log was readable:
+// in an outage no record is renewed, and instances that forget each other would each take a
+// cold endpoint's whole bound.
 type list struct {
 	self     string
 	loaded   bool
-	seenAt   map[string]time.Time // When the record of each name was last read.
-	reported []string             // Result of the last call of names that reported a change.
+	lastRead time.Time                // Zero before the first read.
+	readTime time.Duration            // In which the log was readable, since the start.
+	seenAt   map[string]time.Duration // The readTime at which the record of each name was read.
+	reported []string                 // Result of the last call of names that reported a change.
+}
+
+// addReadTime records a read that succeeded.
+func (l *list) addReadTime(now time.Time) {
+	if !l.lastRead.IsZero() {
+		l.readTime += min(now.Sub(l.lastRead), maxReadGap)
+	}
+	l.lastRead = now
 }
 
 // observe applies one record.
-func (l *list) observe(record logstore.KeyedRecord, now time.Time) {
+func (l *list) observe(record logstore.KeyedRecord) {
 	if record.Value == nil {
 		delete(l.seenAt, record.Key)
 		return
 	}
-	l.seenAt[record.Key] = now
+	l.seenAt[record.Key] = l.readTime
 }
 
 // names returns the sorted names of the instances whose records have not expired and of this
 // one, and whether they differ from the last call; false until the list was read.
-func (l *list) names(now time.Time) (names []string, changed bool) {
+func (l *list) names() (names []string, changed bool) {
 	if !l.loaded {
 		return nil, false
 	}
 	names = []string{l.self}
 	for name, at := range l.seenAt {
-		if name != l.self && now.Sub(at) < expiry {
+		if name != l.self && l.readTime-at < expiry {
 			names = append(names, name)
 		}
 	}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"slices"
 	"sync"
 	"testing"
@@ -20,13 +21,17 @@
 type testInstance struct {
 	stop context.CancelFunc
 
-	mu    sync.Mutex // Guards names.
-	names []string
+	mu     sync.Mutex // Guards the rest.
+	names  []string
+	fewest int // Smallest number of names in a report after the first with several.
 }
 
 func (i *testInstance) setNames(names []string) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	if len(i.names) > 1 {
+		i.fewest = min(i.fewest, len(names))
+	}
 	i.names = names
 }
 
@@ -34,7 +39,7 @@
 func start(t *testing.T, log logstore.KeyedLog, name string) *testInstance {
 	t.Helper()
 	ctx, stop := context.WithCancel(t.Context())
-	i := &testInstance{stop: stop}
+	i := &testInstance{stop: stop, fewest: math.MaxInt}
 	r := &Registry{Log: log, Name: name, Process: record.NewInstanceID(name), Logger: zerolog.Nop(), OnChange: i.setNames}
 	go r.Run(ctx)
 	return i
@@ -79,6 +84,26 @@
 	})
 }
 
+// Instances that forget each other in a long outage would each use what is for all of them.
+func TestAnOutageDoesNotShortenTheList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := standin.NewKeyed()
+		a, b := start(t, log, "a"), start(t, log, "b")
+		a.wantNames(t, "after the start", "a", "b")
+		log.SetDown(true)
+		time.Sleep(2 * expiry)
+		a.wantNames(t, "after a long outage", "a", "b")
+		log.SetDown(false)
+		time.Sleep(2 * maxReadWait)
+		b.wantNames(t, "when the log is back", "a", "b")
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		if b.fewest < 2 {
+			t.Errorf("%d instances were reported when the log was back, want 2", b.fewest)
+		}
+	})
+}
+
 func TestAnInstanceThatIsGoneExpires(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := standin.NewKeyed()
