claim, run: each unknown outcome is logged with its reason

Change: the errors of package claim say which of these it was, with run and runner; the client logs each Begin without a ticket with the shard's epoch and holder; the runner logs each request whose outcome is unknown with its cause and time. In the process tests, attempts that are not answered are printed, and the output of all processes of a failed test is kept with go test -artifacts. No decision changes.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -116,20 +116,21 @@
 // returns ErrUnknown if the joined run does not end before ctx does, or its
 // runner is unreachable.
 func BeginOrJoin(ctx context.Context, claims Claims, r Request) (Ticket, error) {
+	began := time.Now()
 	for {
 		ticket, err := claims.Begin(ctx, r)
 		if err != nil || !ticket.Join || ticket.Outcome != 0 {
 			return ticket, err
 		}
 		if ticket.RunnerGone {
-			return ticket, ErrUnknown
+			return ticket, eris.Wrapf(ErrUnknown, "claim: runner %s of run %s does not answer", ticket.Runner, ticket.Run)
 		}
 		// An earlier attempt now exists, whatever the caller said.
 		r.First = false
 		select {
 		case <-time.After(joinPollInterval):
 		case <-ctx.Done():
-			return ticket, ErrUnknown
+			return ticket, eris.Wrapf(ErrUnknown, "claim: run %s at runner %s has not ended after %s", ticket.Run, ticket.Runner, time.Since(began))
 		}
 	}
 }
--- a/internal/claim/client.go
+++ b/internal/claim/client.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
 
 	"guavapier/internal/fold"
 	"guavapier/internal/peer"
@@ -80,7 +81,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.opts.BeginTimeout)
 	defer cancel()
+	began := time.Now()
 	ticket, err := c.beginWithRetries(ctx, r, uuid.NewString())
+	if err != nil {
+		c.logFailure(r, err, time.Since(began))
+	}
 	if err == nil && !ticket.Join {
 		c.mu.Lock()
 		c.inFlight[r.Key] = localRun{home: r.Home, run: ticket.Run, repeatable: r.Repeatable, uncounted: ticket.Uncounted}
@@ -89,6 +94,16 @@
 	return ticket, err
 }
 
+// logFailure logs why a Begin gave no ticket, with the shard's latest epoch in
+// this instance's fold.
+func (c *Client) logFailure(r Request, err error, took time.Duration) {
+	id := c.holder.shardIDOf(r)
+	latest, _ := latestEpoch(c.deps.Partitions[id.Shard], id)
+	c.deps.Logger.Info().Err(err).Str("key", r.Key.String()).Dur("took_ms", took).Bool("first", r.First).
+		Str("zone", string(id.Zone)).Int("shard", id.Shard).Uint64("epoch", latest.Epoch).Bool("closed", latest.Closed).
+		Str("holder", string(latest.Holder)).Msg("claim: request not claimed")
+}
+
 // beginWithRetries calls the shard's current holder, which may change between
 // attempts, until a holder decides or ctx ends.
 func (c *Client) beginWithRetries(ctx context.Context, r Request, attempt string) (Ticket, error) {
@@ -131,7 +146,7 @@
 	case r.First:
 		return Ticket{}, ErrNotCounted
 	}
-	return Ticket{}, ErrUnknown
+	return Ticket{}, eris.Wrap(ErrUnknown, "claim: no holder answered")
 }
 
 // beginAtHolder makes one call of Begin to the holder of an epoch. The call to a
--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -86,7 +86,7 @@
 		case decisionKeyReused:
 			return Ticket{}, ErrKeyReused
 		case decisionKeyExpired:
-			return Ticket{}, ErrUnknown
+			return Ticket{}, eris.Wrapf(ErrUnknown, "claim: key %q may be older than the claim window", r.Key.Key)
 		case decisionOwnRun, decisionJoin:
 			return ticket, nil
 		case decisionStart:
@@ -95,7 +95,7 @@
 		select {
 		case <-entry.countingDone:
 		case <-ctx.Done():
-			return Ticket{}, ErrUnknown
+			return Ticket{}, eris.Wrap(ErrUnknown, "claim: another attempt's claim was not counted in time")
 		}
 	}
 }
@@ -225,7 +225,7 @@
 	if r.First || s.witnessConfirms(ctx) {
 		return ErrNotCounted
 	}
-	return ErrUnknown
+	return eris.Wrap(ErrUnknown, "claim: neither log nor witness stored the claim, and the witness may have sealed the shard")
 }
 
 // witnessConfirms reports whether the witness currently acknowledges a use, so
--- a/internal/run/chat.go
+++ b/internal/run/chat.go
@@ -13,6 +13,14 @@
 // same request started. It passes the answer's tokens to sink and returns after
 // the last one. The error is a *Failure.
 func (r *Runner) Chat(ctx context.Context, c Chat, sink TokenSink) (ChatResult, error) {
+	began := time.Now()
+	result, err := r.startOrJoinChat(ctx, c, sink)
+	r.logUnknown(c.Request, began, err)
+	return result, err
+}
+
+// startOrJoinChat starts the chat's run, joins it, or resumes its answer.
+func (r *Runner) startOrJoinChat(ctx context.Context, c Chat, sink TokenSink) (ChatResult, error) {
 	if c.ResumeFrom.Run != "" {
 		return r.resumeChat(ctx, c, sink)
 	}
--- a/internal/run/failure.go
+++ b/internal/run/failure.go
@@ -44,11 +44,23 @@
 	Code       Code
 	Message    string
 	RetryAfter time.Duration // 0 if a retry does not help.
+	cause      error         // For the log; nil for a joined run that ended like this.
 }
 
 // Error implements error.
 func (f *Failure) Error() string { return "run: " + string(f.Code) + ": " + f.Message }
 
+// logUnknown logs why a request ended with an unknown outcome. It ignores other
+// errors.
+func (r *Runner) logUnknown(q Request, began time.Time, err error) {
+	var f *Failure
+	if !errors.As(err, &f) || f.Outcome != record.OutcomeUnknown {
+		return
+	}
+	r.Log.Info().AnErr("cause", f.cause).Str("key", q.Key.String()).Str("code", string(f.Code)).
+		Dur("took_ms", time.Since(began)).Msg("run: outcome unknown")
+}
+
 // defaultRetryAfter is returned where nothing better is known about when a retry
 // can succeed.
 const defaultRetryAfter = 2 * time.Second
@@ -77,6 +89,7 @@
 // may have executed the request; the outcome is then unknown.
 func newFailure(err error, mayHaveRun bool) *Failure {
 	f := classify(err)
+	f.cause = err
 	f.Outcome = record.OutcomeNotRun
 	if mayHaveRun || errors.Is(err, claim.ErrUnknown) || errors.Is(err, errRunGone) {
 		f.Outcome = record.OutcomeUnknown
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"guavapier/internal/claim"
 	"guavapier/internal/config"
 	"guavapier/internal/decide"
@@ -73,6 +75,8 @@
 	OnEndpointLeaving func(endpoint string)
 	// OnError is called with errors of background work, which no caller waits for.
 	OnError func(error)
+	// Log gets a line for each request whose outcome is unknown.
+	Log zerolog.Logger
 
 	background sync.WaitGroup // Settlements and cancellations after the runs' ends.
 }
--- a/internal/run/service.go
+++ b/internal/run/service.go
@@ -42,6 +42,15 @@
 // Call runs a service call, or returns the answer of the run that an earlier
 // attempt of the same request started. The error is a *Failure.
 func (r *Runner) Call(ctx context.Context, c Call) (endpoint.Answer, error) {
+	began := time.Now()
+	answer, err := r.claimAndExecute(ctx, c)
+	r.logUnknown(c.Request, began, err)
+	return answer, err
+}
+
+// claimAndExecute claims the call and runs it, or returns the answer of the run
+// that it joins.
+func (r *Runner) claimAndExecute(ctx context.Context, c Call) (endpoint.Answer, error) {
 	repeatable := r.Repeatable(c.Service, c.Method, c.Path)
 	ticket, err := r.beginCall(ctx, c, repeatable)
 	if err != nil {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -121,6 +121,7 @@
 		Engines: srv.clients.engines, Services: srv.clients.services,
 		RunFinder: srv.newRunFinder(), RepeatRules: repeatRules{srv.config}, Limits: runLimits(s.Limits), OnEndpointLeaving: srv.setEndpointLeaving,
 		OnError: func(err error) { log.Error().Err(err).Msg("run: background error") },
+		Log:     log,
 	}
 	srv.registerTables()
 	return srv, nil
--- a/test/process/claim_test.go
+++ b/test/process/claim_test.go
@@ -66,11 +66,17 @@
 	return s
 }
 
-// sendAttempt sends one attempt of a call. Each call has a path of its own, by
-// which the service counts its runs.
+// sendAttempt sends one attempt of a call, and logs it if it is not answered. Each
+// call has a path of its own, by which the service counts its runs.
 func (r *callFixture) sendAttempt(in *instance, name string, body any, first bool) response {
-	return call(http.MethodPost, in.callersURL+"/v1/services/rig/"+name, r.key, body,
+	began := time.Now()
+	got := call(http.MethodPost, in.callersURL+"/v1/services/rig/"+name, r.key, body,
 		"Idempotency-Key", name, "X-Session", r.session, "X-First-Attempt", fmt.Sprint(first))
+	if got.status != http.StatusOK {
+		r.t.Logf("%s: attempt of %s at %s from %s on: status %d after %s, error %v, body %s",
+			time.Now().Format(time.TimeOnly), name, in.callersURL, began.Format("15:04:05.000"), got.status, time.Since(began), got.err, got.body)
+	}
+	return got
 }
 
 // runCount returns how many times the service ran a call.
--- a/test/process/harness_test.go
+++ b/test/process/harness_test.go
@@ -81,7 +81,10 @@
 		_ = writer.Close()
 		close(p.exited)
 	}()
-	t.Cleanup(p.kill)
+	t.Cleanup(func() {
+		p.kill()
+		p.saveOutput()
+	})
 	select {
 	case line := <-lines:
 		return p, line
@@ -111,6 +114,18 @@
 
 func (p *process) signal(s os.Signal) { _ = p.cmd.Process.Signal(s) }
 
+// saveOutput writes what the process has printed to the test's artifacts if the test
+// has failed; go test keeps them with -artifacts.
+func (p *process) saveOutput() {
+	if !p.t.Failed() {
+		return
+	}
+	name := fmt.Sprintf("%d-%s.log", p.cmd.Process.Pid, p.cmd.Args[1])
+	if err := os.WriteFile(filepath.Join(p.t.ArtifactDir(), name), []byte(p.output()), 0o600); err != nil {
+		p.t.Error(err)
+	}
+}
+
 // kill ends the process, also while it is stopped by SIGSTOP, and waits for its
 // exit.
 func (p *process) kill() {
