claim: a joined call that has not ended is looked up at its runner

What callers saw: while an instance was frozen, a call got 409 outcome_unknown after 10 s, and every retry of it got the same, for ever; the service had never been sent it (TestCallsRunOnceWhenAnInstanceFreezes, "call meanwhile-0 answered" not in 30 s).

Cause: a claim can be counted without its runner ever learning so: the holder counts it (its witness has it) and freezes before its reply is back. The next holder has the claim from the log; each later attempt joins it, also the runner's own, and waits for a run that nobody has begun. Nothing ended it: takeovers are for repeatable requests, and the report that the attempt was given up reaches the frozen holder, or the next one, which doesn't know the attempt.

Change: every 500 ms an attempt that waits for a joined run has its holder ask the runner. The runner keeps the runs that it was given until the log has their outcome. It answers running, ended with an outcome, or not begun; after the last it refuses the run's ticket should it still come, so the holder may end the run as not run and give the attempt another. The fields are new ones of an existing call: a runner or holder of the build before says nothing of the kind, and the caller is told unknown as before. No record on the log changes.

Why at most one run stays true: only the runner can execute the run, and it decides under one lock whether it has accepted or denied it; before the holder believes it, it reads the log as far as the runner had, where the outcomes are that the runner no longer keeps.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -45,9 +45,10 @@
 	// Minted reports that this instance generated the key, so that no retry can
 	// refer to the request. A minted request that is repeatable needs no claim.
 	Minted bool
-	// Lost is the run that this attempt joined earlier but found at no endpoint. A
-	// repeatable request takes that run over if its runner is unreachable or does
-	// not know it. Empty for none.
+	// Lost is the run that this attempt joined earlier but found at no endpoint, or
+	// that has not ended for some time. A repeatable request takes that run over if
+	// its runner is unreachable or does not know it. Another request gets a new run
+	// if the runner confirms that it has not begun that one. Empty for none.
 	Lost record.RunID
 }
 
@@ -111,12 +112,17 @@
 // longest wait for a new epoch of a shard before its holder is called again.
 const joinPollInterval = 50 * time.Millisecond
 
+// runnerCheckInterval is how long a joined run may go on before its runner is
+// asked about it, and the time between two such questions.
+const runnerCheckInterval = 500 * time.Millisecond
+
 // BeginOrJoin begins a request and, if it joins a run, waits for that run to
 // end: the returned ticket is either the caller's own run or has an outcome. It
 // returns ErrUnknown if the joined run does not end before ctx does, or its
 // runner is unreachable.
 func BeginOrJoin(ctx context.Context, claims Claims, r Request) (Ticket, error) {
 	began := time.Now()
+	lastCheck := began
 	for {
 		ticket, err := claims.Begin(ctx, r)
 		if err != nil || !ticket.Join || ticket.Outcome != 0 {
@@ -127,6 +133,10 @@
 		}
 		// An earlier attempt now exists, whatever the caller said.
 		r.First = false
+		r.Lost = ""
+		if time.Since(lastCheck) >= runnerCheckInterval {
+			r.Lost, lastCheck = ticket.Run, time.Now()
+		}
 		select {
 		case <-time.After(joinPollInterval):
 		case <-ctx.Done():
--- a/internal/claim/client.go
+++ b/internal/claim/client.go
@@ -34,41 +34,16 @@
 	opts        Options
 	notifySlots chan struct{} // Semaphore of the background calls.
 	background  sync.WaitGroup
-
-	mu       sync.Mutex // Guards inFlight.
-	inFlight map[record.RequestKey]localRun
-}
-
-// localRun is what this instance knows about a run that it was given.
-type localRun struct {
-	home       record.Zone
-	run        record.RunID
-	repeatable bool
-	uncounted  bool
-	endpoint   string // Where the run was last sent.
 }
 
 var _ Claims = (*Client)(nil)
 
 // NewClient returns the client of an instance whose own shards are in holder.
-// It gives holder access to the runs in progress at this instance.
 func NewClient(holder *Holder) *Client {
-	c := &Client{
+	return &Client{
 		holder: holder, deps: holder.deps, opts: holder.opts,
 		notifySlots: make(chan struct{}, maxPendingNotifications),
-		inFlight:    map[record.RequestKey]localRun{},
 	}
-	holder.isRunning = c.isRunning
-	return c
-}
-
-// isRunning reports whether this instance was given the run and has not ended
-// it.
-func (c *Client) isRunning(key record.RequestKey, run record.RunID) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	local, ok := c.inFlight[key]
-	return ok && local.run == run
 }
 
 // Close waits for the background notifications of holders to finish.
@@ -81,17 +56,21 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.opts.BeginTimeout)
 	defer cancel()
+	c.holder.runs.beginStarted(r.Key)
+	defer c.holder.runs.beginDone(r.Key)
 	began := time.Now()
-	ticket, err := c.beginWithRetries(ctx, r, uuid.NewString())
-	if err != nil {
-		c.logFailure(r, err, time.Since(began))
-	}
-	if err == nil && !ticket.Join {
-		c.mu.Lock()
-		c.inFlight[r.Key] = localRun{home: r.Home, run: ticket.Run, repeatable: r.Repeatable, uncounted: ticket.Uncounted}
-		c.mu.Unlock()
+	for {
+		ticket, err := c.beginWithRetries(ctx, r, uuid.NewString())
+		if err != nil {
+			c.logFailure(r, err, time.Since(began))
+		}
+		if err != nil || ticket.Join || c.holder.runs.accept(r, ticket) {
+			return ticket, err
+		}
+		// The run was disowned on behalf of another attempt; the holder is about to
+		// release the key for that one.
+		sleep(ctx, joinPollInterval)
 	}
-	return ticket, err
 }
 
 // logFailure logs why a Begin gave no ticket, with the shard's latest epoch in
@@ -171,13 +150,7 @@
 
 // Place implements Claims.
 func (c *Client) Place(_ context.Context, key record.RequestKey, endpoint string) {
-	c.mu.Lock()
-	local, ok := c.inFlight[key]
-	if ok {
-		local.endpoint = endpoint
-		c.inFlight[key] = local
-	}
-	c.mu.Unlock()
+	local, ok := c.holder.runs.place(key, endpoint)
 	if !ok || local.uncounted {
 		return
 	}
@@ -192,10 +165,7 @@
 
 // End implements Claims.
 func (c *Client) End(_ context.Context, key record.RequestKey, end End) {
-	c.mu.Lock()
-	local, ok := c.inFlight[key]
-	delete(c.inFlight, key)
-	c.mu.Unlock()
+	local, ok := c.holder.runs.end(key, end.Outcome)
 	if !ok || local.uncounted {
 		return
 	}
--- a/internal/claim/holder.go
+++ b/internal/claim/holder.go
@@ -47,9 +47,7 @@
 	opts    Options
 	batcher *right.Batcher[Use]
 	witness *right.Service[Use]
-	// isRunning reports whether this instance has a run in progress; NewClient
-	// sets it.
-	isRunning func(record.RequestKey, record.RunID) bool
+	runs    *runTable // The runs that this instance executes.
 
 	ctx        context.Context // Canceled by Close.
 	cancel     context.CancelFunc
@@ -71,8 +69,8 @@
 		batcher: right.NewBatcher[Use](deps.Caller, right.BatcherOptions{
 			WitnessService: WitnessServiceName, CallTimeout: opts.AcknowledgeTimeout, MaxAttempts: maxAcknowledgeAttempts,
 		}),
-		isRunning: func(record.RequestKey, record.RunID) bool { return false },
-		shards:    map[shardID]*shard{}, actionInProgress: map[shardID]bool{}, unreachableSince: map[record.InstanceID]time.Time{},
+		runs:   newRunTable(),
+		shards: map[shardID]*shard{}, actionInProgress: map[shardID]bool{}, unreachableSince: map[record.InstanceID]time.Time{},
 	}
 	h.witness = right.NewService[Use](deps.Self.ID, validator{deps.Partitions}, opts.AcknowledgeTimeout)
 	return h
@@ -129,6 +127,7 @@
 func (h *Holder) tick() {
 	live := h.deps.Members.Live()
 	h.updateUnreachable()
+	h.runs.forgetLogged(h.foldClaim)
 	for n, partition := range h.deps.Partitions {
 		for _, id := range h.shardsToCheck(n, partition) {
 			h.checkShard(id, partition, live)
@@ -375,13 +374,23 @@
 		err = errNotHolder
 	}
 	ticket.RunnerGone = ticket.Join && ticket.Runner != h.deps.Self.ID && !h.deps.Members.Reachable(ticket.Runner)
-	lost := err == nil && ticket.Join && ticket.Outcome == 0 && r.Repeatable && r.Lost == ticket.Run
-	if lost && (ticket.RunnerGone || !h.mayStillRun(ctx, ticket.Runner, r.Key, ticket.Run)) {
+	isLost := err == nil && ticket.Join && ticket.Outcome == 0 && r.Lost == ticket.Run
+	switch {
+	case !isLost:
+	case !r.Repeatable:
+		return h.settleLost(ctx, s, r, attempt, runner, ticket)
+	case ticket.RunnerGone || !h.mayStillRun(ctx, ticket.Runner, r.Key, ticket.Run):
 		return s.takeOver(r, attempt, runner, ticket), nil
 	}
 	return ticket, err
 }
 
+// foldClaim returns this instance's fold's claim of a key.
+func (h *Holder) foldClaim(key record.RequestKey) (c fold.Claim, ok bool) {
+	h.deps.Partitions[record.ClaimPartition(key, len(h.deps.Partitions))].View(func(f *fold.Ledger) { c, ok = f.Claim(key) })
+	return c, ok
+}
+
 // shardIDOf returns the shard of a request, by its home zone and key.
 func (h *Holder) shardIDOf(r Request) shardID {
 	return shardID{Zone: r.Home, Shard: record.ClaimPartition(r.Key, len(h.deps.Partitions))}
--- /dev/null
+++ b/internal/claim/lost_run_test.go
@@ -0,0 +1,86 @@
+package claim_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"guavapier/internal/claim"
+	"guavapier/internal/record"
+)
+
+// callTimeout is how long a caller of the simulation waits for one attempt.
+const callTimeout = 10 * time.Second
+
+// callRequest returns the first attempt of a call that must not be repeated.
+func callRequest() claim.Request {
+	return claim.Request{Key: record.RequestKey{Team: "t", Key: "call"}, Digest: 1, Home: homeZone, First: true}
+}
+
+// attempt makes one attempt of a call at an instance, as package run does.
+func (sim *simFleet) attempt(slot int, r claim.Request) (claim.Ticket, error) {
+	ctx, cancel := context.WithTimeout(sim.ctx, callTimeout)
+	defer cancel()
+	return claim.BeginOrJoin(ctx, sim.instance(slot).client, r)
+}
+
+// loseClaimReply lets an instance claim a call, loses the holder's reply and
+// freezes the holder, so that the next holder finds a claim that its runner was
+// never told of.
+func (sim *simFleet) loseClaimReply(runner, holder int) {
+	sim.apply(op{Kind: opLoseAnswers, A: runner, B: holder}, claim.ModeServe)
+	sim.running.Go(func() {
+		sleep(sim.ctx, 50*time.Millisecond) // Until the witness has the claim.
+		sim.instance(holder).freeze()
+	})
+}
+
+// otherSlots calls play for each pair of a slot that does not hold the shard and
+// the remaining one.
+func otherSlots(t *testing.T, play func(t *testing.T, sim *simFleet, holder, runner, third int)) {
+	t.Helper()
+	for offset := 1; offset < fleetSize; offset++ {
+		t.Run(fmt.Sprint("runner ", offset, " after the holder"), func(t *testing.T) {
+			withSettledFleet(t, func(t *testing.T, sim *simFleet) {
+				holder := sim.holderSlot(t)
+				play(t, sim, holder, (holder+offset)%fleetSize, (holder+fleetSize-offset)%fleetSize)
+			})
+		})
+	}
+}
+
+// TestCallWhoseClaimReplyIsLostWithItsHolderRuns guards against an attempt that
+// joins its own run: the next holder knows the claim, its runner does not, and the
+// caller waited in vain for a run that nobody had begun.
+func TestCallWhoseClaimReplyIsLostWithItsHolderRuns(t *testing.T) {
+	otherSlots(t, func(t *testing.T, sim *simFleet, holder, runner, _ int) {
+		sim.loseClaimReply(runner, holder)
+		ticket, err := sim.attempt(runner, callRequest())
+		if err != nil || ticket.Join {
+			t.Fatalf("ticket %+v, error %v; want a run of its own", ticket, err)
+		}
+	})
+}
+
+// TestCallThatItsRunnerGaveUpRunsElsewhere guards against a claim that stays open
+// for ever: the runner's caller has left before the next holder is there, and a
+// retry at another instance waited in vain for that run.
+func TestCallThatItsRunnerGaveUpRunsElsewhere(t *testing.T) {
+	otherSlots(t, func(t *testing.T, sim *simFleet, holder, runner, third int) {
+		sim.loseClaimReply(runner, holder)
+		ctx, leave := context.WithTimeout(sim.ctx, 500*time.Millisecond)
+		defer leave()
+		if ticket, err := claim.BeginOrJoin(ctx, sim.instance(runner).client, callRequest()); !errors.Is(err, claim.ErrNotCounted) {
+			t.Fatalf("attempt that was given up: ticket %+v, error %v; want %v", ticket, err, claim.ErrNotCounted)
+		}
+		time.Sleep(8 * time.Second) // Until the next holder is there and no report is under way.
+		r := callRequest()
+		r.First = false
+		ticket, err := sim.attempt(third, r)
+		if err != nil || ticket.Join {
+			t.Fatalf("retry at another instance: ticket %+v, error %v; want a run of its own", ticket, err)
+		}
+	})
+}
--- a/internal/claim/service.go
+++ b/internal/claim/service.go
@@ -88,14 +88,28 @@
 // EndReply reports whether the holder knows the run.
 type EndReply struct{ Known bool }
 
-// RunningArgs asks a runner whether it knows a run.
+// RunningArgs asks a runner about a run.
 type RunningArgs struct {
 	Key record.RequestKey
 	Run record.RunID
+	// Disown requires the runner not to begin the run later if it has not begun it.
+	// It is for runs that must not be repeated.
+	Disown bool
 }
 
-// RunningReply reports whether the run is in progress at the runner.
-type RunningReply struct{ Running bool }
+// RunningReply is what a runner knows about a run. NotStarted and Outcome are set
+// with RunningArgs.Disown only.
+type RunningReply struct {
+	// Running reports that the run is in progress.
+	Running bool
+	// NotStarted reports that the run was not begun and will not be.
+	NotStarted bool
+	// Outcome is that of a run that has ended, 0 if the runner does not know it.
+	Outcome record.Outcome
+	// NextOffset is the offset up to which the runner's fold of the claim's
+	// partition may have an outcome that the runner no longer keeps.
+	NextOffset uint64
+}
 
 // Empty is the reply of a method without results.
 type Empty struct{}
@@ -135,10 +149,10 @@
 	return nil
 }
 
-// Running reports whether this instance has the run in progress. The error is
+// Running reports what this instance knows about a run of its own. The error is
 // always nil.
 func (s *Service) Running(args RunningArgs, reply *RunningReply) error {
-	reply.Running = s.holder.isRunning(args.Key, args.Run)
+	*reply = s.holder.localRunState(args)
 	return nil
 }
 
--- a/internal/claim/sim_test.go
+++ b/internal/claim/sim_test.go
@@ -55,6 +55,7 @@
 	ignoreDigest              bool // Request bodies are not compared.
 	rerunJoined               bool // A joined run is run again.
 	unknownFreesKey           bool // A run of unknown outcome frees its key.
+	runnerDeniesRuns          bool // A runner says of each run that it has not begun it.
 }
 
 // simInstance is one instance of a simFleet, with its log replica and claim
@@ -342,6 +343,9 @@
 	case claim.RunningArgs:
 		var out claim.RunningReply
 		_ = service.Running(a, &out)
+		if n.sim.activeDefects.runnerDeniesRuns {
+			out = claim.RunningReply{NotStarted: true}
+		}
 		return func() { *reply.(*claim.RunningReply) = out }
 	case right.AcknowledgeArgs[claim.Use]:
 		var out right.AcknowledgeReply
