claim, run: a call that no holder can decide on yet is tried again, then told when to come back

What callers saw: 409 outcome_unknown without Retry-After after 1.4 s for calls that had up to 10 s and that no service had been sent; a client takes that for final.

Cause: a holder that reaches neither its witness nor the log within 1.3 s can't say "not run" for an attempt that may be a retry: it may have been sealed. It answered "unknown", which the attempt's instance passed on at once, although 3 s are allowed for a claim and the state passes: the witness is being replaced, or the log is slow for a moment.

Change: ErrUndecided is the ErrUnknown whose reason passes. The instance goes on asking the shard's holder until the 3 s of a claim are over; after that the caller gets the same code with Retry-After. Between instances it is a status that older builds read as unknown.

Test before the change: TestCallWaitsWhileTheHolderCannotCountClaims 2 of 2 red (unknown although the outage is over within the 3 s; no sign that the reason passes).

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -30,6 +30,10 @@
 	// ErrUnknown reports that an earlier attempt may have run: it is known to have
 	// run, or this cannot be ruled out.
 	ErrUnknown = eris.New("claim: unknown whether an earlier attempt has run")
+	// ErrUndecided is an ErrUnknown whose reason passes: no holder could decide in
+	// time, or the earlier attempt's run is still going on. A later attempt learns
+	// the outcome, or runs.
+	ErrUndecided = eris.Wrap(ErrUnknown, "claim: not decided in time")
 )
 
 // Request describes one attempt of a request to Begin.
@@ -98,7 +102,7 @@
 // Claims is the interface that package run uses to claim requests.
 type Claims interface {
 	// Begin claims a request or joins its run. It returns ErrKeyReused,
-	// ErrNotCounted or ErrUnknown, after a bounded time even if ctx has no
+	// ErrNotCounted, ErrUnknown or ErrUndecided, after a bounded time even if ctx has no
 	// deadline.
 	Begin(ctx context.Context, r Request) (Ticket, error)
 	// Place records the endpoint that the run is about to be sent to. It does not
@@ -118,8 +122,8 @@
 
 // BeginOrJoin begins a request and, if it joins a run, waits for that run to
 // end: the returned ticket is either the caller's own run or has an outcome. It
-// returns ErrUnknown if the joined run does not end before ctx does, or its
-// runner is unreachable.
+// returns ErrUndecided if the joined run does not end before ctx does, and
+// ErrUnknown if its runner is unreachable.
 func BeginOrJoin(ctx context.Context, claims Claims, r Request) (Ticket, error) {
 	began := time.Now()
 	lastCheck := began
@@ -140,7 +144,7 @@
 		select {
 		case <-time.After(joinPollInterval):
 		case <-ctx.Done():
-			return ticket, eris.Wrapf(ErrUnknown, "claim: run %s at runner %s has not ended after %s", ticket.Run, ticket.Runner, time.Since(began))
+			return ticket, eris.Wrapf(ErrUndecided, "claim: run %s at runner %s has not ended after %s", ticket.Run, ticket.Runner, time.Since(began))
 		}
 	}
 }
--- a/internal/claim/client.go
+++ b/internal/claim/client.go
@@ -89,6 +89,7 @@
 	id := c.holder.shardIDOf(r)
 	partition := c.deps.Partitions[id.Shard]
 	mayBeClaimed := false
+	var lastErr error
 	for ctx.Err() == nil {
 		changed := partition.Changed()
 		latest, ok := latestEpoch(partition, id)
@@ -96,11 +97,12 @@
 		if ok && !latest.Closed {
 			var ticket Ticket
 			ticket, err = c.beginAtHolder(ctx, latest, r, attempt)
-			if !errors.Is(err, errNotHolder) && !errors.Is(err, peer.ErrUnreachable) {
+			if !mayDecideLater(err) {
 				return ticket, err
 			}
 			mayBeClaimed = mayBeClaimed || errors.Is(err, peer.ErrUnreachable) && !errors.Is(err, peer.ErrNotSent)
 		}
+		lastErr = err
 		if r.Repeatable && errors.Is(err, peer.ErrUnreachable) {
 			break
 		}
@@ -109,23 +111,30 @@
 	if mayBeClaimed {
 		c.abortAttempt(r, attempt)
 	}
-	return c.resultWithoutHolder(r)
+	return c.resultWithoutHolder(r, lastErr)
 }
 
-// resultWithoutHolder decides the result of Begin if no holder answers, which
-// happens when zones are partitioned or a shard's takeover is in progress. A
+// mayDecideLater reports whether, after an error of a holder's Begin, the shard's
+// current holder may decide a moment later.
+func mayDecideLater(err error) bool {
+	return errors.Is(err, errNotHolder) || errors.Is(err, peer.ErrUnreachable) || errors.Is(err, ErrUndecided)
+}
+
+// resultWithoutHolder decides the result of Begin if no holder decides, which
+// happens when zones are partitioned, a shard's takeover is in progress, or a
+// holder cannot count claims. lastErr is the last holder's error. A
 // repeatable request runs without a claim, because its bill is idempotent. For
 // other requests the result is ErrNotCounted only if the caller assured that
 // there was no earlier attempt. Otherwise an earlier attempt may have run, and
-// ErrUnknown neither denies that run nor allows a second one.
-func (c *Client) resultWithoutHolder(r Request) (Ticket, error) {
+// ErrUndecided neither denies that run nor allows a second one.
+func (c *Client) resultWithoutHolder(r Request, lastErr error) (Ticket, error) {
 	switch {
 	case r.Repeatable:
 		return Ticket{Run: record.NewRunID(), Runner: c.deps.Self.ID, Uncounted: true}, nil
 	case r.First:
 		return Ticket{}, ErrNotCounted
 	}
-	return Ticket{}, eris.Wrap(ErrUnknown, "claim: no holder answered")
+	return Ticket{}, eris.Wrapf(ErrUndecided, "claim: no holder decided; last error: %v", lastErr)
 }
 
 // beginAtHolder makes one call of Begin to the holder of an epoch. The call to a
--- a/internal/claim/lost_run_test.go
+++ b/internal/claim/lost_run_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"guavapier/internal/claim"
+	"guavapier/internal/fold"
 	"guavapier/internal/record"
 )
 
@@ -84,3 +85,45 @@
 		}
 	})
 }
+
+// witnessSlot returns the slot of the instance that is the shard's witness.
+func (sim *simFleet) witnessSlot(t *testing.T, holder int) int {
+	t.Helper()
+	var latest fold.Shard
+	sim.instance(holder).partition.View(func(l *fold.Ledger) { latest, _ = l.ClaimShard(homeZone, 0) })
+	for slot := range fleetSize {
+		if sim.instance(slot).id == latest.Witness {
+			return slot
+		}
+	}
+	t.Fatalf("witness %q is not an instance of the fleet", latest.Witness)
+	return 0
+}
+
+// TestCallWaitsWhileTheHolderCannotCountClaims guards against an unknown outcome
+// for a call that has time left: the holder reached neither the log nor its
+// witness for a moment, and its first answer ended the call.
+func TestCallWaitsWhileTheHolderCannotCountClaims(t *testing.T) {
+	for outage, want := range map[time.Duration]error{2 * time.Second: nil, 5 * time.Second: claim.ErrUndecided} {
+		t.Run(outage.String(), func(t *testing.T) {
+			withSettledFleet(t, func(t *testing.T, sim *simFleet) {
+				holder := sim.holderSlot(t)
+				witness := sim.witnessSlot(t, holder)
+				sim.instance(witness).freeze()
+				sim.apply(op{Kind: opCutPlatform, A: holder}, claim.ModeServe)
+				sim.running.Go(func() {
+					sleep(sim.ctx, outage)
+					sim.apply(op{Kind: opRestorePlatform, A: holder}, claim.ModeServe)
+					sim.instance(witness).unfreeze()
+				})
+				r := callRequest()
+				r.First = false
+				ticket, err := sim.attempt(fleetSize-holder-witness, r)
+				if !errors.Is(err, want) || err == nil && ticket.Join {
+					t.Fatalf("ticket %+v, error %v; want a run of its own if the outage is short, else %v", ticket, err, want)
+				}
+				time.Sleep(outage)
+			})
+		})
+	}
+}
--- a/internal/claim/service.go
+++ b/internal/claim/service.go
@@ -20,6 +20,8 @@
 	StatusNotCounted
 	StatusUnknown
 	StatusNotHolder
+	// StatusUndecided reads as StatusUnknown for instances that do not know it.
+	StatusUndecided
 )
 
 var statusErrors = map[Status]error{
@@ -27,6 +29,7 @@
 	StatusNotCounted: ErrNotCounted,
 	StatusUnknown:    ErrUnknown,
 	StatusNotHolder:  errNotHolder,
+	StatusUndecided:  ErrUndecided,
 }
 
 func (s Status) err() error {
@@ -40,8 +43,11 @@
 }
 
 func statusOf(err error) Status {
-	if err == nil {
+	switch {
+	case err == nil:
 		return StatusOK
+	case errors.Is(err, ErrUndecided): // It is an ErrUnknown too.
+		return StatusUndecided
 	}
 	for status, known := range statusErrors {
 		if errors.Is(err, known) {
--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -95,7 +95,7 @@
 		select {
 		case <-entry.countingDone:
 		case <-ctx.Done():
-			return Ticket{}, eris.Wrap(ErrUnknown, "claim: another attempt's claim was not counted in time")
+			return Ticket{}, eris.Wrap(ErrUndecided, "claim: another attempt's claim was not counted in time")
 		}
 	}
 }
@@ -225,7 +225,7 @@
 	if r.First || s.witnessConfirms(ctx) {
 		return ErrNotCounted
 	}
-	return eris.Wrap(ErrUnknown, "claim: neither log nor witness stored the claim, and the witness may have sealed the shard")
+	return eris.Wrap(ErrUndecided, "claim: neither log nor witness stored the claim, and the witness may have sealed the shard")
 }
 
 // witnessConfirms reports whether the witness currently acknowledges a use, so
--- a/internal/run/failure.go
+++ b/internal/run/failure.go
@@ -129,6 +129,8 @@
 		return &Failure{Code: CodeKeyReused, Message: "The Idempotency-Key was used with another body."}
 	case errors.Is(err, claim.ErrNotCounted):
 		return &Failure{Code: CodeClaimNotCounted, Message: "The request could not be claimed.", RetryAfter: defaultRetryAfter}
+	case errors.Is(err, claim.ErrUndecided):
+		return &Failure{Code: CodeOutcomeUnknown, Message: "An earlier attempt may have run; a retry can learn its outcome.", RetryAfter: defaultRetryAfter}
 	case errors.Is(err, claim.ErrUnknown):
 		return &Failure{Code: CodeOutcomeUnknown, Message: "An earlier attempt may have run."}
 	case errors.Is(err, endpoint.ErrRejected):
--- a/internal/run/outcome_test.go
+++ b/internal/run/outcome_test.go
@@ -59,3 +59,13 @@
 		})
 	}
 }
+
+// TestUndecidedCallIsAskedToComeBack guards against callers that take an outcome
+// for final which a retry can learn.
+func TestUndecidedCallIsAskedToComeBack(t *testing.T) {
+	for err, comesBack := range map[error]bool{claim.ErrUndecided: true, claim.ErrUnknown: false} {
+		if f := claimFailure(err); f.Outcome != record.OutcomeUnknown || (f.RetryAfter > 0) != comesBack {
+			t.Errorf("failure of %q: %+v, want the outcome unknown and a retry delay: %t", err, f, comesBack)
+		}
+	}
+}
