claim: a holder takes over an end that the runner appended to the log

What callers saw: a retry of a call that had been answered waits its whole 10 s and is told outcome_unknown, for as long as the shard's epoch lasts.

Cause: an instance that can't report a run's end to the holder appends the end to the log. The holder never compared its own row with the log's: in its memory the run went on.

Change: a Begin that finds an open row looks at the log's row of the same run first.

Test before the change: TestHolderLearnsAnEndFromTheLog red in 1 of its 2 cases (the one where the runner isn't the witness).

--- a/internal/claim/lost_run_test.go
+++ b/internal/claim/lost_run_test.go
@@ -127,3 +127,21 @@
 		})
 	}
 }
+
+// TestHolderLearnsAnEndFromTheLog guards against a claim that stays open in the
+// holder's memory: the runner could not report the end to the holder and appended
+// it to the log, and later attempts waited for the run to end.
+func TestHolderLearnsAnEndFromTheLog(t *testing.T) {
+	otherSlots(t, func(t *testing.T, sim *simFleet, holder, runner, _ int) {
+		r := callRequest()
+		mustBegin(t, sim, sim.instance(runner).client, r)
+		sim.apply(op{Kind: opCutLink, A: runner, B: holder}, claim.ModeServe)
+		sim.instance(runner).client.End(sim.ctx, r.Key, claim.End{Outcome: record.OutcomeAnswered})
+		time.Sleep(10 * time.Second) // Until the reports have timed out and the end is on the log.
+		sim.apply(op{Kind: opHealLinks}, claim.ModeServe)
+		r.First = false
+		if ticket, err := sim.attempt(holder, r); err != nil || ticket.Outcome != record.OutcomeAnswered {
+			t.Fatalf("retry at the holder: ticket %+v, error %v; want the outcome answered", ticket, err)
+		}
+	})
+}
--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -106,6 +106,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	logged := s.foldClaim(r.Key)
+	if ended := s.table.adoptLoggedEnd(r.Key, logged); ended != nil {
+		s.heldRight.Drop(right.UseID(ended.claim.Run))
+	}
 	v := s.table.decide(r, attempt, logged, s.opts.Now())
 	entry := s.table.entries[r.Key]
 	switch {
--- a/internal/claim/table.go
+++ b/internal/claim/table.go
@@ -146,6 +146,19 @@
 	return entry
 }
 
+// adoptLoggedEnd takes over an outcome that the runner appended to the log
+// because it could not report it to the holder. It returns the entry that has
+// ended thereby, nil for none. logged is the fold's claim of the key.
+func (t *claimTable) adoptLoggedEnd(key record.RequestKey, logged *fold.Claim) *claimEntry {
+	entry, ok := t.entries[key]
+	if !ok || !entry.counted || entry.outcome != 0 || logged == nil || logged.Run != entry.claim.Run || logged.Outcome == 0 {
+		return nil
+	}
+	entry.outcome = logged.Outcome
+	t.markLogged(entry)
+	return entry
+}
+
 // markLogged marks an ended entry as being on the log, or as not needed there,
 // and evicts the oldest such entries above the bounds.
 func (t *claimTable) markLogged(entry *claimEntry) {
