claim: an end that no holder took is logged once its claim is on the log

What callers saw: a call that was answered, or never sent, is told outcome_unknown for ever once its runner has left, if the shard's holder was lost while it ran.

Cause: when three reports of an end failed, within 0.6 s where the holder's address refuses connections, the runner appended the end to the log and forgot the run. The claim comes to the log later, with the close of the lost holder's epoch (1 s and more), and the fold ignores an end without a claim. The report that an attempt was given up was not repeated at all: the next holder doesn't know the attempt.

For an attempt that was given up it looks for a claim that names it as the runner of a run which it never accepted, refuses that run for good and ends it as not run. An instance that leaves does so at once.

TestLeavingInstanceLogsItsEnds guards what the earlier way had.

--- a/internal/claim/client.go
+++ b/internal/claim/client.go
@@ -15,8 +15,7 @@
 )
 
 const (
-	// maxEndAttempts is how often a run's end is sent to the holder before it is
-	// appended to the log directly.
+	// maxEndAttempts is how often a run's end is sent to the holder.
 	maxEndAttempts = 3
 	// maxPendingNotifications bounds the concurrent background calls to holders;
 	// each reports an end or an endpoint.
@@ -46,8 +45,12 @@
 	}
 }
 
-// Close waits for the background notifications of holders to finish.
-func (c *Client) Close() { c.background.Wait() }
+// Close waits for the background notifications of holders to finish, and logs the
+// ends that none has logged. Call it when no run is left at this instance.
+func (c *Client) Close() {
+	c.background.Wait()
+	c.holder.logLostEnds(0)
+}
 
 // Begin implements Claims.
 func (c *Client) Begin(ctx context.Context, r Request) (Ticket, error) {
@@ -169,7 +172,7 @@
 			return NewService(c.holder).Place(args, nil)
 		}
 		return c.deps.Caller.Call(ctx, to, ServiceName+".Place", args, nil)
-	}, c.holder.shardIDOf(Request{Key: key, Home: local.home}), 1, nil)
+	}, c.holder.shardIDOf(Request{Key: key, Home: local.home}), 1)
 }
 
 // End implements Claims.
@@ -184,24 +187,17 @@
 	}
 	id := c.holder.shardIDOf(Request{Key: key, Home: local.home})
 	args := EndArgs{Home: local.home, Key: key, End: end}
-	c.notifyHolder(c.endReporter(args), id, maxEndAttempts, func() {
-		if local.repeatable {
-			return
-		}
-		// The holder that assigned the run is presumably lost. The close of its
-		// epoch records the claim, so only the end is appended.
-		ctx, cancel := context.WithTimeout(context.Background(), c.opts.BeginTimeout)
-		defer cancel()
-		_, _ = c.deps.Log.Append(ctx, c.deps.Partitions[id.Shard].Stream(),
-			record.ClaimEnd{Key: key, Run: end.Run, Outcome: end.Outcome})
-	})
+	c.notifyHolder(c.endReporter(args), id, maxEndAttempts)
 }
 
 // abortAttempt tells the holder that this instance will not run an attempt
 // whose ticket it may not have received.
 func (c *Client) abortAttempt(r Request, attempt string) {
+	if !r.Repeatable {
+		c.holder.runs.giveUp(r.Key)
+	}
 	args := EndArgs{Home: r.Home, Key: r.Key, Attempt: attempt, End: End{Outcome: record.OutcomeNotRun}}
-	c.notifyHolder(c.endReporter(args), c.holder.shardIDOf(r), maxEndAttempts, nil)
+	c.notifyHolder(c.endReporter(args), c.holder.shardIDOf(r), maxEndAttempts)
 }
 
 // errRunUnknown reports that the holder does not know the run.
@@ -226,15 +222,13 @@
 }
 
 // notifyHolder calls the shard's holder in the background, at most attempts
-// times. It calls onFailure if all attempts fail or maxPendingNotifications
-// calls are already in progress.
-func (c *Client) notifyHolder(call func(context.Context, record.InstanceID) error, id shardID, attempts int, onFailure func()) {
+// times. It does nothing if maxPendingNotifications calls are already in
+// progress: no notification is needed for safety, and the runTable logs the ends
+// that no holder has taken.
+func (c *Client) notifyHolder(call func(context.Context, record.InstanceID) error, id shardID, attempts int) {
 	select {
 	case c.notifySlots <- struct{}{}:
 	default:
-		if onFailure != nil {
-			c.background.Go(onFailure)
-		}
 		return
 	}
 	c.background.Go(func() {
@@ -248,9 +242,6 @@
 			}
 			sleep(ctx, c.opts.TickInterval)
 		}
-		if onFailure != nil {
-			onFailure()
-		}
 	})
 }
 
--- a/internal/claim/holder.go
+++ b/internal/claim/holder.go
@@ -69,7 +69,7 @@
 		batcher: right.NewBatcher[Use](deps.Caller, right.BatcherOptions{
 			WitnessService: WitnessServiceName, CallTimeout: opts.AcknowledgeTimeout, MaxAttempts: maxAcknowledgeAttempts,
 		}),
-		runs:   newRunTable(),
+		runs:   newRunTable(deps.Self.ID, opts.Now),
 		shards: map[shardID]*shard{}, actionInProgress: map[shardID]bool{}, unreachableSince: map[record.InstanceID]time.Time{},
 	}
 	h.witness = right.NewService[Use](deps.Self.ID, validator{deps.Partitions}, opts.AcknowledgeTimeout)
@@ -79,8 +79,17 @@
 // Witness returns the service to register as WitnessServiceName.
 func (h *Holder) Witness() *right.Service[Use] { return h.witness }
 
-// Run checks all shards every Options.TickInterval until ctx ends.
+// Run checks all shards every Options.TickInterval until ctx ends, and beside that
+// the ends of this instance's runs.
 func (h *Holder) Run(ctx context.Context) {
+	var ends sync.WaitGroup
+	defer ends.Wait()
+	ends.Go(func() {
+		for ctx.Err() == nil {
+			h.logLostEnds(endLogDelay)
+			sleep(ctx, endCheckInterval)
+		}
+	})
 	ticker := time.NewTicker(h.opts.TickInterval)
 	defer ticker.Stop()
 	for {
@@ -127,7 +136,6 @@
 func (h *Holder) tick() {
 	live := h.deps.Members.Live()
 	h.updateUnreachable()
-	h.runs.forgetLogged(h.foldClaim)
 	for n, partition := range h.deps.Partitions {
 		for _, id := range h.shardsToCheck(n, partition) {
 			h.checkShard(id, partition, live)
--- a/internal/claim/lost_run_test.go
+++ b/internal/claim/lost_run_test.go
@@ -145,3 +145,71 @@
 		}
 	})
 }
+
+// restart replaces an instance by a new one, which no call to the old one reaches.
+func (sim *simFleet) restart(slot int) { sim.apply(op{Kind: opRestart, A: slot}, claim.ModeServe) }
+
+// TestEndReachesTheLogWithoutItsHolder guards against an end that is lost with the
+// holder: it was appended to the log before the claim, which the close of the
+// holder's epoch adds, and so had no effect. The runner leaves before anyone asks.
+func TestEndReachesTheLogWithoutItsHolder(t *testing.T) {
+	for _, outcome := range []record.Outcome{record.OutcomeAnswered, record.OutcomeNotRun} {
+		t.Run(outcome.String(), func(t *testing.T) {
+			otherSlots(t, func(t *testing.T, sim *simFleet, holder, runner, third int) {
+				r := callRequest()
+				run := mustBegin(t, sim, sim.instance(runner).client, r).Run
+				sim.restart(holder)
+				sim.instance(runner).client.End(sim.ctx, r.Key, claim.End{Outcome: outcome})
+				time.Sleep(15 * time.Second)
+				sim.restart(runner)
+				r.First = false
+				ticket, err := sim.attempt(third, r)
+				switch {
+				case err != nil:
+					t.Fatal(err)
+				case outcome == record.OutcomeAnswered && ticket.Outcome != outcome, outcome == record.OutcomeNotRun && (ticket.Join || ticket.Run == run):
+					t.Fatalf("retry after the runner has left: ticket %+v; the run %s ended as %s", ticket, run, outcome)
+				}
+			})
+		})
+	}
+}
+
+// TestAttemptThatWasGivenUpFreesItsKey is TestCallThatItsRunnerGaveUpRunsElsewhere
+// with a runner that leaves before the retry.
+func TestAttemptThatWasGivenUpFreesItsKey(t *testing.T) {
+	otherSlots(t, func(t *testing.T, sim *simFleet, holder, runner, third int) {
+		sim.loseClaimReply(runner, holder)
+		ctx, leave := context.WithTimeout(sim.ctx, 500*time.Millisecond)
+		defer leave()
+		if ticket, err := claim.BeginOrJoin(ctx, sim.instance(runner).client, callRequest()); err == nil {
+			t.Fatalf("attempt that was given up got the ticket %+v", ticket)
+		}
+		time.Sleep(15 * time.Second)
+		sim.restart(runner)
+		r := callRequest()
+		r.First = false
+		if ticket, err := sim.attempt(third, r); err != nil || ticket.Join {
+			t.Fatalf("retry after the runner has left: ticket %+v, error %v; want a run of its own", ticket, err)
+		}
+	})
+}
+
+// TestLeavingInstanceLogsItsEnds guards against an end that is lost with its
+// runner, which leaves while it cannot reach the holder.
+func TestLeavingInstanceLogsItsEnds(t *testing.T) {
+	otherSlots(t, func(t *testing.T, sim *simFleet, holder, runner, third int) {
+		r := callRequest()
+		mustBegin(t, sim, sim.instance(runner).client, r)
+		time.Sleep(2 * time.Second) // Until the claim is on the log.
+		sim.apply(op{Kind: opCutLink, A: runner, B: holder}, claim.ModeServe)
+		sim.instance(runner).client.End(sim.ctx, r.Key, claim.End{Outcome: record.OutcomeAnswered})
+		sim.instance(runner).client.Close()
+		time.Sleep(time.Second) // Until the holder has read the log.
+		sim.restart(runner)
+		r.First = false
+		if ticket, err := sim.attempt(third, r); err != nil || ticket.Outcome != record.OutcomeAnswered {
+			t.Fatalf("retry after the runner has left: ticket %+v, error %v; want the outcome answered", ticket, err)
+		}
+	})
+}
--- a/internal/claim/options.go
+++ b/internal/claim/options.go
@@ -84,7 +84,7 @@
 	// unnecessary seal costs two appends and a short time without a holder, a late
 	// one keeps callers waiting.
 	UnreachableGracePeriod time.Duration
-	// BeginTimeout bounds one Begin, and the append of an end that no holder took.
+	// BeginTimeout bounds one Begin.
 	BeginTimeout time.Duration
 	// HolderCallTimeout bounds one call to a holder at another instance.
 	HolderCallTimeout time.Duration
--- a/internal/claim/runs.go
+++ b/internal/claim/runs.go
@@ -2,14 +2,25 @@
 
 import (
 	"sync"
+	"time"
 
 	"guavapier/internal/fold"
 	"guavapier/internal/record"
 )
 
-// maxUnloggedEnds bounds the ended runs that a runTable keeps while their
-// outcomes are not on the log.
-const maxUnloggedEnds = 1 << 16
+const (
+	// maxUnloggedEnds bounds the ended runs that a runTable keeps while their
+	// outcomes are not on the log.
+	maxUnloggedEnds = 1 << 16
+	// endLogDelay is how long the holder has to log a run's end before the runner
+	// does so. Reports of ends go on for notifyTimeout.
+	endLogDelay = notifyTimeout
+	// endCheckInterval is the time between two searches for ends to log.
+	endCheckInterval = time.Second
+	// unclaimedTimeout is how long the runner waits for the claim of a run that was
+	// not executed to appear in the fold. A claim that is not on the log needs no end.
+	unclaimedTimeout = time.Minute
+)
 
 // localRun is what this instance knows about a run that it executes.
 type localRun struct {
@@ -20,11 +31,13 @@
 	endpoint   string // Where the run was last sent.
 }
 
-// endedRun is a run that was executed here and whose outcome may not be on the
-// log yet.
+// endedRun is a run that was accepted here and whose outcome may not be on the log
+// yet.
 type endedRun struct {
-	key     record.RequestKey
-	outcome record.Outcome
+	key      record.RequestKey
+	outcome  record.Outcome
+	endedAt  time.Time
+	loggedAt time.Time // When its end was last appended by this instance; zero if never.
 }
 
 // beginsInProgress is the state of one key's calls of Begin at this instance.
@@ -44,17 +57,24 @@
 // A run that must not be repeated stays in the table until the fold has its
 // outcome, unless it ended as not run.
 type runTable struct {
+	self record.InstanceID
+	now  func() time.Time
+
 	mu      sync.Mutex // Guards all below.
 	running map[record.RequestKey]localRun
 	ended   map[record.RunID]endedRun
 	begins  map[record.RequestKey]*beginsInProgress
+	// givenUp contains, by key, when an attempt was given up whose claim a holder
+	// may have counted.
+	givenUp map[record.RequestKey]time.Time
 	// forgotten reports that a run was dropped from ended for lack of space. Runs
 	// that are not in the table may then have been executed.
 	forgotten bool
 }
 
-func newRunTable() *runTable {
+func newRunTable(self record.InstanceID, now func() time.Time) *runTable {
 	return &runTable{
+		self: self, now: now, givenUp: map[record.RequestKey]time.Time{},
 		running: map[record.RequestKey]localRun{}, ended: map[record.RunID]endedRun{}, begins: map[record.RequestKey]*beginsInProgress{},
 	}
 }
@@ -126,18 +146,25 @@
 	return local, ok
 }
 
-// keepEnd keeps the outcome of a run that must not be repeated, unless it was not
-// executed. t.mu must be held.
+// keepEnd keeps the outcome of a run that must not be repeated. t.mu must be held.
 func (t *runTable) keepEnd(key record.RequestKey, local localRun, outcome record.Outcome) {
 	switch {
-	case local.repeatable || local.uncounted || outcome == record.OutcomeNotRun:
+	case local.repeatable || local.uncounted:
 	case len(t.ended) >= maxUnloggedEnds:
-		t.forgotten = true
+		t.forgotten = t.forgotten || outcome != record.OutcomeNotRun
 	default:
-		t.ended[local.run] = endedRun{key: key, outcome: outcome}
+		t.ended[local.run] = endedRun{key: key, outcome: outcome, endedAt: t.now()}
 	}
 }
 
+// giveUp records that an attempt has ended without a ticket although a holder may
+// have counted its claim.
+func (t *runTable) giveUp(key record.RequestKey) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.givenUp[key] = t.now()
+}
+
 // isRunning reports whether this instance executes the run.
 func (t *runTable) isRunning(key record.RequestKey, run record.RunID) bool {
 	t.mu.Lock()
@@ -152,10 +179,15 @@
 func (t *runTable) disown(key record.RequestKey, run record.RunID) runState {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.disownLocked(key, run)
+}
+
+// disownLocked is disown with t.mu held.
+func (t *runTable) disownLocked(key record.RequestKey, run record.RunID) runState {
 	if local, ok := t.running[key]; ok && local.run == run {
 		return runState{running: true}
 	}
-	if ended, ok := t.ended[run]; ok {
+	if ended, ok := t.ended[run]; ok && ended.outcome != record.OutcomeNotRun {
 		return runState{outcome: ended.outcome}
 	}
 	if t.forgotten {
@@ -175,14 +207,56 @@
 	outcome    record.Outcome // Of a run that was executed and has ended.
 }
 
-// forgetLogged drops the ended runs whose outcome the fold has. claimOf returns
-// the fold's claim of a key.
-func (t *runTable) forgetLogged(claimOf func(record.RequestKey) (fold.Claim, bool)) {
+// claimLookup returns the fold's claim of a key.
+type claimLookup func(record.RequestKey) (fold.Claim, bool)
+
+// lostEnds returns the ends that no holder has logged within delay although the
+// fold has their claims, each again after delay. It drops the ended runs whose
+// outcome the fold has.
+func (t *runTable) lostEnds(claimOf claimLookup, delay time.Duration) []record.ClaimEnd {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	var lost []record.ClaimEnd
 	for run, ended := range t.ended {
-		if c, ok := claimOf(ended.key); ok && c.Run == run && c.Outcome != 0 {
+		c, ok := claimOf(ended.key)
+		isClaimed := ok && c.Run == run
+		switch {
+		case isClaimed && c.Outcome != 0, !isClaimed && ended.outcome == record.OutcomeNotRun && t.now().Sub(ended.endedAt) > unclaimedTimeout:
 			delete(t.ended, run)
+		case isClaimed && t.now().Sub(later(ended.endedAt, ended.loggedAt)) >= delay:
+			ended.loggedAt = t.now()
+			t.ended[run] = ended
+			lost = append(lost, record.ClaimEnd{Key: ended.key, Run: run, Outcome: ended.outcome})
+		}
+	}
+	return append(lost, t.lostAttempts(claimOf, delay)...)
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// lostAttempts returns the ends of the runs that this instance was to execute for
+// attempts that it had given up. t.mu must be held.
+func (t *runTable) lostAttempts(claimOf claimLookup, delay time.Duration) []record.ClaimEnd {
+	var lost []record.ClaimEnd
+	for key, since := range t.givenUp {
+		waited := t.now().Sub(since)
+		if waited < delay {
+			continue
+		}
+		c, ok := claimOf(key)
+		isOpen := ok && c.Runner == t.self && c.Outcome == 0
+		if isOpen && t.disownLocked(key, c.Run).notStarted {
+			lost = append(lost, record.ClaimEnd{Key: key, Run: c.Run, Outcome: record.OutcomeNotRun})
+		}
+		if isOpen || waited > unclaimedTimeout {
+			delete(t.givenUp, key)
 		}
 	}
+	return lost
 }
--- a/internal/claim/runs_test.go
+++ b/internal/claim/runs_test.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"testing"
+	"time"
 
 	"guavapier/internal/fold"
 	"guavapier/internal/record"
@@ -21,7 +22,7 @@
 // of a run arrives after its runner has denied the run and the holder has given
 // the key to another attempt.
 func TestDisownedRunIsNotAccepted(t *testing.T) {
-	table := newRunTable()
+	table := newRunTable("a1", time.Now)
 	table.beginStarted(runTestKey)
 	if state := table.disown(runTestKey, "r1"); !state.notStarted {
 		t.Fatalf("state of a run that was not accepted: %+v, want not started", state)
@@ -41,7 +42,7 @@
 // TestEndedRunIsKeptUntilItsOutcomeIsLogged guards against a runner that denies a
 // run that it has executed.
 func TestEndedRunIsKeptUntilItsOutcomeIsLogged(t *testing.T) {
-	table := newRunTable()
+	table := newRunTable("a1", time.Now)
 	if !acceptRun(table, "r1") {
 		t.Fatal("run was not accepted")
 	}
@@ -51,21 +52,43 @@
 	table.end(runTestKey, record.OutcomeAnswered)
 	logged := fold.Claim{Claim: record.Claim{Key: runTestKey, Run: "r1"}}
 	claimOf := func(record.RequestKey) (fold.Claim, bool) { return logged, true }
-	table.forgetLogged(claimOf)
+	table.lostEnds(claimOf, endLogDelay)
 	if state := table.disown(runTestKey, "r1"); state.outcome != record.OutcomeAnswered {
 		t.Fatalf("state of a run whose outcome is not logged: %+v, want answered", state)
 	}
 	logged.Outcome = record.OutcomeAnswered
-	table.forgetLogged(claimOf)
+	table.lostEnds(claimOf, endLogDelay)
 	if len(table.ended) != 0 {
 		t.Fatalf("%d ended runs kept after their outcomes were logged", len(table.ended))
 	}
 }
 
+// TestEndIsLoggedOnceItsClaimIsThere checks when the runner appends an end in the
+// holder's place: never before the claim, and again if the end doesn't get there.
+func TestEndIsLoggedOnceItsClaimIsThere(t *testing.T) {
+	now := time.Unix(0, 0)
+	table := newRunTable("a1", func() time.Time { return now })
+	acceptRun(table, "r1")
+	table.end(runTestKey, record.OutcomeAnswered)
+	claimed := false
+	claimOf := func(record.RequestKey) (fold.Claim, bool) {
+		return fold.Claim{Claim: record.Claim{Key: runTestKey, Run: "r1"}}, claimed
+	}
+	for step, want := range []int{0, 0, 1, 0, 1} {
+		claimed = step >= 2
+		if got := table.lostEnds(claimOf, endLogDelay); len(got) != want {
+			t.Fatalf("step %d, %s after the end: %d ends to log, want %d", step, now.Sub(time.Unix(0, 0)), len(got), want)
+		}
+		if step != 2 {
+			now = now.Add(endLogDelay)
+		}
+	}
+}
+
 // TestRunThatWasNotExecutedIsDenied checks that a run that ended as not run does
 // not block its key.
 func TestRunThatWasNotExecutedIsDenied(t *testing.T) {
-	table := newRunTable()
+	table := newRunTable("a1", time.Now)
 	acceptRun(table, "r1")
 	table.end(runTestKey, record.OutcomeNotRun)
 	if state := table.disown(runTestKey, "r1"); !state.notStarted {
@@ -76,7 +99,7 @@
 // TestFullRunTableDeniesNothing guards against a second run of a call whose
 // outcome did not fit into the table.
 func TestFullRunTableDeniesNothing(t *testing.T) {
-	table := newRunTable()
+	table := newRunTable("a1", time.Now)
 	for n := range maxUnloggedEnds {
 		table.ended[record.RunID(strconv.Itoa(n))] = endedRun{}
 	}
@@ -90,7 +113,7 @@
 // TestSupersededRunIsNotDenied guards against denying a run whose key belongs to
 // another run at this instance, as after a forced close.
 func TestSupersededRunIsNotDenied(t *testing.T) {
-	table := newRunTable()
+	table := newRunTable("a1", time.Now)
 	acceptRun(table, "r1")
 	acceptRun(table, "r2")
 	if state := table.disown(runTestKey, "r1"); state.outcome != record.OutcomeUnknown {
--- a/internal/claim/takeover.go
+++ b/internal/claim/takeover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"guavapier/internal/record"
@@ -120,3 +121,32 @@
 	}
 	return s.partition.AwaitOffset(ctx, offset)
 }
+
+// logLostEnds appends the ends of this instance's runs that no holder has logged
+// within delay. A claim may reach the log after its run has ended, with the close
+// of an epoch whose holder is lost; an end that was appended before it has no
+// effect.
+func (h *Holder) logLostEnds(delay time.Duration) {
+	if !h.deps.Members.PlatformUp() {
+		return
+	}
+	ends := map[int][]record.Record{}
+	for _, end := range h.runs.lostEnds(h.foldClaim, delay) {
+		n := record.ClaimPartition(end.Key, len(h.deps.Partitions))
+		ends[n] = append(ends[n], end)
+	}
+	var appends sync.WaitGroup
+	for n, records := range ends {
+		appends.Go(func() { h.appendLostEnds(h.deps.Partitions[n].Stream(), records) })
+	}
+	appends.Wait()
+}
+
+// appendLostEnds appends ends to the log. runTable returns them again if they do
+// not get there.
+func (h *Holder) appendLostEnds(stream record.Stream, ends []record.Record) {
+	ctx, cancel := context.WithTimeout(h.ctx, h.opts.AppendTimeout)
+	defer cancel()
+	_, err := h.deps.Log.Append(ctx, stream, ends...)
+	h.deps.Logger.Info().Err(err).Str("stream", string(stream)).Int("ends", len(ends)).Msg("claim: ends logged in the holder's place")
+}
