run: a joiner that is given a run of its own executes it

What callers saw: a chat gets 504 no_answer_in_time after 30 s, and so does each retry of it, without end, in a fleet where every instance and engine is healthy.

Cause: a request that reads another attempt's run looks its claim up every 100 ms. If that run ends as not run meanwhile, the lookup gives the request a run of its own. Where 2 s had gone by since the last search just then, the request still went on to search the engines for "the lost run" and named it as lost to the holder. The holder asked the runner, which is this instance and knows the run, and answered: join it. From then on the request and all its retries waited for a run that only that request could execute.

Change: only a joined run is searched for. The error of a run without an endpoint now names the run, its runner and the endpoint, so that a trace shows who was to execute it.

--- a/internal/run/join.go
+++ b/internal/run/join.go
@@ -129,7 +129,8 @@
 		if ticket, err = r.relocate(ctx, c, j.runRequest, locate); err != nil {
 			return j.result, newFailure(err, true)
 		}
-		if ticket.RunnerGone || ticket.Outcome == record.OutcomeAnswered || time.Since(lastSearch) > searchInterval {
+		mayBeLost := ticket.RunnerGone || ticket.Outcome == record.OutcomeAnswered || time.Since(lastSearch) > searchInterval
+		if ticket.Join && mayBeLost {
 			lastSearch = time.Now()
 			if ticket, err = r.searchOrTakeOver(ctx, c, ticket, j, followErr); err != nil {
 				return j.result, newFailure(err, true)
@@ -216,7 +217,7 @@
 func (r *Runner) streamJoined(ctx context.Context, t claim.Ticket, j *joinedRun) error {
 	base, ok := r.Endpoints.URL(t.Endpoint)
 	if !ok {
-		return errNotPlaced
+		return eris.Wrapf(errNotPlaced, "run: run %s of runner %s at endpoint %q", t.Run, t.Runner, t.Endpoint)
 	}
 	ctx, progress := r.watchProgress(ctx, true)
 	defer progress.stop()
--- a/internal/run/takeover_test.go
+++ b/internal/run/takeover_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"testing"
+	"time"
 
+	"guavapier/internal/claim"
 	"guavapier/internal/ledger"
 	"guavapier/internal/record"
 )
@@ -162,3 +164,44 @@
 func (exhaustedBudgets) Reserve(context.Context, record.RequestKey, record.RunID, record.BudgetID, int64) (ledger.Reservation, error) {
 	return ledger.Reservation{}, ledger.ErrExhausted
 }
+
+// releasingClaims frees the key of a joined run, as its owner does that has not
+// executed it, just before the joiner would search the engines for that run.
+type releasingClaims struct {
+	*memoryClaims
+	joinedAt time.Time
+	released bool
+}
+
+func (c *releasingClaims) Begin(ctx context.Context, r claim.Request) (claim.Ticket, error) {
+	const margin = 50 * time.Millisecond // Until the joiner's search interval is over for certain.
+	if c.joinedAt.IsZero() {
+		c.joinedAt = time.Now()
+	}
+	if !c.released && r.Lost == "" && time.Since(c.joinedAt) > searchInterval-margin/2 {
+		c.released = true
+		c.End(ctx, r.Key, claim.End{Outcome: record.OutcomeNotRun})
+		time.Sleep(margin)
+	}
+	return c.memoryClaims.Begin(ctx, r)
+}
+
+// TestJoinerThatGetsTheRunExecutesIt guards against a joiner that is given a new run
+// of its own and takes it for a lost one: it then waited its whole time for a run that
+// it was to execute itself.
+func TestJoinerThatGetsTheRunExecutesIt(t *testing.T) {
+	b := newTestBench(t)
+	claims := &releasingClaims{memoryClaims: b.Claims.(*memoryClaims)}
+	chat := newChat("k", true)
+	if _, err := claims.memoryClaims.Begin(t.Context(), chat.claimRequest(true)); err != nil {
+		t.Fatal(err)
+	}
+	b.Claims = claims
+	got := b.chat(t.Context(), chat, nil)
+	if got.err != nil || got.text != answerTextOf(0, testTokens) {
+		t.Fatalf("text %q, error %v; want the whole answer", got.text, got.err)
+	}
+	if bills := b.billsOf(got.result.Run); len(bills) != 1 {
+		t.Fatalf("bills %v, want one", bills)
+	}
+}
