claim: a runner that is asked about an ended run hands over its answer

Cause: asked about a run whose report of its end was still on its way to the holder, the runner gave the outcome and not the answer; the holder took that for the end and ignored the report that brought the answer.

Change: the runner keeps the answer beside the outcome until the log has the latter, up to the same bounds as a holder, and hands both over.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -64,6 +64,14 @@
 	Body        []byte
 }
 
+// size returns the size of the body in bytes, 0 for nil.
+func (a *Answer) size() int {
+	if a == nil {
+		return 0
+	}
+	return len(a.Body)
+}
+
 // Ticket is the result of Begin: start the run, or join the existing one.
 type Ticket struct {
 	Run record.RunID
--- a/internal/claim/client.go
+++ b/internal/claim/client.go
@@ -177,14 +177,14 @@
 
 // End implements Claims.
 func (c *Client) End(_ context.Context, key record.RequestKey, end End) {
-	local, ok := c.holder.runs.end(key, end.Outcome)
+	if end.Answer.size() > MaxAnswerBytes {
+		end.Answer = nil
+	}
+	local, ok := c.holder.runs.end(key, end.Outcome, end.Answer)
 	if !ok || local.uncounted {
 		return
 	}
 	end.Run, end.Endpoint = local.run, local.endpoint
-	if end.Answer != nil && len(end.Answer.Body) > MaxAnswerBytes {
-		end.Answer = nil
-	}
 	id := c.holder.shardIDOf(Request{Key: key, Home: local.home})
 	args := EndArgs{Home: local.home, Key: key, End: end}
 	c.notifyHolder(c.endReporter(args), id, maxEndAttempts)
--- a/internal/claim/lost_run_test.go
+++ b/internal/claim/lost_run_test.go
@@ -213,3 +213,22 @@
 		}
 	})
 }
+
+// TestRetryGetsTheAnswerFromItsRunner guards against an answer that is lost
+// although its runner has it: the report of the end is under way to a holder that
+// does not answer, and a retry asks the next one.
+func TestRetryGetsTheAnswerFromItsRunner(t *testing.T) {
+	otherSlots(t, func(t *testing.T, sim *simFleet, holder, runner, third int) {
+		r := callRequest()
+		mustBegin(t, sim, sim.instance(runner).client, r)
+		sim.instance(holder).freeze()
+		sim.instance(runner).client.End(sim.ctx, r.Key, claim.End{
+			Outcome: record.OutcomeAnswered, Answer: &claim.Answer{Status: 200, Body: []byte("done")},
+		})
+		r.First = false
+		ticket, err := sim.attempt(third, r)
+		if err != nil || ticket.Outcome != record.OutcomeAnswered || ticket.Answer == nil || string(ticket.Answer.Body) != "done" {
+			t.Fatalf("retry while the holder is frozen: ticket %+v, error %v; want the answer", ticket, err)
+		}
+	})
+}
--- a/internal/claim/runs.go
+++ b/internal/claim/runs.go
@@ -36,6 +36,7 @@
 type endedRun struct {
 	key      record.RequestKey
 	outcome  record.Outcome
+	answer   *Answer // For retries; nil for none.
 	endedAt  time.Time
 	loggedAt time.Time // When its end was last appended by this instance; zero if never.
 }
@@ -63,7 +64,9 @@
 	mu      sync.Mutex // Guards all below.
 	running map[record.RequestKey]localRun
 	ended   map[record.RunID]endedRun
-	begins  map[record.RequestKey]*beginsInProgress
+	// answerBytes is the size of the bodies of the answers in ended.
+	answerBytes int
+	begins      map[record.RequestKey]*beginsInProgress
 	// givenUp contains, by key, when an attempt was given up whose claim a holder
 	// may have counted.
 	givenUp map[record.RequestKey]time.Time
@@ -114,7 +117,7 @@
 		return false
 	}
 	if earlier, ok := t.running[r.Key]; ok && earlier.run != ticket.Run {
-		t.keepEnd(r.Key, earlier, record.OutcomeUnknown) // Its end can no longer be told apart.
+		t.keepEnd(r.Key, earlier, record.OutcomeUnknown, nil) // Its end can no longer be told apart.
 	}
 	t.running[r.Key] = localRun{home: r.Home, run: ticket.Run, repeatable: r.Repeatable, uncounted: ticket.Uncounted}
 	return true
@@ -135,28 +138,39 @@
 
 // end records the outcome of the key's run. It returns false if none is executed
 // here.
-func (t *runTable) end(key record.RequestKey, outcome record.Outcome) (localRun, bool) {
+func (t *runTable) end(key record.RequestKey, outcome record.Outcome, answer *Answer) (localRun, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	local, ok := t.running[key]
 	if ok {
 		delete(t.running, key)
-		t.keepEnd(key, local, outcome)
+		t.keepEnd(key, local, outcome, answer)
 	}
 	return local, ok
 }
 
-// keepEnd keeps the outcome of a run that must not be repeated. t.mu must be held.
-func (t *runTable) keepEnd(key record.RequestKey, local localRun, outcome record.Outcome) {
+// keepEnd keeps the outcome of a run that must not be repeated, and its answer up
+// to maxTotalAnswerBytes for all runs. t.mu must be held.
+func (t *runTable) keepEnd(key record.RequestKey, local localRun, outcome record.Outcome, answer *Answer) {
+	if answer != nil && t.answerBytes+len(answer.Body) > maxTotalAnswerBytes {
+		answer = nil
+	}
 	switch {
 	case local.repeatable || local.uncounted:
 	case len(t.ended) >= maxUnloggedEnds:
 		t.forgotten = t.forgotten || outcome != record.OutcomeNotRun
 	default:
-		t.ended[local.run] = endedRun{key: key, outcome: outcome, endedAt: t.now()}
+		t.ended[local.run] = endedRun{key: key, outcome: outcome, answer: answer, endedAt: t.now()}
+		t.answerBytes += answer.size()
 	}
 }
 
+// forget drops an ended run. t.mu must be held.
+func (t *runTable) forget(run record.RunID) {
+	t.answerBytes -= t.ended[run].answer.size()
+	delete(t.ended, run)
+}
+
 // giveUp records that an attempt has ended without a ticket although a holder may
 // have counted its claim.
 func (t *runTable) giveUp(key record.RequestKey) {
@@ -188,7 +202,7 @@
 		return runState{running: true}
 	}
 	if ended, ok := t.ended[run]; ok && ended.outcome != record.OutcomeNotRun {
-		return runState{outcome: ended.outcome}
+		return runState{outcome: ended.outcome, answer: ended.answer}
 	}
 	if t.forgotten {
 		return runState{}
@@ -205,6 +219,7 @@
 	running    bool
 	notStarted bool           // The run was not begun, or ended as not run, and will not be begun.
 	outcome    record.Outcome // Of a run that was executed and has ended.
+	answer     *Answer        // Of such a run; nil for none.
 }
 
 // claimLookup returns the fold's claim of a key.
@@ -222,7 +237,7 @@
 		isClaimed := ok && c.Run == run
 		switch {
 		case isClaimed && c.Outcome != 0, !isClaimed && ended.outcome == record.OutcomeNotRun && t.now().Sub(ended.endedAt) > unclaimedTimeout:
-			delete(t.ended, run)
+			t.forget(run)
 		case isClaimed && t.now().Sub(later(ended.endedAt, ended.loggedAt)) >= delay:
 			ended.loggedAt = t.now()
 			t.ended[run] = ended
--- a/internal/claim/runs_test.go
+++ b/internal/claim/runs_test.go
@@ -49,7 +49,7 @@
 	if state := table.disown(runTestKey, "r1"); !state.running {
 		t.Fatalf("state of an accepted run: %+v, want running", state)
 	}
-	table.end(runTestKey, record.OutcomeAnswered)
+	table.end(runTestKey, record.OutcomeAnswered, nil)
 	logged := fold.Claim{Claim: record.Claim{Key: runTestKey, Run: "r1"}}
 	claimOf := func(record.RequestKey) (fold.Claim, bool) { return logged, true }
 	table.lostEnds(claimOf, endLogDelay)
@@ -69,7 +69,7 @@
 	now := time.Unix(0, 0)
 	table := newRunTable("a1", func() time.Time { return now })
 	acceptRun(table, "r1")
-	table.end(runTestKey, record.OutcomeAnswered)
+	table.end(runTestKey, record.OutcomeAnswered, nil)
 	claimed := false
 	claimOf := func(record.RequestKey) (fold.Claim, bool) {
 		return fold.Claim{Claim: record.Claim{Key: runTestKey, Run: "r1"}}, claimed
@@ -90,7 +90,7 @@
 func TestRunThatWasNotExecutedIsDenied(t *testing.T) {
 	table := newRunTable("a1", time.Now)
 	acceptRun(table, "r1")
-	table.end(runTestKey, record.OutcomeNotRun)
+	table.end(runTestKey, record.OutcomeNotRun, nil)
 	if state := table.disown(runTestKey, "r1"); !state.notStarted {
 		t.Fatalf("state of a run that ended as not run: %+v, want not started", state)
 	}
@@ -104,7 +104,7 @@
 		table.ended[record.RunID(strconv.Itoa(n))] = endedRun{}
 	}
 	acceptRun(table, "last")
-	table.end(runTestKey, record.OutcomeAnswered)
+	table.end(runTestKey, record.OutcomeAnswered, nil)
 	if state := table.disown(runTestKey, "last"); state != (runState{}) {
 		t.Fatalf("state of a run that did not fit: %+v, want none", state)
 	}
--- a/internal/claim/service.go
+++ b/internal/claim/service.go
@@ -103,8 +103,8 @@
 	Disown bool
 }
 
-// RunningReply is what a runner knows about a run. NotStarted and Outcome are set
-// with RunningArgs.Disown only.
+// RunningReply is what a runner knows about a run. The fields after
+// Running are set with RunningArgs.Disown only.
 type RunningReply struct {
 	// Running reports that the run is in progress.
 	Running bool
@@ -112,6 +112,8 @@
 	NotStarted bool
 	// Outcome is that of a run that has ended, 0 if the runner does not know it.
 	Outcome record.Outcome
+	// Answer is that of an answered run, nil if the runner keeps no copy.
+	Answer *Answer
 	// NextOffset is the offset up to which the runner's fold of the claim's
 	// partition may have an outcome that the runner no longer keeps.
 	NextOffset uint64
--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -275,7 +275,7 @@
 	}
 	s.heldRight.Update(newUse(entry.claim, e.Outcome))
 	end := record.ClaimEnd{Key: key, Run: entry.claim.Run, Outcome: e.Outcome}
-	s.enqueue([]record.Record{entry.claim, end}, func() { s.release(entry) })
+	s.enqueue([]record.Record{entry.claim, end}, func() { s.forget(entry) })
 	return true
 }
 
@@ -285,11 +285,11 @@
 func (s *shard) endRepeatable(entry *claimEntry, e End) {
 	c := s.foldClaim(entry.claim.Key)
 	if c == nil || c.Run != entry.claim.Run {
-		s.release(entry)
+		s.forget(entry)
 		return
 	}
 	end := record.ClaimEnd{Key: entry.claim.Key, Run: entry.claim.Run, Outcome: e.Outcome}
-	s.enqueue([]record.Record{end}, func() { s.release(entry) })
+	s.enqueue([]record.Record{end}, func() { s.forget(entry) })
 }
 
 // endLogged queues the outcome of a run that was claimed in an earlier epoch.
@@ -303,9 +303,9 @@
 	return true
 }
 
-// release drops an entry's use at the witness, as a close need not account for
-// it any more, and lets the table evict the entry.
-func (s *shard) release(entry *claimEntry) {
+// forget drops an entry's use at the witness, as a close need not account for it
+// any more, and lets the table evict the entry.
+func (s *shard) forget(entry *claimEntry) {
 	s.heldRight.Drop(right.UseID(entry.claim.Run))
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/claim/table.go
+++ b/internal/claim/table.go
@@ -171,9 +171,7 @@
 	for len(t.ended) > maxEndedClaims || t.answerBytes > maxTotalAnswerBytes {
 		oldest := t.ended[0]
 		t.ended = t.ended[1:]
-		if oldest.answer != nil {
-			t.answerBytes -= len(oldest.answer.Body)
-		}
+		t.answerBytes -= oldest.answer.size()
 		if t.entries[oldest.claim.Key] == oldest {
 			delete(t.entries, oldest.claim.Key)
 		}
--- a/internal/claim/takeover.go
+++ b/internal/claim/takeover.go
@@ -34,7 +34,7 @@
 	state := h.runs.disown(args.Key, args.Run)
 	partition := h.deps.Partitions[record.ClaimPartition(args.Key, len(h.deps.Partitions))]
 	return RunningReply{
-		Running: state.running, NotStarted: state.notStarted, Outcome: state.outcome, NextOffset: partition.NextOffset(),
+		Running: state.running, NotStarted: state.notStarted, Outcome: state.outcome, Answer: state.answer, NextOffset: partition.NextOffset(),
 	}
 }
 
@@ -77,29 +77,33 @@
 // is ended as not run, so that the attempt gets a new one.
 func (h *Holder) settleLost(ctx context.Context, s *shard, r Request, attempt string, runner record.InstanceID, found Ticket) (Ticket, error) {
 	state, err := h.askRunner(ctx, found.Runner, RunningArgs{Key: r.Key, Run: found.Run, Disown: true})
-	outcome := state.Outcome
-	if state.NotStarted {
-		outcome = record.OutcomeNotRun
-	}
 	h.deps.Logger.Info().Str("key", r.Key.String()).Str("run", string(found.Run)).Str("runner", string(found.Runner)).
 		Str("right", string(s.terms.Right)).Bool("running", state.Running).Bool("not_started", state.NotStarted).
-		Uint8("outcome", uint8(outcome)).AnErr("error", err).Msg("claim: runner asked about a run")
-	if err != nil || outcome == 0 {
+		Uint8("outcome", uint8(state.Outcome)).AnErr("error", err).Msg("claim: runner asked about a run")
+	switch {
+	case err != nil:
+		return found, nil
+	case state.Outcome != 0:
+		s.end(r.Key, "", End{Run: found.Run, Outcome: state.Outcome, Answer: state.Answer})
+		found.Outcome, found.Answer = state.Outcome, state.Answer
+		return found, nil
+	case !state.NotStarted:
 		return found, nil
 	}
-	if err := s.endLost(ctx, r.Key, found.Run, outcome, state.NextOffset); err != nil {
-		h.deps.Logger.Warn().Err(err).Str("run", string(found.Run)).Msg("claim: end of a lost run not stored")
+	if err := s.release(ctx, r.Key, found.Run, state.NextOffset); err != nil {
+		h.deps.Logger.Warn().Err(err).Str("run", string(found.Run)).Msg("claim: key of a run that was not begun is not free yet")
 		return found, nil
 	}
 	r.Lost = ""
 	return h.begin(ctx, r, attempt, runner)
 }
 
-// endLost ends a run on its runner's word. nextOffset is RunningReply.NextOffset:
-// an outcome in the fold up to there takes precedence, because the runner no
-// longer keeps runs whose outcome is on the log. The key of a run that is known
-// from the fold only is free once endLost has returned nil.
-func (s *shard) endLost(ctx context.Context, key record.RequestKey, run record.RunID, outcome record.Outcome, nextOffset uint64) error {
+// release frees the key of a run that its runner has disowned. nextOffset is
+// RunningReply.NextOffset: an outcome in the fold up to there takes precedence,
+// because the runner no longer keeps runs whose outcome is on the log. A run that
+// is known from the fold only holds its key until the fold has its end, since the
+// claim of another run would have no effect before.
+func (s *shard) release(ctx context.Context, key record.RequestKey, run record.RunID, nextOffset uint64) error {
 	if nextOffset > 0 {
 		if err := s.partition.AwaitOffset(ctx, nextOffset-1); err != nil {
 			return err
@@ -112,10 +116,10 @@
 	entry, ok := s.table.entries[key]
 	s.mu.Unlock()
 	if ok && entry.claim.Run == run {
-		s.end(key, "", End{Run: run, Outcome: outcome})
+		s.end(key, "", End{Run: run, Outcome: record.OutcomeNotRun})
 		return nil
 	}
-	offset, err := s.log.Append(ctx, s.partition.Stream(), record.ClaimEnd{Key: key, Run: run, Outcome: outcome})
+	offset, err := s.log.Append(ctx, s.partition.Stream(), record.ClaimEnd{Key: key, Run: run, Outcome: record.OutcomeNotRun})
 	if err != nil {
 		return err
 	}
