run: a chat whose takeover is refused can be taken over again

What callers saw: after an instance was killed, a chat under way there got budget_out_of_reach with Retry-After, and its retry 409 outcome_unknown without one, as would every later retry.

Cause: the attempt had taken the run over, under its ID, from the killed instance; the tokens left were in that instance's grant until its close, so the reservation failed, and nothing was sent. As the previous runner may have executed the run, its claim was ended as unknown, which is final. "Unknown" is right for this caller and wrong for the claim: a chat may be repeated, and nobody executes the run any more.

Change: such a run goes back to its claim without an outcome. Its runner then doesn't know it, so the next attempt takes it over again, under the same ID; the caller is told unknown as before (TestLostRunIsNeverSaidNotToHaveRun). Freeing the key instead was weighed: a retry that fails would then be told "not run" of a run that may have run. A refused takeover is no longer billed its whole reservation: it sent nothing, and what the previous runner sent is billed with that one's reservation. A request with tokens of the run, which can't start it anew, ends as before.

Test before the change: TestTakeoverThatIsRefusedCanBeRepeated 2 of 2 red.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -96,7 +96,8 @@
 // End describes how a run ended.
 type End struct {
 	Run record.RunID
-	// Outcome is final if it is answered or unknown; not run frees the key.
+	// Outcome is final if it is answered or unknown; not run frees the key. 0 gives
+	// a repeatable run up without an outcome, for another attempt to take over.
 	Outcome record.Outcome
 	// Answer is kept for retries if its body has at most MaxAnswerBytes; nil for
 	// none.
--- a/internal/claim/client.go
+++ b/internal/claim/client.go
@@ -181,7 +181,7 @@
 		end.Answer = nil
 	}
 	local, ok := c.holder.runs.end(key, end.Outcome, end.Answer)
-	if !ok || local.uncounted {
+	if !ok || local.uncounted || end.Outcome == 0 {
 		return
 	}
 	end.Run, end.Endpoint = local.run, local.endpoint
--- a/internal/run/chat.go
+++ b/internal/run/chat.go
@@ -45,13 +45,25 @@
 	worstCaseTokens := int64(c.PromptTokens + c.MaxTokens)
 	reserved, err := r.Budgets.Reserve(caller.workCtx, c.Key, run, c.Team.Budget, worstCaseTokens)
 	if err != nil {
-		return ChatResult{}, r.endRun(ctx, c.Key, caller.withCause(err), joined.takenOver, nil)
+		return ChatResult{}, r.endChat(ctx, c.Key, caller.withCause(err), false, joined)
 	}
 	g := newGeneration(c, run, caller)
 	g.continueFrom(joined)
 	err = caller.withCause(r.generate(caller.workCtx, g))
 	r.settleInBackground(ctx, g, reserved, err)
-	return g.result, r.endRun(ctx, c.Key, err, g.mayHaveRun, nil)
+	return g.result, r.endChat(ctx, c.Key, err, g.mayHaveRun, joined)
+}
+
+// endChat is endRun for a chat. executed says that an endpoint may have executed
+// the run for this request. A run that was taken over without tokens and was not
+// executed goes back to the claim without an outcome, so that a retry can take it
+// over again.
+func (r *Runner) endChat(ctx context.Context, key record.RequestKey, err error, executed bool, joined *joinedRun) error {
+	if err != nil && !executed && joined.takenOver && joined.runRequest.ResumeFrom == 0 {
+		r.Claims.End(context.WithoutCancel(ctx), key, claim.End{})
+		return newFailure(err, true)
+	}
+	return r.endRun(ctx, key, err, executed || joined.takenOver, nil)
 }
 
 // endRun reports the run's final outcome to the claim's holder and returns the
@@ -82,7 +94,7 @@
 	// excluded names the endpoints that failed, which are not tried again.
 	excluded []string
 	lastBase string // Base URL of the last endpoint that may have accepted a request.
-	// mayHaveRun says that an endpoint may have executed the run.
+	// mayHaveRun says that an endpoint may have executed the run for this request.
 	mayHaveRun     bool
 	openAttempts   []attempt // Attempts that may still be running.
 	completingBase string    // Base URL of the endpoint that completed the answer.
@@ -98,7 +110,6 @@
 // read from the previous runner's endpoints. The caller has its first token
 // then, so the limit on the wait for it is lifted.
 func (g *generation) continueFrom(joined *joinedRun) {
-	g.mayHaveRun = joined.takenOver
 	if joined.runRequest.ResumeFrom == 0 {
 		return
 	}
--- a/internal/run/run_test.go
+++ b/internal/run/run_test.go
@@ -284,9 +284,13 @@
 	if !ok {
 		return
 	}
-	if end.Outcome == record.OutcomeNotRun {
+	switch end.Outcome {
+	case record.OutcomeNotRun:
 		delete(c.rows, key)
 		return
+	case 0:
+		known.ticket.RunnerGone = true // The runner is asked and does not know the run.
+		return
 	}
 	known.ticket.Outcome, known.ticket.Answer = end.Outcome, end.Answer
 }
--- a/internal/run/settle.go
+++ b/internal/run/settle.go
@@ -14,7 +14,8 @@
 }
 
 // settle bills a run once. A completed answer is billed by its usage, a run that
-// was never sent costs nothing, and any other run is billed by the usage that
+// this request never sent costs nothing (the reservation of a previous runner bills
+// what that one sent), and any other run is billed by the usage that
 // its endpoint reports, or by the whole reservation without such a report. The
 // team never pays more than was reserved, and no executed run is free.
 func (r *Runner) settle(ctx context.Context, g *generation, reserved ledger.Reservation, err error) {
--- a/internal/run/takeover_test.go
+++ b/internal/run/takeover_test.go
@@ -8,6 +8,7 @@
 	"guavapier/internal/claim"
 	"guavapier/internal/ledger"
 	"guavapier/internal/record"
+	"guavapier/internal/standin"
 )
 
 // claimForGoneInstance claims a run for an instance that has failed since. at is the
@@ -157,6 +158,43 @@
 	}
 }
 
+// TestTakeoverThatIsRefusedCanBeRepeated guards against a chat whose retries are
+// told for ever that it may have run, because one attempt took the run over from a
+// lost instance and got no tokens or no endpoint.
+func TestTakeoverThatIsRefusedCanBeRepeated(t *testing.T) {
+	for name, fail := range map[string]func(*testBench) (heal func()){
+		"no endpoint": func(b *testBench) func() {
+			for _, e := range b.engines {
+				e.SetFaults(standin.EngineFaults{Refuse: true})
+			}
+			return func() {
+				for _, e := range b.engines {
+					e.SetFaults(standin.EngineFaults{})
+				}
+			}
+		},
+		"no tokens": func(b *testBench) func() {
+			b.Budgets = exhaustedBudgets{b.recordingBudgets}
+			return func() { b.Budgets = b.recordingBudgets }
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newTestBench(t)
+			chat := newChat("k", true)
+			run := b.claimForGoneInstance(chat, "")
+			heal := fail(b)
+			if f := failureOf(t, b.chat(t.Context(), chat, nil).err); f.Outcome != record.OutcomeUnknown {
+				t.Fatalf("attempt that is refused: got %+v, want the outcome unknown", f)
+			}
+			heal()
+			got := b.chat(t.Context(), chat, nil)
+			if got.err != nil || got.text != answerTextOf(0, testTokens) || got.result.Run != run {
+				t.Fatalf("retry: text %q, error %v; want the whole answer of the same run", got.text, got.err)
+			}
+		})
+	}
+}
+
 // exhaustedBudgets is Budgets in which no tokens are left.
 type exhaustedBudgets struct{ *recordingBudgets }
 
