claim: one missed heartbeat does not end a joined call

What callers saw: 409 outcome_unknown without Retry-After for a call whose first attempt was being answered by a healthy instance at that moment.

Cause: a joined call ended as unknown as soon as the holder counted the run's runner as unreachable, and one heartbeat that isn't answered within 500 ms is enough for that.

Change: the runner must not answer for 1 s, from the first lookup that finds it so; that is what an instance's shards are given up after too. A call of a killed runner is told unknown one second later than before.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -129,19 +129,29 @@
 // asked about it, and the time between two such questions.
 const runnerCheckInterval = 500 * time.Millisecond
 
+// runnerGonePeriod is how long a joined run's runner must not answer before the
+// run's outcome counts as unknown. One missed heartbeat shows nothing.
+const runnerGonePeriod = time.Second
+
 // BeginOrJoin begins a request and, if it joins a run, waits for that run to
 // end: the returned ticket is either the caller's own run or has an outcome. It
 // returns ErrUndecided if the joined run does not end before ctx does, and
-// ErrUnknown if its runner is unreachable.
+// ErrUnknown if its runner has not answered for runnerGonePeriod.
 func BeginOrJoin(ctx context.Context, claims Claims, r Request) (Ticket, error) {
 	began := time.Now()
 	lastCheck := began
+	var goneSince time.Time // When the runner was first found not to answer; zero while it answers.
 	for {
 		ticket, err := claims.Begin(ctx, r)
 		if err != nil || !ticket.Join || ticket.Outcome != 0 {
 			return ticket, err
 		}
-		if ticket.RunnerGone {
+		switch {
+		case !ticket.RunnerGone:
+			goneSince = time.Time{}
+		case goneSince.IsZero():
+			goneSince = time.Now()
+		case time.Since(goneSince) >= runnerGonePeriod:
 			return ticket, eris.Wrapf(ErrUnknown, "claim: runner %s of run %s does not answer", ticket.Runner, ticket.Run)
 		}
 		// An earlier attempt now exists, whatever the caller said.
--- a/internal/claim/lost_run_test.go
+++ b/internal/claim/lost_run_test.go
@@ -232,3 +232,40 @@
 		}
 	})
 }
+
+// TestOneMissedHeartbeatDoesNotEndAJoinedCall guards against an unknown outcome for
+// a call whose runner missed one heartbeat and answered the call a moment later.
+func TestOneMissedHeartbeatDoesNotEndAJoinedCall(t *testing.T) {
+	otherSlots(t, func(t *testing.T, sim *simFleet, _, runner, third int) {
+		r := callRequest()
+		mustBegin(t, sim, sim.instance(runner).client, r)
+		sim.apply(op{Kind: opSuspect, A: runner}, claim.ModeServe)
+		sim.running.Go(func() {
+			sleep(sim.ctx, 500*time.Millisecond)
+			sim.apply(op{Kind: opTrust, A: runner}, claim.ModeServe)
+			sim.instance(runner).client.End(sim.ctx, r.Key, claim.End{Outcome: record.OutcomeAnswered})
+		})
+		r.First = false
+		if ticket, err := sim.attempt(third, r); err != nil || ticket.Outcome != record.OutcomeAnswered {
+			t.Fatalf("retry: ticket %+v, error %v; want the outcome answered", ticket, err)
+		}
+	})
+}
+
+// TestCallOfALostRunnerEndsAtOnce checks that a caller does not wait its whole time
+// for a call whose runner is gone.
+func TestCallOfALostRunnerEndsAtOnce(t *testing.T) {
+	const limit = 2 * time.Second
+	otherSlots(t, func(t *testing.T, sim *simFleet, _, runner, third int) {
+		r := callRequest()
+		mustBegin(t, sim, sim.instance(runner).client, r)
+		sim.killAndClose(runner)
+		time.Sleep(5 * time.Second)
+		r.First = false
+		began := time.Now()
+		ticket, err := sim.attempt(third, r)
+		if took := time.Since(began); !errors.Is(err, claim.ErrUnknown) || errors.Is(err, claim.ErrUndecided) || took > limit {
+			t.Fatalf("retry: ticket %+v, error %v after %s; want %v within %s", ticket, err, took, claim.ErrUnknown, limit)
+		}
+	})
+}
