--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -19,7 +19,8 @@
 // ConnState hook.
 type Connections struct {
 	*net.TCPListener
-	meter *linkload.Meter
+	meter     *linkload.Meter
+	onExpired func(Expiry)
 
 	mu          sync.Mutex
 	idleTimeout time.Duration
@@ -34,9 +35,10 @@
 
 // New wraps a listener. idleTimeout is how long a connection may wait for its next request
 // before CloseIdle closes it. meter counts the bytes of all connections; if nil, they
-// aren't counted.
-func New(listener *net.TCPListener, idleTimeout time.Duration, meter *linkload.Meter) *Connections {
-	return &Connections{TCPListener: listener, meter: meter, idleTimeout: idleTimeout, conns: map[*conn]struct{}{}}
+// aren't counted. onExpired, if not nil, is called for each connection that was closed
+// because it had no request.
+func New(listener *net.TCPListener, idleTimeout time.Duration, meter *linkload.Meter, onExpired func(Expiry)) *Connections {
+	return &Connections{TCPListener: listener, meter: meter, onExpired: onExpired, idleTimeout: idleTimeout, conns: map[*conn]struct{}{}}
 }
 
 // Accept implements net.Listener. In a drain it returns the connections that are still in
@@ -64,11 +66,14 @@
 	return cs.TCPListener.Close()
 }
 
-// remove stops tracking a closed connection.
-func (cs *Connections) remove(c *conn) {
+// remove stops tracking a closed connection, which had expired unless expiry is nil.
+func (cs *Connections) remove(c *conn, expiry *Expiry) {
 	cs.mu.Lock()
-	defer cs.mu.Unlock()
 	delete(cs.conns, c)
+	cs.mu.Unlock()
+	if expiry != nil && cs.onExpired != nil {
+		cs.onExpired(*expiry)
+	}
 }
 
 // Len returns the number of open connections.
--- a/internal/callers/callers_test.go
+++ b/internal/callers/callers_test.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &testServer{conns: callers.New(listener, idleTimeout, nil), handled: map[string]bool{}}
+	s := &testServer{conns: callers.New(listener, idleTimeout, nil, nil), handled: map[string]bool{}}
 	s.server = &http.Server{Handler: s, ConnState: s.conns.ConnState}
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- s.server.Serve(s.conns) }()
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -45,8 +45,8 @@
 	net.Conn // For the remaining methods. Embedding tcp would add its ReadFrom, which bypasses Write.
 	tcp      *net.TCPConn
 	meter    *linkload.Meter
-	// onClose is called by Close.
-	onClose func(*conn)
+	// onClose is called by Close; expiry is nil unless the connection had expired.
+	onClose func(c *conn, expiry *Expiry)
 
 	mu         sync.Mutex
 	phase      phase
@@ -57,11 +57,21 @@
 	// readDeadline is the deadline that net/http set. The one in force differs while expired
 	// is true.
 	readDeadline time.Time
-	// expired reports that the read deadline was set to the past to end the connection.
-	expired bool
+	// expired reports that the read deadline was set to the past to end the connection, and
+	// expiredAt when that was.
+	expired   bool
+	expiredAt time.Time
 }
 
-func newConn(accepted *net.TCPConn, meter *linkload.Meter, onClose func(*conn)) *conn {
+// Expiry describes a connection that was closed because it had no request.
+type Expiry struct {
+	Caller net.Addr
+	// WaitedSince is when the connection was made or its last answer ended, DecidedAt when
+	// its end was decided, and ClosedAt when it was closed.
+	WaitedSince, DecidedAt, ClosedAt time.Time
+}
+
+func newConn(accepted *net.TCPConn, meter *linkload.Meter, onClose func(*conn, *Expiry)) *conn {
 	return &conn{Conn: accepted, tcp: accepted, meter: meter, onClose: onClose, phase: phaseNew, phaseStart: time.Now()}
 }
 
@@ -121,8 +131,19 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
-	defer c.onClose(c)
-	return c.tcp.Close()
+	err := c.tcp.Close()
+	c.onClose(c, c.expiry())
+	return err
+}
+
+// expiry describes the expiry of a closed connection; nil if it had not expired.
+func (c *conn) expiry() *Expiry {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.expired {
+		return nil
+	}
+	return &Expiry{Caller: c.tcp.RemoteAddr(), WaitedSince: c.phaseStart, DecidedAt: c.expiredAt, ClosedAt: time.Now()}
 }
 
 // isExpired reports whether the connection was expired and nothing was read since.
@@ -200,6 +221,6 @@
 // expire sets the read deadline to the past, so that the server's pending or next read fails
 // unless data has arrived. The caller must hold c.mu.
 func (c *conn) expire() {
-	c.expired = true
+	c.expired, c.expiredAt = true, time.Now()
 	_ = c.tcp.SetReadDeadline(time.Unix(1, 0)) // Fails only if the connection is closed already.
 }
--- a/internal/callers/conn_test.go
+++ b/internal/callers/conn_test.go
@@ -17,7 +17,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	cs := New(listener, time.Minute, nil)
+	cs := New(listener, time.Minute, nil, nil)
 	t.Cleanup(func() { _ = cs.Close() })
 	return cs
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -140,7 +140,7 @@
 	g.upstreamPool = upstream.NewPool(upstream.Options{
 		DialWaitTimeout: requestDialTimeout, DialTimeout: maxDialDuration, IdleTimeout: endpointIdleTimeout, Dial: g.linkMeter.WrapDial(upstream.TCPDialer(endpointAckTimeout)),
 	})
-	g.callerConns = callers.New(g.callersListener.(*net.TCPListener), defaultCallerIdleTimeout, &g.linkMeter)
+	g.callerConns = callers.New(g.callersListener.(*net.TCPListener), defaultCallerIdleTimeout, &g.linkMeter, g.logExpiry)
 	p.Store = instrumentedStore{p.Store, g.metrics}
 	g.platform = p
 	g.endpoints = newEndpointTracker(p, s.Store, contact, placement.New(uint64(time.Now().UnixNano()), clock()), g.upstreamPool, clock, g.sampledLog, log)
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -9,11 +9,18 @@
 	"github.com/go-chi/chi/v5"
 
 	"guavapier/internal/allocator"
+	"guavapier/internal/callers"
 	"guavapier/internal/forward"
 	"guavapier/internal/metrics"
 	"guavapier/internal/prepaid"
 )
 
+// logExpiry logs the end of a caller's connection that had no request.
+func (g *Gateway) logExpiry(e callers.Expiry) {
+	g.log.Debug().Stringer("caller", e.Caller).Time("waited_since", e.WaitedSince).Time("decided_at", e.DecidedAt).
+		Time("closed_at", e.ClosedAt).Msg("gateway: idle connection closed")
+}
+
 // registerTablesAndMetrics registers the tables of the state dump and the gauges of the
 // metrics page.
 func (g *Gateway) registerTablesAndMetrics() {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -133,7 +133,7 @@
 	if err != nil {
 		return eris.Wrap(err, "server: listen for callers; give another address if this one is taken")
 	}
-	s.callers = callers.New(listener.(*net.TCPListener), 0, nil) // http.Server's IdleTimeout closes idle connections.
+	s.callers = callers.New(listener.(*net.TCPListener), 0, nil, nil) // http.Server's IdleTimeout closes idle connections.
 	if s.operatorsListener, err = net.Listen("tcp", s.settings.Instance.Operators); err != nil {
 		return eris.Wrap(err, "server: listen for operators; give another address if this one is taken")
 	}
