claim: a runner that answers its holder's question is not gone

What callers saw: 409 outcome_unknown for a joined call although its runner had just said that it hadn't begun the run.

Cause: whether the runner is reachable was taken from heartbeats alone, also where the holder had just asked it. Under load heartbeats miss their 500 ms for longer than the second allowed.

Test before: TestRunnerThatAnswersTheHolderIsNotGone 2 of 2 red.

--- a/internal/claim/lost_run_test.go
+++ b/internal/claim/lost_run_test.go
@@ -252,6 +252,24 @@
 	})
 }
 
+// TestRunnerThatAnswersTheHolderIsNotGone guards against an unknown outcome for a
+// call whose runner misses heartbeats for longer but answers when it is asked.
+func TestRunnerThatAnswersTheHolderIsNotGone(t *testing.T) {
+	otherSlots(t, func(t *testing.T, sim *simFleet, _, runner, third int) {
+		r := callRequest()
+		mustBegin(t, sim, sim.instance(runner).client, r)
+		sim.apply(op{Kind: opSuspect, A: runner}, claim.ModeServe)
+		sim.running.Go(func() {
+			sleep(sim.ctx, 4*time.Second)
+			sim.instance(runner).client.End(sim.ctx, r.Key, claim.End{Outcome: record.OutcomeAnswered})
+		})
+		r.First = false
+		if ticket, err := sim.attempt(third, r); err != nil || ticket.Outcome != record.OutcomeAnswered {
+			t.Fatalf("retry: ticket %+v, error %v; want the outcome answered", ticket, err)
+		}
+	})
+}
+
 // TestCallOfALostRunnerEndsAtOnce checks that a caller does not wait its whole time
 // for a call whose runner is gone.
 func TestCallOfALostRunnerEndsAtOnce(t *testing.T) {
--- a/internal/claim/takeover.go
+++ b/internal/claim/takeover.go
@@ -80,9 +80,11 @@
 	h.deps.Logger.Info().Str("key", r.Key.String()).Str("run", string(found.Run)).Str("runner", string(found.Runner)).
 		Str("right", string(s.terms.Right)).Bool("running", state.Running).Bool("not_started", state.NotStarted).
 		Uint8("outcome", uint8(state.Outcome)).AnErr("error", err).Msg("claim: runner asked about a run")
-	switch {
-	case err != nil:
+	if err != nil {
 		return found, nil
+	}
+	found.RunnerGone = false // It has answered.
+	switch {
 	case state.Outcome != 0:
 		s.end(r.Key, "", End{Run: found.Run, Outcome: state.Outcome, Answer: state.Answer})
 		found.Outcome, found.Answer = state.Outcome, state.Answer
