--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -69,6 +69,9 @@
 	// WaitedSince is when the connection was made or its last answer ended, DecidedAt when
 	// its end was decided, and ClosedAt when it was closed.
 	WaitedSince, DecidedAt, ClosedAt time.Time
+	// UnreadBytes is the size of what had arrived by ClosedAt and was not read: a request
+	// that crossed the close.
+	UnreadBytes int
 }
 
 func newConn(accepted *net.TCPConn, meter *linkload.Meter, onClose func(*conn, *Expiry)) *conn {
@@ -131,19 +134,24 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
+	expiry := c.expiry()
 	err := c.tcp.Close()
-	c.onClose(c, c.expiry())
+	c.onClose(c, expiry)
 	return err
 }
 
-// expiry describes the expiry of a closed connection; nil if it had not expired.
+// expiry describes the expiry of a connection that is about to be closed; nil if it has not
+// expired.
 func (c *conn) expiry() *Expiry {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.expired {
 		return nil
 	}
-	return &Expiry{Caller: c.tcp.RemoteAddr(), WaitedSince: c.phaseStart, DecidedAt: c.expiredAt, ClosedAt: time.Now()}
+	return &Expiry{
+		Caller: c.tcp.RemoteAddr(), WaitedSince: c.phaseStart, DecidedAt: c.expiredAt, ClosedAt: time.Now(),
+		UnreadBytes: unreadBytes(c.tcp),
+	}
 }
 
 // isExpired reports whether the connection was expired and nothing was read since.
--- a/internal/callers/conn_test.go
+++ b/internal/callers/conn_test.go
@@ -131,3 +131,34 @@
 		t.Errorf("a read of the expired connection returns %v, want %v", err, os.ErrDeadlineExceeded)
 	}
 }
+
+// TestAnExpiryTellsOfARequestThatCrossedTheClose checks what is recorded of a request that
+// arrives when the end of its connection has been decided and before the close.
+func TestAnExpiryTellsOfARequestThatCrossedTheClose(t *testing.T) {
+	cs := newConnections(t)
+	var expiries []Expiry
+	cs.onExpired = func(e Expiry) { expiries = append(expiries, e) }
+	for _, sent := range []string{"", "GET / HTTP/1.1"} {
+		server, client := connect(t, cs)
+		server.setIdle(time.Now())
+		server.expireIfNoRequest(time.Now())
+		if _, err := server.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Fatalf("read of an expired connection: %v, want %v", err, os.ErrDeadlineExceeded)
+		}
+		if _, err := io.WriteString(client, sent); err != nil {
+			t.Fatal(err)
+		}
+		for sent != "" && !isReadable(server.tcp) {
+			time.Sleep(time.Millisecond)
+		}
+		_ = server.Close()
+		got := expiries[len(expiries)-1]
+		if got.UnreadBytes != len(sent) || got.Caller.String() != client.LocalAddr().String() || got.DecidedAt.After(got.ClosedAt) {
+			t.Errorf("expiry %+v, want %d unread bytes from %s", got, len(sent), client.LocalAddr())
+		}
+	}
+	answered, _ := connect(t, cs)
+	if _ = answered.Close(); len(expiries) != 2 {
+		t.Errorf("%d expiries, want none of a connection that was closed otherwise", len(expiries))
+	}
+}
--- a/internal/callers/readable.go
+++ b/internal/callers/readable.go
@@ -20,3 +20,20 @@
 	})
 	return err == nil && ready > 0
 }
+
+// unreadBytes returns how many bytes have arrived on a connection and were not read, 0 if
+// that cannot be told.
+func unreadBytes(c syscall.Conn) int {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0 // The connection is closed.
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		n, _ = unix.IoctlGetInt(int(fd), unix.SIOCINQ) // n is 0 on failure.
+	})
+	if err != nil {
+		return 0
+	}
+	return n
+}
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -18,7 +18,7 @@
 // logExpiry logs the end of a caller's connection that had no request.
 func (g *Gateway) logExpiry(e callers.Expiry) {
 	g.log.Debug().Stringer("caller", e.Caller).Time("waited_since", e.WaitedSince).Time("decided_at", e.DecidedAt).
-		Time("closed_at", e.ClosedAt).Msg("gateway: idle connection closed")
+		Time("closed_at", e.ClosedAt).Int("unread_bytes", e.UnreadBytes).Msg("gateway: idle connection closed")
 }
 
 // registerTablesAndMetrics registers the tables of the state dump and the gauges of the
