--- a/internal/claim/runs.go
+++ b/internal/claim/runs.go
@@ -4,23 +4,12 @@
 	"sync"
 	"time"
 
-	"guavapier/internal/fold"
 	"guavapier/internal/record"
 )
 
-const (
-	// maxUnloggedEnds bounds the ended runs that a runTable keeps while their
-	// outcomes are not on the log.
-	maxUnloggedEnds = 1 << 16
-	// endLogDelay is how long the holder has to log a run's end before the runner
-	// does so. Reports of ends go on for notifyTimeout.
-	endLogDelay = notifyTimeout
-	// endCheckInterval is the time between two searches for ends to log.
-	endCheckInterval = time.Second
-	// unclaimedTimeout is how long the runner waits for the claim of a run that was
-	// not executed to appear in the fold. A claim that is not on the log needs no end.
-	unclaimedTimeout = time.Minute
-)
+// maxUnloggedEnds bounds the ended runs that a runTable keeps while their outcomes
+// are not on the log.
+const maxUnloggedEnds = 1 << 16
 
 // localRun is what this instance knows about a run that it executes.
 type localRun struct {
@@ -34,11 +23,10 @@
 // endedRun is a run that was accepted here and whose outcome may not be on the log
 // yet.
 type endedRun struct {
-	key      record.RequestKey
-	outcome  record.Outcome
-	answer   *Answer // For retries; nil for none.
-	endedAt  time.Time
-	loggedAt time.Time // When its end was last appended by this instance; zero if never.
+	key        record.RequestKey
+	outcome    record.Outcome
+	answer     *Answer   // For retries; nil for none.
+	reportedAt time.Time // When the run ended, or this instance last appended its end.
 }
 
 // beginsInProgress is the state of one key's calls of Begin at this instance.
@@ -160,7 +148,7 @@
 	case len(t.ended) >= maxUnloggedEnds:
 		t.forgotten = t.forgotten || outcome != record.OutcomeNotRun
 	default:
-		t.ended[local.run] = endedRun{key: key, outcome: outcome, answer: answer, endedAt: t.now()}
+		t.ended[local.run] = endedRun{key: key, outcome: outcome, answer: answer, reportedAt: t.now()}
 		t.answerBytes += answer.size()
 	}
 }
@@ -187,91 +175,29 @@
 	return ok && local.run == run
 }
 
-// disown returns the state of a run that must not be repeated. If the run was
-// not started here, it never will be: a ticket that is still on its way is not
-// accepted.
-func (t *runTable) disown(key record.RequestKey, run record.RunID) runState {
+// disown returns what this instance knows about a run that must not be repeated;
+// it leaves RunningReply.NextOffset unset. If the run was not started here, it
+// never will be: a ticket that is still on its way is not accepted. The zero value
+// means that the instance does not know.
+func (t *runTable) disown(key record.RequestKey, run record.RunID) RunningReply {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.disownLocked(key, run)
 }
 
 // disownLocked is disown with t.mu held.
-func (t *runTable) disownLocked(key record.RequestKey, run record.RunID) runState {
+func (t *runTable) disownLocked(key record.RequestKey, run record.RunID) RunningReply {
 	if local, ok := t.running[key]; ok && local.run == run {
-		return runState{running: true}
+		return RunningReply{Running: true}
 	}
 	if ended, ok := t.ended[run]; ok && ended.outcome != record.OutcomeNotRun {
-		return runState{outcome: ended.outcome, answer: ended.answer}
+		return RunningReply{Outcome: ended.outcome, Answer: ended.answer}
 	}
 	if t.forgotten {
-		return runState{}
+		return RunningReply{}
 	}
 	if b, ok := t.begins[key]; ok {
 		b.disowned[run] = struct{}{}
 	}
-	return runState{notStarted: true}
-}
-
-// runState is what a runner knows about a run. The zero value means that it does
-// not know.
-type runState struct {
-	running    bool
-	notStarted bool           // The run was not begun, or ended as not run, and will not be begun.
-	outcome    record.Outcome // Of a run that was executed and has ended.
-	answer     *Answer        // Of such a run; nil for none.
-}
-
-// claimLookup returns the fold's claim of a key.
-type claimLookup func(record.RequestKey) (fold.Claim, bool)
-
-// lostEnds returns the ends that no holder has logged within delay although the
-// fold has their claims, each again after delay. It drops the ended runs whose
-// outcome the fold has.
-func (t *runTable) lostEnds(claimOf claimLookup, delay time.Duration) []record.ClaimEnd {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var lost []record.ClaimEnd
-	for run, ended := range t.ended {
-		c, ok := claimOf(ended.key)
-		isClaimed := ok && c.Run == run
-		switch {
-		case isClaimed && c.Outcome != 0, !isClaimed && ended.outcome == record.OutcomeNotRun && t.now().Sub(ended.endedAt) > unclaimedTimeout:
-			t.forget(run)
-		case isClaimed && t.now().Sub(later(ended.endedAt, ended.loggedAt)) >= delay:
-			ended.loggedAt = t.now()
-			t.ended[run] = ended
-			lost = append(lost, record.ClaimEnd{Key: ended.key, Run: run, Outcome: ended.outcome})
-		}
-	}
-	return append(lost, t.lostAttempts(claimOf, delay)...)
-}
-
-// later returns the later of two times.
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
-// lostAttempts returns the ends of the runs that this instance was to execute for
-// attempts that it had given up. t.mu must be held.
-func (t *runTable) lostAttempts(claimOf claimLookup, delay time.Duration) []record.ClaimEnd {
-	var lost []record.ClaimEnd
-	for key, since := range t.givenUp {
-		waited := t.now().Sub(since)
-		if waited < delay {
-			continue
-		}
-		c, ok := claimOf(key)
-		isOpen := ok && c.Runner == t.self && c.Outcome == 0
-		if isOpen && t.disownLocked(key, c.Run).notStarted {
-			lost = append(lost, record.ClaimEnd{Key: key, Run: c.Run, Outcome: record.OutcomeNotRun})
-		}
-		if isOpen || waited > unclaimedTimeout {
-			delete(t.givenUp, key)
-		}
-	}
-	return lost
+	return RunningReply{NotStarted: true}
 }
--- a/internal/claim/service.go
+++ b/internal/claim/service.go
@@ -108,9 +108,11 @@
 type RunningReply struct {
 	// Running reports that the run is in progress.
 	Running bool
-	// NotStarted reports that the run was not begun and will not be.
+	// NotStarted reports that the run was not begun, or ended as not run, and will
+	// not be begun.
 	NotStarted bool
-	// Outcome is that of a run that has ended, 0 if the runner does not know it.
+	// Outcome is that of a run that was executed and has ended, 0 if the runner does
+	// not know it.
 	Outcome record.Outcome
 	// Answer is that of an answered run, nil if the runner keeps no copy.
 	Answer *Answer
--- a/internal/claim/table.go
+++ b/internal/claim/table.go
@@ -13,7 +13,8 @@
 	// MaxAnswerBytes is the size of the largest response body that is kept for
 	// retries.
 	MaxAnswerBytes = 64 << 10
-	// maxTotalAnswerBytes bounds the response bodies kept by one shard.
+	// maxTotalAnswerBytes bounds the response bodies kept by one shard, and those kept
+	// by one runTable.
 	maxTotalAnswerBytes = 4 << 20
 	// maxEndedClaims bounds the ended claims that one shard keeps in memory.
 	maxEndedClaims = 4096
