--- a/internal/claim/lost_run_test.go
+++ b/internal/claim/lost_run_test.go
@@ -27,17 +27,19 @@
 	return claim.BeginOrJoin(ctx, sim.instance(slot).client, r)
 }
 
-// loseClaimReply lets an instance claim a call, loses the holder's reply and
-// freezes the holder, so that the next holder finds a claim that its runner was
-// never told of.
-func (sim *simFleet) loseClaimReply(runner, holder int) {
+// loseClaimReply lets an instance claim a call, loses the holder's reply and then
+// the holder, by a call of lose, so that the next holder finds a claim that its
+// runner was never told of.
+func (sim *simFleet) loseClaimReply(runner, holder int, lose func(holder int)) {
 	sim.apply(op{Kind: opLoseAnswers, A: runner, B: holder}, claim.ModeServe)
 	sim.running.Go(func() {
 		sleep(sim.ctx, 50*time.Millisecond) // Until the witness has the claim.
-		sim.instance(holder).freeze()
+		lose(holder)
 	})
 }
 
+func (sim *simFleet) freeze(slot int) { sim.instance(slot).freeze() }
+
 // otherSlots calls play for each pair of a slot that does not hold the shard and
 // the remaining one.
 func otherSlots(t *testing.T, play func(t *testing.T, sim *simFleet, holder, runner, third int)) {
@@ -56,13 +58,17 @@
 // joins its own run: the next holder knows the claim, its runner does not, and the
 // caller waited in vain for a run that nobody had begun.
 func TestCallWhoseClaimReplyIsLostWithItsHolderRuns(t *testing.T) {
-	otherSlots(t, func(t *testing.T, sim *simFleet, holder, runner, _ int) {
-		sim.loseClaimReply(runner, holder)
-		ticket, err := sim.attempt(runner, callRequest())
-		if err != nil || ticket.Join {
-			t.Fatalf("ticket %+v, error %v; want a run of its own", ticket, err)
-		}
-	})
+	for fault, lose := range map[string]func(*simFleet, int){"frozen": (*simFleet).freeze, "killed": (*simFleet).killAndClose, "restarted": (*simFleet).restart} {
+		t.Run(fault, func(t *testing.T) {
+			otherSlots(t, func(t *testing.T, sim *simFleet, holder, runner, _ int) {
+				sim.loseClaimReply(runner, holder, func(slot int) { lose(sim, slot) })
+				ticket, err := sim.attempt(runner, callRequest())
+				if err != nil || ticket.Join {
+					t.Fatalf("ticket %+v, error %v; want a run of its own", ticket, err)
+				}
+			})
+		})
+	}
 }
 
 // TestCallThatItsRunnerGaveUpRunsElsewhere guards against a claim that stays open
@@ -70,7 +76,7 @@
 // retry at another instance waited in vain for that run.
 func TestCallThatItsRunnerGaveUpRunsElsewhere(t *testing.T) {
 	otherSlots(t, func(t *testing.T, sim *simFleet, holder, runner, third int) {
-		sim.loseClaimReply(runner, holder)
+		sim.loseClaimReply(runner, holder, sim.freeze)
 		ctx, leave := context.WithTimeout(sim.ctx, 500*time.Millisecond)
 		defer leave()
 		if ticket, err := claim.BeginOrJoin(ctx, sim.instance(runner).client, callRequest()); !errors.Is(err, claim.ErrNotCounted) {
@@ -179,7 +185,7 @@
 // with a runner that leaves before the retry.
 func TestAttemptThatWasGivenUpFreesItsKey(t *testing.T) {
 	otherSlots(t, func(t *testing.T, sim *simFleet, holder, runner, third int) {
-		sim.loseClaimReply(runner, holder)
+		sim.loseClaimReply(runner, holder, sim.freeze)
 		ctx, leave := context.WithTimeout(sim.ctx, 500*time.Millisecond)
 		defer leave()
 		if ticket, err := claim.BeginOrJoin(ctx, sim.instance(runner).client, callRequest()); err == nil {
