claim: names of the field for a fenced run

disown is fence, as elsewhere for what must not act any more; a run is started or not started throughout, settleLost is resolveLostRun. Tests of internal/claim green.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -52,7 +52,7 @@
 	// Lost is the run that this attempt joined earlier but found at no endpoint, or
 	// that has not ended for some time. A repeatable request takes that run over if
 	// its runner is unreachable or does not know it. Another request gets a new run
-	// if the runner confirms that it has not begun that one. Empty for none.
+	// if the runner confirms that it has not started that one. Empty for none.
 	Lost record.RunID
 }
 
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -284,13 +284,13 @@
 func TestCheckerSeesBrokenClaims(t *testing.T) {
 	const seeds = 1000
 	for name, enabled := range map[string]defects{
-		"sealed witness acknowledges":     {sealedWitnessAcknowledges: true},
-		"takeover by timeout":             {closeOnSuspicion: true},
-		"unknown said to be not run":      {unknownAsNotRun: true},
-		"bodies not compared":             {ignoreDigest: true},
-		"joined run is run again":         {rerunJoined: true},
-		"unknown outcome frees its key":   {unknownFreesKey: true},
-		"runner denies runs it has begun": {runnerDeniesRuns: true},
+		"sealed witness acknowledges":       {sealedWitnessAcknowledges: true},
+		"takeover by timeout":               {closeOnSuspicion: true},
+		"unknown said to be not run":        {unknownAsNotRun: true},
+		"bodies not compared":               {ignoreDigest: true},
+		"joined run is run again":           {rerunJoined: true},
+		"unknown outcome frees its key":     {unknownFreesKey: true},
+		"runner denies runs it has started": {runnerDeniesRuns: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			gen := rapid.Custom(genOps)
--- a/internal/claim/client.go
+++ b/internal/claim/client.go
@@ -70,7 +70,7 @@
 		if err != nil || ticket.Join || c.holder.runs.accept(r, ticket) {
 			return ticket, err
 		}
-		// The run was disowned on behalf of another attempt; the holder is about to
+		// The run was fenced on behalf of another attempt; the holder is about to
 		// release the key for that one.
 		sleep(ctx, joinPollInterval)
 	}
--- a/internal/claim/holder.go
+++ b/internal/claim/holder.go
@@ -386,7 +386,7 @@
 	switch {
 	case !isLost:
 	case !r.Repeatable:
-		return h.settleLost(ctx, s, r, attempt, runner, ticket)
+		return h.resolveLostRun(ctx, s, r, attempt, runner, ticket)
 	case ticket.RunnerGone || !h.mayStillRun(ctx, ticket.Runner, r.Key, ticket.Run):
 		return s.takeOver(r, attempt, runner, ticket), nil
 	}
--- a/internal/claim/lost_ends.go
+++ b/internal/claim/lost_ends.go
@@ -86,7 +86,7 @@
 		}
 		c, ok := claimOf(key)
 		isOpen := ok && c.Runner == t.self && c.Outcome == 0
-		if isOpen && t.disownLocked(key, c.Run).NotStarted {
+		if isOpen && t.fenceLocked(key, c.Run).NotStarted {
 			lost = append(lost, record.ClaimEnd{Key: key, Run: c.Run, Outcome: record.OutcomeNotRun})
 		}
 		if isOpen || waited > unclaimedTimeout {
--- a/internal/claim/lost_run.go
+++ b/internal/claim/lost_run.go
@@ -26,20 +26,20 @@
 
 // localRunState returns what this instance knows about a run of its own.
 func (h *Holder) localRunState(args RunningArgs) RunningReply {
-	if !args.Disown {
+	if !args.Fence {
 		return RunningReply{Running: h.runs.isRunning(args.Key, args.Run)}
 	}
-	reply := h.runs.disown(args.Key, args.Run)
+	reply := h.runs.fence(args.Key, args.Run)
 	reply.NextOffset = h.deps.Partitions[record.ClaimPartition(args.Key, len(h.deps.Partitions))].NextOffset()
 	return reply
 }
 
-// settleLost decides about a run that must not be repeated and has not ended for
-// some time. Only its runner knows whether it was begun: the reply that gave it
-// the run may be lost, and so may the report of its end. A run that was not begun
+// resolveLostRun decides about a run that must not be repeated and has not ended for
+// some time. Only its runner knows whether it was started: the reply that gave it
+// the run may be lost, and so may the report of its end. A run that was not started
 // is ended as not run, so that the attempt gets a new one.
-func (h *Holder) settleLost(ctx context.Context, s *shard, r Request, attempt string, runner record.InstanceID, found Ticket) (Ticket, error) {
-	state, err := h.askRunner(ctx, found.Runner, RunningArgs{Key: r.Key, Run: found.Run, Disown: true})
+func (h *Holder) resolveLostRun(ctx context.Context, s *shard, r Request, attempt string, runner record.InstanceID, found Ticket) (Ticket, error) {
+	state, err := h.askRunner(ctx, found.Runner, RunningArgs{Key: r.Key, Run: found.Run, Fence: true})
 	h.deps.Logger.Info().Str("key", r.Key.String()).Str("run", string(found.Run)).Str("runner", string(found.Runner)).
 		Str("right", string(s.terms.Right)).Bool("running", state.Running).Bool("not_started", state.NotStarted).
 		Uint8("outcome", uint8(state.Outcome)).AnErr("error", err).Msg("claim: runner asked about a run")
@@ -56,14 +56,14 @@
 		return found, nil
 	}
 	if err := s.release(ctx, r.Key, found.Run, state.NextOffset); err != nil {
-		h.deps.Logger.Warn().Err(err).Str("run", string(found.Run)).Msg("claim: key of a run that was not begun is not free yet")
+		h.deps.Logger.Warn().Err(err).Str("run", string(found.Run)).Msg("claim: key of a run that was not started is not free yet")
 		return found, nil
 	}
 	r.Lost = ""
 	return h.begin(ctx, r, attempt, runner)
 }
 
-// release frees the key of a run that its runner has disowned. nextOffset is
+// release frees the key of a run that its runner has fenced. nextOffset is
 // RunningReply.NextOffset: an outcome in the fold up to there takes precedence,
 // because the runner no longer keeps runs whose outcome is on the log. A run that
 // is known from the fold only holds its key until the fold has its end, since the
--- a/internal/claim/lost_run_test.go
+++ b/internal/claim/lost_run_test.go
@@ -56,7 +56,7 @@
 
 // TestCallWhoseClaimReplyIsLostWithItsHolderRuns guards against an attempt that
 // joins its own run: the next holder knows the claim, its runner does not, and the
-// caller waited in vain for a run that nobody had begun.
+// caller waited in vain for a run that nobody had started.
 func TestCallWhoseClaimReplyIsLostWithItsHolderRuns(t *testing.T) {
 	for fault, lose := range map[string]func(*simFleet, int){"frozen": (*simFleet).freeze, "killed": (*simFleet).killAndClose, "restarted": (*simFleet).restart} {
 		t.Run(fault, func(t *testing.T) {
--- a/internal/claim/runs.go
+++ b/internal/claim/runs.go
@@ -32,17 +32,17 @@
 // beginsInProgress is the state of one key's calls of Begin at this instance.
 type beginsInProgress struct {
 	count int
-	// disowned contains the runs that must not be accepted: this instance has
-	// told the holder that it does not execute them.
-	disowned map[record.RunID]struct{}
+	// fenced contains the runs that must not be accepted: this instance has
+	// told a holder that it has not started them.
+	fenced map[record.RunID]struct{}
 }
 
 // runTable contains the runs that this instance executes. It lets a holder learn
-// whether a run whose outcome it lacks was ever begun. It is safe for concurrent
+// whether a run whose outcome it lacks was ever started. It is safe for concurrent
 // use.
 //
 // Invariants: a run is executed here only after accept has returned true for its
-// ticket. A run that disown has reported as not started is never accepted later.
+// ticket. A run that fence has reported as not started is never accepted later.
 // A run that must not be repeated stays in the table until the fold has its
 // outcome, unless it ended as not run.
 type runTable struct {
@@ -77,14 +77,14 @@
 	defer t.mu.Unlock()
 	b, ok := t.begins[key]
 	if !ok {
-		b = &beginsInProgress{disowned: map[record.RunID]struct{}{}}
+		b = &beginsInProgress{fenced: map[record.RunID]struct{}{}}
 		t.begins[key] = b
 	}
 	b.count++
 }
 
 // beginDone records that a Begin has returned. After the last one of a key no
-// ticket can arrive for its disowned runs.
+// ticket can arrive for its fenced runs.
 func (t *runTable) beginDone(key record.RequestKey) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -96,12 +96,12 @@
 }
 
 // accept records that this instance executes the run of a ticket, and returns
-// false if the run has been disowned. It must be called between beginStarted and
+// false if the run has been fenced. It must be called between beginStarted and
 // beginDone.
 func (t *runTable) accept(r Request, ticket Ticket) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if _, disowned := t.begins[r.Key].disowned[ticket.Run]; disowned {
+	if _, fenced := t.begins[r.Key].fenced[ticket.Run]; fenced {
 		return false
 	}
 	if earlier, ok := t.running[r.Key]; ok && earlier.run != ticket.Run {
@@ -175,18 +175,18 @@
 	return ok && local.run == run
 }
 
-// disown returns what this instance knows about a run that must not be repeated;
+// fence returns what this instance knows about a run that must not be repeated;
 // it leaves RunningReply.NextOffset unset. If the run was not started here, it
 // never will be: a ticket that is still on its way is not accepted. The zero value
 // means that the instance does not know.
-func (t *runTable) disown(key record.RequestKey, run record.RunID) RunningReply {
+func (t *runTable) fence(key record.RequestKey, run record.RunID) RunningReply {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.disownLocked(key, run)
+	return t.fenceLocked(key, run)
 }
 
-// disownLocked is disown with t.mu held.
-func (t *runTable) disownLocked(key record.RequestKey, run record.RunID) RunningReply {
+// fenceLocked is fence with t.mu held.
+func (t *runTable) fenceLocked(key record.RequestKey, run record.RunID) RunningReply {
 	if local, ok := t.running[key]; ok && local.run == run {
 		return RunningReply{Running: true}
 	}
@@ -197,7 +197,7 @@
 		return RunningReply{}
 	}
 	if b, ok := t.begins[key]; ok {
-		b.disowned[run] = struct{}{}
+		b.fenced[run] = struct{}{}
 	}
 	return RunningReply{NotStarted: true}
 }
--- a/internal/claim/runs_test.go
+++ b/internal/claim/runs_test.go
@@ -18,17 +18,17 @@
 	return table.accept(Request{Key: runTestKey}, Ticket{Run: run})
 }
 
-// TestDisownedRunIsNotAccepted guards against a second run of a call: the ticket
+// TestFencedRunIsNotAccepted guards against a second run of a call: the ticket
 // of a run arrives after its runner has denied the run and the holder has given
 // the key to another attempt.
-func TestDisownedRunIsNotAccepted(t *testing.T) {
+func TestFencedRunIsNotAccepted(t *testing.T) {
 	table := newRunTable("a1", time.Now)
 	table.beginStarted(runTestKey)
-	if state := table.disown(runTestKey, "r1"); !state.NotStarted {
+	if state := table.fence(runTestKey, "r1"); !state.NotStarted {
 		t.Fatalf("state of a run that was not accepted: %+v, want not started", state)
 	}
 	if table.accept(Request{Key: runTestKey}, Ticket{Run: "r1"}) {
-		t.Fatal("disowned run was accepted")
+		t.Fatal("fenced run was accepted")
 	}
 	if !table.accept(Request{Key: runTestKey}, Ticket{Run: "r2"}) {
 		t.Fatal("another run of the key was not accepted")
@@ -46,14 +46,14 @@
 	if !acceptRun(table, "r1") {
 		t.Fatal("run was not accepted")
 	}
-	if state := table.disown(runTestKey, "r1"); !state.Running {
+	if state := table.fence(runTestKey, "r1"); !state.Running {
 		t.Fatalf("state of an accepted run: %+v, want running", state)
 	}
 	table.end(runTestKey, record.OutcomeAnswered, nil)
 	logged := fold.Claim{Claim: record.Claim{Key: runTestKey, Run: "r1"}}
 	claimOf := func(record.RequestKey) (fold.Claim, bool) { return logged, true }
 	table.lostEnds(claimOf, endLogDelay)
-	if state := table.disown(runTestKey, "r1"); state.Outcome != record.OutcomeAnswered {
+	if state := table.fence(runTestKey, "r1"); state.Outcome != record.OutcomeAnswered {
 		t.Fatalf("state of a run whose outcome is not logged: %+v, want answered", state)
 	}
 	logged.Outcome = record.OutcomeAnswered
@@ -91,7 +91,7 @@
 	table := newRunTable("a1", time.Now)
 	acceptRun(table, "r1")
 	table.end(runTestKey, record.OutcomeNotRun, nil)
-	if state := table.disown(runTestKey, "r1"); !state.NotStarted {
+	if state := table.fence(runTestKey, "r1"); !state.NotStarted {
 		t.Fatalf("state of a run that ended as not run: %+v, want not started", state)
 	}
 }
@@ -105,7 +105,7 @@
 	}
 	acceptRun(table, "last")
 	table.end(runTestKey, record.OutcomeAnswered, nil)
-	if state := table.disown(runTestKey, "last"); state != (RunningReply{}) {
+	if state := table.fence(runTestKey, "last"); state != (RunningReply{}) {
 		t.Fatalf("state of a run that did not fit: %+v, want none", state)
 	}
 }
@@ -116,7 +116,7 @@
 	table := newRunTable("a1", time.Now)
 	acceptRun(table, "r1")
 	acceptRun(table, "r2")
-	if state := table.disown(runTestKey, "r1"); state.Outcome != record.OutcomeUnknown {
+	if state := table.fence(runTestKey, "r1"); state.Outcome != record.OutcomeUnknown {
 		t.Fatalf("state of the earlier run: %+v, want an unknown outcome", state)
 	}
 }
--- a/internal/claim/service.go
+++ b/internal/claim/service.go
@@ -98,18 +98,18 @@
 type RunningArgs struct {
 	Key record.RequestKey
 	Run record.RunID
-	// Disown requires the runner not to begin the run later if it has not begun it.
+	// Fence requires the runner not to begin the run later if it has not begun it.
 	// It is for runs that must not be repeated.
-	Disown bool
+	Fence bool
 }
 
 // RunningReply is what a runner knows about a run. The fields after
-// Running are set with RunningArgs.Disown only.
+// Running are set with RunningArgs.Fence only.
 type RunningReply struct {
 	// Running reports that the run is in progress.
 	Running bool
-	// NotStarted reports that the run was not begun, or ended as not run, and will
-	// not be begun.
+	// NotStarted reports that the run was not started, or ended as not run, and will
+	// not be started.
 	NotStarted bool
 	// Outcome is that of a run that was executed and has ended, 0 if the runner does
 	// not know it.
--- a/internal/claim/sim_test.go
+++ b/internal/claim/sim_test.go
@@ -55,7 +55,7 @@
 	ignoreDigest              bool // Request bodies are not compared.
 	rerunJoined               bool // A joined run is run again.
 	unknownFreesKey           bool // A run of unknown outcome frees its key.
-	runnerDeniesRuns          bool // A runner says of each run that it has not begun it.
+	runnerDeniesRuns          bool // A runner says of each run that it has not started it.
 }
 
 // simInstance is one instance of a simFleet, with its log replica and claim
