gateway: a woken instance goes by the clock when it refuses late requests of a drain

What callers saw: a request to a draining instance ends without an answer at the end of the drain, though it came after the time from which what may outlast the drain is refused, so that another instance runs it.

Cause: the refusals began when a timer fired. A process that is stopped past that moment reads the requests that have come in beside its timers, and some before them.

Change: the drain stores from when on requests are bound by its end, and each request asks the clock. Nothing else of the drain changes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -111,9 +111,9 @@
 	callerConns      *callers.Connections // Open connections of callers.
 	exitDeadline     time.Time            // When the process is killed; set by shutdown.
 	isDraining       atomic.Bool
-	requestCutoff    atomic.Pointer[time.Time] // End of the drain; set in its last part.
-	abortingRequests atomic.Bool               // Requests in flight are being aborted at the end of the drain.
-	inFlight         atomic.Int64              // Number of callers' requests being served.
+	requestCutoff    atomic.Pointer[requestCutoff] // Set at the start of a drain.
+	abortingRequests atomic.Bool                   // Requests in flight are being aborted at the end of the drain.
+	inFlight         atomic.Int64                  // Number of callers' requests being served.
 	metrics          *metrics.Registry
 	tables           *state.Registry
 
@@ -224,13 +224,25 @@
 	return &prober{endpoints: g.endpoints.placementTable, pool: g.upstreamPool, clock: g.clock, log: g.sampledLog}
 }
 
+// requestCutoff is the end of a drain, which binds the requests that arrive from a certain
+// time on.
+type requestCutoff struct {
+	bindsFrom, at time.Time
+}
+
+// timeAt returns when requests that arrive at now are aborted, the zero time for never. It
+// goes by the clock: a process that was stopped reads requests before its timers fire.
+func (c *requestCutoff) timeAt(now time.Time) time.Time {
+	if c == nil || now.Before(c.bindsFrom) {
+		return time.Time{}
+	}
+	return c.at
+}
+
 // requestCutoffTime returns when requests in flight are aborted, in the last part of a
 // drain; before it, the zero time.
 func (g *Gateway) requestCutoffTime() time.Time {
-	if at := g.requestCutoff.Load(); at != nil {
-		return *at
-	}
-	return time.Time{}
+	return g.requestCutoff.Load().timeAt(time.Now())
 }
 
 // isReady reports whether the load balancer should send callers to this instance. Losing
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -82,8 +82,9 @@
 	g.isDraining.Store(true)
 	g.log.Info().Int64("under_way", g.inFlight.Load()).Msg("gateway: draining")
 	lastCallers := g.settings.Drain.LastCallers.D()
-	logstore.Pause(context.Background(), g.settings.Drain.Unready.D()-lastCallers, nil)
-	g.requestCutoff.Store(&deadline)
+	takingAll := g.settings.Drain.Unready.D() - lastCallers
+	g.requestCutoff.Store(&requestCutoff{bindsFrom: time.Now().Add(takingAll), at: deadline})
+	logstore.Pause(context.Background(), takingAll, nil)
 	g.log.Info().Time("ends", deadline).Msg("gateway: refusing requests that may outlast the drain")
 	logstore.Pause(context.Background(), lastCallers, nil)
 	drainCtx, cancel := context.WithDeadline(context.Background(), deadline)
