run: a refused takeover gives the run back also after tokens were read

A request for a whole answer has read such a part without its caller having any of it; a retry of it may well take the run over.

Change: whether tokens were read no longer matters for the claim. A caller that resumes from a part can't take the run over; where the runner doesn't know the run, it gives it back in turn and is told run_gone instead of waiting its whole time.

Test before: TestTakeoverThatIsRefusedAfterTokensCanBeRepeated red ("retry from a part" and the retry: outcome_unknown).

--- a/internal/run/chat.go
+++ b/internal/run/chat.go
@@ -55,11 +55,10 @@
 }
 
 // endChat is endRun for a chat. executed says that an endpoint may have executed
-// the run for this request. A run that was taken over without tokens and was not
-// executed goes back to the claim without an outcome, so that a retry can take it
-// over again.
+// the run for this request. A run that was taken over and not executed goes back
+// to the claim without an outcome, so that a retry can take it over again.
 func (r *Runner) endChat(ctx context.Context, key record.RequestKey, err error, executed bool, joined *joinedRun) error {
-	if err != nil && !executed && joined.takenOver && joined.runRequest.ResumeFrom == 0 {
+	if err != nil && !executed && joined.takenOver {
 		r.Claims.End(context.WithoutCancel(ctx), key, claim.End{})
 		return newFailure(err, true)
 	}
--- a/internal/run/join.go
+++ b/internal/run/join.go
@@ -171,12 +171,14 @@
 		return ticket, claim.ErrUnknown
 	case c.ResumeFrom.Tokens > 0 && ticket.RunnerGone:
 		return ticket, errRunGone
-	case c.ResumeFrom.Tokens > 0:
-		return ticket, nil
 	}
 	request := c.claimRequest(true)
 	request.Lost = ticket.Run
 	newTicket, err := r.Claims.Begin(ctx, request)
+	if err == nil && !newTicket.Join && newTicket.Run == ticket.Run && c.ResumeFrom.Tokens > 0 {
+		r.Claims.End(ctx, c.Key, claim.End{}) // For a request that reads the answer from its start.
+		return newTicket, errRunGone
+	}
 	if err == nil && newTicket.Run != ticket.Run && j.runRequest.ResumeFrom > 0 {
 		if !newTicket.Join {
 			r.Claims.End(ctx, c.Key, claim.End{Outcome: record.OutcomeNotRun})
--- a/internal/run/run_test.go
+++ b/internal/run/run_test.go
@@ -244,6 +244,8 @@
 type claimRow struct {
 	digest uint64
 	ticket claim.Ticket
+	// isIdle says that the runner answers and does not know the run.
+	isIdle bool
 }
 
 // Begin implements claim.Claims.
@@ -258,7 +260,8 @@
 	if existing.digest != r.Digest {
 		return claim.Ticket{}, claim.ErrKeyReused
 	}
-	if existing.ticket.RunnerGone && r.Lost == existing.ticket.Run {
+	if (existing.ticket.RunnerGone || existing.isIdle) && r.Lost == existing.ticket.Run {
+		existing.isIdle = false
 		existing.ticket.Runner, existing.ticket.RunnerGone, existing.ticket.Endpoint = "a1", false, ""
 		return existing.ticket, nil
 	}
@@ -289,7 +292,7 @@
 		delete(c.rows, key)
 		return
 	case 0:
-		known.ticket.RunnerGone = true // The runner is asked and does not know the run.
+		known.isIdle = true
 		return
 	}
 	known.ticket.Outcome, known.ticket.Answer = end.Outcome, end.Answer
--- a/internal/run/takeover_test.go
+++ b/internal/run/takeover_test.go
@@ -195,6 +195,31 @@
 	}
 }
 
+// TestTakeoverThatIsRefusedAfterTokensCanBeRepeated is the same for an attempt that has
+// read a part of the answer before the run's endpoint failed too. A caller that resumes
+// from such a part is told at once that it can't be continued.
+func TestTakeoverThatIsRefusedAfterTokensCanBeRepeated(t *testing.T) {
+	b := newTestBench(t)
+	chat := newChat("k", true)
+	run := b.claimForGoneInstance(chat, "e1")
+	b.startRunAt(chat, run, "e1")
+	b.Budgets = exhaustedBudgets{b.recordingBudgets}
+	refused := b.chat(t.Context(), chat, func(token int) { b.killAt(token, testTokens/2, 0) })
+	if f := failureOf(t, refused.err); f.Outcome != record.OutcomeUnknown || refused.text == "" {
+		t.Fatalf("attempt that is refused: text %q, %+v; want a part and the outcome unknown", refused.text, f)
+	}
+	b.Budgets = b.recordingBudgets
+	resumed := chat
+	resumed.ResumeFrom = ResumePosition{Run: run, Tokens: 3}
+	if f := failureOf(t, b.chat(t.Context(), resumed, nil).err); f.Code != CodeRunGone {
+		t.Fatalf("retry from a part: %+v, want run_gone", f)
+	}
+	got := b.chat(t.Context(), chat, nil)
+	if got.err != nil || got.text != answerTextOf(0, testTokens) || got.result.Run != run {
+		t.Fatalf("retry: text %q, error %v; want the whole answer of the same run", got.text, got.err)
+	}
+}
+
 // exhaustedBudgets is Budgets in which no tokens are left.
 type exhaustedBudgets struct{ *recordingBudgets }
 
