gateway: logs and gauges tell how many of a service's endpoints are unreachable

A line when a service's endpoints become unreachable from the instance, some or all, or reachable again, and the gauges gateway.endpoints and gateway.endpoints_unreachable. No decision changes.

--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -12,6 +12,7 @@
 	"guavapier/internal/callers"
 	"guavapier/internal/forward"
 	"guavapier/internal/metrics"
+	"guavapier/internal/placement"
 	"guavapier/internal/prepaid"
 )
 
@@ -36,12 +37,29 @@
 	g.metrics.Gauge(metrics.GatewayStateAge, func() int64 { return g.stateFreshness.age().Milliseconds() })
 	g.metrics.Gauge(metrics.GatewayEndpointsAge, func() int64 { return g.endpoints.freshness.age().Milliseconds() })
 	g.metrics.Gauge(metrics.GatewayQuarantinedRequests, func() int64 { return g.quarantine.Table.CountQuarantined(time.Now()) })
+	g.registerReachGauges()
 	g.registerBudgetGauges()
 	if g.platform.LinesDropped != nil {
 		g.metrics.Gauge(metrics.GatewayLinesDropped, g.platform.LinesDropped)
 	}
 }
 
+// registerReachGauges registers gauges of the endpoints of all services.
+func (g *Gateway) registerReachGauges() {
+	for name, value := range map[string]func(placement.Reach) int{
+		metrics.GatewayEndpoints:            func(r placement.Reach) int { return r.Listed },
+		metrics.GatewayEndpointsUnreachable: func(r placement.Reach) int { return r.Unreachable },
+	} {
+		g.metrics.Gauge(name, func() int64 {
+			sum := 0
+			for _, reach := range g.endpoints.placementTable.ReachByService() {
+				sum += value(reach)
+			}
+			return int64(sum)
+		})
+	}
+}
+
 // zoneView is what a state dump shows of the instance's role in its availability zone and
 // of the zone's allocators: those announced, and those of them that answer.
 type zoneView struct {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -48,6 +48,7 @@
 // expiry of connections and endpoints, and the instance's share of the retry budget.
 func (g *Gateway) runHousekeeping(ctx context.Context) {
 	droppedLines, outdated := int64(0), false
+	reach := &reachLogger{log: g.log, levels: map[string]reachLevel{}}
 	for ctx.Err() == nil {
 		logstore.Pause(ctx, housekeepingInterval, nil)
 		droppedLines = g.logDroppedLines(droppedLines)
@@ -55,6 +56,7 @@
 		g.upstreamPool.CloseExpired()
 		g.updateLinkLoad()
 		g.endpoints.sweep()
+		reach.update(g.endpoints.placementTable.ReachByService())
 		g.callerConns.CloseIdle()
 		g.retryLimiter.SetInstances(g.budgets.Accounts.Instances())
 	}
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -2,22 +2,24 @@
 
 // Names of the metrics of a gateway instance.
 const (
-	GatewayRequests            = "gateway.requests"
-	GatewayAttempts            = "gateway.attempts"
-	GatewayLatency             = "gateway.latency"
-	GatewayHeaderLatency       = "gateway.first"
-	GatewayInstances           = "gateway.instances"
-	GatewayStateVersion        = "gateway.state_version"
-	GatewayStateAge            = "gateway.state_age"
-	GatewayEndpointsAge        = "gateway.endpoints_age"
-	GatewayQuarantinedRequests = "gateway.requests_held_back"
-	GatewayLinesDropped        = "gateway.lines_dropped"
-	GatewayBudgetHeld          = "gateway.budget_held"
-	GatewayBudgetUsed          = "gateway.budget_used"
-	GatewayBudgetLost          = "gateway.budget_lost"
-	GatewayBudgetReadAge       = "gateway.budget_read_age"
-	GatewayBudgetRenewalAge    = "gateway.budget_touch_age"
-	GatewayBudgetReclaimed     = "gateway.budget_reclaimed"
+	GatewayRequests             = "gateway.requests"
+	GatewayAttempts             = "gateway.attempts"
+	GatewayLatency              = "gateway.latency"
+	GatewayHeaderLatency        = "gateway.first"
+	GatewayInstances            = "gateway.instances"
+	GatewayStateVersion         = "gateway.state_version"
+	GatewayStateAge             = "gateway.state_age"
+	GatewayEndpointsAge         = "gateway.endpoints_age"
+	GatewayEndpoints            = "gateway.endpoints"
+	GatewayEndpointsUnreachable = "gateway.endpoints_unreachable"
+	GatewayQuarantinedRequests  = "gateway.requests_held_back"
+	GatewayLinesDropped         = "gateway.lines_dropped"
+	GatewayBudgetHeld           = "gateway.budget_held"
+	GatewayBudgetUsed           = "gateway.budget_used"
+	GatewayBudgetLost           = "gateway.budget_lost"
+	GatewayBudgetReadAge        = "gateway.budget_read_age"
+	GatewayBudgetRenewalAge     = "gateway.budget_touch_age"
+	GatewayBudgetReclaimed      = "gateway.budget_reclaimed"
 	// GatewayStoreCallsPrefix is followed by the outcome of a call to the store.
 	// Each outcome has a counter of its own.
 	GatewayStoreCallsPrefix = "gateway.store."
@@ -44,6 +46,8 @@
 		{GatewayStateAge, KindGauge, "milliseconds", "How long a change of the desired state may have gone unseen here."},
 		{GatewayQuarantinedRequests, KindGauge, "requests", "Contents of requests that are held back, since endpoints ended under them."},
 		{GatewayEndpointsAge, KindGauge, "milliseconds", "How long a change of the endpoint list may have gone unseen here."},
+		{GatewayEndpoints, KindGauge, "endpoints", "Endpoints that may get new requests by the list and by the operators."},
+		{GatewayEndpointsUnreachable, KindGauge, "endpoints", "Those of them to which no connection can be made. If it is all of them here and none elsewhere, this instance has lost its links."},
 		{GatewayLinesDropped, KindGauge, "lines", "Log lines dropped because nobody read the output in time, or thinned because they came too fast."},
 		{GatewayBudgetHeld, KindGauge, "tokens", "Tokens of all budgets that this instance holds unused."},
 		{GatewayBudgetUsed, KindGauge, "tokens", "Tokens that this instance has used since its start, requests in flight at their most."},
--- a/internal/placement/condition.go
+++ b/internal/placement/condition.go
@@ -125,6 +125,9 @@
 // can be reached.
 func (c *condition) needsProbe() bool { return c.unreachable && !c.cordoned && !c.replaced }
 
+// mayGetRequests reports whether operators and the endpoint itself let it have new requests.
+func (c *condition) mayGetRequests() bool { return !c.leaving && !c.cordoned }
+
 // failureCount returns the number of consecutive failures.
 func (c *condition) failureCount() int { return c.consecutiveFailures }
 
