tunnel: an instance without links reaches endpoints through other instances

Cause: an instance's own link was its only way to an endpoint, and what it saw of its link was taken for the endpoint's state; the quarantine even counted such requests as having crashed their endpoints.

Change: a tunnel, a connection to the endpoint that another instance opens and carries; all decisions about the request stay where the caller is.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -71,7 +71,7 @@
 		return attemptResult{reason: ReasonNoEndpoint, noEndpoint: true}
 	}
 	c.attempts++
-	c.endpoint = assignment.Endpoint.ID
+	c.endpoint, c.via = assignment.Endpoint.ID, ""
 	c.f.OnPlaced(assignment)
 	c.phase = phaseEndpoint
 	outcome, start := placement.Failed, time.Now()
@@ -137,7 +137,11 @@
 			Endpoint: assignment.Endpoint.ID, Organisation: c.team(), Timeout: time.Until(c.deadline),
 			Urgency: c.config.Urgency(c.route, c.org, promptSizeClass(assignment.PrefillTime, c.route.LatencyTarget)), LastEventID: lastEventID, FetchFrom: assignment.FetchFrom,
 		}),
-		Matches: c.matchesAnswer, OnSend: func() { assignment.OnSend(c.f.Clock()) },
+		Matches: c.matchesAnswer,
+		OnSend: func(via string) {
+			c.via = via
+			assignment.OnSend(c.f.Clock())
+		},
 	}
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -90,6 +90,7 @@
 	timeToHeader time.Duration
 	reason       Reason
 	endpoint     string
+	via          string // Name of the instance through which the last attempt was sent; "" for the own link.
 	phase        phase
 }
 
--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -38,7 +38,7 @@
 	}
 	line.Str("request", c.ID).Int("attempt", c.attempts).Str("endpoint", assignment.Endpoint.ID).
 		Str("address", assignment.Endpoint.Address).Str("zone", assignment.Endpoint.Zone).Float64("cost_ms", assignment.Cost).Float64("missing_tokens", assignment.MissingTokens).
-		Int("in_flight", assignment.InFlight).Str("fetch", assignment.FetchFrom).Int("status", status).Str("reason", string(result.reason)).Bool("may_have_run", c.mayHaveRun).
+		Int("in_flight", assignment.InFlight).Str("fetch", assignment.FetchFrom).Str("via", c.via).Int("status", status).Str("reason", string(result.reason)).Bool("may_have_run", c.mayHaveRun).
 		Dur("took", time.Since(start)).AnErr("error", result.err).Msg("forward: attempt ended")
 }
 
@@ -92,7 +92,7 @@
 		return
 	}
 	line.Str("request", c.ID).Str("route", name).Str("team", string(c.team())).Int("status", status).
-		Str("reason", string(c.reason)).Str("endpoint", c.endpoint).Str("zone", c.f.Zone).Int("attempts", c.attempts).
+		Str("reason", string(c.reason)).Str("endpoint", c.endpoint).Str("via", c.via).Str("zone", c.f.Zone).Int("attempts", c.attempts).
 		Bool("late", c.missedLatencyTarget()).Str("phase", string(c.phase)).
 		Dur("took", took).Dur("first", c.timeToHeader).Int64("events", c.events).
 		Int64("prompt", c.PromptTokens).Int64("state", c.stateVersion()).Msg("forward: request ended")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -108,6 +108,8 @@
 	linkMeter        linkload.Meter
 	linkShedder      *linkload.Shedder
 	upstreamPool     *upstream.Pool
+	tunnels          *tunnels             // Connections to endpoints through other instances.
+	prober           *prober              // Of endpoints that can't be reached.
 	callerConns      *callers.Connections // Open connections of callers.
 	exitDeadline     time.Time            // When the process is killed; set by shutdown.
 	isDraining       atomic.Bool
@@ -137,16 +139,21 @@
 	if err := g.listen(); err != nil {
 		return nil, err
 	}
+	instance := record.NewInstanceID(s.Gateway.Name)
+	placementTable := placement.New(uint64(time.Now().UnixNano()), clock())
+	g.tunnels = newTunnels(instance, s.Gateway.Zone, &links{Table: placementTable, onLost: func(endpoint string) { g.upstreamPool.CloseIdle(endpoint) }}, &g.linkMeter, g.linkShedder.IsCongested, g.refusesTunnels, clock, g.sampledLog)
 	g.upstreamPool = upstream.NewPool(upstream.Options{
-		DialWaitTimeout: requestDialTimeout, DialTimeout: maxDialDuration, IdleTimeout: endpointIdleTimeout, Dial: g.linkMeter.WrapDial(upstream.TCPDialer(endpointAckTimeout)),
+		DialWaitTimeout: requestDialTimeout, DialTimeout: maxDialDuration, IdleTimeout: endpointIdleTimeout, Dial: g.tunnels.dialer.Dial,
 	})
+	g.prober = newProber(placementTable, g.upstreamPool, g.tunnels.dialer.DialDirect, clock, g.sampledLog)
+	g.tunnels.dialer.OnOpened = g.prober.onTunnelOpened
 	g.callerConns = callers.New(g.callersListener.(*net.TCPListener), defaultCallerIdleTimeout, &g.linkMeter, g.logExpiry)
 	p.Store = instrumentedStore{p.Store, g.metrics}
 	g.platform = p
-	g.endpoints = newEndpointTracker(p, s.Store, contact, placement.New(uint64(time.Now().UnixNano()), clock()), g.upstreamPool, clock, g.sampledLog, log)
+	g.endpoints = newEndpointTracker(p, s.Store, contact, placementTable, g.upstreamPool, clock, g.sampledLog, log)
 	peersAddr := g.peersListener.Addr().String()
 	self := prepaid.Identity{
-		Key: record.NewInstanceID(s.Gateway.Name), Node: s.Gateway.Name + "@" + peersAddr,
+		Key: instance, Node: s.Gateway.Name + "@" + peersAddr,
 		Started: time.Now().UnixMilli(), Peer: peersAddr, Zone: s.Gateway.Zone,
 	}
 	accounts := prepaid.NewAccounts(self, prepaid.DefaultPolicy(), hostClocks(log))
@@ -157,10 +164,13 @@
 		Self: self.Key, Log: p.Store, Probe: g.upstreamPool.Probe, Caller: g.peerPool, Neighbours: accounts.Neighbours, Logger: log, ThinnedLogger: g.sampledLog,
 	})
 	g.registry = &registry.Registry{
-		Log: p.Store, Name: s.Gateway.Name, Process: self.Key, Logger: log,
-		OnChange: func(names []string) { g.endpoints.placementTable.SetInstances(s.Gateway.Name, names) },
+		Log: p.Store, Name: s.Gateway.Name, Logger: log,
+		Details:   registry.Details{Process: self.Key, Zone: self.Zone, Peer: peersAddr, LinkMbps: s.Gateway.LinkMbps},
+		OnChange:  func(names []string) { placementTable.SetInstances(s.Gateway.Name, names) },
+		OnDetails: g.tunnels.setCandidates,
 	}
 	g.peerServer = peer.NewServer(self.Key)
+	g.peerServer.HandleTunnels(g.tunnels.server)
 	if err := g.peerServer.Register(quarantine.ServiceName, quarantine.NewPeerService(g.quarantine)); err != nil {
 		return nil, err
 	}
@@ -219,11 +229,6 @@
 	return server
 }
 
-// newProber returns the prober of the endpoints in the placement table.
-func (g *Gateway) newProber() *prober {
-	return &prober{endpoints: g.endpoints.placementTable, pool: g.upstreamPool, clock: g.clock, log: g.sampledLog}
-}
-
 // requestCutoff is the end of a drain, which binds the requests that arrive from a certain
 // time on.
 type requestCutoff struct {
@@ -270,6 +275,9 @@
 	return g.stateFreshness.isOutdated(link) || g.endpoints.freshness.isOutdated(link)
 }
 
+// refusesTunnels reports whether the instance has no capacity for other instances' requests.
+func (g *Gateway) refusesTunnels() bool { return g.isDraining.Load() || g.linkShedder.IsCongested() }
+
 // budgetAdapter implements forward.Budgets on the controller of prepaid budgets, whose
 // reservations have a concrete type.
 type budgetAdapter struct{ controller *prepaid.Controller }
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -38,6 +38,7 @@
 	g.metrics.Gauge(metrics.GatewayEndpointsAge, func() int64 { return g.endpoints.freshness.age().Milliseconds() })
 	g.metrics.Gauge(metrics.GatewayQuarantinedRequests, func() int64 { return g.quarantine.Table.CountQuarantined(time.Now()) })
 	g.registerReachGauges()
+	g.metrics.Gauge(metrics.GatewayTunnelsServed, g.tunnels.server.OpenCount)
 	g.registerBudgetGauges()
 	if g.platform.LinesDropped != nil {
 		g.metrics.Gauge(metrics.GatewayLinesDropped, g.platform.LinesDropped)
@@ -49,6 +50,7 @@
 	for name, value := range map[string]func(placement.Reach) int{
 		metrics.GatewayEndpoints:            func(r placement.Reach) int { return r.Listed },
 		metrics.GatewayEndpointsUnreachable: func(r placement.Reach) int { return r.Unreachable },
+		metrics.GatewayEndpointsWithoutLink: func(r placement.Reach) int { return r.WithoutLink },
 	} {
 		g.metrics.Gauge(name, func() int64 {
 			sum := 0
--- a/internal/gateway/probes.go
+++ b/internal/gateway/probes.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
-	"golang.org/x/sync/errgroup"
 
 	"guavapier/internal/discovery"
 	"guavapier/internal/logstore"
@@ -14,41 +15,110 @@
 )
 
 const (
-	// probeInterval is the pause between two rounds of probes. An endpoint that has become
-	// reachable gets requests again within about this time.
+	// probeInterval is the pause between two probes of an endpoint by the own link. An endpoint
+	// that has become reachable gets requests again within about this time.
 	probeInterval = 250 * time.Millisecond
+	// probesPerTunnelProbe is the number of probes by the own link for each one through other
+	// instances, which costs them a connection too.
+	probesPerTunnelProbe = 4
 	// maxConcurrentProbes bounds the connections being tried at the same time.
-	maxConcurrentProbes = 16
+	maxConcurrentProbes = 64
+	// linkProbeTimeout bounds one probe by the own link, so that one whose packets were lost
+	// does not delay the next.
+	linkProbeTimeout = 500 * time.Millisecond
+	// minSuspects and suspectsShare are how many links a round checks after a tunnel was needed,
+	// of endpoints that have not answered for recentAnswer: an instance's links are often lost
+	// together, and idle connections don't show it.
+	minSuspects   = 4
+	suspectsShare = 0.25
+	recentAnswer  = 200 * time.Millisecond
 )
 
-// prober tries to connect to unreachable endpoints, so that no caller's request has to find
-// out whether they are reachable again.
+// prober tries to connect to endpoints that can't be reached, by the own link or at all, so
+// that no caller's request has to find out whether they are reachable again.
 type prober struct {
 	endpoints *placement.Table
 	pool      *upstream.Pool
+	direct    upstream.DialFunc // By the own link only.
 	clock     func() time.Duration
 	log       zerolog.Logger
+	suspicion atomic.Bool // A tunnel was needed since the last round.
+
+	mu      sync.Mutex // Guards probed.
+	probed  map[string]bool
+	running sync.WaitGroup
+}
+
+// newProber returns a prober that does nothing before run.
+func newProber(endpoints *placement.Table, pool *upstream.Pool, direct upstream.DialFunc, clock func() time.Duration, log zerolog.Logger) *prober {
+	return &prober{endpoints: endpoints, pool: pool, direct: direct, clock: clock, log: log, probed: map[string]bool{}}
 }
 
-// run probes all unreachable endpoints in rounds until ctx ends.
+// onTunnelOpened makes the prober check links that may be lost too.
+func (p *prober) onTunnelOpened() { p.suspicion.Store(true) }
+
+// run probes endpoints until ctx ends.
 func (p *prober) run(ctx context.Context) {
-	for ctx.Err() == nil {
+	defer p.running.Wait()
+	for round := 0; ctx.Err() == nil; round++ {
 		logstore.Pause(ctx, probeInterval, nil)
-		var round errgroup.Group
-		round.SetLimit(maxConcurrentProbes)
-		for _, e := range p.endpoints.Unreachable() {
-			round.Go(func() error { p.probe(ctx, e); return nil })
+		p.startRound(ctx, round)
+	}
+}
+
+// startRound probes all endpoints that need it.
+func (p *prober) startRound(ctx context.Context, round int) {
+	if p.suspicion.Swap(false) {
+		for _, e := range p.endpoints.UnconfirmedLinks(minSuspects, suspectsShare, recentAnswer, p.clock()) {
+			p.start(e, func() { p.probeLink(ctx, e) })
+		}
+	}
+	for _, e := range p.endpoints.WithoutLink() {
+		p.start(e, func() { p.probeLink(ctx, e) })
+	}
+	for _, e := range p.endpoints.Unreachable() {
+		if round%probesPerTunnelProbe == 0 || p.endpoints.HasLink(e.ID) {
+			p.start(e, func() { p.probe(ctx, e) })
 		}
-		_ = round.Wait()
 	}
 }
 
-// probe tries to connect to one endpoint. On success the endpoint is used again and the
-// connection is kept for requests.
+// start runs a probe unless one of the endpoint is running, or too many of others.
+func (p *prober) start(e discovery.Endpoint, probe func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.probed[e.ID] || len(p.probed) >= maxConcurrentProbes {
+		return
+	}
+	p.probed[e.ID] = true
+	p.running.Go(func() {
+		probe()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		delete(p.probed, e.ID)
+	})
+}
+
+// probeLink tries to connect to one endpoint by the own link.
+func (p *prober) probeLink(ctx context.Context, e discovery.Endpoint) {
+	ctx, cancel := context.WithTimeout(ctx, linkProbeTimeout)
+	defer cancel()
+	p.record(e, p.pool.ProbeWith(ctx, p.direct, e.ID, e.Address))
+}
+
+// probe tries to connect to one endpoint, by the own link or through other instances.
 func (p *prober) probe(ctx context.Context, e discovery.Endpoint) {
-	if err := p.pool.Probe(ctx, e.ID, e.Address); err != nil {
+	p.record(e, p.pool.Probe(ctx, e.ID, e.Address))
+}
+
+// record marks an endpoint as reachable if the probe has succeeded. Its connection is kept for
+// requests.
+func (p *prober) record(e discovery.Endpoint, err error) {
+	if err != nil {
 		return // Still unreachable; the attempt that found out was logged.
 	}
-	p.endpoints.MarkReachable(e.ID, p.clock())
+	if !p.endpoints.MarkReachable(e.ID, p.clock()) {
+		return
+	}
 	p.log.Info().Str("endpoint", e.ID).Str("address", e.Address).Msg("gateway: endpoint reachable again")
 }
--- a/internal/gateway/probes_test.go
+++ b/internal/gateway/probes_test.go
@@ -25,8 +25,11 @@
 	endpoints := placement.New(1, 0)
 	endpoints.Put(discovery.Endpoint{ID: "e", Service: "s", Address: address}, 0)
 	endpoints.Place(placement.Query{Service: "s"}, 0).Done(placement.Unreachable, 0)
-	pool := upstream.NewPool(upstream.Options{DialWaitTimeout: time.Second, IdleTimeout: time.Second, Dial: upstream.TCPDialer(time.Second)})
-	p := &prober{endpoints: endpoints, pool: pool, clock: func() time.Duration { return 0 }, log: zerolog.Nop()}
+	direct := func(ctx context.Context, _, address string) (net.Conn, error) {
+		return upstream.TCPDialer(time.Second)(ctx, "tcp", address)
+	}
+	pool := upstream.NewPool(upstream.Options{DialWaitTimeout: time.Second, IdleTimeout: time.Second, Dial: direct})
+	p := newProber(endpoints, pool, direct, func() time.Duration { return 0 }, zerolog.Nop())
 	p.probe(t.Context(), endpoints.Unreachable()[0])
 	if len(endpoints.Unreachable()) != 1 {
 		t.Fatal("the endpoint counts as reachable although nothing listens on its address")
--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -6,51 +6,53 @@
 	"guavapier/internal/placement"
 )
 
-// reachLevel is how many of a service's endpoints this instance can't connect to.
-type reachLevel string
+// share is how many of a service's endpoints have a property.
+type share string
 
-// Values of reachLevel; log lines have their text.
+// Values of share; log lines have their text.
 const (
-	reachesAll  reachLevel = "all"
-	reachesSome reachLevel = "some"
-	reachesNone reachLevel = "none"
+	shareAll  share = "all"
+	shareSome share = "some"
+	shareNone share = "none"
 )
 
-// levelOf returns the level of a service's reach.
-func levelOf(r placement.Reach) reachLevel {
+// shareLeft returns the share that is left of all without those that lack the property.
+func shareLeft(all, lacking int) share {
 	switch {
-	case r.Unreachable == 0:
-		return reachesAll
-	case r.Unreachable < r.Listed:
-		return reachesSome
+	case lacking == 0:
+		return shareAll
+	case lacking < all:
+		return shareSome
 	}
-	return reachesNone
+	return shareNone
 }
 
-// reachLogger logs when a service's endpoints become unreachable from this instance or
-// reachable again.
+// reachState is what is logged of a service when it changes: to which of its endpoints the
+// instance has links, and which it reaches, through other instances too.
+type reachState struct{ linked, reached share }
+
+// reachLogger logs when the links to a service's endpoints are lost or restored, and when the
+// endpoints become unreachable or reachable again.
 type reachLogger struct {
 	log    zerolog.Logger
-	levels map[string]reachLevel // By service; those of level reachesAll are left out.
+	states map[string]reachState // By service.
 }
 
-// update logs the services whose level has changed since the last call.
+// update logs the services whose state has changed since the last call.
 func (l *reachLogger) update(byService map[string]placement.Reach) {
-	for service := range l.levels {
+	for service := range l.states {
 		if _, listed := byService[service]; !listed {
-			delete(l.levels, service)
+			delete(l.states, service)
 		}
 	}
 	for service, reach := range byService {
-		level, previous := levelOf(reach), l.levels[service]
-		if previous == "" {
-			previous = reachesAll
-		}
-		if level == previous {
+		state := reachState{linked: shareLeft(reach.Listed, reach.WithoutLink), reached: shareLeft(reach.Listed, reach.Unreachable)}
+		previous, known := l.states[service]
+		l.states[service] = state
+		if state == previous || !known && state == (reachState{shareAll, shareAll}) {
 			continue
 		}
-		l.levels[service] = level
-		l.log.Warn().Str("service", service).Str("reached", string(level)).Int("listed", reach.Listed).Int("unreachable", reach.Unreachable).
-			Msg("gateway: endpoints reached")
+		l.log.Warn().Str("service", service).Str("linked", string(state.linked)).Str("reached", string(state.reached)).
+			Int("listed", reach.Listed).Int("without_link", reach.WithoutLink).Int("unreachable", reach.Unreachable).Msg("gateway: endpoints reached")
 	}
 }
--- a/internal/gateway/reach_test.go
+++ b/internal/gateway/reach_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"encoding/json"
+	"slices"
 	"strings"
 	"testing"
 
@@ -11,17 +13,22 @@
 
 func TestAChangeOfReachIsLoggedOnce(t *testing.T) {
 	var lines strings.Builder
-	l := &reachLogger{log: zerolog.New(&lines), levels: map[string]reachLevel{}}
-	for _, unreachable := range []int{0, 0, 1, 2, 4, 4, 3, 0, 0} {
-		l.update(map[string]placement.Reach{"s": {Listed: 4, Unreachable: unreachable}})
+	l := &reachLogger{log: zerolog.New(&lines), states: map[string]reachState{}}
+	for _, r := range []placement.Reach{
+		{Listed: 4}, {Listed: 4}, {Listed: 4, Unreachable: 1}, {Listed: 4, Unreachable: 2}, {Listed: 4, Unreachable: 4}, {Listed: 4, Unreachable: 4},
+		{Listed: 4, Unreachable: 3}, {Listed: 4}, {Listed: 4, WithoutLink: 4}, {Listed: 4, WithoutLink: 4}, {Listed: 4},
+	} {
+		l.update(map[string]placement.Reach{"s": r})
 	}
-	var levels []string
-	for line := range strings.Lines(lines.String()) {
-		_, after, _ := strings.Cut(line, `"reached":"`)
-		level, _, _ := strings.Cut(after, `"`)
-		levels = append(levels, level)
+	var got []string
+	for text := range strings.Lines(lines.String()) {
+		var line struct{ Linked, Reached string }
+		if err := json.Unmarshal([]byte(text), &line); err != nil {
+			t.Fatal(err)
+		}
+		got = append(got, line.Linked+"/"+line.Reached)
 	}
-	if got, want := strings.Join(levels, " "), "some none some all"; got != want {
-		t.Errorf("logged %q, want %q\n%s", got, want, lines.String())
+	if want := []string{"all/some", "all/none", "all/some", "all/all", "none/all", "all/all"}; !slices.Equal(got, want) {
+		t.Errorf("logged linked/reached %q, want %q", got, want)
 	}
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -35,7 +35,7 @@
 	backgroundWork.Go(func() error { g.quarantine.Run(backgroundCtx); return nil })
 	backgroundWork.Go(func() error { g.registry.Run(backgroundCtx); return nil })
 	backgroundWork.Go(func() error { g.loadReporter.run(backgroundCtx); return nil })
-	backgroundWork.Go(func() error { g.newProber().run(backgroundCtx); return nil })
+	backgroundWork.Go(func() error { g.prober.run(backgroundCtx); return nil })
 	backgroundWork.Go(func() error { g.runHousekeeping(backgroundCtx); return nil })
 	serving.Go(func() error { return g.peerServer.Serve(g.peersListener) })
 	g.log.Info().Str("callers", g.callersListener.Addr().String()).Str("zone", g.settings.Gateway.Zone).
@@ -48,7 +48,7 @@
 // expiry of connections and endpoints, and the instance's share of the retry budget.
 func (g *Gateway) runHousekeeping(ctx context.Context) {
 	droppedLines, outdated := int64(0), false
-	reach := &reachLogger{log: g.log, levels: map[string]reachLevel{}}
+	reach := &reachLogger{log: g.log, states: map[string]reachState{}}
 	for ctx.Err() == nil {
 		logstore.Pause(ctx, housekeepingInterval, nil)
 		droppedLines = g.logDroppedLines(droppedLines)
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -94,6 +94,10 @@
 		g.log.Warn().Err(err).Int64("under_way", g.inFlight.Load()).Msg("gateway: requests cut off at the end of the drain")
 		_ = server.Close()
 	}
+	g.tunnels.awaitServed(drainCtx)
+	if left := g.tunnels.server.OpenCount(); left > 0 {
+		g.log.Warn().Int64("tunnels", left).Msg("gateway: tunnels of other instances cut off at the end of the drain")
+	}
 }
 
 // awaitSettlement waits until deadline for aborted requests to end and settle their
--- a/internal/linkload/meter.go
+++ b/internal/linkload/meter.go
@@ -47,10 +47,13 @@
 		if err != nil {
 			return nil, err
 		}
-		return &countingConn{Conn: c, meter: m}, nil
+		return m.WrapConn(c), nil
 	}
 }
 
+// WrapConn returns the connection with its bytes counted.
+func (m *Meter) WrapConn(c net.Conn) net.Conn { return &countingConn{Conn: c, meter: m} }
+
 // countingConn is a connection whose bytes are counted by a Meter.
 type countingConn struct {
 	net.Conn
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -12,6 +12,8 @@
 	GatewayEndpointsAge         = "gateway.endpoints_age"
 	GatewayEndpoints            = "gateway.endpoints"
 	GatewayEndpointsUnreachable = "gateway.endpoints_unreachable"
+	GatewayEndpointsWithoutLink = "gateway.endpoints_without_link"
+	GatewayTunnelsServed        = "gateway.tunnels_served"
 	GatewayQuarantinedRequests  = "gateway.requests_held_back"
 	GatewayLinesDropped         = "gateway.lines_dropped"
 	GatewayBudgetHeld           = "gateway.budget_held"
@@ -47,7 +49,9 @@
 		{GatewayQuarantinedRequests, KindGauge, "requests", "Contents of requests that are held back, since endpoints ended under them."},
 		{GatewayEndpointsAge, KindGauge, "milliseconds", "How long a change of the endpoint list may have gone unseen here."},
 		{GatewayEndpoints, KindGauge, "endpoints", "Endpoints that may get new requests by the list and by the operators."},
-		{GatewayEndpointsUnreachable, KindGauge, "endpoints", "Those of them to which no connection can be made. If it is all of them here and none elsewhere, this instance has lost its links."},
+		{GatewayEndpointsUnreachable, KindGauge, "endpoints", "Those of them to which no connection can be made, not even through other instances."},
+		{GatewayEndpointsWithoutLink, KindGauge, "endpoints", "Those of them to which no connection can be made by the own link. If it is all of them here and none elsewhere, this instance has lost its links."},
+		{GatewayTunnelsServed, KindGauge, "connections", "Connections to endpoints that are open here for other instances."},
 		{GatewayLinesDropped, KindGauge, "lines", "Log lines dropped because nobody read the output in time, or thinned because they came too fast."},
 		{GatewayBudgetHeld, KindGauge, "tokens", "Tokens of all budgets that this instance holds unused."},
 		{GatewayBudgetUsed, KindGauge, "tokens", "Tokens that this instance has used since its start, requests in flight at their most."},
--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -13,17 +13,20 @@
 const protocolVersion = 1
 
 // hello is the first message on a connection, sent by the calling instance: From is its ID, To
-// the ID of the instance that it calls.
+// the ID of the instance that it calls. Tunnel, if set, asks for a tunnel in place of calls; To is
+// empty then.
 type hello struct {
 	Version int               `cbor:"1,keyasint"`
 	From    record.InstanceID `cbor:"2,keyasint"`
 	To      record.InstanceID `cbor:"3,keyasint"`
+	Tunnel  *TunnelRequest    `cbor:"4,keyasint,omitempty"`
 }
 
 // helloReply is the response to hello, with the ID of the instance that accepted the connection.
 type helloReply struct {
 	Version int               `cbor:"1,keyasint"`
 	ID      record.InstanceID `cbor:"2,keyasint"`
+	Tunnel  TunnelStatus      `cbor:"3,keyasint,omitempty"`
 }
 
 // clientHandshake sends hello and checks that the instance at the other end is to. It returns
@@ -46,15 +49,18 @@
 	return conn.SetReadDeadline(time.Time{})
 }
 
+// readHello reads a caller's hello.
+func readHello(conn net.Conn, f *framedConn, timeout time.Duration) (hello, error) {
+	_ = conn.SetReadDeadline(time.Now().Add(timeout))
+	var got hello
+	err := f.receive(&got)
+	return got, err
+}
+
 // serverHandshake replies to a caller's hello. It returns ErrOtherInstance for a caller that
 // calls another instance or uses another version; the reply tells the caller which instance
 // this is.
-func serverHandshake(conn net.Conn, f *framedConn, self record.InstanceID, timeout time.Duration) error {
-	_ = conn.SetReadDeadline(time.Now().Add(timeout))
-	var got hello
-	if err := f.receive(&got); err != nil {
-		return err
-	}
+func serverHandshake(f *framedConn, self record.InstanceID, got hello) error {
 	if err := f.sendSync(helloReply{Version: protocolVersion, ID: self}); err != nil {
 		return err
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -16,8 +16,9 @@
 // Limits of a Server.
 const (
 	// MaxConns limits the open connections. In a fleet of 410 instances there is at most one
-	// from each, and two from each while connections are replaced.
-	MaxConns = 1024
+	// from each, and two from each while connections are replaced; the rest is for tunnels,
+	// whose number the TunnelHandler limits.
+	MaxConns = 1280
 	// maxCallsPerConn limits the calls of one connection that are served at the same time.
 	// Further calls stay unread on the connection, so that a peer cannot exhaust this
 	// instance's memory.
@@ -44,8 +45,9 @@
 
 // Server serves calls from peers. It is safe for concurrent use.
 type Server struct {
-	self record.InstanceID
-	rpc  *rpc.Server
+	self    record.InstanceID
+	rpc     *rpc.Server
+	tunnels TunnelHandler // Nil if the server opens no tunnels.
 
 	mu      sync.Mutex // Guards conns and closed.
 	conns   map[net.Conn]struct{}
@@ -70,6 +72,9 @@
 	return eris.Wrapf(s.rpc.RegisterName(name, receiver), "peer: register service %s", name)
 }
 
+// HandleTunnels makes the server open tunnels. It must be called before Serve.
+func (s *Server) HandleTunnels(h TunnelHandler) { s.tunnels = h }
+
 // Serve accepts connections and serves their calls until the listener is closed, for which it
 // returns nil. See Close.
 func (s *Server) Serve(l net.Listener) error {
@@ -113,7 +118,8 @@
 	return true
 }
 
-// serveConn does the handshake on a connection and serves its calls until it is closed.
+// serveConn does the handshake on a connection and serves its calls, or its tunnel, until it is
+// closed.
 func (s *Server) serveConn(conn net.Conn) {
 	defer s.running.Done()
 	defer func() {
@@ -122,7 +128,15 @@
 		delete(s.conns, conn)
 	}()
 	f := newFramedConn(conn, DefaultWriteTimeout)
-	if err := serverHandshake(conn, f, s.self, DefaultDialTimeout); err != nil {
+	got, err := readHello(conn, f, DefaultDialTimeout)
+	if err == nil && got.Tunnel != nil && s.tunnels != nil {
+		s.serveTunnel(conn, f, got.From, *got.Tunnel)
+		return
+	}
+	if err == nil {
+		err = serverHandshake(f, s.self, got)
+	}
+	if err != nil {
 		_ = conn.Close()
 		return
 	}
--- a/internal/placement/condition.go
+++ b/internal/placement/condition.go
@@ -57,6 +57,9 @@
 	// callers' requests don't find out one after the other that a network partition
 	// persists.
 	unreachable bool
+	// linkLost is set while connections by the instance's own link fail. The endpoint may be
+	// reachable through another instance.
+	linkLost bool
 	// unconfirmedUntil is until when an endpoint that was unreachable may be cold. Its next
 	// entry tells earlier.
 	unconfirmedUntil    time.Duration
@@ -122,8 +125,10 @@
 }
 
 // needsProbe reports whether it is to be found out without a request whether the endpoint
-// can be reached.
-func (c *condition) needsProbe() bool { return c.unreachable && !c.cordoned && !c.replaced }
+// can be reached, by the own link or at all.
+func (c *condition) needsProbe() bool {
+	return (c.unreachable || c.linkLost) && !c.cordoned && !c.replaced
+}
 
 // mayGetRequests reports whether operators and the endpoint itself let it have new requests.
 func (c *condition) mayGetRequests() bool { return !c.leaving && !c.cordoned }
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -15,6 +15,9 @@
 	// milliseconds of round trip, plus the price of traffic between zones.
 	// Requests leave their zone when its queues cost more than that.
 	crossZoneCost = 20.0 // ms
+	// tunnelCost is the cost of reaching the endpoint through another instance, whose link
+	// and processor carry the request as well.
+	tunnelCost = 20.0 // ms
 	// prefillMSPerTokenPair is the coefficient of the part of the prefill time
 	// that grows with the square of the prompt's length, in milliseconds. A
 	// prompt of 65,000 tokens takes 1.4 s, twice as long as by the linear part
@@ -50,6 +53,9 @@
 	if e.Zone != q.Zone {
 		cost += crossZoneCost
 	}
+	if e.linkLost {
+		cost += tunnelCost
+	}
 	if e.isCold(now) {
 		cost += warmupCost
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -9,6 +9,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -38,26 +40,37 @@
 // Registry follows the list and keeps this instance's record. All fields must be set.
 type Registry struct {
 	Log logstore.KeyedLog
-	// Name is this instance's name, which restarted processes keep. Process is unique to the
-	// process.
-	Name    string
-	Process record.InstanceID
-	Logger  zerolog.Logger
+	// Name is this instance's name, which restarted processes keep.
+	Name   string
+	Logger zerolog.Logger
+	// Details are published with the record.
+	Details Details
 	// OnChange is called with the sorted names of all instances, this one included, at first
 	// when the list was read.
 	OnChange func(names []string)
+	// OnDetails is called with the details of all other instances, by name, when they have
+	// changed. Instances that publish none are left out.
+	OnDetails func(others map[string]Details)
+}
+
+// Details are what an instance publishes of itself.
+type Details struct {
+	Process  record.InstanceID `json:"process"`
+	Zone     string            `json:"zone"` // Availability zone.
+	Peer     string            `json:"peer"` // Address (IP:port) for calls of other instances.
+	LinkMbps float64           `json:"link_mbps"`
 }
 
 // Run keeps the record and calls OnChange until ctx ends.
 func (r *Registry) Run(ctx context.Context) {
-	l := &list{self: r.Name, seenAt: map[string]time.Duration{}}
+	l := &list{self: r.Name, seenAt: map[string]time.Duration{}, details: map[string]Details{}}
 	loaded := make(chan struct{})
 	var background sync.WaitGroup
 	background.Go(func() { r.keepRecord(ctx, loaded) })
 	defer background.Wait()
 	follower := &logstore.Follower{
 		Log: r.Log, Topic: logstore.TopicInstances, PollTimeout: maxReadWait, ReadInterval: readInterval, NewestOnly: true,
-		OnReset: func() { clear(l.seenAt) }, OnRecord: l.observe,
+		OnReset: l.clear, OnRecord: l.observe,
 		OnLoaded: func() {
 			if !l.loaded {
 				l.loaded = true
@@ -74,6 +87,9 @@
 				r.Logger.Info().Int("instances", len(names)).Msg("registry: instances of the fleet")
 				r.OnChange(names)
 			}
+			if others, changed := l.others(); changed {
+				r.OnDetails(others)
+			}
 		},
 	}
 	follower.Run(ctx)
@@ -86,10 +102,15 @@
 	case <-ctx.Done():
 		return
 	}
-	records := []logstore.KeyedRecord{{Key: r.Name, Value: []byte(r.Process)}}
+	value, err := json.Marshal(r.Details)
+	if err != nil {
+		r.Logger.Error().Err(err).Msg("registry: details not encoded; record not written")
+		return
+	}
+	records := []logstore.KeyedRecord{{Key: r.Name, Value: value}}
 	for epoch := uint64(1); ctx.Err() == nil; epoch++ {
 		pause := renewInterval - rand.N(renewInterval/4)
-		if err := r.Log.Put(ctx, logstore.TopicInstances, logstore.WriteID{Writer: string(r.Process), Epoch: epoch}, records); err != nil {
+		if err := r.Log.Put(ctx, logstore.TopicInstances, logstore.WriteID{Writer: string(r.Details.Process), Epoch: epoch}, records); err != nil {
 			r.Logger.Debug().Err(err).Msg("registry: record not written")
 			pause = writeRetryDelay
 		}
@@ -107,6 +128,15 @@
 	readTime time.Duration            // In which the log was readable, since the start.
 	seenAt   map[string]time.Duration // The readTime at which the record of each name was read.
 	reported []string                 // Result of the last call of names that reported a change.
+	details  map[string]Details       // By name, of the records that have them.
+	changed  bool                     // The details have changed since the last call of others.
+}
+
+// clear forgets all records.
+func (l *list) clear() {
+	clear(l.seenAt)
+	clear(l.details)
+	l.changed = true
 }
 
 // addReadTime records a read that succeeded.
@@ -121,9 +151,39 @@
 func (l *list) observe(record logstore.KeyedRecord) {
 	if record.Value == nil {
 		delete(l.seenAt, record.Key)
+		l.setDetails(record.Key, Details{})
 		return
 	}
 	l.seenAt[record.Key] = l.readTime
+	var details Details
+	if err := json.Unmarshal(record.Value, &details); err != nil {
+		details = Details{} // The record of a build that publishes none.
+	}
+	l.setDetails(record.Key, details)
+}
+
+// setDetails sets an instance's details; those without an address are removed.
+func (l *list) setDetails(name string, details Details) {
+	if details == l.details[name] {
+		return
+	}
+	l.changed = true
+	l.details[name] = details
+	if details.Peer == "" {
+		delete(l.details, name)
+	}
+}
+
+// others returns the details of the instances other than this one, and whether they may
+// differ from those of the last call; false until the list was read.
+func (l *list) others() (others map[string]Details, changed bool) {
+	if !l.loaded || !l.changed {
+		return nil, false
+	}
+	l.changed = false
+	others = maps.Clone(l.details)
+	delete(others, l.self)
+	return others, true
 }
 
 // names returns the sorted names of the instances whose records have not expired and of this
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -23,6 +23,7 @@
 
 	mu     sync.Mutex // Guards the rest.
 	names  []string
+	others map[string]Details
 	fewest int // Smallest number of names in a report after the first with several.
 }
 
@@ -35,12 +36,21 @@
 	i.names = names
 }
 
+func (i *testInstance) setDetails(others map[string]Details) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.others = others
+}
+
 // start runs an instance's registry on the log.
 func start(t *testing.T, log logstore.KeyedLog, name string) *testInstance {
 	t.Helper()
 	ctx, stop := context.WithCancel(t.Context())
 	i := &testInstance{stop: stop, fewest: math.MaxInt}
-	r := &Registry{Log: log, Name: name, Process: record.NewInstanceID(name), Logger: zerolog.Nop(), OnChange: i.setNames}
+	r := &Registry{
+		Log: log, Name: name, Details: Details{Process: record.NewInstanceID(name), Zone: "z", Peer: name + ":1"}, Logger: zerolog.Nop(),
+		OnChange: i.setNames, OnDetails: i.setDetails,
+	}
 	go r.Run(ctx)
 	return i
 }
@@ -114,3 +124,20 @@
 		other.wantNames(t, "long after one has ended", "b")
 	})
 }
+
+// A record of a build that publishes no details, and one that can't be read, keep their
+// instances in the list.
+func TestDetailsOfOtherInstancesAreReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := standin.NewKeyed()
+		log.Set(logstore.TopicInstances, "older", []byte("older-process"))
+		a := start(t, log, "a")
+		start(t, log, "b")
+		a.wantNames(t, "after the start", "a", "b", "older")
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		if got := a.others["b"]; len(a.others) != 1 || got.Peer != "b:1" || got.Zone != "z" {
+			t.Errorf("details %+v, want those of b only", a.others)
+		}
+	})
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -53,6 +53,8 @@
 	firstByte   chan error // Receives nil when a byte has arrived, else the read error.
 	idleTimeout time.Duration
 	idleSince   time.Time // When it was last added to the idle connections.
+	via         string    // Name of the instance that it leads through; "" for none.
+	reusedUntil time.Time // No request is sent on it after that; zero for no limit.
 }
 
 // newConn returns a conn for an established connection, waiting for the first byte.
@@ -61,6 +63,9 @@
 		Conn: c, br: bufio.NewReaderSize(c, readBufferBytes), bw: bufio.NewWriterSize(c, writeBufferBytes),
 		firstByte: make(chan error, 1), idleTimeout: idleTimeout,
 	}
+	if indirect, ok := c.(Indirect); ok {
+		out.via, out.reusedUntil = indirect.Via(), indirect.ReusableUntil()
+	}
 	out.awaitFirstByte()
 	return out
 }
@@ -74,14 +79,20 @@
 	}()
 }
 
-// isReusable reports whether no bytes have arrived, the connection has not ended and its
-// idle timeout has not expired.
+// isExpired reports whether the connection has been idle, or in use, for too long to carry
+// another request.
+func (c *conn) isExpired(now time.Time) bool {
+	return now.Sub(c.idleSince) >= c.idleTimeout || !c.reusedUntil.IsZero() && now.After(c.reusedUntil)
+}
+
+// isReusable reports whether no bytes have arrived, the connection has not ended and has not
+// expired.
 func (c *conn) isReusable(now time.Time) bool {
 	select {
 	case <-c.firstByte: //nolint:errcheck // Unexpected bytes or the connection's end: it can't be reused in either case.
 		return false
 	default:
-		return now.Sub(c.idleSince) < c.idleTimeout
+		return !c.isExpired(now)
 	}
 }
 
@@ -95,9 +106,9 @@
 	// Matches reports whether an answer belongs to this request; answers to others are
 	// discarded. Nil accepts every answer.
 	Matches func(status int, h http.Header) bool
-	// OnSend is called when there is a connection and the request is about to be written;
-	// may be nil.
-	OnSend func()
+	// OnSend is called when there is a connection and the request is about to be written, with
+	// the name of the instance that it leads through, "" for none. It may be nil.
+	OnSend func(via string)
 }
 
 // send writes the request and reads the answer's status and header. The channel receives
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -32,7 +32,7 @@
 	results := make(chan dialResult, 1)
 	dialCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), p.opts.DialTimeout)
 	go func() {
-		c, err := p.dial(dialCtx, address)
+		c, err := p.dial(dialCtx, endpoint, address)
 		results <- dialResult{c, err}
 	}()
 	waitTimer := time.NewTimer(p.opts.DialWaitTimeout)
@@ -83,8 +83,8 @@
 }
 
 // dial makes a connection; ctx bounds how long it takes.
-func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
-	c, err := p.opts.Dial(ctx, "tcp", address)
+func (p *Pool) dial(ctx context.Context, endpoint, address string) (*conn, error) {
+	c, err := p.opts.Dial(ctx, endpoint, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -4,14 +4,13 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
-
-	"guavapier/internal/dial"
 )
 
 // Options configure a Pool.
@@ -24,8 +23,20 @@
 	// IdleTimeout is how long an idle connection is kept if the endpoint announces no
 	// timeout.
 	IdleTimeout time.Duration
-	// Dial makes connections; see TCPDialer.
-	Dial dial.Func
+	// Dial makes connections.
+	Dial DialFunc
+}
+
+// DialFunc connects to an endpoint by its ID and address (IP:port). A connection through
+// another instance implements Indirect.
+type DialFunc func(ctx context.Context, endpoint, address string) (net.Conn, error)
+
+// Indirect is implemented by connections that lead through another instance.
+type Indirect interface {
+	// Via returns the other instance's name.
+	Via() string
+	// ReusableUntil returns when the connection may carry no further requests.
+	ReusableUntil() time.Time
 }
 
 // Pool makes connections to endpoints and keeps them while idle. It is safe for concurrent
@@ -75,7 +86,7 @@
 		c = fresh
 	}
 	if out.OnSend != nil {
-		out.OnSend()
+		out.OnSend(c.via)
 	}
 	unwatch := context.AfterFunc(ctx, func() { _ = c.Close() })
 	resp, writeErr, err := c.send(ctx, out) //nolint:bodyclose // Answer.Close ends the exchange.
@@ -95,13 +106,18 @@
 // Probe dials the endpoint to test whether it is reachable, and keeps the connection for
 // later requests. Its error is ErrNotSent.
 func (p *Pool) Probe(ctx context.Context, endpoint, address string) error {
+	return p.ProbeWith(ctx, p.opts.Dial, endpoint, address)
+}
+
+// ProbeWith is Probe with another dial function.
+func (p *Pool) ProbeWith(ctx context.Context, dial DialFunc, endpoint, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, p.opts.DialTimeout)
 	defer cancel()
-	c, err := p.dial(ctx, address)
+	c, err := dial(ctx, endpoint, address)
 	if err != nil {
 		return eris.Wrap(errors.Join(ErrNotSent, err), "upstream: probe endpoint")
 	}
-	p.addIdle(endpoint, c)
+	p.addIdle(endpoint, newConn(c, p.opts.IdleTimeout))
 	return nil
 }
 
@@ -158,7 +174,7 @@
 	for endpoint, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if now.Sub(c.idleSince) < c.idleTimeout {
+			if !c.isExpired(now) {
 				kept = append(kept, c)
 				continue
 			}
