placement: requests don't try what a probe has just found unreachable

An unreachable endpoint that a probe, by the own link and through other instances, could not connect to either gets no requests until a connection succeeds; probes go on every 250 ms and every second. One that only a request found unreachable stays a last resort. The probe through other instances comes before that of the link, which would have kept it from starting.

TestRequestsDoNotTryWhatAProbeFoundUnreachable and TestAnEndpointThatOthersReachIsFoundWithoutTheOwnLink, the latter failing before.

--- a/internal/gateway/probes.go
+++ b/internal/gateway/probes.go
@@ -66,21 +66,22 @@
 	}
 }
 
-// startRound probes all endpoints that need it.
+// startRound probes all endpoints that need it. The probe of an unreachable one by all ways
+// takes precedence over that of its link.
 func (p *prober) startRound(ctx context.Context, round int) {
 	if p.suspicion.Swap(false) {
 		for _, e := range p.endpoints.UnconfirmedLinks(minSuspects, suspectsShare, recentAnswer, p.clock()) {
 			p.start(e, func() { p.probeLink(ctx, e) })
 		}
 	}
-	for _, e := range p.endpoints.WithoutLink() {
-		p.start(e, func() { p.probeLink(ctx, e) })
-	}
 	for _, e := range p.endpoints.Unreachable() {
 		if round%probesPerTunnelProbe == 0 || p.endpoints.HasLink(e.ID) {
 			p.start(e, func() { p.probe(ctx, e) })
 		}
 	}
+	for _, e := range p.endpoints.WithoutLink() {
+		p.start(e, func() { p.probeLink(ctx, e) })
+	}
 }
 
 // start runs a probe unless one of the endpoint is running, or too many of others.
@@ -103,20 +104,22 @@
 func (p *prober) probeLink(ctx context.Context, e discovery.Endpoint) {
 	ctx, cancel := context.WithTimeout(ctx, linkProbeTimeout)
 	defer cancel()
-	p.record(e, p.pool.ProbeWith(ctx, p.direct, e.ID, e.Address))
+	if p.pool.ProbeWith(ctx, p.direct, e.ID, e.Address) == nil {
+		p.recordSuccess(e)
+	}
 }
 
 // probe tries to connect to one endpoint, by the own link or through other instances.
 func (p *prober) probe(ctx context.Context, e discovery.Endpoint) {
-	p.record(e, p.pool.Probe(ctx, e.ID, e.Address))
+	if err := p.pool.Probe(ctx, e.ID, e.Address); err != nil {
+		p.endpoints.RecordProbeFailure(e.ID) // Not logged: the attempt that found out was.
+		return
+	}
+	p.recordSuccess(e)
 }
 
-// record marks an endpoint as reachable if the probe has succeeded. Its connection is kept for
-// requests.
-func (p *prober) record(e discovery.Endpoint, err error) {
-	if err != nil {
-		return // Still unreachable; the attempt that found out was logged.
-	}
+// recordSuccess marks an endpoint as reachable. The probe's connection is kept for requests.
+func (p *prober) recordSuccess(e discovery.Endpoint) {
 	if !p.endpoints.MarkReachable(e.ID, p.clock()) {
 		return
 	}
--- a/internal/gateway/probes_test.go
+++ b/internal/gateway/probes_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -49,3 +50,27 @@
 	stop()
 	<-done
 }
+
+// Guards against probes of the own link that leave no room for those through other instances.
+func TestAnEndpointThatOthersReachIsFoundWithoutTheOwnLink(t *testing.T) {
+	endpoints := placement.New(1, 0)
+	endpoints.Put(discovery.Endpoint{ID: "e", Service: "s", Address: "e:1"}, 0)
+	endpoints.Place(placement.Query{Service: "s"}, 0).Done(placement.Unreachable, 0)
+	endpoints.RecordLink("e", false)
+	lost := func(context.Context, string, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }
+	throughOthers := func(context.Context, string, string) (net.Conn, error) {
+		here, there := net.Pipe()
+		t.Cleanup(func() { _, _ = here.Close(), there.Close() })
+		return here, nil
+	}
+	pool := upstream.NewPool(upstream.Options{DialWaitTimeout: time.Second, IdleTimeout: time.Second, Dial: throughOthers})
+	p := newProber(endpoints, pool, lost, func() time.Duration { return 0 }, zerolog.Nop())
+	for round := range probesPerTunnelProbe {
+		p.startRound(t.Context(), round)
+		p.running.Wait()
+	}
+	if left := endpoints.Unreachable(); len(left) > 0 || endpoints.HasLink("e") {
+		t.Errorf("unreachable: %v, link: %t; want it reachable without a link", left, endpoints.HasLink("e"))
+	}
+	pool.CloseIdle("e")
+}
--- a/internal/placement/condition.go
+++ b/internal/placement/condition.go
@@ -57,6 +57,9 @@
 	// callers' requests don't find out one after the other that a network partition
 	// persists.
 	unreachable bool
+	// probeFailed is set when an unreachable endpoint was probed in vain: a request would be
+	// in vain too.
+	probeFailed bool
 	// linkLost is set while connections by the instance's own link fail. The endpoint may be
 	// reachable through another instance.
 	linkLost bool
@@ -101,6 +104,8 @@
 		return UseNone, ReasonReplaced
 	case c.isCold(now) && c.limited && c.allowance(now) <= 0:
 		return UseNone, ReasonCold
+	case c.unreachable && c.probeFailed:
+		return UseNone, ReasonUnreachable
 	case c.unreachable:
 		return UseLastResort, ReasonUnreachable
 	case now < c.avoidedUntil:
@@ -163,7 +168,7 @@
 // onConnected records that a connection to the endpoint could be made.
 func (c *condition) onConnected(warmUp, now time.Duration) {
 	if c.unreachable {
-		c.unreachable, c.unconfirmedUntil = false, now+warmUp
+		c.unreachable, c.probeFailed, c.unconfirmedUntil = false, false, now+warmUp
 	}
 }
 
@@ -184,6 +189,9 @@
 // onUnreachable records that no connection could be made.
 func (c *condition) onUnreachable() { c.unreachable = true }
 
+// onProbeFailed records that a probe could make no connection either.
+func (c *condition) onProbeFailed() { c.probeFailed = c.unreachable }
+
 // startBackoff avoids the endpoint for twice as long as the last time. Failures
 // during a back-off don't extend it, so that concurrent ones count as one.
 func (c *condition) startBackoff(now time.Duration) {
--- a/internal/placement/condition_test.go
+++ b/internal/placement/condition_test.go
@@ -58,3 +58,23 @@
 		t.Errorf("%v is to be probed after the cordon, want e0", got)
 	}
 }
+
+// Guards against requests that try one unreachable endpoint after the other although probes
+// have just failed.
+func TestRequestsDoNotTryWhatAProbeFoundUnreachable(t *testing.T) {
+	p := newTable(1)
+	p.Place(placement.Query{Service: "s"}, 0).Done(placement.Unreachable, 0)
+	a := p.Place(placement.Query{Service: "s"}, 0)
+	if a == nil {
+		t.Fatal("not placed on the only endpoint, which no probe has found unreachable")
+	}
+	a.Done(placement.Unreachable, 0)
+	p.RecordProbeFailure("e0")
+	if a := p.Place(placement.Query{Service: "s"}, time.Second); a != nil {
+		t.Errorf("placed on %s, which a probe found unreachable", a.Endpoint.ID)
+	}
+	p.MarkReachable("e0", 2*time.Second)
+	if a := p.Place(placement.Query{Service: "s"}, 2*time.Second); a == nil {
+		t.Error("not placed on an endpoint that is reachable again")
+	}
+}
--- a/internal/placement/reachable.go
+++ b/internal/placement/reachable.go
@@ -132,3 +132,13 @@
 	e.onConnected(t.warmUps[e.Service].Duration, now)
 	return wasUnreachable
 }
+
+// RecordProbeFailure records that a probe of an unreachable endpoint has failed. An unknown
+// endpoint is ignored.
+func (t *Table) RecordProbeFailure(endpoint string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.endpoints[endpoint]; e != nil {
+		e.onProbeFailed()
+	}
+}
