placement: endpoints that say so get no more requests than they can reject

Each answer's limit is kept for the service; the instances divide four fifths of it for each endpoint by rank of hash, and an instance has no more requests there that are unanswered or were rejected in the last 1.1 s than its share.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -87,7 +87,7 @@
 	}
 	defer answer.Close()
 	assignment.OnAnswerStart(c.f.Clock(), isSuccess(answer.Status))
-	result := c.handleAnswer(ctx, answer)
+	result := c.handleAnswer(ctx, assignment, answer)
 	c.logAttempt(assignment, result, answer.Status, start)
 	c.updateQuarantine(ctx, assignment, result, start)
 	switch {
@@ -175,9 +175,12 @@
 
 // handleAnswer passes an endpoint's answer on to the caller, or returns why the attempt
 // failed.
-func (c *call) handleAnswer(ctx context.Context, a *upstream.Answer) attemptResult {
+func (c *call) handleAnswer(ctx context.Context, assignment *placement.Assignment, a *upstream.Answer) attemptResult {
 	reply := c.f.Codec.Reply(a.Status, a.Header)
 	c.tried = append(c.tried, c.endpoint)
+	if !reply.Misdirected {
+		assignment.OnReply(reply.NotRun, reply.RejectionLimit, c.f.Clock())
+	}
 	if reply.NotRun {
 		_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, maxBufferedAnswerBytes)) // The connection can be reused only if the body was read to its end.
 		if !reply.Misdirected {
--- a/internal/placement/assignment.go
+++ b/internal/placement/assignment.go
@@ -84,6 +84,18 @@
 	a.endpointState.lastAnswerAt = now
 }
 
+// OnReply records whether the endpoint has rejected the request for want of room, and how many
+// rejections in a second it says it bears, 0 for any number. It has to be called after
+// OnAnswerStart, unless another endpoint has answered.
+func (a *Assignment) OnReply(rejected bool, rejectionLimit int, now time.Duration) {
+	a.table.mu.Lock()
+	defer a.table.mu.Unlock()
+	a.table.setRejectionLimit(a.Endpoint.Service, rejectionLimit)
+	if rejected {
+		a.table.recordRejection(a.endpointState, now)
+	}
+}
+
 // Done records the end of the attempt. It has to be called exactly once.
 func (a *Assignment) Done(outcome Outcome, now time.Duration) {
 	a.table.mu.Lock()
@@ -93,6 +105,9 @@
 	if a.usesShare && !a.sent {
 		e.coldSends.pending--
 	}
+	if _, unanswered := e.unanswered[a.id]; unanswered && a.sent {
+		a.table.recordRejection(e, now) // The answer that was lost may have been one.
+	}
 	delete(e.unanswered, a.id)
 	switch outcome {
 	case Answered:
--- /dev/null
+++ b/internal/placement/brittle.go
@@ -0,0 +1,98 @@
+package placement
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// rejectionWindow is the window of a rejection limit. rejectionMemory is how long a
+	// rejection is counted: longer, since it is known here later than at the endpoint.
+	rejectionWindow = time.Second
+	rejectionMemory = rejectionWindow + 100*time.Millisecond
+	// unownedShareRatio is the part of a rejection limit that is left to instances that own no
+	// share of it.
+	unownedShareRatio = 0.2
+)
+
+// rejectionState is what an endpoint's rejection limit leaves to this instance. An endpoint
+// with such a limit crashes if it has to reject more requests in a second.
+//
+// Each attempt whose answer has not started may be rejected. So they count together with the
+// rejections of the last second, and the instances divide the limit like that of a cold
+// endpoint. No exchange between them is needed, and the sum holds whatever the others do.
+//
+// Invariant: over all owners, unanswered attempts and recent rejections <= rejection limit.
+type rejectionState struct {
+	rejectionsLimited bool
+	rejectionRoom     int // How many more attempts may be sent now.
+	rejectionShare    int // This instance's part of the limit; 0 if it owns none.
+	rejectionVersion  int // The fleet.version by which rejectionShare was computed.
+	rejectedAt        []time.Duration
+}
+
+// countRecent returns the number of rejections that still count.
+func (s *rejectionState) countRecent(now time.Duration) int {
+	expired := 0
+	for expired < len(s.rejectedAt) && now-s.rejectedAt[expired] >= rejectionMemory {
+		expired++
+	}
+	s.rejectedAt = s.rejectedAt[expired:]
+	return len(s.rejectedAt)
+}
+
+// serviceRejections is what is known of the rejection limit of a service's endpoints.
+type serviceRejections struct {
+	limit int // Rejections that an endpoint bears in a second; 0 for any number.
+	// pausedUntil is until when an instance without a share of the limit sends nothing, since
+	// it was rejected.
+	pausedUntil time.Duration
+}
+
+// setRejectionLimit sets the limit of a service's endpoints, as one of them has just stated
+// it.
+func (t *Table) setRejectionLimit(service string, limit int) {
+	if t.rejections[service].limit == limit {
+		return
+	}
+	t.rejections[service] = serviceRejections{limit: limit}
+	t.fleet.version++
+}
+
+// updateRejectionRoom computes how many attempts may be sent to the endpoint now.
+//
+// Where there are more instances than the limit can be divided among, the others send one
+// request at a time, and none for long after a rejection.
+func (t *Table) updateRejectionRoom(e *endpointState, now time.Duration) {
+	service := t.rejections[e.Service]
+	s := &e.rejectionState
+	if s.rejectionsLimited = service.limit > 0; !s.rejectionsLimited {
+		return
+	}
+	if s.rejectionVersion != t.fleet.version {
+		s.rejectionVersion = t.fleet.version
+		s.rejectionShare = t.fleet.share(e.idHash, max(float64(service.limit), 1/sharedBudgetRatio))
+	}
+	switch {
+	case s.rejectionShare > 0:
+		s.rejectionRoom = s.rejectionShare - len(e.unanswered) - s.countRecent(now)
+	case now < service.pausedUntil || len(e.unanswered) > 0:
+		s.rejectionRoom = 0
+	default:
+		s.rejectionRoom = 1
+	}
+}
+
+// recordRejection records that the endpoint has rejected a request, or may have.
+func (t *Table) recordRejection(e *endpointState, now time.Duration) {
+	e.rejectedAt = append(e.rejectedAt, now)
+	e.countRecent(now) // Drops those that no longer count.
+	service, limited := t.rejections[e.Service]
+	if !limited || service.limit == 0 || e.rejectionShare > 0 {
+		return
+	}
+	perSecond := unownedShareRatio * float64(service.limit)
+	pause := math.Max(1, float64(len(t.fleet.instances))/perSecond)
+	service.pausedUntil = now + time.Duration(pause*float64(time.Second))
+	t.rejections[e.Service] = service
+}
--- /dev/null
+++ b/internal/placement/brittle_test.go
@@ -0,0 +1,194 @@
+package placement_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"guavapier/internal/discovery"
+	"guavapier/internal/placement"
+)
+
+// brittleFleet simulates instances whose callers send more than brittle endpoints can serve.
+type brittleFleet struct {
+	rng       *rand.Rand
+	instances []*placement.Table
+	endpoints map[string]*simulatedBrittleEndpoint
+	now       time.Duration
+	answers   []simulatedAnswer // Under way, in no particular order.
+}
+
+// simulatedBrittleEndpoint serves capacity requests at once and rejects the others.
+type simulatedBrittleEndpoint struct {
+	busy       int
+	served     int
+	rejectedAt []time.Duration
+}
+
+// simulatedAnswer is an answer that arrives at an instance at a moment.
+type simulatedAnswer struct {
+	at         time.Duration
+	assignment *placement.Assignment
+	rejected   bool
+	lost       bool // It breaks off before its first byte.
+}
+
+const (
+	brittleCapacity = 6
+	brittleLimit    = 10 // Rejections in a second that an endpoint bears.
+)
+
+func newBrittleFleet(instances, endpoints int) *brittleFleet {
+	f := &brittleFleet{rng: rand.New(rand.NewPCG(uint64(instances), 1)), endpoints: map[string]*simulatedBrittleEndpoint{}, now: time.Minute}
+	var names []string
+	for i := range instances {
+		names = append(names, fmt.Sprint("instance-", i))
+	}
+	for i := range instances {
+		table := placement.New(uint64(i), 0)
+		table.SetInstances(names[i], names)
+		f.instances = append(f.instances, table)
+		for n := range endpoints {
+			id := fmt.Sprint("e", n)
+			f.endpoints[id] = &simulatedBrittleEndpoint{}
+			table.Put(discovery.Endpoint{ID: id, Service: "s", Zone: "z"}, 0)
+		}
+	}
+	return f
+}
+
+// learn lets each instance get an answer that states the limit.
+func (f *brittleFleet) learn() {
+	for _, table := range f.instances {
+		a := table.Place(placement.Query{Service: "s", Zone: "z"}, f.now)
+		a.OnSend(f.now)
+		a.OnAnswerStart(f.now, true)
+		a.OnReply(false, brittleLimit, f.now)
+		a.Done(placement.Answered, f.now)
+	}
+}
+
+// step lets each instance place as many requests as it may, and delivers answers.
+func (f *brittleFleet) step() {
+	const step, longestTrip, workTime = 5 * time.Millisecond, 5 * time.Millisecond, 50 * time.Millisecond
+	f.now += step
+	for _, i := range f.rng.Perm(len(f.instances)) {
+		for a := f.place(i); a != nil; a = f.place(i) {
+			a.OnSend(f.now)
+			e := f.endpoints[a.Endpoint.ID]
+			answer := simulatedAnswer{at: f.now + time.Duration(f.rng.Int64N(int64(longestTrip))), assignment: a, lost: f.rng.IntN(50) == 0}
+			if answer.rejected = e.busy >= brittleCapacity; answer.rejected {
+				e.rejectedAt = append(e.rejectedAt, f.now)
+			} else {
+				e.busy++
+				answer.at += workTime
+			}
+			f.answers = append(f.answers, answer)
+		}
+	}
+	f.answers = slices.DeleteFunc(f.answers, func(answer simulatedAnswer) bool {
+		if answer.at > f.now {
+			return false
+		}
+		f.deliver(answer)
+		return true
+	})
+}
+
+func (f *brittleFleet) place(instance int) *placement.Assignment {
+	return f.instances[instance].Place(placement.Query{Service: "s", Zone: "z"}, f.now)
+}
+
+func (f *brittleFleet) deliver(answer simulatedAnswer) {
+	a, e := answer.assignment, f.endpoints[answer.assignment.Endpoint.ID]
+	if !answer.rejected {
+		e.busy--
+		e.served++
+	}
+	if answer.lost {
+		a.Done(placement.Failed, f.now)
+		return
+	}
+	a.OnAnswerStart(f.now, !answer.rejected)
+	a.OnReply(answer.rejected, brittleLimit, f.now)
+	if answer.rejected {
+		a.Done(placement.Failed, f.now)
+	} else {
+		a.Done(placement.Answered, f.now)
+	}
+}
+
+// mostRejections returns the largest number of rejections of one endpoint in any second from a
+// time on.
+func (f *brittleFleet) mostRejections(from time.Duration) (most int) {
+	for _, e := range f.endpoints {
+		for i, at := range e.rejectedAt {
+			if at < from {
+				continue
+			}
+			inWindow := 0
+			for _, later := range e.rejectedAt[i:] {
+				if later-at < time.Second {
+					inWindow++
+				}
+			}
+			most = max(most, inWindow)
+		}
+	}
+	return most
+}
+
+func TestBrittleEndpointsRejectNoMoreThanTheyBear(t *testing.T) {
+	for _, c := range []struct {
+		instances, endpoints int
+		// settling is the time in which instances without a share of the limit find out that
+		// they are rejected.
+		settling time.Duration
+	}{
+		{1, 1, 0}, {3, 4, 0}, {8, 4, 0}, {8, 18, 0}, {59, 6, 2 * time.Second}, {59, 20, 2 * time.Second},
+	} {
+		f := newBrittleFleet(c.instances, c.endpoints)
+		f.learn()
+		from := f.now + c.settling
+		const duration = 5 * time.Second
+		for end := f.now + duration; f.now < end; {
+			f.step()
+		}
+		if most := f.mostRejections(from); most > brittleLimit {
+			t.Errorf("%d instances, %d endpoints: %d rejections in a second, want at most %d", c.instances, c.endpoints, most, brittleLimit)
+		}
+		served := 0
+		for _, e := range f.endpoints {
+			served += e.served
+		}
+		const capacityPerSecond, leastUse = brittleCapacity * 20, 0.3
+		if least := leastUse * capacityPerSecond * float64(c.endpoints) * duration.Seconds(); c.instances > 1 && float64(served) < least {
+			t.Errorf("%d instances, %d endpoints: %d requests served, want at least %.0f", c.instances, c.endpoints, served, least)
+		}
+	}
+}
+
+// Endpoints that no longer state a limit are used as before.
+func TestARejectionLimitEnds(t *testing.T) {
+	p := newTable(1)
+	p.SetInstances("i", []string{"i"})
+	a := p.Place(placement.Query{Service: "s"}, 0)
+	a.OnSend(0)
+	a.OnAnswerStart(0, false)
+	a.OnReply(true, 1, 0)
+	a.Done(placement.Failed, 0)
+	if b := p.Place(placement.Query{Service: "s"}, 0); b != nil {
+		t.Fatal("placed although the endpoint bears no further rejection")
+	}
+	b := p.Place(placement.Query{Service: "s"}, 2*time.Second)
+	b.OnSend(2 * time.Second)
+	b.OnAnswerStart(2*time.Second, true)
+	b.OnReply(false, 0, 2*time.Second)
+	for range 20 {
+		if p.Place(placement.Query{Service: "s"}, 2*time.Second) == nil {
+			t.Fatal("not placed although the endpoint states no limit any more")
+		}
+	}
+}
--- a/internal/placement/condition.go
+++ b/internal/placement/condition.go
@@ -29,6 +29,9 @@
 	ReasonUnconfirmed Reason = "unconfirmed" // Reachable again, and perhaps cold.
 	ReasonUnreachable Reason = "unreachable"
 	ReasonBackoff     Reason = "back-off"
+	// ReasonRejections means that further requests might be more than the endpoint can reject
+	// without crashing.
+	ReasonRejections Reason = "rejection limit"
 )
 
 const (
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -51,6 +51,7 @@
 type endpointState struct {
 	discovery.Endpoint
 	condition
+	rejectionState
 	idHash   uint64 // Hash of the endpoint's ID.
 	inFlight int    // This instance's requests.
 	// unanswered holds the attempts whose answer has not started, by assignment ID.
@@ -72,14 +73,16 @@
 	endpoints map[string]*endpointState
 	cordons   map[string]bool // Cordoned availability zones.
 	warmUps   map[string]WarmUp
-	fleet     fleet
-	lastID    uint64 // Of the latest assignment.
+	// rejections is by service; services without a rejection limit may be left out.
+	rejections map[string]serviceRejections
+	fleet      fleet
+	lastID     uint64 // Of the latest assignment.
 }
 
 // New returns an empty table for a process that starts at now. The seed determines how ties
 // are broken, so that tests are reproducible.
 func New(seed uint64, now time.Duration) *Table {
-	return &Table{rng: rand.New(rand.NewPCG(seed, seed)), endpoints: map[string]*endpointState{}, fleet: fleet{usedFrom: now + warmUpWindow, version: 1}}
+	return &Table{rng: rand.New(rand.NewPCG(seed, seed)), endpoints: map[string]*endpointState{}, rejections: map[string]serviceRejections{}, fleet: fleet{usedFrom: now + warmUpWindow, version: 1}}
 }
 
 // Put adds or updates an endpoint. All that was recorded of it is discarded if it has
@@ -191,7 +194,12 @@
 	if e.isCold(now) {
 		t.updateShare(e)
 	}
-	return e.use(now)
+	t.updateRejectionRoom(e, now)
+	use, reason := e.use(now)
+	if use < UseNone && e.rejectionsLimited && e.rejectionRoom <= 0 {
+		return UseNone, ReasonRejections
+	}
+	return use, reason
 }
 
 // Obstacles counts the service's endpoints that are not UseNormal, by the reason.
