upstream: a silence of a second ends idle connections only

Connections to endpoints had one of 1 s: a sound endpoint that was silent for a second lost all requests under way, as 502 or a cut stream.

With a request under way the timeout is 2.5 s now; an idle connection keeps 1 s, since it loses nothing by ending and a request sent on a dead one is lost. Connections through other instances follow, at both of their ends.

--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -4,7 +4,10 @@
 import (
 	"context"
 	"net"
+	"syscall"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 // Func establishes a connection, as net.Dialer.DialContext does.
@@ -16,6 +19,16 @@
 	err  error
 }
 
+// SyscallConn returns the raw connection of one that may be wrapped. It fails if the connection
+// gives no access to its socket.
+func SyscallConn(c net.Conn) (syscall.RawConn, error) {
+	socket, ok := c.(syscall.Conn)
+	if !ok {
+		return nil, eris.Errorf("dial: %T gives no access to its socket", c)
+	}
+	return socket.SyscallConn()
+}
+
 // Hedged returns a Func that starts a second attempt if the first is still pending
 // after hedgeDelay. It returns the connection that is established first, or an error
 // once all attempts have failed. TCP retransmits a lost SYN only after a second, so a
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,8 +66,10 @@
 	// endpoint announces no keep-alive timeout.
 	endpointIdleTimeout = 2 * time.Second
 	// endpointAckTimeout closes a connection to an endpoint whose host leaves sent bytes
-	// unacknowledged for this long.
-	endpointAckTimeout = time.Second
+	// unacknowledged for this long. A sound one may be silent for over a second.
+	endpointAckTimeout = 2500 * time.Millisecond
+	// idleEndpointAckTimeout does so while no request is under way on the connection.
+	idleEndpointAckTimeout = time.Second
 	// headerReadTimeout bounds reading a request's header. The desired state sets a lower
 	// limit, which callers keep to.
 	headerReadTimeout = 10 * time.Second
@@ -143,7 +145,8 @@
 	placementTable := placement.New(uint64(time.Now().UnixNano()), clock())
 	g.tunnels = newTunnels(instance, s.Gateway.Zone, &links{Table: placementTable, onLost: func(endpoint string) { g.upstreamPool.CloseIdle(endpoint) }}, &g.linkMeter, g.linkShedder.IsCongested, g.refusesTunnels, clock, g.sampledLog)
 	g.upstreamPool = upstream.NewPool(upstream.Options{
-		DialWaitTimeout: requestDialTimeout, DialTimeout: maxDialDuration, IdleTimeout: endpointIdleTimeout, Dial: g.tunnels.dialer.Dial,
+		DialWaitTimeout: requestDialTimeout, DialTimeout: maxDialDuration, IdleTimeout: endpointIdleTimeout,
+		AckTimeout: endpointAckTimeout, IdleAckTimeout: idleEndpointAckTimeout, Dial: g.tunnels.dialer.Dial,
 	})
 	g.prober = newProber(placementTable, g.upstreamPool, g.tunnels.dialer.DialDirect, clock, g.sampledLog)
 	g.tunnels.dialer.OnOpened = g.prober.onTunnelOpened
--- a/internal/gateway/tunnels.go
+++ b/internal/gateway/tunnels.go
@@ -38,7 +38,7 @@
 // newTunnels returns the tunnels of the instance self. It counts their bytes on the meter and
 // opens none while isCongested; it serves none while isBusy.
 func newTunnels(self record.InstanceID, zone string, endpoints *links, meter *linkload.Meter, isCongested, isBusy func() bool, clock func() time.Duration, log zerolog.Logger) *tunnels {
-	direct := meter.WrapDial(upstream.TCPDialer(endpointAckTimeout))
+	direct := meter.WrapDial(upstream.TCPDialer(idleEndpointAckTimeout))
 	candidates := tunnel.NewCandidates(zone, uint64(time.Now().UnixNano()))
 	return &tunnels{
 		candidates: candidates,
@@ -46,7 +46,7 @@
 			Direct: direct, Open: newTunnelOpener(self, direct), Links: endpoints, Candidates: candidates, IsCongested: isCongested, Clock: clock, Log: log,
 		},
 		server: &tunnel.Server{
-			Address: endpoints.Address, Direct: direct, Links: endpoints, IsBusy: isBusy, Log: log,
+			Address: endpoints.Address, Direct: meter.WrapDial(upstream.TCPDialer(endpointAckTimeout)), Links: endpoints, IsBusy: isBusy, Log: log,
 			WrapPeer: func(c net.Conn) net.Conn { return meter.WrapConn(withAckTimeout(c, log)) },
 		},
 	}
--- a/internal/linkload/meter.go
+++ b/internal/linkload/meter.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"sync/atomic"
+	"syscall"
 
 	"guavapier/internal/dial"
 )
@@ -60,6 +61,9 @@
 	meter *Meter
 }
 
+// SyscallConn implements syscall.Conn.
+func (c *countingConn) SyscallConn() (syscall.RawConn, error) { return dial.SyscallConn(c.Conn) }
+
 // Read implements net.Conn.
 func (c *countingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/internal/peer/tunnel.go
+++ b/internal/peer/tunnel.go
@@ -7,10 +7,12 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"guavapier/internal/dial"
 	"guavapier/internal/record"
 )
 
@@ -97,6 +99,9 @@
 	ended  bool
 }
 
+// SyscallConn implements syscall.Conn.
+func (c *tunnelConn) SyscallConn() (syscall.RawConn, error) { return dial.SyscallConn(c.Conn) }
+
 // Read implements net.Conn. It returns io.EOF only if the endpoint has closed its connection
 // properly.
 func (c *tunnelConn) Read(p []byte) (int, error) {
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -14,8 +14,10 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
+	"guavapier/internal/dial"
 	"guavapier/internal/peer"
 )
 
@@ -64,6 +66,9 @@
 // ReusableUntil returns when the connection must no longer be used for further requests.
 func (c *Conn) ReusableUntil() time.Time { return c.openedAt.Add(maxAge) }
 
+// SyscallConn implements syscall.Conn.
+func (c *Conn) SyscallConn() (syscall.RawConn, error) { return dial.SyscallConn(c.Conn) }
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.closeOnce.Do(c.onClose)
--- a/internal/upstream/keep_alive.go
+++ b/internal/upstream/keep_alive.go
@@ -1,14 +1,18 @@
 package upstream
 
 import (
+	"net"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"guavapier/internal/dial"
 )
 
-// TCP keep-alive settings, which detect dead connections while they are idle: a probe is
-// sent every second, and two unanswered ones end the connection.
+// TCP keep-alive settings, which detect dead connections while nothing is sent on them. The TCP
+// user timeout decides when unanswered probes end a connection; their number has no effect
+// beside it.
 const (
 	keepAliveIdleSeconds     = 1
 	keepAliveIntervalSeconds = 1
@@ -41,3 +45,19 @@
 		return firstErr
 	}
 }
+
+// SetUserTimeout changes the TCP user timeout of a connection; see KeepAliveControl.
+func SetUserTimeout(c net.Conn, timeout time.Duration) error {
+	raw, err := dial.SyscallConn(c)
+	if err != nil {
+		return err
+	}
+	var optErr error
+	err = raw.Control(func(fd uintptr) {
+		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return optErr
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -23,6 +23,11 @@
 	// IdleTimeout is how long an idle connection is kept if the endpoint announces no
 	// timeout.
 	IdleTimeout time.Duration
+	// AckTimeout ends a connection with a request under way whose sent bytes or keep-alive
+	// probes are unacknowledged for so long, IdleAckTimeout an idle one. An idle one loses
+	// nothing by ending soon, while a sound endpoint may be silent for a while. Both are set
+	// only if AckTimeout is not 0.
+	AckTimeout, IdleAckTimeout time.Duration
 	// Dial makes connections.
 	Dial DialFunc
 }
@@ -85,6 +90,7 @@
 		}
 		c = fresh
 	}
+	p.setAckTimeout(c, p.opts.AckTimeout)
 	if out.OnSend != nil {
 		out.OnSend(c.via)
 	}
@@ -140,8 +146,17 @@
 	return nil
 }
 
+// setAckTimeout sets the connection's TCP user timeout. A connection that has ended in the
+// meantime can't be set and fails when it is used.
+func (p *Pool) setAckTimeout(c *conn, timeout time.Duration) {
+	if p.opts.AckTimeout > 0 {
+		_ = SetUserTimeout(c.Conn, timeout)
+	}
+}
+
 // release returns a connection to the pool after its answer was read completely.
 func (p *Pool) release(endpoint string, c *conn) {
+	p.setAckTimeout(c, p.opts.IdleAckTimeout)
 	c.awaitFirstByte()
 	p.addIdle(endpoint, c)
 }
