ledger: tokens that a witness may still count are not returned to the budget

Cause: a use whose acknowledgement is unknown was treated as one that never was.

Change: tokens that became free by the end or the failure of reservations are returned only when the witness has acknowledged all changes; where the right ended before, they stay until the grant is closed. So what the witness counts is never cut.

--- a/internal/ledger/account.go
+++ b/internal/ledger/account.go
@@ -46,13 +46,21 @@
 // Invariant: free tokens, reserved tokens and billed tokens add up to at most
 // the grant's amount on the log. Reserved tokens become free again only after
 // the end of their reservation has been queued for the witness.
+//
+// Invariant: the witness counts at most the tokens that are not free, and
+// unacknowledged. So its close bills each use in full whatever was returned to
+// the budget.
 type grant struct {
-	held          *heldRight
-	free          int64 // Tokens neither reserved nor used.
-	retired       bool  // Accepts no more reservations.
-	remoteWitness bool  // The witness is in another zone.
-	reservations  map[right.UseID]*openReservation
-	unbilled      map[right.UseID]record.Bill // Bills not yet known to be on the log.
+	held *heldRight
+	free int64 // Tokens neither reserved nor used.
+	// unacknowledged is the number of tokens that became free by the end or
+	// the failure of reservations, which the witness may still count. They can
+	// be reserved again in this grant, and can't be returned to the budget.
+	unacknowledged int64
+	retired        bool // Accepts no more reservations.
+	remoteWitness  bool // The witness is in another zone.
+	reservations   map[right.UseID]*openReservation
+	unbilled       map[right.UseID]record.Bill // Bills not yet known to be on the log.
 	// returnSeq is the sequence number of the latest return of tokens to the
 	// budget. pendingReturn is the return that the fold hasn't applied yet, or
 	// nil.
@@ -124,7 +132,7 @@
 		return
 	}
 	delete(g.reservations, id)
-	g.free += h.outstanding.Tokens
+	g.release(h.outstanding.Tokens)
 	a.consumption.add(now, -h.outstanding.Tokens)
 	if g.held.Err() != nil {
 		g.retired = true
@@ -158,16 +166,32 @@
 	used = min(max(used, 0), h.outstanding.Tokens)
 	if used == 0 {
 		g.held.Drop(id)
-		g.free += h.outstanding.Tokens
+		g.release(h.outstanding.Tokens)
 		return
 	}
 	billed := h.outstanding
 	billed.Tokens = used
 	g.held.Update(right.Use[record.Outstanding]{ID: id, Body: billed})
-	g.free += h.outstanding.Tokens - used
+	g.release(h.outstanding.Tokens - used)
 	g.unbilled[id] = record.Bill{Key: billed.Key, Right: g.rightID(), Run: billed.Run, Tokens: used}
 }
 
+// release makes reserved tokens free, whose end the witness has yet to
+// acknowledge. The caller holds account.mu.
+func (g *grant) release(tokens int64) {
+	g.free += tokens
+	g.unacknowledged += tokens
+}
+
+// returnable returns the number of free tokens that may be returned to the
+// budget: the witness doesn't count them. The caller holds account.mu.
+func (g *grant) returnable() int64 {
+	if g.held.IsAcknowledged() {
+		g.unacknowledged = 0
+	}
+	return max(0, g.free-g.unacknowledged)
+}
+
 // isEmpty reports whether the account can be deleted: it has no grants,
 // expects none, and hasn't been used for minIdleTime.
 func (a *account) isEmpty(now time.Time) bool {
@@ -215,7 +239,7 @@
 	return sum
 }
 
-// returnTokens takes up to the given number of free tokens out of the grants,
+// returnTokens takes up to the given number of returnable tokens out of the grants,
 // newest grant first, and returns the records that return them to the budget.
 // The grants keep the records until the fold has applied them. The caller
 // holds a.mu.
@@ -229,7 +253,7 @@
 	var out []record.Record
 	for i := len(a.grants) - 1; i >= 0 && tokens > 0; i-- {
 		g := a.grants[i]
-		amount := min(g.free, tokens)
+		amount := min(g.returnable(), tokens)
 		if amount <= 0 || g.pendingReturn != nil || !eligible(g) {
 			continue
 		}
--- a/internal/ledger/tick.go
+++ b/internal/ledger/tick.go
@@ -136,8 +136,8 @@
 	idle := IsIdle(now.Sub(a.lastUse), l.Conservatism(a.budget))
 	for _, g := range a.grants {
 		g.retired = g.retired || draining || idle || g.held.Err() != nil
-		if g.retired && g.free > 0 && g.pendingReturn == nil && len(g.reservations) > 0 {
-			g.startReturn(l.Self, g.free)
+		if tokens := g.returnable(); g.retired && tokens > 0 && g.pendingReturn == nil && len(g.reservations) > 0 {
+			g.startReturn(l.Self, tokens)
 		}
 	}
 	d := l.sizingInput(a, now)
--- a/internal/right/held_right.go
+++ b/internal/right/held_right.go
@@ -34,6 +34,14 @@
 	return h.holder.Err()
 }
 
+// IsAcknowledged reports whether the witness, if there is one, has acknowledged all changes of
+// uses: it counts no use that was dropped here. It stays false if the right ended before.
+func (h *HeldRight[U]) IsAcknowledged() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.holder.IsAcknowledged()
+}
+
 // Use returns nil once the use is confirmed: acknowledged by the witness, or
 // accepted at once if the right has none. After any error the use isn't
 // confirmed for this holder. If ctx ended, the use is dropped with the next
--- a/internal/right/holder.go
+++ b/internal/right/holder.go
@@ -13,6 +13,7 @@
 	endReason   error // ErrClosed, ErrSealed, ErrLost or another refusal; nil while usable.
 	queuedPuts  []Use[U]
 	queuedDrops []UseID
+	inDoubt     bool // The right ended with changes that the witness had not acknowledged.
 }
 
 // NewHolder returns the state of a usable right. The caller must have read its
@@ -69,6 +70,12 @@
 	return b, true
 }
 
+// IsAcknowledged reports whether the witness has acknowledged all changes, so that it counts the
+// same uses as the holder. It stays false if the right ended before it had.
+func (h *Holder[U]) IsAcknowledged() bool {
+	return !h.inDoubt && !h.inFlight && len(h.queuedPuts)+len(h.queuedDrops) == 0
+}
+
 // OnAcknowledged records that the witness acknowledged the batch in flight. It
 // returns the reason if the right has ended meanwhile. The uses of the batch
 // are confirmed all the same: the witness includes them in its close.
@@ -81,6 +88,7 @@
 // ErrSealed if the witness has sealed it, ErrLost if it isn't known whether
 // the batch in flight was acknowledged. The first reason is kept.
 func (h *Holder[U]) End(reason error) {
+	h.inDoubt = !h.IsAcknowledged()
 	h.inFlight = false
 	if h.endReason == nil {
 		h.endReason = reason
