ledger: a settlement that is queued meanwhile loses no mark of a logged bill

The sender works on a copy and marks the queue's items under the lock. TestASettlementQueuedDuringABillLosesNoMark: two appends before, one after.

--- a/internal/ledger/remote_reserve.go
+++ b/internal/ledger/remote_reserve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -157,7 +158,7 @@
 func (s *remoteSettler) sendQueued(owner record.InstanceID, q *settleQueue) {
 	for {
 		s.mu.Lock()
-		items := q.items[:min(len(q.items), maxRecordsPerAppend):min(len(q.items), maxRecordsPerAppend)]
+		items := slices.Clone(q.items[:min(len(q.items), maxRecordsPerAppend)])
 		if len(items) == 0 {
 			q.sending = false
 			delete(s.queues, owner)
@@ -167,7 +168,7 @@
 		s.mu.Unlock()
 		err := s.l.callPeer(context.Background(), owner, "Settle", SettleArgs{Items: items}, &SettleReply{})
 		if err != nil {
-			s.appendBills(items)
+			s.appendBills(q, items)
 		}
 		s.mu.Lock()
 		if err != nil {
@@ -183,8 +184,9 @@
 
 // appendBills bills used tokens on the log that the owner couldn't be told of.
 // If the owner has failed, these bills precede the close by its witness and
-// take effect instead of the amounts in it.
-func (s *remoteSettler) appendBills(items []Settlement) {
+// take effect instead of the amounts in it. The items are a copy of the first
+// ones of the queue, from which only its sender removes any.
+func (s *remoteSettler) appendBills(q *settleQueue, items []Settlement) {
 	for i, item := range items {
 		if item.Used <= 0 || item.billLogged {
 			continue
@@ -193,7 +195,9 @@
 		stream := s.l.Partitions.ForTeam(item.Budget.Team).Stream()
 		bill := record.Bill{Key: r.Key, Right: r.Right, Run: r.Run, Tokens: min(item.Used, r.Tokens)}
 		if _, err := s.l.Log.Append(context.Background(), stream, bill); err == nil {
-			items[i].billLogged = true
+			s.mu.Lock()
+			q.items[i].billLogged = true
+			s.mu.Unlock()
 		}
 	}
 }
