gateway: an instance that reaches no endpoint at all leaves the rotation

With it: idle connections to an endpoint are closed only if its link fell silent (one that refuses connections may just have enough of them), and one confirmed refusal is enough for an instance that has other links.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -37,7 +37,8 @@
 	Pool       *upstream.Pool
 	Clock      func() time.Duration // Monotonic time since an arbitrary start.
 	// ClosesConnections reports whether answers carry Connection: close, so that callers
-	// move to other instances: this one is draining, outdated or its link is overloaded.
+	// move to other instances: this one is draining, outdated, overloaded on its link, or
+	// reaches no endpoint.
 	ClosesConnections func() bool
 	// IsOutdated reports whether this instance's data is older than that of other instances
 	// that callers can reach.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -110,8 +110,9 @@
 	linkMeter        linkload.Meter
 	linkShedder      *linkload.Shedder
 	upstreamPool     *upstream.Pool
-	tunnels          *tunnels             // Connections to endpoints through other instances.
-	prober           *prober              // Of endpoints that can't be reached.
+	tunnels          *tunnels // Connections to endpoints through other instances.
+	prober           *prober  // Of endpoints that can't be reached.
+	isolation        isolation
 	callerConns      *callers.Connections // Open connections of callers.
 	exitDeadline     time.Time            // When the process is killed; set by shutdown.
 	isDraining       atomic.Bool
@@ -143,7 +144,7 @@
 	}
 	instance := record.NewInstanceID(s.Gateway.Name)
 	placementTable := placement.New(uint64(time.Now().UnixNano()), clock())
-	g.tunnels = newTunnels(instance, s.Gateway.Zone, &links{Table: placementTable, onLost: func(endpoint string) { g.upstreamPool.CloseIdle(endpoint) }}, &g.linkMeter, g.linkShedder.IsCongested, g.refusesTunnels, clock, g.sampledLog)
+	g.tunnels = newTunnels(instance, s.Gateway.Zone, &links{Table: placementTable, onSilent: func(endpoint string) { g.upstreamPool.CloseIdle(endpoint) }}, &g.linkMeter, g.linkShedder.IsCongested, g.refusesTunnels, clock, g.sampledLog)
 	g.upstreamPool = upstream.NewPool(upstream.Options{
 		DialWaitTimeout: requestDialTimeout, DialTimeout: maxDialDuration, IdleTimeout: endpointIdleTimeout,
 		AckTimeout: endpointAckTimeout, IdleAckTimeout: idleEndpointAckTimeout, Dial: g.tunnels.dialer.Dial,
@@ -254,15 +255,16 @@
 }
 
 // isReady reports whether the load balancer should send callers to this instance. Losing
-// the store does not end readiness: the instance keeps serving from its last copies.
+// the store does not end readiness: the instance keeps serving from its last copies. Losing
+// the links to endpoints does only if other instances can't help.
 func (g *Gateway) isReady() bool {
-	return !g.isDraining.Load() && !g.linkShedder.IsShedding() && !g.isOutdated() && g.config.Load() != nil && g.endpoints.isLoaded.Load() && g.budgets.IsLoaded() && g.quarantine.Loaded()
+	return !g.isDraining.Load() && !g.linkShedder.IsShedding() && !g.isOutdated() && !g.isolation.isIsolated() && g.config.Load() != nil && g.endpoints.isLoaded.Load() && g.budgets.IsLoaded() && g.quarantine.Loaded()
 }
 
 // closesCallerConns reports whether responses ask callers to close their connections and so
 // to move to another instance.
 func (g *Gateway) closesCallerConns() bool {
-	return g.isDraining.Load() || g.isOutdated() || g.linkShedder.ShouldCloseConnections(g.clock())
+	return g.isDraining.Load() || g.isOutdated() || g.isolation.isIsolated() || g.linkShedder.ShouldCloseConnections(g.clock())
 }
 
 // isOutdated reports whether this instance's copy of the desired state or of the endpoint
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -56,7 +56,7 @@
 		g.upstreamPool.CloseExpired()
 		g.updateLinkLoad()
 		g.endpoints.sweep()
-		reach.update(g.endpoints.placementTable.ReachByService())
+		g.updateReach(reach)
 		g.callerConns.CloseIdle()
 		g.retryLimiter.SetInstances(g.budgets.Accounts.Instances())
 	}
@@ -72,6 +72,16 @@
 		Msg("gateway: callers sent elsewhere, or taken again, for the load of the link")
 }
 
+// updateReach logs changes of the endpoints that are reachable, and decides whether callers are
+// sent to other instances because none is.
+func (g *Gateway) updateReach(logger *reachLogger) {
+	byService := g.endpoints.placementTable.ReachByService()
+	logger.update(byService)
+	if g.isolation.update(byService, !g.tunnels.candidates.IsEmpty(), g.clock()) {
+		g.log.Warn().Bool("isolated", g.isolation.isIsolated()).Msg("gateway: callers sent elsewhere, or taken again, since no endpoint is reachable")
+	}
+}
+
 // logOutdatedChange logs when the instance has become outdated or current again, and returns
 // whether it is outdated.
 func (g *Gateway) logOutdatedChange(wasOutdated bool) bool {
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -24,7 +24,8 @@
 	// maxAsked bounds the instances that are asked for one connection.
 	maxAsked = 3
 	// enoughConfirmations is how many instances have to fail to connect to an endpoint before
-	// it counts as unreachable: one of them may have lost its link to it as well.
+	// it counts as unreachable: one of them may have lost its link to it as well. One refusal
+	// is enough for an instance that has links to other endpoints.
 	enoughConfirmations = 2
 )
 
@@ -66,7 +67,7 @@
 func (d *Dialer) DialDirect(ctx context.Context, endpoint, address string) (net.Conn, error) {
 	conn, err := d.Direct(ctx, "tcp", address)
 	if err == nil || !errors.Is(ctx.Err(), context.Canceled) {
-		d.Links.RecordLink(endpoint, err == nil)
+		d.Links.RecordLink(endpoint, err)
 	}
 	return conn, err
 }
@@ -115,7 +116,7 @@
 				return result.conn, nil
 			}
 			r.observe(result)
-			if r.refusedThere && r.confirmations >= enoughConfirmations {
+			if r.isRefused() {
 				return nil, r.failure()
 			}
 			r.startNext()
@@ -152,7 +153,7 @@
 	stop := context.AfterFunc(r.ctx, func() { time.AfterFunc(linkTimeout, cancel) })
 	defer stop()
 	conn, err := r.Direct(ctx, "tcp", r.address)
-	r.Links.RecordLink(r.endpoint, err == nil)
+	r.Links.RecordLink(r.endpoint, err)
 	r.results <- wayResult{conn: conn, err: err}
 }
 
@@ -189,6 +190,12 @@
 	}
 }
 
+// isRefused reports whether enough instances have found that the endpoint's host refuses
+// connections.
+func (r *race) isRefused() bool {
+	return r.refusedThere && (r.confirmations >= enoughConfirmations || r.directErr != nil && !r.Links.IsIsolated())
+}
+
 // failure returns the error of a race without a connection.
 func (r *race) failure() error {
 	refusedHere := errors.Is(r.directErr, syscall.ECONNREFUSED) && (r.confirmations > 0 || !r.Links.IsIsolated())
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -81,7 +81,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), serverDialTimeout)
 	defer cancel()
 	conn, err := s.Direct(ctx, "tcp", address)
-	s.Links.RecordLink(endpoint, err == nil)
+	s.Links.RecordLink(endpoint, err)
 	switch {
 	case err == nil:
 		return conn, peer.TunnelOpen
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -26,8 +26,9 @@
 type Links interface {
 	// HasLink reports whether the endpoint is assumed to be reachable by the own link.
 	HasLink(endpoint string) bool
-	// RecordLink records whether a connection to the endpoint could be made by the own link.
-	RecordLink(endpoint string, connected bool)
+	// RecordLink records the result of connecting to the endpoint by the own link: nil, or why
+	// no connection could be made.
+	RecordLink(endpoint string, err error)
 	// IsIsolated reports whether no endpoint at all is assumed to be reachable by the own
 	// link.
 	IsIsolated() bool
