--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -144,7 +144,7 @@
 	}
 	instance := record.NewInstanceID(s.Gateway.Name)
 	placementTable := placement.New(uint64(time.Now().UnixNano()), clock())
-	g.tunnels = newTunnels(instance, s.Gateway.Zone, &links{Table: placementTable, onSilent: func(endpoint string) { g.upstreamPool.CloseIdle(endpoint) }}, &g.linkMeter, g.linkShedder.IsCongested, g.refusesTunnels, clock, g.sampledLog)
+	g.tunnels = g.newTunnels(instance, &links{Table: placementTable, onSilent: func(endpoint string) { g.upstreamPool.CloseIdle(endpoint) }})
 	g.upstreamPool = upstream.NewPool(upstream.Options{
 		DialWaitTimeout: requestDialTimeout, DialTimeout: maxDialDuration, IdleTimeout: endpointIdleTimeout,
 		AckTimeout: endpointAckTimeout, IdleAckTimeout: idleEndpointAckTimeout, Dial: g.tunnels.dialer.Dial,
@@ -280,9 +280,6 @@
 	return g.stateFreshness.isOutdated(link) || g.endpoints.freshness.isOutdated(link)
 }
 
-// refusesTunnels reports whether the instance has no capacity for other instances' requests.
-func (g *Gateway) refusesTunnels() bool { return g.isDraining.Load() || g.linkShedder.IsCongested() }
-
 // budgetAdapter implements forward.Budgets on the controller of prepaid budgets, whose
 // reservations have a concrete type.
 type budgetAdapter struct{ controller *prepaid.Controller }
--- a/internal/gateway/probes.go
+++ b/internal/gateway/probes.go
@@ -44,8 +44,8 @@
 	log       zerolog.Logger
 	suspicion atomic.Bool // A tunnel was needed since the last round.
 
-	mu      sync.Mutex // Guards probed.
-	probed  map[string]bool
+	mu      sync.Mutex      // Guards probed.
+	probed  map[string]bool // IDs of the endpoints that are being probed.
 	running sync.WaitGroup
 }
 
--- a/internal/gateway/tunnels.go
+++ b/internal/gateway/tunnels.go
@@ -8,7 +8,6 @@
 	"github.com/rs/zerolog"
 
 	"guavapier/internal/dial"
-	"guavapier/internal/linkload"
 	"guavapier/internal/logstore"
 	"guavapier/internal/peer"
 	"guavapier/internal/record"
@@ -35,23 +34,27 @@
 	server     *tunnel.Server
 }
 
-// newTunnels returns the tunnels of the instance self. It counts their bytes on the meter and
-// opens none while isCongested; it serves none while isBusy.
-func newTunnels(self record.InstanceID, zone string, endpoints *links, meter *linkload.Meter, isCongested, isBusy func() bool, clock func() time.Duration, log zerolog.Logger) *tunnels {
-	direct := meter.WrapDial(upstream.TCPDialer(idleEndpointAckTimeout))
-	candidates := tunnel.NewCandidates(zone, uint64(time.Now().UnixNano()))
+// newTunnels returns the tunnels of the instance self, whose bytes the link's meter counts.
+func (g *Gateway) newTunnels(self record.InstanceID, endpoints *links) *tunnels {
+	direct := g.linkMeter.WrapDial(upstream.TCPDialer(idleEndpointAckTimeout))
+	candidates := tunnel.NewCandidates(g.settings.Gateway.Zone, uint64(time.Now().UnixNano()))
 	return &tunnels{
 		candidates: candidates,
 		dialer: &tunnel.Dialer{
-			Direct: direct, Open: newTunnelOpener(self, direct), Links: endpoints, Candidates: candidates, IsCongested: isCongested, Clock: clock, Log: log,
+			Direct: direct, Open: newTunnelOpener(self, direct), Links: endpoints, Candidates: candidates,
+			IsCongested: g.linkShedder.IsCongested, Clock: g.clock, Log: g.sampledLog,
 		},
 		server: &tunnel.Server{
-			Address: endpoints.Address, Direct: meter.WrapDial(upstream.TCPDialer(endpointAckTimeout)), Links: endpoints, IsBusy: isBusy, Log: log,
-			WrapPeer: func(c net.Conn) net.Conn { return meter.WrapConn(withAckTimeout(c, log)) },
+			Address: endpoints.Address, Direct: g.linkMeter.WrapDial(upstream.TCPDialer(endpointAckTimeout)), Links: endpoints,
+			IsBusy: g.refusesTunnels, Log: g.sampledLog,
+			WrapPeer: func(c net.Conn) net.Conn { return g.linkMeter.WrapConn(withAckTimeout(c, g.sampledLog)) },
 		},
 	}
 }
 
+// refusesTunnels reports whether the instance has no capacity for other instances' requests.
+func (g *Gateway) refusesTunnels() bool { return g.isDraining.Load() || g.linkShedder.IsCongested() }
+
 // newTunnelOpener returns a function that asks other instances for tunnels.
 func newTunnelOpener(self record.InstanceID, dial dial.Func) tunnel.OpenFunc {
 	return func(ctx context.Context, address, endpoint string) (net.Conn, peer.TunnelStatus, error) {
--- a/internal/peer/tunnel.go
+++ b/internal/peer/tunnel.go
@@ -33,8 +33,8 @@
 	TunnelRefused
 	// TunnelTimeout means that the endpoint could not be connected to in time.
 	TunnelTimeout
-	// TunnelIsolated means that the instance can't connect to any endpoint.
-	TunnelIsolated
+	// TunnelNoLinks means that the instance can't connect to any endpoint.
+	TunnelNoLinks
 	// TunnelBusy means that the instance is draining or has no capacity left.
 	TunnelBusy
 	// TunnelUnknownEndpoint means that the instance does not know the endpoint, or that it is
@@ -44,7 +44,7 @@
 
 // String returns the status as log lines have it.
 func (s TunnelStatus) String() string {
-	names := [...]string{"unsupported", "open", "refused", "timeout", "isolated", "busy", "unknown endpoint"}
+	names := [...]string{"unsupported", "open", "refused", "timeout", "no links", "busy", "unknown endpoint"}
 	if int(s) < len(names) {
 		return names[s]
 	}
--- a/internal/peer/tunnel_test.go
+++ b/internal/peer/tunnel_test.go
@@ -154,7 +154,7 @@
 }
 
 func TestARefusedTunnelTellsWhy(t *testing.T) {
-	for _, status := range []peer.TunnelStatus{peer.TunnelRefused, peer.TunnelTimeout, peer.TunnelIsolated, peer.TunnelBusy, peer.TunnelUnknownEndpoint} {
+	for _, status := range []peer.TunnelStatus{peer.TunnelRefused, peer.TunnelTimeout, peer.TunnelNoLinks, peer.TunnelBusy, peer.TunnelUnknownEndpoint} {
 		address, _ := serveTunnels(t, newTunnelEndpoint(t, status))
 		conn, got, err := dialTunnel(t, address)
 		if conn != nil || got != status || err != nil {
--- a/internal/placement/reachable.go
+++ b/internal/placement/reachable.go
@@ -69,16 +69,16 @@
 	return list[:min(n, len(list))]
 }
 
-// IsIsolated implements tunnel.Links.
-func (t *Table) IsIsolated() bool {
+// HasAnyLink implements tunnel.Links.
+func (t *Table) HasAnyLink() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, e := range t.endpoints {
 		if !e.linkLost && e.mayGetRequests() {
-			return false
+			return true
 		}
 	}
-	return len(t.endpoints) > 0
+	return len(t.endpoints) == 0
 }
 
 // Address returns the address of an endpoint that may get requests; false for any other.
--- a/internal/placement/brittle_test.go
+++ b/internal/placement/rejections_test.go
@@ -11,17 +11,17 @@
 	"guavapier/internal/placement"
 )
 
-// brittleFleet simulates instances whose callers send more than brittle endpoints can serve.
-type brittleFleet struct {
+// limitedFleet simulates instances whose callers send more than endpoints with a rejection limit can serve.
+type limitedFleet struct {
 	rng       *rand.Rand
 	instances []*placement.Table
-	endpoints map[string]*simulatedBrittleEndpoint
+	endpoints map[string]*limitedEndpoint
 	now       time.Duration
 	answers   []simulatedAnswer // Under way, in no particular order.
 }
 
-// simulatedBrittleEndpoint serves capacity requests at once and rejects the others.
-type simulatedBrittleEndpoint struct {
+// limitedEndpoint serves capacity requests at once and rejects the others.
+type limitedEndpoint struct {
 	busy       int
 	served     int
 	rejectedAt []time.Duration
@@ -36,12 +36,12 @@
 }
 
 const (
-	brittleCapacity = 6
-	brittleLimit    = 10 // Rejections in a second that an endpoint bears.
+	endpointCapacity = 6
+	rejectionLimit   = 10 // Rejections in a second that an endpoint bears.
 )
 
-func newBrittleFleet(instances, endpoints int) *brittleFleet {
-	f := &brittleFleet{rng: rand.New(rand.NewPCG(uint64(instances), 1)), endpoints: map[string]*simulatedBrittleEndpoint{}, now: time.Minute}
+func newLimitedFleet(instances, endpoints int) *limitedFleet {
+	f := &limitedFleet{rng: rand.New(rand.NewPCG(uint64(instances), 1)), endpoints: map[string]*limitedEndpoint{}, now: time.Minute}
 	var names []string
 	for i := range instances {
 		names = append(names, fmt.Sprint("instance-", i))
@@ -52,7 +52,7 @@
 		f.instances = append(f.instances, table)
 		for n := range endpoints {
 			id := fmt.Sprint("e", n)
-			f.endpoints[id] = &simulatedBrittleEndpoint{}
+			f.endpoints[id] = &limitedEndpoint{}
 			table.Put(discovery.Endpoint{ID: id, Service: "s", Zone: "z"}, 0)
 		}
 	}
@@ -60,18 +60,18 @@
 }
 
 // learn lets each instance get an answer that states the limit.
-func (f *brittleFleet) learn() {
+func (f *limitedFleet) learn() {
 	for _, table := range f.instances {
 		a := table.Place(placement.Query{Service: "s", Zone: "z"}, f.now)
 		a.OnSend(f.now)
 		a.OnAnswerStart(f.now, true)
-		a.OnReply(false, brittleLimit, f.now)
+		a.OnReply(false, rejectionLimit, f.now)
 		a.Done(placement.Answered, f.now)
 	}
 }
 
 // step lets each instance place as many requests as it may, and delivers answers.
-func (f *brittleFleet) step() {
+func (f *limitedFleet) step() {
 	const step, longestTrip, workTime = 5 * time.Millisecond, 5 * time.Millisecond, 50 * time.Millisecond
 	f.now += step
 	for _, i := range f.rng.Perm(len(f.instances)) {
@@ -79,7 +79,7 @@
 			a.OnSend(f.now)
 			e := f.endpoints[a.Endpoint.ID]
 			answer := simulatedAnswer{at: f.now + time.Duration(f.rng.Int64N(int64(longestTrip))), assignment: a, lost: f.rng.IntN(50) == 0}
-			if answer.rejected = e.busy >= brittleCapacity; answer.rejected {
+			if answer.rejected = e.busy >= endpointCapacity; answer.rejected {
 				e.rejectedAt = append(e.rejectedAt, f.now)
 			} else {
 				e.busy++
@@ -97,11 +97,11 @@
 	})
 }
 
-func (f *brittleFleet) place(instance int) *placement.Assignment {
+func (f *limitedFleet) place(instance int) *placement.Assignment {
 	return f.instances[instance].Place(placement.Query{Service: "s", Zone: "z"}, f.now)
 }
 
-func (f *brittleFleet) deliver(answer simulatedAnswer) {
+func (f *limitedFleet) deliver(answer simulatedAnswer) {
 	a, e := answer.assignment, f.endpoints[answer.assignment.Endpoint.ID]
 	if !answer.rejected {
 		e.busy--
@@ -112,7 +112,7 @@
 		return
 	}
 	a.OnAnswerStart(f.now, !answer.rejected)
-	a.OnReply(answer.rejected, brittleLimit, f.now)
+	a.OnReply(answer.rejected, rejectionLimit, f.now)
 	if answer.rejected {
 		a.Done(placement.Failed, f.now)
 	} else {
@@ -122,7 +122,7 @@
 
 // mostRejections returns the largest number of rejections of one endpoint in any second from a
 // time on.
-func (f *brittleFleet) mostRejections(from time.Duration) (most int) {
+func (f *limitedFleet) mostRejections(from time.Duration) (most int) {
 	for _, e := range f.endpoints {
 		for i, at := range e.rejectedAt {
 			if at < from {
@@ -140,7 +140,7 @@
 	return most
 }
 
-func TestBrittleEndpointsRejectNoMoreThanTheyBear(t *testing.T) {
+func TestEndpointsRejectNoMoreThanTheyBear(t *testing.T) {
 	for _, c := range []struct {
 		instances, endpoints int
 		// settling is the time in which instances without a share of the limit find out that
@@ -149,21 +149,21 @@
 	}{
 		{1, 1, 0}, {3, 4, 0}, {8, 4, 0}, {8, 18, 0}, {59, 6, 2 * time.Second}, {59, 20, 2 * time.Second},
 	} {
-		f := newBrittleFleet(c.instances, c.endpoints)
+		f := newLimitedFleet(c.instances, c.endpoints)
 		f.learn()
 		from := f.now + c.settling
 		const duration = 5 * time.Second
 		for end := f.now + duration; f.now < end; {
 			f.step()
 		}
-		if most := f.mostRejections(from); most > brittleLimit {
-			t.Errorf("%d instances, %d endpoints: %d rejections in a second, want at most %d", c.instances, c.endpoints, most, brittleLimit)
+		if most := f.mostRejections(from); most > rejectionLimit {
+			t.Errorf("%d instances, %d endpoints: %d rejections in a second, want at most %d", c.instances, c.endpoints, most, rejectionLimit)
 		}
 		served := 0
 		for _, e := range f.endpoints {
 			served += e.served
 		}
-		const capacityPerSecond, leastUse = brittleCapacity * 20, 0.3
+		const capacityPerSecond, leastUse = endpointCapacity * 20, 0.3
 		if least := leastUse * capacityPerSecond * float64(c.endpoints) * duration.Seconds(); c.instances > 1 && float64(served) < least {
 			t.Errorf("%d instances, %d endpoints: %d requests served, want at least %.0f", c.instances, c.endpoints, served, least)
 		}
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -193,12 +193,12 @@
 // isRefused reports whether enough instances have found that the endpoint's host refuses
 // connections.
 func (r *race) isRefused() bool {
-	return r.refusedThere && (r.confirmations >= enoughConfirmations || r.directErr != nil && !r.Links.IsIsolated())
+	return r.refusedThere && (r.confirmations >= enoughConfirmations || r.directErr != nil && r.Links.HasAnyLink())
 }
 
 // failure returns the error of a race without a connection.
 func (r *race) failure() error {
-	refusedHere := errors.Is(r.directErr, syscall.ECONNREFUSED) && (r.confirmations > 0 || !r.Links.IsIsolated())
+	refusedHere := errors.Is(r.directErr, syscall.ECONNREFUSED) && (r.confirmations > 0 || r.Links.HasAnyLink())
 	if refusedHere || r.refusedThere {
 		return errors.Join(ErrUnreachable, syscall.ECONNREFUSED)
 	}
--- a/internal/tunnel/dialer_test.go
+++ b/internal/tunnel/dialer_test.go
@@ -24,12 +24,13 @@
 	// link and instances decide the own link's and each other instance's way to the endpoint.
 	link      way
 	instances map[string]way
+	// withoutLinks states that the links to all other endpoints are lost.
+	withoutLinks bool
 
-	mu       sync.Mutex // Guards the rest.
-	asked    []string   // Addresses of the instances that were asked for a tunnel.
-	lost     bool       // The own link is recorded as lost.
-	isolated bool
-	open     int // Connections that were made and not closed.
+	mu    sync.Mutex // Guards the rest.
+	asked []string   // Addresses of the instances that were asked for a tunnel.
+	lost  bool       // The own link is recorded as lost.
+	open  int        // Connections that were made and not closed.
 }
 
 // way is what happens on one way to the endpoint.
@@ -107,7 +108,7 @@
 	n.lost = err != nil
 }
 
-func (n *fakeNetwork) IsIsolated() bool { return n.isolated }
+func (n *fakeNetwork) HasAnyLink() bool { return !n.withoutLinks }
 
 // wantOpen checks how many connections are open once all dials have ended.
 func (n *fakeNetwork) wantOpen(want int) {
@@ -174,7 +175,7 @@
 // draining are each passed over for another.
 func TestAnInstanceThatCannotHelpIsPassedOver(t *testing.T) {
 	for name, first := range map[string]way{
-		"isolated": {delay: time.Millisecond, status: peer.TunnelIsolated},
+		"no links": {delay: time.Millisecond, status: peer.TunnelNoLinks},
 		"busy":     {delay: time.Millisecond, status: peer.TunnelBusy},
 		"old":      {delay: time.Millisecond, status: peer.TunnelUnsupported},
 		"silent":   hangs,
@@ -194,19 +195,19 @@
 	unreachable := way{delay: time.Millisecond, status: peer.TunnelTimeout}
 	for name, c := range map[string]struct {
 		link, others way
-		isolated     bool
+		withoutLinks bool
 		want         bool
 	}{
 		"refused here and there":                {link: refused, others: way{delay: time.Millisecond, status: peer.TunnelRefused}, want: true},
-		"refused here, no instance helps":       {link: refused, others: way{status: peer.TunnelBusy}, isolated: true},
+		"refused here, no instance helps":       {link: refused, others: way{status: peer.TunnelBusy}, withoutLinks: true},
 		"the same with links to others":         {link: refused, others: way{status: peer.TunnelBusy}, want: true},
-		"refused here, no connection there":     {link: refused, others: unreachable, isolated: true, want: true},
+		"refused here, no connection there":     {link: refused, others: unreachable, withoutLinks: true, want: true},
 		"no connection here, none there":        {link: hangs, others: unreachable},
 		"no connection here, refused elsewhere": {link: hangs, others: way{status: peer.TunnelRefused}, want: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				n := &fakeNetwork{t: t, link: c.link, isolated: c.isolated, instances: map[string]way{"a": c.others, "bb": c.others}}
+				n := &fakeNetwork{t: t, link: c.link, withoutLinks: c.withoutLinks, instances: map[string]way{"a": c.others, "bb": c.others}}
 				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 				defer cancel()
 				_, err := n.dialer().Dial(ctx, "e", "e:1")
@@ -221,9 +222,9 @@
 
 // The endpoint is dead: the instances that are asked are few, one if this one has other links.
 func TestADeadEndpointIsAskedForAtFewInstances(t *testing.T) {
-	for isolated, want := range map[bool]int{false: 1, true: enoughConfirmations} {
+	for withoutLinks, want := range map[bool]int{false: 1, true: enoughConfirmations} {
 		synctest.Test(t, func(t *testing.T) {
-			n := &fakeNetwork{t: t, link: refused, isolated: isolated, instances: map[string]way{}}
+			n := &fakeNetwork{t: t, link: refused, withoutLinks: withoutLinks, instances: map[string]way{}}
 			for i := range 20 {
 				n.instances[fmt.Sprint("i", i)] = way{delay: time.Millisecond, status: peer.TunnelRefused}
 			}
@@ -231,7 +232,7 @@
 				t.Errorf("got %v, want ErrUnreachable", err)
 			}
 			if len(n.asked) != want {
-				t.Errorf("isolated: %t; %d instances were asked, want %d", isolated, len(n.asked), want)
+				t.Errorf("without links: %t; %d instances were asked, want %d", withoutLinks, len(n.asked), want)
 			}
 		})
 	}
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -59,8 +59,8 @@
 	if !known {
 		return nil, peer.TunnelUnknownEndpoint
 	}
-	if s.Links.IsIsolated() {
-		return nil, peer.TunnelIsolated
+	if !s.Links.HasAnyLink() {
+		return nil, peer.TunnelNoLinks
 	}
 	if !s.Links.HasLink(endpoint) {
 		return nil, peer.TunnelTimeout
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -29,9 +29,9 @@
 	// RecordLink records the result of connecting to the endpoint by the own link: nil, or why
 	// no connection could be made.
 	RecordLink(endpoint string, err error)
-	// IsIsolated reports whether no endpoint at all is assumed to be reachable by the own
-	// link.
-	IsIsolated() bool
+	// HasAnyLink reports whether any endpoint is assumed to be reachable by the own link. It
+	// is true if no endpoint is known.
+	HasAnyLink() bool
 }
 
 // OpenFunc asks the instance at address (IP:port of its peers' listener) for a tunnel to an
--- a/internal/upstream/ack_timeout_test.go
+++ b/internal/upstream/ack_timeout_test.go
@@ -45,7 +45,7 @@
 	}
 	defer listener.Close()
 	received, answer := make(chan struct{}), make(chan struct{})
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 		received <- struct{}{}
 		<-answer
 		time.Sleep(20 * time.Millisecond) // So that the request's write returns before the answer.
