fold: a bill at a witness's close does not pay for a larger one of its request

A request that is refused, and comes again under its key with more tokens, was billed for the smaller number if its first use was acknowledged late and its holder died.

Such a bill, in a close that is not the holder's, is remembered with its tokens; a larger bill of the key in another grant is charged for the rest.

The reference model of the ledger's tests has the same rule, and none of its checks is changed: spend, commitment, bills per key and equality with the fold.

--- a/internal/fold/ledger.go
+++ b/internal/fold/ledger.go
@@ -62,7 +62,7 @@
 		grants:        map[record.RightID]*Grant{},
 		openByHolder:  grantIndex{},
 		openByWitness: grantIndex{},
-		bills:         billTable{seen: map[identityHash]struct{}{}},
+		bills:         billTable{seen: map[identityHash]struct{}{}, atClose: map[identityHash]closeBill{}},
 		writers:       writerTable{lastBatches: map[record.InstanceID]lastBatch{}},
 		claims:        newClaimTables(),
 	}
--- a/internal/fold/ledger_bills.go
+++ b/internal/fold/ledger_bills.go
@@ -39,9 +39,22 @@
 // bills in log order, and those of all open grants. The latter are needed
 // because a witness may close a grant long after its holder billed a request,
 // and the request must not be billed again.
+//
+// A bill in a close that is not the holder's may be too small for its request:
+// the holder may have given that use up, and the request may have run with a
+// larger reservation in another grant. Such bills are remembered with their
+// tokens, and a larger one of the key in another grant is charged for the rest.
 type billTable struct {
-	seen  map[identityHash]struct{}
-	order queue[billEntry]
+	seen    map[identityHash]struct{}
+	order   queue[billEntry]
+	atClose map[identityHash]closeBill // Keys of seen that were billed by such a close.
+}
+
+// closeBill is a bill in a close that is not the holder's, with what was charged
+// for its key since.
+type closeBill struct {
+	right  record.RightID // Of the latest charge.
+	tokens int64
 }
 
 func (t *billTable) add(key identityHash, right record.RightID, l *Ledger) {
@@ -62,7 +75,17 @@
 			continue
 		}
 		delete(t.seen, old.key)
+		delete(t.atClose, old.key)
+	}
+}
+
+// rest returns what a further bill of a remembered key is to be charged.
+func (t *billTable) rest(key identityHash, right record.RightID, tokens int64) int64 {
+	first, ok := t.atClose[key]
+	if !ok || first.right == right {
+		return 0
 	}
+	return max(0, tokens-first.tokens)
 }
 
 // requeueBills moves the keys kept with a grant that has just been closed back
@@ -83,15 +106,43 @@
 	l.charge(g, r.Key, r.Tokens)
 }
 
-// charge counts a bill, at most what is left of the grant. It ignores a key
-// that has been billed before and a negative number of tokens.
+// charge counts a bill, at most what is left of the grant. It ignores a negative
+// number of tokens, and charges a key that has been billed before only for the
+// rest; see billTable.
 func (l *Ledger) charge(g *Grant, key record.RequestKey, tokens int64) {
 	hash := hashRequestKey(key)
-	if _, billed := l.bills.seen[hash]; billed || tokens < 0 {
+	if tokens < 0 {
 		return
 	}
-	tokens = min(tokens, g.Tokens-g.Billed)
+	if _, billed := l.bills.seen[hash]; billed {
+		l.chargeRest(g, hash, tokens)
+		return
+	}
+	l.count(g, min(tokens, g.Tokens-g.Billed))
+	l.bills.add(hash, g.Right, l)
+}
+
+// chargeAtClose is charge for a bill in a close that is not the holder's.
+func (l *Ledger) chargeAtClose(g *Grant, key record.RequestKey, tokens int64) {
+	hash := hashRequestKey(key)
+	if _, billed := l.bills.seen[hash]; !billed && tokens >= 0 {
+		l.bills.atClose[hash] = closeBill{right: g.Right, tokens: min(tokens, g.Tokens-g.Billed)}
+	}
+	l.charge(g, key, tokens)
+}
+
+// chargeRest charges a further bill of a remembered key.
+func (l *Ledger) chargeRest(g *Grant, hash identityHash, tokens int64) {
+	rest := min(l.bills.rest(hash, g.Right, tokens), g.Tokens-g.Billed)
+	if rest == 0 {
+		return
+	}
+	l.count(g, rest)
+	l.bills.atClose[hash] = closeBill{right: g.Right, tokens: l.bills.atClose[hash].tokens + rest}
+}
+
+// count adds tokens to what is billed of a grant and of its budget.
+func (l *Ledger) count(g *Grant, tokens int64) {
 	g.Billed += tokens
 	l.budgets[g.Budget].Billed += tokens
-	l.bills.add(hash, g.Right, l)
 }
--- a/internal/fold/ledger_grants.go
+++ b/internal/fold/ledger_grants.go
@@ -133,8 +133,12 @@
 	if r.By != g.Holder && !byWitness && !r.Forced {
 		return
 	}
+	charge := l.charge
+	if r.By != g.Holder {
+		charge = l.chargeAtClose
+	}
 	for _, o := range r.Outstanding {
-		l.charge(g, o.Key, o.Tokens)
+		charge(g, o.Key, o.Tokens)
 	}
 	b := l.budgets[g.Budget]
 	g.Closed = true
--- a/internal/fold/ledger_snapshot.go
+++ b/internal/fold/ledger_snapshot.go
@@ -21,8 +21,27 @@
 const (
 	ledgerSnapshotVersion = 1
 	configSnapshotVersion = 1
+	// extendedSnapshotVersion is that of a ledger's state with bills at closes.
+	// It is used only if there are any, so that instances of builds without it
+	// can use most snapshots.
+	extendedSnapshotVersion = 2
 )
 
+// extendedState is the encoded state of a Ledger that remembers bills at closes.
+type extendedState struct {
+	_       struct{} `cbor:",toarray"`
+	Version int
+	Ledger  []byte // The encoded ledgerState.
+	AtClose []closeBillState
+}
+
+type closeBillState struct {
+	_      struct{} `cbor:",toarray"`
+	Key    identityHash
+	Right  record.RightID
+	Tokens int64
+}
+
 // ledgerState is the encoded state of a Ledger. It omits what Restore can
 // derive: the indexes of open grants, the index of shards by right, and the set
 // of billed keys. Every list is sorted or in the order of its queue, so that
@@ -125,7 +144,16 @@
 	for _, b := range l.bills.order.items[l.bills.order.head:] {
 		s.Bills = append(s.Bills, billState{Key: b.key, Right: b.right})
 	}
-	return encodeState(s)
+	data, err := encodeState(s)
+	if err != nil || len(l.bills.atClose) == 0 {
+		return data, err
+	}
+	extended := extendedState{Version: extendedSnapshotVersion, Ledger: data}
+	for _, key := range slices.SortedFunc(maps.Keys(l.bills.atClose), compareKeys) {
+		b := l.bills.atClose[key]
+		extended.AtClose = append(extended.AtClose, closeBillState{Key: key, Right: b.right, Tokens: b.tokens})
+	}
+	return encodeState(extended)
 }
 
 func encodeState(s any) ([]byte, error) {
@@ -144,6 +172,10 @@
 // same windows as the one that the snapshot was taken of. It returns
 // ErrUnusableSnapshot, and then leaves the state unchanged.
 func (l *Ledger) Restore(data []byte) error {
+	var extended extendedState
+	if err := cbor.Unmarshal(data, &extended); err == nil && extended.Version == extendedSnapshotVersion {
+		data = extended.Ledger
+	}
 	var s ledgerState
 	if err := cbor.Unmarshal(data, &s); err != nil {
 		return eris.Wrap(ErrUnusableSnapshot, err.Error())
@@ -164,6 +196,9 @@
 		fresh.bills.seen[b.Key] = struct{}{}
 		fresh.bills.order.push(billEntry{key: b.Key, right: b.Right})
 	}
+	for _, b := range extended.AtClose {
+		fresh.bills.atClose[b.Key] = closeBill{right: b.Right, tokens: b.Tokens}
+	}
 	fresh.claims.restore(s.Claims)
 	*l = *fresh
 	return nil
--- a/internal/fold/ledger_views.go
+++ b/internal/fold/ledger_views.go
@@ -48,10 +48,12 @@
 	return copyGrants(l.openByWitness[id])
 }
 
-// IsBilled reports whether the fold remembers a bill of a request key.
-func (l *Ledger) IsBilled(key record.RequestKey) bool {
-	_, ok := l.bills.seen[hashRequestKey(key)]
-	return ok
+// IsBilled reports whether a bill has taken effect, or can't any more because its request was
+// billed otherwise.
+func (l *Ledger) IsBilled(b record.Bill) bool {
+	hash := hashRequestKey(b.Key)
+	_, seen := l.bills.seen[hash]
+	return seen && l.bills.rest(hash, b.Right, b.Tokens) == 0
 }
 
 func copyGrants(rows map[record.RightID]*Grant) []Grant {
--- a/internal/fold/snapshot_test.go
+++ b/internal/fold/snapshot_test.go
@@ -161,7 +161,7 @@
 		{reflect.TypeFor[budget](), "Budget topUps openGrants"},
 		{reflect.TypeFor[Budget](), "ID Prepaid Committed Billed"},
 		{reflect.TypeFor[Grant](), "Grant Offset Billed Closed Returns bills"},
-		{reflect.TypeFor[billTable](), "seen order"},
+		{reflect.TypeFor[billTable](), "seen order atClose"},
 		{reflect.TypeFor[writerTable](), "lastBatches lastSweep"},
 		{reflect.TypeFor[lastBatch](), "seq offset"},
 		{reflect.TypeFor[claimTables](), "shards shardByRight claims order latestUnixMilli endedSessions openSessions"},
--- a/internal/ledger/oracle_test.go
+++ b/internal/ledger/oracle_test.go
@@ -16,6 +16,16 @@
 	// bills counts the effective bills per key, as known to the caller.
 	bills  map[string]int
 	billed map[record.RequestKey]bool
+	// atClose holds the keys that were billed by another one's close than the
+	// holder's. A larger bill of such a key in another grant costs the rest.
+	atClose map[record.RequestKey]referenceCloseBill
+}
+
+// referenceCloseBill is what such a key has cost, and the right that was charged
+// last.
+type referenceCloseBill struct {
+	right  record.RightID
+	tokens int64
 }
 
 // referenceGrant is a grant in the reference model.
@@ -48,11 +58,22 @@
 	return sum
 }
 
-// charge applies a bill unless its key has been billed before.
-func (o *referenceModel) charge(g *referenceGrant, key record.RequestKey, tokens int64) {
+// charge applies a bill unless its key has been billed before, or its rest; see
+// atClose.
+func (o *referenceModel) charge(right record.RightID, key record.RequestKey, tokens int64, holder bool) {
+	g := o.grants[right]
+	if first, ok := o.atClose[key]; ok && first.right != right && tokens > first.tokens {
+		rest := min(tokens-first.tokens, g.amount-g.spent)
+		g.spent += rest
+		o.atClose[key] = referenceCloseBill{right, first.tokens + rest}
+		return
+	}
 	if o.billed[key] {
 		return
 	}
+	if !holder {
+		o.atClose[key] = referenceCloseBill{right, min(tokens, g.amount-g.spent)}
+	}
 	o.billed[key] = true
 	name, _, _ := strings.Cut(key.Key, "~")
 	o.bills[name]++
@@ -74,7 +95,7 @@
 		}
 	case record.Bill:
 		if g := o.grants[r.Right]; g != nil && !g.closed {
-			o.charge(g, r.Key, r.Tokens)
+			o.charge(r.Right, r.Key, r.Tokens, true)
 		}
 	case record.Close:
 		g := o.grants[r.Right]
@@ -82,7 +103,7 @@
 			return
 		}
 		for _, out := range r.Outstanding {
-			o.charge(g, out.Key, out.Tokens)
+			o.charge(r.Right, out.Key, out.Tokens, r.By == g.holder)
 		}
 		g.closed = true
 	}
@@ -94,7 +115,7 @@
 	fleet.mu.Lock()
 	defer fleet.mu.Unlock()
 	if fleet.reference == nil {
-		fleet.reference = &referenceModel{topUps: map[string]int64{}, grants: map[record.RightID]*referenceGrant{}, bills: map[string]int{}, billed: map[record.RequestKey]bool{}}
+		fleet.reference = &referenceModel{topUps: map[string]int64{}, grants: map[record.RightID]*referenceGrant{}, bills: map[string]int{}, billed: map[record.RequestKey]bool{}, atClose: map[record.RequestKey]referenceCloseBill{}}
 		fleet.fold = fold.NewLedger()
 	}
 	for _, e := range fleet.entries[fleet.fold.NextOffset():] {
--- a/internal/ledger/tick.go
+++ b/internal/ledger/tick.go
@@ -113,7 +113,7 @@
 		kept = append(kept, g)
 		g.clearAppliedReturn(f)
 		for id, b := range g.unbilled {
-			if f.IsBilled(b.Key) {
+			if f.IsBilled(b) {
 				delete(g.unbilled, id)
 				g.held.Drop(id)
 			}
