gateway: probes of lost links and of unreachable endpoints take turns

An instance that loses the links to hundreds of endpoints, as behind a cut of its zone, tried each of them every 250 ms, 64 at a time, and asked other instances for each one every second: by reading, some 130 connections and 100 calls a second of an instance with a fifth of a core.

A round of 250 ms probes 16 links and 4 unreachable endpoints by all ways, those probed longest ago first: 22 endpoints each in 350 ms, 160 in 2.5 s (the rounds of 16 with 1.2 s each before the tunnels took 12 s for 160). TestProbesTakeTurns.

--- a/internal/gateway/probes.go
+++ b/internal/gateway/probes.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,14 +17,13 @@
 )
 
 const (
-	// probeInterval is the pause between two probes of an endpoint by the own link. An endpoint
-	// that has become reachable gets requests again within about this time.
+	// probeInterval is the pause between two rounds of probes. If few endpoints have to be
+	// probed, one that has become reachable gets requests again within about this time.
 	probeInterval = 250 * time.Millisecond
-	// probesPerTunnelProbe is the number of probes by the own link for each one through other
-	// instances, which costs them a connection too.
-	probesPerTunnelProbe = 4
-	// maxConcurrentProbes bounds the connections being tried at the same time.
-	maxConcurrentProbes = 64
+	// maxLinkProbes and maxTunnelProbes bound the probes of a round by the own link and by all
+	// ways. The latter cost other instances a connection each.
+	maxLinkProbes   = 16
+	maxTunnelProbes = 4
 	// linkProbeTimeout bounds one probe by the own link, so that one whose packets were lost
 	// does not delay the next.
 	linkProbeTimeout = 500 * time.Millisecond
@@ -44,9 +45,10 @@
 	log       zerolog.Logger
 	suspicion atomic.Bool // A tunnel was needed since the last round.
 
-	mu      sync.Mutex      // Guards probed.
-	probed  map[string]bool // IDs of the endpoints that are being probed.
-	running sync.WaitGroup
+	byLink, byAllWays rotation
+	mu                sync.Mutex      // Guards probed.
+	probed            map[string]bool // IDs of the endpoints that are being probed.
+	running           sync.WaitGroup
 }
 
 // newProber returns a prober that does nothing before run.
@@ -60,35 +62,33 @@
 // run probes endpoints until ctx ends.
 func (p *prober) run(ctx context.Context) {
 	defer p.running.Wait()
-	for round := 0; ctx.Err() == nil; round++ {
+	for ctx.Err() == nil {
 		logstore.Pause(ctx, probeInterval, nil)
-		p.startRound(ctx, round)
+		p.startRound(ctx)
 	}
 }
 
-// startRound probes all endpoints that need it. The probe of an unreachable one by all ways
-// takes precedence over that of its link.
-func (p *prober) startRound(ctx context.Context, round int) {
+// startRound probes endpoints that need it. The probe of an unreachable one by all ways takes
+// precedence over that of its link.
+func (p *prober) startRound(ctx context.Context) {
 	if p.suspicion.Swap(false) {
 		for _, e := range p.endpoints.UnconfirmedLinks(minSuspects, suspectsShare, recentAnswer, p.clock()) {
 			p.start(e, func() { p.probeLink(ctx, e) })
 		}
 	}
-	for _, e := range p.endpoints.Unreachable() {
-		if round%probesPerTunnelProbe == 0 || p.endpoints.HasLink(e.ID) {
-			p.start(e, func() { p.probe(ctx, e) })
-		}
+	for _, e := range p.byAllWays.next(p.endpoints.Unreachable(), maxTunnelProbes) {
+		p.start(e, func() { p.probe(ctx, e) })
 	}
-	for _, e := range p.endpoints.WithoutLink() {
+	for _, e := range p.byLink.next(p.endpoints.WithoutLink(), maxLinkProbes) {
 		p.start(e, func() { p.probeLink(ctx, e) })
 	}
 }
 
-// start runs a probe unless one of the endpoint is running, or too many of others.
+// start runs a probe unless one of the endpoint is running.
 func (p *prober) start(e discovery.Endpoint, probe func()) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.probed[e.ID] || len(p.probed) >= maxConcurrentProbes {
+	if p.probed[e.ID] {
 		return
 	}
 	p.probed[e.ID] = true
@@ -125,3 +125,27 @@
 	}
 	p.log.Info().Str("endpoint", e.ID).Str("address", e.Address).Msg("gateway: endpoint reachable again")
 }
+
+// rotation chooses endpoints to probe in turn, so that a bound on their number leaves none out.
+// The zero value is ready for use.
+type rotation struct {
+	count  int            // Endpoints chosen so far.
+	chosen map[string]int // The count when each endpoint of the last list was last chosen.
+}
+
+// next returns at most n endpoints of the list, those chosen longest ago first.
+func (r *rotation) next(list []discovery.Endpoint, n int) []discovery.Endpoint {
+	previous := r.chosen
+	slices.SortFunc(list, func(a, b discovery.Endpoint) int {
+		return cmp.Or(cmp.Compare(previous[a.ID], previous[b.ID]), cmp.Compare(a.ID, b.ID))
+	})
+	r.chosen = make(map[string]int, len(list))
+	for i, e := range list {
+		r.chosen[e.ID] = previous[e.ID]
+		if i < n {
+			r.count++
+			r.chosen[e.ID] = r.count
+		}
+	}
+	return list[:min(n, len(list))]
+}
--- a/internal/gateway/probes_test.go
+++ b/internal/gateway/probes_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -65,12 +67,32 @@
 	}
 	pool := upstream.NewPool(upstream.Options{DialWaitTimeout: time.Second, IdleTimeout: time.Second, Dial: throughOthers})
 	p := newProber(endpoints, pool, lost, func() time.Duration { return 0 }, zerolog.Nop())
-	for round := range probesPerTunnelProbe {
-		p.startRound(t.Context(), round)
-		p.running.Wait()
-	}
+	p.startRound(t.Context())
+	p.running.Wait()
 	if left := endpoints.Unreachable(); len(left) > 0 || endpoints.HasLink("e") {
 		t.Errorf("unreachable: %v, link: %t; want it reachable without a link", left, endpoints.HasLink("e"))
 	}
 	pool.CloseIdle("e")
 }
+
+func TestProbesTakeTurns(t *testing.T) {
+	var r rotation
+	var list []discovery.Endpoint
+	for i := range 10 {
+		list = append(list, discovery.Endpoint{ID: fmt.Sprint("e", i)})
+	}
+	count := map[string]int{}
+	for range 5 {
+		for _, e := range r.next(slices.Clone(list), 4) {
+			count[e.ID]++
+		}
+	}
+	for _, e := range list {
+		if count[e.ID] != 2 {
+			t.Errorf("%s was chosen %d times in 20 choices of 10 endpoints, want twice", e.ID, count[e.ID])
+		}
+	}
+	if got := r.next(list[:1], 4); len(got) != 1 || len(r.chosen) != 1 {
+		t.Errorf("chosen %v of one endpoint, remembering %d", got, len(r.chosen))
+	}
+}
