--- a/internal/tunnel/candidates.go
+++ b/internal/tunnel/candidates.go
@@ -37,9 +37,9 @@
 // candidateState is a candidate with what is known of it.
 type candidateState struct {
 	Candidate
-	open       int           // This instance's tunnels through it.
-	pause      time.Duration // Length of the latest pause; 0 if it helped since.
-	leftOutTil time.Duration
+	open         int           // This instance's tunnels through it.
+	pause        time.Duration // Length of the latest pause; 0 if it helped since.
+	leftOutUntil time.Duration
 }
 
 // NewCandidates returns an empty list for an instance in the availability zone. The seed
@@ -52,17 +52,18 @@
 func (c *Candidates) Set(list []Candidate) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var next []*candidateState
+	known := make(map[Candidate]*candidateState, len(c.list))
+	for _, s := range c.list {
+		known[s.Candidate] = s
+	}
+	c.list = nil
 	for _, candidate := range list {
-		state := &candidateState{Candidate: candidate}
-		for _, known := range c.list {
-			if known.Candidate == candidate {
-				state = known
-			}
+		state := known[candidate]
+		if state == nil {
+			state = &candidateState{Candidate: candidate}
 		}
-		next = append(next, state)
+		c.list = append(c.list, state)
 	}
-	c.list = next
 }
 
 // IsEmpty reports whether there is no candidate at all.
@@ -84,7 +85,7 @@
 	var own, other []*candidateState
 	for _, s := range c.list {
 		switch {
-		case now < s.leftOutTil || slices.Contains(asked, s.Name):
+		case now < s.leftOutUntil || slices.Contains(asked, s.Name):
 		case s.Zone == c.zone:
 			own = append(own, s)
 		default:
@@ -131,11 +132,11 @@
 // LeaveOut leaves a candidate out for a while: it can't help now, whatever the endpoint.
 func (c *Candidates) LeaveOut(name string, now time.Duration) {
 	c.update(name, func(s *candidateState) {
-		if now < s.leftOutTil {
+		if now < s.leftOutUntil {
 			return
 		}
 		s.pause = min(max(2*s.pause, initialPause), maxPause)
-		s.leftOutTil = now + s.pause
+		s.leftOutUntil = now + s.pause
 	})
 }
 
