placement: a rejection limit is divided evenly where each instance gets a part

By reading: a limit of 12 was divided as what a cold endpoint bears, in whole shares with the least left over: 3 each to 3 of 8 instances, and the other 5 sent on their own account, one at a time. 'None left over' matters for cold endpoints only, which bear little; here every instance needs a part.

Where four fifths of the limit are at least one for each instance, all get the same whole part; else those of the first ranks get one. The simulated fleets play limits of 1, 10, 12 and 30.

--- a/internal/placement/rejections.go
+++ b/internal/placement/rejections.go
@@ -19,8 +19,8 @@
 // with such a limit crashes if it has to reject more requests in a second.
 //
 // Each attempt whose answer has not started may be rejected. So they count together with the
-// rejections of the last second, and the instances divide the limit like that of a cold
-// endpoint. No exchange between them is needed, and the sum holds whatever the others do.
+// rejections of the last second, and the instances divide the limit. No exchange between them
+// is needed, and the sum holds whatever the others do.
 //
 // Invariant: over all owners, unanswered attempts and recent rejections <= rejection limit.
 type rejectionState struct {
@@ -59,6 +59,22 @@
 	t.fleet.version++
 }
 
+// rejectionShare returns this instance's part of a rejection limit: an even one, if there is
+// at least one rejection for each instance, else one for those of the lowest rank.
+func (f *fleet) rejectionShare(endpoint uint64, limit int) int {
+	shared := max(1, int(sharedBudgetRatio*float64(limit)))
+	rank, listed := f.rank(endpoint)
+	switch instances := len(f.instances); {
+	case !listed:
+		return 0
+	case instances <= shared:
+		return shared / instances
+	case rank < shared:
+		return 1
+	}
+	return 0
+}
+
 // updateRejectionRoom computes how many attempts may be sent to the endpoint now.
 //
 // Where there are more instances than the limit can be divided among, the others send one
@@ -71,7 +87,7 @@
 	}
 	if s.rejectionVersion != t.fleet.version {
 		s.rejectionVersion = t.fleet.version
-		s.rejectionShare = t.fleet.share(e.idHash, max(float64(service.limit), 1/sharedBudgetRatio))
+		s.rejectionShare = t.fleet.rejectionShare(e.idHash, service.limit)
 	}
 	switch {
 	case s.rejectionShare > 0:
--- a/internal/placement/rejections_test.go
+++ b/internal/placement/rejections_test.go
@@ -14,6 +14,7 @@
 // limitedFleet simulates instances whose callers send more than endpoints with a rejection limit can serve.
 type limitedFleet struct {
 	rng       *rand.Rand
+	limit     int // Rejections in a second that an endpoint bears.
 	instances []*placement.Table
 	endpoints map[string]*limitedEndpoint
 	now       time.Duration
@@ -40,8 +41,8 @@
 	rejectionLimit   = 10 // Rejections in a second that an endpoint bears.
 )
 
-func newLimitedFleet(instances, endpoints int) *limitedFleet {
-	f := &limitedFleet{rng: rand.New(rand.NewPCG(uint64(instances), 1)), endpoints: map[string]*limitedEndpoint{}, now: time.Minute}
+func newLimitedFleet(instances, endpoints, limit int) *limitedFleet {
+	f := &limitedFleet{rng: rand.New(rand.NewPCG(uint64(instances), 1)), limit: limit, endpoints: map[string]*limitedEndpoint{}, now: time.Minute}
 	var names []string
 	for i := range instances {
 		names = append(names, fmt.Sprint("instance-", i))
@@ -65,7 +66,7 @@
 		a := table.Place(placement.Query{Service: "s", Zone: "z"}, f.now)
 		a.OnSend(f.now)
 		a.OnAnswerStart(f.now, true)
-		a.OnReply(false, rejectionLimit, f.now)
+		a.OnReply(false, f.limit, f.now)
 		a.Done(placement.Answered, f.now)
 	}
 }
@@ -112,7 +113,7 @@
 		return
 	}
 	a.OnAnswerStart(f.now, !answer.rejected)
-	a.OnReply(answer.rejected, rejectionLimit, f.now)
+	a.OnReply(answer.rejected, f.limit, f.now)
 	if answer.rejected {
 		a.Done(placement.Failed, f.now)
 	} else {
@@ -142,22 +143,23 @@
 
 func TestEndpointsRejectNoMoreThanTheyBear(t *testing.T) {
 	for _, c := range []struct {
-		instances, endpoints int
+		instances, endpoints, limit int
 		// settling is the time in which instances without a share of the limit find out that
 		// they are rejected.
 		settling time.Duration
 	}{
-		{1, 1, 0}, {3, 4, 0}, {8, 4, 0}, {8, 18, 0}, {59, 6, 2 * time.Second}, {59, 20, 2 * time.Second},
+		{1, 1, 10, 0}, {1, 1, 1, 0}, {3, 4, 10, 0}, {8, 4, 10, 0}, {8, 4, 12, 0}, {8, 4, 30, 0}, {8, 18, 10, 0},
+		{59, 6, 10, 2 * time.Second}, {59, 20, 10, 2 * time.Second},
 	} {
-		f := newLimitedFleet(c.instances, c.endpoints)
+		f := newLimitedFleet(c.instances, c.endpoints, c.limit)
 		f.learn()
 		from := f.now + c.settling
 		const duration = 5 * time.Second
 		for end := f.now + duration; f.now < end; {
 			f.step()
 		}
-		if most := f.mostRejections(from); most > rejectionLimit {
-			t.Errorf("%d instances, %d endpoints: %d rejections in a second, want at most %d", c.instances, c.endpoints, most, rejectionLimit)
+		if most := f.mostRejections(from); most > c.limit {
+			t.Errorf("%d instances, %d endpoints: %d rejections in a second, want at most %d", c.instances, c.endpoints, most, c.limit)
 		}
 		served := 0
 		for _, e := range f.endpoints {
--- a/internal/placement/warmup.go
+++ b/internal/placement/warmup.go
@@ -78,18 +78,24 @@
 // which all instances find out without a message.
 func (f *fleet) share(endpoint uint64, maxPerSecond float64) int {
 	owners, each := divide(int(math.Floor(sharedBudgetRatio*maxPerSecond)), len(f.instances))
-	own, higher, listed := mixHash(endpoint^f.self), 0, false
+	if rank, listed := f.rank(endpoint); !listed || rank >= owners {
+		return 0
+	}
+	return each
+}
+
+// rank returns this instance's rank among all instances for the endpoint, 0 for the first, and
+// whether it is listed among them.
+func (f *fleet) rank(endpoint uint64) (rank int, listed bool) {
+	own := mixHash(endpoint ^ f.self)
 	for _, instance := range f.instances {
 		if instance == f.self {
 			listed = true
 		} else if mixHash(endpoint^instance) > own {
-			higher++
+			rank++
 		}
 	}
-	if !listed || higher >= owners {
-		return 0
-	}
-	return each
+	return rank, listed
 }
 
 // divide divides a number of requests among at most n owners with the same whole number each,
