gateway: a lost link is probed before other instances are asked

What callers would see: an instance that had lost its links and could not be helped by others went on refusing after the links were back. Cause, by the test's log and reading: of up to four unreachable endpoints a round probed all through other instances first, and the probe of the link was left out while that one ran; with four or fewer it hardly ever ran.

An endpoint that is probed by all ways is probed by its lost link first. TestARestoredLinkIsFoundThoughNoOtherInstanceHelps: red on the code before, every time.

--- a/internal/gateway/probes.go
+++ b/internal/gateway/probes.go
@@ -68,8 +68,8 @@
 	}
 }
 
-// startRound probes endpoints that need it. The probe of an unreachable one by all ways takes
-// precedence over that of its link.
+// startRound probes endpoints that need it. Those that are probed by all ways are probed by
+// the own link first.
 func (p *prober) startRound(ctx context.Context) {
 	if p.suspicion.Swap(false) {
 		for _, e := range p.endpoints.UnconfirmedLinks(minSuspects, suspectsShare, recentAnswer, p.clock()) {
@@ -77,7 +77,7 @@
 		}
 	}
 	for _, e := range p.byAllWays.next(p.endpoints.Unreachable(), maxTunnelProbes) {
-		p.start(e, func() { p.probe(ctx, e) })
+		p.start(e, func() { p.probeAllWays(ctx, e) })
 	}
 	for _, e := range p.byLink.next(p.endpoints.WithoutLink(), maxLinkProbes) {
 		p.start(e, func() { p.probeLink(ctx, e) })
@@ -100,13 +100,24 @@
 	})
 }
 
-// probeLink tries to connect to one endpoint by the own link.
-func (p *prober) probeLink(ctx context.Context, e discovery.Endpoint) {
+// probeLink tries to connect to one endpoint by the own link, and reports whether it could.
+func (p *prober) probeLink(ctx context.Context, e discovery.Endpoint) bool {
 	ctx, cancel := context.WithTimeout(ctx, linkProbeTimeout)
 	defer cancel()
-	if p.pool.ProbeWith(ctx, p.direct, e.ID, e.Address) == nil {
-		p.recordSuccess(e)
+	if p.pool.ProbeWith(ctx, p.direct, e.ID, e.Address) != nil {
+		return false
 	}
+	p.recordSuccess(e)
+	return true
+}
+
+// probeAllWays tries to connect to one endpoint by a lost link, which the pool would not try,
+// and then as a request would.
+func (p *prober) probeAllWays(ctx context.Context, e discovery.Endpoint) {
+	if !p.endpoints.HasLink(e.ID) && p.probeLink(ctx, e) {
+		return
+	}
+	p.probe(ctx, e)
 }
 
 // probe tries to connect to one endpoint, by the own link or through other instances.
--- a/internal/gateway/probes_test.go
+++ b/internal/gateway/probes_test.go
@@ -96,3 +96,30 @@
 		t.Errorf("chosen %v of one endpoint, remembering %d", got, len(r.chosen))
 	}
 }
+
+// Guards against probes through other instances, which can't help, in whose place the restored link is never probed.
+func TestARestoredLinkIsFoundThoughNoOtherInstanceHelps(t *testing.T) {
+	endpoints := placement.New(1, 0)
+	endpoints.Put(discovery.Endpoint{ID: "e", Service: "s", Address: "e:1"}, 0)
+	endpoints.Place(placement.Query{Service: "s"}, 0).Done(placement.Unreachable, 0)
+	endpoints.RecordLink("e", false)
+	restored := func(context.Context, string, string) (net.Conn, error) {
+		here, there := net.Pipe()
+		t.Cleanup(func() { _, _ = here.Close(), there.Close() })
+		return here, nil
+	}
+	throughOthers := func(context.Context, string, string) (net.Conn, error) {
+		time.Sleep(20 * time.Millisecond)
+		return nil, syscall.ETIMEDOUT
+	}
+	pool := upstream.NewPool(upstream.Options{DialWaitTimeout: time.Second, IdleTimeout: time.Second, Dial: throughOthers})
+	p := newProber(endpoints, pool, restored, func() time.Duration { return 0 }, zerolog.Nop())
+	for range 5 {
+		p.startRound(t.Context())
+		p.running.Wait()
+	}
+	if left := endpoints.Unreachable(); len(left) > 0 {
+		t.Errorf("unreachable after 5 rounds although the link is back: %v", left)
+	}
+	pool.CloseIdle("e")
+}
