--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -20,8 +20,9 @@
 	Service string
 	Address string // IP:port.
 	Zone    string
-	Slots   int  // Requests that it runs concurrently.
-	Leaving bool // It is about to end and must get no more requests.
+	Version string // Of its software; "" if not stated.
+	Slots   int    // Requests that it runs concurrently.
+	Leaving bool   // It is about to end and must get no more requests.
 	// Born is the start time of the process, in Unix milliseconds; 0 if unknown. It
 	// identifies the incarnation of an endpoint that restarts under the same ID.
 	Born int64
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -71,7 +71,8 @@
 		return attemptResult{reason: ReasonNoEndpoint, noEndpoint: true}
 	}
 	c.attempts++
-	c.endpoint, c.via = assignment.Endpoint.ID, ""
+	c.endpoint, c.version, c.via = assignment.Endpoint.ID, assignment.Endpoint.Version, ""
+	c.resumedAfter = c.resumePosition()
 	c.f.OnPlaced(assignment)
 	c.phase = phaseEndpoint
 	outcome, start := placement.Failed, time.Now()
@@ -127,15 +128,11 @@
 
 // outgoingRequest builds the request for the assigned endpoint.
 func (c *call) outgoingRequest(assignment *placement.Assignment) *upstream.Outgoing {
-	lastEventID := c.lastEventID
-	if lastEventID == "" {
-		lastEventID = c.LastEventID
-	}
 	return &upstream.Outgoing{
 		Method: c.Method, Target: c.Target, Host: c.Host, Body: c.body,
 		Header: c.f.Codec.Attempt(&c.Request, Attempt{
 			Endpoint: assignment.Endpoint.ID, Organisation: c.team(), Timeout: time.Until(c.deadline),
-			Urgency: c.config.Urgency(c.route, c.org, promptSizeClass(assignment.PrefillTime, c.route.LatencyTarget)), LastEventID: lastEventID, FetchFrom: assignment.FetchFrom,
+			Urgency: c.config.Urgency(c.route, c.org, promptSizeClass(assignment.PrefillTime, c.route.LatencyTarget)), LastEventID: c.resumedAfter, FetchFrom: assignment.FetchFrom,
 		}),
 		Matches: c.matchesAnswer,
 		OnSend: func(via string) {
@@ -145,6 +142,15 @@
 	}
 }
 
+// resumePosition returns the ID of the last event of the stream that the caller has, of this
+// answer or of the one that it resumes; "" for none.
+func (c *call) resumePosition() string {
+	if c.lastEventID != "" {
+		return c.lastEventID
+	}
+	return c.LastEventID
+}
+
 // matchesAnswer reports whether an answer belongs to this request. An answer without a
 // request ID does if it states that the request was not run or if it is unsigned.
 func (c *call) matchesAnswer(status int, h http.Header) bool {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -87,10 +87,12 @@
 	attempts     int
 	events       int64 // Stream events sent to the caller; output tokens for a buffered answer.
 	lastEventID  string
-	headerSent   bool // The answer's status and header were sent to the caller.
+	resumedAfter string // ID of the event after which the last attempt resumed a stream; "" for none.
+	headerSent   bool   // The answer's status and header were sent to the caller.
 	timeToHeader time.Duration
 	reason       Reason
 	endpoint     string
+	version      string // Software version of the endpoint of the last attempt.
 	via          string // Name of the instance through which the last attempt was sent; "" for the own link.
 	phase        phase
 }
--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -23,10 +23,10 @@
 
 // logAttempt logs an attempt: the values by which the endpoint was selected and how the
 // attempt ended. Attempts that gave the final answer within the latency target are by far
-// the most and are logged at debug level only.
+// the most and are logged at debug level only, except where they resumed a stream.
 func (c *call) logAttempt(assignment *placement.Assignment, result attemptResult, status int, start time.Time) {
 	level := zerolog.InfoLevel
-	if result.final && !c.missedLatencyTarget() {
+	if result.final && !c.missedLatencyTarget() && c.resumedAfter == "" {
 		level = zerolog.DebugLevel
 	}
 	line := c.f.Log.WithLevel(level)
@@ -37,7 +37,7 @@
 		line.Stringer("content", c.content().Fingerprint())
 	}
 	line.Str("request", c.ID).Int("attempt", c.attempts).Str("endpoint", assignment.Endpoint.ID).
-		Str("address", assignment.Endpoint.Address).Str("zone", assignment.Endpoint.Zone).Float64("cost_ms", assignment.Cost).Float64("missing_tokens", assignment.MissingTokens).
+		Str("address", assignment.Endpoint.Address).Str("zone", assignment.Endpoint.Zone).Str("version", assignment.Endpoint.Version).Str("after", c.resumedAfter).Str("resumes", c.Resumes).Float64("cost_ms", assignment.Cost).Float64("missing_tokens", assignment.MissingTokens).
 		Int("in_flight", assignment.InFlight).Str("fetch", assignment.FetchFrom).Str("via", c.via).Int("status", status).Str("reason", string(result.reason)).Bool("may_have_run", c.mayHaveRun).
 		Dur("took", time.Since(start)).AnErr("error", result.err).Msg("forward: attempt ended")
 }
@@ -92,7 +92,7 @@
 		return
 	}
 	line.Str("request", c.ID).Str("route", name).Str("team", string(c.team())).Int("status", status).
-		Str("reason", string(c.reason)).Str("endpoint", c.endpoint).Str("via", c.via).Str("zone", c.f.Zone).Int("attempts", c.attempts).
+		Str("reason", string(c.reason)).Str("endpoint", c.endpoint).Str("version", c.version).Str("resumes", c.Resumes).Str("via", c.via).Str("zone", c.f.Zone).Int("attempts", c.attempts).
 		Bool("late", c.missedLatencyTarget()).Str("phase", string(c.phase)).
 		Dur("took", took).Dur("first", c.timeToHeader).Int64("events", c.events).
 		Int64("prompt", c.PromptTokens).Int64("state", c.stateVersion()).Msg("forward: request ended")
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -34,6 +34,9 @@
 	// LastEventID is the ID of the last event that the caller received of the stream that
 	// it resumes; "" for none.
 	LastEventID string
+	// Resumes is the ID of the request that brought the first event of that stream; "" if not
+	// stated.
+	Resumes string
 }
 
 // Attempt holds what the Codec adds to a request when it is sent to an endpoint.
