A stream continues only at the software version that began it

Cause: nothing that decides where a stream continues knew the version that began it. Within an answer, the next attempt took the cheapest endpoint; a caller's next try was placed like a new request, at any instance.

Placement takes the version as a condition. Signs of a restart under the same ID count against an endpoint until a later entry.

--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -48,7 +48,9 @@
 	}
 	c.deadline = c.start.Add(c.callerTimeout())
 	c.service = c.route.PickService(rand.Float64())
-	c.f.Retries.CountRequest(c.service, c.f.Clock())
+	if !c.continuesStream() {
+		c.f.Retries.CountRequest(c.service, c.f.Clock()) // The service of the others is found later.
+	}
 	return c.readBody(r)
 }
 
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -63,9 +63,11 @@
 
 // attempt selects one endpoint, sends it the request and passes on its answer.
 func (c *call) attempt(ctx context.Context) attemptResult {
-	assignment := c.f.Endpoints.Place(placement.Query{
-		Service: c.service, Zone: c.f.Zone, Parts: c.PromptParts, Exclude: c.tried,
-	}, c.f.Clock())
+	query := placement.Query{Service: c.service, Zone: c.f.Zone, Parts: c.PromptParts, Exclude: c.tried}
+	if c.origin != nil {
+		query.VersionOnly, query.Version = true, c.origin.Version
+	}
+	assignment := c.f.Endpoints.Place(query, c.f.Clock())
 	if assignment == nil {
 		c.logNoEndpoint()
 		return attemptResult{reason: ReasonNoEndpoint, noEndpoint: true}
@@ -96,6 +98,8 @@
 		outcome = placement.Answered
 	case result.misdirected:
 		outcome = placement.Replaced
+	case result.err != nil:
+		outcome = placement.Broken
 	}
 	if !result.misdirected && ctx.Err() != nil && errors.Is(context.Cause(ctx), context.Canceled) {
 		outcome = placement.Abandoned
@@ -168,10 +172,15 @@
 		*outcome = placement.Abandoned
 	}
 	c.tried = append(c.tried, c.endpoint)
-	if errors.Is(err, upstream.ErrNotSent) {
-		if *outcome == placement.Failed {
-			*outcome = placement.Unreachable
-		}
+	notSent := errors.Is(err, upstream.ErrNotSent)
+	switch {
+	case *outcome == placement.Abandoned:
+	case notSent:
+		*outcome = placement.Unreachable
+	default:
+		*outcome = placement.Broken
+	}
+	if notSent {
 		return attemptResult{reason: ReasonUnreachable, err: err}
 	}
 	c.reachedCount++
@@ -201,7 +210,7 @@
 		return attemptResult{reason: ReasonAnswerFailed, sent: true}
 	}
 	if success && c.route.Streams {
-		return c.forwardStream(ctx, a)
+		return c.forwardStream(ctx, assignment, a)
 	}
 	if c.headerSent {
 		return attemptResult{reason: ReasonAnswerFailed, sent: true} // An error answer can't continue a stream that has begun.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -15,6 +15,7 @@
 
 	"github.com/rs/zerolog"
 
+	"guavapier/internal/origin"
 	"guavapier/internal/placement"
 	"guavapier/internal/quarantine"
 	"guavapier/internal/record"
@@ -32,6 +33,8 @@
 	Budgets   Budgets
 	Endpoints *placement.Table
 	Retries   *retry.Limiter
+	// Origins keeps where streams began.
+	Origins Origins
 	// Quarantine rejects requests that crash endpoints.
 	Quarantine Quarantine
 	Pool       *upstream.Pool
@@ -86,6 +89,14 @@
 	mayHaveRun   bool      // An endpoint may have run the request.
 	attempts     int
 	events       int64 // Stream events sent to the caller; output tokens for a buffered answer.
+	// origin is where the stream began that this request continues, or whose first event was
+	// sent in this answer; nil for none. Only endpoints of its service and version get the
+	// request.
+	origin         *origin.Origin
+	originRecorded bool // The origin was recorded for later tries of the caller.
+	// originUntold is set when the endpoint may have been replaced by one of another version
+	// while it served the stream.
+	originUntold bool
 	lastEventID  string
 	resumedAfter string // ID of the event after which the last attempt resumed a stream; "" for none.
 	headerSent   bool   // The answer's status and header were sent to the caller.
@@ -125,6 +136,11 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	if c.continuesStream() {
+		if refused := c.findOrigin(ctx); refused != nil {
+			return c.refuse(refused)
+		}
+	}
 	if quarantined := c.checkQuarantine(ctx); quarantined != nil {
 		return c.refuse(quarantined)
 	}
--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"guavapier/internal/origin"
 	"guavapier/internal/placement"
 	"guavapier/internal/quarantine"
 )
@@ -53,6 +54,12 @@
 		Interface("obstacles", c.f.Endpoints.Obstacles(c.service, c.f.Clock())).Msg("forward: no endpoint may get the request")
 }
 
+// logOrigin logs where the stream began that the caller continues, or that it is not known.
+func (c *call) logOrigin(f origin.Finding, err error, took time.Duration) {
+	c.f.Log.Info().Str("request", c.ID).Str("resumes", c.Resumes).Str("after", c.LastEventID).Str("service", f.Origin.Service).Str("version", f.Origin.Version).
+		Str("source", string(f.Source)).Int("asked", f.Asked).Int("replied", f.Replied).Dur("took", took).AnErr("error", err).Msg("forward: stream continued")
+}
+
 // logBudget logs why no tokens were reserved, with the state of the organisation's budget.
 func (c *call) logBudget(tokens int64, err error) {
 	line := c.f.Log.Info()
--- /dev/null
+++ b/internal/forward/origin.go
@@ -0,0 +1,107 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"guavapier/internal/origin"
+	"guavapier/internal/placement"
+)
+
+const (
+	// attemptsOfStream is how many times the route's timeout a stream may last: a caller whose
+	// try has ended continues it with another one.
+	attemptsOfStream = 2
+	// defaultStreamLifetime applies to routes without a timeout.
+	defaultStreamLifetime = attemptsOfStream * defaultCallerTimeout
+	// versionRetryAfter applies when endpoints of the stream's version are listed, but none
+	// may be used: the list shows within about a second which of them still run.
+	versionRetryAfter = time.Second
+)
+
+// continuesStream reports whether the caller holds events of a stream and asks for the next.
+func (c *call) continuesStream() bool { return c.route.Streams && c.LastEventID != "" }
+
+// streamLifetime returns the longest that a stream of the route lasts, over all tries of its
+// caller.
+func (c *call) streamLifetime() time.Duration {
+	if c.route.Timeout <= 0 {
+		return defaultStreamLifetime
+	}
+	return attemptsOfStream * c.route.Timeout
+}
+
+// findOrigin determines where the stream began that the caller continues, and makes that the
+// only service and version to get the request. It returns the refusal of a stream whose origin
+// is not known or no longer served, else nil.
+func (c *call) findOrigin(ctx context.Context) *refusal {
+	query := origin.Query{Organisation: c.team(), Service: c.route.OnlyService(), Lifetime: c.streamLifetime()}
+	if c.Resumes != c.ID {
+		query.Request = c.Resumes
+	}
+	start := time.Now()
+	finding, err := c.f.Origins.Find(ctx, query)
+	c.logOrigin(finding, err, time.Since(start))
+	switch {
+	case errors.Is(err, origin.ErrUnconfirmed):
+		return notRun(ReasonOriginUnknown, defaultRetryAfter)
+	case err != nil:
+		return notRun(ReasonOriginUnknown, 0) // No later try will find it.
+	case !c.route.AllowsService(finding.Origin.Service) || !c.f.Endpoints.HasVersion(finding.Origin.Service, finding.Origin.Version):
+		return notRun(ReasonVersionGone, 0)
+	}
+	c.service, c.origin = finding.Origin.Service, &finding.Origin
+	c.f.Retries.CountRequest(c.service, c.f.Clock())
+	return nil
+}
+
+// recordOrigin records where the stream began whose next event is about to be sent. It is
+// called for each event, and reports whether that may be sent: not if the endpoint may be of
+// another version than the one that the stream continues at.
+func (c *call) recordOrigin(assignment *placement.Assignment) bool {
+	if !c.route.Resumable {
+		return true
+	}
+	if c.origin == nil {
+		c.origin = &origin.Origin{Service: c.service, Version: assignment.Endpoint.Version}
+	}
+	if !c.originRecorded {
+		c.originRecorded = true
+		c.shareOrigin(*c.origin)
+	}
+	if !c.originUntold && !assignment.HasSameVersion() {
+		c.originUntold = true
+		c.shareOrigin(origin.Origin{})
+	}
+	return !c.originUntold || c.resumedAfter == ""
+}
+
+// shareOrigin records the stream's origin for later tries of the caller.
+func (c *call) shareOrigin(o origin.Origin) {
+	request := c.ID
+	if c.continuesStream() {
+		request = c.Resumes
+	}
+	if request != "" {
+		c.f.Origins.Began(origin.Record{Stream: origin.NewStreamID(c.team(), request), Origin: o, Lifetime: c.streamLifetime()})
+	}
+}
+
+// mayContinue reports whether a stream whose first events were sent may go on at another
+// endpoint. Events without IDs don't say where.
+func (c *call) mayContinue() bool {
+	return !c.originUntold && (c.events == 0 || c.lastEventID != "")
+}
+
+// noEndpointRefusal returns the refusal of a request that no endpoint may get now.
+func (c *call) noEndpointRefusal(reason Reason) *refusal {
+	switch {
+	case c.origin == nil:
+		return notRun(reason, defaultRetryAfter)
+	case !c.f.Endpoints.HasVersion(c.origin.Service, c.origin.Version):
+		return notRun(ReasonVersionGone, 0)
+	default:
+		return notRun(reason, versionRetryAfter)
+	}
+}
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -27,6 +27,8 @@
 	ReasonNoEndpoint         Reason = "no endpoint"
 	ReasonEndpointsRefused   Reason = "endpoints refused"
 	ReasonQuarantined        Reason = "endpoints ended under this request"
+	ReasonOriginUnknown      Reason = "origin unknown"
+	ReasonVersionGone        Reason = "version not served"
 	ReasonUnreachable        Reason = "endpoint unreachable"
 	ReasonTimeout            Reason = "timeout"
 	ReasonAnswerFailed       Reason = "answer broken off"
--- a/internal/forward/retry.go
+++ b/internal/forward/retry.go
@@ -61,7 +61,7 @@
 		return true
 	}
 	if c.route.Streams {
-		return c.route.Resumable
+		return c.route.Resumable && c.mayContinue()
 	}
 	return c.route.Repeat == route.Idempotent
 }
@@ -74,6 +74,8 @@
 	case c.headerSent:
 		c.reason = reason
 		c.abort()
+	case !c.mayHaveRun && lastResult.noEndpoint:
+		return c.refuse(c.noEndpointRefusal(reason))
 	case !c.mayHaveRun:
 		return c.refuse(notRun(reason, defaultRetryAfter))
 	case lastResult.failure != nil && reason != ReasonTimeout:
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"guavapier/internal/placement"
 	"guavapier/internal/upstream"
 )
 
@@ -21,7 +22,7 @@
 // forwardStream passes a stream's events on to the caller as they arrive. Only complete
 // events are sent, so that a stream that breaks off can be resumed after the last one. The
 // result is final only if the endpoint's answer ended properly.
-func (c *call) forwardStream(ctx context.Context, a *upstream.Answer) attemptResult {
+func (c *call) forwardStream(ctx context.Context, assignment *placement.Assignment, a *upstream.Answer) attemptResult {
 	events := bufio.NewReader(a.Body)
 	for {
 		event, err := readEvent(events)
@@ -33,6 +34,9 @@
 		if err != nil {
 			return attemptResult{reason: streamErrorReason(ctx), sent: true, err: err}
 		}
+		if !c.recordOrigin(assignment) {
+			return attemptResult{reason: ReasonOriginUnknown, sent: true}
+		}
 		c.sendHeader(a)
 		if !c.writeEvent(event) {
 			return attemptResult{reason: ReasonCallerDisconnected, sent: true}
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"guavapier/internal/origin"
 	"guavapier/internal/placement"
 	"guavapier/internal/prepaid"
 	"guavapier/internal/quarantine"
@@ -96,6 +97,15 @@
 	Explain(team record.Team) prepaid.Balance
 }
 
+// Origins keeps where streams began.
+type Origins interface {
+	// Find returns the origin of the stream that a caller continues. It fails with
+	// origin.ErrUnknown or origin.ErrUnconfirmed.
+	Find(ctx context.Context, q origin.Query) (origin.Finding, error)
+	// Began records the origin of a stream whose next event is about to be sent.
+	Began(r origin.Record)
+}
+
 // Quarantine rejects requests that crashed the endpoints serving them.
 type Quarantine interface {
 	// Admit fails with a quarantine.QuarantinedError if the request must not be sent.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"guavapier/internal/linkload"
 	"guavapier/internal/logstore"
 	"guavapier/internal/metrics"
+	"guavapier/internal/origin"
 	"guavapier/internal/peer"
 	"guavapier/internal/placement"
 	"guavapier/internal/prepaid"
@@ -105,6 +106,7 @@
 	peerPool         *peer.Pool   // Calls to other instances.
 	peerServer       *peer.Server // Calls from other instances.
 	retryLimiter     *retry.Limiter
+	streamOrigins    *streamOrigins
 	quarantine       *quarantine.Syncer // Requests that must not be sent to endpoints.
 	registry         *registry.Registry // The fleet's instances.
 	linkMeter        linkload.Meter
@@ -169,15 +171,22 @@
 	})
 	g.registry = &registry.Registry{
 		Log: p.Store, Name: s.Gateway.Name, Logger: log,
-		Details:   registry.Details{Process: self.Key, Zone: self.Zone, Peer: peersAddr, LinkMbps: s.Gateway.LinkMbps},
-		OnChange:  func(names []string) { placementTable.SetInstances(s.Gateway.Name, names) },
-		OnDetails: g.tunnels.setCandidates,
+		Details:  registry.Details{Process: self.Key, Zone: self.Zone, Peer: peersAddr, LinkMbps: s.Gateway.LinkMbps},
+		OnChange: func(names []string) { placementTable.SetInstances(s.Gateway.Name, names) },
+		OnDetails: func(others map[string]registry.Details) {
+			g.tunnels.setCandidates(others)
+			g.streamOrigins.setInstances(others)
+		},
 	}
+	g.streamOrigins = g.newStreamOrigins(self)
 	g.peerServer = peer.NewServer(self.Key)
 	g.peerServer.HandleTunnels(g.tunnels.server)
 	if err := g.peerServer.Register(quarantine.ServiceName, quarantine.NewPeerService(g.quarantine)); err != nil {
 		return nil, err
 	}
+	if err := g.peerServer.Register(origin.ServiceName, origin.NewPeerService(g.streamOrigins.Tracker)); err != nil {
+		return nil, err
+	}
 	if err := g.peerServer.Register(prepaid.ServiceName, prepaid.NewTransfers(g.budgets)); err != nil {
 		return nil, err
 	}
@@ -225,7 +234,7 @@
 func (g *Gateway) newCallersServer() *http.Server {
 	handler := &forward.Forwarder{
 		Zone: g.settings.Gateway.Zone, Codec: g.platform.Codec, State: g.config.Load, Budgets: budgetAdapter{g.budgets},
-		Endpoints: g.endpoints.placementTable, Retries: g.retryLimiter, Quarantine: g.quarantine, Pool: g.upstreamPool, Clock: g.clock,
+		Endpoints: g.endpoints.placementTable, Retries: g.retryLimiter, Origins: g.streamOrigins, Quarantine: g.quarantine, Pool: g.upstreamPool, Clock: g.clock,
 		ClosesConnections: g.closesCallerConns, IsOutdated: g.isOutdated, ShutdownTime: g.requestCutoffTime, IsForceClosing: g.abortingRequests.Load, Log: g.sampledLog, OnRequestEnd: g.requestObserver(), OnPlaced: g.loadReporter.reportPlacement,
 	}
 	server := &http.Server{Handler: g.countInFlight(handler), MaxHeaderBytes: maxHeaderBytes, ConnState: g.callerConns.ConnState}
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -29,6 +29,7 @@
 	g.tables.Register("endpoints", func() any { return g.endpoints.placementTable.View(g.clock()) })
 	g.tables.Register("zone", func() any { return g.zoneView() })
 	g.tables.Register("quarantine", func() any { return g.quarantine.Table.View(time.Now()) })
+	g.tables.Register("streams", func() any { return g.streamOrigins.View() })
 	g.tables.Register("state", func() any {
 		return map[string]int64{"version": g.stateVersion(), "age_ms": g.stateFreshness.age().Milliseconds()}
 	})
@@ -37,6 +38,8 @@
 	g.metrics.Gauge(metrics.GatewayStateAge, func() int64 { return g.stateFreshness.age().Milliseconds() })
 	g.metrics.Gauge(metrics.GatewayEndpointsAge, func() int64 { return g.endpoints.freshness.age().Milliseconds() })
 	g.metrics.Gauge(metrics.GatewayQuarantinedRequests, func() int64 { return g.quarantine.Table.CountQuarantined(time.Now()) })
+	g.metrics.Gauge(metrics.GatewayStreams, func() int64 { return int64(g.streamOrigins.Streams.Len()) })
+	g.metrics.Gauge(metrics.GatewayStreamsNotCopied, g.streamOrigins.Dropped)
 	g.registerReachGauges()
 	g.metrics.Gauge(metrics.GatewayTunnelsServed, g.tunnels.server.OpenCount)
 	g.registerBudgetGauges()
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -72,6 +72,7 @@
 	_ = g.peersListener.Close()
 	g.peerServer.Close()
 	g.peerPool.Close()
+	g.streamOrigins.pool.Close()
 }
 
 // drain reports the instance as not ready, keeps serving until the load balancer has
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -14,6 +14,8 @@
 	GatewayEndpointsUnreachable = "gateway.endpoints_unreachable"
 	GatewayEndpointsWithoutLink = "gateway.endpoints_without_link"
 	GatewayTunnelsServed        = "gateway.tunnels_served"
+	GatewayStreams              = "gateway.streams"
+	GatewayStreamsNotCopied     = "gateway.streams_not_copied"
 	GatewayQuarantinedRequests  = "gateway.requests_held_back"
 	GatewayLinesDropped         = "gateway.lines_dropped"
 	GatewayBudgetHeld           = "gateway.budget_held"
@@ -52,6 +54,8 @@
 		{GatewayEndpointsUnreachable, KindGauge, "endpoints", "Those of them to which no connection can be made, not even through other instances."},
 		{GatewayEndpointsWithoutLink, KindGauge, "endpoints", "Those of them to which no connection can be made by the own link. If it is all of them here and none elsewhere, this instance has lost its links."},
 		{GatewayTunnelsServed, KindGauge, "connections", "Connections to endpoints that are open here for other instances."},
+		{GatewayStreams, KindGauge, "streams", "Streams whose origin is recorded here, those of other instances included."},
+		{GatewayStreamsNotCopied, KindGauge, "streams", "Streams whose origin was not copied to other instances, or not kept for them, because of too many."},
 		{GatewayLinesDropped, KindGauge, "lines", "Log lines dropped because nobody read the output in time, or thinned because they came too fast."},
 		{GatewayBudgetHeld, KindGauge, "tokens", "Tokens of all budgets that this instance holds unused."},
 		{GatewayBudgetUsed, KindGauge, "tokens", "Tokens that this instance has used since its start, requests in flight at their most."},
--- a/internal/placement/assignment.go
+++ b/internal/placement/assignment.go
@@ -13,9 +13,10 @@
 const (
 	// Answered means that the endpoint answered, with any status.
 	Answered Outcome = iota
-	// Failed means that the endpoint refused the request, broke the connection, did
-	// not answer or reported an error of its own.
+	// Failed means that the endpoint refused the request or reported an error of its own.
 	Failed
+	// Broken means that the connection broke, or that the endpoint did not answer.
+	Broken
 	// Unreachable means that no connection could be made.
 	Unreachable
 	// Replaced means that another endpoint has answered at the address.
@@ -114,9 +115,13 @@
 		e.onAnswered()
 	case Failed:
 		e.onFailed(now)
+	case Broken:
+		e.onFailed(now)
+		e.doubtVersion(versionUncertain, now)
 	case Replaced:
 		e.onReplaced()
 	case Unreachable:
 		e.onUnreachable()
+		e.doubtVersion(versionUnknown, now)
 	}
 }
--- a/internal/placement/condition.go
+++ b/internal/placement/condition.go
@@ -41,6 +41,9 @@
 	// endpoints.
 	initialBackoff = 500 * time.Millisecond
 	maxBackoff     = 8 * time.Second
+	// maxEntryDelay is how old an entry may be when it is read, while the store is available:
+	// an entry is read at the latest with the next poll of the list.
+	maxEntryDelay = 1200 * time.Millisecond
 	// failuresBeforeBackoff is the number of consecutive failures that lead to a
 	// back-off; an occasional single failure does not.
 	failuresBeforeBackoff = 2
@@ -68,7 +71,11 @@
 	linkLost bool
 	// unconfirmedUntil is until when an endpoint that was unreachable may be cold. Its next
 	// entry tells earlier.
-	unconfirmedUntil    time.Duration
+	unconfirmedUntil time.Duration
+	// versionDoubt is how likely the endpoint has started again with another software version
+	// under its ID. An entry that was published later clears it.
+	versionDoubt        versionDoubt
+	doubtedAt           time.Duration // When versionDoubt was last confirmed.
 	consecutiveFailures int
 	backoff             time.Duration // Length of the latest back-off; 0 for none.
 	avoidedUntil        time.Duration // End of the latest back-off.
@@ -150,6 +157,9 @@
 func (c *condition) onEntry(leaving bool, warming time.Duration, known, changed bool, now time.Duration) {
 	c.leaving, c.unconfirmedUntil = leaving, 0
 	c.replaced = c.replaced && !changed
+	if now >= c.doubtedAt+maxEntryDelay {
+		c.versionDoubt = versionConfirmed
+	}
 	if warming <= 0 {
 		return
 	}
@@ -186,6 +196,11 @@
 	}
 }
 
+// doubtVersion records a sign that the endpoint may have started again.
+func (c *condition) doubtVersion(d versionDoubt, now time.Duration) {
+	c.versionDoubt, c.doubtedAt = max(c.versionDoubt, d), now
+}
+
 // onReplaced records that another endpoint has answered at the address.
 func (c *condition) onReplaced() { c.replaced = true }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -35,9 +35,15 @@
 	// Parts are the sections of the prompt in order. All but the last may be shared
 	// with other prompts; the last belongs to this request alone.
 	Parts []Part
+	// Version, if VersionOnly, is the software version of the endpoints that may get the
+	// request: that of the endpoint that began the stream which it continues.
+	Version     string
+	VersionOnly bool
 	// Exclude lists the IDs of endpoints that the request has already been sent to.
 	Exclude []string
 
+	// maxDoubt bounds the doubt about an endpoint's version, if VersionOnly.
+	maxDoubt versionDoubt
 	// preferred is the endpoint that all instances choose first for the prompt; see
 	// Table.preferredEndpoint.
 	preferred *endpointState
@@ -128,11 +134,14 @@
 func (t *Table) Place(q Query, now time.Duration) *Assignment {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if q.VersionOnly && !t.tellsVersions(q) {
+		return nil
+	}
 	q.preferred = t.preferredEndpoint(q, now)
 	q.bestSource, q.alternativeSource = t.fetchSources(q, now)
 	var best *endpointState
 	for use := UseNormal; use < UseNone && best == nil; use++ {
-		best = t.cheapest(q, now, use)
+		best = t.cheapestByVersion(q, now, use)
 	}
 	if best == nil {
 		return nil
@@ -169,7 +178,7 @@
 	var best *endpointState
 	lowest, ties := 0.0, 0
 	for _, e := range t.endpoints {
-		if e.Service != q.Service || slices.Contains(q.Exclude, e.ID) {
+		if !e.matches(q) || slices.Contains(q.Exclude, e.ID) {
 			continue
 		}
 		if use, _ := t.useOf(e, now); use != wanted {
