gateway: an instance serves while it catches up after the store was out of reach

Cause: a copy counted as outdated from the first byte of the answer that brings it up to date, since other instances were taken to be ahead. Right for one instance behind the others, wrong for all that lost the store together.

Change: after 2 s without a byte from the store in which a read failed, the time for a change counts again from the first byte. The bound on age stays: a copy that has not caught up then is outdated, and reads that fail while bytes come begin no new time (both are test cases).

--- a/internal/gateway/freshness.go
+++ b/internal/gateway/freshness.go
@@ -14,9 +14,23 @@
 	contactTimeout = 2 * time.Second
 )
 
-// storeContact tracks when something was last received from the store. It is safe for
-// concurrent use.
-type storeContact struct{ receivedAt atomic.Int64 } // Reading of the clock, in nanoseconds.
+// storeContact tracks when something was received from the store. It is safe for concurrent
+// use.
+type storeContact struct {
+	// Readings of the clock, in nanoseconds.
+	receivedAt atomic.Int64 // When something was last received.
+	regainedAt atomic.Int64 // When something was received after the store was out of reach.
+	readFailed atomic.Bool  // A read has failed since receivedAt.
+}
+
+// onReceive is called whenever a part of a response has arrived, on any followed topic.
+func (c *storeContact) onReceive(now time.Duration) {
+	failed := c.readFailed.Swap(false)
+	last := time.Duration(c.receivedAt.Swap(int64(now)))
+	if failed && now-last >= contactTimeout {
+		c.regainedAt.Store(int64(now))
+	}
+}
 
 // isRecent reports whether something was received within contactTimeout.
 func (c *storeContact) isRecent(now time.Duration) bool {
@@ -42,6 +56,9 @@
 // being received, or if the instance's own link is too congested to carry one. Other
 // instances then have a newer copy, and callers are better served there. If the link has
 // room left and nothing comes from the store at all, the store is out of reach.
+//
+// Once the store is back, the copy has as long to catch up as a change may take: all
+// instances may have lost the store together, and none is ahead of the others.
 type freshness struct {
 	maxAge  time.Duration // Time within which a change must be known here.
 	clock   func() time.Duration
@@ -69,13 +86,16 @@
 // onReceive is called whenever a part of a response has arrived.
 func (f *freshness) onReceive() {
 	now := int64(f.clock())
-	f.contact.receivedAt.Store(now)
+	f.contact.onReceive(time.Duration(now))
 	f.responseStartedAt.CompareAndSwap(0, now)
 	f.responseInProgress.Store(true)
 }
 
 // onReadFailure is called after a read that failed: the store may be unreachable.
-func (f *freshness) onReadFailure() { f.responseInProgress.Store(false) }
+func (f *freshness) onReadFailure() {
+	f.contact.readFailed.Store(true)
+	f.responseInProgress.Store(false)
+}
 
 // onCaughtUp is called after a read that reached the topic's end: every change acknowledged
 // before the store sent the response is now known. The time of sending is estimated from
@@ -100,7 +120,8 @@
 // isOutdated reports whether a change may have gone unseen for too long although the store
 // is reachable.
 func (f *freshness) isOutdated(link linkUse) bool {
-	if f.age() <= f.maxAge-readDeadlineMargin {
+	sinceRegained := f.clock() - time.Duration(f.contact.regainedAt.Load())
+	if min(f.age(), sinceRegained) <= f.maxAge-readDeadlineMargin {
 		return false
 	}
 	delayed := link == linkFull || link == linkCongested && f.contact.isRecent(f.clock())
--- a/internal/gateway/freshness_test.go
+++ b/internal/gateway/freshness_test.go
@@ -54,6 +54,44 @@
 			*now += maxAge
 			f.onReadStart()
 		}},
+		"catching up after the store was out of reach": {events: func(f *freshness, now *time.Duration) {
+			f.onReadStart()
+			f.onReceive()
+			f.onCaughtUp()
+			f.onReadStart()
+			*now += 3 * maxAge
+			f.onReadFailure()
+			f.onReadStart()
+			f.onReceive()
+			*now += maxAge / 2
+			f.onReceive()
+		}},
+		"not caught up long after the store was out of reach": {want: true, events: func(f *freshness, now *time.Duration) {
+			f.onReadStart()
+			f.onReceive()
+			f.onCaughtUp()
+			f.onReadStart()
+			*now += 3 * maxAge
+			f.onReadFailure()
+			f.onReadStart()
+			for range 6 {
+				f.onReceive()
+				*now += maxAge / 6
+			}
+		}},
+		"reads that fail while parts of answers come": {want: true, events: func(f *freshness, now *time.Duration) {
+			f.onReadStart()
+			f.onReceive()
+			f.onCaughtUp()
+			for range 3 {
+				f.onReadStart()
+				*now += maxAge / 3
+				f.onReceive()
+				f.onReadFailure()
+			}
+			f.onReadStart()
+			f.onReceive()
+		}},
 		"own link full": {link: linkFull, want: true, events: func(f *freshness, now *time.Duration) {
 			f.onReadStart()
 			f.onCaughtUp()
