origin: records follow instances that become known, or start again, later

Two of six processes were killed 1.3 and 1.6 s after the fleet had started. An instance learns of the others with its second read of the registry, 2 s after its start; until then origins were copied to nobody. In the same way a replica that had started again lacked the records of streams under way.

Change: when the list of instances changes, the new ones get the records of which they are replicas.

--- a/internal/origin/table.go
+++ b/internal/origin/table.go
@@ -53,6 +53,19 @@
 	return e.origin, true
 }
 
+// Records returns all records, with the rest of their lifetimes.
+func (t *Table) Records(now time.Duration) []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var records []Record
+	for id, e := range t.streams {
+		if now < e.expiresAt {
+			records = append(records, Record{Stream: id, Origin: e.origin, Lifetime: e.expiresAt - now})
+		}
+	}
+	return records
+}
+
 // Sweep removes expired records.
 func (t *Table) Sweep(now time.Duration) {
 	t.mu.Lock()
--- a/internal/origin/tracker.go
+++ b/internal/origin/tracker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,22 +48,28 @@
 // and finds the origins of others. It is safe for concurrent use.
 type Tracker struct {
 	Options
-	Streams *Table
+	Streams *Table // All records that are kept here.
 
+	served  *Table // Records of the streams that this instance serves or has served.
 	queue   chan Record
 	others  atomic.Pointer[[]Instance]
-	dropped atomic.Int64 // Records that were not copied since the queue was full.
+	changed chan struct{} // Notified when others was replaced.
+	dropped atomic.Int64  // Records that were not copied since the queue was full.
 }
 
 // NewTracker returns a tracker that knows no other instances. Run copies what it is told.
 func NewTracker(o Options) *Tracker {
-	t := &Tracker{Options: o, Streams: NewTable(), queue: make(chan Record, maxQueuedRecords)}
+	t := &Tracker{Options: o, Streams: NewTable(), served: NewTable(), queue: make(chan Record, maxQueuedRecords), changed: make(chan struct{}, 1)}
 	t.others.Store(&[]Instance{})
 	return t
 }
 
-// SetInstances sets the other instances of the fleet.
-func (t *Tracker) SetInstances(others []Instance) { t.others.Store(&others) }
+// SetInstances sets the other instances of the fleet. Those that are new, or have started again,
+// get the records of which they are replicas.
+func (t *Tracker) SetInstances(others []Instance) {
+	t.others.Store(&others)
+	logstore.Notify(t.changed)
+}
 
 // PeerAddr implements peer.Addresses.
 func (t *Tracker) PeerAddr(id record.InstanceID) (string, bool) {
@@ -93,7 +100,8 @@
 // Began records the origin of a stream that this instance serves, and has it copied. It does
 // not block.
 func (t *Tracker) Began(r Record) {
-	if !t.Streams.Put(r, t.Clock()) {
+	now := t.Clock()
+	if !t.Streams.Put(r, now) || !t.served.Put(r, now) {
 		t.dropped.Add(1)
 		return
 	}
@@ -108,14 +116,20 @@
 func (t *Tracker) Run(ctx context.Context) {
 	sweep := time.NewTicker(sweepInterval)
 	defer sweep.Stop()
+	var known []Instance
 	for {
 		select {
 		case first := <-t.queue:
 			logstore.Pause(ctx, copyBatchDelay, nil)
 			t.copyRecords(ctx, t.collectBatch(first))
+		case <-t.changed:
+			others := *t.others.Load()
+			t.copyToNew(ctx, others, known)
+			known = others
 		case <-sweep.C:
 			now := t.Clock()
 			t.Streams.Sweep(now)
+			t.served.Sweep(now)
 			t.Versions.Sweep(historyRetention, now)
 		case <-ctx.Done():
 			return
@@ -157,6 +171,21 @@
 	t.sendCopies(ctx, pending)
 }
 
+// copyToNew copies to those instances that are not among known the records of which they are
+// replicas.
+func (t *Tracker) copyToNew(ctx context.Context, others, known []Instance) {
+	pending := map[Instance][]pendingCopy{}
+	for _, r := range t.served.Records(t.Clock()) {
+		order := replicasFor(r.Stream, t.Zone, others)
+		for _, replica := range order[:min(copies, len(order))] {
+			if !slices.Contains(known, replica) {
+				pending[replica] = append(pending[replica], pendingCopy{Record: r})
+			}
+		}
+	}
+	t.sendCopies(ctx, pending)
+}
+
 // sendCopies makes the calls, each in a goroutine of its own.
 func (t *Tracker) sendCopies(ctx context.Context, pending map[Instance][]pendingCopy) {
 	for replica, list := range pending {
