--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -94,18 +94,18 @@
 	// request.
 	origin         *origin.Origin
 	originRecorded bool // The origin was recorded for later tries of the caller.
-	// originUntold is set when the endpoint may have been replaced by one of another version
+	// originAmbiguous is set when the endpoint may have been replaced by one of another version
 	// while it served the stream.
-	originUntold bool
-	lastEventID  string
-	resumedAfter string // ID of the event after which the last attempt resumed a stream; "" for none.
-	headerSent   bool   // The answer's status and header were sent to the caller.
-	timeToHeader time.Duration
-	reason       Reason
-	endpoint     string
-	version      string // Software version of the endpoint of the last attempt.
-	via          string // Name of the instance through which the last attempt was sent; "" for the own link.
-	phase        phase
+	originAmbiguous bool
+	lastEventID     string
+	resumedAfter    string // ID of the event after which the last attempt resumed a stream; "" for none.
+	headerSent      bool   // The answer's status and header were sent to the caller.
+	timeToHeader    time.Duration
+	reason          Reason
+	endpoint        string
+	version         string // Software version of the endpoint of the last attempt.
+	via             string // Name of the instance through which the last attempt was sent; "" for the own link.
+	phase           phase
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/forward/origin.go
+++ b/internal/forward/origin.go
@@ -70,11 +70,11 @@
 		c.originRecorded = true
 		c.shareOrigin(*c.origin)
 	}
-	if !c.originUntold && !assignment.HasSameVersion() {
-		c.originUntold = true
+	if !c.originAmbiguous && !assignment.HasSameVersion() {
+		c.originAmbiguous = true
 		c.shareOrigin(origin.Origin{})
 	}
-	return !c.originUntold || c.resumedAfter == ""
+	return !c.originAmbiguous || c.resumedAfter == ""
 }
 
 // shareOrigin records the stream's origin for later tries of the caller.
@@ -91,7 +91,7 @@
 // mayContinue reports whether a stream whose first events were sent may go on at another
 // endpoint. Events without IDs don't say where.
 func (c *call) mayContinue() bool {
-	return !c.originUntold && (c.events == 0 || c.lastEventID != "")
+	return !c.originAmbiguous && (c.events == 0 || c.lastEventID != "")
 }
 
 // noEndpointRefusal returns the refusal of a request that no endpoint may get now.
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -52,6 +52,7 @@
 		{"run", "Requests on their way to an endpoint and back."},
 		{"gateway", "Start, drain, reload and end of an instance on an outside platform; its desired state and endpoints."},
 		{"forward", "Requests of an outside platform's callers."},
+		{"origin", "Where streams began, kept by several instances."},
 		{"prepaid", "Claims on prepaid totals, tokens moved between instances and given back."},
 		{"quarantine", "Requests under which endpoints ended, and those that are held back for it."},
 		{"registry", "The list of the fleet's instances by name."},
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -30,7 +30,7 @@
 	ErrUnconfirmed = errors.New("origin: instances that may know the stream did not answer")
 )
 
-// Origin is where a stream began. The zero value stands for an origin that can't be told.
+// Origin is where a stream began. The zero value stands for an ambiguous one.
 type Origin struct {
 	Service string `cbor:"1,keyasint"`
 	Version string `cbor:"2,keyasint"` // Software version of the endpoint; "" if endpoints state none.
--- a/internal/origin/service.go
+++ b/internal/origin/service.go
@@ -28,7 +28,7 @@
 // FindReply is the reply of Streams.Find.
 type FindReply struct {
 	Found  bool
-	Origin Origin // If found; the zero value if it can't be told.
+	Origin Origin // If found; the zero value if it is ambiguous.
 	// IsOnlyVersion reports that the service has had OnlyVersion alone for the lifetime asked
 	// for.
 	IsOnlyVersion bool
--- a/internal/origin/table.go
+++ b/internal/origin/table.go
@@ -16,8 +16,8 @@
 
 // Table holds the origins of streams until they expire. It is safe for concurrent use.
 //
-// Records of different origins for one stream contradict each other; the origin can't be told
-// from then on.
+// Records of different origins for one stream contradict each other; its origin is ambiguous from
+// then on.
 type Table struct {
 	mu      sync.Mutex
 	streams map[StreamID]entry
@@ -42,7 +42,7 @@
 }
 
 // Find returns the origin of a stream; false if there is no record of it. The zero Origin means
-// that it can't be told.
+// that it is ambiguous.
 func (t *Table) Find(id StreamID, now time.Duration) (Origin, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/origin/table_test.go
+++ b/internal/origin/table_test.go
@@ -32,7 +32,7 @@
 	}
 }
 
-func TestContradictoryRecordsLeaveTheOriginUntold(t *testing.T) {
+func TestContradictoryRecordsMakeTheOriginAmbiguous(t *testing.T) {
 	table := NewTable()
 	table.Put(Record{7, v1, 10 * time.Second}, 0)
 	table.Put(Record{7, v2, 10 * time.Second}, 0)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -134,7 +134,7 @@
 func (t *Table) Place(q Query, now time.Duration) *Assignment {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if q.VersionOnly && !t.tellsVersions(q) {
+	if q.VersionOnly && !t.isVersionKnown(q) {
 		return nil
 	}
 	q.preferred = t.preferredEndpoint(q, now)
--- a/internal/placement/version.go
+++ b/internal/placement/version.go
@@ -20,9 +20,9 @@
 	return e.Service == q.Service && (!q.VersionOnly || e.Version == q.Version && e.versionDoubt <= q.maxDoubt)
 }
 
-// tellsVersions reports whether endpoints of the query's version are known to be of one version.
+// isVersionKnown reports whether endpoints of the query's version are known to be of one version.
 // Those that state none are if no endpoint of the service states any.
-func (t *Table) tellsVersions(q Query) bool {
+func (t *Table) isVersionKnown(q Query) bool {
 	if q.Version != "" {
 		return true
 	}
@@ -54,7 +54,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	q := Query{Service: service, Version: version, VersionOnly: true, maxDoubt: versionUnknown}
-	if !t.tellsVersions(q) {
+	if !t.isVersionKnown(q) {
 		return false
 	}
 	for _, e := range t.endpoints {
