--- a/internal/origin/replicas.go
+++ b/internal/origin/replicas.go
@@ -30,36 +30,50 @@
 	askedPerOtherZone = 2
 )
 
-// ranked returns the instances of the zone, best first, and those of each other zone, the zone
-// with the best one first, by rendezvous hashing. All instances rank alike, as far as they know
-// the same ones.
-func ranked(id StreamID, zone string, instances []Instance) (local []Instance, byZone [][]Instance) {
-	scores := make(map[string]uint64, len(instances))
-	for _, i := range instances {
-		scores[i.Name] = score(id, i.Name)
+// maxRanked is how many instances of a zone are ranked.
+const maxRanked = max(2*copies, askedInZone, askedPerOtherZone)
+
+// scoredInstance is an instance with its rank for a stream; the highest score is the best.
+type scoredInstance struct {
+	*Instance
+	score uint64
+}
+
+// compareRank orders the better instance first.
+func compareRank(a, b scoredInstance) int {
+	return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.Name, b.Name))
+}
+
+// ranked returns the best maxRanked instances of the zone and of each other zone, best first,
+// the zone with the best one first, by rendezvous hashing. All instances rank alike, as far as
+// they know the same ones.
+func ranked(id StreamID, zone string, instances []Instance) (local []scoredInstance, byZone [][]scoredInstance) {
+	zones := map[string][]scoredInstance{}
+	for i := range instances {
+		instance := &instances[i]
+		zones[instance.Zone] = insertRanked(zones[instance.Zone], scoredInstance{instance, score(id, instance.Name)})
 	}
-	sorted := slices.Clone(instances)
-	slices.SortFunc(sorted, func(a, b Instance) int {
-		return cmp.Or(cmp.Compare(scores[b.Name], scores[a.Name]), cmp.Compare(a.Name, b.Name))
-	})
-	zones := map[string]int{} // Index in byZone.
-	for _, i := range sorted {
-		if i.Zone == zone {
-			local = append(local, i)
-			continue
+	for name, list := range zones {
+		if name != zone {
+			byZone = append(byZone, list)
 		}
-		index, known := zones[i.Zone]
-		if !known {
-			index = len(byZone)
-			zones[i.Zone] = index
-			byZone = append(byZone, nil)
-		}
-		byZone[index] = append(byZone[index], i)
 	}
-	return local, byZone
+	slices.SortFunc(byZone, func(a, b []scoredInstance) int { return compareRank(a[0], b[0]) })
+	return zones[zone], byZone
 }
 
-// score returns the rank of an instance for a stream; the highest is the best.
+// insertRanked inserts an instance into a list that is sorted by rank, and keeps the best
+// maxRanked.
+func insertRanked(list []scoredInstance, instance scoredInstance) []scoredInstance {
+	at, _ := slices.BinarySearchFunc(list, instance, compareRank)
+	if at == maxRanked {
+		return list
+	}
+	list = slices.Insert(list, at, instance)
+	return list[:min(maxRanked, len(list))]
+}
+
+// score returns the score of an instance for a stream.
 func score(id StreamID, name string) uint64 {
 	var d xxhash.Digest
 	d.Reset()
@@ -77,10 +91,10 @@
 	var order []Instance
 	for i := range 2 * copies {
 		if i < len(local) {
-			order = append(order, local[i])
+			order = append(order, *local[i].Instance)
 		}
 		if i < len(byZone) {
-			order = append(order, byZone[i][0])
+			order = append(order, *byZone[i][0].Instance)
 		}
 	}
 	return order[:min(2*copies, len(order))]
@@ -91,8 +105,12 @@
 func instancesToAsk(id StreamID, zone string, others []Instance) []Instance {
 	local, byZone := ranked(id, zone, others)
 	asked := slices.Clone(local[:min(askedInZone, len(local))])
-	for _, instances := range byZone[:min(askedZones, len(byZone))] {
-		asked = append(asked, instances[:min(askedPerOtherZone, len(instances))]...)
+	for _, list := range byZone[:min(askedZones, len(byZone))] {
+		asked = append(asked, list[:min(askedPerOtherZone, len(list))]...)
+	}
+	instances := make([]Instance, len(asked))
+	for i, a := range asked {
+		instances[i] = *a.Instance
 	}
-	return asked
+	return instances
 }
