origin: a history tells nothing beyond what it remembers

Versions are forgotten 10 minutes after they were last listed, and a route with a timeout over 5 minutes asks for longer: a service that changed its version in between would have counted as one of a single version (by reading). TestHistoryForgetsWhatIsLongGone fails without the change. Nothing else differs for shorter timeouts.

--- a/internal/origin/history.go
+++ b/internal/origin/history.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// historyRetention is how long a version is remembered that is listed no more.
+const historyRetention = 10 * time.Minute
+
 // History records which software versions of each service the endpoint list has shown, and
 // when. It is safe for concurrent use.
 type History struct {
@@ -38,11 +41,12 @@
 }
 
 // Only returns the one version of the service that the list has shown within the given duration;
-// false if there were several, or if the history doesn't go back so far.
+// false if there were several, or if the history doesn't go back so far. It never goes back
+// further than historyRetention.
 func (h *History) Only(service string, duration, now time.Duration) (version string, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.started || now-h.since < duration {
+	if !h.started || now-h.since < duration || duration > historyRetention {
 		return "", false
 	}
 	found := 0
@@ -82,13 +86,13 @@
 	return ages
 }
 
-// Sweep removes versions that were last seen longer ago than the given duration.
-func (h *History) Sweep(duration, now time.Duration) {
+// Sweep removes versions that were last seen longer ago than historyRetention.
+func (h *History) Sweep(now time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for service, versions := range h.lastSeen {
 		for v, at := range versions {
-			if now-at >= duration {
+			if now-at >= historyRetention {
 				delete(versions, v)
 			}
 		}
--- a/internal/origin/history_test.go
+++ b/internal/origin/history_test.go
@@ -46,8 +46,13 @@
 func TestHistoryForgetsWhatIsLongGone(t *testing.T) {
 	h := NewHistory()
 	h.Observe("s", "v1", 0)
-	h.Sweep(time.Minute, time.Minute)
-	if len(h.lastSeen) != 0 {
-		t.Errorf("%v", h.lastSeen)
+	h.Start(0)
+	h.Observe("s", "v2", 2*historyRetention)
+	h.Sweep(2 * historyRetention)
+	if len(h.lastSeen["s"]) != 1 {
+		t.Errorf("%v, want v2 alone", h.lastSeen)
+	}
+	if v, ok := h.Only("s", 2*historyRetention, 2*historyRetention); ok {
+		t.Errorf("told %q for longer than versions are remembered", v)
 	}
 }
--- a/internal/origin/tracker.go
+++ b/internal/origin/tracker.go
@@ -22,8 +22,6 @@
 	maxQueuedRecords = 1024
 	// sweepInterval is the pause between two removals of what has expired.
 	sweepInterval = time.Second
-	// historyRetention is how long a version is remembered that is listed no more.
-	historyRetention = 10 * time.Minute
 )
 
 // Options are the dependencies of a Tracker. All must be set.
@@ -125,7 +123,7 @@
 			now := t.Clock()
 			t.Streams.Sweep(now)
 			t.served.Sweep(now)
-			t.Versions.Sweep(historyRetention, now)
+			t.Versions.Sweep(now)
 		case <-ctx.Done():
 			return
 		}
