quarantine, forward: the log tells the shared parts of a prompt under which an endpoint crashed

Cause: the lines on endpoints that crash identify a request by a hash of its whole content. Change: `quarantine: endpoint ended under a request` and `forward: attempt ended` of a broken answer have `parts`, all parts of the prompt but the last. No decision is changed. Measured: go test of both packages.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -184,7 +184,17 @@
 // content returns the parts of the request by which the quarantine recognises it when it
 // is sent again.
 func (c *call) content() quarantine.Content {
-	return quarantine.Content{Organisation: c.team(), Method: c.Method, Host: c.Host, Target: c.Target, Body: c.body}
+	return quarantine.Content{Organisation: c.team(), Method: c.Method, Host: c.Host, Target: c.Target, Body: c.body, Parts: c.sharedParts()}
+}
+
+// sharedParts returns the IDs of the parts of the prompt that other requests may share: all
+// but the last one, which belongs to the request or its session.
+func (c *call) sharedParts() []string {
+	var ids []string
+	for i := range len(c.PromptParts) - 1 {
+		ids = append(ids, c.PromptParts[i].ID)
+	}
+	return ids
 }
 
 // team returns the name of the request's organisation, or "" if it has none.
--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -35,7 +35,7 @@
 		return
 	}
 	if result.reason == ReasonAnswerFailed {
-		line.Stringer("content", c.content().Fingerprint())
+		line.Stringer("content", c.content().Fingerprint()).Strs("parts", c.sharedParts())
 	}
 	line.Str("request", c.ID).Int("attempt", c.attempts).Str("endpoint", assignment.Endpoint.ID).
 		Str("address", assignment.Endpoint.Address).Str("zone", assignment.Endpoint.Zone).Str("version", assignment.Endpoint.Version).Str("after", c.resumedAfter).Str("resumes", c.Resumes).Float64("cost_ms", assignment.Cost).Float64("missing_tokens", assignment.MissingTokens).
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -28,13 +28,16 @@
 // bytes, and is therefore cheap to compute.
 type metadataHash [metadataHashBytes]byte
 
-// Content holds the properties by which two requests count as the same.
+// Content holds the properties of a request by which the quarantine recognises it.
 type Content struct {
 	// Organisation is the owner of the caller's API key; "" for none.
 	Organisation record.Team
 	Method, Host string
 	Target       string // Path and query.
 	Body         []byte
+	// Parts are the IDs of the parts of the prompt that other requests may share. They are not
+	// covered by the fingerprint.
+	Parts []string
 }
 
 // Fingerprint returns the fingerprint of the request: the truncated HMAC-SHA-256 of the
--- a/internal/quarantine/syncer.go
+++ b/internal/quarantine/syncer.go
@@ -160,7 +160,7 @@
 	if r.Crashes >= crashesToQuarantine {
 		line = s.Logger.Warn()
 	}
-	line.Stringer("content", f).Str("team", string(c.Organisation)).Str("endpoint", endpoint).Int("ends", r.Crashes).
+	line.Stringer("content", f).Strs("parts", c.Parts).Str("team", string(c.Organisation)).Str("endpoint", endpoint).Int("ends", r.Crashes).
 		Dur("under_way", underWay).Msg("quarantine: endpoint ended under a request")
 	s.enqueue(f, r)
 	return true
