quarantine: a part of a prompt under which endpoints crash is held back, whatever else the request holds

What callers saw: requests that share one part of their prompts crashed endpoint after endpoint, with all that ran there; each caller got 502. Cause: the quarantine knew a request by organisation, path and body alone. A request that differs in one byte was another entry, with one crash. Class: work is identified too narrowly to be recognised when it comes again. Change: a request has several subjects, its content and each part of its prompt but the last. All are recorded at a crash, cleared by a complete answer from an endpoint that goes on (one that ends with its connection counts only if the endpoint still accepts connections), and blamed by the same rule: a crash counts against a subject unless another one that was there has more. New for parts: from the second unexplained crash on requests are sent one at a time in the fleet (a trial, claimed on the log like a retest), and a request that has only some of the equally suspect subjects is such a trial, since its end tells them apart. A part that another endpoint answered within the last second is not reported. A crash counts as one after another also where the request began at an instance after that knew of the one before from the log; endpoints are told apart by their start time as well as their ID.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"guavapier/internal/placement"
+	"guavapier/internal/quarantine"
 	"guavapier/internal/route"
 	"guavapier/internal/upstream"
 )
@@ -31,6 +32,9 @@
 	misdirected bool
 	// noEndpoint reports whether no endpoint was available.
 	noEndpoint bool
+	// unframed reports whether the answer had neither a length nor chunks, so that the end of
+	// the connection was taken for its end.
+	unframed bool
 	// failure is the endpoint's complete answer if its status was 5xx.
 	failure *bufferedAnswer
 	// err is the error that broke the connection or prevented it.
@@ -91,6 +95,7 @@
 	defer answer.Close()
 	assignment.OnAnswerStart(c.f.Clock(), isSuccess(answer.Status))
 	result := c.handleAnswer(ctx, assignment, answer)
+	result.unframed = !answer.Framed
 	c.logAttempt(assignment, result, answer.Status, start)
 	c.updateQuarantine(ctx, assignment, result, start)
 	switch {
@@ -110,11 +115,18 @@
 // updateQuarantine reports to the quarantine that the request was answered, or that the
 // connection broke while an endpoint was serving it.
 func (c *call) updateQuarantine(ctx context.Context, assignment *placement.Assignment, result attemptResult, start time.Time) {
+	content := c.content()
+	endpoint := quarantine.Endpoint{ID: assignment.Endpoint.ID, Address: assignment.Endpoint.Address, Born: assignment.Endpoint.Born}
 	switch {
+	case result.final && !isSuccess(result.status):
+		content.Parts = nil // An answer that fails the request may have been given without its prompt.
+		c.f.Quarantine.Answered(content, endpoint)
+	case result.final && result.unframed && len(content.Parts) > 0:
+		c.f.Quarantine.Ended(ctx, content, endpoint, time.Since(start))
 	case result.final:
-		c.f.Quarantine.Answered(c.content())
+		c.f.Quarantine.Answered(content, endpoint)
 	case result.sent && result.reason == ReasonAnswerFailed && result.err != nil && ctx.Err() == nil:
-		if c.f.Quarantine.Broke(ctx, c.content(), assignment.Endpoint.ID, assignment.Endpoint.Address, time.Since(start)) {
+		if c.f.Quarantine.Broke(ctx, content, endpoint, time.Since(start)) {
 			c.crashes++
 		}
 	}
--- a/internal/forward/drain_test.go
+++ b/internal/forward/drain_test.go
@@ -47,11 +47,14 @@
 
 func (emptyQuarantine) Admit(context.Context, quarantine.Content) error { return nil }
 
-func (emptyQuarantine) Broke(context.Context, quarantine.Content, string, string, time.Duration) bool {
+func (emptyQuarantine) Broke(context.Context, quarantine.Content, quarantine.Endpoint, time.Duration) bool {
 	return false
 }
 
-func (emptyQuarantine) Answered(quarantine.Content) {}
+func (emptyQuarantine) Answered(quarantine.Content, quarantine.Endpoint) {}
+
+func (emptyQuarantine) Ended(context.Context, quarantine.Content, quarantine.Endpoint, time.Duration) {
+}
 
 type reservation struct{}
 
--- a/internal/forward/retry.go
+++ b/internal/forward/retry.go
@@ -46,9 +46,15 @@
 		case result.sent && !c.f.Retries.Allow(c.service, c.f.Clock()):
 			// An attempt that could not connect puts no load on endpoints and uses no retry budget.
 			return c.fail(result.reason, http.StatusBadGateway, result)
-		case c.crashes >= maxCrashes || result.sent && c.checkQuarantine(ctx) != nil:
+		case c.crashes >= maxCrashes:
 			return c.fail(ReasonQuarantined, http.StatusBadGateway, result)
 		}
+		if !result.sent {
+			continue
+		}
+		if refused := c.checkQuarantine(ctx); refused != nil {
+			return c.fail(refused.reason, http.StatusBadGateway, result)
+		}
 	}
 }
 
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -112,7 +112,10 @@
 	Admit(ctx context.Context, c quarantine.Content) error
 	// Broke records that the connection to an endpoint broke after it had served the
 	// request for the given duration, and reports whether the endpoint is gone.
-	Broke(ctx context.Context, c quarantine.Content, endpoint, address string, duration time.Duration) (gone bool)
+	Broke(ctx context.Context, c quarantine.Content, at quarantine.Endpoint, duration time.Duration) (gone bool)
 	// Answered records that an endpoint has answered the request.
-	Answered(c quarantine.Content)
+	Answered(c quarantine.Content, by quarantine.Endpoint)
+	// Ended records that an endpoint's answer ended with its connection, after it had served
+	// the request for the given duration. It does not block.
+	Ended(ctx context.Context, c quarantine.Content, by quarantine.Endpoint, duration time.Duration)
 }
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -48,7 +48,7 @@
 		{GatewayInstances, KindGauge, "instances", "Instances whose statements are recent, this one included."},
 		{GatewayStateVersion, KindGauge, "version", "Version of the desired state in force."},
 		{GatewayStateAge, KindGauge, "milliseconds", "How long a change of the desired state may have gone unseen here."},
-		{GatewayQuarantinedRequests, KindGauge, "requests", "Contents of requests that are held back, since endpoints ended under them."},
+		{GatewayQuarantinedRequests, KindGauge, "requests", "Contents of requests and parts of prompts that are held back, since endpoints ended under them."},
 		{GatewayEndpointsAge, KindGauge, "milliseconds", "How long a change of the endpoint list may have gone unseen here."},
 		{GatewayEndpoints, KindGauge, "endpoints", "Endpoints that may get new requests by the list and by the operators."},
 		{GatewayEndpointsUnreachable, KindGauge, "endpoints", "Those of them to which no connection can be made, not even through other instances."},
--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -9,11 +9,11 @@
 
 const (
 	// crashesToQuarantine is the number of endpoints that have to crash while serving
-	// a request, one after the other, for it to be quarantined.
+	// requests with a subject, one after the other, for it to be quarantined.
 	crashesToQuarantine = 3
 	// minCrashSpacing is how long after a crash the request has to start on another
-	// endpoint for a crash there to count, unless this instance has seen both crashes
-	// itself. Endpoints that are lost at the same moment crash with the same requests,
+	// endpoint for a crash there to count, unless it started at this instance, after it knew
+	// of the crash. Endpoints that are lost at the same moment crash with the same requests,
 	// and the records of that arrive over several reads of the log.
 	minCrashSpacing = 500 * time.Millisecond
 	// reportGracePeriod is how long the records of a crash may take to arrive from all
@@ -32,16 +32,19 @@
 	maxEndpointsPerEntry = 16
 )
 
-// entry is what the table knows of one request.
+// entry is what the table knows of one subject.
 type entry struct {
 	team             record.Team
-	endpoints        []string          // IDs of the crashed endpoints, the latest last.
+	part             string            // ID of the part of the prompt; "" for the content of a request.
+	endpoints        []string          // Incarnations of the crashed endpoints, the latest last.
 	crashes          int               // Those that count, being one after the other.
 	lastCrash        time.Time         // The last one that counts.
-	seenLocally      bool              // This instance has seen the last crash itself.
 	retestRound      int               // Number of retests.
 	retestBy         record.InstanceID // Who may run the latest retest.
-	quarantinedUntil time.Time         // Only applies while Table.isQuarantined.
+	quarantinedUntil time.Time         // Only applies while the subject is to blame.
+	trialRound       int               // Number of trials.
+	trialBy          record.InstanceID // Who may run the latest trial.
+	trialUntil       time.Time         // Until when no other trial may begin; zero after a crash.
 	writer           record.InstanceID // Of the latest record.
 	// orphanGracePeriod is how long after its expiry the entry is cleared although
 	// another instance has written it, which is then assumed to be gone.
@@ -60,7 +63,7 @@
 }
 
 // addCrash records that an endpoint crashed while serving the request, which had started
-// there at startedAt; local states that this instance has seen it. Endpoints that are lost
+// there at startedAt; local states that this instance has sent it. Endpoints that are lost
 // at the same moment count as one crash. The result is the endpoint that was dropped from
 // the entry to make room; "" for none.
 func (e *entry) addCrash(endpoint string, startedAt, now time.Time, local bool) (dropped string) {
@@ -68,14 +71,15 @@
 	if len(e.endpoints) > maxEndpointsPerEntry {
 		dropped, e.endpoints = e.endpoints[0], e.endpoints[1:]
 	}
+	e.trialUntil = time.Time{}
 	countsFrom := e.lastCrash.Add(minCrashSpacing)
-	if local && e.seenLocally {
+	if local {
 		countsFrom = e.lastCrash
 	}
 	if e.crashes > 0 && startedAt.Before(countsFrom) {
 		return dropped
 	}
-	e.crashes, e.lastCrash, e.seenLocally = e.crashes+1, now, local
+	e.crashes, e.lastCrash = e.crashes+1, now
 	if e.crashes >= crashesToQuarantine {
 		e.extendQuarantine(now.Add(quarantineDuration(e.retestRound)))
 	}
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -10,14 +10,14 @@
 	"guavapier/internal/record"
 )
 
-// entryRecord is the value of a record on the log, whose key is the fingerprint of a request.
-// It holds all that its writer knows of the request, so that an instance that starts only
-// needs the newest record. A record without a value clears the request.
+// entryRecord is the value of a record on the log, whose key is the fingerprint of a subject.
+// It holds all that its writer knows of the subject, so that an instance that starts only
+// needs the newest record. A record without a value clears the subject.
 type entryRecord struct {
 	Team   record.Team       `cbor:"1,keyasint,omitempty"`
 	Writer record.InstanceID `cbor:"2,keyasint"`
-	// Endpoints are the IDs of the endpoints that crashed while serving the request,
-	// the latest last.
+	// Endpoints are the incarnations of the endpoints that crashed while serving requests
+	// with the subject, the latest last.
 	Endpoints []string `cbor:"3,keyasint"`
 	// UnderWay is how long the request had been in progress on the last of these endpoints.
 	UnderWay time.Duration `cbor:"4,keyasint,omitempty"`
@@ -31,6 +31,12 @@
 	RetestBy record.InstanceID `cbor:"8,keyasint,omitempty"`
 	// Until is the end of the quarantine in Unix milliseconds; 0 for none.
 	Until int64 `cbor:"7,keyasint,omitempty"`
+	// Part is the ID of the part of the prompt; "" for the content of a request.
+	Part string `cbor:"9,keyasint,omitempty"`
+	// TrialRound and TrialBy are the number of trials and the instance that has acquired the
+	// latest one, or claims it with this record; they work like those of retests.
+	TrialRound int               `cbor:"10,keyasint,omitempty"`
+	TrialBy    record.InstanceID `cbor:"11,keyasint,omitempty"`
 }
 
 func (r *entryRecord) encode() ([]byte, error) {
@@ -45,7 +51,10 @@
 }
 
 func (e *entry) toRecord() *entryRecord {
-	r := &entryRecord{Team: e.team, Writer: e.writer, Endpoints: slices.Clone(e.endpoints), Crashes: e.crashes, RetestRound: e.retestRound, RetestBy: e.retestBy}
+	r := &entryRecord{
+		Team: e.team, Part: e.part, Writer: e.writer, Endpoints: slices.Clone(e.endpoints), Crashes: e.crashes,
+		RetestRound: e.retestRound, RetestBy: e.retestBy, TrialRound: e.trialRound, TrialBy: e.trialBy,
+	}
 	if !e.quarantinedUntil.IsZero() {
 		r.Until = e.quarantinedUntil.UnixMilli()
 	}
--- a/internal/quarantine/syncer.go
+++ b/internal/quarantine/syncer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -24,22 +25,15 @@
 	// readInterval is the pause between two reads. It limits the reads while records
 	// arrive because endpoints crash.
 	readInterval = 200 * time.Millisecond
-	// writeInterval is how long records are gathered for one write.
-	writeInterval = 100 * time.Millisecond
-	// writeRetryDelay is the pause after a write that failed.
-	writeRetryDelay = 150 * time.Millisecond
 	// sweepInterval is the pause between two removals of expired entries.
 	sweepInterval = time.Second
-	// maxWriteBatch bounds the number of records in one write.
-	maxWriteBatch = 256
 	// probeTimeout bounds the probe that shows whether an endpoint is gone. The host of
 	// a crashed process refuses connections at once; one that does not answer shows
 	// nothing.
 	probeTimeout = 100 * time.Millisecond
-	// retestClaimTimeout bounds how long a request waits to acquire a retest, which
-	// takes some round trips to the log. retestPollInterval is how often the table is
-	// checked meanwhile.
-	retestClaimTimeout, retestPollInterval = 500 * time.Millisecond, 5 * time.Millisecond
+	// confirmDelay is how long after an answer an endpoint that crashed at its end is known
+	// to have crashed.
+	confirmDelay = 150 * time.Millisecond
 )
 
 // Probe makes a connection to an endpoint by its ID and address (IP:port), and keeps it for
@@ -65,22 +59,22 @@
 	Table *Table
 
 	probeGroup     singleflight.Group // By endpoint ID.
-	retestGroup    singleflight.Group // By fingerprint.
+	claimGroup     singleflight.Group // By the kind of the claim and the fingerprint.
 	readNow        chan struct{}      // Triggers a read of the log.
 	writeNow       chan struct{}      // Triggers a write to the log.
 	loaded         atomic.Bool
 	logUnavailable atomic.Bool // The last read failed.
 
-	mu            sync.Mutex                   // Guards pendingWrites.
-	pendingWrites map[Fingerprint]*entryRecord // nil clears the request.
-	lastEpoch     uint64                       // Of the last write; only for writeBatch.
+	mu            sync.Mutex // Guards pendingWrites.
+	pendingWrites map[Fingerprint]pendingWrite
+	lastEpoch     uint64 // Of the last write; only for writeBatch.
 }
 
 // NewSyncer returns a Syncer for an empty table. It does nothing before Run.
 func NewSyncer(o Options) *Syncer {
 	return &Syncer{
 		Options: o, Table: NewTable(o.Self),
-		readNow: make(chan struct{}, 1), writeNow: make(chan struct{}, 1), pendingWrites: map[Fingerprint]*entryRecord{},
+		readNow: make(chan struct{}, 1), writeNow: make(chan struct{}, 1), pendingWrites: map[Fingerprint]pendingWrite{},
 	}
 }
 
@@ -98,102 +92,133 @@
 // Loaded reports whether the records that were on the log have been read.
 func (s *Syncer) Loaded() bool { return s.loaded.Load() }
 
-// Admit returns nil if the request may be sent, and a *QuarantinedError if it is
-// quarantined. If the quarantine has ended, it first tries to acquire the retest, that is,
-// the right to send the request once on behalf of the whole fleet.
+// Admit returns nil if the request may be sent, and a *QuarantinedError if it must not be sent
+// now. If the request may be sent once on behalf of the whole fleet, as a trial or a retest, it
+// first tries to acquire that right.
 func (s *Syncer) Admit(ctx context.Context, c Content) error {
-	f, known := s.Table.find(c)
-	if !known {
-		return nil
-	}
-	quarantined, retestDue := s.Table.check(f, time.Now())
-	if quarantined == nil {
-		return nil
-	}
-	if retestDue && !s.logUnavailable.Load() && s.acquireRetest(ctx, f) {
-		s.Logger.Info().Stringer("content", f).Int("ends", quarantined.Crashes).Msg("quarantine: held request is retested")
+	known := s.Table.lookup(c)
+	v := s.Table.judge(known, time.Now())
+	switch v.kind {
+	case verdictAdmit:
 		return nil
+	case verdictRetest:
+		if !s.logUnavailable.Load() && s.acquireRetest(ctx, v.subject.fingerprint) {
+			s.logSent(v, "quarantine: held request is retested")
+			return nil
+		}
+	case verdictTry:
+		if s.acquireTrial(ctx, v.subject.fingerprint) {
+			s.logSent(v, "quarantine: suspected part of a prompt is tried")
+			return nil
+		}
 	}
-	if current, _ := s.Table.check(f, time.Now()); current != nil {
-		return current
+	if current := s.Table.judge(known, time.Now()); current.kind == verdictRefuse {
+		return current.err()
 	}
-	return quarantined
+	return v.err()
 }
 
-// acquireRetest claims the next retest on the log and reports whether the calling request
-// may run it. Concurrent calls share one claim.
-func (s *Syncer) acquireRetest(ctx context.Context, f Fingerprint) bool {
-	acquired := false
-	_, _, _ = s.retestGroup.Do(f.String(), func() (any, error) {
-		r, cleared := s.Table.retestClaim(f, time.Now())
-		if r == nil {
-			acquired = cleared
-			return nil, nil
-		}
-		s.enqueue(f, r)
-		logstore.Notify(s.writeNow)
-		ctx, cancel := context.WithTimeout(ctx, retestClaimTimeout)
-		defer cancel()
-		for decided := false; !decided && ctx.Err() == nil; {
-			logstore.Pause(ctx, retestPollInterval, nil)
-			decided, acquired = s.Table.retestResult(f, r.RetestRound)
-		}
-		return nil, nil
-	})
-	return acquired // Of concurrent calls only the one that ran the function sets this.
+// logSent logs that a request is sent although the verdict's subject may crash the endpoint.
+func (s *Syncer) logSent(v verdict, message string) {
+	s.Logger.Info().Stringer("content", v.subject.fingerprint).Str("part", v.subject.part).Int("ends", v.crashes).Msg(message)
 }
 
 // Broke records that the connection to an endpoint broke when the request had been in
 // progress there for underWay. It probes whether the endpoint is gone and returns the
 // result. If it is gone, the request has crashed it or was in progress beside the one
-// that did, and a record of that is written to the log.
-func (s *Syncer) Broke(ctx context.Context, c Content, endpoint, address string, underWay time.Duration) (gone bool) {
-	if !s.isGone(ctx, endpoint, address) {
+// that did, and records of that are written to the log.
+func (s *Syncer) Broke(ctx context.Context, c Content, at Endpoint, underWay time.Duration) (gone bool) {
+	if !s.isGone(ctx, at) {
 		return false
 	}
-	f := c.Fingerprint()
-	r := s.Table.recordCrash(f, c.Organisation, endpoint, underWay, time.Now())
-	if r == nil {
-		return true
+	now := time.Now()
+	for _, subject := range s.Table.suspects(c, at.incarnation(), now) {
+		r := s.Table.recordCrash(subject, c.Organisation, at.incarnation(), underWay, now)
+		if r == nil {
+			continue
+		}
+		s.logCrash(subject, c, at, r)
+		s.enqueue(subject.fingerprint, r)
+	}
+	return true
+}
+
+// logCrash logs that an endpoint crashed under a subject. The first crash of a part is not
+// logged, since the line of the request's content names its parts.
+func (s *Syncer) logCrash(subject subject, c Content, at Endpoint, r *entryRecord) {
+	if subject.part != "" && r.Crashes < crashesToTry {
+		return
 	}
 	line := s.ThinnedLogger.Info()
 	if r.Crashes >= crashesToQuarantine {
 		line = s.Logger.Warn()
 	}
-	line.Stringer("content", f).Strs("parts", c.Parts).Str("team", string(c.Organisation)).Str("endpoint", endpoint).Int("ends", r.Crashes).
-		Dur("under_way", underWay).Msg("quarantine: endpoint ended under a request")
-	s.enqueue(f, r)
-	return true
+	message := "quarantine: endpoint ended under a request"
+	if subject.part != "" {
+		line, message = line.Str("part", subject.part), "quarantine: endpoint ended under a part of a prompt"
+	}
+	line.Stringer("content", subject.fingerprint).Strs("parts", c.Parts).Str("team", string(c.Organisation)).Str("endpoint", at.ID).Int("ends", r.Crashes).
+		Dur("under_way", r.UnderWay).Msg(message)
 }
 
 // isGone reports whether the endpoint's host refuses connections. Concurrent calls for one
 // endpoint share a probe.
-func (s *Syncer) isGone(ctx context.Context, endpoint, address string) bool {
-	gone, _, _ := s.probeGroup.Do(endpoint, func() (any, error) {
+func (s *Syncer) isGone(ctx context.Context, e Endpoint) bool {
+	gone, _, _ := s.probeGroup.Do(e.ID, func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
 		defer cancel()
-		return errors.Is(s.Probe(ctx, endpoint, address), syscall.ECONNREFUSED), nil
+		return errors.Is(s.Probe(ctx, e.ID, e.Address), syscall.ECONNREFUSED), nil
 	})
 	return gone.(bool)
 }
 
-// Answered records that an endpoint has answered the request, which is therefore not to
-// blame for a crash, and clears it.
-func (s *Syncer) Answered(c Content) {
-	f, known := s.Table.find(c)
-	if !known || !s.Table.clear(f) {
+// Answered records that an endpoint has answered the request completely. Its content is
+// therefore not to blame for a crash. Its parts are not to blame either if the endpoint then
+// goes on; an answer that fails the request tells nothing of them, and comes without them.
+func (s *Syncer) Answered(c Content, by Endpoint) {
+	s.Table.recordAnswer(c.Parts, by.incarnation(), time.Now())
+	known := s.Table.lookup(c)
+	if len(known) == 0 {
 		return
 	}
-	s.ThinnedLogger.Info().Stringer("content", f).Msg("quarantine: request answered, cleared")
-	s.enqueue(f, nil)
+	if known[0].part == "" {
+		s.clear(known[0])
+		known = known[1:]
+	}
+	if len(known) == 0 {
+		return
+	}
+	time.AfterFunc(confirmDelay, func() {
+		if s.Table.hasCrashed(by.incarnation()) {
+			return
+		}
+		for _, subject := range known {
+			s.clear(subject)
+		}
+	})
+}
+
+// Ended records that an answer ended with its connection. Whether it was complete, or the
+// endpoint crashed, shows only in whether the endpoint goes on.
+func (s *Syncer) Ended(ctx context.Context, c Content, by Endpoint, underWay time.Duration) {
+	time.AfterFunc(confirmDelay, func() {
+		if !s.Broke(context.WithoutCancel(ctx), c, by, underWay) {
+			s.Answered(c, by)
+		}
+	})
 }
 
-// enqueue adds a record to the next write, in place of a pending one of the same request;
-// nil clears the request on the log.
-func (s *Syncer) enqueue(f Fingerprint, r *entryRecord) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.pendingWrites[f] = r
+// clear clears a subject here and on the log.
+func (s *Syncer) clear(subject subject) {
+	if !s.Table.clear(subject.fingerprint) {
+		return
+	}
+	s.ThinnedLogger.Info().Stringer("content", subject.fingerprint).Str("part", subject.part).Msg("quarantine: request answered, cleared")
+	if subject.part == "" {
+		s.enqueue(subject.fingerprint, nil)
+		return
+	}
+	s.enqueueClear(subject.fingerprint, rand.N(maxClearDelay))
 }
 
 // newFollower returns a reader that passes the records of the log to observe.
@@ -221,6 +246,7 @@
 	}
 	if record.Value == nil {
 		s.Table.clear(f)
+		s.dropPendingClear(f)
 		return
 	}
 	r, err := decodeRecord(record.Value)
@@ -231,71 +257,6 @@
 	s.Table.observe(f, r, replayed, time.Now())
 }
 
-// runWriter writes pending records to the log until ctx ends.
-func (s *Syncer) runWriter(ctx context.Context) {
-	for ctx.Err() == nil {
-		logstore.Pause(ctx, writeInterval, s.writeNow)
-		batch := s.nextBatch()
-		if len(batch) == 0 {
-			continue
-		}
-		if err := s.writeBatch(ctx, batch); err != nil {
-			s.requeue(batch)
-			logstore.Pause(ctx, writeRetryDelay, nil)
-			continue
-		}
-		logstore.Notify(s.readNow)
-	}
-}
-
-// nextBatch removes and returns pending records, at most maxWriteBatch.
-func (s *Syncer) nextBatch() map[Fingerprint]*entryRecord {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	batch := map[Fingerprint]*entryRecord{}
-	for f, r := range s.pendingWrites {
-		if len(batch) == maxWriteBatch {
-			break
-		}
-		batch[f] = r
-		delete(s.pendingWrites, f)
-	}
-	return batch
-}
-
-// requeue makes records that were not written pending again, except where a newer one of
-// the same request is pending.
-func (s *Syncer) requeue(batch map[Fingerprint]*entryRecord) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for f, r := range batch {
-		if _, newer := s.pendingWrites[f]; !newer {
-			s.pendingWrites[f] = r
-		}
-	}
-}
-
-// writeBatch writes records to the log. Each write has a higher epoch than the one before,
-// so that the log rejects a delayed write that arrives after a later one.
-func (s *Syncer) writeBatch(ctx context.Context, batch map[Fingerprint]*entryRecord) error {
-	records := make([]logstore.KeyedRecord, 0, len(batch))
-	for f, r := range batch {
-		keyed := logstore.KeyedRecord{Key: f.String()}
-		if r != nil {
-			value, err := r.encode()
-			if err != nil {
-				s.Logger.Error().Err(err).Stringer("content", f).Msg("quarantine: record not encoded, not written")
-				continue
-			}
-			keyed.Value = value
-		}
-		records = append(records, keyed)
-	}
-	s.lastEpoch++
-	write := logstore.WriteID{Writer: string(s.Table.self), Epoch: s.lastEpoch}
-	return s.Log.Put(ctx, logstore.TopicQuarantine, write, records)
-}
-
 // runSweeper removes expired entries and clears them on the log until ctx ends.
 func (s *Syncer) runSweeper(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/quarantine/syncer_test.go
+++ b/internal/quarantine/syncer_test.go
@@ -58,7 +58,7 @@
 func crashThreeEndpoints(t *testing.T, syncers []*Syncer) {
 	t.Helper()
 	for i := range 3 {
-		if !syncers[i%len(syncers)].Broke(t.Context(), crashingContent, fmt.Sprint("e", i), "address", 50*time.Millisecond) {
+		if !syncers[i%len(syncers)].Broke(t.Context(), crashingContent, Endpoint{ID: fmt.Sprint("e", i), Address: "address"}, 50*time.Millisecond) {
 			t.Fatal("an endpoint that refuses connections does not count as gone")
 		}
 		time.Sleep(time.Second)
@@ -120,7 +120,7 @@
 		if _, n := admit(); n != 0 {
 			t.Errorf("%d requests are admitted during a retest", n)
 		}
-		retester.Broke(t.Context(), crashingContent, "e9", "address", 50*time.Millisecond)
+		retester.Broke(t.Context(), crashingContent, Endpoint{ID: "e9", Address: "address"}, 50*time.Millisecond)
 		time.Sleep(initialQuarantine)
 		if _, n := admit(); n != 0 {
 			t.Errorf("%d requests are admitted after a failed retest and the time of the first quarantine", n)
@@ -129,7 +129,7 @@
 		if retester, n = admit(); n != 1 {
 			t.Fatalf("%d retests after the second quarantine, want 1", n)
 		}
-		retester.Answered(crashingContent)
+		retester.Answered(crashingContent, Endpoint{ID: "e10", Address: "address"})
 		time.Sleep(time.Second)
 		if _, n := admit(); n != 20 {
 			t.Errorf("%d of 20 requests are admitted after an answer, want all", n)
@@ -188,7 +188,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := newTestSyncer("me", standin.NewKeyed(), probe)
-				if s.Broke(t.Context(), crashingContent, "e", "address", time.Second) || len(s.Table.View(time.Now())) > 0 {
+				if s.Broke(t.Context(), crashingContent, Endpoint{ID: "e", Address: "address"}, time.Second) || len(s.Table.View(time.Now())) > 0 {
 					t.Error("the endpoint counts as gone or the request is recorded")
 				}
 			})
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -13,11 +13,11 @@
 const (
 	// maxEntries bounds the table, maxEntriesPerTeam the entries of one organisation.
 	maxEntries        = 4096
-	maxEntriesPerTeam = 256
+	maxEntriesPerTeam = 512
 )
 
-// Table holds the requests that were in progress on endpoints that crashed, and decides
-// which of them are quarantined. It is safe for concurrent use.
+// Table holds the subjects of the requests that were in progress on endpoints that crashed,
+// and decides which of them are quarantined. It is safe for concurrent use.
 type Table struct {
 	self record.InstanceID
 	size atomic.Int64 // Length of entries, for use without the lock.
@@ -26,13 +26,14 @@
 	entries         map[Fingerprint]*entry
 	countByMetadata map[metadataHash]int // Number of entries.
 	countByTeam     map[record.Team]int  // Number of entries.
-	crashes         map[string]*crash    // By endpoint ID.
+	crashes         map[string]*crash    // By the endpoint's incarnation.
+	answers         recentAnswers
 }
 
 // crash is the crash of an endpoint.
 type crash struct {
 	knownSince time.Time // When this instance first knew of it.
-	entries    []*entry  // Requests that were in progress on the endpoint.
+	entries    []*entry  // Subjects of the requests that were in progress on the endpoint.
 }
 
 // NewTable returns an empty table for the instance self.
@@ -58,16 +59,17 @@
 	return f, t.entries[f] != nil
 }
 
-// recordCrash records that this instance saw an endpoint crash when the request had been in
-// progress there for underWay. It returns the record for the other instances; nil if the
-// crash was known.
-func (t *Table) recordCrash(f Fingerprint, team record.Team, endpoint string, underWay time.Duration, now time.Time) *entryRecord {
+// recordCrash records that this instance saw an endpoint crash when a request with the subject
+// had been in progress there for underWay. It returns the record for the other instances; nil
+// if the crash was known.
+func (t *Table) recordCrash(s subject, team record.Team, endpoint string, underWay time.Duration, now time.Time) *entryRecord {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := t.ensureEntry(f, team)
+	e := t.ensureEntry(s.fingerprint, team)
 	if e.hasEndpoint(endpoint) {
 		return nil
 	}
+	e.part = s.part
 	t.addCrash(e, endpoint, now.Add(-underWay), now, true)
 	e.writer = t.self
 	r := e.toRecord()
@@ -75,6 +77,34 @@
 	return r
 }
 
+// suspects returns the subjects of a request that was in progress on an endpoint when it
+// crashed, without the parts that another endpoint has answered lately.
+func (t *Table) suspects(c Content, endpoint string, now time.Time) []subject {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.DeleteFunc(c.subjects(), func(s subject) bool {
+		if s.part == "" {
+			return false
+		}
+		answeredBy := t.answers.endpoint(s.part, now)
+		return answeredBy != "" && answeredBy != endpoint && t.crashes[answeredBy] == nil
+	})
+}
+
+// recordAnswer records that an endpoint has answered a request with these parts.
+func (t *Table) recordAnswer(parts []string, endpoint string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.answers.add(parts, endpoint, now)
+}
+
+// hasCrashed reports whether the table knows that the endpoint has crashed.
+func (t *Table) hasCrashed(endpoint string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.crashes[endpoint] != nil
+}
+
 // addCrash records the crash with the entry and the entry with the crash.
 func (t *Table) addCrash(e *entry, endpoint string, startedAt, now time.Time, local bool) {
 	if dropped := e.addCrash(endpoint, startedAt, now, local); dropped != "" {
@@ -94,6 +124,9 @@
 	defer t.mu.Unlock()
 	e := t.ensureEntry(f, r.Team)
 	e.writer = r.Writer
+	if r.Part != "" {
+		e.part = r.Part
+	}
 	knownSince := now
 	if replayed {
 		knownSince = now.Add(-reportGracePeriod)
@@ -106,8 +139,11 @@
 	if r.RetestRound > e.retestRound {
 		e.retestRound, e.retestBy = r.RetestRound, r.RetestBy
 	}
+	if r.TrialRound > e.trialRound {
+		e.trialRound, e.trialBy, e.trialUntil = r.TrialRound, r.TrialBy, now.Add(trialDuration)
+	}
 	if r.Crashes > e.crashes {
-		e.crashes, e.lastCrash, e.seenLocally = r.Crashes, now, false
+		e.crashes, e.lastCrash = r.Crashes, now
 	}
 	e.extendQuarantine(earlier(r.until(), now.Add(quarantineDuration(e.retestRound)))) // The writer's clock may differ.
 }
@@ -119,48 +155,24 @@
 	return b
 }
 
-// clear removes the entry of a request and reports whether there was one.
+// clear removes the entry of a subject and reports whether there was one.
 func (t *Table) clear(f Fingerprint) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.remove(f)
 }
 
-// check returns an error while the request is quarantined, else nil. retestDue reports that
-// the time of the quarantine is over and the request may be retested.
+// check returns an error while the content of a request is quarantined, else nil. retestDue
+// reports that the time of the quarantine is over and the request may be retested.
 func (t *Table) check(f Fingerprint, now time.Time) (quarantined *QuarantinedError, retestDue bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e := t.entries[f]
-	if e == nil || !t.isQuarantined(e, now) {
-		return nil, false
-	}
-	return &QuarantinedError{Fingerprint: f, Crashes: e.crashes, RetryAfter: max(e.quarantinedUntil.Sub(now), 0)}, !now.Before(e.quarantinedUntil)
-}
-
-// isQuarantined reports whether the request is to blame for enough crashes, and the entry
-// has not expired.
-func (t *Table) isQuarantined(e *entry, now time.Time) bool {
-	return e.crashes >= crashesToQuarantine && e.staleFor(now) < 0 && t.unexplainedCrashes(e, now) >= crashesToQuarantine
+	v := t.judge([]subject{{fingerprint: f}}, now)
+	return v.err(), v.kind == verdictRetest
 }
 
-// unexplainedCrashes counts the entry's crashes that no other request explains better. A
-// request explains a crash better if it was in progress on the same endpoint and has more
-// crashes. If both have exactly crashesToQuarantine, each explains the other's, so that
-// requests that always occur together are quarantined one crash later. Crashes for which
-// records may still arrive don't count.
-func (t *Table) unexplainedCrashes(e *entry, now time.Time) int {
-	ownCrashes, count := t.fullyReportedCrashes(e, now), 0
-	explainsBetter := func(other *entry) bool {
-		crashes := t.fullyReportedCrashes(other, now)
-		return crashes > ownCrashes || other != e && crashes == ownCrashes && ownCrashes == crashesToQuarantine
-	}
-	for _, endpoint := range e.endpoints {
-		if c := t.crashes[endpoint]; c.isFullyReported(now) && !slices.ContainsFunc(c.entries, explainsBetter) {
-			count++
-		}
-	}
-	return count
+// isQuarantined reports whether requests that only have this subject are quarantined.
+func (t *Table) isQuarantined(f Fingerprint, e *entry, now time.Time) bool {
+	v := t.judgeSubject(subject{fingerprint: f, part: e.part}, nil, e, now)
+	return v.kind != verdictAdmit && !v.onTrial
 }
 
 // fullyReportedCrashes counts the entry's crashes for which no more records are expected.
@@ -198,6 +210,52 @@
 	return r, false
 }
 
+// trialClaim returns the record with which this instance claims the next trial, and nil if
+// another trial has begun or the subject has been cleared after the caller last checked it.
+// cleared reports the latter: the request may be sent.
+func (t *Table) trialClaim(f Fingerprint, now time.Time) (claim *entryRecord, cleared bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[f]
+	if e == nil {
+		return nil, true
+	}
+	if now.Before(e.trialUntil) {
+		return nil, false
+	}
+	r := e.toRecord()
+	r.Writer, r.TrialBy = t.self, t.self
+	r.TrialRound++
+	return r, false
+}
+
+// trialResult is retestResult for a trial.
+func (t *Table) trialResult(f Fingerprint, round int) (decided, won bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[f]
+	if e == nil {
+		return true, true
+	}
+	return e.trialRound >= round, e.trialRound == round && e.trialBy == t.self
+}
+
+// beginLocalTrial begins a trial that only this instance knows of, and reports whether the
+// request may be sent.
+func (t *Table) beginLocalTrial(f Fingerprint, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[f]
+	if e == nil {
+		return true
+	}
+	if now.Before(e.trialUntil) {
+		return false
+	}
+	e.trialUntil = now.Add(trialDuration)
+	return true
+}
+
 // records returns the record of each entry.
 func (t *Table) records() map[Fingerprint]*entryRecord {
 	t.mu.Lock()
@@ -320,9 +378,10 @@
 	}
 }
 
-// Row is the state of one request in a state dump.
+// Row is the state of one subject in a state dump.
 type Row struct {
-	Content          string      `json:"content"` // Fingerprint in hexadecimal.
+	Content          string      `json:"content"`        // Fingerprint in hexadecimal.
+	Part             string      `json:"part,omitempty"` // ID of the part of the prompt; "" for the content of a request.
 	Organisation     record.Team `json:"organisation"`
 	Crashes          int         `json:"ends"`                 // Those one after the other.
 	Endpoints        []string    `json:"endpoints"`            // IDs, the latest crash last.
@@ -336,8 +395,8 @@
 	defer t.mu.Unlock()
 	rows := make([]Row, 0, len(t.entries))
 	for f, e := range t.entries {
-		row := Row{Content: f.String(), Organisation: e.team, Crashes: e.crashes, Endpoints: slices.Clone(e.endpoints), Retests: e.retestRound}
-		if t.isQuarantined(e, now) {
+		row := Row{Content: f.String(), Part: e.part, Organisation: e.team, Crashes: e.crashes, Endpoints: slices.Clone(e.endpoints), Retests: e.retestRound}
+		if t.isQuarantined(f, e, now) {
 			until := e.quarantinedUntil
 			row.QuarantinedUntil = &until
 		}
@@ -346,12 +405,12 @@
 	return rows
 }
 
-// CountQuarantined returns the number of requests that are quarantined at now.
+// CountQuarantined returns the number of subjects that are quarantined at now.
 func (t *Table) CountQuarantined(now time.Time) (n int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, e := range t.entries {
-		if t.isQuarantined(e, now) {
+	for f, e := range t.entries {
+		if t.isQuarantined(f, e, now) {
 			n++
 		}
 	}
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -30,7 +30,7 @@
 		if table.isQuarantinedAt(f, now) {
 			t.Errorf("quarantined after %d crashes", i)
 		}
-		if r := table.recordCrash(f, "org", fmt.Sprint("e", i), 50*time.Millisecond, now); r == nil || r.Crashes != i+1 {
+		if r := table.recordCrash(subject{fingerprint: f}, "org", fmt.Sprint("e", i), 50*time.Millisecond, now); r == nil || r.Crashes != i+1 {
 			t.Errorf("record of crash %d is %+v", i+1, r)
 		}
 	}
@@ -53,7 +53,7 @@
 func TestAnEndpointCountsOnce(t *testing.T) {
 	table, f := NewTable("me"), fingerprint("x")
 	for i := range 5 {
-		r := table.recordCrash(f, "org", "e", time.Millisecond, startTime.Add(time.Duration(i)*time.Second))
+		r := table.recordCrash(subject{fingerprint: f}, "org", "e", time.Millisecond, startTime.Add(time.Duration(i)*time.Second))
 		if (r != nil) != (i == 0) {
 			t.Errorf("record of report %d for one endpoint is %+v, want one for report 0 only", i, r)
 		}
@@ -86,12 +86,12 @@
 		for i := range crashes {
 			now = now.Add(time.Duration(rapid.IntRange(50, 2000).Draw(t, "pause")) * time.Millisecond)
 			endpoint := fmt.Sprint("e", i)
-			table.recordCrash(culprit, "org", endpoint, 10*time.Millisecond, now)
+			table.recordCrash(subject{fingerprint: culprit}, "org", endpoint, 10*time.Millisecond, now)
 			for o := range others {
 				// A request that is not to blame is elsewhere at one crash at least.
 				if rapid.Bool().Draw(t, "in progress") && sharedCrashes[o] < crashes-1 {
 					sharedCrashes[o]++
-					table.recordCrash(fingerprint(fmt.Sprint(o)), "org", endpoint, 10*time.Millisecond, now)
+					table.recordCrash(subject{fingerprint: fingerprint(fmt.Sprint(o))}, "org", endpoint, 10*time.Millisecond, now)
 				}
 			}
 		}
@@ -116,8 +116,8 @@
 		if table.isQuarantinedAt(first, now) || table.isQuarantinedAt(second, now) {
 			t.Errorf("quarantined after %d crashes", i)
 		}
-		table.recordCrash(first, "org", fmt.Sprint("e", i), time.Millisecond, now)
-		table.recordCrash(second, "org", fmt.Sprint("e", i), time.Millisecond, now)
+		table.recordCrash(subject{fingerprint: first}, "org", fmt.Sprint("e", i), time.Millisecond, now)
+		table.recordCrash(subject{fingerprint: second}, "org", fmt.Sprint("e", i), time.Millisecond, now)
 	}
 	now := startTime.Add(3*time.Second + reportGracePeriod)
 	if !table.isQuarantinedAt(first, now) || !table.isQuarantinedAt(second, now) {
@@ -129,7 +129,7 @@
 	known, fresh, f := NewTable("me"), NewTable("new"), fingerprint("x")
 	var last *entryRecord
 	for i := range 3 {
-		last = known.recordCrash(f, "org", fmt.Sprint("e", i), time.Millisecond, startTime.Add(time.Duration(i)*time.Second))
+		last = known.recordCrash(subject{fingerprint: f}, "org", fmt.Sprint("e", i), time.Millisecond, startTime.Add(time.Duration(i)*time.Second))
 	}
 	now := startTime.Add(time.Minute)
 	fresh.observe(f, last, true, now)
@@ -160,7 +160,7 @@
 func TestEachRetestQuarantinesLonger(t *testing.T) {
 	table, f := NewTable("me"), fingerprint("x")
 	for i := range 3 {
-		table.recordCrash(f, "org", fmt.Sprint("e", i), time.Millisecond, startTime.Add(time.Duration(i)*time.Second))
+		table.recordCrash(subject{fingerprint: f}, "org", fmt.Sprint("e", i), time.Millisecond, startTime.Add(time.Duration(i)*time.Second))
 	}
 	now := startTime.Add(time.Hour)
 	for round, want := range []time.Duration{8 * time.Minute, 32 * time.Minute, maxQuarantine, maxQuarantine} {
@@ -178,7 +178,7 @@
 func TestTheFirstClaimOnTheLogHasTheRetest(t *testing.T) {
 	me, other, f := NewTable("me"), NewTable("other"), fingerprint("x")
 	for i := range 3 {
-		r := me.recordCrash(f, "org", fmt.Sprint("e", i), time.Millisecond, startTime.Add(time.Duration(i)*time.Second))
+		r := me.recordCrash(subject{fingerprint: f}, "org", fmt.Sprint("e", i), time.Millisecond, startTime.Add(time.Duration(i)*time.Second))
 		other.observe(f, r, false, startTime.Add(time.Duration(i)*time.Second))
 	}
 	now := startTime.Add(initialQuarantine + 3*time.Second)
@@ -199,16 +199,16 @@
 	table := NewTable("me")
 	victim := fingerprint("victim")
 	for i := range 3 {
-		table.recordCrash(victim, "victim", fmt.Sprint("v", i), time.Millisecond, startTime.Add(time.Duration(i)*time.Second))
+		table.recordCrash(subject{fingerprint: victim}, "victim", fmt.Sprint("v", i), time.Millisecond, startTime.Add(time.Duration(i)*time.Second))
 	}
 	for i := range 3 * maxEntriesPerTeam {
-		table.recordCrash(fingerprint(fmt.Sprint(i)), "hostile", fmt.Sprint("e", i), time.Millisecond, startTime.Add(time.Hour))
+		table.recordCrash(subject{fingerprint: fingerprint(fmt.Sprint(i))}, "hostile", fmt.Sprint("e", i), time.Millisecond, startTime.Add(time.Hour))
 	}
 	if n := table.countByTeam["hostile"]; n != maxEntriesPerTeam {
 		t.Errorf("%d entries of one organisation, want %d", n, maxEntriesPerTeam)
 	}
 	for i := range 2 * maxEntries {
-		table.recordCrash(fingerprint(fmt.Sprint("of many ", i)), record.Team(fmt.Sprint("team ", i%100)), fmt.Sprint("m", i), time.Millisecond, startTime.Add(time.Hour))
+		table.recordCrash(subject{fingerprint: fingerprint(fmt.Sprint("of many ", i))}, record.Team(fmt.Sprint("team ", i%100)), fmt.Sprint("m", i), time.Millisecond, startTime.Add(time.Hour))
 	}
 	if n := len(table.entries); n > maxEntries || int64(n) != table.size.Load() {
 		t.Errorf("%d entries, want at most %d; size is %d", n, maxEntries, table.size.Load())
@@ -227,7 +227,7 @@
 func TestWhatIsStaleIsClearedByItsWriterFirst(t *testing.T) {
 	mine, theirs := fingerprint("mine"), fingerprint("theirs")
 	table := NewTable("me")
-	table.recordCrash(mine, "org", "e1", time.Millisecond, startTime)
+	table.recordCrash(subject{fingerprint: mine}, "org", "e1", time.Millisecond, startTime)
 	table.observe(theirs, &entryRecord{Writer: "other", Endpoints: []string{"e2"}, Crashes: 1}, false, startTime)
 	if cleared := table.sweep(startTime.Add(entryTTL - time.Second)); len(cleared) > 0 {
 		t.Errorf("cleared before expiry: %v", cleared)
@@ -246,7 +246,7 @@
 	if _, known := table.find(c); known {
 		t.Error("the request is found in an empty table")
 	}
-	table.recordCrash(c.Fingerprint(), "org", "e", time.Millisecond, startTime)
+	table.recordCrash(subject{fingerprint: c.Fingerprint()}, "org", "e", time.Millisecond, startTime)
 	if f, known := table.find(c); !known || f != c.Fingerprint() {
 		t.Errorf("fingerprint is %s, found %v", f, known)
 	}
--- /dev/null
+++ b/internal/quarantine/writer.go
@@ -0,0 +1,119 @@
+package quarantine
+
+import (
+	"context"
+	"time"
+
+	"guavapier/internal/logstore"
+)
+
+const (
+	// writeInterval is how long records are gathered for one write.
+	writeInterval = 100 * time.Millisecond
+	// writeRetryDelay is the pause after a write that failed.
+	writeRetryDelay = 150 * time.Millisecond
+	// maxWriteBatch bounds the number of records in one write.
+	maxWriteBatch = 256
+	// maxClearDelay bounds the random delay after which a part is cleared on the log. Many
+	// instances answer requests with a part at the same time, and one write is enough.
+	maxClearDelay = 300 * time.Millisecond
+)
+
+// pendingWrite is a record that is to be written to the log.
+type pendingWrite struct {
+	record *entryRecord // nil clears the subject.
+	dueAt  time.Time    // The zero time for at once.
+}
+
+// enqueue adds a record to the next write, in place of a pending one of the same subject;
+// nil clears the subject on the log.
+func (s *Syncer) enqueue(f Fingerprint, r *entryRecord) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pendingWrites[f] = pendingWrite{record: r}
+}
+
+// enqueueClear clears a subject on the log after a delay, unless another instance does so
+// before.
+func (s *Syncer) enqueueClear(f Fingerprint, delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pendingWrites[f] = pendingWrite{dueAt: time.Now().Add(delay)}
+}
+
+// dropPendingClear drops a clear that is no longer needed, since the log has one.
+func (s *Syncer) dropPendingClear(f Fingerprint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if w, pending := s.pendingWrites[f]; pending && w.record == nil && !w.dueAt.IsZero() {
+		delete(s.pendingWrites, f)
+	}
+}
+
+// runWriter writes pending records to the log until ctx ends.
+func (s *Syncer) runWriter(ctx context.Context) {
+	for ctx.Err() == nil {
+		logstore.Pause(ctx, writeInterval, s.writeNow)
+		batch := s.nextBatch()
+		if len(batch) == 0 {
+			continue
+		}
+		if err := s.writeBatch(ctx, batch); err != nil {
+			s.requeue(batch)
+			logstore.Pause(ctx, writeRetryDelay, nil)
+			continue
+		}
+		logstore.Notify(s.readNow)
+	}
+}
+
+// nextBatch removes and returns pending records that are due, at most maxWriteBatch.
+func (s *Syncer) nextBatch() map[Fingerprint]*entryRecord {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	batch, now := map[Fingerprint]*entryRecord{}, time.Now()
+	for f, w := range s.pendingWrites {
+		if len(batch) == maxWriteBatch {
+			break
+		}
+		if now.Before(w.dueAt) {
+			continue
+		}
+		batch[f] = w.record
+		delete(s.pendingWrites, f)
+	}
+	return batch
+}
+
+// requeue makes records that were not written pending again, except where a newer one of
+// the same subject is pending.
+func (s *Syncer) requeue(batch map[Fingerprint]*entryRecord) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for f, r := range batch {
+		if _, newer := s.pendingWrites[f]; !newer {
+			s.pendingWrites[f] = pendingWrite{record: r}
+		}
+	}
+}
+
+// writeBatch writes records to the log. Each write has a higher epoch than the one before,
+// so that the log rejects a delayed write that arrives after a later one.
+func (s *Syncer) writeBatch(ctx context.Context, batch map[Fingerprint]*entryRecord) error {
+	records := make([]logstore.KeyedRecord, 0, len(batch))
+	for f, r := range batch {
+		keyed := logstore.KeyedRecord{Key: f.String()}
+		if r != nil {
+			value, err := r.encode()
+			if err != nil {
+				s.Logger.Error().Err(err).Stringer("content", f).Msg("quarantine: record not encoded, not written")
+				continue
+			}
+			keyed.Value = value
+		}
+		records = append(records, keyed)
+	}
+	s.lastEpoch++
+	write := logstore.WriteID{Writer: string(s.Table.self), Epoch: s.lastEpoch}
+	return s.Log.Put(ctx, logstore.TopicQuarantine, write, records)
+}
