quarantine: crashes are seen by instances whose link counts as lost; records that lack something are repaired

Cause 2: of two instances that write what they know of a subject at the same time the later record lacks what the earlier one had, and an instance that starts reads only that one (it took a quarantined part for a suspected one). An instance that knows more writes it again, after a random delay and unless another one did. A probe without a result clears nothing after an answer that ended with its connection.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -167,7 +167,7 @@
 	g.peerPool = peer.NewPool(self.Key, accounts, peer.Options{})
 	g.budgets = prepaid.NewController(accounts, zone, prepaid.NewPeers(g.peerPool, g.sampledLog), p.Store, clock, log)
 	g.quarantine = quarantine.NewSyncer(quarantine.Options{
-		Self: self.Key, Log: p.Store, Probe: g.upstreamPool.Probe, Caller: g.peerPool, Neighbours: accounts.Neighbours, Logger: log, ThinnedLogger: g.sampledLog,
+		Self: self.Key, Log: p.Store, Probe: newCrashProbe(g.upstreamPool, g.tunnels.dialer), Caller: g.peerPool, Neighbours: accounts.Neighbours, Logger: log, ThinnedLogger: g.sampledLog,
 	})
 	g.registry = &registry.Registry{
 		Log: p.Store, Name: s.Gateway.Name, Logger: log,
--- /dev/null
+++ b/internal/quarantine/parts_test.go
@@ -0,0 +1,205 @@
+package quarantine
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"guavapier/internal/standin"
+)
+
+// promptContent returns a request with a content of its own and these shared parts.
+func promptContent(n int, parts ...string) Content {
+	return Content{Organisation: "org", Method: "POST", Host: "h", Target: "/x", Body: []byte(fmt.Sprint(n)), Parts: parts}
+}
+
+// recordCrashOf records that an endpoint crashed with the requests in progress.
+func (t *Table) recordCrashOf(endpoint string, now time.Time, requests ...Content) {
+	for _, c := range requests {
+		for _, s := range t.suspects(c, endpoint, now) {
+			t.recordCrash(s, c.Organisation, endpoint, time.Millisecond, now)
+		}
+	}
+}
+
+// verdictOn returns what the table decides about the request at now.
+func (t *Table) verdictOn(c Content, now time.Time) verdict { return t.judge(t.lookup(c), now) }
+
+// answered clears the subjects of a request that was answered.
+func (t *Table) answered(c Content) {
+	for _, s := range t.lookup(c) {
+		t.clear(s.fingerprint)
+	}
+}
+
+func TestAPartIsQuarantinedWhateverElseTheRequestHolds(t *testing.T) {
+	table := NewTable("me")
+	for i := range 3 {
+		now := startTime.Add(time.Duration(i) * time.Second)
+		table.recordCrashOf(fmt.Sprint("e", i), now, promptContent(i, "a", "bad"))
+	}
+	table.answered(promptContent(9, "a"))
+	now := startTime.Add(2*time.Second + reportGracePeriod)
+	other := promptContent(10, "z", "bad", "y")
+	other.Organisation, other.Target = "another", "/other"
+	if v := table.verdictOn(other, now); v.kind != verdictRefuse || v.subject.part != "bad" || v.onTrial || v.retryAfter != initialQuarantine-reportGracePeriod {
+		t.Errorf("verdict on another organisation's request with the part is %+v, want a quarantine", v)
+	}
+	if v := table.verdictOn(promptContent(11, "a", "y"), now); v.kind != verdictAdmit {
+		t.Errorf("verdict on a request without the part is %+v, want that it is admitted", v)
+	}
+}
+
+func TestASuspectedPartIsTriedByOneRequestAtATime(t *testing.T) {
+	table, c := NewTable("me"), promptContent(0, "bad")
+	f := partSubject("bad").fingerprint
+	table.recordCrashOf("e0", startTime, promptContent(1, "bad"))
+	if v := table.verdictOn(c, startTime); v.kind != verdictAdmit {
+		t.Errorf("verdict after one crash is %+v, want that the request is admitted", v)
+	}
+	now := startTime.Add(100 * time.Millisecond)
+	table.recordCrashOf("e1", now, promptContent(2, "bad"))
+	if v := table.verdictOn(c, now); v.kind != verdictTry {
+		t.Errorf("verdict after two crashes is %+v, want a trial", v)
+	}
+	claim, _ := table.trialClaim(f, now)
+	table.observe(f, claim, false, now)
+	if decided, won := table.trialResult(f, 1); !decided || !won {
+		t.Errorf("trial decided %v, won %v; want both", decided, won)
+	}
+	if v := table.verdictOn(c, now); v.kind != verdictRefuse || !v.onTrial || v.retryAfter != trialDuration {
+		t.Errorf("verdict during the trial is %+v, want a refusal for %s", v, trialDuration)
+	}
+	if v := table.verdictOn(c, now.Add(trialDuration)); v.kind != verdictTry {
+		t.Errorf("verdict after a trial without a result is %+v, want another trial", v)
+	}
+}
+
+// Two parts have occurred together in every crash. Requests with both of them are refused, and a
+// request with one of them is sent to tell them apart.
+func TestARequestWithOneOfTwoEquallySuspectPartsIsATrial(t *testing.T) {
+	table := NewTable("me")
+	for i := range 4 {
+		table.recordCrashOf(fmt.Sprint("e", i), startTime.Add(time.Duration(i)*time.Second), promptContent(i, "bad", "twin"))
+	}
+	now := startTime.Add(10 * time.Second)
+	if v := table.verdictOn(promptContent(9, "bad", "twin"), now); v.kind != verdictRefuse || v.onTrial {
+		t.Errorf("verdict on a request with both parts is %+v, want a quarantine", v)
+	}
+	if v := table.verdictOn(promptContent(9, "twin"), now); v.kind != verdictTry {
+		t.Errorf("verdict on a request with one of the parts is %+v, want a trial", v)
+	}
+	table.recordCrashOf("e9", now, promptContent(10, "bad"))
+	now = now.Add(reportGracePeriod)
+	if v := table.verdictOn(promptContent(11, "twin"), now); v.kind != verdictAdmit {
+		t.Errorf("verdict on the part that was not in the last crash is %+v, want that it is admitted", v)
+	}
+	if v := table.verdictOn(promptContent(11, "bad"), now); v.kind != verdictRefuse || v.onTrial {
+		t.Errorf("verdict on the part that was in all crashes is %+v, want a quarantine", v)
+	}
+}
+
+// Endpoints crash under one part of a prompt, which occurs with any others. The others are
+// answered now and then.
+func TestOnlyThePartUnderWhichAllEndpointsCrashIsQuarantined(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table, now := NewTable("me"), startTime
+		others := rapid.SliceOfNDistinct(rapid.StringMatching("[a-f]{2}"), 1, 6, rapid.ID).Draw(t, "others")
+		drawParts := func(name string) []string {
+			return rapid.SliceOfDistinct(rapid.SampledFrom(others), rapid.ID).Draw(t, name)
+		}
+		crashes := rapid.IntRange(4, 12).Draw(t, "crashes")
+		for i := range crashes {
+			now = now.Add(time.Duration(rapid.IntRange(50, 2000).Draw(t, "pause")) * time.Millisecond)
+			table.recordCrashOf(fmt.Sprint("e", i), now, promptContent(i, append(drawParts("parts"), "bad")...), promptContent(1000+i, drawParts("parts beside")...))
+			if i%3 == 1 {
+				for n, other := range others {
+					table.answered(promptContent(2000+n, other))
+				}
+			}
+		}
+		now = now.Add(reportGracePeriod)
+		if v := table.verdictOn(promptContent(9, append(drawParts("parts of the next"), "bad")...), now); v.kind == verdictAdmit {
+			t.Fatalf("a request with the part is admitted after %d crashes", crashes)
+		}
+		for n, other := range others {
+			if v := table.verdictOn(promptContent(3000+n, other), now); v.kind == verdictRefuse {
+				t.Fatalf("a request with part %q, which was answered since, is refused: %+v", other, v)
+			}
+		}
+	})
+}
+
+func TestAPartAnsweredLatelyElsewhereIsNotReported(t *testing.T) {
+	table, c := NewTable("me"), promptContent(1, "a", "bad")
+	table.recordAnswer([]string{"a"}, "e1", startTime)
+	names := func(endpoint string, now time.Time) (parts string) {
+		for _, s := range table.suspects(c, endpoint, now) {
+			parts += s.part + " "
+		}
+		return parts
+	}
+	if got := names("e2", startTime.Add(answeredWindow)); got != " bad " {
+		t.Errorf("suspects are %q, want the content and the part that was not answered", got)
+	}
+	if got := names("e1", startTime.Add(answeredWindow)); got != " a bad " {
+		t.Errorf("suspects at the endpoint that answered are %q, want all", got)
+	}
+	if got := names("e2", startTime.Add(3*answeredWindow)); got != " a bad " {
+		t.Errorf("suspects long after the answer are %q, want all", got)
+	}
+}
+
+// Two instances write what they know of a part at the same time, so that the later record lacks
+// what the earlier one had.
+func TestAnInstanceThatStartsKnowsOfAllCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := standin.NewKeyed()
+		syncers := startSyncers(t, log, 4)
+		for i := range 4 {
+			syncers[i].Broke(t.Context(), promptContent(i, "bad"), Endpoint{ID: fmt.Sprint("e", i), Address: "address"}, time.Second)
+		}
+		time.Sleep(2 * time.Second)
+		fresh := startSyncers(t, log, 1)[0]
+		if v := fresh.Table.verdictOn(promptContent(9, "bad"), time.Now()); len(v.endpoints) != 4 {
+			t.Errorf("a new instance knows of the crashes of %v, want four endpoints", v.endpoints)
+		}
+	})
+}
+
+func TestAnAnswerThatEndsWithItsConnectionClearsOnlyIfTheEndpointGoesOn(t *testing.T) {
+	for _, crashed := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			probe := func(context.Context, string, string) error { return nil }
+			if crashed {
+				probe = refusingProbe
+			}
+			s := newTestSyncer("me", standin.NewKeyed(), probe)
+			c := promptContent(1, "bad")
+			s.Table.recordCrashOf("e0", time.Now(), c)
+			s.Ended(t.Context(), c, Endpoint{ID: "e1", Address: "address"}, time.Second)
+			time.Sleep(time.Second)
+			v := s.Table.lookup(c)
+			if known := len(v) > 0; known != crashed {
+				t.Errorf("endpoint crashed %v, suspected %v; want the same", crashed, known)
+			}
+		})
+	}
+}
+
+func TestAnEndpointThatStartsAgainUnderItsIDCountsAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestSyncer("me", standin.NewKeyed(), refusingProbe)
+		for born := range int64(3) {
+			s.Broke(t.Context(), promptContent(int(born), "bad"), Endpoint{ID: "e", Address: "address", Born: 1 + born}, time.Millisecond)
+			time.Sleep(time.Second)
+		}
+		if err := s.Admit(t.Context(), promptContent(9, "bad")); !isQuarantined(err) {
+			t.Errorf("admitted with %v after three crashes of an endpoint that started again each time, want a QuarantinedError", err)
+		}
+	})
+}
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -68,3 +68,8 @@
 	}
 	return time.UnixMilli(r.Until)
 }
+
+// lacks reports whether the record has less than the entry into which it was merged.
+func (r *entryRecord) lacks(e *entry) bool {
+	return len(r.Endpoints) < len(e.endpoints) || r.Crashes < e.crashes || r.RetestRound < e.retestRound || r.TrialRound < e.trialRound
+}
--- a/internal/quarantine/syncer.go
+++ b/internal/quarantine/syncer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -128,25 +127,31 @@
 // result. If it is gone, the request has crashed it or was in progress beside the one
 // that did, and records of that are written to the log.
 func (s *Syncer) Broke(ctx context.Context, c Content, at Endpoint, underWay time.Duration) (gone bool) {
-	if !s.isGone(ctx, at) {
+	if !isRefused(s.probe(ctx, at)) {
 		return false
 	}
+	s.recordCrash(c, at, underWay)
+	return true
+}
+
+// recordCrash records that an endpoint crashed when the request had been in progress there for
+// underWay.
+func (s *Syncer) recordCrash(c Content, at Endpoint, underWay time.Duration) {
 	now := time.Now()
-	for _, subject := range s.Table.suspects(c, at.incarnation(), now) {
-		r := s.Table.recordCrash(subject, c.Organisation, at.incarnation(), underWay, now)
+	for _, suspect := range s.Table.suspects(c, at.incarnation(), now) {
+		r := s.Table.recordCrash(suspect, c.Organisation, at.incarnation(), underWay, now)
 		if r == nil {
 			continue
 		}
-		s.logCrash(subject, c, at, r)
-		s.enqueue(subject.fingerprint, r)
+		s.logCrash(suspect, c, at, r)
+		s.enqueue(suspect.fingerprint, r)
 	}
-	return true
 }
 
 // logCrash logs that an endpoint crashed under a subject. The first crash of a part is not
 // logged, since the line of the request's content names its parts.
-func (s *Syncer) logCrash(subject subject, c Content, at Endpoint, r *entryRecord) {
-	if subject.part != "" && r.Crashes < crashesToTry {
+func (s *Syncer) logCrash(suspect subject, c Content, at Endpoint, r *entryRecord) {
+	if suspect.part != "" && r.Crashes < crashesToTry {
 		return
 	}
 	line := s.ThinnedLogger.Info()
@@ -154,24 +159,26 @@
 		line = s.Logger.Warn()
 	}
 	message := "quarantine: endpoint ended under a request"
-	if subject.part != "" {
-		line, message = line.Str("part", subject.part), "quarantine: endpoint ended under a part of a prompt"
+	if suspect.part != "" {
+		line, message = line.Str("part", suspect.part), "quarantine: endpoint ended under a part of a prompt"
 	}
-	line.Stringer("content", subject.fingerprint).Strs("parts", c.Parts).Str("team", string(c.Organisation)).Str("endpoint", at.ID).Int("ends", r.Crashes).
+	line.Stringer("content", suspect.fingerprint).Strs("parts", c.Parts).Str("team", string(c.Organisation)).Str("endpoint", at.ID).Int("ends", r.Crashes).
 		Dur("under_way", r.UnderWay).Msg(message)
 }
 
-// isGone reports whether the endpoint's host refuses connections. Concurrent calls for one
-// endpoint share a probe.
-func (s *Syncer) isGone(ctx context.Context, e Endpoint) bool {
-	gone, _, _ := s.probeGroup.Do(e.ID, func() (any, error) {
+// probe connects to the endpoint. Concurrent calls for one endpoint share a probe.
+func (s *Syncer) probe(ctx context.Context, e Endpoint) error {
+	_, err, _ := s.probeGroup.Do(e.ID, func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
 		defer cancel()
-		return errors.Is(s.Probe(ctx, e.ID, e.Address), syscall.ECONNREFUSED), nil
+		return nil, s.Probe(ctx, e.ID, e.Address)
 	})
-	return gone.(bool)
+	return err
 }
 
+// isRefused reports whether the error of a probe means that the endpoint is gone.
+func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // Answered records that an endpoint has answered the request completely. Its content is
 // therefore not to blame for a crash. Its parts are not to blame either if the endpoint then
 // goes on; an answer that fails the request tells nothing of them, and comes without them.
@@ -192,33 +199,37 @@
 		if s.Table.hasCrashed(by.incarnation()) {
 			return
 		}
-		for _, subject := range known {
-			s.clear(subject)
+		for _, suspect := range known {
+			s.clear(suspect)
 		}
 	})
 }
 
-// Ended records that an answer ended with its connection. Whether it was complete, or the
-// endpoint crashed, shows only in whether the endpoint goes on.
+// Ended records that an answer ended with its connection, after the request had been in progress
+// for underWay. Whether it was complete, or the endpoint crashed, shows only in whether the
+// endpoint still accepts connections.
 func (s *Syncer) Ended(ctx context.Context, c Content, by Endpoint, underWay time.Duration) {
 	time.AfterFunc(confirmDelay, func() {
-		if !s.Broke(context.WithoutCancel(ctx), c, by, underWay) {
+		switch err := s.probe(ctx, by); {
+		case err == nil:
 			s.Answered(c, by)
+		case isRefused(err):
+			s.recordCrash(c, by, underWay+confirmDelay)
 		}
 	})
 }
 
 // clear clears a subject here and on the log.
-func (s *Syncer) clear(subject subject) {
-	if !s.Table.clear(subject.fingerprint) {
+func (s *Syncer) clear(cleared subject) {
+	if !s.Table.clear(cleared.fingerprint) {
 		return
 	}
-	s.ThinnedLogger.Info().Stringer("content", subject.fingerprint).Str("part", subject.part).Msg("quarantine: request answered, cleared")
-	if subject.part == "" {
-		s.enqueue(subject.fingerprint, nil)
+	s.ThinnedLogger.Info().Stringer("content", cleared.fingerprint).Str("part", cleared.part).Msg("quarantine: request answered, cleared")
+	if cleared.part == "" {
+		s.enqueue(cleared.fingerprint, nil)
 		return
 	}
-	s.enqueueClear(subject.fingerprint, rand.N(maxClearDelay))
+	s.enqueueDelayed(cleared.fingerprint, nil)
 }
 
 // newFollower returns a reader that passes the records of the log to observe.
@@ -246,7 +257,7 @@
 	}
 	if record.Value == nil {
 		s.Table.clear(f)
-		s.dropPendingClear(f)
+		s.dropDelayed(f, true)
 		return
 	}
 	r, err := decodeRecord(record.Value)
@@ -254,7 +265,11 @@
 		s.Logger.Error().Err(err).Str("key", record.Key).Msg("quarantine: unreadable record skipped")
 		return
 	}
-	s.Table.observe(f, r, replayed, time.Now())
+	if repaired := s.Table.observe(f, r, replayed, time.Now()); repaired != nil {
+		s.enqueueDelayed(f, repaired)
+		return
+	}
+	s.dropDelayed(f, false)
 }
 
 // runSweeper removes expired entries and clears them on the log until ctx ends.
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -118,8 +118,9 @@
 
 // observe merges a record of another instance or of the log. replayed states that it was on
 // the log before this instance began to follow it: the records of other requests for the
-// same crashes are then there as well.
-func (t *Table) observe(f Fingerprint, r *entryRecord, replayed bool, now time.Time) {
+// same crashes are then there as well. The result is the record that has to replace it, if
+// its writer did not know all that the table knows; else nil.
+func (t *Table) observe(f Fingerprint, r *entryRecord, replayed bool, now time.Time) (repaired *entryRecord) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.ensureEntry(f, r.Team)
@@ -146,6 +147,10 @@
 		e.crashes, e.lastCrash = r.Crashes, now
 	}
 	e.extendQuarantine(earlier(r.until(), now.Add(quarantineDuration(e.retestRound)))) // The writer's clock may differ.
+	if r.lacks(e) {
+		return e.toRecord()
+	}
+	return nil
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/internal/quarantine/writer.go
+++ b/internal/quarantine/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"guavapier/internal/logstore"
@@ -14,9 +15,9 @@
 	writeRetryDelay = 150 * time.Millisecond
 	// maxWriteBatch bounds the number of records in one write.
 	maxWriteBatch = 256
-	// maxClearDelay bounds the random delay after which a part is cleared on the log. Many
-	// instances answer requests with a part at the same time, and one write is enough.
-	maxClearDelay = 300 * time.Millisecond
+	// maxWriteDelay bounds the random delay of a record that many instances may write, of which
+	// one is enough.
+	maxWriteDelay = 300 * time.Millisecond
 )
 
 // pendingWrite is a record that is to be written to the log.
@@ -25,6 +26,8 @@
 	dueAt  time.Time    // The zero time for at once.
 }
 
+func (w pendingWrite) isDelayed() bool { return !w.dueAt.IsZero() }
+
 // enqueue adds a record to the next write, in place of a pending one of the same subject;
 // nil clears the subject on the log.
 func (s *Syncer) enqueue(f Fingerprint, r *entryRecord) {
@@ -33,19 +36,23 @@
 	s.pendingWrites[f] = pendingWrite{record: r}
 }
 
-// enqueueClear clears a subject on the log after a delay, unless another instance does so
-// before.
-func (s *Syncer) enqueueClear(f Fingerprint, delay time.Duration) {
+// enqueueDelayed is enqueue for a record that other instances may write as well: it is written
+// after a random delay, unless another one has arrived before. It replaces no other record.
+func (s *Syncer) enqueueDelayed(f Fingerprint, r *entryRecord) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pendingWrites[f] = pendingWrite{dueAt: time.Now().Add(delay)}
+	if w, pending := s.pendingWrites[f]; pending && !w.isDelayed() && r != nil {
+		return
+	}
+	s.pendingWrites[f] = pendingWrite{record: r, dueAt: time.Now().Add(rand.N(maxWriteDelay))}
 }
 
-// dropPendingClear drops a clear that is no longer needed, since the log has one.
-func (s *Syncer) dropPendingClear(f Fingerprint) {
+// dropDelayed drops a pending delayed record, since another instance has written one like it:
+// one that clears the subject, or one that holds all that this instance knows of it.
+func (s *Syncer) dropDelayed(f Fingerprint, cleared bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if w, pending := s.pendingWrites[f]; pending && w.record == nil && !w.dueAt.IsZero() {
+	if w, pending := s.pendingWrites[f]; pending && w.isDelayed() && (cleared || w.record != nil) {
 		delete(s.pendingWrites, f)
 	}
 }
