forward: an answer longer than the buffer is passed on whole

What callers saw: of an answer of 17 MiB or 40 MiB they got the first 16 MiB as a whole one, 200 with the Content-Length of what was kept and without an error; also where the endpoint broke off later. Cause: the body was read through a limit whose reader can't tell the limit from the end. The other readers with a limit: endpoint reads one byte more and tells; logstore and transport cut error texts only; the command line and the load player read replies of this program.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -16,9 +16,10 @@
 	"guavapier/internal/upstream"
 )
 
-// maxBufferedAnswerBytes bounds the body of an answer that is read into memory before
-// it is passed on. Longer bodies are truncated.
-const maxBufferedAnswerBytes = 16 << 20
+// maxBufferedAnswerBytes bounds the body of an answer that is read into memory before it is
+// passed on, so that an attempt that breaks off can be repeated or reported. Longer bodies are
+// passed on as they arrive.
+const maxBufferedAnswerBytes = 256 << 10
 
 // attemptResult is the outcome of one attempt: the final answer, or the reason why
 // there is none.
@@ -227,9 +228,12 @@
 	if c.headerSent {
 		return attemptResult{reason: ReasonAnswerFailed, sent: true} // An error answer can't continue a stream that has begun.
 	}
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedAnswerBytes))
-	if err != nil {
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedAnswerBytes+1))
+	switch {
+	case err != nil:
 		return attemptResult{reason: ReasonAnswerFailed, sent: true, err: err}
+	case len(body) > maxBufferedAnswerBytes:
+		return c.forwardLong(ctx, a, body)
 	}
 	buffered := &bufferedAnswer{status: a.Status, header: a.Header, body: body}
 	if a.Status >= http.StatusInternalServerError {
@@ -245,17 +249,55 @@
 
 // writeBuffered sends a complete answer to the caller and returns its status.
 func (c *call) writeBuffered(a *bufferedAnswer) int {
-	copyHeader(c.w.Header(), a.header)
-	c.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	c.beginAnswer(a.status, a.header, int64(len(a.body)))
+	_, _ = io.Copy(c.w, bytes.NewReader(a.body))
+	return a.status
+}
+
+// beginAnswer sends the status and header of an endpoint's answer that is no stream of events.
+// length is that of the body in bytes, -1 if not known.
+func (c *call) beginAnswer(status int, header http.Header, length int64) {
+	copyHeader(c.w.Header(), header)
+	if length >= 0 {
+		c.w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
+	}
 	c.timeToHeader = time.Since(c.start)
 	c.headerSent = true
 	c.phase = phaseCaller
-	if isSuccess(a.status) {
+	if isSuccess(status) {
 		c.events = max(1, c.MaxOutputTokens) // The body's token count is unknown, so the maximum is charged.
 	}
-	c.w.WriteHeader(a.status)
-	_, _ = io.Copy(c.w, bytes.NewReader(a.body))
-	return a.status
+	c.w.WriteHeader(status)
+}
+
+// forwardLong passes on an answer whose body begins with start as it arrives. The result is
+// final only if the endpoint's answer ended properly.
+func (c *call) forwardLong(ctx context.Context, a *upstream.Answer, start []byte) attemptResult {
+	c.beginAnswer(a.Status, a.Header, a.Length)
+	body := &readErrorRecorder{Reader: io.MultiReader(bytes.NewReader(start), a.Body)}
+	_, err := io.Copy(c.w, body)
+	switch {
+	case body.err != nil:
+		return attemptResult{reason: streamErrorReason(ctx), sent: true, err: body.err}
+	case err != nil:
+		return attemptResult{reason: ReasonCallerDisconnected, sent: true}
+	}
+	return finalResult(a.Status)
+}
+
+// readErrorRecorder tells an error of the reader from one of the writer that it is copied to.
+type readErrorRecorder struct {
+	io.Reader
+	err error // nil at the end of the input.
+}
+
+// Read implements io.Reader.
+func (r *readErrorRecorder) Read(into []byte) (int, error) {
+	n, err := r.Reader.Read(into)
+	if err != nil && !errors.Is(err, io.EOF) {
+		r.err = err
+	}
+	return n, err
 }
 
 // hopByHopHeaders are the header fields that apply to a single connection and are not
--- a/internal/forward/retry.go
+++ b/internal/forward/retry.go
@@ -69,7 +69,7 @@
 	if c.route.Streams {
 		return c.route.Resumable && c.mayContinue()
 	}
-	return c.route.Repeat == route.Idempotent
+	return c.route.Repeat == route.Idempotent && !c.headerSent
 }
 
 // fail ends a request without a successful answer and returns the status sent. It aborts
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -65,6 +65,7 @@
 	Status int
 	Header http.Header
 	Body   io.Reader
+	Length int64 // Of the body in bytes; -1 if not stated.
 	// Framed reports whether the body's end is marked by its length or by chunked
 	// encoding, rather than by the end of the connection.
 	Framed bool
@@ -102,7 +103,7 @@
 		return nil, err
 	}
 	a := &Answer{
-		Status: resp.StatusCode, Header: resp.Header, pool: p, endpoint: endpoint, conn: c, resp: resp, writeErr: writeErr, unwatch: unwatch,
+		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, pool: p, endpoint: endpoint, conn: c, resp: resp, writeErr: writeErr, unwatch: unwatch,
 		Framed: resp.ContentLength >= 0 || slices.Contains(resp.TransferEncoding, "chunked"),
 	}
 	a.Body = (*answerBody)(a)
