registry: instances that start together know each other within a second

What callers saw: in a fleet that was started as a whole and lost an instance 1.8 s later none of 48 streams could go on, since copies of their origins had nowhere to go. Cause: the first read of the list finds few records, and the next one follows 2 s later. Evidence: a new test, red before: 1.5 s after the start the first of eight instances knows none, the last one six or seven. Change: two early reads, 0.4 and 1 s after the own record. Cost: two more reads for each start of an instance. Not changed: copies that are under way when their instance is killed are lost.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -37,6 +37,10 @@
 	writeRetryDelay = 500 * time.Millisecond
 )
 
+// earlyReads are the times after this instance's first record at which the list is read without
+// the usual pause: the other instances of a fleet that starts as a whole write theirs then.
+var earlyReads = []time.Duration{400 * time.Millisecond, time.Second}
+
 // Registry follows the list and keeps this instance's record. All fields must be set.
 type Registry struct {
 	Log logstore.KeyedLog
@@ -64,12 +68,12 @@
 // Run keeps the record and calls OnChange until ctx ends.
 func (r *Registry) Run(ctx context.Context) {
 	l := &list{self: r.Name, seenAt: map[string]time.Duration{}, details: map[string]Details{}}
-	loaded := make(chan struct{})
+	loaded, readNow := make(chan struct{}), make(chan struct{}, 1)
 	var background sync.WaitGroup
-	background.Go(func() { r.keepRecord(ctx, loaded) })
+	background.Go(func() { r.keepRecord(ctx, loaded, readNow) })
 	defer background.Wait()
 	follower := &logstore.Follower{
-		Log: r.Log, Topic: logstore.TopicInstances, PollTimeout: maxReadWait, ReadInterval: readInterval, NewestOnly: true,
+		Log: r.Log, Topic: logstore.TopicInstances, PollTimeout: maxReadWait, ReadInterval: readInterval, Trigger: readNow, NewestOnly: true,
 		OnReset: l.clear, OnRecord: l.observe,
 		OnLoaded: func() {
 			if !l.loaded {
@@ -95,8 +99,9 @@
 	follower.Run(ctx)
 }
 
-// keepRecord writes this instance's record once the list was read, and renews it.
-func (r *Registry) keepRecord(ctx context.Context, loaded <-chan struct{}) {
+// keepRecord writes this instance's record once the list was read, and renews it. After the first
+// one it triggers the early reads.
+func (r *Registry) keepRecord(ctx context.Context, loaded <-chan struct{}, readNow chan<- struct{}) {
 	select {
 	case <-loaded:
 	case <-ctx.Done():
@@ -108,11 +113,17 @@
 		return
 	}
 	records := []logstore.KeyedRecord{{Key: r.Name, Value: value}}
+	triggered := false
 	for epoch := uint64(1); ctx.Err() == nil; epoch++ {
 		pause := renewInterval - rand.N(renewInterval/4)
 		if err := r.Log.Put(ctx, logstore.TopicInstances, logstore.WriteID{Writer: string(r.Details.Process), Epoch: epoch}, records); err != nil {
 			r.Logger.Debug().Err(err).Msg("registry: record not written")
 			pause = writeRetryDelay
+		} else if !triggered {
+			triggered = true
+			for _, after := range earlyReads {
+				time.AfterFunc(after, func() { logstore.Notify(readNow) })
+			}
 		}
 		logstore.Pause(ctx, pause, nil)
 	}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -141,3 +141,25 @@
 		}
 	})
 }
+
+// Guards against instances that have nobody to copy records to just after the whole fleet has
+// started.
+func TestInstancesThatStartTogetherKnowEachOtherSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const instances, spread = 8, 300 * time.Millisecond
+		log := standin.NewKeyed()
+		var started []*testInstance
+		for n := range instances {
+			started = append(started, start(t, log, fmt.Sprint("instance-", n)))
+			time.Sleep(spread / instances)
+		}
+		time.Sleep(1500*time.Millisecond - spread)
+		for n, i := range started {
+			i.mu.Lock()
+			if len(i.others) != instances-1 {
+				t.Errorf("1.5 s after the start instance %d knows %d others, want %d", n, len(i.others), instances-1)
+			}
+			i.mu.Unlock()
+		}
+	})
+}
