placement: instances lend each other shares of endpoints' rejection limits

Cause: each instance has a fixed share of the limit (ADR 0070), and the shares of the others stayed unused. Change: an instance that is short of shares borrows from others for 2 s, who take them back only when what was sent on them can't be rejected any more.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -107,6 +107,7 @@
 	peerServer       *peer.Server // Calls from other instances.
 	retryLimiter     *retry.Limiter
 	streamOrigins    *streamOrigins
+	shareLoans       *shareLoans
 	quarantine       *quarantine.Syncer // Requests that must not be sent to endpoints.
 	registry         *registry.Registry // The fleet's instances.
 	linkMeter        linkload.Meter
@@ -194,6 +195,12 @@
 	if err := g.peerServer.Register(loadsServiceName, g.loadReporter); err != nil {
 		return nil, err
 	}
+	g.shareLoans = &shareLoans{
+		name: s.Gateway.Name, caller: g.streamOrigins.pool, instances: g.streamOrigins.names, endpoints: placementTable, clock: clock, log: g.sampledLog,
+	}
+	if err := g.peerServer.Register(sharesServiceName, g.shareLoans); err != nil {
+		return nil, err
+	}
 	g.registerTablesAndMetrics()
 	return g, nil
 }
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -6,6 +6,7 @@
 	"guavapier/internal/origin"
 	"guavapier/internal/peer"
 	"guavapier/internal/prepaid"
+	"guavapier/internal/record"
 	"guavapier/internal/registry"
 )
 
@@ -45,3 +46,12 @@
 	}
 	s.SetInstances(list)
 }
+
+// names returns the names of the other instances of the fleet, by process.
+func (s *streamOrigins) names() map[record.InstanceID]string {
+	names := map[record.InstanceID]string{}
+	for _, i := range s.Instances() {
+		names[i.Process] = i.Name
+	}
+	return names
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -54,8 +54,9 @@
 		{"forward", "Requests of an outside platform's callers."},
 		{"origin", "Where streams began, kept by several instances."},
 		{"prepaid", "Claims on prepaid totals, tokens moved between instances and given back."},
-		{"quarantine", "Requests under which endpoints ended, and those that are held back for it."},
+		{"quarantine", "Requests and parts of prompts under which endpoints ended, and those that are held back for it."},
 		{"registry", "The list of the fleet's instances by name."},
+		{"shares", "Shares of endpoints' rejection limits that instances lend each other."},
 		{"logging", "Lines that were dropped."},
 		{"operator", "Changes and top-ups by operators."},
 	}
--- a/internal/origin/tracker.go
+++ b/internal/origin/tracker.go
@@ -64,6 +64,9 @@
 	logstore.Notify(t.changed)
 }
 
+// Instances returns the other instances of the fleet. The result must not be changed.
+func (t *Tracker) Instances() []Instance { return *t.others.Load() }
+
 // PeerAddr implements peer.Addresses.
 func (t *Tracker) PeerAddr(id record.InstanceID) (string, bool) {
 	for _, i := range *t.others.Load() {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -100,6 +100,7 @@
 	known = known && state.Born == e.Born
 	if !known {
 		state = &endpointState{speed: newSpeedEstimator(), normalizedTokensPerMS: defaultTokensPerMS, idHash: xxhash.Sum64String(e.ID), unanswered: map[uint64]unansweredAttempt{}, partSentAt: map[string]time.Duration{}}
+		state.lent, state.borrowed = loans{}, loans{}
 		t.endpoints[e.ID] = state
 	}
 	changed := e != state.Endpoint
@@ -144,6 +145,7 @@
 		best = t.cheapestByVersion(q, now, use)
 	}
 	if best == nil {
+		t.recordShortage(q.Service, now)
 		return nil
 	}
 	prefill := best.estimatePrefill(q, now)
--- a/internal/placement/rejections.go
+++ b/internal/placement/rejections.go
@@ -19,8 +19,8 @@
 // with such a limit crashes if it has to reject more requests in a second.
 //
 // Each attempt whose answer has not started may be rejected. So they count together with the
-// rejections of the last second, and the instances divide the limit. No exchange between them
-// is needed, and the sum holds whatever the others do.
+// rejections of the last second, and the instances divide the limit. The sum holds whatever the
+// others do. An instance that needs more than its share borrows from others.
 //
 // Invariant: over all owners, unanswered attempts and recent rejections <= rejection limit.
 type rejectionState struct {
@@ -29,6 +29,7 @@
 	rejectionShare    int // This instance's part of the limit; 0 if it owns none.
 	rejectionVersion  int // The fleet.version by which rejectionShare was computed.
 	rejectedAt        []time.Duration
+	lent, borrowed    loans // Parts of the limit; by the other instance.
 }
 
 // countRecent returns the number of rejections that still count.
@@ -47,6 +48,8 @@
 	// pausedUntil is until when an instance without a share of the limit sends nothing, since
 	// it was rejected.
 	pausedUntil time.Duration
+	// shortUntil is until when this instance counts as short of shares.
+	shortUntil time.Duration
 }
 
 // setRejectionLimit sets the limit of a service's endpoints, as one of them has just stated
@@ -89,9 +92,10 @@
 		s.rejectionVersion = t.fleet.version
 		s.rejectionShare = t.fleet.rejectionShare(e.idHash, service.limit)
 	}
+	borrowed, lent := s.borrowed.sum(now), s.lent.sum(now)
 	switch {
-	case s.rejectionShare > 0:
-		s.rejectionRoom = s.rejectionShare - len(e.unanswered) - s.countRecent(now)
+	case s.rejectionShare > 0 || borrowed > 0:
+		s.rejectionRoom = s.rejectionShare + borrowed - lent - len(e.unanswered) - s.countRecent(now)
 	case now < service.pausedUntil || len(e.unanswered) > 0:
 		s.rejectionRoom = 0
 	default:
@@ -112,3 +116,14 @@
 	service.pausedUntil = now + time.Duration(pause*float64(time.Second))
 	t.rejections[e.Service] = service
 }
+
+// recordShortage records that a request of the service found no endpoint, if that is due to this
+// instance's shares of the rejection limit.
+func (t *Table) recordShortage(service string, now time.Duration) {
+	r, known := t.rejections[service]
+	if !known || r.limit == 0 {
+		return
+	}
+	r.shortUntil = now + shortageMemory
+	t.rejections[service] = r
+}
