quarantine: each log message stands at its call

Cause: TestEveryMessageHasItsPrefix finds messages by their text and was red since the messages of parts were passed as variables. Change: one call of Msg for each message, the same lines as before.

--- a/internal/quarantine/syncer.go
+++ b/internal/quarantine/syncer.go
@@ -102,12 +102,12 @@
 		return nil
 	case verdictRetest:
 		if !s.logUnavailable.Load() && s.acquireRetest(ctx, v.subject.fingerprint) {
-			s.logSent(v, "quarantine: held request is retested")
+			v.log(s.Logger.Info()).Msg("quarantine: held request is retested")
 			return nil
 		}
 	case verdictTry:
 		if s.acquireTrial(ctx, v.subject.fingerprint) {
-			s.logSent(v, "quarantine: suspected part of a prompt is tried")
+			v.log(s.Logger.Info()).Msg("quarantine: suspected part of a prompt is tried")
 			return nil
 		}
 	}
@@ -117,11 +117,6 @@
 	return v.err()
 }
 
-// logSent logs that a request is sent although the verdict's subject may crash the endpoint.
-func (s *Syncer) logSent(v verdict, message string) {
-	s.Logger.Info().Stringer("content", v.subject.fingerprint).Str("part", v.subject.part).Int("ends", v.crashes).Msg(message)
-}
-
 // Broke records that the connection to an endpoint broke when the request had been in
 // progress there for underWay. It probes whether the endpoint is gone and returns the
 // result. If it is gone, the request has crashed it or was in progress beside the one
@@ -158,12 +153,13 @@
 	if r.Crashes >= crashesToQuarantine {
 		line = s.Logger.Warn()
 	}
-	message := "quarantine: endpoint ended under a request"
+	line = line.Stringer("content", suspect.fingerprint).Strs("parts", c.Parts).Str("team", string(c.Organisation)).Str("endpoint", at.ID).Int("ends", r.Crashes).
+		Dur("under_way", r.UnderWay)
 	if suspect.part != "" {
-		line, message = line.Str("part", suspect.part), "quarantine: endpoint ended under a part of a prompt"
+		line.Str("part", suspect.part).Msg("quarantine: endpoint ended under a part of a prompt")
+		return
 	}
-	line.Stringer("content", suspect.fingerprint).Strs("parts", c.Parts).Str("team", string(c.Organisation)).Str("endpoint", at.ID).Int("ends", r.Crashes).
-		Dur("under_way", r.UnderWay).Msg(message)
+	line.Msg("quarantine: endpoint ended under a request")
 }
 
 // probe connects to the endpoint. Concurrent calls for one endpoint share a probe.
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"slices"
 	"time"
+
+	"github.com/rs/zerolog"
 )
 
 const (
@@ -50,6 +52,11 @@
 	}
 }
 
+// log adds what the verdict rests on to a log line.
+func (v verdict) log(line *zerolog.Event) *zerolog.Event {
+	return line.Stringer("content", v.subject.fingerprint).Str("part", v.subject.part).Int("ends", v.crashes)
+}
+
 // overrides reports whether v decides about a request rather than other. The order is the same
 // at all instances, so that they claim the trial of the same subject.
 func (v verdict) overrides(other verdict) bool {
