quarantine: judging a request takes microseconds after many crashes

Cause: for each other subject of each crash the own number of fully reported crashes was counted anew. Change: it is counted once, and subjects that can't explain a crash better are passed over. Measured, BenchmarkJudge, ten crashes with 64 requests of three parts: suspected part 337 to 17 us, quarantined part 380 to 17 us; unknown parts 2.4 us, empty table 0.04 us, an answer 0.07 us.

--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -176,9 +176,10 @@
 	if len(e.endpoints) < crashesToTry {
 		return b
 	}
+	ownCrashes := t.fullyReportedCrashes(e, now)
 	for _, endpoint := range e.endpoints {
 		c := t.crashes[endpoint]
-		explained, ambiguous := t.findRivals(c, e, own, now)
+		explained, ambiguous := t.findRivals(c, e, own, ownCrashes, now)
 		if explained {
 			continue
 		}
@@ -192,13 +193,16 @@
 }
 
 // findRivals looks for other subjects of the crash, that are not in own: whether one explains it
-// better than e, or as well.
-func (t *Table) findRivals(c *crash, e *entry, own []*entry, now time.Time) (better, equal bool) {
+// better than e, which has ownCrashes that are fully reported, or as well.
+func (t *Table) findRivals(c *crash, e *entry, own []*entry, ownCrashes int, now time.Time) (better, equal bool) {
 	for _, other := range c.entries {
 		if other == e || len(other.endpoints) < len(e.endpoints) || slices.Contains(own, other) {
 			continue
 		}
-		if t.fullyReportedCrashes(other, now) > t.fullyReportedCrashes(e, now) {
+		if equal && len(other.endpoints) == len(e.endpoints) && ownCrashes == len(e.endpoints) {
+			continue // It can't have more than all.
+		}
+		if t.fullyReportedCrashes(other, now) > ownCrashes {
 			return true, false
 		}
 		equal = true
