quarantine: endpoints lost at one moment put no part on trial

Change: trials begin at the second crash that follows another one, the count that the quarantine has always used. The crashing parts of the tests still end after 3 to 5 endpoints.

--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -203,3 +203,16 @@
 		}
 	})
 }
+
+// Guards against trials of all frequent parts after several endpoints were lost together.
+func TestEndpointsThatAreLostAtOneMomentPutNoPartOnTrial(t *testing.T) {
+	table := NewTable("me")
+	f := partSubject("a").fingerprint
+	for i := range 4 {
+		now := startTime.Add(time.Duration(i) * 50 * time.Millisecond)
+		table.observe(f, &entryRecord{Team: "org", Part: "a", Writer: "other", Endpoints: []string{fmt.Sprint("e", i)}, UnderWay: 20 * time.Millisecond, Crashes: 1}, false, now)
+	}
+	if v := table.verdictOn(promptContent(1, "a"), startTime.Add(time.Second)); v.kind != verdictAdmit {
+		t.Errorf("verdict after four endpoints were lost at the same moment is %+v, want that the request is admitted", v)
+	}
+}
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// crashesToTry is the number of crashes from which on requests with a part are sent one at
-	// a time.
+	// crashesToTry is the number of crashes, one after the other, from which on requests with a
+	// part are sent one at a time. Parts of many requests occur on all endpoints that are lost
+	// at the same moment.
 	crashesToTry = 2
 	// trialDuration is how long a trial keeps others from beginning, unless it ends earlier
 	// with an answer or a crash. An endpoint that crashes does so when it begins to answer.
@@ -173,7 +174,7 @@
 // some of them tells which. own are the entries of the request's subjects.
 func (t *Table) blamePart(e *entry, own []*entry, now time.Time) blame {
 	b := blame{spaced: e.crashes}
-	if len(e.endpoints) < crashesToTry {
+	if e.crashes < crashesToTry {
 		return b
 	}
 	ownCrashes := t.fullyReportedCrashes(e, now)
