quarantine: fewer writes to the log after a crash

Change: an instance repairs only what it has contributed itself; parts that nobody refuses are cleared on the log within 3 s, and with any other write that is due.

--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -37,7 +37,9 @@
 	team             record.Team
 	part             string            // ID of the part of the prompt; "" for the content of a request.
 	endpoints        []string          // Incarnations of the crashed endpoints, the latest last.
+	ownEndpoints     []string          // Those whose crash this instance has reported.
 	crashes          int               // Those that count, being one after the other.
+	countedBy        record.InstanceID // Who has found that there are so many.
 	lastCrash        time.Time         // The last one that counts.
 	retestRound      int               // Number of retests.
 	retestBy         record.InstanceID // Who may run the latest retest.
@@ -79,7 +81,7 @@
 	if e.crashes > 0 && startedAt.Before(countsFrom) {
 		return dropped
 	}
-	e.crashes, e.lastCrash = e.crashes+1, now
+	e.crashes, e.lastCrash, e.countedBy = e.crashes+1, now, ""
 	if e.crashes >= crashesToQuarantine {
 		e.extendQuarantine(now.Add(quarantineDuration(e.retestRound)))
 	}
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -69,7 +69,16 @@
 	return time.UnixMilli(r.Until)
 }
 
-// lacks reports whether the record has less than the entry into which it was merged.
-func (r *entryRecord) lacks(e *entry) bool {
-	return len(r.Endpoints) < len(e.endpoints) || r.Crashes < e.crashes || r.RetestRound < e.retestRound || r.TrialRound < e.trialRound
+// lacks reports whether the record has less than the entry into which it was merged, of what
+// the instance self has contributed. The others see to what is theirs.
+func (r *entryRecord) lacks(e *entry, self record.InstanceID) bool {
+	switch {
+	case r.Crashes < e.crashes && e.countedBy == self:
+		return true
+	case r.RetestRound < e.retestRound && e.retestBy == self, r.TrialRound < e.trialRound && e.trialBy == self:
+		return true
+	}
+	return slices.ContainsFunc(e.endpoints, func(endpoint string) bool {
+		return slices.Contains(e.ownEndpoints, endpoint) && !slices.Contains(r.Endpoints, endpoint)
+	})
 }
--- a/internal/quarantine/syncer.go
+++ b/internal/quarantine/syncer.go
@@ -217,6 +217,10 @@
 
 // clear clears a subject here and on the log.
 func (s *Syncer) clear(cleared subject) {
+	delay := maxClearDelay
+	if s.Table.isSuspected(cleared.fingerprint) {
+		delay = maxUrgentDelay
+	}
 	if !s.Table.clear(cleared.fingerprint) {
 		return
 	}
@@ -225,7 +229,7 @@
 		s.enqueue(cleared.fingerprint, nil)
 		return
 	}
-	s.enqueueDelayed(cleared.fingerprint, nil)
+	s.enqueueDelayed(cleared.fingerprint, nil, delay)
 }
 
 // newFollower returns a reader that passes the records of the log to observe.
@@ -262,7 +266,7 @@
 		return
 	}
 	if repaired := s.Table.observe(f, r, replayed, time.Now()); repaired != nil {
-		s.enqueueDelayed(f, repaired)
+		s.enqueueDelayed(f, repaired, maxUrgentDelay)
 		return
 	}
 	s.dropDelayed(f, false)
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -69,9 +69,13 @@
 	if e.hasEndpoint(endpoint) {
 		return nil
 	}
-	e.part = s.part
+	e.part, e.writer = s.part, t.self
+	counted := e.crashes
 	t.addCrash(e, endpoint, now.Add(-underWay), now, true)
-	e.writer = t.self
+	e.ownEndpoints = append(e.ownEndpoints, endpoint)
+	if e.crashes > counted {
+		e.countedBy = t.self
+	}
 	r := e.toRecord()
 	r.UnderWay = underWay
 	return r
@@ -98,6 +102,14 @@
 	t.answers.add(parts, endpoint, now)
 }
 
+// isSuspected reports whether requests with the subject may be on trial, or quarantined.
+func (t *Table) isSuspected(f Fingerprint) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[f]
+	return e != nil && e.crashes >= crashesToTry
+}
+
 // hasCrashed reports whether the table knows that the endpoint has crashed.
 func (t *Table) hasCrashed(endpoint string) bool {
 	t.mu.Lock()
@@ -119,7 +131,7 @@
 // observe merges a record of another instance or of the log. replayed states that it was on
 // the log before this instance began to follow it: the records of other requests for the
 // same crashes are then there as well. The result is the record that has to replace it, if
-// its writer did not know all that the table knows; else nil.
+// its writer did not know all that this instance has contributed; else nil.
 func (t *Table) observe(f Fingerprint, r *entryRecord, replayed bool, now time.Time) (repaired *entryRecord) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -144,10 +156,10 @@
 		e.trialRound, e.trialBy, e.trialUntil = r.TrialRound, r.TrialBy, now.Add(trialDuration)
 	}
 	if r.Crashes > e.crashes {
-		e.crashes, e.lastCrash = r.Crashes, now
+		e.crashes, e.lastCrash, e.countedBy = r.Crashes, now, r.Writer
 	}
 	e.extendQuarantine(earlier(r.until(), now.Add(quarantineDuration(e.retestRound)))) // The writer's clock may differ.
-	if r.lacks(e) {
+	if r.lacks(e, t.self) {
 		return e.toRecord()
 	}
 	return nil
--- a/internal/quarantine/writer.go
+++ b/internal/quarantine/writer.go
@@ -15,9 +15,9 @@
 	writeRetryDelay = 150 * time.Millisecond
 	// maxWriteBatch bounds the number of records in one write.
 	maxWriteBatch = 256
-	// maxWriteDelay bounds the random delay of a record that many instances may write, of which
-	// one is enough.
-	maxWriteDelay = 300 * time.Millisecond
+	// maxUrgentDelay bounds the random delay of a record that many instances may write, of which
+	// one is enough. maxClearDelay does so where requests with the subject are sent anyway.
+	maxUrgentDelay, maxClearDelay = 300 * time.Millisecond, 3 * time.Second
 )
 
 // pendingWrite is a record that is to be written to the log.
@@ -38,13 +38,13 @@
 
 // enqueueDelayed is enqueue for a record that other instances may write as well: it is written
 // after a random delay, unless another one has arrived before. It replaces no other record.
-func (s *Syncer) enqueueDelayed(f Fingerprint, r *entryRecord) {
+func (s *Syncer) enqueueDelayed(f Fingerprint, r *entryRecord, maxDelay time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if w, pending := s.pendingWrites[f]; pending && !w.isDelayed() && r != nil {
 		return
 	}
-	s.pendingWrites[f] = pendingWrite{record: r, dueAt: time.Now().Add(rand.N(maxWriteDelay))}
+	s.pendingWrites[f] = pendingWrite{record: r, dueAt: time.Now().Add(rand.N(maxDelay))}
 }
 
 // dropDelayed drops a pending delayed record, since another instance has written one like it:
@@ -74,24 +74,35 @@
 	}
 }
 
-// nextBatch removes and returns pending records that are due, at most maxWriteBatch.
+// nextBatch removes and returns pending records, at most maxWriteBatch; none if none is due.
 func (s *Syncer) nextBatch() map[Fingerprint]*entryRecord {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	batch, now := map[Fingerprint]*entryRecord{}, time.Now()
+	batch := map[Fingerprint]*entryRecord{}
+	if !s.isWriteDue(time.Now()) {
+		return batch
+	}
 	for f, w := range s.pendingWrites {
 		if len(batch) == maxWriteBatch {
 			break
 		}
-		if now.Before(w.dueAt) {
-			continue
-		}
 		batch[f] = w.record
 		delete(s.pendingWrites, f)
 	}
 	return batch
 }
 
+// isWriteDue reports whether a pending record is to be written at now. The others are then
+// written with it, which costs no further call.
+func (s *Syncer) isWriteDue(now time.Time) bool {
+	for _, w := range s.pendingWrites {
+		if !now.Before(w.dueAt) {
+			return true
+		}
+	}
+	return false
+}
+
 // requeue makes records that were not written pending again, except where a newer one of
 // the same subject is pending.
 func (s *Syncer) requeue(batch map[Fingerprint]*entryRecord) {
