quarantine: a request is admitted once the part that it waited for is cleared

What callers saw: of several requests with a suspected part that waited at one instance only the one with the trial was sent, although the part was cleared meanwhile. Cause: the error of the first look was returned. Evidence: TestARequestIsAdmittedOnceThePartThatItWaitsForIsCleared, two of three refused before.

--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -216,3 +216,29 @@
 		t.Errorf("verdict after four endpoints were lost at the same moment is %+v, want that the request is admitted", v)
 	}
 }
+
+// Several requests wait for the trial of one part. Once it is answered the others are not
+// refused.
+func TestARequestIsAdmittedOnceThePartThatItWaitsForIsCleared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := standin.NewKeyed()
+		s := startSyncers(t, log, 1)[0]
+		for i := range 2 {
+			s.Broke(t.Context(), promptContent(i, "a"), Endpoint{ID: fmt.Sprint("e", i), Address: "address"}, time.Millisecond)
+			time.Sleep(time.Second)
+		}
+		log.SetDown(true) // The claim is not decided.
+		const requests = 3
+		admitted := make(chan error)
+		for n := range requests {
+			go func() { admitted <- s.Admit(t.Context(), promptContent(9+n, "a")) }()
+		}
+		time.Sleep(claimTimeout / 2)
+		s.clear(partSubject("a"))
+		for range requests {
+			if err := <-admitted; err != nil {
+				t.Errorf("refused with %v after the part was cleared", err)
+			}
+		}
+	})
+}
--- a/internal/quarantine/syncer.go
+++ b/internal/quarantine/syncer.go
@@ -111,10 +111,11 @@
 			return nil
 		}
 	}
-	if current := s.Table.judge(known, time.Now()); current.kind == verdictRefuse {
-		return current.err()
+	current := s.Table.judge(known, time.Now()) // It may have changed while the request waited.
+	if current.kind == verdictAdmit {
+		return nil
 	}
-	return v.err()
+	return current.err()
 }
 
 // Broke records that the connection to an endpoint broke when the request had been in
