forward: an answer that ends with its connection is whole only if its endpoint has not crashed

What callers saw: an answer with neither a length nor chunks under which its endpoint crashed was delivered as a whole one, with status 200. Cause: without framing the end of the connection is the end of the answer, and a crash ends connections as well. Change: at the end of such an answer to a prompt with shared parts the endpoint is asked by a connection, which is kept for the next request (the old one has ended); one that refuses has crashed, and the answer is treated as broken off. One that can't be asked is given the benefit, but its answer clears no part.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -33,9 +33,9 @@
 	misdirected bool
 	// noEndpoint reports whether no endpoint was available.
 	noEndpoint bool
-	// unframed reports whether the answer had neither a length nor chunks, so that the end of
-	// the connection was taken for its end.
-	unframed bool
+	// unconfirmed reports whether the end of the connection was taken for the answer's end, and
+	// the endpoint may have crashed instead.
+	unconfirmed bool
 	// failure is the endpoint's complete answer if its status was 5xx.
 	failure *bufferedAnswer
 	// err is the error that broke the connection or prevented it.
@@ -96,7 +96,6 @@
 	defer answer.Close()
 	assignment.OnAnswerStart(c.f.Clock(), isSuccess(answer.Status))
 	result := c.handleAnswer(ctx, assignment, answer)
-	result.unframed = !answer.Framed
 	c.logAttempt(assignment, result, answer.Status, start)
 	c.updateQuarantine(ctx, assignment, result, start)
 	switch {
@@ -116,15 +115,12 @@
 // updateQuarantine reports to the quarantine that the request was answered, or that the
 // connection broke while an endpoint was serving it.
 func (c *call) updateQuarantine(ctx context.Context, assignment *placement.Assignment, result attemptResult, start time.Time) {
-	content := c.content()
-	endpoint := quarantine.Endpoint{ID: assignment.Endpoint.ID, Address: assignment.Endpoint.Address, Born: assignment.Endpoint.Born}
+	content, endpoint := c.content(), quarantineEndpoint(assignment)
 	switch {
-	case result.final && !isSuccess(result.status):
-		content.Parts = nil // An answer that fails the request may have been given without its prompt.
-		c.f.Quarantine.Answered(content, endpoint)
-	case result.final && result.unframed && len(content.Parts) > 0:
-		c.f.Quarantine.Ended(ctx, content, endpoint, time.Since(start))
 	case result.final:
+		if !isSuccess(result.status) || result.unconfirmed {
+			content.Parts = nil // The answer does not show that the prompt crashes no endpoint.
+		}
 		c.f.Quarantine.Answered(content, endpoint)
 	case result.sent && result.reason == ReasonAnswerFailed && result.err != nil && ctx.Err() == nil:
 		if c.f.Quarantine.Broke(ctx, content, endpoint, time.Since(start)) {
@@ -133,6 +129,32 @@
 	}
 }
 
+// quarantineEndpoint returns the endpoint of an assignment as the quarantine knows it.
+func quarantineEndpoint(assignment *placement.Assignment) quarantine.Endpoint {
+	e := assignment.Endpoint
+	return quarantine.Endpoint{ID: e.ID, Address: e.Address, Born: e.Born}
+}
+
+// errCrashedAtEnd is the error of an answer that ended with its connection, since its endpoint
+// crashed.
+var errCrashedAtEnd = errors.New("forward: the endpoint crashed at the end of its answer")
+
+// finish returns the result of an answer whose end was reached. An answer that has neither a
+// length nor chunks ends with its connection, like one whose endpoint crashes: for a prompt
+// that other requests may share parts of, the endpoint is asked.
+func (c *call) finish(ctx context.Context, assignment *placement.Assignment, a *upstream.Answer) attemptResult {
+	result := finalResult(a.Status)
+	if a.Framed || len(c.PromptParts) <= 1 || ctx.Err() != nil {
+		return result
+	}
+	crashed, err := c.f.Quarantine.HasCrashed(ctx, quarantineEndpoint(assignment))
+	if crashed {
+		return attemptResult{reason: ReasonAnswerFailed, sent: true, err: errCrashedAtEnd}
+	}
+	result.unconfirmed = err != nil
+	return result
+}
+
 // withAttemptTimeout limits an attempt of an idempotent request to less than the
 // remaining time if another endpoint may be tried after it.
 func (c *call) withAttemptTimeout(ctx context.Context) (context.Context, context.CancelFunc) {
@@ -233,13 +255,17 @@
 	case err != nil:
 		return attemptResult{reason: ReasonAnswerFailed, sent: true, err: err}
 	case len(body) > maxBufferedAnswerBytes:
-		return c.forwardLong(ctx, a, body)
+		return c.forwardLong(ctx, assignment, a, body)
 	}
 	buffered := &bufferedAnswer{status: a.Status, header: a.Header, body: body}
 	if a.Status >= http.StatusInternalServerError {
 		return attemptResult{reason: ReasonAnswerFailed, sent: true, failure: buffered}
 	}
-	return finalResult(c.writeBuffered(buffered))
+	result := c.finish(ctx, assignment, a)
+	if result.final {
+		c.writeBuffered(buffered)
+	}
+	return result
 }
 
 // isSuccess reports whether an HTTP status is 2xx.
@@ -272,7 +298,7 @@
 
 // forwardLong passes on an answer whose body begins with start as it arrives. The result is
 // final only if the endpoint's answer ended properly.
-func (c *call) forwardLong(ctx context.Context, a *upstream.Answer, start []byte) attemptResult {
+func (c *call) forwardLong(ctx context.Context, assignment *placement.Assignment, a *upstream.Answer, start []byte) attemptResult {
 	c.beginAnswer(a.Status, a.Header, a.Length)
 	body := &readErrorRecorder{Reader: io.MultiReader(bytes.NewReader(start), a.Body)}
 	_, err := io.Copy(c.w, body)
@@ -282,7 +308,7 @@
 	case err != nil:
 		return attemptResult{reason: ReasonCallerDisconnected, sent: true}
 	}
-	return finalResult(a.Status)
+	return c.finish(ctx, assignment, a)
 }
 
 // readErrorRecorder tells an error of the reader from one of the writer that it is copied to.
--- a/internal/forward/drain_test.go
+++ b/internal/forward/drain_test.go
@@ -53,7 +53,8 @@
 
 func (emptyQuarantine) Answered(quarantine.Content, quarantine.Endpoint) {}
 
-func (emptyQuarantine) Ended(context.Context, quarantine.Content, quarantine.Endpoint, time.Duration) {
+func (emptyQuarantine) HasCrashed(context.Context, quarantine.Endpoint) (bool, error) {
+	return false, nil
 }
 
 type reservation struct{}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -27,9 +27,12 @@
 	for {
 		event, err := readEvent(events)
 		if errors.Is(err, io.EOF) && len(event) == 0 {
-			c.sendHeader(a)
-			c.flush()
-			return finalResult(a.Status)
+			result := c.finish(ctx, assignment, a)
+			if result.final {
+				c.sendHeader(a)
+				c.flush()
+			}
+			return result
 		}
 		if err != nil {
 			return attemptResult{reason: streamErrorReason(ctx), sent: true, err: err}
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -115,7 +115,7 @@
 	Broke(ctx context.Context, c quarantine.Content, at quarantine.Endpoint, duration time.Duration) (gone bool)
 	// Answered records that an endpoint has answered the request.
 	Answered(c quarantine.Content, by quarantine.Endpoint)
-	// Ended records that an endpoint's answer ended with its connection, after it had served
-	// the request for the given duration. It does not block.
-	Ended(ctx context.Context, c quarantine.Content, by quarantine.Endpoint, duration time.Duration)
+	// HasCrashed reports whether an endpoint whose answer ended with its connection has crashed.
+	// The error is not nil if that can't be found out.
+	HasCrashed(ctx context.Context, e quarantine.Endpoint) (crashed bool, err error)
 }
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"guavapier/internal/logstore"
 	"guavapier/internal/standin"
 )
 
@@ -171,21 +173,36 @@
 	})
 }
 
-func TestAnAnswerThatEndsWithItsConnectionClearsOnlyIfTheEndpointGoesOn(t *testing.T) {
+func TestAnEndpointHasCrashedOnlyIfItsHostRefusesConnections(t *testing.T) {
+	for name, c := range map[string]struct {
+		probeErr               error
+		wantCrashed, wantKnown bool
+	}{
+		"accepts connections": {nil, false, true},
+		"refuses connections": {syscall.ECONNREFUSED, true, true},
+		"is silent":           {context.DeadlineExceeded, false, false},
+	} {
+		s := newTestSyncer("me", standin.NewKeyed(), func(context.Context, string, string) error { return c.probeErr })
+		crashed, err := s.HasCrashed(t.Context(), Endpoint{ID: "e", Address: "address"})
+		if crashed != c.wantCrashed || (err == nil) != c.wantKnown {
+			t.Errorf("%s: crashed %v, error %v; want %v, known %v", name, crashed, err, c.wantCrashed, c.wantKnown)
+		}
+	}
+}
+
+func TestAnAnswerOfAnEndpointThatCrashesRightAfterItClearsNoPart(t *testing.T) {
 	for _, crashed := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
-			probe := func(context.Context, string, string) error { return nil }
+			s := newTestSyncer("me", standin.NewKeyed(), refusingProbe)
+			c, e := promptContent(1, "bad"), Endpoint{ID: "e1", Address: "address"}
+			s.Table.recordCrashOf("e0", time.Now(), c)
+			s.Answered(c, e)
 			if crashed {
-				probe = refusingProbe
+				s.Broke(t.Context(), promptContent(2, "other"), e, time.Second)
 			}
-			s := newTestSyncer("me", standin.NewKeyed(), probe)
-			c := promptContent(1, "bad")
-			s.Table.recordCrashOf("e0", time.Now(), c)
-			s.Ended(t.Context(), c, Endpoint{ID: "e1", Address: "address"}, time.Second)
 			time.Sleep(time.Second)
-			v := s.Table.lookup(c)
-			if known := len(v) > 0; known != crashed {
-				t.Errorf("endpoint crashed %v, suspected %v; want the same", crashed, known)
+			if known := len(s.Table.lookup(c)) > 0; known != crashed {
+				t.Errorf("endpoint crashed %v, part suspected %v; want the same", crashed, known)
 			}
 		})
 	}
@@ -217,17 +234,25 @@
 	}
 }
 
+// stuckWrites is a log whose writes don't end.
+type stuckWrites struct{ logstore.KeyedLog }
+
+// Put implements logstore.KeyedLog.
+func (stuckWrites) Put(ctx context.Context, _ logstore.Topic, _ logstore.WriteID, _ []logstore.KeyedRecord) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
 // Several requests wait for the trial of one part. Once it is answered the others are not
 // refused.
 func TestARequestIsAdmittedOnceThePartThatItWaitsForIsCleared(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log := standin.NewKeyed()
-		s := startSyncers(t, log, 1)[0]
+		s := newTestSyncer("me", stuckWrites{standin.NewKeyed()}, refusingProbe) // No claim is decided.
+		go s.Run(t.Context())
 		for i := range 2 {
 			s.Broke(t.Context(), promptContent(i, "a"), Endpoint{ID: fmt.Sprint("e", i), Address: "address"}, time.Millisecond)
 			time.Sleep(time.Second)
 		}
-		log.SetDown(true) // The claim is not decided.
 		const requests = 3
 		admitted := make(chan error)
 		for n := range requests {
--- a/internal/quarantine/syncer.go
+++ b/internal/quarantine/syncer.go
@@ -202,18 +202,15 @@
 	})
 }
 
-// Ended records that an answer ended with its connection, after the request had been in progress
-// for underWay. Whether it was complete, or the endpoint crashed, shows only in whether the
-// endpoint still accepts connections.
-func (s *Syncer) Ended(ctx context.Context, c Content, by Endpoint, underWay time.Duration) {
-	time.AfterFunc(confirmDelay, func() {
-		switch err := s.probe(ctx, by); {
-		case err == nil:
-			s.Answered(c, by)
-		case isRefused(err):
-			s.recordCrash(c, by, underWay+confirmDelay)
-		}
-	})
+// HasCrashed reports whether the endpoint, whose answer ended with its connection, has crashed.
+// The error is not nil if that can't be found out.
+func (s *Syncer) HasCrashed(ctx context.Context, e Endpoint) (crashed bool, err error) {
+	switch err := s.probe(ctx, e); {
+	case isRefused(err):
+		return true, nil
+	default:
+		return false, err
+	}
 }
 
 // clear clears a subject here and on the log.
