forward: the timeout of an attempt does not end a long answer that is being passed on

What callers saw: on routes whose requests may be repeated an answer of over 256 KiB broke off in the middle if it took longer than an attempt may take (three times the latency target). Cause: the attempt's timeout, after which another endpoint is tried, went on after the answer had begun, when no other one can be. Change: from its first byte to the caller on the answer ends with the request only.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -84,6 +84,7 @@
 	c.phase = phaseEndpoint
 	outcome, start := placement.Failed, time.Now()
 	defer func() { assignment.Done(outcome, c.f.Clock()) }()
+	request := ctx
 	ctx, cancel := c.withAttemptTimeout(ctx)
 	defer cancel()
 	answer, err := c.f.Pool.Send(ctx, assignment.Endpoint.ID, assignment.Endpoint.Address, c.outgoingRequest(assignment))
@@ -95,7 +96,7 @@
 	}
 	defer answer.Close()
 	assignment.OnAnswerStart(c.f.Clock(), isSuccess(answer.Status))
-	result := c.handleAnswer(ctx, assignment, answer)
+	result := c.handleAnswer(ctx, request, assignment, answer)
 	c.logAttempt(assignment, result, answer.Status, start)
 	c.updateQuarantine(ctx, assignment, result, start)
 	switch {
@@ -135,6 +136,10 @@
 	return quarantine.Endpoint{ID: e.ID, Address: e.Address, Born: e.Born}
 }
 
+// errTimedOutAtStart is the error of an attempt that timed out before a long answer was passed
+// on.
+var errTimedOutAtStart = errors.New("forward: the attempt timed out at the start of a long answer")
+
 // errCrashedAtEnd is the error of an answer that ended with its connection, since its endpoint
 // crashed.
 var errCrashedAtEnd = errors.New("forward: the endpoint crashed at the end of its answer")
@@ -224,8 +229,8 @@
 }
 
 // handleAnswer passes an endpoint's answer on to the caller, or returns why the attempt
-// failed.
-func (c *call) handleAnswer(ctx context.Context, assignment *placement.Assignment, a *upstream.Answer) attemptResult {
+// failed. ctx ends with the attempt, request with the request.
+func (c *call) handleAnswer(ctx, request context.Context, assignment *placement.Assignment, a *upstream.Answer) attemptResult {
 	reply := c.f.Codec.Reply(a.Status, a.Header)
 	c.tried = append(c.tried, c.endpoint)
 	if !reply.Misdirected {
@@ -255,7 +260,7 @@
 	case err != nil:
 		return attemptResult{reason: ReasonAnswerFailed, sent: true, err: err}
 	case len(body) > maxBufferedAnswerBytes:
-		return c.forwardLong(ctx, assignment, a, body)
+		return c.forwardLong(request, assignment, a, body)
 	}
 	buffered := &bufferedAnswer{status: a.Status, header: a.Header, body: body}
 	if a.Status >= http.StatusInternalServerError {
@@ -296,9 +301,13 @@
 	c.w.WriteHeader(status)
 }
 
-// forwardLong passes on an answer whose body begins with start as it arrives. The result is
-// final only if the endpoint's answer ended properly.
+// forwardLong passes on an answer whose body begins with start as it arrives, until ctx ends: no
+// other endpoint can be tried after that, so the attempt has no timeout of its own. The result
+// is final only if the endpoint's answer ended properly.
 func (c *call) forwardLong(ctx context.Context, assignment *placement.Assignment, a *upstream.Answer, start []byte) attemptResult {
+	if !a.Rebind(ctx) {
+		return attemptResult{reason: ReasonAnswerFailed, sent: true, err: errTimedOutAtStart}
+	}
 	c.beginAnswer(a.Status, a.Header, a.Length)
 	body := &readErrorRecorder{Reader: io.MultiReader(bytes.NewReader(start), a.Body)}
 	_, err := io.Copy(c.w, body)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -220,6 +220,16 @@
 	return n, err
 }
 
+// Rebind makes the rest of the exchange end with ctx rather than with the context of Send. It
+// returns false if that has ended already.
+func (a *Answer) Rebind(ctx context.Context) bool {
+	if !a.unwatch() {
+		return false
+	}
+	a.unwatch = context.AfterFunc(ctx, func() { _ = a.conn.Close() })
+	return true
+}
+
 // Close returns the connection to the pool if it can be reused and closes it otherwise.
 func (a *Answer) Close() {
 	connOpen := a.unwatch() // False if ctx has ended, which closes the connection.
