gateway: a drain that ends while the process is suspended passes on what has arrived

What callers saw: an instance was stopped (SIGSTOP) 6.1 s after SIGTERM and went on 7.67 s after it, at the end of its drain (7.5 s); an answer whose last events had arrived meanwhile was cut off at once. Cause: the drain's timer fires before the goroutines that read the answers have run.

--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -25,6 +25,9 @@
 	// stopTimeout is the part of exitReserve for stopping the remaining background work
 	// and closing the servers for operators and other instances.
 	stopTimeout = 100 * time.Millisecond
+	// suspensionThreshold is the delay of a timer from which on the process counts as having been
+	// suspended, and resumeGracePeriod the time for what arrived meanwhile.
+	suspensionThreshold, resumeGracePeriod = 50 * time.Millisecond, 50 * time.Millisecond
 	// finalLogReserve is the last part of exitReserve, left to the caller of Run for
 	// flushing the log and exiting.
 	finalLogReserve = 30 * time.Millisecond
@@ -90,7 +93,7 @@
 	logstore.Pause(context.Background(), lastCallers, nil)
 	drainCtx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	if err := g.callerConns.Drain(drainCtx); err != nil {
+	if err := g.drainCallers(drainCtx, deadline); err != nil {
 		g.abortingRequests.Store(true)
 		g.log.Warn().Err(err).Int64("under_way", g.inFlight.Load()).Msg("gateway: requests cut off at the end of the drain")
 		_ = server.Close()
@@ -101,6 +104,18 @@
 	}
 }
 
+// drainCallers waits until ctx ends, at deadline, for requests in flight. If the process was
+// suspended at deadline, answers may have arrived meanwhile: these are still passed on.
+func (g *Gateway) drainCallers(ctx context.Context, deadline time.Time) error {
+	err := g.callerConns.Drain(ctx)
+	if err == nil || time.Since(deadline) < suspensionThreshold {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), resumeGracePeriod)
+	defer cancel()
+	return g.callerConns.Drain(ctx)
+}
+
 // awaitSettlement waits until deadline for aborted requests to end and settle their
 // reservations: the tokens of those that have not ended when the last claim record is
 // written count as used permanently.
