quarantine: a request that is sent to test a part is called a canary

Names, comments and the log field `suspected` (was `on_trial`) only; nothing that is decided or written to the log changes, but for names of fields in the code. Measured: go test -race of quarantine, forward and logging, linter without findings.

--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -101,15 +101,15 @@
 }
 
 // checkQuarantine returns the refusal of a request that is quarantined, or that has a part which
-// is on trial; nil if it may be sent.
+// is suspected; nil if it may be sent.
 func (c *call) checkQuarantine(ctx context.Context) *refusal {
 	var quarantined *quarantine.QuarantinedError
 	if !errors.As(c.f.Quarantine.Admit(ctx, c.content()), &quarantined) {
 		return nil
 	}
 	c.logQuarantined(quarantined)
-	if quarantined.OnTrial {
-		return notRun(ReasonOnTrial, max(quarantined.RetryAfter, defaultRetryAfter)+rand.N(tokensRetryJitter))
+	if quarantined.Suspected {
+		return notRun(ReasonSuspected, max(quarantined.RetryAfter, defaultRetryAfter)+rand.N(tokensRetryJitter))
 	}
 	return notRun(ReasonQuarantined, max(quarantined.RetryAfter, tokensRetryAfter))
 }
--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -73,7 +73,7 @@
 // logQuarantined logs why the request must not be sent.
 func (c *call) logQuarantined(quarantined *quarantine.QuarantinedError) {
 	c.f.Log.Info().Str("request", c.ID).Str("team", string(c.team())).Stringer("content", quarantined.Fingerprint).Str("part", quarantined.Part).
-		Bool("on_trial", quarantined.OnTrial).Strs("endpoints", quarantined.Endpoints).Int("ends", quarantined.Crashes).Dur("after", quarantined.RetryAfter).Msg("forward: request held back")
+		Bool("suspected", quarantined.Suspected).Strs("endpoints", quarantined.Endpoints).Int("ends", quarantined.Crashes).Dur("after", quarantined.RetryAfter).Msg("forward: request held back")
 }
 
 // missedLatencyTarget reports whether the answer began later than its route's latency target.
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -27,7 +27,7 @@
 	ReasonNoEndpoint         Reason = "no endpoint"
 	ReasonEndpointsRefused   Reason = "endpoints refused"
 	ReasonQuarantined        Reason = "endpoints ended under this request"
-	ReasonOnTrial            Reason = "part of the prompt under test"
+	ReasonSuspected          Reason = "part of the prompt under test"
 	ReasonOriginUnknown      Reason = "origin unknown"
 	ReasonVersionGone        Reason = "version not served"
 	ReasonUnreachable        Reason = "endpoint unreachable"
--- a/internal/quarantine/claims.go
+++ b/internal/quarantine/claims.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// claimTimeout bounds how long a request waits to acquire a trial or a retest, which takes
+	// claimTimeout bounds how long a request waits to acquire a canary or a retest, which takes
 	// some round trips to the log. claimPollInterval is how often the table is checked
 	// meanwhile.
 	claimTimeout, claimPollInterval = 500 * time.Millisecond, 5 * time.Millisecond
@@ -30,7 +30,7 @@
 // The kinds of claim.
 var (
 	retestClaim = claimKind{"retest", (*Table).retestClaim, func(r *entryRecord) int { return r.RetestRound }, (*Table).retestResult}
-	trialClaim  = claimKind{"trial", (*Table).trialClaim, func(r *entryRecord) int { return r.TrialRound }, (*Table).trialResult}
+	canaryClaim = claimKind{"canary", (*Table).canaryClaim, func(r *entryRecord) int { return r.CanaryRound }, (*Table).canaryResult}
 )
 
 // acquireRetest claims the next retest on the log and reports whether the calling request
@@ -39,13 +39,13 @@
 	return s.acquire(ctx, retestClaim, f)
 }
 
-// acquireTrial claims the next trial and reports whether the calling request may run it. While
-// the log is unavailable the instance runs trials by itself.
-func (s *Syncer) acquireTrial(ctx context.Context, f Fingerprint) bool {
+// acquireCanary claims the next canary and reports whether the calling request may run it. While
+// the log is unavailable the instance runs canaries by itself.
+func (s *Syncer) acquireCanary(ctx context.Context, f Fingerprint) bool {
 	if s.logUnavailable.Load() {
-		return s.Table.beginLocalTrial(f, time.Now())
+		return s.Table.beginLocalCanary(f, time.Now())
 	}
-	return s.acquire(ctx, trialClaim, f)
+	return s.acquire(ctx, canaryClaim, f)
 }
 
 // acquire claims the next round on the log and reports whether the calling request has acquired
--- a/internal/quarantine/doc.go
+++ b/internal/quarantine/doc.go
@@ -10,10 +10,9 @@
 // crashes; the others occur in requests that are answered, which clears them.
 //
 // A subject with crashesToQuarantine crashes that no other subject explains better is
-// quarantined: requests with it are refused without being sent. A part that crashes may be
-// blamed on already, or that can't be told apart from another subject, is on trial: requests
-// with it are sent one at a time in the whole fleet, until an answer clears it or a crash
-// decides. When a quarantine ends, one instance may send a request with the subject once on
+// quarantined: requests with it are refused without being sent. A part with one crash less, or
+// one that can't be told apart from another subject, is suspected: requests with it are sent one
+// at a time in the whole fleet, as canaries, until an answer clears it or a crash decides. When a quarantine ends, one instance may send a request with the subject once on
 // behalf of the whole fleet, as a retest. An answer clears the subject, anything else leaves
 // it quarantined, for longer.
 //
@@ -32,15 +31,15 @@
 	// Part is the ID of the part of the prompt that is the subject; "" if it is the request's
 	// content.
 	Part string
-	// OnTrial reports that the part is not quarantined, but that another request with it is
+	// Suspected reports that the part is not quarantined, but that another request with it is
 	// being sent to find out whether it crashes endpoints.
-	OnTrial bool
+	Suspected bool
 	// Crashes is the number of endpoints that crashed while serving requests with the
 	// subject, one after the other.
 	Crashes int
 	// Endpoints are the latest of these endpoints, the last crash last.
 	Endpoints []string
-	// RetryAfter is the time until the quarantine or the trial ends; 0 if it has ended and the
+	// RetryAfter is the time until the quarantine or the canary ends; 0 if it has ended and the
 	// subject has not been retested.
 	RetryAfter time.Duration
 }
@@ -51,8 +50,8 @@
 	if e.Part != "" {
 		subject = "prompt part " + e.Part
 	}
-	if e.OnTrial {
-		state = "is on trial"
+	if e.Suspected {
+		state = "is suspected"
 	}
 	return fmt.Sprintf("quarantine: %s %s for %s after %d endpoint crashes", subject, state, e.RetryAfter, e.Crashes)
 }
--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -44,9 +44,9 @@
 	retestRound      int               // Number of retests.
 	retestBy         record.InstanceID // Who may run the latest retest.
 	quarantinedUntil time.Time         // Only applies while the subject is to blame.
-	trialRound       int               // Number of trials.
-	trialBy          record.InstanceID // Who may run the latest trial.
-	trialUntil       time.Time         // Until when no other trial may begin; zero after a crash.
+	canaryRound      int               // Number of canaries.
+	canaryBy         record.InstanceID // Who may run the latest canary.
+	canaryUntil      time.Time         // Until when no other canary may begin; zero after a crash.
 	writer           record.InstanceID // Of the latest record.
 	// orphanGracePeriod is how long after its expiry the entry is cleared although
 	// another instance has written it, which is then assumed to be gone.
@@ -73,7 +73,7 @@
 	if len(e.endpoints) > maxEndpointsPerEntry {
 		dropped, e.endpoints = e.endpoints[0], e.endpoints[1:]
 	}
-	e.trialUntil = time.Time{}
+	e.canaryUntil = time.Time{}
 	countsFrom := e.lastCrash.Add(minCrashSpacing)
 	if local {
 		countsFrom = e.lastCrash
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -48,7 +48,7 @@
 	now := startTime.Add(2*time.Second + reportGracePeriod)
 	other := promptContent(10, "z", "bad", "y")
 	other.Organisation, other.Target = "another", "/other"
-	if v := table.verdictOn(other, now); v.kind != verdictRefuse || v.subject.part != "bad" || v.onTrial || v.retryAfter != initialQuarantine-reportGracePeriod {
+	if v := table.verdictOn(other, now); v.kind != verdictRefuse || v.subject.part != "bad" || v.suspected || v.retryAfter != initialQuarantine-reportGracePeriod {
 		t.Errorf("verdict on another organisation's request with the part is %+v, want a quarantine", v)
 	}
 	if v := table.verdictOn(promptContent(11, "a", "y"), now); v.kind != verdictAdmit {
@@ -65,42 +65,42 @@
 	}
 	now := startTime.Add(100 * time.Millisecond)
 	table.recordCrashOf("e1", now, promptContent(2, "bad"))
-	if v := table.verdictOn(c, now); v.kind != verdictTry {
-		t.Errorf("verdict after two crashes is %+v, want a trial", v)
+	if v := table.verdictOn(c, now); v.kind != verdictCanary {
+		t.Errorf("verdict after two crashes is %+v, want a canary", v)
 	}
-	claim, _ := table.trialClaim(f, now)
+	claim, _ := table.canaryClaim(f, now)
 	table.observe(f, claim, false, now)
-	if decided, won := table.trialResult(f, 1); !decided || !won {
-		t.Errorf("trial decided %v, won %v; want both", decided, won)
+	if decided, won := table.canaryResult(f, 1); !decided || !won {
+		t.Errorf("canary decided %v, won %v; want both", decided, won)
 	}
-	if v := table.verdictOn(c, now); v.kind != verdictRefuse || !v.onTrial || v.retryAfter != trialDuration {
-		t.Errorf("verdict during the trial is %+v, want a refusal for %s", v, trialDuration)
+	if v := table.verdictOn(c, now); v.kind != verdictRefuse || !v.suspected || v.retryAfter != canaryDuration {
+		t.Errorf("verdict during the canary is %+v, want a refusal for %s", v, canaryDuration)
 	}
-	if v := table.verdictOn(c, now.Add(trialDuration)); v.kind != verdictTry {
-		t.Errorf("verdict after a trial without a result is %+v, want another trial", v)
+	if v := table.verdictOn(c, now.Add(canaryDuration)); v.kind != verdictCanary {
+		t.Errorf("verdict after a canary without a result is %+v, want another canary", v)
 	}
 }
 
 // Two parts have occurred together in every crash. Requests with both of them are refused, and a
 // request with one of them is sent to tell them apart.
-func TestARequestWithOneOfTwoEquallySuspectPartsIsATrial(t *testing.T) {
+func TestARequestWithOneOfTwoEquallySuspectPartsIsACanary(t *testing.T) {
 	table := NewTable("me")
 	for i := range 4 {
 		table.recordCrashOf(fmt.Sprint("e", i), startTime.Add(time.Duration(i)*time.Second), promptContent(i, "bad", "twin"))
 	}
 	now := startTime.Add(10 * time.Second)
-	if v := table.verdictOn(promptContent(9, "bad", "twin"), now); v.kind != verdictRefuse || v.onTrial {
+	if v := table.verdictOn(promptContent(9, "bad", "twin"), now); v.kind != verdictRefuse || v.suspected {
 		t.Errorf("verdict on a request with both parts is %+v, want a quarantine", v)
 	}
-	if v := table.verdictOn(promptContent(9, "twin"), now); v.kind != verdictTry {
-		t.Errorf("verdict on a request with one of the parts is %+v, want a trial", v)
+	if v := table.verdictOn(promptContent(9, "twin"), now); v.kind != verdictCanary {
+		t.Errorf("verdict on a request with one of the parts is %+v, want a canary", v)
 	}
 	table.recordCrashOf("e9", now, promptContent(10, "bad"))
 	now = now.Add(reportGracePeriod)
 	if v := table.verdictOn(promptContent(11, "twin"), now); v.kind != verdictAdmit {
 		t.Errorf("verdict on the part that was not in the last crash is %+v, want that it is admitted", v)
 	}
-	if v := table.verdictOn(promptContent(11, "bad"), now); v.kind != verdictRefuse || v.onTrial {
+	if v := table.verdictOn(promptContent(11, "bad"), now); v.kind != verdictRefuse || v.suspected {
 		t.Errorf("verdict on the part that was in all crashes is %+v, want a quarantine", v)
 	}
 }
@@ -221,8 +221,8 @@
 	})
 }
 
-// Guards against trials of all frequent parts after several endpoints were lost together.
-func TestEndpointsThatAreLostAtOneMomentPutNoPartOnTrial(t *testing.T) {
+// Guards against canaries for all frequent parts after several endpoints were lost together.
+func TestEndpointsThatAreLostAtOneMomentMakeNoPartSuspected(t *testing.T) {
 	table := NewTable("me")
 	f := partSubject("a").fingerprint
 	for i := range 4 {
@@ -243,7 +243,7 @@
 	return ctx.Err()
 }
 
-// Several requests wait for the trial of one part. Once it is answered the others are not
+// Several requests wait for the canary of one part. Once that is answered the others are not
 // refused.
 func TestARequestIsAdmittedOnceThePartThatItWaitsForIsCleared(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -33,10 +33,10 @@
 	Until int64 `cbor:"7,keyasint,omitempty"`
 	// Part is the ID of the part of the prompt; "" for the content of a request.
 	Part string `cbor:"9,keyasint,omitempty"`
-	// TrialRound and TrialBy are the number of trials and the instance that has acquired the
+	// CanaryRound and CanaryBy are the number of canaries and the instance that has acquired the
 	// latest one, or claims it with this record; they work like those of retests.
-	TrialRound int               `cbor:"10,keyasint,omitempty"`
-	TrialBy    record.InstanceID `cbor:"11,keyasint,omitempty"`
+	CanaryRound int               `cbor:"10,keyasint,omitempty"`
+	CanaryBy    record.InstanceID `cbor:"11,keyasint,omitempty"`
 }
 
 func (r *entryRecord) encode() ([]byte, error) {
@@ -53,7 +53,7 @@
 func (e *entry) toRecord() *entryRecord {
 	r := &entryRecord{
 		Team: e.team, Part: e.part, Writer: e.writer, Endpoints: slices.Clone(e.endpoints), Crashes: e.crashes,
-		RetestRound: e.retestRound, RetestBy: e.retestBy, TrialRound: e.trialRound, TrialBy: e.trialBy,
+		RetestRound: e.retestRound, RetestBy: e.retestBy, CanaryRound: e.canaryRound, CanaryBy: e.canaryBy,
 	}
 	if !e.quarantinedUntil.IsZero() {
 		r.Until = e.quarantinedUntil.UnixMilli()
@@ -75,7 +75,7 @@
 	switch {
 	case r.Crashes < e.crashes && e.countedBy == self:
 		return true
-	case r.RetestRound < e.retestRound && e.retestBy == self, r.TrialRound < e.trialRound && e.trialBy == self:
+	case r.RetestRound < e.retestRound && e.retestBy == self, r.CanaryRound < e.canaryRound && e.canaryBy == self:
 		return true
 	}
 	return slices.ContainsFunc(e.endpoints, func(endpoint string) bool {
--- a/internal/quarantine/syncer.go
+++ b/internal/quarantine/syncer.go
@@ -92,7 +92,7 @@
 func (s *Syncer) Loaded() bool { return s.loaded.Load() }
 
 // Admit returns nil if the request may be sent, and a *QuarantinedError if it must not be sent
-// now. If the request may be sent once on behalf of the whole fleet, as a trial or a retest, it
+// now. If the request may be sent once on behalf of the whole fleet, as a canary or a retest, it
 // first tries to acquire that right.
 func (s *Syncer) Admit(ctx context.Context, c Content) error {
 	known := s.Table.lookup(c)
@@ -105,8 +105,8 @@
 			v.log(s.Logger.Info()).Msg("quarantine: held request is retested")
 			return nil
 		}
-	case verdictTry:
-		if s.acquireTrial(ctx, v.subject.fingerprint) {
+	case verdictCanary:
+		if s.acquireCanary(ctx, v.subject.fingerprint) {
 			v.log(s.Logger.Info()).Msg("quarantine: suspected part of a prompt is tried")
 			return nil
 		}
@@ -147,7 +147,7 @@
 // logCrash logs that an endpoint crashed under a subject. The first crash of a part is not
 // logged, since the line of the request's content names its parts.
 func (s *Syncer) logCrash(suspect subject, c Content, at Endpoint, r *entryRecord) {
-	if suspect.part != "" && r.Crashes < crashesToTry {
+	if suspect.part != "" && r.Crashes < crashesToSuspect {
 		return
 	}
 	line := s.ThinnedLogger.Info()
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -102,12 +102,12 @@
 	t.answers.add(parts, endpoint, now)
 }
 
-// isSuspected reports whether requests with the subject may be on trial, or quarantined.
+// isSuspected reports whether requests with the subject may be held back.
 func (t *Table) isSuspected(f Fingerprint) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.entries[f]
-	return e != nil && e.crashes >= crashesToTry
+	return e != nil && e.crashes >= crashesToSuspect
 }
 
 // hasCrashed reports whether the table knows that the endpoint has crashed.
@@ -152,8 +152,8 @@
 	if r.RetestRound > e.retestRound {
 		e.retestRound, e.retestBy = r.RetestRound, r.RetestBy
 	}
-	if r.TrialRound > e.trialRound {
-		e.trialRound, e.trialBy, e.trialUntil = r.TrialRound, r.TrialBy, now.Add(trialDuration)
+	if r.CanaryRound > e.canaryRound {
+		e.canaryRound, e.canaryBy, e.canaryUntil = r.CanaryRound, r.CanaryBy, now.Add(canaryDuration)
 	}
 	if r.Crashes > e.crashes {
 		e.crashes, e.lastCrash, e.countedBy = r.Crashes, now, r.Writer
@@ -189,7 +189,7 @@
 // isQuarantined reports whether requests that only have this subject are quarantined.
 func (t *Table) isQuarantined(f Fingerprint, e *entry, now time.Time) bool {
 	v := t.judgeSubject(subject{fingerprint: f, part: e.part}, nil, e, now)
-	return v.kind != verdictAdmit && !v.onTrial
+	return v.kind != verdictAdmit && !v.suspected
 }
 
 // fullyReportedCrashes counts the entry's crashes for which no more records are expected.
@@ -227,49 +227,49 @@
 	return r, false
 }
 
-// trialClaim returns the record with which this instance claims the next trial, and nil if
-// another trial has begun or the subject has been cleared after the caller last checked it.
+// canaryClaim returns the record with which this instance claims the next canary, and nil if
+// another canary has begun or the subject has been cleared after the caller last checked it.
 // cleared reports the latter: the request may be sent.
-func (t *Table) trialClaim(f Fingerprint, now time.Time) (claim *entryRecord, cleared bool) {
+func (t *Table) canaryClaim(f Fingerprint, now time.Time) (claim *entryRecord, cleared bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.entries[f]
 	if e == nil {
 		return nil, true
 	}
-	if now.Before(e.trialUntil) {
+	if now.Before(e.canaryUntil) {
 		return nil, false
 	}
 	r := e.toRecord()
-	r.Writer, r.TrialBy = t.self, t.self
-	r.TrialRound++
+	r.Writer, r.CanaryBy = t.self, t.self
+	r.CanaryRound++
 	return r, false
 }
 
-// trialResult is retestResult for a trial.
-func (t *Table) trialResult(f Fingerprint, round int) (decided, won bool) {
+// canaryResult is retestResult for a canary.
+func (t *Table) canaryResult(f Fingerprint, round int) (decided, won bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.entries[f]
 	if e == nil {
 		return true, true
 	}
-	return e.trialRound >= round, e.trialRound == round && e.trialBy == t.self
+	return e.canaryRound >= round, e.canaryRound == round && e.canaryBy == t.self
 }
 
-// beginLocalTrial begins a trial that only this instance knows of, and reports whether the
-// request may be sent.
-func (t *Table) beginLocalTrial(f Fingerprint, now time.Time) bool {
+// beginLocalCanary reports whether the request may be sent as a canary that only this instance
+// knows of, and makes others wait for it.
+func (t *Table) beginLocalCanary(f Fingerprint, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.entries[f]
 	if e == nil {
 		return true
 	}
-	if now.Before(e.trialUntil) {
+	if now.Before(e.canaryUntil) {
 		return false
 	}
-	e.trialUntil = now.Add(trialDuration)
+	e.canaryUntil = now.Add(canaryDuration)
 	return true
 }
 
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -9,13 +9,13 @@
 )
 
 const (
-	// crashesToTry is the number of crashes, one after the other, from which on requests with a
+	// crashesToSuspect is the number of crashes, one after the other, from which on requests with a
 	// part are sent one at a time. Parts of many requests occur on all endpoints that are lost
 	// at the same moment.
-	crashesToTry = 2
-	// trialDuration is how long a trial keeps others from beginning, unless it ends earlier
+	crashesToSuspect = 2
+	// canaryDuration is how long a canary keeps others from being sent, unless it ends earlier
 	// with an answer or a crash. An endpoint that crashes does so when it begins to answer.
-	trialDuration = time.Second
+	canaryDuration = time.Second
 )
 
 // verdictKind is what may be done with a request. The kinds are in the order of precedence: of
@@ -25,8 +25,8 @@
 // The values of verdictKind.
 const (
 	verdictAdmit verdictKind = iota
-	// verdictTry allows the request to be sent by the instance that acquires the trial.
-	verdictTry
+	// verdictCanary allows the request to be sent by the instance that acquires the next canary.
+	verdictCanary
 	// verdictRetest allows the request to be sent by the instance that acquires the retest.
 	verdictRetest
 	verdictRefuse
@@ -38,7 +38,7 @@
 	subject    subject
 	crashes    int
 	endpoints  []string
-	onTrial    bool // The subject is not quarantined, but suspected.
+	suspected  bool // The subject is not quarantined, but suspected.
 	retryAfter time.Duration
 }
 
@@ -48,7 +48,7 @@
 		return nil
 	}
 	return &QuarantinedError{
-		Fingerprint: v.subject.fingerprint, Part: v.subject.part, OnTrial: v.onTrial,
+		Fingerprint: v.subject.fingerprint, Part: v.subject.part, Suspected: v.suspected,
 		Crashes: v.crashes, Endpoints: v.endpoints, RetryAfter: v.retryAfter,
 	}
 }
@@ -59,7 +59,7 @@
 }
 
 // overrides reports whether v decides about a request rather than other. The order is the same
-// at all instances, so that they claim the trial of the same subject.
+// at all instances, so that they claim the canary of the same subject.
 func (v verdict) overrides(other verdict) bool {
 	switch {
 	case v.kind != other.kind:
@@ -123,17 +123,17 @@
 		}
 		return v
 	}
-	blame := t.blamePart(e, own, now)
+	b := t.blamePart(e, own, now)
 	switch {
-	case blame.unexplained < crashesToTry:
-	case blame.isQuarantined():
+	case b.unexplained < crashesToSuspect:
+	case b.isQuarantined():
 		v.kind, v.retryAfter = e.quarantineVerdict(now)
-	case blame.isPending():
-		v.kind, v.retryAfter, v.onTrial = verdictRefuse, reportGracePeriod, true
-	case now.Before(e.trialUntil):
-		v.kind, v.retryAfter, v.onTrial = verdictRefuse, e.trialUntil.Sub(now), true
+	case b.isPending():
+		v.kind, v.retryAfter, v.suspected = verdictRefuse, reportGracePeriod, true
+	case now.Before(e.canaryUntil):
+		v.kind, v.retryAfter, v.suspected = verdictRefuse, e.canaryUntil.Sub(now), true
 	default:
-		v.kind, v.onTrial = verdictTry, true
+		v.kind, v.suspected = verdictCanary, true
 	}
 	return v
 }
@@ -174,7 +174,7 @@
 // some of them tells which. own are the entries of the request's subjects.
 func (t *Table) blamePart(e *entry, own []*entry, now time.Time) blame {
 	b := blame{spaced: e.crashes}
-	if e.crashes < crashesToTry {
+	if e.crashes < crashesToSuspect {
 		return b
 	}
 	ownCrashes := t.fullyReportedCrashes(e, now)
