forward: the log tells the limits that endpoints state

The codec reads Server-Limit into a typed statement beside the rejection limit, and the first answer that states something new is logged with its request. Nothing is decided by it yet.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -233,8 +233,8 @@
 func (c *call) handleAnswer(ctx, request context.Context, assignment *placement.Assignment, a *upstream.Answer) attemptResult {
 	reply := c.f.Codec.Reply(a.Status, a.Header)
 	c.tried = append(c.tried, c.endpoint)
-	if !reply.Misdirected {
-		assignment.OnReply(reply.NotRun, reply.RejectionLimit, c.f.Clock())
+	if !reply.Misdirected && assignment.OnReply(reply.NotRun, reply.Statement, c.f.Clock()) {
+		c.logStatement(reply.Statement)
 	}
 	if reply.NotRun {
 		_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, maxBufferedAnswerBytes)) // The connection can be reused only if the body was read to its end.
--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -43,6 +43,12 @@
 		Dur("took", time.Since(start)).AnErr("error", result.err).Msg("forward: attempt ended")
 }
 
+// logStatement logs what an endpoint states of itself, where that has changed.
+func (c *call) logStatement(s placement.Statement) {
+	c.f.Log.Info().Str("request", c.ID).Str("endpoint", c.endpoint).Bool("limits_requests", s.LimitsRequests).Float64("request_limit", s.RequestLimit).
+		Int("rejection_limit", s.RejectionLimit).Msg("forward: endpoint states its limits")
+}
+
 // logNoEndpoint logs why no endpoint may get the request: how many of the service's endpoints
 // are not chosen by their cost, by the reason. The others have been tried.
 func (c *call) logNoEndpoint() {
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -63,9 +63,8 @@
 	// Misdirected reports whether another endpoint than the one that was meant has answered.
 	// The request has not run then.
 	Misdirected bool
-	// RejectionLimit is the number of requests that the endpoint can reject in a second
-	// without crashing; 0 for any number.
-	RejectionLimit int
+	// Statement is what the endpoint states of itself.
+	Statement placement.Statement
 	// Signed reports whether the answer carries the endpoint's signature; the signature is
 	// not verified.
 	Signed bool
--- a/internal/placement/assignment.go
+++ b/internal/placement/assignment.go
@@ -85,16 +85,17 @@
 	a.endpointState.lastAnswerAt = now
 }
 
-// OnReply records whether the endpoint has rejected the request for want of room, and how many
-// rejections in a second it says it bears, 0 for any number. It has to be called after
-// OnAnswerStart, unless another endpoint has answered.
-func (a *Assignment) OnReply(rejected bool, rejectionLimit int, now time.Duration) {
+// OnReply records whether the endpoint has rejected the request for want of room, and what it
+// states of itself, and reports whether that is not what it stated before. It has to be called
+// after OnAnswerStart, unless another endpoint has answered.
+func (a *Assignment) OnReply(rejected bool, s Statement, now time.Duration) (changed bool) {
 	a.table.mu.Lock()
 	defer a.table.mu.Unlock()
-	a.table.setRejectionLimit(a.Endpoint.Service, rejectionLimit)
+	a.table.setRejectionLimit(a.Endpoint.Service, s.RejectionLimit)
 	if rejected {
 		a.table.recordRejection(a.endpointState, now)
 	}
+	return a.endpointState.onStatement(s)
 }
 
 // Done records the end of the attempt. It has to be called exactly once.
--- a/internal/placement/condition.go
+++ b/internal/placement/condition.go
@@ -54,8 +54,9 @@
 // share of a cold endpoint is set in warmup.go. docs/ARCHITECTURE.md has the states as a
 // diagram.
 type condition struct {
-	leaving  bool // It is about to end, by its entry.
-	cordoned bool // Operators have cordoned its availability zone.
+	stated   Statement // In its latest answer.
+	leaving  bool      // It is about to end, by its entry.
+	cordoned bool      // Operators have cordoned its availability zone.
 	// replaced is set when another endpoint answers at the address and cleared when the entry
 	// changes. A connection that succeeds is one to the other endpoint and shows nothing.
 	replaced bool
