placement: endpoints get no more requests than the limit that they state

Cause: of what an endpoint says of itself in its answers only the rejection limit was read. Class: a statement of another party that nothing reads. Why this works: a few instances own parts of the limit and grant what they don't use as permits for single requests, so what is sent in any span is bounded by what the owners let through, whoever has the callers (ADR 0073).

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -68,11 +68,7 @@
 
 // attempt selects one endpoint, sends it the request and passes on its answer.
 func (c *call) attempt(ctx context.Context) attemptResult {
-	query := placement.Query{Service: c.service, Zone: c.f.Zone, Parts: c.PromptParts, Exclude: c.tried}
-	if c.origin != nil {
-		query.VersionOnly, query.Version = true, c.origin.Version
-	}
-	assignment := c.f.Endpoints.Place(query, c.f.Clock())
+	assignment := c.place(ctx)
 	if assignment == nil {
 		c.logNoEndpoint()
 		return attemptResult{reason: ReasonNoEndpoint, noEndpoint: true}
@@ -233,9 +229,7 @@
 func (c *call) handleAnswer(ctx, request context.Context, assignment *placement.Assignment, a *upstream.Answer) attemptResult {
 	reply := c.f.Codec.Reply(a.Status, a.Header)
 	c.tried = append(c.tried, c.endpoint)
-	if !reply.Misdirected && assignment.OnReply(reply.NotRun, reply.Statement, c.f.Clock()) {
-		c.logStatement(reply.Statement)
-	}
+	c.recordReply(assignment, reply)
 	if reply.NotRun {
 		_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, maxBufferedAnswerBytes)) // The connection can be reused only if the body was read to its end.
 		if !reply.Misdirected {
--- a/internal/forward/drain_test.go
+++ b/internal/forward/drain_test.go
@@ -83,7 +83,7 @@
 		Codec: stubCodec{}, State: func() *route.Config { return config }, Budgets: slowBudgets{tokensDelay},
 		Endpoints: placement.New(1, 0), Retries: retry.NewLimiter(retry.Budget{}, 1), Quarantine: emptyQuarantine{}, Pool: upstream.NewPool(upstream.Options{}),
 		Clock: func() time.Duration { return time.Since(start) }, ClosesConnections: func() bool { return true }, IsOutdated: func() bool { return false }, ShutdownTime: shutdownTime, IsForceClosing: func() bool { return false },
-		Log: zerolog.Nop(), OnRequestEnd: func(forward.RequestSummary) {}, OnPlaced: func(*placement.Assignment) {},
+		Log: zerolog.Nop(), OnRequestEnd: func(forward.RequestSummary) {}, OnPlaced: func(*placement.Assignment) {}, Permits: noPermits{},
 	}
 }
 
@@ -107,3 +107,8 @@
 		})
 	}
 }
+
+// noPermits never gets a reply.
+type noPermits struct{}
+
+func (noPermits) Changed() <-chan struct{} { return nil }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -38,7 +38,10 @@
 	// Quarantine rejects requests that crash endpoints.
 	Quarantine Quarantine
 	Pool       *upstream.Pool
-	Clock      func() time.Duration // Monotonic time since an arbitrary start.
+	Permits    Permits
+	// OnStatement is called when an answer has stated something new of an endpoint.
+	OnStatement func(endpoint string)
+	Clock       func() time.Duration // Monotonic time since an arbitrary start.
 	// ClosesConnections reports whether answers carry Connection: close, so that callers
 	// move to other instances: this one is draining, outdated, overloaded on its link, or
 	// reaches no endpoint.
--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -49,6 +49,9 @@
 		Int("rejection_limit", s.RejectionLimit).Msg("forward: endpoint states its limits")
 }
 
+// maxLoggedLimits bounds the endpoints whose request limits one line tells.
+const maxLoggedLimits = 3
+
 // logNoEndpoint logs why no endpoint may get the request: how many of the service's endpoints
 // are not chosen by their cost, by the reason. The others have been tried.
 func (c *call) logNoEndpoint() {
@@ -57,7 +60,8 @@
 		return
 	}
 	line.Str("request", c.ID).Str("service", c.service).Int("tried", len(c.tried)).
-		Interface("obstacles", c.f.Endpoints.Obstacles(c.service, c.f.Clock())).Msg("forward: no endpoint may get the request")
+		Interface("obstacles", c.f.Endpoints.Obstacles(c.service, c.f.Clock())).
+		Interface("request_limits", c.f.Endpoints.RequestLimits(c.service, maxLoggedLimits, c.f.Clock())).Msg("forward: no endpoint may get the request")
 }
 
 // logOrigin logs where the stream began that the caller continues, or that it is not known.
--- /dev/null
+++ b/internal/forward/permits.go
@@ -0,0 +1,75 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"guavapier/internal/placement"
+)
+
+// maxPermitWait bounds how long a request that no other endpoint may get waits for a permit of
+// an instance that owns a part of an endpoint's request limit: some round trips.
+const maxPermitWait = 100 * time.Millisecond
+
+// Permits asks other instances for permits to send requests to endpoints that limit them.
+type Permits interface {
+	// Changed returns a channel that is closed when another instance has replied.
+	Changed() <-chan struct{}
+}
+
+// query returns what the placement table is asked for the next attempt.
+func (c *call) query() placement.Query {
+	q := placement.Query{Service: c.service, Zone: c.f.Zone, Parts: c.PromptParts, Exclude: c.tried}
+	if c.origin != nil {
+		q.VersionOnly, q.Version = true, c.origin.Version
+	}
+	return q
+}
+
+// place places the next attempt. It waits for permits while some may arrive; the result is nil
+// if no endpoint may get the request.
+func (c *call) place(ctx context.Context) *placement.Assignment {
+	query := c.query()
+	end := time.NewTimer(maxPermitWait)
+	defer end.Stop()
+	for {
+		changed := c.f.Permits.Changed()
+		assignment := c.f.Endpoints.Place(query, c.f.Clock())
+		if assignment != nil || !c.f.Endpoints.AwaitsPermits(query, c.f.Clock()) {
+			return assignment
+		}
+		select {
+		case <-changed:
+		case <-end.C:
+			return nil
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// recordReply records what an endpoint's answer states. One without the request's identity that
+// does not say that nothing was run may be another endpoint's.
+func (c *call) recordReply(assignment *placement.Assignment, reply Reply) {
+	if reply.Misdirected || reply.RequestID != c.ID && !reply.NotRun {
+		return
+	}
+	if assignment.OnReply(reply.NotRun, reply.Statement, c.ID, c.f.Clock()) {
+		c.logStatement(reply.Statement)
+		c.f.OnStatement(assignment.Endpoint.ID)
+	}
+}
+
+// requestLimitRefusal returns the refusal of a request that no endpoint may get for their request
+// limits; nil if these are not why. Urgent callers come back sooner, and none waits for more
+// than a part of the time that is left to it.
+func (c *call) requestLimitRefusal() *refusal {
+	const partOfTimeLeft = 3
+	delay, limited := c.f.Endpoints.RequestLimitDelay(c.query(), c.f.Clock())
+	if !limited {
+		return nil
+	}
+	delay = time.Duration(float64(delay) * c.config.PriorityShare(c.route, c.org))
+	delay = min(delay, time.Until(c.deadline)/partOfTimeLeft)
+	return notRun(ReasonRequestLimit, max(delay, defaultRetryAfter))
+}
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -25,6 +25,7 @@
 	ReasonBudgetExhausted    Reason = "budget exhausted"
 	ReasonInsufficientTokens Reason = "budget not at hand"
 	ReasonNoEndpoint         Reason = "no endpoint"
+	ReasonRequestLimit       Reason = "request limits of the endpoints"
 	ReasonEndpointsRefused   Reason = "endpoints refused"
 	ReasonQuarantined        Reason = "endpoints ended under this request"
 	ReasonSuspected          Reason = "part of the prompt under test"
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -108,6 +108,7 @@
 	retryLimiter     *retry.Limiter
 	streamOrigins    *streamOrigins
 	shareLoans       *shareLoans
+	permits          *permits
 	quarantine       *quarantine.Syncer // Requests that must not be sent to endpoints.
 	registry         *registry.Registry // The fleet's instances.
 	linkMeter        linkload.Meter
@@ -201,6 +202,12 @@
 	if err := g.peerServer.Register(sharesServiceName, g.shareLoans); err != nil {
 		return nil, err
 	}
+	g.permits = &permits{
+		caller: g.streamOrigins.pool, instances: g.streamOrigins.names, endpoints: placementTable, clock: clock, log: g.sampledLog, changed: make(chan struct{}),
+	}
+	if err := g.peerServer.Register(permitsServiceName, g.permits); err != nil {
+		return nil, err
+	}
 	g.registerTablesAndMetrics()
 	return g, nil
 }
@@ -241,7 +248,7 @@
 func (g *Gateway) newCallersServer() *http.Server {
 	handler := &forward.Forwarder{
 		Zone: g.settings.Gateway.Zone, Codec: g.platform.Codec, State: g.config.Load, Budgets: budgetAdapter{g.budgets},
-		Endpoints: g.endpoints.placementTable, Retries: g.retryLimiter, Origins: g.streamOrigins, Quarantine: g.quarantine, Pool: g.upstreamPool, Clock: g.clock,
+		Endpoints: g.endpoints.placementTable, Retries: g.retryLimiter, Origins: g.streamOrigins, Quarantine: g.quarantine, Pool: g.upstreamPool, Permits: g.permits, OnStatement: func(string) {}, Clock: g.clock,
 		ClosesConnections: g.closesCallerConns, IsOutdated: g.isOutdated, ShutdownTime: g.requestCutoffTime, IsForceClosing: g.abortingRequests.Load, Log: g.sampledLog, OnRequestEnd: g.requestObserver(), OnPlaced: g.loadReporter.reportPlacement,
 	}
 	server := &http.Server{Handler: g.countInFlight(handler), MaxHeaderBytes: maxHeaderBytes, ConnState: g.callerConns.ConnState}
--- a/internal/placement/assignment.go
+++ b/internal/placement/assignment.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"guavapier/internal/discovery"
+	"guavapier/internal/quota"
 )
 
 // Outcome is how an attempt ended, as far as it concerns the choice of endpoints.
@@ -55,7 +56,9 @@
 	// PrefillTime is the expected duration of the prefill, including a fetch.
 	PrefillTime   time.Duration
 	id            uint64
-	usesShare     bool // It counts against the share of a cold endpoint.
+	placedAt      time.Duration
+	usesShare     bool      // It counts against the share of a cold endpoint.
+	quotaUse      quota.Use // Of the endpoint's request limit.
 	sent          bool
 	endpointState *endpointState
 	table         *Table
@@ -86,16 +89,16 @@
 }
 
 // OnReply records whether the endpoint has rejected the request for want of room, and what it
-// states of itself, and reports whether that is not what it stated before. It has to be called
+// states of itself in its answer to the request of this ID, and reports whether that is not what it stated before. It has to be called
 // after OnAnswerStart, unless another endpoint has answered.
-func (a *Assignment) OnReply(rejected bool, s Statement, now time.Duration) (changed bool) {
+func (a *Assignment) OnReply(rejected bool, s Statement, request string, now time.Duration) (changed bool) {
 	a.table.mu.Lock()
 	defer a.table.mu.Unlock()
 	a.table.setRejectionLimit(a.Endpoint.Service, s.RejectionLimit)
 	if rejected {
 		a.table.recordRejection(a.endpointState, now)
 	}
-	return a.endpointState.onStatement(s)
+	return a.endpointState.onStatement(s, request, a.placedAt, now)
 }
 
 // Done records the end of the attempt. It has to be called exactly once.
@@ -107,6 +110,9 @@
 	if a.usesShare && !a.sent {
 		e.coldSends.pending--
 	}
+	if !a.sent {
+		e.GiveBack(a.quotaUse)
+	}
 	if _, unanswered := e.unanswered[a.id]; unanswered && a.sent {
 		a.table.recordRejection(e, now) // The answer that was lost may have been one.
 	}
--- a/internal/placement/condition.go
+++ b/internal/placement/condition.go
@@ -32,6 +32,9 @@
 	// ReasonRejections means that further requests might be more than the endpoint can reject
 	// without crashing.
 	ReasonRejections Reason = "rejection limit"
+	// ReasonRequestLimit means that this instance may not send the endpoint one more request
+	// now, by the limit that the endpoint states.
+	ReasonRequestLimit Reason = "request limit"
 )
 
 const (
@@ -54,9 +57,8 @@
 // share of a cold endpoint is set in warmup.go. docs/ARCHITECTURE.md has the states as a
 // diagram.
 type condition struct {
-	stated   Statement // In its latest answer.
-	leaving  bool      // It is about to end, by its entry.
-	cordoned bool      // Operators have cordoned its availability zone.
+	leaving  bool // It is about to end, by its entry.
+	cordoned bool // Operators have cordoned its availability zone.
 	// replaced is set when another endpoint answers at the address and cleared when the entry
 	// changes. A connection that succeeds is one to the other endpoint and shows nothing.
 	replaced bool
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -129,6 +129,9 @@
 // shared part and the endpoint's ID (rendezvous hashing). The last part of a prompt
 // belongs to the request alone; without a shared part the result is nil.
 //
+// An endpoint with a request limit is preferred only if all have one: it could take few of
+// its prompts, which move to another endpoint each.
+//
 // If each instance chose for itself, the shared parts would be computed at a
 // different endpoint for each. Instances that a network partition cuts off from an
 // availability zone agree on another endpoint that they can reach.
@@ -138,13 +141,14 @@
 	}
 	key := xxhash.Sum64String(q.Parts[len(q.Parts)-2].ID)
 	var preferred *endpointState
-	highest := uint64(0)
+	highest, limited := uint64(0), false
 	for _, e := range t.endpoints {
 		if e.Service != q.Service || !e.mayBePreferred(now) {
 			continue
 		}
-		if h := mixHash(key ^ e.idHash); preferred == nil || h > highest {
-			preferred, highest = e, h
+		h := mixHash(key ^ e.idHash)
+		if preferred == nil || limited && !e.IsBound() || limited == e.IsBound() && h > highest {
+			preferred, highest, limited = e, h, e.IsBound()
 		}
 	}
 	return preferred
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -58,6 +58,8 @@
 	discovery.Endpoint
 	condition
 	rejectionState
+	statements
+	requestLimit
 	idHash   uint64 // Hash of the endpoint's ID.
 	inFlight int    // This instance's requests.
 	// unanswered holds the attempts whose answer has not started, by assignment ID.
@@ -83,12 +85,17 @@
 	rejections map[string]serviceRejections
 	fleet      fleet
 	lastID     uint64 // Of the latest assignment.
+	// permitsWanted receives when a request could have used a permit.
+	permitsWanted chan struct{}
+	// returnsDue is, by service, when the last caller is to come back that was refused for
+	// request limits.
+	returnsDue map[string]time.Duration
 }
 
 // New returns an empty table for a process that starts at now. The seed determines how ties
 // are broken, so that tests are reproducible.
 func New(seed uint64, now time.Duration) *Table {
-	return &Table{rng: rand.New(rand.NewPCG(seed, seed)), endpoints: map[string]*endpointState{}, rejections: map[string]serviceRejections{}, fleet: fleet{usedFrom: now + warmUpWindow, version: 1}}
+	return &Table{rng: rand.New(rand.NewPCG(seed, seed)), endpoints: map[string]*endpointState{}, rejections: map[string]serviceRejections{}, fleet: fleet{usedFrom: now + warmUpWindow, version: 1}, permitsWanted: make(chan struct{}, 1), returnsDue: map[string]time.Duration{}}
 }
 
 // Put adds or updates an endpoint. All that was recorded of it is discarded if it has
@@ -144,6 +151,7 @@
 	for use := UseNormal; use < UseNone && best == nil; use++ {
 		best = t.cheapestByVersion(q, now, use)
 	}
+	t.recordWant(q, best, now)
 	if best == nil {
 		t.recordShortage(q.Service, now)
 		return nil
@@ -151,7 +159,7 @@
 	prefill := best.estimatePrefill(q, now)
 	a := &Assignment{
 		Endpoint: best.Endpoint, Cost: best.cost(q, now), MissingTokens: prefill.missingTokens, InFlight: best.inFlight,
-		PrefillTime: time.Duration(prefill.ms * float64(time.Millisecond)), endpointState: best, table: t,
+		PrefillTime: time.Duration(prefill.ms * float64(time.Millisecond)), endpointState: best, table: t, placedAt: now,
 	}
 	if prefill.fetchFrom != nil {
 		a.FetchFrom = prefill.fetchFrom.Address
@@ -160,6 +168,9 @@
 	t.lastID++
 	a.id = t.lastID
 	best.inFlight++
+	if best.IsBound() {
+		a.quotaUse = best.Take(now)
+	}
 	if best.isCold(now) {
 		a.usesShare = true
 		best.coldSends.pending++
@@ -206,10 +217,14 @@
 		t.updateShare(e)
 	}
 	t.updateRejectionRoom(e, now)
+	t.updateQuota(e, now)
 	use, reason := e.use(now)
 	if use < UseNone && e.rejectionsLimited && e.rejectionRoom <= 0 {
 		return UseNone, ReasonRejections
 	}
+	if use < UseNone && !e.HasRoom(now) {
+		return UseNone, ReasonRequestLimit
+	}
 	return use, reason
 }
 
--- a/internal/placement/rejections_test.go
+++ b/internal/placement/rejections_test.go
@@ -66,7 +66,7 @@
 		a := table.Place(placement.Query{Service: "s", Zone: "z"}, f.now)
 		a.OnSend(f.now)
 		a.OnAnswerStart(f.now, true)
-		a.OnReply(false, placement.Statement{RejectionLimit: f.limit}, f.now)
+		a.OnReply(false, placement.Statement{RejectionLimit: f.limit}, "r", f.now)
 		a.Done(placement.Answered, f.now)
 	}
 }
@@ -113,7 +113,7 @@
 		return
 	}
 	a.OnAnswerStart(f.now, !answer.rejected)
-	a.OnReply(answer.rejected, placement.Statement{RejectionLimit: f.limit}, f.now)
+	a.OnReply(answer.rejected, placement.Statement{RejectionLimit: f.limit}, "r", f.now)
 	if answer.rejected {
 		a.Done(placement.Failed, f.now)
 	} else {
@@ -179,7 +179,7 @@
 	a := p.Place(placement.Query{Service: "s"}, 0)
 	a.OnSend(0)
 	a.OnAnswerStart(0, false)
-	a.OnReply(true, placement.Statement{RejectionLimit: 1}, 0)
+	a.OnReply(true, placement.Statement{RejectionLimit: 1}, "r", 0)
 	a.Done(placement.Failed, 0)
 	if b := p.Place(placement.Query{Service: "s"}, 0); b != nil {
 		t.Fatal("placed although the endpoint bears no further rejection")
@@ -187,7 +187,7 @@
 	b := p.Place(placement.Query{Service: "s"}, 2*time.Second)
 	b.OnSend(2 * time.Second)
 	b.OnAnswerStart(2*time.Second, true)
-	b.OnReply(false, placement.Statement{RejectionLimit: 0}, 2*time.Second)
+	b.OnReply(false, placement.Statement{RejectionLimit: 0}, "r", 2*time.Second)
 	for range 20 {
 		if p.Place(placement.Query{Service: "s"}, 2*time.Second) == nil {
 			t.Fatal("not placed although the endpoint states no limit any more")
--- /dev/null
+++ b/internal/placement/request_limits.go
@@ -0,0 +1,217 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"guavapier/internal/quota"
+)
+
+const (
+	// minRequestLimit is the lowest limit that is kept to: without a request now and then the
+	// endpoint could not state another one.
+	minRequestLimit = 0.05 // requests per second
+	// maxRequestLimit is the limit from which on one is taken for none.
+	maxRequestLimit = 10_000.0 // requests per second
+)
+
+// requestLimit is what an endpoint's limit of requests leaves to this instance.
+type requestLimit struct {
+	quota.Quota
+	quotaLimit   float64 // The limit by which the quota is divided; 0 for none.
+	quotaVersion int     // The fleet.version by which it is.
+}
+
+// updateQuota divides the endpoint's rate anew if the limit or the fleet has changed.
+func (t *Table) updateQuota(e *endpointState, now time.Duration) {
+	limit := e.requestRate()
+	if limit == e.quotaLimit && (limit == 0 || e.quotaVersion == t.fleet.version) {
+		return
+	}
+	e.quotaLimit, e.quotaVersion = limit, t.fleet.version
+	if limit == 0 {
+		e.SetDivision(quota.Division{}, now)
+		return
+	}
+	owners := quota.OwnerCount(limit, len(t.fleet.instances))
+	rank, listed := t.fleet.rank(e.idHash)
+	if !listed || rank >= owners {
+		rank = -1
+	}
+	phase := float64(mixHash(e.idHash^t.fleet.self)>>11) / (1 << 53)
+	e.SetDivision(quota.Division{
+		PerSecond: limit, Instances: len(t.fleet.instances), Owners: owners, Rank: rank, Others: t.fleet.first(e.idHash, owners), Phase: phase,
+	}, now)
+}
+
+// recordWant records that a request which is placed on best, nil for none, would have been
+// placed on an endpoint whose request limit is used up.
+func (t *Table) recordWant(q Query, best *endpointState, now time.Duration) {
+	var wanted *endpointState
+	lowest := 0.0
+	for _, e := range t.endpoints {
+		if !e.IsBound() || e.HasRoom(now) || !t.mayTake(e, q, now) {
+			continue
+		}
+		if cost := e.cost(q, now); wanted == nil || cost < lowest {
+			wanted, lowest = e, cost
+		}
+	}
+	if wanted == nil || best != nil && best.cost(q, now) <= lowest {
+		return
+	}
+	wanted.Want(now)
+	select {
+	case t.permitsWanted <- struct{}{}:
+	default: // A signal is waiting.
+	}
+}
+
+// mayTake reports whether the request could be placed on the endpoint but for its request
+// limit.
+func (t *Table) mayTake(e *endpointState, q Query, now time.Duration) bool {
+	use, _ := e.use(now)
+	return use < UseNone && e.matches(q) && !slices.Contains(q.Exclude, e.ID)
+}
+
+// PermitsWanted returns a channel that receives when a request could have used a permit.
+func (t *Table) PermitsWanted() <-chan struct{} { return t.permitsWanted }
+
+// AwaitsPermits reports whether an instance that owns a part of the request limit of an
+// endpoint for the query is being asked for permits, or is to be.
+func (t *Table) AwaitsPermits(q Query, now time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	q.maxDoubt = versionUncertain
+	for _, e := range t.endpoints {
+		if e.IsBound() && t.mayTake(e, q, now) && (e.HasRoom(now) || e.IsAsking(now)) {
+			return true
+		}
+	}
+	return false
+}
+
+// PermitAsk asks another instance, which owns a part of an endpoint's request limit, for
+// permits.
+type PermitAsk struct {
+	Known StatedLimit // By the instance that asks.
+	Count int
+}
+
+// PermitGrant is the reply to a PermitAsk.
+type PermitGrant struct {
+	Granted int           // Permits, each for quota.PermitLifetime from the call on.
+	NextIn  time.Duration // Until there is room for another one.
+	Known   StatedLimit   // By the instance that grants.
+}
+
+// PermitAsks returns what to ask other instances for now, by their names.
+func (t *Table) PermitAsks(now time.Duration) map[string][]PermitAsk {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	byOwner := map[string][]PermitAsk{}
+	for _, e := range t.endpoints {
+		t.updateQuota(e, now)
+		for owner, count := range e.Asks(now) {
+			byOwner[owner] = append(byOwner[owner], PermitAsk{Known: e.statedLimit(now), Count: count})
+		}
+	}
+	return byOwner
+}
+
+// GrantPermits replies to another instance, in the order of its questions.
+func (t *Table) GrantPermits(asks []PermitAsk, now time.Duration) []PermitGrant {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	grants := make([]PermitGrant, len(asks))
+	for i, ask := range asks {
+		grants[i] = t.grant(ask, now)
+	}
+	return grants
+}
+
+// grant replies to one question. An endpoint that is not known here, or names no limit here, has
+// none to grant; what is known here tells the other instance so.
+func (t *Table) grant(ask PermitAsk, now time.Duration) PermitGrant {
+	const unknownRetry = time.Second
+	t.recordStatedLimit(ask.Known, now)
+	e := t.endpoints[ask.Known.Endpoint]
+	if e == nil {
+		return PermitGrant{NextIn: unknownRetry}
+	}
+	t.updateQuota(e, now)
+	granted, nextIn := 0, unknownRetry
+	if e.IsBound() {
+		granted, nextIn = e.Grant(ask.Count, now)
+	}
+	return PermitGrant{Granted: granted, NextIn: nextIn, Known: e.statedLimit(now)}
+}
+
+// ReceivePermits records the reply of another instance to the questions of askedAt.
+func (t *Table) ReceivePermits(owner string, asks []PermitAsk, grants []PermitGrant, askedAt, now time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i, ask := range asks[:min(len(asks), len(grants))] {
+		t.recordStatedLimit(grants[i].Known, now)
+		if e := t.endpoints[ask.Known.Endpoint]; e != nil {
+			e.Receive(owner, grants[i].Granted, max(0, grants[i].NextIn), askedAt, now)
+		}
+	}
+}
+
+// RecordPermitFailure records that another instance could not be asked.
+func (t *Table) RecordPermitFailure(owner string, asks []PermitAsk, now time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, ask := range asks {
+		if e := t.endpoints[ask.Known.Endpoint]; e != nil {
+			e.Unreachable(owner, now)
+		}
+	}
+}
+
+// RequestLimits returns what endpoints of a service with a request limit have stated, at most n
+// of them.
+func (t *Table) RequestLimits(service string, n int, now time.Duration) []StatedLimit {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var limits []StatedLimit
+	for _, e := range t.endpoints {
+		if e.Service == service && e.stated.LimitsRequests {
+			limits = append(limits, e.statedLimit(now))
+		}
+	}
+	slices.SortFunc(limits, func(a, b StatedLimit) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	return limits[:min(n, len(limits))]
+}
+
+// RequestLimitDelay returns when a caller is to come back whose request no endpoint may get for
+// their request limits, and false if these are not why. Callers come back one after the other,
+// at the rate that this instance's part of the limits allows.
+func (t *Table) RequestLimitDelay(q Query, now time.Duration) (time.Duration, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	rate := 0.0
+	q.maxDoubt = versionUncertain
+	for _, e := range t.endpoints {
+		t.updateQuota(e, now)
+		if e.IsBound() && t.mayTake(e, q, now) {
+			rate += e.requestRate()
+		}
+	}
+	if rate == 0 {
+		return 0, false
+	}
+	interval := time.Duration(float64(time.Second) * float64(max(1, len(t.fleet.instances))) / rate)
+	at := max(t.returnsDue[q.Service], now) + interval
+	if at-now > maxReturnDelay {
+		return time.Duration(t.rng.Int64N(int64(maxReturnDelay))), true
+	}
+	t.returnsDue[q.Service] = at
+	return at - now, true
+}
+
+// maxReturnDelay bounds how long a caller is asked to stay away. Beyond it the rate is far
+// exceeded, and callers are spread over the time.
+const maxReturnDelay = 5 * time.Second
--- a/internal/placement/statement.go
+++ b/internal/placement/statement.go
@@ -1,5 +1,7 @@
 package placement
 
+import "time"
+
 // Statement is what an endpoint states of itself in an answer. The zero value states nothing.
 type Statement struct {
 	// RejectionLimit is the number of requests that the endpoint can reject in a second
@@ -11,10 +13,73 @@
 	RequestLimit   float64
 }
 
-// onStatement records what the endpoint has stated in its latest answer, and reports whether
-// that is not what it stated before.
-func (c *condition) onStatement(s Statement) (changed bool) {
-	changed = c.stated != s
-	c.stated = s
-	return changed
+// statements is what an endpoint has stated. It ends with the endpoint's process: a new one has
+// a new endpointState.
+type statements struct {
+	stated   Statement
+	statedAt time.Duration // When stated was first known to hold.
+	// confirmedAt is when an answer last stated a request limit.
+	confirmedAt time.Duration
+	statedTo    string // ID of the request whose answer stated it; "" if another instance has told.
+}
+
+// onStatement records what the endpoint has stated in an answer to a request of sentAt, and
+// reports whether that is news. An answer without a limit may have been begun before the last
+// one that states it if its request was sent before that arrived.
+func (s *statements) onStatement(stated Statement, request string, sentAt, now time.Duration) (changed bool) {
+	if stated.LimitsRequests {
+		s.confirmedAt = now
+	} else if s.stated.LimitsRequests && sentAt < s.confirmedAt {
+		stated.LimitsRequests, stated.RequestLimit = true, s.stated.RequestLimit
+	}
+	if stated == s.stated {
+		return false
+	}
+	s.stated, s.statedAt, s.statedTo = stated, now, request
+	return true
+}
+
+// requestRate returns the requests a second that the endpoint takes from all instances; 0 for
+// any number.
+func (s *statements) requestRate() float64 {
+	if !s.stated.LimitsRequests || s.stated.RequestLimit >= maxRequestLimit {
+		return 0
+	}
+	return max(s.stated.RequestLimit, minRequestLimit)
+}
+
+// StatedLimit is what one instance knows of an endpoint's request limit. Other instances are
+// told so.
+type StatedLimit struct {
+	Endpoint string // Its ID.
+	Born     int64  // Of its process.
+	Limits   bool
+	Limit    float64
+	Age      time.Duration // Since it was stated.
+	Request  string        // ID of the request to which it was; "" if another instance has told.
+}
+
+// statedLimit returns what is known of the endpoint's request limit.
+func (e *endpointState) statedLimit(now time.Duration) StatedLimit {
+	return StatedLimit{
+		Endpoint: e.ID, Born: e.Born, Limits: e.stated.LimitsRequests, Limit: e.stated.RequestLimit, Age: now - max(e.statedAt, e.confirmedAt), Request: e.statedTo,
+	}
+}
+
+// recordStatedLimit records what another instance knows of an endpoint's request limit, and
+// reports whether that is news. What was stated last counts.
+func (t *Table) recordStatedLimit(l StatedLimit, now time.Duration) (changed bool) {
+	e, at := t.endpoints[l.Endpoint], now-max(l.Age, 0)
+	if e == nil || e.Born != l.Born || at <= max(e.statedAt, e.confirmedAt) {
+		return false
+	}
+	if l.Limits {
+		e.confirmedAt = at
+	}
+	if e.stated.LimitsRequests == l.Limits && e.stated.RequestLimit == l.Limit {
+		return false
+	}
+	e.stated.LimitsRequests, e.stated.RequestLimit = l.Limits, l.Limit
+	e.statedAt, e.statedTo = at, ""
+	return true
 }
--- a/internal/placement/warmup.go
+++ b/internal/placement/warmup.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // WarmUp is how the cold endpoints of a service may be used. An endpoint is cold for some
@@ -26,31 +24,6 @@
 	sharedBudgetRatio = 0.8
 )
 
-// fleet is what an instance's share of a cold endpoint depends on.
-type fleet struct {
-	self uint64 // Hash of this instance's name.
-	// instances are the hashes of the names of all instances, this one included; empty until
-	// they are known.
-	instances []uint64
-	// usedFrom is when the first request may be sent to a cold endpoint: not in the first
-	// window of a process, as the one before it may have used its share just before it ended.
-	usedFrom time.Duration
-	version  int // Changes with the fields above and with the warm-ups.
-}
-
-// SetInstances sets the names of the fleet's instances, of which this one is self. Names stay
-// the same across restarts. Until the first call no request is placed on a cold endpoint.
-func (t *Table) SetInstances(self string, names []string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.fleet.self = xxhash.Sum64String(self)
-	t.fleet.instances = make([]uint64, len(names))
-	for i, name := range names {
-		t.fleet.instances[i] = xxhash.Sum64String(name)
-	}
-	t.fleet.version++
-}
-
 // SetWarmUps sets the warm-up of each service; a service without one has no cold endpoints.
 func (t *Table) SetWarmUps(byService map[string]WarmUp) {
 	t.mu.Lock()
@@ -84,20 +57,6 @@
 	return each
 }
 
-// rank returns this instance's rank among all instances for the endpoint, 0 for the first, and
-// whether it is listed among them.
-func (f *fleet) rank(endpoint uint64) (rank int, listed bool) {
-	own := mixHash(endpoint ^ f.self)
-	for _, instance := range f.instances {
-		if instance == f.self {
-			listed = true
-		} else if mixHash(endpoint^instance) > own {
-			rank++
-		}
-	}
-	return rank, listed
-}
-
 // divide divides a number of requests among at most n owners with the same whole number each,
 // so that as few as possible are left over, and among as many owners as possible.
 func divide(requests, n int) (owners, each int) {
--- a/internal/route/urgency.go
+++ b/internal/route/urgency.go
@@ -22,6 +22,13 @@
 	return slices.Compact(list)
 }
 
+// PriorityShare returns the part of the desired state's priorities, from above 0 to 1, that are
+// at least as urgent as the request's.
+func (c *Config) PriorityShare(r *Route, org *Organisation) float64 {
+	rank, _ := slices.BinarySearch(c.priorities, EffectivePriority(r, org))
+	return float64(rank+1) / float64(max(1, len(c.priorities)))
+}
+
 // Urgency returns the urgency level, from 0 to UrgencyLevels-1, of a request with the given
 // size class, 0 being the smallest. Requests are ordered by effective priority, and those of
 // one priority by size class. The levels are divided evenly among the state's priorities;
