gateway: instances tell each other what endpoints state

An instance that had not heard of an endpoint's limit found out by a request of its own: 413 instances, 413 requests to an endpoint that takes one a second.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -109,6 +109,7 @@
 	streamOrigins    *streamOrigins
 	shareLoans       *shareLoans
 	permits          *permits
+	statements       *statements
 	quarantine       *quarantine.Syncer // Requests that must not be sent to endpoints.
 	registry         *registry.Registry // The fleet's instances.
 	linkMeter        linkload.Meter
@@ -208,6 +209,10 @@
 	if err := g.peerServer.Register(permitsServiceName, g.permits); err != nil {
 		return nil, err
 	}
+	g.statements = newStatements(g.streamOrigins.pool, g.streamOrigins.names, placementTable, clock, g.sampledLog)
+	if err := g.peerServer.Register(statementsServiceName, g.statements); err != nil {
+		return nil, err
+	}
 	g.registerTablesAndMetrics()
 	return g, nil
 }
@@ -248,7 +253,7 @@
 func (g *Gateway) newCallersServer() *http.Server {
 	handler := &forward.Forwarder{
 		Zone: g.settings.Gateway.Zone, Codec: g.platform.Codec, State: g.config.Load, Budgets: budgetAdapter{g.budgets},
-		Endpoints: g.endpoints.placementTable, Retries: g.retryLimiter, Origins: g.streamOrigins, Quarantine: g.quarantine, Pool: g.upstreamPool, Permits: g.permits, OnStatement: func(string) {}, Clock: g.clock,
+		Endpoints: g.endpoints.placementTable, Retries: g.retryLimiter, Origins: g.streamOrigins, Quarantine: g.quarantine, Pool: g.upstreamPool, Permits: g.permits, OnStatement: g.statements.onStatement, Clock: g.clock,
 		ClosesConnections: g.closesCallerConns, IsOutdated: g.isOutdated, ShutdownTime: g.requestCutoffTime, IsForceClosing: g.abortingRequests.Load, Log: g.sampledLog, OnRequestEnd: g.requestObserver(), OnPlaced: g.loadReporter.reportPlacement,
 	}
 	server := &http.Server{Handler: g.countInFlight(handler), MaxHeaderBytes: maxHeaderBytes, ConnState: g.callerConns.ConnState}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -38,6 +38,7 @@
 	backgroundWork.Go(func() error { g.streamOrigins.Run(backgroundCtx); return nil })
 	backgroundWork.Go(func() error { g.shareLoans.run(backgroundCtx); return nil })
 	backgroundWork.Go(func() error { g.permits.run(backgroundCtx); return nil })
+	backgroundWork.Go(func() error { g.statements.run(backgroundCtx); return nil })
 	backgroundWork.Go(func() error { g.prober.run(backgroundCtx); return nil })
 	backgroundWork.Go(func() error { g.runHousekeeping(backgroundCtx); return nil })
 	serving.Go(func() error { return g.peerServer.Serve(g.peersListener) })
--- a/internal/placement/request_limits.go
+++ b/internal/placement/request_limits.go
@@ -95,15 +95,15 @@
 // PermitAsk asks another instance, which owns a part of an endpoint's request limit, for
 // permits.
 type PermitAsk struct {
-	Known StatedLimit // By the instance that asks.
+	Known StatementReport // By the instance that asks.
 	Count int
 }
 
 // PermitGrant is the reply to a PermitAsk.
 type PermitGrant struct {
-	Granted int           // Permits, each for quota.PermitLifetime from the call on.
-	NextIn  time.Duration // Until there is room for another one.
-	Known   StatedLimit   // By the instance that grants.
+	Granted int             // Permits, each for quota.PermitLifetime from the call on.
+	NextIn  time.Duration   // Until there is room for another one.
+	Known   StatementReport // By the instance that grants.
 }
 
 // PermitAsks returns what to ask other instances for now, by their names.
@@ -114,7 +114,7 @@
 	for _, e := range t.endpoints {
 		t.updateQuota(e, now)
 		for owner, count := range e.Asks(now) {
-			byOwner[owner] = append(byOwner[owner], PermitAsk{Known: e.statedLimit(now), Count: count})
+			byOwner[owner] = append(byOwner[owner], PermitAsk{Known: e.report(now), Count: count})
 		}
 	}
 	return byOwner
@@ -135,7 +135,7 @@
 // none to grant; what is known here tells the other instance so.
 func (t *Table) grant(ask PermitAsk, now time.Duration) PermitGrant {
 	const unknownRetry = time.Second
-	t.recordStatedLimit(ask.Known, now)
+	t.recordReport(ask.Known, now)
 	e := t.endpoints[ask.Known.Endpoint]
 	if e == nil {
 		return PermitGrant{NextIn: unknownRetry}
@@ -145,7 +145,7 @@
 	if e.IsBound() {
 		granted, nextIn = e.Grant(ask.Count, now)
 	}
-	return PermitGrant{Granted: granted, NextIn: nextIn, Known: e.statedLimit(now)}
+	return PermitGrant{Granted: granted, NextIn: nextIn, Known: e.report(now)}
 }
 
 // ReceivePermits records the reply of another instance to the questions of askedAt.
@@ -153,7 +153,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for i, ask := range asks[:min(len(asks), len(grants))] {
-		t.recordStatedLimit(grants[i].Known, now)
+		t.recordReport(grants[i].Known, now)
 		if e := t.endpoints[ask.Known.Endpoint]; e != nil {
 			e.Receive(owner, grants[i].Granted, max(0, grants[i].NextIn), askedAt, now)
 		}
@@ -173,16 +173,16 @@
 
 // RequestLimits returns what endpoints of a service with a request limit have stated, at most n
 // of them.
-func (t *Table) RequestLimits(service string, n int, now time.Duration) []StatedLimit {
+func (t *Table) RequestLimits(service string, n int, now time.Duration) []StatementReport {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var limits []StatedLimit
+	var limits []StatementReport
 	for _, e := range t.endpoints {
 		if e.Service == service && e.stated.LimitsRequests {
-			limits = append(limits, e.statedLimit(now))
+			limits = append(limits, e.report(now))
 		}
 	}
-	slices.SortFunc(limits, func(a, b StatedLimit) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	slices.SortFunc(limits, func(a, b StatementReport) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
 	return limits[:min(n, len(limits))]
 }
 
--- a/internal/placement/request_limits_test.go
+++ b/internal/placement/request_limits_test.go
@@ -170,9 +170,9 @@
 		t.Error("the instance that was asked sends as before")
 	}
 	stale := known[0]
-	stale.Limit, stale.Age = 100, time.Minute
+	stale.RequestLimit, stale.Age = 100, time.Minute
 	tables[1].GrantPermits([]placement.PermitAsk{{Known: stale, Count: 1}}, now)
-	if got := tables[1].RequestLimits("s", 1, now)[0].Limit; got != 0.1 {
+	if got := tables[1].RequestLimits("s", 1, now)[0].RequestLimit; got != 0.1 {
 		t.Errorf("limit %v after hearing an older one, want 0.1", got)
 	}
 }
--- a/internal/placement/statement.go
+++ b/internal/placement/statement.go
@@ -48,38 +48,65 @@
 	return max(s.stated.RequestLimit, minRequestLimit)
 }
 
-// StatedLimit is what one instance knows of an endpoint's request limit. Other instances are
+// StatementReport is what one instance knows of an endpoint's request limit. Other instances are
 // told so.
-type StatedLimit struct {
+type StatementReport struct {
 	Endpoint string // Its ID.
 	Born     int64  // Of its process.
-	Limits   bool
-	Limit    float64
-	Age      time.Duration // Since it was stated.
-	Request  string        // ID of the request to which it was; "" if another instance has told.
+	// LimitsRequests and RequestLimit are as in Statement.
+	LimitsRequests bool
+	RequestLimit   float64
+	Age            time.Duration // Since it was stated.
+	Request        string        // ID of the request to which it was; "" if another instance has told.
+}
+
+// report returns what is known of the endpoint's statements.
+func (e *endpointState) report(now time.Duration) StatementReport {
+	return StatementReport{
+		Endpoint: e.ID, Born: e.Born, LimitsRequests: e.stated.LimitsRequests, RequestLimit: e.stated.RequestLimit, Age: now - max(e.statedAt, e.confirmedAt), Request: e.statedTo,
+	}
+}
+
+// Reports returns what is known of the statements of endpoints, given by their IDs.
+func (t *Table) Reports(endpoints []string, now time.Duration) []StatementReport {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var reports []StatementReport
+	for _, id := range endpoints {
+		if e := t.endpoints[id]; e != nil {
+			reports = append(reports, e.report(now))
+		}
+	}
+	return reports
 }
 
-// statedLimit returns what is known of the endpoint's request limit.
-func (e *endpointState) statedLimit(now time.Duration) StatedLimit {
-	return StatedLimit{
-		Endpoint: e.ID, Born: e.Born, Limits: e.stated.LimitsRequests, Limit: e.stated.RequestLimit, Age: now - max(e.statedAt, e.confirmedAt), Request: e.statedTo,
+// RecordReports records what another instance knows of endpoints' statements, and returns the IDs
+// of the endpoints for which that is news.
+func (t *Table) RecordReports(reports []StatementReport, now time.Duration) (news []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range reports {
+		if t.recordReport(r, now) {
+			news = append(news, r.Endpoint)
+		}
 	}
+	return news
 }
 
-// recordStatedLimit records what another instance knows of an endpoint's request limit, and
-// reports whether that is news. What was stated last counts.
-func (t *Table) recordStatedLimit(l StatedLimit, now time.Duration) (changed bool) {
-	e, at := t.endpoints[l.Endpoint], now-max(l.Age, 0)
-	if e == nil || e.Born != l.Born || at <= max(e.statedAt, e.confirmedAt) {
+// recordReport records what another instance knows of an endpoint's statements, and reports
+// whether that is news. What was stated last counts.
+func (t *Table) recordReport(r StatementReport, now time.Duration) (changed bool) {
+	e, at := t.endpoints[r.Endpoint], now-max(r.Age, 0)
+	if e == nil || e.Born != r.Born || at <= max(e.statedAt, e.confirmedAt) {
 		return false
 	}
-	if l.Limits {
+	if r.LimitsRequests {
 		e.confirmedAt = at
 	}
-	if e.stated.LimitsRequests == l.Limits && e.stated.RequestLimit == l.Limit {
+	if e.stated.LimitsRequests == r.LimitsRequests && e.stated.RequestLimit == r.RequestLimit {
 		return false
 	}
-	e.stated.LimitsRequests, e.stated.RequestLimit = l.Limits, l.Limit
+	e.stated.LimitsRequests, e.stated.RequestLimit = r.LimitsRequests, r.RequestLimit
 	e.statedAt, e.statedTo = at, ""
 	return true
 }
