placement: an endpoint leaves as soon as an answer says so

Cause: of an endpoint's leaving only its entry was read, and each entry overwrote what was known. Class: a statement of another party that nothing reads. Other instances are told with the same reports as of limits; one of another process of the endpoint is ignored.

--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -46,7 +46,7 @@
 // logStatement logs what an endpoint states of itself, where that has changed.
 func (c *call) logStatement(s placement.Statement) {
 	c.f.Log.Info().Str("request", c.ID).Str("endpoint", c.endpoint).Bool("limits_requests", s.LimitsRequests).Float64("request_limit", s.RequestLimit).
-		Int("rejection_limit", s.RejectionLimit).Msg("forward: endpoint states its limits")
+		Int("rejection_limit", s.RejectionLimit).Bool("leaving", s.Leaving).Msg("forward: endpoint states something new")
 }
 
 // maxLoggedLimits bounds the endpoints whose request limits one line tells.
--- a/internal/placement/condition.go
+++ b/internal/placement/condition.go
@@ -57,6 +57,7 @@
 // share of a cold endpoint is set in warmup.go. docs/ARCHITECTURE.md has the states as a
 // diagram.
 type condition struct {
+	statements
 	leaving  bool // It is about to end, by its entry.
 	cordoned bool // Operators have cordoned its availability zone.
 	// replaced is set when another endpoint answers at the address and cleared when the entry
@@ -94,6 +95,10 @@
 	coldSends    sendWindow
 }
 
+// isLeaving reports whether the endpoint is about to end, by its entry or by an answer, whichever
+// says so first: an entry may come late, or not at all while the store is away.
+func (c *condition) isLeaving() bool { return c.leaving || c.stated.Leaving }
+
 // isCold reports whether the endpoint is warming up.
 func (c *condition) isCold(now time.Duration) bool { return now < c.coldUntil }
 
@@ -109,7 +114,7 @@
 // use returns what the endpoint may be used for, and why not for everything.
 func (c *condition) use(now time.Duration) (Use, Reason) {
 	switch {
-	case c.leaving:
+	case c.isLeaving():
 		return UseNone, ReasonLeaving
 	case c.cordoned:
 		return UseNone, ReasonCordoned
@@ -132,7 +137,7 @@
 // mayBePreferred reports whether prompts may be assigned to the endpoint by its hash. A
 // back-off is too short, and known to too few instances, to move prompts elsewhere.
 func (c *condition) mayBePreferred(now time.Duration) bool {
-	return !c.leaving && !c.cordoned && !c.replaced && !c.unreachable && !c.isCold(now)
+	return !c.isLeaving() && !c.cordoned && !c.replaced && !c.unreachable && !c.isCold(now)
 }
 
 // mayBeFetchedFrom reports whether other endpoints may fetch cached parts of prompts from
@@ -149,7 +154,7 @@
 }
 
 // mayGetRequests reports whether operators and the endpoint itself let it have new requests.
-func (c *condition) mayGetRequests() bool { return !c.leaving && !c.cordoned }
+func (c *condition) mayGetRequests() bool { return !c.isLeaving() && !c.cordoned }
 
 // failureCount returns the number of consecutive failures.
 func (c *condition) failureCount() int { return c.consecutiveFailures }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -58,7 +58,6 @@
 	discovery.Endpoint
 	condition
 	rejectionState
-	statements
 	requestLimit
 	idHash   uint64 // Hash of the endpoint's ID.
 	inFlight int    // This instance's requests.
--- a/internal/placement/statement.go
+++ b/internal/placement/statement.go
@@ -11,6 +11,8 @@
 	// from all instances together.
 	LimitsRequests bool
 	RequestLimit   float64
+	// Leaving reports whether the endpoint is about to end and must get no more requests.
+	Leaving bool
 }
 
 // statements is what an endpoint has stated. It ends with the endpoint's process: a new one has
@@ -32,6 +34,7 @@
 	} else if s.stated.LimitsRequests && sentAt < s.confirmedAt {
 		stated.LimitsRequests, stated.RequestLimit = true, s.stated.RequestLimit
 	}
+	stated.Leaving = stated.Leaving || s.stated.Leaving // Its process stays no more once it leaves.
 	if stated == s.stated {
 		return false
 	}
@@ -56,14 +59,16 @@
 	// LimitsRequests and RequestLimit are as in Statement.
 	LimitsRequests bool
 	RequestLimit   float64
-	Age            time.Duration // Since it was stated.
+	Leaving        bool
+	Age            time.Duration // Since the limit was stated.
 	Request        string        // ID of the request to which it was; "" if another instance has told.
 }
 
 // report returns what is known of the endpoint's statements.
 func (e *endpointState) report(now time.Duration) StatementReport {
 	return StatementReport{
-		Endpoint: e.ID, Born: e.Born, LimitsRequests: e.stated.LimitsRequests, RequestLimit: e.stated.RequestLimit, Age: now - max(e.statedAt, e.confirmedAt), Request: e.statedTo,
+		Endpoint: e.ID, Born: e.Born, LimitsRequests: e.stated.LimitsRequests, RequestLimit: e.stated.RequestLimit, Leaving: e.stated.Leaving,
+		Age: now - max(e.statedAt, e.confirmedAt), Request: e.statedTo,
 	}
 }
 
@@ -94,10 +99,22 @@
 }
 
 // recordReport records what another instance knows of an endpoint's statements, and reports
-// whether that is news. What was stated last counts.
+// whether that is news. Of request limits the one that was stated last counts.
 func (t *Table) recordReport(r StatementReport, now time.Duration) (changed bool) {
-	e, at := t.endpoints[r.Endpoint], now-max(r.Age, 0)
-	if e == nil || e.Born != r.Born || at <= max(e.statedAt, e.confirmedAt) {
+	e := t.endpoints[r.Endpoint]
+	if e == nil || e.Born != r.Born {
+		return false
+	}
+	if r.Leaving && !e.stated.Leaving {
+		e.stated.Leaving, changed = true, true
+	}
+	return e.recordReportedLimit(r, now-max(r.Age, 0)) || changed
+}
+
+// recordReportedLimit records the request limit of a report as of a time, and reports whether that
+// is news.
+func (e *endpointState) recordReportedLimit(r StatementReport, at time.Duration) (changed bool) {
+	if at <= max(e.statedAt, e.confirmedAt) {
 		return false
 	}
 	if r.LimitsRequests {
--- a/internal/placement/version.go
+++ b/internal/placement/version.go
@@ -58,7 +58,7 @@
 		return false
 	}
 	for _, e := range t.endpoints {
-		if e.matches(q) && !e.leaving && !e.replaced {
+		if e.matches(q) && !e.isLeaving() && !e.replaced {
 			return true
 		}
 	}
