placement: an endpoint that asks for rest gets nothing until its end

What was seen: an endpoint that had answered 503 with Retry-After got request after request in that time, and turned each away; its callers got 503. Cause: the field was read nowhere, and the instance's own back-off (0.5 s after two failures, and only as long as another endpoint may be used) stood for it. Class: a statement of another party that nothing reads, and a back-off by guess where the other side has named the time. Why this works: the rest is a state of its own that no answer ends and no lack of other endpoints overrides. Where all endpoints rest, callers are refused at once with the time of the first that is back, spread over half a second. After it an instance sends one request until it is answered, for a second at most. The test's repeatable case uses a route without a timeout for each attempt, which a busy machine exceeds.

--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -49,6 +49,11 @@
 		Int("rejection_limit", s.RejectionLimit).Bool("leaving", s.Leaving).Msg("forward: endpoint states something new")
 }
 
+// logRest logs that an endpoint has asked this instance for rest.
+func (c *call) logRest(length time.Duration) {
+	c.f.Log.Info().Str("request", c.ID).Str("endpoint", c.endpoint).Str("via", c.via).Dur("rest", length).Msg("forward: endpoint asks for rest")
+}
+
 // maxLoggedLimits bounds the endpoints whose request limits one line tells.
 const maxLoggedLimits = 3
 
--- a/internal/forward/origin.go
+++ b/internal/forward/origin.go
@@ -96,10 +96,12 @@
 
 // noEndpointRefusal returns the refusal of a request that no endpoint may get now.
 func (c *call) noEndpointRefusal(reason Reason) *refusal {
-	limited := c.requestLimitRefusal()
+	limited, resting := c.requestLimitRefusal(), c.restRefusal()
 	switch {
 	case limited != nil:
 		return limited
+	case resting != nil:
+		return resting
 	case c.origin == nil:
 		return notRun(reason, defaultRetryAfter)
 	case !c.f.Endpoints.HasVersion(c.origin.Service, c.origin.Version):
--- a/internal/forward/permits.go
+++ b/internal/forward/permits.go
@@ -54,6 +54,9 @@
 	if reply.Misdirected || reply.RequestID != c.ID && !reply.NotRun {
 		return
 	}
+	if reply.Statement.Rest > 0 {
+		c.logRest(reply.Statement.Rest)
+	}
 	if assignment.OnReply(reply.NotRun, reply.Statement, c.ID, c.f.Clock()) {
 		c.logStatement(reply.Statement)
 		c.f.OnStatement(assignment.Endpoint.ID)
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -25,6 +25,7 @@
 	ReasonBudgetExhausted    Reason = "budget exhausted"
 	ReasonInsufficientTokens Reason = "budget not at hand"
 	ReasonNoEndpoint         Reason = "no endpoint"
+	ReasonResting            Reason = "endpoints resting"
 	ReasonRequestLimit       Reason = "request limits of the endpoints"
 	ReasonEndpointsRefused   Reason = "endpoints refused"
 	ReasonQuarantined        Reason = "endpoints ended under this request"
--- a/internal/placement/assignment.go
+++ b/internal/placement/assignment.go
@@ -98,6 +98,10 @@
 	if rejected {
 		a.table.recordRejection(a.endpointState, now)
 	}
+	a.endpointState.onRest(s.Rest, now)
+	if !rejected {
+		a.endpointState.onTaken(a.placedAt)
+	}
 	return a.endpointState.onStatement(s, request, a.placedAt, now)
 }
 
--- a/internal/placement/condition.go
+++ b/internal/placement/condition.go
@@ -25,6 +25,7 @@
 	ReasonLeaving     Reason = "leaving"
 	ReasonCordoned    Reason = "zone cordoned"
 	ReasonReplaced    Reason = "replaced"    // Another endpoint has its address.
+	ReasonResting     Reason = "resting"     // It has asked this instance for rest.
 	ReasonCold        Reason = "cold"        // And this instance's share of it is used up.
 	ReasonUnconfirmed Reason = "unconfirmed" // Reachable again, and perhaps cold.
 	ReasonUnreachable Reason = "unreachable"
@@ -58,6 +59,7 @@
 // diagram.
 type condition struct {
 	statements
+	rest
 	leaving  bool // It is about to end, by its entry.
 	cordoned bool // Operators have cordoned its availability zone.
 	// replaced is set when another endpoint answers at the address and cleared when the entry
@@ -135,9 +137,9 @@
 }
 
 // mayBePreferred reports whether prompts may be assigned to the endpoint by its hash. A
-// back-off is too short, and known to too few instances, to move prompts elsewhere.
+// back-off and most rests are too short, and known to too few instances, to move prompts elsewhere.
 func (c *condition) mayBePreferred(now time.Duration) bool {
-	return !c.isLeaving() && !c.cordoned && !c.replaced && !c.unreachable && !c.isCold(now)
+	return !c.isLeaving() && !c.cordoned && !c.replaced && !c.unreachable && !c.isCold(now) && now+cachedPartTTL > c.restsUntil
 }
 
 // mayBeFetchedFrom reports whether other endpoints may fetch cached parts of prompts from
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -218,6 +218,9 @@
 	t.updateRejectionRoom(e, now)
 	t.updateQuota(e, now)
 	use, reason := e.use(now)
+	if use < UseNone && e.wantsNothing(len(e.unanswered), now) {
+		return UseNone, ReasonResting
+	}
 	if use < UseNone && e.rejectionsLimited && e.rejectionRoom <= 0 {
 		return UseNone, ReasonRejections
 	}
--- a/internal/placement/request_limits.go
+++ b/internal/placement/request_limits.go
@@ -72,7 +72,7 @@
 // limit.
 func (t *Table) mayTake(e *endpointState, q Query, now time.Duration) bool {
 	use, _ := e.use(now)
-	return use < UseNone && e.matches(q) && !slices.Contains(q.Exclude, e.ID)
+	return use < UseNone && !e.wantsNothing(len(e.unanswered), now) && e.matches(q) && !slices.Contains(q.Exclude, e.ID)
 }
 
 // PermitsWanted returns a channel that receives when a request could have used a permit.
--- a/internal/placement/statement.go
+++ b/internal/placement/statement.go
@@ -13,6 +13,9 @@
 	RequestLimit   float64
 	// Leaving reports whether the endpoint is about to end and must get no more requests.
 	Leaving bool
+	// Rest is how long the endpoint, which has rejected the request, wants nothing from this
+	// instance; 0 if it does not say so.
+	Rest time.Duration
 }
 
 // statements is what an endpoint has stated. It ends with the endpoint's process: a new one has
@@ -35,6 +38,7 @@
 		stated.LimitsRequests, stated.RequestLimit = true, s.stated.RequestLimit
 	}
 	stated.Leaving = stated.Leaving || s.stated.Leaving // Its process stays no more once it leaves.
+	stated.Rest = 0                                     // It concerns this instance alone.
 	if stated == s.stated {
 		return false
 	}
