upstream: an answer whose header does not end is given up

What was seen: an endpoint that sends a header field, a status line or informational answers without end fills the memory of each instance that asks it (heap 4 to 5,086 MiB in 6 s, by the maintainers). Cause: headers were read without a bound, as were answers to other requests; only the deadline ended them. Change: 64 KiB for all that comes before the end of a header, 256 KiB for an answer to another request, 64 KiB and 0.1 s for a refusal's body. TestAnAnswerWithoutEndIsGivenUp: 8 of 13 forms red before (256 MiB read, heap up to 1,582 MiB, requests that end with the route's time), none now.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -21,6 +21,13 @@
 // passed on as they arrive.
 const maxBufferedAnswerBytes = 256 << 10
 
+const (
+	// maxRefusalBytes and maxRefusalTime bound the reading of a refusal's body, after which the
+	// connection can be used again. The request may go to another endpoint meanwhile.
+	maxRefusalBytes = 64 << 10
+	maxRefusalTime  = 100 * time.Millisecond
+)
+
 // attemptResult is the outcome of one attempt: the final answer, or the reason why
 // there is none.
 type attemptResult struct {
@@ -231,7 +238,7 @@
 	c.tried = append(c.tried, c.endpoint)
 	c.recordReply(assignment, reply)
 	if reply.NotRun {
-		_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, maxBufferedAnswerBytes)) // The connection can be reused only if the body was read to its end.
+		a.DiscardBody(maxRefusalBytes, maxRefusalTime)
 		if !reply.Misdirected {
 			c.reachedCount++
 		}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -47,7 +47,7 @@
 // while the connection is idle, so that unexpected bytes or its end are noticed before the
 // connection is reused.
 type conn struct {
-	net.Conn
+	*limitedConn
 	br          *bufio.Reader
 	bw          *bufio.Writer
 	firstByte   chan error // Receives nil when a byte has arrived, else the read error.
@@ -59,8 +59,9 @@
 
 // newConn returns a conn for an established connection, waiting for the first byte.
 func newConn(c net.Conn, idleTimeout time.Duration) *conn {
+	limited := &limitedConn{Conn: c}
 	out := &conn{
-		Conn: c, br: bufio.NewReaderSize(c, readBufferBytes), bw: bufio.NewWriterSize(c, writeBufferBytes),
+		limitedConn: limited, br: bufio.NewReaderSize(limited, readBufferBytes), bw: bufio.NewWriterSize(c, writeBufferBytes),
 		firstByte: make(chan error, 1), idleTimeout: idleTimeout,
 	}
 	if indirect, ok := c.(Indirect); ok {
@@ -132,8 +133,8 @@
 		if out.Matches == nil || out.Matches(resp.StatusCode, resp.Header) {
 			return resp, writeErr, nil
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
-			return nil, nil, eris.Wrap(ErrBroken, "upstream: connection ended after the answer to another request")
+		if err := discard(resp.Body, maxStrayBytes); err != nil || resp.Close {
+			return nil, nil, eris.Wrap(errors.Join(ErrBroken, err), "upstream: connection ended after the answer to another request")
 		}
 		c.awaitFirstByte()
 	}
@@ -143,6 +144,8 @@
 // readHead reads the status and header of the next answer and skips informational (1xx)
 // ones.
 func (c *conn) readHead(method string) (*http.Response, error) {
+	c.limit(maxHeadBytes)
+	defer c.unlimit()
 	for {
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
 		if err != nil {
@@ -154,6 +157,15 @@
 	}
 }
 
+// discard reads a body to its end. It fails if that is not reached within maxBytes.
+func discard(body io.Reader, maxBytes int64) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxBytes+1))
+	if err == nil && n > maxBytes {
+		return errBodyTooLarge
+	}
+	return err
+}
+
 // write sends the request, with Host and, unless it is a GET or HEAD without a body,
 // Content-Length added to its header.
 func (c *conn) write(out *Outgoing) error {
