--- a/internal/logstore/client.go
+++ b/internal/logstore/client.go
@@ -126,6 +126,9 @@
 	return err
 }
 
+// maxAnswerBytes bounds the body of an answer; a page of records has a few megabytes at most.
+const maxAnswerBytes = 64 << 20
+
 // roundTrip sends one request, decodes the JSON body of its response into out unless that is
 // nil, and returns the response's header. The error of a failed call or of a status other than
 // 200 is ErrUnavailable, ErrThrottled, ErrTrimmed or errNotModified, which may be wrapped. With
@@ -146,6 +149,7 @@
 		return nil, eris.Wrap(errors.Join(ErrUnavailable, err), "logstore: send request")
 	}
 	defer resp.Body.Close()
+	resp.Body = http.MaxBytesReader(nil, resp.Body, maxAnswerBytes)
 	if err := statusError(resp); err != nil {
 		if errors.Is(err, ErrTrimmed) && out != nil {
 			// The body holds the first offset still kept; see Page.First.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -81,9 +81,10 @@
 	cordons   map[string]bool // Cordoned availability zones.
 	warmUps   map[string]WarmUp
 	// rejections is by service; services without a rejection limit may be left out.
-	rejections map[string]serviceRejections
-	fleet      fleet
-	lastID     uint64 // Of the latest assignment.
+	rejections  map[string]serviceRejections
+	fleet       fleet
+	lastID      uint64 // Of the latest assignment.
+	limitsKnown bool   // Some endpoint has stated a request limit since the start.
 	// permitsWanted receives when a request could have used a permit.
 	permitsWanted chan struct{}
 	// returnsDue is, by service, when the last caller is to come back that was refused for
--- a/internal/placement/request_limits.go
+++ b/internal/placement/request_limits.go
@@ -34,6 +34,7 @@
 		e.SetDivision(quota.Division{}, now)
 		return
 	}
+	t.limitsKnown = true
 	owners := quota.OwnerCount(limit, len(t.fleet.instances))
 	rank, listed := t.fleet.rank(e.idHash)
 	if !listed || rank >= owners {
@@ -48,6 +49,9 @@
 // recordWant records that a request which is placed on best, nil for none, would have been
 // placed on an endpoint whose request limit is used up.
 func (t *Table) recordWant(q Query, best *endpointState, now time.Duration) {
+	if !t.limitsKnown {
+		return
+	}
 	var wanted *endpointState
 	lowest := 0.0
 	for _, e := range t.endpoints {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -124,7 +124,7 @@
 func (q *Quota) IsBound() bool { return q.division.PerSecond > 0 }
 
 // HasRoom reports whether a request may be sent now.
-func (q *Quota) HasRoom(now time.Duration) bool { return q.source(now) != sourceNone || !q.IsBound() }
+func (q *Quota) HasRoom(now time.Duration) bool { return !q.IsBound() || q.source(now) != sourceNone }
 
 // source returns what a request could be sent by now.
 func (q *Quota) source(now time.Duration) source {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -151,7 +151,7 @@
 // meantime can't be set and fails when it is used.
 func (p *Pool) setAckTimeout(c *conn, timeout time.Duration) {
 	if p.opts.AckTimeout > 0 {
-		_ = SetUserTimeout(c.limitedConn.Conn, timeout)
+		_ = SetUserTimeout(c.Conn, timeout)
 	}
 }
 
