ledger: the test of idle tokens waits for the witness

Cause: tokens that became free by the end of a use are returned once the witness has acknowledged it; that message is sent by a goroutine which the simulated fleet does not wait for, and the test gave four rounds, so the scheduler decided.

--- a/internal/ledger/scenario_test.go
+++ b/internal/ledger/scenario_test.go
@@ -126,19 +126,29 @@
 	fleet.mu.Lock()
 	fleet.now = fleet.now.Add(2 * time.Hour)
 	fleet.mu.Unlock()
-	for range 4 {
+	// A return waits for the witness to acknowledge the uses that have ended, which comes in its own time.
+	const limit = 10 * time.Second
+	for end := time.Now().Add(limit); time.Now().Before(end) && idleTokensHeld(fleet) != nil; time.Sleep(time.Millisecond) {
 		for _, n := range fleet.instances {
 			n.ledger.Tick(context.Background())
 		}
 		fleet.running.Wait()
 	}
+	if held := idleTokensHeld(fleet); held != nil {
+		t.Fatalf("idle tokens still held: %+v", *held)
+	}
+}
+
+// idleTokensHeld returns a grant that its holder needs not all of, nil if there is none.
+func idleTokensHeld(fleet *simFleet) *ledger.GrantState {
 	for _, n := range fleet.instances {
 		for _, g := range n.ledger.State() {
 			if g.Holder == n.id && (g.Reserved == 0 || g.Free > 0) {
-				t.Fatalf("idle tokens still held: %+v", g)
+				return &g
 			}
 		}
 	}
+	return nil
 }
 
 // ungrantedTokens returns the tokens of mainBudget that are in no grant.
