--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -116,6 +116,15 @@
 	return result
 }
 
+// query returns what the placement table is asked for the next attempt.
+func (c *call) query() placement.Query {
+	q := placement.Query{Service: c.service, Zone: c.f.Zone, Parts: c.PromptParts, Exclude: c.tried}
+	if c.origin != nil {
+		q.VersionOnly, q.Version = true, c.origin.Version
+	}
+	return q
+}
+
 // updateQuarantine reports to the quarantine that the request was answered, or that the
 // connection broke while an endpoint was serving it.
 func (c *call) updateQuarantine(ctx context.Context, assignment *placement.Assignment, result attemptResult, start time.Time) {
--- a/internal/forward/permits.go
+++ b/internal/forward/permits.go
@@ -17,15 +17,6 @@
 	Changed() <-chan struct{}
 }
 
-// query returns what the placement table is asked for the next attempt.
-func (c *call) query() placement.Query {
-	q := placement.Query{Service: c.service, Zone: c.f.Zone, Parts: c.PromptParts, Exclude: c.tried}
-	if c.origin != nil {
-		q.VersionOnly, q.Version = true, c.origin.Version
-	}
-	return q
-}
-
 // place places the next attempt. It waits for permits while some may arrive; the result is nil
 // if no endpoint may get the request.
 func (c *call) place(ctx context.Context) *placement.Assignment {
@@ -48,21 +39,6 @@
 	}
 }
 
-// recordReply records what an endpoint's answer states. One without the request's identity that
-// does not say that nothing was run may be another endpoint's.
-func (c *call) recordReply(assignment *placement.Assignment, reply Reply) {
-	if reply.Misdirected || reply.RequestID != c.ID && !reply.NotRun {
-		return
-	}
-	if reply.Statement.Rest > 0 {
-		c.logRest(reply.Statement.Rest)
-	}
-	if assignment.OnReply(reply.NotRun, reply.Statement, c.ID, c.f.Clock()) {
-		c.logStatement(reply.Statement)
-		c.f.OnStatement(assignment.Endpoint.ID)
-	}
-}
-
 // requestLimitRefusal returns the refusal of a request that no endpoint may get for their request
 // limits; nil if these are not why. Urgent callers come back sooner, and none waits for more
 // than a part of the time that is left to it.
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -57,6 +57,8 @@
 		{"quarantine", "Requests and parts of prompts under which endpoints ended, and those that are held back for it."},
 		{"registry", "The list of the fleet's instances by name."},
 		{"shares", "Shares of endpoints' rejection limits that instances lend each other."},
+		{"permits", "Permits for requests to endpoints that limit them."},
+		{"statements", "What endpoints state of themselves, told among instances."},
 		{"logging", "Lines that were dropped."},
 		{"operator", "Changes and top-ups by operators."},
 	}
--- a/internal/placement/assignment.go
+++ b/internal/placement/assignment.go
@@ -102,7 +102,9 @@
 	if !rejected {
 		a.endpointState.onTaken(a.placedAt)
 	}
-	return a.endpointState.onStatement(s, request, a.placedAt, now)
+	changed = a.endpointState.onStatement(s, request, a.placedAt, now)
+	a.table.updateQuota(a.endpointState, now)
+	return changed
 }
 
 // Done records the end of the attempt. It has to be called exactly once.
@@ -115,7 +117,7 @@
 		e.coldSends.pending--
 	}
 	if !a.sent {
-		e.GiveBack(a.quotaUse)
+		e.quota.GiveBack(a.quotaUse)
 	}
 	if _, unanswered := e.unanswered[a.id]; unanswered && a.sent {
 		a.table.recordRejection(e, now) // The answer that was lost may have been one.
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -147,8 +147,8 @@
 			continue
 		}
 		h := mixHash(key ^ e.idHash)
-		if preferred == nil || limited && !e.IsBound() || limited == e.IsBound() && h > highest {
-			preferred, highest, limited = e, h, e.IsBound()
+		if preferred == nil || limited && !e.quota.IsBound() || limited == e.quota.IsBound() && h > highest {
+			preferred, highest, limited = e, h, e.quota.IsBound()
 		}
 	}
 	return preferred
--- a/internal/placement/fetch.go
+++ b/internal/placement/fetch.go
@@ -74,7 +74,7 @@
 
 // answeredRecently reports whether a fetch from the endpoint will hardly have to wait.
 func (e *endpointState) answeredRecently(now time.Duration) bool {
-	return e.mayBeFetchedFrom(now) && !e.IsBound() && now >= e.restsUntil && e.lastAnswerAt > 0 && now-e.lastAnswerAt < recentAnswerWindow
+	return e.mayBeFetchedFrom(now) && !e.quota.IsBound() && now >= e.restsUntil && e.lastAnswerAt > 0 && now-e.lastAnswerAt < recentAnswerWindow
 }
 
 // fetchSourceFor returns the source for a request that is placed on e. The source's
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -168,8 +168,8 @@
 	t.lastID++
 	a.id = t.lastID
 	best.inFlight++
-	if best.IsBound() {
-		a.quotaUse = best.Take(now)
+	if best.quota.IsBound() {
+		a.quotaUse = best.quota.Take(now)
 	}
 	if best.isCold(now) {
 		a.usesShare = true
@@ -225,7 +225,7 @@
 	if use < UseNone && e.rejectionsLimited && e.rejectionRoom <= 0 {
 		return UseNone, ReasonRejections
 	}
-	if use < UseNone && !e.HasRoom(now) {
+	if use < UseNone && !e.quota.HasRoom(now) {
 		return UseNone, ReasonRequestLimit
 	}
 	return use, reason
--- a/internal/placement/request_limits.go
+++ b/internal/placement/request_limits.go
@@ -18,7 +18,7 @@
 
 // requestLimit is what an endpoint's limit of requests leaves to this instance.
 type requestLimit struct {
-	quota.Quota
+	quota        quota.Quota
 	quotaLimit   float64 // The limit by which the quota is divided; 0 for none.
 	quotaVersion int     // The fleet.version by which it is.
 }
@@ -31,7 +31,7 @@
 	}
 	e.quotaLimit, e.quotaVersion = limit, t.fleet.version
 	if limit == 0 {
-		e.SetDivision(quota.Division{}, now)
+		e.quota.SetDivision(quota.Division{}, now)
 		return
 	}
 	t.limitsKnown = true
@@ -41,7 +41,7 @@
 		rank = -1
 	}
 	phase := float64(mixHash(e.idHash^t.fleet.self)>>11) / (1 << 53)
-	e.SetDivision(quota.Division{
+	e.quota.SetDivision(quota.Division{
 		PerSecond: limit, Instances: len(t.fleet.instances), Owners: owners, Rank: rank, Others: t.fleet.first(e.idHash, owners), Phase: phase,
 	}, now)
 }
@@ -55,7 +55,7 @@
 	var wanted *endpointState
 	lowest := 0.0
 	for _, e := range t.endpoints {
-		if !e.IsBound() || e.HasRoom(now) || !t.mayTake(e, q, now) {
+		if !e.quota.IsBound() || e.quota.HasRoom(now) || !t.mayTake(e, q, now) {
 			continue
 		}
 		if cost := e.cost(q, now); wanted == nil || cost < lowest {
@@ -65,7 +65,7 @@
 	if wanted == nil || best != nil && best.cost(q, now) <= lowest {
 		return
 	}
-	wanted.Want(now)
+	wanted.quota.Want(now)
 	select {
 	case t.permitsWanted <- struct{}{}:
 	default: // A signal is waiting.
@@ -89,7 +89,7 @@
 	defer t.mu.Unlock()
 	q.maxDoubt = versionUncertain
 	for _, e := range t.endpoints {
-		if e.IsBound() && t.mayTake(e, q, now) && (e.HasRoom(now) || e.IsAsking(now)) {
+		if e.quota.IsBound() && t.mayTake(e, q, now) && (e.quota.HasRoom(now) || e.quota.IsAsking(now)) {
 			return true
 		}
 	}
@@ -117,7 +117,7 @@
 	byOwner := map[string][]PermitAsk{}
 	for _, e := range t.endpoints {
 		t.updateQuota(e, now)
-		for owner, count := range e.Asks(now) {
+		for owner, count := range e.quota.Asks(now) {
 			byOwner[owner] = append(byOwner[owner], PermitAsk{Known: e.report(now), Count: count})
 		}
 	}
@@ -146,8 +146,8 @@
 	}
 	t.updateQuota(e, now)
 	granted, nextIn := 0, unknownRetry
-	if e.IsBound() {
-		granted, nextIn = e.Grant(ask.Count, now)
+	if e.quota.IsBound() {
+		granted, nextIn = e.quota.Grant(ask.Count, now)
 	}
 	return PermitGrant{Granted: granted, NextIn: nextIn, Known: e.report(now)}
 }
@@ -159,7 +159,7 @@
 	for i, ask := range asks[:min(len(asks), len(grants))] {
 		t.recordReport(grants[i].Known, now)
 		if e := t.endpoints[ask.Known.Endpoint]; e != nil {
-			e.Receive(owner, grants[i].Granted, max(0, grants[i].NextIn), askedAt, now)
+			e.quota.Receive(owner, grants[i].Granted, max(0, grants[i].NextIn), askedAt, now)
 		}
 	}
 }
@@ -170,7 +170,7 @@
 	defer t.mu.Unlock()
 	for _, ask := range asks {
 		if e := t.endpoints[ask.Known.Endpoint]; e != nil {
-			e.Unreachable(owner, now)
+			e.quota.Unreachable(owner, now)
 		}
 	}
 }
@@ -200,7 +200,7 @@
 	q.maxDoubt = versionUncertain
 	for _, e := range t.endpoints {
 		t.updateQuota(e, now)
-		if e.IsBound() && t.mayTake(e, q, now) {
+		if e.quota.IsBound() && t.mayTake(e, q, now) {
 			rate += e.requestRate()
 		}
 	}
--- a/internal/placement/request_limits_test.go
+++ b/internal/placement/request_limits_test.go
@@ -169,6 +169,13 @@
 	if mayPlace(tables[1], now) {
 		t.Error("the instance that was asked sends as before")
 	}
+	answer(t, tables[0], placement.Statement{}, 40*time.Second, 40*time.Second)
+	delayed := known[0]
+	delayed.Age = 0
+	tables[0].RecordReports([]placement.StatementReport{delayed}, 40*time.Second+10*time.Millisecond)
+	if got := tables[0].RequestLimits("s", 1, now); len(got) > 0 {
+		t.Error("a report that was under way outdoes a later answer")
+	}
 	stale := known[0]
 	stale.RequestLimit, stale.Age = 100, time.Minute
 	tables[1].GrantPermits([]placement.PermitAsk{{Known: stale, Count: 1}}, now)
--- a/internal/placement/statement.go
+++ b/internal/placement/statement.go
@@ -112,9 +112,15 @@
 	if r.Leaving && !e.stated.Leaving {
 		e.stated.Leaving, changed = true, true
 	}
-	return e.recordReportedLimit(r, now-max(r.Age, 0)) || changed
+	changed = e.recordReportedLimit(r, now-max(r.Age, 0)-reportDelay) || changed
+	t.updateQuota(e, now)
+	return changed
 }
 
+// reportDelay is how long a report may have been under way: it must not outdo what this instance
+// has heard since.
+const reportDelay = 250 * time.Millisecond
+
 // recordReportedLimit records the request limit of a report as of a time, and reports whether that
 // is news.
 func (e *endpointState) recordReportedLimit(r StatementReport, at time.Duration) (changed bool) {
