placement: callers are told of rests only where all endpoints rest

By reading: with one endpoint that rests for long and others that are only out of room for a moment, callers were told to come back after the rest. Now the time of the first rest to end is told only if each endpoint that can be reached rests; rest_test.go has the case.

--- a/internal/placement/rest.go
+++ b/internal/placement/rest.go
@@ -36,16 +36,19 @@
 	return now < r.restsUntil || r.resuming && unanswered > 0 && now < r.restsUntil+resumeTime
 }
 
-// RestEndsIn returns when the first of the endpoints that may get the request but for their rests
-// is back; false if none rests.
+// RestEndsIn returns when the first of the endpoints that can be reached is back, if all of them
+// rest; false if not.
 func (t *Table) RestEndsIn(q Query, now time.Duration) (endsIn time.Duration, rests bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	q.maxDoubt = versionUncertain
 	for _, e := range t.endpoints {
-		if now >= e.restsUntil || !e.mayGetRequests() || e.replaced || !e.matches(q) {
+		if !e.matches(q) || !e.mayGetRequests() || e.replaced || e.unreachable {
 			continue
 		}
+		if now >= e.restsUntil {
+			return 0, false
+		}
 		if left := e.restsUntil - now; !rests || left < endsIn {
 			endsIn, rests = left, true
 		}
--- a/internal/placement/rest_test.go
+++ b/internal/placement/rest_test.go
@@ -102,10 +102,10 @@
 
 func TestTheFirstEndpointToBeBackIsTold(t *testing.T) {
 	table := newTable(3)
-	if _, rests := table.RestEndsIn(placement.Query{Service: "s"}, 0); rests {
-		t.Error("an endpoint rests, want none")
-	}
 	for i := range 3 {
+		if _, rests := table.RestEndsIn(placement.Query{Service: "s"}, 0); rests {
+			t.Errorf("all endpoints rest after %d of 3 have asked for it", i)
+		}
 		reject(t, table, time.Duration(i+2)*time.Second, 0)
 	}
 	if endsIn, rests := table.RestEndsIn(placement.Query{Service: "s"}, time.Second); !rests || endsIn != time.Second {
