--- a/internal/placement/request_limits.go
+++ b/internal/placement/request_limits.go
@@ -14,6 +14,9 @@
 	minRequestLimit = 0.05 // requests per second
 	// maxRequestLimit is the limit from which on one is taken for none.
 	maxRequestLimit = 10_000.0 // requests per second
+	// maxReturnDelay bounds how long a caller is asked to stay away. Beyond it the rate is far
+	// exceeded, and callers are spread over that time.
+	maxReturnDelay = 5 * time.Second
 )
 
 // requestLimit is what an endpoint's limit of requests leaves to this instance.
@@ -215,7 +218,3 @@
 	t.returnsDue[q.Service] = at
 	return at - now, true
 }
-
-// maxReturnDelay bounds how long a caller is asked to stay away. Beyond it the rate is far
-// exceeded, and callers are spread over the time.
-const maxReturnDelay = 5 * time.Second
--- a/internal/placement/statement.go
+++ b/internal/placement/statement.go
@@ -55,8 +55,8 @@
 	return max(s.stated.RequestLimit, minRequestLimit)
 }
 
-// StatementReport is what one instance knows of an endpoint's request limit. Other instances are
-// told so.
+// StatementReport is what one instance knows of an endpoint's statements. Other instances are told
+// so.
 type StatementReport struct {
 	Endpoint string // Its ID.
 	Born     int64  // Of its process.
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -49,11 +49,11 @@
 
 // Division is how a rate is divided, as one instance sees it.
 type Division struct {
-	PerSecond float64 // The whole rate; 0 for no bound.
-	Instances int     // In the fleet; 0 if not known yet.
-	Owners    int     // How many instances own a part, this one included.
-	Rank      int     // Of this instance among the owners, from 0; -1 if it is none.
-	Others    []string
+	PerSecond float64  // The whole rate; 0 for no bound.
+	Instances int      // In the fleet; 0 if not known yet.
+	Owners    int      // How many instances own a part, this one included.
+	Rank      int      // Of this instance among the owners, from 0; -1 if it is none.
+	Others    []string // Names of the other owners.
 	// Phase, from 0 to 1, is different for each instance.
 	Phase float64
 }
