--- a/internal/placement/leaving_test.go
+++ b/internal/placement/leaving_test.go
@@ -42,6 +42,7 @@
 	}
 }
 
+// Guards against an endpoint that is used again since its answers overtake each other.
 func TestALaterAnswerWithoutTheFieldDoesNotKeepAnEndpoint(t *testing.T) {
 	table := newLimitedTable()
 	first, second := table.Place(placement.Query{Service: "s"}, 0), table.Place(placement.Query{Service: "s"}, 0)
--- a/internal/placement/request_limits_test.go
+++ b/internal/placement/request_limits_test.go
@@ -44,6 +44,7 @@
 	return table
 }
 
+// Guards against a limit that outlives the process that stated it, or ends with an entry.
 func TestWhatEndsARequestLimit(t *testing.T) {
 	const statedAt = 10 * time.Second
 	for name, c := range map[string]struct {
@@ -88,6 +89,7 @@
 	}
 }
 
+// Guards against an endpoint that is slowed down for a limit that no fleet reaches.
 func TestLimitsThatAreNone(t *testing.T) {
 	for _, limit := range []float64{1e9, 1e300} {
 		table := newLimitedTable()
--- a/internal/placement/rest_test.go
+++ b/internal/placement/rest_test.go
@@ -24,6 +24,7 @@
 	a.Done(placement.Failed, now)
 }
 
+// Guards against requests in a rest, and an endpoint that is left out after it.
 func TestARestIsKept(t *testing.T) {
 	const rest = 3 * time.Second
 	table := newLimitedTable()
@@ -50,6 +51,7 @@
 	}
 }
 
+// Guards against a rest that is cut short by a shorter one.
 func TestOfTwoRestsTheLastToEndCounts(t *testing.T) {
 	for _, rests := range [][]time.Duration{{5 * time.Second, time.Second}, {time.Second, 5 * time.Second}} {
 		table := newLimitedTable()
@@ -62,6 +64,7 @@
 	}
 }
 
+// Guards against an endpoint that is left out for a rejection without a rest.
 func TestARestOfNoTimeIsNone(t *testing.T) {
 	table := newLimitedTable()
 	reject(t, table, 0, 0)
@@ -90,6 +93,7 @@
 	first.Done(placement.Answered, back+time.Second)
 }
 
+// Guards against an endpoint that is left out for good since the first request after its rest is not answered.
 func TestASilentEndpointIsUsedAgainAfterItsRest(t *testing.T) {
 	table := newLimitedTable()
 	reject(t, table, time.Second, 0)
@@ -100,6 +104,7 @@
 	}
 }
 
+// Guards against callers that are told to come back later than an endpoint can serve them.
 func TestTheFirstEndpointToBeBackIsTold(t *testing.T) {
 	table := newTable(3)
 	for i := range 3 {
