quarantine: an answer at the address of a crashed endpoint clears its parts

An answer clears no part if its endpoint is known to have crashed, and it did not matter when.

The test fails on the code before ("the part is suspected after an answer").

Ruled out: the log or the exchange of records (all instances had the same five crashes).

--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -208,6 +208,25 @@
 	}
 }
 
+// Guards against canaries whose answer is ignored. A process that starts at the address of a crashed
+// one is known by the ID of that until the list of endpoints is read again.
+func TestAnAnswerAtTheAddressOfACrashedEndpointClearsItsParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestSyncer("me", standin.NewKeyed(), refusingProbe)
+		e := Endpoint{ID: "e1", Address: "address", Born: 1}
+		s.Broke(t.Context(), promptContent(1, "shared", "bad"), e, time.Millisecond)
+		time.Sleep(time.Second)
+		s.Answered(promptContent(2, "shared"), e)
+		time.Sleep(time.Second)
+		if len(s.Table.lookup(promptContent(3, "shared"))) > 0 {
+			t.Error("the part is suspected after an answer, want it cleared")
+		}
+		if len(s.Table.lookup(promptContent(3, "bad"))) == 0 {
+			t.Error("the part that was not answered is cleared")
+		}
+	})
+}
+
 func TestAnEndpointThatStartsAgainUnderItsIDCountsAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newTestSyncer("me", standin.NewKeyed(), refusingProbe)
--- a/internal/quarantine/syncer.go
+++ b/internal/quarantine/syncer.go
@@ -178,7 +178,8 @@
 
 // Answered records that an endpoint has answered the request completely. Its content is
 // therefore not to blame for a crash. Its parts are not to blame either if the endpoint then
-// goes on; an answer that fails the request tells nothing of them, and comes without them.
+// goes on; an answer that fails the request tells nothing of them, and comes without them. If the
+// endpoint had crashed before, another process has answered at its address.
 func (s *Syncer) Answered(c Content, by Endpoint) {
 	s.Table.recordAnswer(c.Parts, by.incarnation(), time.Now())
 	known := s.Table.lookup(c)
@@ -192,8 +193,9 @@
 	if len(known) == 0 {
 		return
 	}
+	since := time.Now().Add(-confirmDelay)
 	time.AfterFunc(confirmDelay, func() {
-		if s.Table.hasCrashed(by.incarnation()) {
+		if s.Table.hasCrashedSince(by.incarnation(), since) {
 			return
 		}
 		for _, suspect := range known {
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -110,11 +110,12 @@
 	return e != nil && e.crashes >= crashesToSuspect
 }
 
-// hasCrashed reports whether the table knows that the endpoint has crashed.
-func (t *Table) hasCrashed(endpoint string) bool {
+// hasCrashedSince reports whether this instance has learnt since then that the endpoint crashed.
+func (t *Table) hasCrashedSince(endpoint string, since time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.crashes[endpoint] != nil
+	c := t.crashes[endpoint]
+	return c != nil && !c.knownSince.Before(since)
 }
 
 // addCrash records the crash with the entry and the entry with the crash.
