--- a/internal/placement/assignment.go
+++ b/internal/placement/assignment.go
@@ -89,8 +89,9 @@
 }
 
 // OnReply records whether the endpoint has rejected the request for want of room, and what it
-// states of itself in its answer to the request of this ID, and reports whether that is not what it stated before. It has to be called
-// after OnAnswerStart, unless another endpoint has answered.
+// states of itself in its answer to the request of this ID. It reports whether that is not what
+// the endpoint stated before. It has to be called after OnAnswerStart, unless another endpoint has
+// answered.
 func (a *Assignment) OnReply(rejected bool, s Statement, request string, now time.Duration) (changed bool) {
 	a.table.mu.Lock()
 	defer a.table.mu.Unlock()
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -95,7 +95,14 @@
 // New returns an empty table for a process that starts at now. The seed determines how ties
 // are broken, so that tests are reproducible.
 func New(seed uint64, now time.Duration) *Table {
-	return &Table{rng: rand.New(rand.NewPCG(seed, seed)), endpoints: map[string]*endpointState{}, rejections: map[string]serviceRejections{}, fleet: fleet{usedFrom: now + warmUpWindow, version: 1}, permitsWanted: make(chan struct{}, 1), returnsDue: map[string]time.Duration{}}
+	return &Table{
+		rng:           rand.New(rand.NewPCG(seed, seed)),
+		endpoints:     map[string]*endpointState{},
+		rejections:    map[string]serviceRejections{},
+		fleet:         fleet{usedFrom: now + warmUpWindow, version: 1},
+		permitsWanted: make(chan struct{}, 1),
+		returnsDue:    map[string]time.Duration{},
+	}
 }
 
 // Put adds or updates an endpoint. All that was recorded of it is discarded if it has
