placement: an instance's own load at endpoints, and what others tell of theirs

Cause: an instance of 91 knows a ninetieth of an endpoint's load and gets a sample of its speed every 17 s. The table can now be asked for both, and told those of others. No decision reads it yet.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -118,13 +118,22 @@
 
 // query returns what the placement table is asked for the next attempt.
 func (c *call) query() placement.Query {
-	q := placement.Query{Service: c.service, Zone: c.f.Zone, Parts: c.PromptParts, Exclude: c.tried}
+	q := placement.Query{
+		Service: c.service, Zone: c.f.Zone, Parts: c.PromptParts, Exclude: c.tried,
+		Tokens: c.PromptTokens + c.MaxOutputTokens, Target: c.targetLeft(),
+	}
 	if c.origin != nil {
 		q.VersionOnly, q.Version = true, c.origin.Version
 	}
 	return q
 }
 
+// targetLeft returns how long the answer may take to begin within the route's latency target; 0 if
+// there is none or its time is over.
+func (c *call) targetLeft() time.Duration {
+	return max(0, c.route.LatencyTarget-time.Since(c.start))
+}
+
 // updateQuarantine reports to the quarantine that the request was answered, or that the
 // connection broke while an endpoint was serving it.
 func (c *call) updateQuarantine(ctx context.Context, assignment *placement.Assignment, result attemptResult, start time.Time) {
--- a/internal/placement/assignment.go
+++ b/internal/placement/assignment.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"guavapier/internal/discovery"
+	"guavapier/internal/endpointload"
 	"guavapier/internal/quota"
 )
 
@@ -57,6 +58,7 @@
 	PrefillTime   time.Duration
 	id            uint64
 	placedAt      time.Duration
+	tokens        int64     // Of Query.Tokens.
 	usesShare     bool      // It counts against the share of a cold endpoint.
 	quotaUse      quota.Use // Of the endpoint's request limit.
 	sent          bool
@@ -82,6 +84,7 @@
 	defer a.table.mu.Unlock()
 	if p, waiting := a.endpointState.unanswered[a.id]; waiting && prefilled && p.updatesSpeed {
 		a.endpointState.speed.observe(p.missingTokens, now-p.sentAt)
+		a.table.keepSample(endpointload.Sample{Endpoint: a.Endpoint.ID, Tokens: p.missingTokens, TTFT: now - p.sentAt})
 	}
 	delete(a.endpointState.unanswered, a.id)
 	a.endpointState.onConnected(a.table.warmUps[a.Endpoint.Service].Duration, now)
@@ -114,6 +117,7 @@
 	defer a.table.mu.Unlock()
 	e := a.endpointState
 	e.inFlight--
+	e.reservedTokens -= a.tokens
 	if a.usesShare && !a.sent {
 		e.coldSends.pending--
 	}
--- /dev/null
+++ b/internal/placement/others_load.go
@@ -0,0 +1,108 @@
+package placement
+
+import (
+	"time"
+
+	"guavapier/internal/endpointload"
+)
+
+const (
+	// maxLoadAge is the age from which on what other instances have told of their load is
+	// ignored: an endpoint has answered most of those requests by then.
+	maxLoadAge = time.Second
+	// maxKeptSamples bounds the samples that wait to be told to the other instances.
+	maxKeptSamples = 256
+)
+
+// othersLoad is what is known of an endpoint's load from the other instances and from the
+// endpoint itself.
+type othersLoad struct {
+	load     endpointload.Load
+	toldAt   time.Duration
+	told     bool
+	report   endpointload.Report
+	reported bool
+	reportAt time.Duration // When report was made, as far as that is known.
+}
+
+// at returns what the other instances have under way at the endpoint; false if that is not known.
+func (o *othersLoad) at(now time.Duration) (endpointload.Load, bool) {
+	if !o.told || now-o.toldAt > maxLoadAge {
+		return endpointload.Load{}, false
+	}
+	return o.load, true
+}
+
+// OwnLoads returns what this instance has under way, by the endpoint's ID. Endpoints without a
+// request are left out.
+func (t *Table) OwnLoads(now time.Duration) map[string]endpointload.Load {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	loads := map[string]endpointload.Load{}
+	for id, e := range t.endpoints {
+		if own := e.ownLoad(now); !own.IsZero() {
+			loads[id] = own
+		}
+	}
+	return loads
+}
+
+// ownLoad returns what this instance has under way at the endpoint.
+func (e *endpointState) ownLoad(now time.Duration) endpointload.Load {
+	load := endpointload.Load{Requests: e.inFlight, Waiting: len(e.unanswered), Tokens: e.reservedTokens}
+	for _, p := range e.unanswered {
+		left := max(0, p.prefillMS-milliseconds(now-p.sentAt))
+		load.Prefill += time.Duration(left * float64(time.Millisecond))
+	}
+	return load
+}
+
+// SetOthersLoads sets what the other instances have under way, by the endpoint's ID, as of now.
+// Endpoints that are left out have nothing.
+func (t *Table) SetOthersLoads(loads map[string]endpointload.Load, now time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, e := range t.endpoints {
+		e.others.load, e.others.toldAt, e.others.told = loads[id], now, true
+	}
+}
+
+// SetReports records what endpoints have stated of their load, by ID.
+func (t *Table) SetReports(reports map[string]endpointload.Report, now time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, report := range reports {
+		e := t.endpoints[id]
+		if e == nil || e.others.reported && e.others.reportAt >= now-report.Age {
+			continue
+		}
+		e.others.report, e.others.reportAt, e.others.reported = report, now-report.Age, true
+	}
+}
+
+// TakeSamples returns the samples of this instance's answers since the last call.
+func (t *Table) TakeSamples() []endpointload.Sample {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	samples := t.samples
+	t.samples = nil
+	return samples
+}
+
+// keepSample keeps a sample for TakeSamples. The newest ones are dropped if nobody takes them.
+func (t *Table) keepSample(s endpointload.Sample) {
+	if len(t.samples) < maxKeptSamples {
+		t.samples = append(t.samples, s)
+	}
+}
+
+// ObserveSamples updates the estimated speeds with the samples of other instances.
+func (t *Table) ObserveSamples(samples []endpointload.Sample) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range samples {
+		if e := t.endpoints[s.Endpoint]; e != nil && s.Tokens >= 0 && s.TTFT > 0 {
+			e.speed.observe(s.Tokens, s.TTFT)
+		}
+	}
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -19,6 +19,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"guavapier/internal/discovery"
+	"guavapier/internal/endpointload"
 )
 
 // Part is a section of a prompt. Prompts that have a section in common use the same ID
@@ -41,6 +42,12 @@
 	VersionOnly bool
 	// Exclude lists the IDs of endpoints that the request has already been sent to.
 	Exclude []string
+	// Tokens is the memory that the request may take at an endpoint at most: its prompt and its
+	// longest answer.
+	Tokens int64
+	// Target is the time to the first token within which the answer is of full use to the
+	// caller, counted from now; 0 for none.
+	Target time.Duration
 
 	// maxDoubt bounds the doubt about an endpoint's version, if VersionOnly.
 	maxDoubt versionDoubt
@@ -67,6 +74,8 @@
 	// busyUntil is when the endpoint is expected to have finished the prefills that
 	// other instances announced.
 	busyUntil             time.Duration
+	others                othersLoad
+	reservedTokens        int64 // Memory that this instance's requests may take at most.
 	speed                 speedEstimator
 	normalizedTokensPerMS float64       // Prefill speed for costs; see normalizeSpeeds.
 	lastAnswerAt          time.Duration // When an answer last started; 0 for never.
@@ -90,6 +99,7 @@
 	// returnsDue is, by service, when the last caller is to come back that was refused for
 	// request limits.
 	returnsDue map[string]time.Duration
+	samples    []endpointload.Sample // For TakeSamples.
 }
 
 // New returns an empty table for a process that starts at now. The seed determines how ties
@@ -166,7 +176,7 @@
 	prefill := best.estimatePrefill(q, now)
 	a := &Assignment{
 		Endpoint: best.Endpoint, Cost: best.cost(q, now), MissingTokens: prefill.missingTokens, InFlight: best.inFlight,
-		PrefillTime: time.Duration(prefill.ms * float64(time.Millisecond)), endpointState: best, table: t, placedAt: now,
+		PrefillTime: time.Duration(prefill.ms * float64(time.Millisecond)), endpointState: best, table: t, placedAt: now, tokens: q.Tokens,
 	}
 	if prefill.fetchFrom != nil {
 		a.FetchFrom = prefill.fetchFrom.Address
@@ -175,6 +185,7 @@
 	t.lastID++
 	a.id = t.lastID
 	best.inFlight++
+	best.reservedTokens += q.Tokens
 	if best.quota.IsBound() {
 		a.quotaUse = best.quota.Take(now)
 	}
