--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -299,6 +299,8 @@
 
 // writeBuffered sends a complete answer to the caller and returns its status.
 func (c *call) writeBuffered(a *bufferedAnswer) int {
+	c.f.SlowReaders.Count(int64(len(a.body)))
+	defer c.f.SlowReaders.Count(-int64(len(a.body)))
 	c.beginAnswer(a.status, a.header, int64(len(a.body)))
 	_, _ = io.Copy(c.w, bytes.NewReader(a.body))
 	return a.status
@@ -328,8 +330,10 @@
 		return attemptResult{reason: ReasonAnswerFailed, sent: true, err: errTimedOutAtStart}
 	}
 	c.beginAnswer(a.Status, a.Header, a.Length)
-	body := &readErrorRecorder{Reader: io.MultiReader(bytes.NewReader(start), a.Body)}
-	_, err := io.Copy(c.w, body)
+	spooled, caller := c.startSpool(a)
+	defer func() { c.endSpool(a, spooled, caller) }()
+	body := &readErrorRecorder{Reader: io.MultiReader(bytes.NewReader(start), spooled)}
+	_, err := io.Copy(caller, body)
 	switch {
 	case body.err != nil:
 		return attemptResult{reason: streamErrorReason(ctx), sent: true, err: body.err}
--- a/internal/forward/drain_test.go
+++ b/internal/forward/drain_test.go
@@ -18,6 +18,7 @@
 	"guavapier/internal/record"
 	"guavapier/internal/retry"
 	"guavapier/internal/route"
+	"guavapier/internal/spool"
 	"guavapier/internal/upstream"
 )
 
@@ -83,7 +84,7 @@
 		Codec: stubCodec{}, State: func() *route.Config { return config }, Budgets: slowBudgets{tokensDelay},
 		Endpoints: placement.New(1, 0), Retries: retry.NewLimiter(retry.Budget{}, 1), Quarantine: emptyQuarantine{}, Pool: upstream.NewPool(upstream.Options{}),
 		Clock: func() time.Duration { return time.Since(start) }, ClosesConnections: func() bool { return true }, IsOutdated: func() bool { return false }, ShutdownTime: shutdownTime, IsForceClosing: func() bool { return false },
-		Log: zerolog.Nop(), OnRequestEnd: func(forward.RequestSummary) {}, OnPlaced: func(*placement.Assignment) {}, Permits: noPermits{},
+		Log: zerolog.Nop(), OnRequestEnd: func(forward.RequestSummary) {}, OnPlaced: func(*placement.Assignment) {}, Permits: noPermits{}, SlowReaders: spool.NewLimiter(1 << 20),
 	}
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -21,6 +21,7 @@
 	"guavapier/internal/record"
 	"guavapier/internal/retry"
 	"guavapier/internal/route"
+	"guavapier/internal/spool"
 	"guavapier/internal/upstream"
 )
 
@@ -39,6 +40,8 @@
 	Quarantine Quarantine
 	Pool       *upstream.Pool
 	Permits    Permits
+	// SlowReaders bounds what is held of answers whose callers read slowly.
+	SlowReaders *spool.Limiter
 	// OnStatement is called when an answer has stated something new of an endpoint.
 	OnStatement func(endpoint string)
 	Clock       func() time.Duration // Monotonic time since an arbitrary start.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"guavapier/internal/placement"
+	"guavapier/internal/spool"
 	"guavapier/internal/upstream"
 )
 
@@ -23,7 +24,9 @@
 // events are sent, so that a stream that breaks off can be resumed after the last one. The
 // result is final only if the endpoint's answer ended properly.
 func (c *call) forwardStream(ctx context.Context, assignment *placement.Assignment, a *upstream.Answer) attemptResult {
-	events := bufio.NewReader(a.Body)
+	body, caller := c.startSpool(a)
+	defer func() { c.endSpool(a, body, caller) }()
+	events := bufio.NewReader(body)
 	for {
 		event, err := readEvent(events)
 		if errors.Is(err, io.EOF) && len(event) == 0 {
@@ -41,7 +44,7 @@
 			return attemptResult{reason: ReasonOriginUnknown, sent: true}
 		}
 		c.sendHeader(a)
-		if !c.writeEvent(event) {
+		if !c.writeEvent(caller, event) {
 			return attemptResult{reason: ReasonCallerDisconnected, sent: true}
 		}
 	}
@@ -68,13 +71,16 @@
 }
 
 // writeEvent sends one event without delay and reports whether the write succeeded.
-func (c *call) writeEvent(event []byte) bool {
+func (c *call) writeEvent(caller *spool.Writer, event []byte) bool {
 	c.phase = phaseCaller
 	c.events++ // Charged even if the write fails: it may have arrived.
-	if _, err := c.w.Write(event); err != nil {
-		return false
-	}
-	if err := http.NewResponseController(c.w).Flush(); err != nil {
+	err := caller.Watch(func() error {
+		if _, err := c.w.Write(event); err != nil {
+			return err
+		}
+		return http.NewResponseController(c.w).Flush()
+	})
+	if err != nil {
 		return false
 	}
 	c.phase = phaseEndpoint
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"guavapier/internal/retry"
 	"guavapier/internal/route"
 	"guavapier/internal/settings"
+	"guavapier/internal/spool"
 	"guavapier/internal/state"
 	"guavapier/internal/upstream"
 )
@@ -87,6 +88,9 @@
 	// memoryLimitRatio is the share of gateway.memory_mb that becomes the Go runtime's soft
 	// memory limit; the rest is for buffers outside the heap.
 	memoryLimitRatio = 0.8
+	// slowReadersRatio is the share of gateway.memory_mb that answers may take whose callers
+	// read slowly.
+	slowReadersRatio = 0.25
 )
 
 // Gateway is one instance: its listeners, its connections and its copies of the fleet's
@@ -118,6 +122,7 @@
 	tunnels          *tunnels // Connections to endpoints through other instances.
 	prober           *prober  // Of endpoints that can't be reached.
 	isolation        isolation
+	slowReaders      *spool.Limiter
 	callerConns      *callers.Connections // Open connections of callers.
 	exitDeadline     time.Time            // When the process is killed; set by shutdown.
 	isDraining       atomic.Bool
@@ -138,6 +143,7 @@
 	g := &Gateway{
 		settings: s, platform: p, log: log, sampledLog: log.Sample(p.Thin), clock: clock, metrics: metrics.New(), tables: state.New(),
 		linkShedder: linkload.NewShedder(s.Gateway.LinkMbps),
+		slowReaders: spool.NewLimiter(int64(float64(s.Gateway.MemoryMB<<20) * slowReadersRatio)),
 		retryLimiter: retry.NewLimiter(retry.Budget{
 			Ratio: s.Retries.Ratio, Extra: float64(s.Retries.Extra), Window: s.Retries.Window.D(),
 		}, initialInstanceCount),
@@ -253,7 +259,7 @@
 func (g *Gateway) newCallersServer() *http.Server {
 	handler := &forward.Forwarder{
 		Zone: g.settings.Gateway.Zone, Codec: g.platform.Codec, State: g.config.Load, Budgets: budgetAdapter{g.budgets},
-		Endpoints: g.endpoints.placementTable, Retries: g.retryLimiter, Origins: g.streamOrigins, Quarantine: g.quarantine, Pool: g.upstreamPool, Permits: g.permits, OnStatement: g.statements.onStatement, Clock: g.clock,
+		Endpoints: g.endpoints.placementTable, Retries: g.retryLimiter, Origins: g.streamOrigins, Quarantine: g.quarantine, Pool: g.upstreamPool, Permits: g.permits, SlowReaders: g.slowReaders, OnStatement: g.statements.onStatement, Clock: g.clock,
 		ClosesConnections: g.closesCallerConns, IsOutdated: g.isOutdated, ShutdownTime: g.requestCutoffTime, IsForceClosing: g.abortingRequests.Load, Log: g.sampledLog, OnRequestEnd: g.requestObserver(), OnPlaced: g.loadReporter.reportPlacement,
 	}
 	server := &http.Server{Handler: g.countInFlight(handler), MaxHeaderBytes: maxHeaderBytes, ConnState: g.callerConns.ConnState}
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -42,6 +42,7 @@
 	g.metrics.Gauge(metrics.GatewayStreamsNotCopied, g.streamOrigins.Dropped)
 	g.registerReachGauges()
 	g.metrics.Gauge(metrics.GatewayTunnelsServed, g.tunnels.server.OpenCount)
+	g.metrics.Gauge(metrics.GatewayHeldForSlowReaders, g.slowReaders.Held)
 	g.registerBudgetGauges()
 	if g.platform.LinesDropped != nil {
 		g.metrics.Gauge(metrics.GatewayLinesDropped, g.platform.LinesDropped)
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -14,6 +14,7 @@
 	GatewayEndpointsUnreachable = "gateway.endpoints_unreachable"
 	GatewayEndpointsWithoutLink = "gateway.endpoints_without_link"
 	GatewayTunnelsServed        = "gateway.tunnels_served"
+	GatewayHeldForSlowReaders   = "gateway.held_for_slow_readers"
 	GatewayStreams              = "gateway.streams"
 	GatewayStreamsNotCopied     = "gateway.streams_not_copied"
 	GatewayQuarantinedRequests  = "gateway.requests_held_back"
@@ -54,6 +55,7 @@
 		{GatewayEndpointsUnreachable, KindGauge, "endpoints", "Those of them to which no connection can be made, not even through other instances."},
 		{GatewayEndpointsWithoutLink, KindGauge, "endpoints", "Those of them to which no connection can be made by the own link. If it is all of them here and none elsewhere, this instance has lost its links."},
 		{GatewayTunnelsServed, KindGauge, "connections", "Connections to endpoints that are open here for other instances."},
+		{GatewayHeldForSlowReaders, KindGauge, "bytes", "Bytes of answers that callers have not read yet: whole answers, and those of callers who read slowly."},
 		{GatewayStreams, KindGauge, "streams", "Streams whose origin is recorded here, those of other instances included."},
 		{GatewayStreamsNotCopied, KindGauge, "streams", "Streams whose origin was not copied to other instances, or not kept for them, because of too many."},
 		{GatewayLinesDropped, KindGauge, "lines", "Log lines dropped because nobody read the output in time, or thinned because they came too fast."},
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -230,6 +230,10 @@
 	return true
 }
 
+// Interrupt makes a read of the body that is under way fail, and all later ones. It may be called
+// while another goroutine reads.
+func (a *Answer) Interrupt() { _ = a.conn.SetReadDeadline(time.Unix(1, 0)) }
+
 // Close returns the connection to the pool if it can be reused and closes it otherwise.
 func (a *Answer) Close() {
 	connOpen := a.unwatch() // False if ctx has ended, which closes the connection.
