check-config: a desired state is checked before it is published

Cause: operators learn of an entry that never matches, or of limits that contradict each other, from their callers.

Change: internal/configcheck finds errors, entries that no request uses and contradictions, and compares with the version in force, a file or the store's. It uses the instances' decoder; the rule for attempts moves from forward to route, so that both judge by one copy.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -29,8 +29,19 @@
 	exitOK      = 0
 	exitFailure = 1
 	exitUsage   = 2
+	// exitUnreadable is the code of a check whose input can't be read.
+	exitUnreadable = 2
 )
 
+// exitError ends a command with an exit code of its own. The text goes to stderr unless it is
+// empty.
+type exitError struct {
+	code int
+	text string
+}
+
+func (e exitError) Error() string { return e.text }
+
 // envPrefix begins the name of the environment variable that sets a flag:
 // GUAVAPIER_TOKEN_FILE sets -token-file.
 const envPrefix = "GUAVAPIER"
@@ -92,6 +103,7 @@
 func (std stdio) handleError(command *ffcli.Command, err error) int {
 	var usage usageError
 	var findings settings.Findings
+	var exit exitError
 	switch {
 	case err == nil:
 		return exitOK
@@ -101,6 +113,11 @@
 	case errors.As(err, &usage):
 		fmt.Fprintf(std.err, "guavapier: %s; usage: %s\n", usage.text, command.ShortUsage)
 		return exitUsage
+	case errors.As(err, &exit):
+		if exit.text != "" {
+			fmt.Fprintln(std.err, "guavapier: "+exit.text)
+		}
+		return exit.code
 	case errors.As(err, &findings):
 		fmt.Fprintln(std.err, findings.Error())
 		return exitFailure
@@ -132,6 +149,7 @@
 		"guavapier serve -standalone",
 		serveCommand(std),
 		checkCommand(std),
+		checkConfigCommand(std),
 		explainCommand(std),
 		reportCommand(std),
 		settingsCommand(std),
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -12,7 +12,6 @@
 
 	"guavapier/internal/placement"
 	"guavapier/internal/quarantine"
-	"guavapier/internal/route"
 	"guavapier/internal/upstream"
 )
 
@@ -64,15 +63,6 @@
 // is retried after it.
 const maxCrashes = 2
 
-// An attempt of an idempotent request is given up for another endpoint after
-// attemptTimeoutFactor times the route's latency target, but not before
-// minAttemptTimeout. An endpoint that is unreachable never answers; one with a queue
-// answers within a few times the target.
-const (
-	attemptTimeoutFactor = 3
-	minAttemptTimeout    = 250 * time.Millisecond
-)
-
 // attempt selects one endpoint, sends it the request and passes on its answer.
 func (c *call) attempt(ctx context.Context) attemptResult {
 	assignment := c.place(ctx)
@@ -185,10 +175,11 @@
 // remaining time if another endpoint may be tried after it.
 func (c *call) withAttemptTimeout(ctx context.Context) (context.Context, context.CancelFunc) {
 	mayTryAnother := c.reachedCount+1 < c.route.MaxEndpoints
-	if c.route.Repeat != route.Idempotent || !mayTryAnother || c.route.LatencyTarget <= 0 {
+	timeout, limited := c.route.AttemptTimeout()
+	if !limited || !mayTryAnother {
 		return context.WithCancel(ctx)
 	}
-	return context.WithTimeout(ctx, max(attemptTimeoutFactor*c.route.LatencyTarget, minAttemptTimeout))
+	return context.WithTimeout(ctx, timeout)
 }
 
 // outgoingRequest builds the request for the assigned endpoint.
--- a/internal/forward/retry.go
+++ b/internal/forward/retry.go
@@ -8,15 +8,9 @@
 	"guavapier/internal/route"
 )
 
-const (
-	// maxAttempts bounds the endpoints tried for one request, including those that were
-	// unreachable or replaced. If one of four availability zones is cut off, 1 of 250
-	// requests would find only unreachable endpoints in four attempts.
-	maxAttempts = 5
-	// minRetryTimeLeft is the least time before the deadline at which a request is
-	// still retried: with less, it would hardly reach another endpoint in time.
-	minRetryTimeLeft = 20 * time.Millisecond
-)
+// minRetryTimeLeft is the least time before the deadline at which a request is still retried:
+// with less, it would hardly reach another endpoint in time.
+const minRetryTimeLeft = 20 * time.Millisecond
 
 // forward sends the request to endpoints until there is a final answer, and returns its
 // status. The context caller ends when the caller disconnects, ctx also at the deadline.
@@ -60,7 +54,7 @@
 
 // mayRetry reports whether the request may be sent to another endpoint after result.
 func (c *call) mayRetry(result attemptResult) bool {
-	if result.noEndpoint || c.reachedCount >= c.route.MaxEndpoints || c.attempts >= maxAttempts {
+	if result.noEndpoint || c.reachedCount >= c.route.MaxEndpoints || c.attempts >= route.MaxAttempts {
 		return false
 	}
 	if !c.mayHaveRun {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -74,8 +74,8 @@
 	// headerReadTimeout bounds reading a request's header. The desired state sets a lower
 	// limit, which callers keep to.
 	headerReadTimeout = 10 * time.Second
-	// maxHeaderBytes bounds a request's header.
-	maxHeaderBytes = 64 << 10
+	// MaxHeaderBytes bounds a request's header, in bytes.
+	MaxHeaderBytes = 64 << 10
 	// defaultCallerIdleTimeout closes idle connections of callers if the desired state sets
 	// no limit.
 	defaultCallerIdleTimeout = 2 * time.Minute
@@ -256,7 +256,7 @@
 		Endpoints: g.endpoints.placementTable, Retries: g.retryLimiter, Origins: g.streamOrigins, Quarantine: g.quarantine, Pool: g.upstreamPool, Permits: g.permits, OnStatement: g.statements.onStatement, Clock: g.clock,
 		ClosesConnections: g.closesCallerConns, IsOutdated: g.isOutdated, ShutdownTime: g.requestCutoffTime, IsForceClosing: g.abortingRequests.Load, Log: g.sampledLog, OnRequestEnd: g.requestObserver(), OnPlaced: g.loadReporter.reportPlacement,
 	}
-	server := &http.Server{Handler: g.countInFlight(handler), MaxHeaderBytes: maxHeaderBytes, ConnState: g.callerConns.ConnState}
+	server := &http.Server{Handler: g.countInFlight(handler), MaxHeaderBytes: MaxHeaderBytes, ConnState: g.callerConns.ConnState}
 	server.DisableGeneralOptionsHandler = true
 	return server
 }
