loads: instances of a large fleet tell each other what they have under way

Cause: in a fleet with allocators no instance knew what the others had sent to an endpoint: of 91 instances each knew a ninetieth of its load, and saw a sample of its speed once in many seconds.

Change: switched on by [load] exchange, each instance tells one collector of its zone every 200 ms (in zones of over 80 instances less often) its requests, waiting prefill and memory by endpoint, its samples and the load of its link, and is told the sums of all others, their samples since, and the zone's links. A reply that covers no other instance is not applied.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -110,6 +110,8 @@
 	shareLoans       *shareLoans
 	permits          *permits
 	statements       *statements
+	loadExchange     *loadExchange
+	loadParts        *loadParts
 	quarantine       *quarantine.Syncer // Requests that must not be sent to endpoints.
 	registry         *registry.Registry // The fleet's instances.
 	linkMeter        linkload.Meter
@@ -179,6 +181,7 @@
 		OnDetails: func(others map[string]registry.Details) {
 			g.tunnels.setCandidates(others)
 			g.streamOrigins.setInstances(others)
+			g.loadExchange.setInstances(g.registry.Details, others)
 		},
 	}
 	g.streamOrigins = g.newStreamOrigins(self)
@@ -213,6 +216,9 @@
 	if err := g.peerServer.Register(statementsServiceName, g.statements); err != nil {
 		return nil, err
 	}
+	if err := g.addLoadExchange(self.Started, placementTable); err != nil {
+		return nil, err
+	}
 	g.registerTablesAndMetrics()
 	return g, nil
 }
--- /dev/null
+++ b/internal/gateway/load_exchange.go
@@ -0,0 +1,357 @@
+package gateway
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"guavapier/internal/endpointload"
+	"guavapier/internal/logstore"
+	"guavapier/internal/metrics"
+	"guavapier/internal/peer"
+	"guavapier/internal/placement"
+	"guavapier/internal/record"
+	"guavapier/internal/registry"
+	"guavapier/internal/state"
+)
+
+const (
+	// endpointLoadServiceName is the name under which peer.Server registers a loadService.
+	endpointLoadServiceName = "EndpointLoad"
+	// exchangeInterval is the pause between two exchanges of an instance with a collector, and
+	// exchangeIntervalPerInstance extends it in large zones, so that a collector gets at most
+	// 200 calls a second.
+	exchangeInterval            = 200 * time.Millisecond
+	exchangeIntervalPerInstance = 2500 * time.Microsecond
+	// exchangeTimeout bounds one call; a later reply is of little use.
+	exchangeTimeout = 150 * time.Millisecond
+	// maxExchangeTries is how many collectors are called for one exchange.
+	maxExchangeTries = 2
+	// collectorRetryDelay is how long an instance that did not answer is called only if no
+	// other one is left.
+	collectorRetryDelay = 2 * time.Second
+	// maxKnownProcesses bounds the processes that an exchange remembers.
+	maxKnownProcesses = 64
+	// maxZoneLinksAge is the age from which on the load of the zone's links is not known.
+	maxZoneLinksAge = 2 * time.Second
+	// maxShownReportAge is the age from which on a state dump doesn't show a report.
+	maxShownReportAge = 10 * time.Second
+)
+
+// ExchangeArgs are the arguments of EndpointLoad.Exchange: what an instance tells of its load.
+type ExchangeArgs struct {
+	Statement endpointload.Statement `cbor:"1,keyasint"`
+	// After is the Version of the last reply of the called process, 0 for none.
+	After uint64 `cbor:"2,keyasint"`
+}
+
+// ExchangeReply is the reply of EndpointLoad.Exchange: what the called instance knows of all
+// others.
+type ExchangeReply struct {
+	Loads   endpointload.LoadList   `cbor:"1,keyasint"` // Of the other instances.
+	Samples endpointload.SampleList `cbor:"2,keyasint"` // Since After.
+	Reports endpointload.ReportList `cbor:"3,keyasint"`
+	Links   endpointload.ZoneLinks  `cbor:"4,keyasint"` // Of the called instance's zone.
+	Version uint64                  `cbor:"5,keyasint"`
+	// Instances is how many instances Loads covers, with the one that asks.
+	Instances int `cbor:"6,keyasint"`
+}
+
+// loadService receives the loads of other instances, as a collector.
+type loadService struct {
+	name, zone string // Of this instance.
+	started    int64  // In Unix milliseconds.
+	table      *endpointload.Table
+	clock      func() time.Duration
+	partSeq    atomic.Uint64 // Of the last message to another collector.
+}
+
+// Exchange records an instance's load and returns those of the others. It is called as
+// EndpointLoad.Exchange.
+func (s *loadService) Exchange(args ExchangeArgs, reply *ExchangeReply) error {
+	now := s.clock()
+	s.table.TellMember(args.Statement, now)
+	sender := args.Statement.Sender.Name
+	reply.Loads = s.table.Others(sender, now)
+	reply.Samples, reply.Reports, reply.Version = s.table.News(args.After, sender, false, now)
+	reply.Links, reply.Instances = s.table.Links(s.zone, now), s.table.CountInstances(now)
+	return nil
+}
+
+// loadExchange tells a collector of the own availability zone what this instance has under way at
+// the endpoints, and gives placement what it answers of all others. Without an answer placement
+// goes by what this instance knows itself.
+type loadExchange struct {
+	name, zone string // Of this instance.
+	isNeeded   func() bool
+	caller     peer.Caller
+	service    *loadService
+	endpoints  *placement.Table
+	linkLoad   func() (load float64, shedding bool)
+	clock      func() time.Duration
+	log        zerolog.Logger
+	collectors atomic.Pointer[endpointload.Collectors]
+
+	made, failed atomic.Int64 // Exchanges.
+
+	mu        sync.Mutex // Guards the fields below.
+	seq       uint64
+	versions  map[record.InstanceID]uint64        // Of the last reply of each process.
+	failedAt  map[record.InstanceID]time.Duration // Of those whose last call failed.
+	updatedAt time.Duration                       // Of the last reply; 0 for none.
+	loads     map[string]endpointload.Load        // Of the other instances, by endpoint.
+	reports   map[string]timedReport              // The newest ones, by endpoint.
+	links     endpointload.ZoneLinks
+}
+
+// newLoadExchange returns an exchange that does nothing before run. Register its service at a
+// peer.Server.
+func newLoadExchange(self registry.Details, name string, started int64, caller peer.Caller, endpoints *placement.Table, clock func() time.Duration, log zerolog.Logger) *loadExchange {
+	x := &loadExchange{
+		name: name, zone: self.Zone, isNeeded: func() bool { return true }, caller: caller, endpoints: endpoints, clock: clock, log: log,
+		service:  &loadService{name: name, zone: self.Zone, started: started, table: endpointload.NewTable(), clock: clock},
+		linkLoad: func() (float64, bool) { return 0, false },
+		reports:  map[string]timedReport{}, versions: map[record.InstanceID]uint64{}, failedAt: map[record.InstanceID]time.Duration{},
+	}
+	x.setInstances(self, nil)
+	return x
+}
+
+// addLoadExchange adds the exchange of loads, which takes place in large fleets for which the
+// settings switch it on. A small one tells every prompt to all; see loadReporter.
+func (g *Gateway) addLoadExchange(started int64, endpoints *placement.Table) error {
+	x := newLoadExchange(g.registry.Details, g.settings.Gateway.Name, started, g.streamOrigins.pool, endpoints, g.clock, g.sampledLog)
+	x.isNeeded = func() bool { return g.settings.Load.Exchange && g.budgets.Accounts.NeedsAllocators() }
+	x.linkLoad = func() (float64, bool) { return g.linkShedder.Load(), g.linkShedder.IsShedding() }
+	g.loadExchange, g.loadParts = x, newLoadParts(x)
+	return g.peerServer.Register(endpointLoadServiceName, x.service)
+}
+
+// setInstances sets the fleet's instances, of which self is this one.
+func (x *loadExchange) setInstances(self registry.Details, others map[string]registry.Details) {
+	fleet := []endpointload.Instance{{Name: x.name, Zone: self.Zone, Process: self.Process, LinkMbps: self.LinkMbps}}
+	for name, details := range others {
+		fleet = append(fleet, endpointload.Instance{Name: name, Zone: details.Zone, Process: details.Process, LinkMbps: details.LinkMbps})
+	}
+	collectors := endpointload.NewCollectors(fleet)
+	x.collectors.Store(&collectors)
+}
+
+// run makes exchanges until ctx ends.
+func (x *loadExchange) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := time.Duration(x.collectors.Load().ZoneSize(x.zone)) * exchangeIntervalPerInstance
+		logstore.Pause(ctx, max(exchangeInterval, pause), nil)
+		if x.isNeeded() {
+			x.exchange(ctx)
+		}
+	}
+}
+
+// exchange tells the first collector that answers this instance's load, and applies its reply.
+func (x *loadExchange) exchange(ctx context.Context) {
+	ids := x.endpoints.EndpointKeys()
+	statement := x.statement(ids)
+	for _, collector := range x.callOrder() {
+		reply, err := x.call(ctx, collector, statement)
+		if err == nil {
+			x.made.Add(1)
+			x.apply(collector.Process, ids, reply)
+			return
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		x.recordFailure(collector, err)
+	}
+	x.failed.Add(1)
+}
+
+// statement returns what this instance tells of its load.
+func (x *loadExchange) statement(ids map[endpointload.Key]string) endpointload.Statement {
+	x.mu.Lock()
+	x.seq++
+	seq := x.seq
+	x.mu.Unlock()
+	s := endpointload.Statement{Sender: endpointload.Sender{Name: x.name, Started: x.service.started, Seq: seq}, Links: endpointload.LinkSum{Instances: 1}}
+	load, shedding := x.linkLoad()
+	s.Links.Load = load
+	if shedding {
+		s.Links.Shedding = 1
+	}
+	own := x.endpoints.OwnLoads(x.clock())
+	keys := make(map[string]endpointload.Key, len(ids))
+	for key, id := range ids {
+		keys[id] = key
+		if l, ok := own[id]; ok {
+			s.Loads = append(s.Loads, endpointload.KeyedLoad{Key: key, Load: l})
+		}
+	}
+	for _, sample := range x.endpoints.TakeSamples() {
+		if key, ok := keys[sample.Endpoint]; ok {
+			s.Samples = append(s.Samples, endpointload.KeyedSample{Key: key, Tokens: int64(sample.Tokens), TTFT: sample.TTFT})
+		}
+	}
+	return s
+}
+
+// callOrder returns the collectors to try, those that did not answer lately last.
+func (x *loadExchange) callOrder() []endpointload.Instance {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now := x.clock()
+	var order, silent []endpointload.Instance
+	for _, i := range x.collectors.Load().For(x.zone, x.name) {
+		if at, failed := x.failedAt[i.Process]; failed && now-at < collectorRetryDelay {
+			silent = append(silent, i)
+		} else {
+			order = append(order, i)
+		}
+	}
+	order = append(order, silent...)
+	return order[:min(len(order), maxExchangeTries)]
+}
+
+// call makes an exchange with one instance, which may be this one.
+func (x *loadExchange) call(ctx context.Context, collector endpointload.Instance, s endpointload.Statement) (ExchangeReply, error) {
+	x.mu.Lock()
+	args := ExchangeArgs{Statement: s, After: x.versions[collector.Process]}
+	x.mu.Unlock()
+	var reply ExchangeReply
+	if collector.Name == x.name {
+		return reply, x.service.Exchange(args, &reply)
+	}
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	err := x.caller.Call(ctx, collector.Process, endpointLoadServiceName+".Exchange", args, &reply)
+	return reply, err
+}
+
+// recordFailure records that an instance did not answer.
+func (x *loadExchange) recordFailure(collector endpointload.Instance, err error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.failedAt[collector.Process] = x.clock()
+	x.log.Info().Err(err).Str("instance", collector.Name).Msg("loads: collector not reached")
+}
+
+// apply gives placement what a collector has answered.
+func (x *loadExchange) apply(from record.InstanceID, ids map[endpointload.Key]string, reply ExchangeReply) {
+	now := x.clock()
+	x.mu.Lock()
+	if len(x.versions) > maxKnownProcesses {
+		clear(x.versions)
+		clear(x.failedAt)
+	}
+	x.versions[from] = reply.Version
+	delete(x.failedAt, from)
+	x.mu.Unlock()
+	if reply.Instances <= 1 { // A collector that was told nothing yet, or this instance, alone.
+		return
+	}
+	loads := make(map[string]endpointload.Load, len(reply.Loads))
+	for _, l := range reply.Loads {
+		if id, ok := ids[l.Key]; ok {
+			loads[id] = l.Load
+		}
+	}
+	x.endpoints.SetOthersLoads(loads, now)
+	var samples []endpointload.Sample
+	for _, s := range reply.Samples {
+		if id, ok := ids[s.Key]; ok {
+			samples = append(samples, endpointload.Sample{Endpoint: id, Tokens: float64(s.Tokens), TTFT: s.TTFT})
+		}
+	}
+	x.endpoints.ObserveSamples(samples)
+	reports := map[string]endpointload.Report{}
+	for _, r := range reply.Reports {
+		if id, ok := ids[r.Key]; ok {
+			reports[id] = r.Report
+		}
+	}
+	x.endpoints.SetReports(reports, now)
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.updatedAt, x.loads, x.links = now, loads, reply.Links
+	maps.DeleteFunc(x.reports, func(_ string, r timedReport) bool { return now-r.madeAt > maxShownReportAge })
+	for id, r := range reports {
+		x.reports[id] = timedReport{Report: r, madeAt: now - r.Age}
+	}
+}
+
+// timedReport is a report of an endpoint that was made at a time.
+type timedReport struct {
+	endpointload.Report
+	madeAt time.Duration
+}
+
+// loadView is what a state dump shows of the exchange.
+type loadView struct {
+	AgeMS      int64                        `json:"age_ms"` // Of Others; -1 if nothing was ever told.
+	Collectors []string                     `json:"collectors"`
+	Told       endpointload.Size            `json:"told"` // What this instance was told as a collector.
+	Links      endpointload.ZoneLinks       `json:"links"`
+	Others     map[string]endpointload.Load `json:"others"` // By endpoint.
+	Reports    map[string]reportView        `json:"reports"`
+}
+
+// reportView is what a state dump shows of an endpoint's report.
+type reportView struct {
+	Running, Waiting        int
+	UsedTokens, TotalTokens int64
+	AgeMS                   int64
+}
+
+// view returns what a state dump shows of the exchange.
+func (x *loadExchange) view() loadView {
+	now := x.clock()
+	v := loadView{AgeMS: x.ageMS(), Told: x.service.table.Size(), Links: x.zoneLinks(), Reports: map[string]reportView{}}
+	for _, i := range x.collectors.Load().For(x.zone, x.name) {
+		v.Collectors = append(v.Collectors, i.Name)
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	v.Others = x.loads
+	for id, r := range x.reports {
+		v.Reports[id] = reportView{r.Running, r.Waiting, r.UsedTokens, r.TotalTokens, (now - r.madeAt).Milliseconds()}
+	}
+	return v
+}
+
+// ageMS returns the age of what is known of the others in milliseconds, -1 if nothing ever was.
+func (x *loadExchange) ageMS() int64 {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.updatedAt == 0 {
+		return -1
+	}
+	return (x.clock() - x.updatedAt).Milliseconds()
+}
+
+// registerMetrics registers the gauges and the state dump's table of the exchange.
+func (x *loadExchange) registerMetrics(registry *metrics.Registry, tables *state.Registry) {
+	registry.Gauge(metrics.GatewayLoadExchanges, x.made.Load)
+	registry.Gauge(metrics.GatewayLoadExchangesFailed, x.failed.Load)
+	registry.Gauge(metrics.GatewayLoadAge, x.ageMS)
+	registry.Gauge(metrics.GatewayLoadedEndpoints, func() int64 {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		return int64(len(x.loads))
+	})
+	tables.Register("loads", func() any { return x.view() })
+}
+
+// zoneLinks returns the load of the links of the zone's instances; not known if no collector has
+// answered lately.
+func (x *loadExchange) zoneLinks() endpointload.ZoneLinks {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.updatedAt == 0 || x.clock()-x.updatedAt > maxZoneLinksAge {
+		return endpointload.ZoneLinks{}
+	}
+	return x.links
+}
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -41,6 +41,7 @@
 	g.metrics.Gauge(metrics.GatewayStreams, func() int64 { return int64(g.streamOrigins.Streams.Len()) })
 	g.metrics.Gauge(metrics.GatewayStreamsNotCopied, g.streamOrigins.Dropped)
 	g.registerReachGauges()
+	g.loadExchange.registerMetrics(g.metrics, g.tables)
 	g.metrics.Gauge(metrics.GatewayTunnelsServed, g.tunnels.server.OpenCount)
 	g.registerBudgetGauges()
 	if g.platform.LinesDropped != nil {
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -59,6 +59,7 @@
 		{"shares", "Shares of endpoints' rejection limits that instances lend each other."},
 		{"permits", "Permits for requests to endpoints that limit them."},
 		{"statements", "What endpoints state of themselves, told among instances."},
+		{"loads", "Loads of endpoints, told among instances."},
 		{"logging", "Lines that were dropped."},
 		{"operator", "Changes and top-ups by operators."},
 	}
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -32,6 +32,12 @@
 	GatewayRetries       = "gateway.repeats"
 	GatewayRetriesDenied = "gateway.repeats_denied"
 	GatewayLinkLoad      = "gateway.link_load"
+	// GatewayLoadExchanges counts the exchanges of endpoints' loads with other instances,
+	// GatewayLoadExchangesFailed those that nobody answered.
+	GatewayLoadExchanges       = "gateway.load_exchanges"
+	GatewayLoadExchangesFailed = "gateway.load_exchanges_failed"
+	GatewayLoadAge             = "gateway.load_age"
+	GatewayLoadedEndpoints     = "gateway.load_endpoints"
 	// GatewayEndsPrefix is followed by the reason why a request ended without a
 	// response of an endpoint. Each reason has a counter of its own.
 	GatewayEndsPrefix = "gateway.ends."
@@ -66,6 +72,10 @@
 		{GatewayRetries, KindGauge, "sends", "Sends of a request beyond its first, from the fleet's budget of repeats."},
 		{GatewayRetriesDenied, KindGauge, "sends", "Repeats that this instance's share of that budget did not cover."},
 		{GatewayLinkLoad, KindGauge, "percent", "What callers and endpoints take of the link's speed, in its fuller direction, over the last second."},
+		{GatewayLoadExchanges, KindGauge, "exchanges", "Times that this instance told its load at the endpoints and was told that of the others."},
+		{GatewayLoadExchangesFailed, KindGauge, "exchanges", "Times that no instance of its zone answered this."},
+		{GatewayLoadAge, KindGauge, "milliseconds", "Time since it was last told; -1 if never, as in a small fleet. Above a second, requests are placed by what it knows itself."},
+		{GatewayLoadedEndpoints, KindGauge, "endpoints", "Endpoints at which the others had requests by that."},
 		{GatewayStoreCallsPrefix, KindCounter, "calls", "Calls to the store, by outcome: ok, unavailable, throttled, trimmed, fenced."},
 		{GatewayEndsPrefix, KindCounter, "requests", "Requests that ended without an endpoint's answer, by reason."},
 	}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -19,6 +19,7 @@
 	Drain   Drain           `toml:"drain"`
 	Retries Retries         `toml:"retries"`
 	WarmUp  WarmUp          `toml:"warm_up"`
+	Load    EndpointLoad    `toml:"load"`
 }
 
 // GatewayInstance identifies the instance and holds its listen addresses
@@ -87,6 +88,12 @@
 	Extra int64   `toml:"extra"`
 }
 
+// EndpointLoad configures what instances of a large fleet tell each other of their loads.
+type EndpointLoad struct {
+	// Exchange makes them tell what each has under way at the endpoints.
+	Exchange bool `toml:"exchange"`
+}
+
 // maxWarmUpRatio is the highest allowed WarmUp.Ratio.
 const maxWarmUpRatio = 100
 
@@ -129,6 +136,7 @@
 		{Name: "retries.window", Unit: "duration", kind: kindDuration, min: int64(100 * time.Millisecond), max: int64(time.Hour), Doc: "The window in which retries.extra counts."},
 		{Name: "warm_up.ratio", Unit: "ratio", kind: kindText, Doc: "Requests that the whole fleet may send in any second to an endpoint that is warming up, for each that the desired state allows its service."},
 		{Name: "warm_up.extra", Unit: "requests", kind: kindCount, min: 0, max: 1_000_000, Doc: "Requests beyond that in any second."},
+		{Name: "load.exchange", Unit: "switch", kind: kindSwitch, Doc: "In a large fleet, instances tell each other what they have under way at the endpoints, several times a second, and place requests by the sums."},
 	}
 }
 
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -22,6 +22,7 @@
 	kindFile
 	kindFiles
 	kindInterfaces
+	kindSwitch
 )
 
 // Key documents one key of the file and defines its valid values.
@@ -97,6 +98,8 @@
 		return "a list of " + strings.Join(interfaceNames(), ", ")
 	case kindFiles:
 		return "at least one file"
+	case kindSwitch:
+		return "true, false"
 	default:
 		return "any text"
 	}
@@ -121,7 +124,7 @@
 	if d, ok := field.Interface().(Duration); ok {
 		return d.D().String()
 	}
-	if field.IsZero() {
+	if field.IsZero() && k.kind != kindSwitch {
 		return "none"
 	}
 	return fmt.Sprint(field.Interface())
