loads: one instance reads what an endpoint states of its load, and tells all

Cause: the waiting and running requests and the memory that endpoints report were read by nobody; reports read by all 58 to 413 instances would cost a probe each.

Change: a collector of the endpoint's zone, selected by hash, reads GET /api/report every 750 ms over the pooled connections, of endpoints at which requests with prompts are under way and that neither leave, rest, warm up, limit requests, are cordoned nor can't be reached. The others are told with the sums. An endpoint that doesn't answer is left alone for 2 s, one whose answer is no report for 10 s. A report that can't be read is one log line and counts as not known.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -46,7 +46,7 @@
 		Store:       platform.NewStore(base.Host, s.Store.Timeout.D()),
 		DecodeState: platform.DecodeState, DecodeEndpoint: platform.DecodeEndpoint, CordonedZone: platform.CordonedZone,
 		Codec: platform.Codec{}, ReadyPath: platform.ReadyPath, LinesDropped: func() int64 { return ring.Dropped() + limiter.Suppressed() },
-		Thin: limiter,
+		ReportRequest: platform.ReportRequest, DecodeReport: platform.DecodeReport, Thin: limiter,
 	}, log)
 	if err != nil {
 		return err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"guavapier/internal/allocator"
 	"guavapier/internal/callers"
 	"guavapier/internal/discovery"
+	"guavapier/internal/endpointload"
 	"guavapier/internal/forward"
 	"guavapier/internal/linkload"
 	"guavapier/internal/logstore"
@@ -44,6 +45,10 @@
 	// exists in logstore.TopicState; false if the key is of another kind.
 	CordonedZone func(key string) (zone string, ok bool)
 	Codec        forward.Codec
+	// ReportRequest returns the request for an endpoint's report of its load, and DecodeReport
+	// decodes the answer. If nil, no reports are read.
+	ReportRequest func(discovery.Endpoint) *upstream.Outgoing
+	DecodeReport  func(body []byte) (endpointload.Report, error)
 	// LinesDropped returns how many log lines were dropped or rate limited since the start.
 	// If nil, they are not reported.
 	LinesDropped func() int64
@@ -112,6 +117,7 @@
 	statements       *statements
 	loadExchange     *loadExchange
 	loadParts        *loadParts
+	reportReader     *reportReader
 	quarantine       *quarantine.Syncer // Requests that must not be sent to endpoints.
 	registry         *registry.Registry // The fleet's instances.
 	linkMeter        linkload.Meter
--- a/internal/gateway/load_exchange.go
+++ b/internal/gateway/load_exchange.go
@@ -127,7 +127,7 @@
 	x := newLoadExchange(g.registry.Details, g.settings.Gateway.Name, started, g.streamOrigins.pool, endpoints, g.clock, g.sampledLog)
 	x.isNeeded = func() bool { return g.settings.Load.Exchange && g.budgets.Accounts.NeedsAllocators() }
 	x.linkLoad = func() (float64, bool) { return g.linkShedder.Load(), g.linkShedder.IsShedding() }
-	g.loadExchange, g.loadParts = x, newLoadParts(x)
+	g.loadExchange, g.loadParts, g.reportReader = x, newLoadParts(x), newReportReader(x, g.upstreamPool, g.platform, g.sampledLog)
 	return g.peerServer.Register(endpointLoadServiceName, x.service)
 }
 
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -42,6 +42,7 @@
 	g.metrics.Gauge(metrics.GatewayStreamsNotCopied, g.streamOrigins.Dropped)
 	g.registerReachGauges()
 	g.loadExchange.registerMetrics(g.metrics, g.tables)
+	g.metrics.Gauge(metrics.GatewayReportsRead, g.reportReader.read.Load)
 	g.metrics.Gauge(metrics.GatewayTunnelsServed, g.tunnels.server.OpenCount)
 	g.registerBudgetGauges()
 	if g.platform.LinesDropped != nil {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -41,6 +41,7 @@
 	backgroundWork.Go(func() error { g.statements.run(backgroundCtx); return nil })
 	backgroundWork.Go(func() error { g.loadExchange.run(backgroundCtx); return nil })
 	backgroundWork.Go(func() error { g.loadParts.run(backgroundCtx); return nil })
+	backgroundWork.Go(func() error { g.reportReader.run(backgroundCtx); return nil })
 	backgroundWork.Go(func() error { g.prober.run(backgroundCtx); return nil })
 	backgroundWork.Go(func() error { g.runHousekeeping(backgroundCtx); return nil })
 	serving.Go(func() error { return g.peerServer.Serve(g.peersListener) })
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -38,6 +38,7 @@
 	GatewayLoadExchangesFailed = "gateway.load_exchanges_failed"
 	GatewayLoadAge             = "gateway.load_age"
 	GatewayLoadedEndpoints     = "gateway.load_endpoints"
+	GatewayReportsRead         = "gateway.reports_read"
 	// GatewayEndsPrefix is followed by the reason why a request ended without a
 	// response of an endpoint. Each reason has a counter of its own.
 	GatewayEndsPrefix = "gateway.ends."
@@ -76,6 +77,7 @@
 		{GatewayLoadExchangesFailed, KindGauge, "exchanges", "Times that no instance of its zone answered this."},
 		{GatewayLoadAge, KindGauge, "milliseconds", "Time since it was last told; -1 if never, as in a small fleet. Above a second, requests are placed by what it knows itself."},
 		{GatewayLoadedEndpoints, KindGauge, "endpoints", "Endpoints at which the others had requests by that."},
+		{GatewayReportsRead, KindGauge, "reports", "Endpoints' reports of their load that this instance has read for all."},
 		{GatewayStoreCallsPrefix, KindCounter, "calls", "Calls to the store, by outcome: ok, unavailable, throttled, trimmed, fenced."},
 		{GatewayEndsPrefix, KindCounter, "requests", "Requests that ended without an endpoint's answer, by reason."},
 	}
