--- a/internal/endpointload/codec.go
+++ b/internal/endpointload/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -44,6 +45,7 @@
 // UnmarshalBinary implements encoding.BinaryUnmarshaler.
 func (list *LoadList) UnmarshalBinary(data []byte) error {
 	d := decoder{data: data}
+	*list = slices.Grow(*list, len(data)/(keyBytes+4))
 	for d.hasMore() {
 		*list = append(*list, KeyedLoad{d.key(), Load{
 			Requests: int(d.field()), Waiting: int(d.field()), Prefill: time.Duration(d.field()) * time.Millisecond, Tokens: d.field() * tokenUnit,
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -45,6 +45,7 @@
 	isLoaded       atomic.Bool
 	freshness      *freshness
 	versions       *origin.History // Of the listed endpoints.
+	changes        atomic.Uint64   // Number of endpoints added, restarted and removed.
 
 	mu               sync.Mutex // Guards the fields below.
 	table            *discovery.Table
@@ -104,6 +105,9 @@
 	change := e.table.Put(decoded)
 	e.versions.Observe(decoded.Service, decoded.Version, e.clock())
 	e.placementTable.Put(decoded, e.clock())
+	if change == discovery.Added || change == discovery.Restarted {
+		e.changes.Add(1)
+	}
 	switch change {
 	case discovery.Restarted:
 		e.pool.CloseIdle(decoded.ID)
@@ -128,6 +132,7 @@
 // removeEndpoint takes an endpoint out of placement and closes its pooled connections.
 func (e *endpointTracker) removeEndpoint(id string) {
 	e.placementTable.Remove(id)
+	e.changes.Add(1)
 	e.pool.CloseIdle(id)
 	e.logEndpoint(id, "endpoint gone")
 }
--- a/internal/gateway/load_exchange.go
+++ b/internal/gateway/load_exchange.go
@@ -27,6 +27,8 @@
 	// 200 calls a second.
 	exchangeInterval            = 200 * time.Millisecond
 	exchangeIntervalPerInstance = 2500 * time.Microsecond
+	// idleExchangeInterval is the least pause of an instance that has no requests under way.
+	idleExchangeInterval = 400 * time.Millisecond
 	// exchangeTimeout bounds one call; a later reply is of little use.
 	exchangeTimeout = 150 * time.Millisecond
 	// maxExchangeTries is how many collectors are called for one exchange.
@@ -91,10 +93,13 @@
 	caller     peer.Caller
 	service    *loadService
 	endpoints  *placement.Table
-	linkLoad   func() (load float64, shedding bool)
-	clock      func() time.Duration
-	log        zerolog.Logger
-	collectors atomic.Pointer[endpointload.Collectors]
+	// listChanges counts the changes of the list of endpoints.
+	listChanges func() uint64
+	keys        endpointKeys // Used by run only.
+	linkLoad    func() (load float64, shedding bool)
+	clock       func() time.Duration
+	log         zerolog.Logger
+	collectors  atomic.Pointer[endpointload.Collectors]
 
 	made, failed atomic.Int64 // Exchanges.
 
@@ -114,8 +119,8 @@
 	x := &loadExchange{
 		name: name, zone: self.Zone, isNeeded: func() bool { return true }, caller: caller, endpoints: endpoints, clock: clock, log: log,
 		service:  &loadService{name: name, zone: self.Zone, started: started, table: endpointload.NewTable(), clock: clock},
-		linkLoad: func() (float64, bool) { return 0, false },
-		reports:  map[string]timedReport{}, versions: map[record.InstanceID]uint64{}, failedAt: map[record.InstanceID]time.Duration{},
+		linkLoad: func() (float64, bool) { return 0, false }, listChanges: func() uint64 { return 0 },
+		reports: map[string]timedReport{}, versions: map[record.InstanceID]uint64{}, failedAt: map[record.InstanceID]time.Duration{},
 	}
 	x.setInstances(self, nil)
 	return x
@@ -126,6 +131,7 @@
 func (g *Gateway) addLoadExchange(started int64, endpoints *placement.Table) error {
 	x := newLoadExchange(g.registry.Details, g.settings.Gateway.Name, started, g.streamOrigins.pool, endpoints, g.clock, g.sampledLog)
 	x.isNeeded = func() bool { return g.settings.Load.Exchange && g.budgets.Accounts.NeedsAllocators() }
+	x.listChanges = g.endpoints.changes.Load
 	x.linkLoad = func() (float64, bool) { return g.linkShedder.Load(), g.linkShedder.IsShedding() }
 	g.loadExchange, g.loadParts, g.reportReader = x, newLoadParts(x), newReportReader(x, g.upstreamPool, g.platform, g.sampledLog)
 	return g.peerServer.Register(endpointLoadServiceName, x.service)
@@ -143,36 +149,67 @@
 
 // run makes exchanges until ctx ends.
 func (x *loadExchange) run(ctx context.Context) {
+	isIdle := true
 	for ctx.Err() == nil {
-		pause := time.Duration(x.collectors.Load().ZoneSize(x.zone)) * exchangeIntervalPerInstance
-		logstore.Pause(ctx, max(exchangeInterval, pause), nil)
+		logstore.Pause(ctx, x.pause(isIdle), nil)
 		if x.isNeeded() {
-			x.exchange(ctx)
+			isIdle = x.exchange(ctx)
 		}
 	}
 }
 
-// exchange tells the first collector that answers this instance's load, and applies its reply.
-func (x *loadExchange) exchange(ctx context.Context) {
-	ids := x.endpoints.EndpointKeys()
-	statement := x.statement(ids)
+// pause returns the pause before the next exchange of an instance that has, or has no, requests
+// under way.
+func (x *loadExchange) pause(isIdle bool) time.Duration {
+	pause := max(exchangeInterval, time.Duration(x.collectors.Load().ZoneSize(x.zone))*exchangeIntervalPerInstance)
+	if isIdle {
+		pause = max(pause, idleExchangeInterval)
+	}
+	return pause
+}
+
+// exchange tells the first collector that answers this instance's load, and applies its reply. It
+// reports whether there was no load to tell.
+func (x *loadExchange) exchange(ctx context.Context) (isIdle bool) {
+	x.keys.update(x.endpoints, x.listChanges())
+	statement := x.statement()
 	for _, collector := range x.callOrder() {
 		reply, err := x.call(ctx, collector, statement)
 		if err == nil {
 			x.made.Add(1)
-			x.apply(collector.Process, ids, reply)
-			return
+			x.apply(collector.Process, reply)
+			return len(statement.Loads) == 0
 		}
 		if ctx.Err() != nil {
-			return
+			break
 		}
 		x.recordFailure(collector, err)
 	}
 	x.failed.Add(1)
+	return len(statement.Loads) == 0
+}
+
+// endpointKeys translates between the IDs of the listed endpoints and their keys.
+type endpointKeys struct {
+	changes uint64 // Of the list, when the maps were made.
+	ids     map[endpointload.Key]string
+	keys    map[string]endpointload.Key
+}
+
+// update makes the maps anew if the list has changed.
+func (k *endpointKeys) update(endpoints *placement.Table, changes uint64) {
+	if k.ids != nil && k.changes == changes {
+		return
+	}
+	k.changes, k.ids = changes, endpoints.EndpointKeys()
+	k.keys = make(map[string]endpointload.Key, len(k.ids))
+	for key, id := range k.ids {
+		k.keys[id] = key
+	}
 }
 
 // statement returns what this instance tells of its load.
-func (x *loadExchange) statement(ids map[endpointload.Key]string) endpointload.Statement {
+func (x *loadExchange) statement() endpointload.Statement {
 	x.mu.Lock()
 	x.seq++
 	seq := x.seq
@@ -183,16 +220,13 @@
 	if shedding {
 		s.Links.Shedding = 1
 	}
-	own := x.endpoints.OwnLoads(x.clock())
-	keys := make(map[string]endpointload.Key, len(ids))
-	for key, id := range ids {
-		keys[id] = key
-		if l, ok := own[id]; ok {
-			s.Loads = append(s.Loads, endpointload.KeyedLoad{Key: key, Load: l})
+	for id, load := range x.endpoints.OwnLoads(x.clock()) {
+		if key, ok := x.keys.keys[id]; ok {
+			s.Loads = append(s.Loads, endpointload.KeyedLoad{Key: key, Load: load})
 		}
 	}
 	for _, sample := range x.endpoints.TakeSamples() {
-		if key, ok := keys[sample.Endpoint]; ok {
+		if key, ok := x.keys.keys[sample.Endpoint]; ok {
 			s.Samples = append(s.Samples, endpointload.KeyedSample{Key: key, Tokens: int64(sample.Tokens), TTFT: sample.TTFT})
 		}
 	}
@@ -240,7 +274,7 @@
 }
 
 // apply gives placement what a collector has answered.
-func (x *loadExchange) apply(from record.InstanceID, ids map[endpointload.Key]string, reply ExchangeReply) {
+func (x *loadExchange) apply(from record.InstanceID, reply ExchangeReply) {
 	now := x.clock()
 	x.mu.Lock()
 	if len(x.versions) > maxKnownProcesses {
@@ -255,21 +289,21 @@
 	}
 	loads := make(map[string]endpointload.Load, len(reply.Loads))
 	for _, l := range reply.Loads {
-		if id, ok := ids[l.Key]; ok {
+		if id, ok := x.keys.ids[l.Key]; ok {
 			loads[id] = l.Load
 		}
 	}
 	x.endpoints.SetOthersLoads(loads, now)
 	var samples []endpointload.Sample
 	for _, s := range reply.Samples {
-		if id, ok := ids[s.Key]; ok {
+		if id, ok := x.keys.ids[s.Key]; ok {
 			samples = append(samples, endpointload.Sample{Endpoint: id, Tokens: float64(s.Tokens), TTFT: s.TTFT})
 		}
 	}
 	x.endpoints.ObserveSamples(samples)
 	reports := map[string]endpointload.Report{}
 	for _, r := range reply.Reports {
-		if id, ok := ids[r.Key]; ok {
+		if id, ok := x.keys.ids[r.Key]; ok {
 			reports[id] = r.Report
 		}
 	}
--- a/internal/gateway/load_exchange_test.go
+++ b/internal/gateway/load_exchange_test.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"guavapier/internal/discovery"
+	"guavapier/internal/endpointload"
 	"guavapier/internal/peer"
 	"guavapier/internal/placement"
 	"guavapier/internal/record"
@@ -255,3 +256,37 @@
 		}
 	}
 }
+
+// BenchmarkMember measures what one exchange costs the instance that makes it, if the others have
+// requests at all endpoints and it has some at a tenth: its statement, the encoding of both
+// messages, and the sums' way into placement. The collector's part is in there; see
+// endpointload.BenchmarkExchange.
+func BenchmarkMember(b *testing.B) {
+	for _, endpoints := range []int{63, 145, 640} {
+		b.Run(fmt.Sprint(endpoints), func(b *testing.B) {
+			f := &loadFleet{now: time.Second, instances: map[record.InstanceID]*fleetInstance{}, down: map[string]bool{}}
+			f.add("a-0", "a", true, 1)
+			f.add("a-1", "a", true, 1)
+			f.add("a-2", "a", false, 1)
+			f.updateLists()
+			other := endpointload.Statement{Sender: endpointload.Sender{Name: "b-0", Started: 1, Seq: 1}, Links: endpointload.LinkSum{Instances: 20}}
+			for n := range endpoints {
+				id := fmt.Sprint("endpoint-", n)
+				for _, i := range f.instances {
+					i.endpoints.Put(discovery.Endpoint{ID: id, Service: "s", Address: "e:1", Zone: "a", Slots: 4}, 0)
+				}
+				other.Loads = append(other.Loads, endpointload.KeyedLoad{Key: endpointload.KeyOf(id, 0), Load: endpointload.Load{Requests: 30, Waiting: 4, Prefill: 40 * time.Millisecond, Tokens: 200_000}})
+			}
+			for _, i := range f.instances {
+				i.service.table.TellPart("b", other, f.now)
+			}
+			member := f.named("a-2")
+			for range endpoints / 10 {
+				member.endpoints.Place(placement.Query{Service: "s", Tokens: 900}, f.now)
+			}
+			for b.Loop() {
+				member.exchange(context.Background())
+			}
+		})
+	}
+}
