--- a/internal/gateway/load_exchange_test.go
+++ b/internal/gateway/load_exchange_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"net"
 	"slices"
 	"strings"
 	"testing"
@@ -290,3 +291,39 @@
 		})
 	}
 }
+
+// oneAddress is a peer.Addresses with one address for all.
+type oneAddress string
+
+func (a oneAddress) PeerAddr(record.InstanceID) (string, bool) { return string(a), true }
+
+// Both methods of a collector can be called over the network.
+func TestCollectorsAreCalledOverTheNetwork(t *testing.T) {
+	f := newLoadFleet(t, 1, 2)
+	f.send("a-0", 3)
+	f.step()
+	collector := f.named("a-0")
+	server := peer.NewServer(collector.details.Process)
+	if err := server.Register(endpointLoadServiceName, collector.service); err != nil {
+		t.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() { _ = server.Serve(listener); close(done) }()
+	pool := peer.NewPool("asker", oneAddress(listener.Addr().String()), peer.Options{CallTimeout: 20 * time.Second})
+	defer func() { _ = listener.Close(); server.Close(); pool.Close(); <-done }()
+	var reply ExchangeReply
+	if err := pool.Call(context.Background(), collector.details.Process, endpointLoadServiceName+".Exchange", ExchangeArgs{}, &reply); err != nil {
+		t.Fatal(err)
+	}
+	var part PartMessage
+	if err := pool.Call(context.Background(), collector.details.Process, endpointLoadServiceName+".ExchangeParts", PartMessage{}, &part); err != nil {
+		t.Fatal(err)
+	}
+	if len(reply.Loads) != 1 || reply.Loads[0].Requests != 3 || !slices.Equal(part.Statement.Loads, reply.Loads) {
+		t.Errorf("told %+v and the part %+v", reply, part)
+	}
+}
