--- a/internal/endpointload/table.go
+++ b/internal/endpointload/table.go
@@ -1,6 +1,7 @@
 package endpointload
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -65,7 +66,8 @@
 	mu      sync.Mutex
 	members map[string]*source // By the instance's name.
 	parts   map[string]*source
-	rows    map[Key]*row
+	rows    []row       // Of the endpoints with a load, in no particular order.
+	index   map[Key]int // Of rows, by key.
 	news    news
 }
 
@@ -79,11 +81,14 @@
 }
 
 // row is the load of one endpoint.
-type row struct{ members, parts Load }
+type row struct {
+	key            Key
+	members, parts Load
+}
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{members: map[string]*source{}, parts: map[string]*source{}, rows: map[Key]*row{}, news: newNews()}
+	return &Table{members: map[string]*source{}, parts: map[string]*source{}, index: map[Key]int{}, news: newNews()}
 }
 
 // TellMember records the statement of an instance, and reports whether it was newer than the last
@@ -134,12 +139,12 @@
 		t.subtract(old, selected)
 	}
 	for _, l := range s.Loads {
-		r := t.rows[l.Key]
-		if r == nil {
-			r = &row{}
-			t.rows[l.Key] = r
+		i, ok := t.index[l.Key]
+		if !ok {
+			i = len(t.rows)
+			t.rows, t.index[l.Key] = append(t.rows, row{key: l.Key}), i
 		}
-		selected(r).Add(l.Load)
+		selected(&t.rows[i]).Add(l.Load)
 	}
 	sources[s.Sender.Name] = &source{sender: s.Sender, zone: zone, at: now, loads: s.Loads, links: s.Links}
 	return true
@@ -148,17 +153,29 @@
 // subtract takes a statement out of the sums.
 func (t *Table) subtract(s *source, selected func(*row) *Load) {
 	for _, l := range s.loads {
-		r := t.rows[l.Key]
-		if r == nil { // A load of nothing, which another statement's end has removed.
+		i, ok := t.index[l.Key]
+		if !ok { // A load of nothing, which another statement's end has removed.
 			continue
 		}
+		r := &t.rows[i]
 		selected(r).sub(l.Load)
 		if r.members.IsZero() && r.parts.IsZero() {
-			delete(t.rows, l.Key)
+			t.removeRow(i)
 		}
 	}
 }
 
+// removeRow removes a row; the last one takes its place.
+func (t *Table) removeRow(i int) {
+	last := len(t.rows) - 1
+	delete(t.index, t.rows[i].key)
+	if i != last {
+		t.rows[i] = t.rows[last]
+		t.index[t.rows[i].key] = i
+	}
+	t.rows = t.rows[:last]
+}
+
 // sweep drops the instances and collectors that are silent.
 func (t *Table) sweep(now time.Duration) {
 	t.dropSilent(t.members, memberLoad, now)
@@ -180,24 +197,20 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sweep(now)
-	own := map[Key]Load{}
-	if member := t.members[name]; member != nil {
-		for _, l := range member.loads {
-			sum := own[l.Key]
-			sum.Add(l.Load)
-			own[l.Key] = sum
-		}
+	list := make(LoadList, len(t.rows))
+	for i := range t.rows {
+		r := &t.rows[i]
+		list[i] = KeyedLoad{r.key, r.members}
+		list[i].Add(r.parts)
 	}
-	list := make(LoadList, 0, len(t.rows))
-	for key, r := range t.rows {
-		load := r.members
-		load.Add(r.parts)
-		load.sub(own[key])
-		if !load.IsZero() {
-			list = append(list, KeyedLoad{key, load})
+	if own := t.members[name]; own != nil {
+		for _, l := range own.loads {
+			if i, ok := t.index[l.Key]; ok {
+				list[i].sub(l.Load)
+			}
 		}
 	}
-	return list
+	return slices.DeleteFunc(list, func(l KeyedLoad) bool { return l.IsZero() })
 }
 
 // Part returns the load of the members, by endpoint, and of their links: what this collector tells
@@ -207,9 +220,9 @@
 	defer t.mu.Unlock()
 	t.sweep(now)
 	list := make(LoadList, 0, len(t.rows))
-	for key, r := range t.rows {
-		if !r.members.IsZero() {
-			list = append(list, KeyedLoad{key, r.members})
+	for i := range t.rows {
+		if r := &t.rows[i]; !r.members.IsZero() {
+			list = append(list, KeyedLoad{r.key, r.members})
 		}
 	}
 	return list, t.memberLinks()
