--- a/internal/gateway/load_exchange.go
+++ b/internal/gateway/load_exchange.go
@@ -11,12 +11,10 @@
 
 	"guavapier/internal/endpointload"
 	"guavapier/internal/logstore"
-	"guavapier/internal/metrics"
 	"guavapier/internal/peer"
 	"guavapier/internal/placement"
 	"guavapier/internal/record"
 	"guavapier/internal/registry"
-	"guavapier/internal/state"
 )
 
 const (
@@ -40,8 +38,6 @@
 	maxKnownProcesses = 64
 	// maxZoneLinksAge is the age from which on the load of the zone's links is not known.
 	maxZoneLinksAge = 2 * time.Second
-	// maxShownReportAge is the age from which on a state dump doesn't show a report.
-	maxShownReportAge = 10 * time.Second
 )
 
 // ExchangeArgs are the arguments of EndpointLoad.Exchange: what an instance tells of its load.
@@ -189,25 +185,6 @@
 	return len(statement.Loads) == 0
 }
 
-// endpointKeys translates between the IDs of the listed endpoints and their keys.
-type endpointKeys struct {
-	changes uint64 // Of the list, when the maps were made.
-	ids     map[endpointload.Key]string
-	keys    map[string]endpointload.Key
-}
-
-// update makes the maps anew if the list has changed.
-func (k *endpointKeys) update(endpoints *placement.Table, changes uint64) {
-	if k.ids != nil && k.changes == changes {
-		return
-	}
-	k.changes, k.ids = changes, endpoints.EndpointKeys()
-	k.keys = make(map[string]endpointload.Key, len(k.ids))
-	for key, id := range k.ids {
-		k.keys[id] = key
-	}
-}
-
 // statement returns what this instance tells of its load.
 func (x *loadExchange) statement() endpointload.Statement {
 	x.mu.Lock()
@@ -317,68 +294,6 @@
 	}
 }
 
-// timedReport is a report of an endpoint that was made at a time.
-type timedReport struct {
-	endpointload.Report
-	madeAt time.Duration
-}
-
-// loadView is what a state dump shows of the exchange.
-type loadView struct {
-	AgeMS      int64                        `json:"age_ms"` // Of Others; -1 if nothing was ever told.
-	Collectors []string                     `json:"collectors"`
-	Told       endpointload.Size            `json:"told"` // What this instance was told as a collector.
-	Links      endpointload.ZoneLinks       `json:"links"`
-	Others     map[string]endpointload.Load `json:"others"` // By endpoint.
-	Reports    map[string]reportView        `json:"reports"`
-}
-
-// reportView is what a state dump shows of an endpoint's report.
-type reportView struct {
-	Running, Waiting        int
-	UsedTokens, TotalTokens int64
-	AgeMS                   int64
-}
-
-// view returns what a state dump shows of the exchange.
-func (x *loadExchange) view() loadView {
-	now := x.clock()
-	v := loadView{AgeMS: x.ageMS(), Told: x.service.table.Size(), Links: x.zoneLinks(), Reports: map[string]reportView{}}
-	for _, i := range x.collectors.Load().For(x.zone, x.name) {
-		v.Collectors = append(v.Collectors, i.Name)
-	}
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	v.Others = x.loads
-	for id, r := range x.reports {
-		v.Reports[id] = reportView{r.Running, r.Waiting, r.UsedTokens, r.TotalTokens, (now - r.madeAt).Milliseconds()}
-	}
-	return v
-}
-
-// ageMS returns the age of what is known of the others in milliseconds, -1 if nothing ever was.
-func (x *loadExchange) ageMS() int64 {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if x.updatedAt == 0 {
-		return -1
-	}
-	return (x.clock() - x.updatedAt).Milliseconds()
-}
-
-// registerMetrics registers the gauges and the state dump's table of the exchange.
-func (x *loadExchange) registerMetrics(registry *metrics.Registry, tables *state.Registry) {
-	registry.Gauge(metrics.GatewayLoadExchanges, x.made.Load)
-	registry.Gauge(metrics.GatewayLoadExchangesFailed, x.failed.Load)
-	registry.Gauge(metrics.GatewayLoadAge, x.ageMS)
-	registry.Gauge(metrics.GatewayLoadedEndpoints, func() int64 {
-		x.mu.Lock()
-		defer x.mu.Unlock()
-		return int64(len(x.loads))
-	})
-	tables.Register("loads", func() any { return x.view() })
-}
-
 // zoneLinks returns the load of the links of the zone's instances; not known if no collector has
 // answered lately.
 func (x *loadExchange) zoneLinks() endpointload.ZoneLinks {
