--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"guavapier/internal/allocator"
 	"guavapier/internal/callers"
 	"guavapier/internal/discovery"
+	"guavapier/internal/endpointload"
 	"guavapier/internal/forward"
 	"guavapier/internal/linkload"
 	"guavapier/internal/logstore"
@@ -45,6 +46,10 @@
 	// exists in logstore.TopicState; false if the key is of another kind.
 	CordonedZone func(key string) (zone string, ok bool)
 	Codec        forward.Codec
+	// ReportRequest returns the request for an endpoint's report of its load, and DecodeReport
+	// decodes the answer. If nil, no reports are read.
+	ReportRequest func(discovery.Endpoint) *upstream.Outgoing
+	DecodeReport  func(body []byte) (endpointload.Report, error)
 	// LinesDropped returns how many log lines were dropped or rate limited since the start.
 	// If nil, they are not reported.
 	LinesDropped func() int64
@@ -114,6 +119,9 @@
 	shareLoans       *shareLoans
 	permits          *permits
 	statements       *statements
+	loadExchange     *loadExchange
+	loadParts        *loadParts
+	reportReader     *reportReader
 	quarantine       *quarantine.Syncer // Requests that must not be sent to endpoints.
 	registry         *registry.Registry // The fleet's instances.
 	linkMeter        linkload.Meter
@@ -185,6 +193,7 @@
 		OnDetails: func(others map[string]registry.Details) {
 			g.tunnels.setCandidates(others)
 			g.streamOrigins.setInstances(others)
+			g.loadExchange.setInstances(g.registry.Details, others)
 		},
 	}
 	g.streamOrigins = g.newStreamOrigins(self)
@@ -219,6 +228,9 @@
 	if err := g.peerServer.Register(statementsServiceName, g.statements); err != nil {
 		return nil, err
 	}
+	if err := g.addLoadExchange(self.Started, placementTable); err != nil {
+		return nil, err
+	}
 	g.registerTablesAndMetrics()
 	return g, nil
 }
