--- a/internal/gateway/load_exchange.go
+++ b/internal/gateway/load_exchange.go
@@ -26,7 +26,11 @@
 	exchangeInterval            = 200 * time.Millisecond
 	exchangeIntervalPerInstance = 2500 * time.Microsecond
 	// idleExchangeInterval is the least pause of an instance that has no requests under way.
-	idleExchangeInterval = 400 * time.Millisecond
+	idleExchangeInterval = 600 * time.Millisecond
+	// An exchange is followed by a pause of pausePerDuration times its own duration, but of
+	// maxExchangeInterval at most: an instance whose processor or link is full makes fewer.
+	pausePerDuration    = 20
+	maxExchangeInterval = 800 * time.Millisecond
 	// exchangeTimeout bounds one call; a later reply is of little use.
 	exchangeTimeout = 150 * time.Millisecond
 	// maxExchangeTries is how many collectors are called for one exchange.
@@ -145,23 +149,25 @@
 
 // run makes exchanges until ctx ends.
 func (x *loadExchange) run(ctx context.Context) {
-	isIdle := true
+	isIdle, took := true, time.Duration(0)
 	for ctx.Err() == nil {
-		logstore.Pause(ctx, x.pause(isIdle), nil)
+		logstore.Pause(ctx, exchangePause(x.collectors.Load().ZoneSize(x.zone), isIdle, took), nil)
 		if x.isNeeded() {
+			start := x.clock()
 			isIdle = x.exchange(ctx)
+			took = x.clock() - start
 		}
 	}
 }
 
-// pause returns the pause before the next exchange of an instance that has, or has no, requests
-// under way.
-func (x *loadExchange) pause(isIdle bool) time.Duration {
-	pause := max(exchangeInterval, time.Duration(x.collectors.Load().ZoneSize(x.zone))*exchangeIntervalPerInstance)
+// exchangePause returns the pause before the next exchange of an instance that has, or has no,
+// requests under way, in a zone of this size, and whose last exchange took so long.
+func exchangePause(zoneSize int, isIdle bool, took time.Duration) time.Duration {
+	pause := max(exchangeInterval, time.Duration(zoneSize)*exchangeIntervalPerInstance, took*pausePerDuration)
 	if isIdle {
 		pause = max(pause, idleExchangeInterval)
 	}
-	return pause
+	return min(pause, maxExchangeInterval)
 }
 
 // exchange tells the first collector that answers this instance's load, and applies its reply. It
--- a/internal/gateway/load_exchange_test.go
+++ b/internal/gateway/load_exchange_test.go
@@ -292,6 +292,25 @@
 	}
 }
 
+// Exchanges are rarer in a large zone, without requests, and where they take long.
+func TestExchangesAreAsFrequentAsTheyAreWorth(t *testing.T) {
+	for _, c := range []struct {
+		zoneSize   int
+		isIdle     bool
+		took, want time.Duration
+	}{
+		{20, false, 4 * time.Millisecond, 200 * time.Millisecond},
+		{20, true, 4 * time.Millisecond, 600 * time.Millisecond},
+		{138, false, 4 * time.Millisecond, 345 * time.Millisecond},
+		{20, false, 25 * time.Millisecond, 500 * time.Millisecond},
+		{20, true, 300 * time.Millisecond, 800 * time.Millisecond},
+	} {
+		if got := exchangePause(c.zoneSize, c.isIdle, c.took); got != c.want {
+			t.Errorf("the pause is %s for %+v", got, c)
+		}
+	}
+}
+
 // oneAddress is a peer.Addresses with one address for all.
 type oneAddress string
 
