--- a/internal/gateway/load_exchange.go
+++ b/internal/gateway/load_exchange.go
@@ -27,10 +27,13 @@
 	exchangeIntervalPerInstance = 2500 * time.Microsecond
 	// idleExchangeInterval is the least pause of an instance that has no requests under way.
 	idleExchangeInterval = 600 * time.Millisecond
-	// An exchange is followed by a pause of pausePerDuration times its own duration, but of
-	// maxExchangeInterval at most: an instance whose processor or link is full makes fewer.
-	pausePerDuration    = 20
+	// An exchange is followed by a pause of pausePerDuration times its own duration: an instance
+	// whose processor is full makes fewer.
+	pausePerDuration = 20
+	// maxExchangeInterval is the longest pause, and that of an instance whose link load is above
+	// congestedLink: callers wait there for all that it does besides.
 	maxExchangeInterval = 800 * time.Millisecond
+	congestedLink       = 0.5
 	// exchangeTimeout bounds one call; a later reply is of little use.
 	exchangeTimeout = 150 * time.Millisecond
 	// maxExchangeTries is how many collectors are called for one exchange.
@@ -149,22 +152,33 @@
 
 // run makes exchanges until ctx ends.
 func (x *loadExchange) run(ctx context.Context) {
-	isIdle, took := true, time.Duration(0)
+	last := lastExchange{isIdle: true}
 	for ctx.Err() == nil {
-		logstore.Pause(ctx, exchangePause(x.collectors.Load().ZoneSize(x.zone), isIdle, took), nil)
+		logstore.Pause(ctx, last.pause(x.collectors.Load().ZoneSize(x.zone)), nil)
 		if x.isNeeded() {
 			start := x.clock()
-			isIdle = x.exchange(ctx)
-			took = x.clock() - start
+			last.isIdle = x.exchange(ctx)
+			last.took = x.clock() - start
+			last.linkLoad, _ = x.linkLoad()
 		}
 	}
 }
 
-// exchangePause returns the pause before the next exchange of an instance that has, or has no,
-// requests under way, in a zone of this size, and whose last exchange took so long.
-func exchangePause(zoneSize int, isIdle bool, took time.Duration) time.Duration {
-	pause := max(exchangeInterval, time.Duration(zoneSize)*exchangeIntervalPerInstance, took*pausePerDuration)
-	if isIdle {
+// lastExchange is what the pause before the next exchange depends on.
+type lastExchange struct {
+	isIdle   bool // The instance had no requests under way.
+	took     time.Duration
+	linkLoad float64 // Utilisation of the instance's link.
+}
+
+// pause returns the pause before the next exchange in a zone of this size. The load that it
+// answers: most callers of a zone come to a few instances, whose links they fill.
+func (l lastExchange) pause(zoneSize int) time.Duration {
+	if l.linkLoad > congestedLink {
+		return maxExchangeInterval
+	}
+	pause := max(exchangeInterval, time.Duration(zoneSize)*exchangeIntervalPerInstance, l.took*pausePerDuration)
+	if l.isIdle {
 		pause = max(pause, idleExchangeInterval)
 	}
 	return min(pause, maxExchangeInterval)
--- a/internal/gateway/load_exchange_test.go
+++ b/internal/gateway/load_exchange_test.go
@@ -292,20 +292,22 @@
 	}
 }
 
-// Exchanges are rarer in a large zone, without requests, and where they take long.
+// Exchanges are rarer in a large zone, without requests, where they take long and where the link
+// is full.
 func TestExchangesAreAsFrequentAsTheyAreWorth(t *testing.T) {
 	for _, c := range []struct {
-		zoneSize   int
-		isIdle     bool
-		took, want time.Duration
+		zoneSize int
+		last     lastExchange
+		want     time.Duration
 	}{
-		{20, false, 4 * time.Millisecond, 200 * time.Millisecond},
-		{20, true, 4 * time.Millisecond, 600 * time.Millisecond},
-		{138, false, 4 * time.Millisecond, 345 * time.Millisecond},
-		{20, false, 25 * time.Millisecond, 500 * time.Millisecond},
-		{20, true, 300 * time.Millisecond, 800 * time.Millisecond},
+		{20, lastExchange{took: 4 * time.Millisecond}, 200 * time.Millisecond},
+		{20, lastExchange{took: 4 * time.Millisecond, isIdle: true}, 600 * time.Millisecond},
+		{138, lastExchange{took: 4 * time.Millisecond}, 345 * time.Millisecond},
+		{20, lastExchange{took: 25 * time.Millisecond, linkLoad: 0.4}, 500 * time.Millisecond},
+		{20, lastExchange{took: 300 * time.Millisecond, isIdle: true}, 800 * time.Millisecond},
+		{20, lastExchange{took: 4 * time.Millisecond, linkLoad: 0.6}, 800 * time.Millisecond},
 	} {
-		if got := exchangePause(c.zoneSize, c.isIdle, c.took); got != c.want {
+		if got := c.last.pause(c.zoneSize); got != c.want {
 			t.Errorf("the pause is %s for %+v", got, c)
 		}
 	}
