--- a/internal/gateway/load_exchange.go
+++ b/internal/gateway/load_exchange.go
@@ -26,7 +26,14 @@
 	exchangeInterval            = 200 * time.Millisecond
 	exchangeIntervalPerInstance = 2500 * time.Microsecond
 	// idleExchangeInterval is the least pause of an instance that has no requests under way.
-	idleExchangeInterval = 400 * time.Millisecond
+	idleExchangeInterval = 600 * time.Millisecond
+	// An exchange is followed by a pause of pausePerDuration times its own duration: an instance
+	// whose processor is full makes fewer.
+	pausePerDuration = 20
+	// maxExchangeInterval is the longest pause, and that of an instance whose link load is above
+	// congestedLink: callers wait there for all that it does besides.
+	maxExchangeInterval = 800 * time.Millisecond
+	congestedLink       = 0.5
 	// exchangeTimeout bounds one call; a later reply is of little use.
 	exchangeTimeout = 150 * time.Millisecond
 	// maxExchangeTries is how many collectors are called for one exchange.
@@ -145,23 +152,36 @@
 
 // run makes exchanges until ctx ends.
 func (x *loadExchange) run(ctx context.Context) {
-	isIdle := true
+	last := lastExchange{isIdle: true}
 	for ctx.Err() == nil {
-		logstore.Pause(ctx, x.pause(isIdle), nil)
+		logstore.Pause(ctx, last.pause(x.collectors.Load().ZoneSize(x.zone)), nil)
 		if x.isNeeded() {
-			isIdle = x.exchange(ctx)
+			start := x.clock()
+			last.isIdle = x.exchange(ctx)
+			last.took = x.clock() - start
+			last.linkLoad, _ = x.linkLoad()
 		}
 	}
 }
 
-// pause returns the pause before the next exchange of an instance that has, or has no, requests
-// under way.
-func (x *loadExchange) pause(isIdle bool) time.Duration {
-	pause := max(exchangeInterval, time.Duration(x.collectors.Load().ZoneSize(x.zone))*exchangeIntervalPerInstance)
-	if isIdle {
+// lastExchange is what the pause before the next exchange depends on.
+type lastExchange struct {
+	isIdle   bool // The instance had no requests under way.
+	took     time.Duration
+	linkLoad float64 // Utilisation of the instance's link.
+}
+
+// pause returns the pause before the next exchange in a zone of this size. The load that it
+// answers: most callers of a zone come to a few instances, whose links they fill.
+func (l lastExchange) pause(zoneSize int) time.Duration {
+	if l.linkLoad > congestedLink {
+		return maxExchangeInterval
+	}
+	pause := max(exchangeInterval, time.Duration(zoneSize)*exchangeIntervalPerInstance, l.took*pausePerDuration)
+	if l.isIdle {
 		pause = max(pause, idleExchangeInterval)
 	}
-	return pause
+	return min(pause, maxExchangeInterval)
 }
 
 // exchange tells the first collector that answers this instance's load, and applies its reply. It
--- a/internal/gateway/load_exchange_test.go
+++ b/internal/gateway/load_exchange_test.go
@@ -292,6 +292,27 @@
 	}
 }
 
+// Exchanges are rarer in a large zone, without requests, where they take long and where the link
+// is full.
+func TestExchangesAreAsFrequentAsTheyAreWorth(t *testing.T) {
+	for _, c := range []struct {
+		zoneSize int
+		last     lastExchange
+		want     time.Duration
+	}{
+		{20, lastExchange{took: 4 * time.Millisecond}, 200 * time.Millisecond},
+		{20, lastExchange{took: 4 * time.Millisecond, isIdle: true}, 600 * time.Millisecond},
+		{138, lastExchange{took: 4 * time.Millisecond}, 345 * time.Millisecond},
+		{20, lastExchange{took: 25 * time.Millisecond, linkLoad: 0.4}, 500 * time.Millisecond},
+		{20, lastExchange{took: 300 * time.Millisecond, isIdle: true}, 800 * time.Millisecond},
+		{20, lastExchange{took: 4 * time.Millisecond, linkLoad: 0.6}, 800 * time.Millisecond},
+	} {
+		if got := c.last.pause(c.zoneSize); got != c.want {
+			t.Errorf("the pause is %s for %+v", got, c)
+		}
+	}
+}
+
 // oneAddress is a peer.Addresses with one address for all.
 type oneAddress string
 
