Requests wait for tokens only while waiting can help

Callers lost that time and came back to be refused again.

Package tokenwait decides, per organisation, which requests wait and which are refused at once: while no tokens come, a single one as a probe; while some come, as many as fit into twice what was served, urgent and smaller ones first. Claimants, members and allocators (for withdrawals) use it. Refused requests state their need for as long as they would have waited, so that claims follow it as before. Retry-After grows with the shortage and is spread. A member's withdrawal asks for the smallest waiting request at least, and an allocator tells for how long it has been short.

The request that 402 answers is the same as before.

drain_test.go: the stub follows the interface; nothing else of it changed.

--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"guavapier/internal/prepaid"
+	"guavapier/internal/tokenwait"
 )
 
 // reserve reserves the request's tokens in its organisation's budget. The reservation is
@@ -18,7 +19,8 @@
 		return nil, nil
 	}
 	c.phase = phaseTokens
-	reserved, err := c.f.Budgets.Reserve(ctx, c.org.Name, tokens)
+	urgency := c.config.Urgency(c.route, c.org, 0)
+	reserved, err := c.f.Budgets.Reserve(ctx, tokenwait.Request{Team: c.org.Name, Tokens: tokens, Urgency: urgency})
 	if err != nil {
 		c.logBudget(tokens, err)
 	}
@@ -32,13 +34,17 @@
 }
 
 // budgetRetryAfter returns the retry delay for a request that got no tokens: until the
-// tokens held by this instance become free, plus a random delay, if that is known, else
-// long enough for other instances to return tokens.
+// tokens held by this instance become free, or as long as the shortage makes likely, plus a
+// random delay. Callers that are refused at the same moment thus don't all return at once.
 func budgetRetryAfter(err error) time.Duration {
 	var insufficient *prepaid.InsufficientError
 	if errors.As(err, &insufficient) {
 		return insufficient.After + rand.N(tokensRetryJitter)
 	}
+	var shortage *prepaid.ShortageError
+	if errors.As(err, &shortage) {
+		return shortage.RetryAfter + rand.N(max(shortage.RetryAfter/4, tokensRetryJitter))
+	}
 	return tokensRetryAfter
 }
 
--- a/internal/forward/drain_test.go
+++ b/internal/forward/drain_test.go
@@ -18,6 +18,7 @@
 	"guavapier/internal/record"
 	"guavapier/internal/retry"
 	"guavapier/internal/route"
+	"guavapier/internal/tokenwait"
 	"guavapier/internal/upstream"
 )
 
@@ -35,7 +36,7 @@
 // slowBudgets grants every reservation after a delay.
 type slowBudgets struct{ delay time.Duration }
 
-func (b slowBudgets) Reserve(context.Context, record.Team, int64) (forward.Reservation, error) {
+func (b slowBudgets) Reserve(context.Context, tokenwait.Request) (forward.Reservation, error) {
 	time.Sleep(b.delay)
 	return reservation{}, nil
 }
--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"errors"
 	"net/http"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"guavapier/internal/origin"
 	"guavapier/internal/placement"
+	"guavapier/internal/prepaid"
 	"guavapier/internal/quarantine"
 )
 
@@ -81,6 +83,10 @@
 	if line == nil {
 		return // The line is not logged, so the budget need not be read.
 	}
+	var shortage *prepaid.ShortageError
+	if errors.As(err, &shortage) {
+		line.Bool("at_once", shortage.AtOnce)
+	}
 	line.Str("request", c.ID).Str("team", string(c.org.Name)).Int64("tokens", tokens).Err(err).
 		Interface("budget", c.f.Budgets.Explain(c.org.Name)).Msg("forward: budget refused")
 }
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -10,6 +10,7 @@
 	"guavapier/internal/prepaid"
 	"guavapier/internal/quarantine"
 	"guavapier/internal/record"
+	"guavapier/internal/tokenwait"
 )
 
 // Request is a caller's request line and header, as decoded by the Codec.
@@ -91,7 +92,7 @@
 // Budgets reserves tokens in the organisations' budgets.
 type Budgets interface {
 	// Reserve fails with prepaid.ErrExhausted or prepaid.ErrInsufficient.
-	Reserve(ctx context.Context, team record.Team, tokens int64) (Reservation, error)
+	Reserve(ctx context.Context, r tokenwait.Request) (Reservation, error)
 	// Explain returns the current state of the team's budget, for the log.
 	Explain(team record.Team) prepaid.Balance
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,6 +32,7 @@
 	"guavapier/internal/route"
 	"guavapier/internal/settings"
 	"guavapier/internal/state"
+	"guavapier/internal/tokenwait"
 	"guavapier/internal/upstream"
 )
 
@@ -313,15 +314,15 @@
 type budgetAdapter struct{ controller *prepaid.Controller }
 
 // Reserve implements forward.Budgets.
-func (b budgetAdapter) Reserve(ctx context.Context, team record.Team, tokens int64) (forward.Reservation, error) {
-	r, err := b.controller.Reserve(ctx, team, tokens)
+func (b budgetAdapter) Reserve(ctx context.Context, r tokenwait.Request) (forward.Reservation, error) {
+	reservation, err := b.controller.ReserveRequest(ctx, r)
 	if err != nil {
 		return nil, err
 	}
-	return r, nil
+	return reservation, nil
 }
 
 // Explain implements forward.Budgets.
 func (b budgetAdapter) Explain(team record.Team) prepaid.Balance {
-	return b.controller.Accounts.Balance(team, b.controller.Clock())
+	return b.controller.Balance(team)
 }
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -25,7 +25,7 @@
 // registerTablesAndMetrics registers the tables of the state dump and the gauges of the
 // metrics page.
 func (g *Gateway) registerTablesAndMetrics() {
-	g.tables.Register("budgets", func() any { return g.budgets.Accounts.Balances(g.clock()) })
+	g.tables.Register("budgets", func() any { return g.budgets.Balances() })
 	g.tables.Register("endpoints", func() any { return g.endpoints.placementTable.View(g.clock()) })
 	g.tables.Register("zone", func() any { return g.zoneView() })
 	g.tables.Register("quarantine", func() any { return g.quarantine.Table.View(time.Now()) })
@@ -88,13 +88,14 @@
 // sends and of the link's load, in percent.
 func (g *Gateway) registerBudgetGauges() {
 	for name, value := range map[string]func(prepaid.Balance) int64{
-		metrics.GatewayBudgetHeld: func(b prepaid.Balance) int64 { return b.Claimed + b.Received - b.Transferred - b.Settled - b.Reserved },
-		metrics.GatewayBudgetUsed: func(b prepaid.Balance) int64 { return b.Settled + b.Reserved },
-		metrics.GatewayBudgetLost: func(b prepaid.Balance) int64 { return b.Lost },
+		metrics.GatewayBudgetHeld:    func(b prepaid.Balance) int64 { return b.Claimed + b.Received - b.Transferred - b.Settled - b.Reserved },
+		metrics.GatewayBudgetUsed:    func(b prepaid.Balance) int64 { return b.Settled + b.Reserved },
+		metrics.GatewayBudgetLost:    func(b prepaid.Balance) int64 { return b.Lost },
+		metrics.GatewayBudgetWaiting: func(b prepaid.Balance) int64 { return int64(b.Waiting) },
 	} {
 		g.metrics.Gauge(name, func() int64 {
 			sum := int64(0)
-			for _, b := range g.budgets.Accounts.Balances(g.clock()) {
+			for _, b := range g.budgets.Balances() {
 				sum += value(b)
 			}
 			return sum
@@ -103,6 +104,7 @@
 	g.metrics.Gauge(metrics.GatewayBudgetReadAge, func() int64 { return g.budgets.Accounts.Balance("", g.clock()).ReadAgeMS })
 	g.metrics.Gauge(metrics.GatewayBudgetRenewalAge, func() int64 { return g.budgets.Accounts.Balance("", g.clock()).RenewalAgeMS })
 	g.metrics.Gauge(metrics.GatewayBudgetReclaimed, g.budgets.ReclaimedTokens)
+	g.metrics.Gauge(metrics.GatewayBudgetRefusedAtOnce, g.budgets.RefusedAtOnce)
 	g.metrics.Gauge(metrics.GatewayRetries, func() int64 { allowed, _ := g.retryLimiter.Counts(); return allowed })
 	g.metrics.Gauge(metrics.GatewayLinkLoad, func() int64 { return int64(100 * g.linkShedder.Load()) })
 	g.metrics.Gauge(metrics.GatewayRetriesDenied, func() int64 { _, denied := g.retryLimiter.Counts(); return denied })
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -24,6 +24,8 @@
 	GatewayBudgetReadAge        = "gateway.budget_read_age"
 	GatewayBudgetRenewalAge     = "gateway.budget_touch_age"
 	GatewayBudgetReclaimed      = "gateway.budget_reclaimed"
+	GatewayBudgetWaiting        = "gateway.budget_waiting"
+	GatewayBudgetRefusedAtOnce  = "gateway.budget_refused_at_once"
 	// GatewayStoreCallsPrefix is followed by the outcome of a call to the store.
 	// Each outcome has a counter of its own.
 	GatewayStoreCallsPrefix = "gateway.store."
@@ -63,6 +65,8 @@
 		{GatewayBudgetReadAge, KindGauge, "milliseconds", "Time since the budgets topic was last read to its end."},
 		{GatewayBudgetRenewalAge, KindGauge, "milliseconds", "Time since the store last took a statement of this instance."},
 		{GatewayBudgetReclaimed, KindGauge, "tokens", "Tokens of dead processes of this host that were given back."},
+		{GatewayBudgetWaiting, KindGauge, "requests", "Requests, and withdrawals of members, that wait for tokens."},
+		{GatewayBudgetRefusedAtOnce, KindGauge, "requests", "Requests refused without a wait since the start, since their organisation is short of tokens."},
 		{GatewayRetries, KindGauge, "sends", "Sends of a request beyond its first, from the fleet's budget of repeats."},
 		{GatewayRetriesDenied, KindGauge, "sends", "Repeats that this instance's share of that budget did not cover."},
 		{GatewayLinkLoad, KindGauge, "percent", "What callers and endpoints take of the link's speed, in its fuller direction, over the last second."},
--- a/internal/prepaid/accounts.go
+++ b/internal/prepaid/accounts.go
@@ -81,8 +81,10 @@
 	// requests have given up; 0 if it is not kept.
 	shortfallKeptUntil time.Duration
 	rate               decayingRate
-	largestRequest     float64       // Largest recent request, decaying with each request.
-	publishedConsumed  int64         // Used and transferred in the last prepared record.
+	largestRequest     float64 // Largest recent request, decaying with each request.
+	publishedConsumed  int64   // Used and transferred in the last prepared record.
+	reportedSpent      int64   // What an allocator reported as permanently spent, at reportedSpentAt.
+	reportedSpentAt    time.Duration
 	headroom           time.Duration // How far ahead of its use, in time, a member may hold tokens.
 }
 
--- a/internal/prepaid/balance.go
+++ b/internal/prepaid/balance.go
@@ -26,6 +26,10 @@
 	// Lost is what dead processes hold unused and nobody has reclaimed.
 	Lost      int64 `json:"lost"`
 	Shortfall int64 `json:"short"`
+	// Waiting is the number of requests that wait for tokens; ShortForMS is how long no waiting
+	// request has got any, or 0. Only Controller sets them.
+	Waiting    int   `json:"waiting"`
+	ShortForMS int64 `json:"short_for_ms"`
 	// ReadAgeMS is the time since the log was last read up to its end, RenewalAgeMS
 	// the time since the log last acknowledged a record of this process.
 	ReadAgeMS    int64 `json:"read_age_ms"`
--- a/internal/prepaid/controller.go
+++ b/internal/prepaid/controller.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +13,7 @@
 	"guavapier/internal/allocator"
 	"guavapier/internal/logstore"
 	"guavapier/internal/record"
+	"guavapier/internal/tokenwait"
 )
 
 const (
@@ -55,6 +55,7 @@
 	Clock     func() time.Duration
 	Logger    zerolog.Logger
 
+	waits             *tokenwait.Queue
 	triggerRead       chan struct{}
 	triggerPublish    chan struct{}
 	lastReadAt        atomic.Int64 // Clock at the end of the last successful read, in nanoseconds; 0 if none.
@@ -66,13 +67,14 @@
 	logUnavailable    bool // The last read failed.
 	leaving           atomic.Bool
 	reclaimedTokens   atomic.Int64
+	refusedAtOnce     atomic.Int64
 	reclaimedSequence map[record.InstanceID]uint64 // By process: sequence of the dead process's record that was reclaimed.
 }
 
 // NewController returns a Controller, which does nothing until Run is called.
 func NewController(accounts *Accounts, directory *allocator.Directory, peers *Peers, log logstore.KeyedLog, clock func() time.Duration, logger zerolog.Logger) *Controller {
 	return &Controller{
-		Accounts: accounts, Directory: directory, Peers: peers, Store: log, reclaimedSequence: map[record.InstanceID]uint64{}, Clock: clock, Logger: logger, epoch: 1,
+		Accounts: accounts, Directory: directory, Peers: peers, Store: log, reclaimedSequence: map[record.InstanceID]uint64{}, Clock: clock, Logger: logger, epoch: 1, waits: tokenwait.New(MaxClaimWait),
 		triggerRead: make(chan struct{}, 1), triggerPublish: make(chan struct{}, 1),
 	}
 }
@@ -103,64 +105,6 @@
 // Settle ends the reservation; used tokens stay spent. It must be called once.
 func (r *Reservation) Settle(used int64) { r.controller.Accounts.Settle(r.team, r.tokens, used) }
 
-// Reserve reserves tokens for a request. If this instance holds too few, Reserve waits for a
-// claim while the log is reachable and requests tokens from other instances, for up to
-// MaxClaimWait. It returns ErrExhausted, ErrInsufficient or an *InsufficientError.
-func (c *Controller) Reserve(ctx context.Context, team record.Team, tokens int64) (*Reservation, error) {
-	err := c.Accounts.Reserve(team, tokens, c.Clock())
-	if errors.Is(err, ErrInsufficient) && c.Accounts.Role() == allocator.Member {
-		err = c.withdraw(ctx, team, tokens)
-	}
-	if errors.Is(err, ErrInsufficient) && c.Accounts.Role() != allocator.Member {
-		err = c.findTokens(ctx, team, tokens)
-	}
-	if err != nil {
-		return nil, err
-	}
-	return &Reservation{controller: c, team: team, tokens: tokens}, nil
-}
-
-// findTokens obtains tokens for a request, first from the log, then from other instances.
-func (c *Controller) findTokens(ctx context.Context, team record.Team, tokens int64) error {
-	if !c.Accounts.MayFindTokens(team) {
-		return ErrInsufficient
-	}
-	c.Accounts.AddShortfall(team, tokens)
-	defer c.Accounts.AddShortfall(team, -tokens)
-	startedAt := c.Clock()
-	if c.isLogReachable() {
-		if err := c.awaitTokens(ctx, team, tokens, claimTimeout); !errors.Is(err, ErrInsufficient) {
-			return err
-		}
-	}
-	c.Peers.RequestTokens(ctx, c.Accounts, team, tokens, c.Clock())
-	if !c.isLogReachable() {
-		return c.Accounts.Reserve(team, tokens, c.Clock())
-	}
-	return c.awaitTokens(ctx, team, tokens, MaxClaimWait-(c.Clock()-startedAt))
-}
-
-// awaitTokens retries the reservation whenever more tokens may be spendable, until the timeout.
-func (c *Controller) awaitTokens(ctx context.Context, team record.Team, tokens int64, timeout time.Duration) error {
-	timer := time.NewTimer(timeout)
-	defer timer.Stop()
-	for {
-		changed := c.Accounts.Changed()
-		err := c.Accounts.Reserve(team, tokens, c.Clock())
-		if !errors.Is(err, ErrInsufficient) {
-			return err
-		}
-		logstore.Notify(c.triggerPublish)
-		select {
-		case <-changed:
-		case <-timer.C:
-			return c.Accounts.Reserve(team, tokens, c.Clock())
-		case <-ctx.Done():
-			return ErrInsufficient
-		}
-	}
-}
-
 // isLogReachable reports whether the log was read within LogReachableTTL.
 func (c *Controller) isLogReachable() bool {
 	at := c.lastReadAt.Load()
--- a/internal/prepaid/member.go
+++ b/internal/prepaid/member.go
@@ -261,6 +261,34 @@
 	return a.permanentlySpent(team)
 }
 
+// reportedSpentTTL is how long an allocator's report of what is permanently spent counts for
+// requests that are refused without asking again. Reclaimed tokens reduce that amount.
+const reportedSpentTTL = time.Second
+
+// ObserveSpent records how much of a budget an allocator reported as permanently spent.
+func (a *Accounts) ObserveSpent(team record.Team, spent int64, now time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	acct := a.account(team)
+	acct.reportedSpent, acct.reportedSpentAt = spent, now
+}
+
+// IsReportedSpent reports whether an allocator has reported lately that a request does not fit into
+// the budget.
+func (a *Accounts) IsReportedSpent(team record.Team, tokens int64, now time.Duration) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	acct := a.account(team)
+	return acct.reportedSpent > 0 && now-acct.reportedSpentAt < reportedSpentTTL && acct.reportedSpent+tokens > a.prepaidTotals[team]
+}
+
+// PrepaidTotal returns the prepaid total of a budget.
+func (a *Accounts) PrepaidTotal(team record.Team) int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.prepaidTotals[team]
+}
+
 // ExceedsTotal reports whether a request exceeds the prepaid total if that many tokens are
 // spent already.
 func (a *Accounts) ExceedsTotal(team record.Team, spent, tokens int64) bool {
--- a/internal/prepaid/peers.go
+++ b/internal/prepaid/peers.go
@@ -65,8 +65,11 @@
 	Lead time.Duration
 	// Spent is how much of the budget is permanently spent by all processes, as far as
 	// the allocator knows.
-	Spent  int64
-	Status FleetStatus
+	Spent int64
+	// ShortFor is how long no withdrawal that waited at the allocator has been served, if
+	// this one was not; see tokenwait.Shortage.
+	ShortFor time.Duration
+	Status   FleetStatus
 }
 
 // PredecessorsArgs requests the records of a node's processes that started before Started
@@ -105,8 +108,12 @@
 		return errNotAllocator
 	}
 	total, ok := c.serveWithdrawal(args.From, args.Team, args.Need)
+	shortFor := time.Duration(0)
+	if !ok {
+		shortFor = c.waits.Shortage(args.Team, c.Clock()).Age
+	}
 	*reply = DrawReply{
-		Total: total, Lead: c.Accounts.Headroom(args.Team, c.Clock()), None: !ok && !c.Accounts.MayFindTokens(args.Team), Spent: c.Accounts.PermanentlySpent(args.Team), Status: c.Accounts.Status(c.Clock()),
+		Total: total, Lead: c.Accounts.Headroom(args.Team, c.Clock()), None: !ok && !c.Accounts.MayFindTokens(args.Team), Spent: c.Accounts.PermanentlySpent(args.Team), ShortFor: shortFor, Status: c.Accounts.Status(c.Clock()),
 	}
 	return nil
 }
--- a/internal/prepaid/roles.go
+++ b/internal/prepaid/roles.go
@@ -12,6 +12,7 @@
 	"guavapier/internal/logstore"
 	"guavapier/internal/peer"
 	"guavapier/internal/record"
+	"guavapier/internal/tokenwait"
 )
 
 const (
@@ -39,6 +40,9 @@
 	slotReadTimeout = 250 * time.Millisecond
 	// withdrawRetryInterval is the pause before a request repeats a withdrawal.
 	withdrawRetryInterval = 30 * time.Millisecond
+	// withdrawalGrace is how long a request waits beyond MaxClaimWait for a withdrawal in
+	// progress.
+	withdrawalGrace = 100 * time.Millisecond
 )
 
 // errNotAllocator reports that the called instance does not serve members as an allocator.
@@ -87,6 +91,7 @@
 		if was, is := c.Accounts.Role(), c.Directory.Role(useAllocators, c.Clock()); was != is {
 			c.Logger.Info().Stringer("was", was).Stringer("is", is).Int("instances", c.Accounts.Instances()).Msg("prepaid: part in the zone changed")
 			stop = c.switchRole(ctx, is, stop)
+			c.waits.Reset()
 		}
 		if slot, ok := c.Directory.SlotToTake(useAllocators, c.Clock()); ok && !c.leaving.Load() {
 			c.takeSlot(ctx, slot)
@@ -207,6 +212,9 @@
 // recordCall records the outcome of a call to an allocator.
 func (c *Controller) recordCall(to record.InstanceID, err error, status FleetStatus) {
 	if err == nil {
+		if len(c.Directory.ListReachable()) == 0 {
+			c.waits.Reset()
+		}
 		c.Directory.MarkReachable(to)
 		c.Accounts.ObserveStatus(status, c.Clock())
 		return
@@ -220,38 +228,61 @@
 }
 
 // withdraw obtains tokens from the zone's allocators for a waiting request.
-func (c *Controller) withdraw(ctx context.Context, team record.Team, tokens int64) error {
-	c.Accounts.AddShortfall(team, tokens)
-	defer c.Accounts.AddShortfall(team, -tokens)
+func (c *Controller) withdraw(ctx context.Context, w *tokenwait.Waiter) (tokenwait.Outcome, error) {
+	c.Accounts.AddShortfall(w.Team, w.Tokens)
+	defer c.Accounts.AddShortfall(w.Team, -w.Tokens)
 	startedAt := c.Clock()
 	for {
-		reply := c.withdrawOnce(ctx, team, tokens)
-		err := c.Accounts.Reserve(team, tokens, c.Clock())
+		reply, ok := c.awaitWithdrawal(ctx, w, startedAt+MaxClaimWait+withdrawalGrace)
+		if !ok {
+			return tokenwait.Abandoned, ErrInsufficient
+		}
+		err := c.Accounts.Reserve(w.Team, w.Tokens, c.Clock())
 		switch {
 		case !errors.Is(err, ErrInsufficient):
-			return err
-		case c.Accounts.ExceedsTotal(team, reply.Spent, tokens):
-			return ErrExhausted
-		case reply.None || c.Clock()-startedAt > MaxClaimWait || ctx.Err() != nil || c.Accounts.Role() != allocator.Member:
-			return ErrInsufficient
+			return outcomeOf(err), err
+		case c.Accounts.ExceedsTotal(w.Team, reply.Spent, w.Tokens):
+			return tokenwait.Abandoned, ErrExhausted
+		case reply.None || c.Accounts.Role() != allocator.Member:
+			return tokenwait.Abandoned, ErrInsufficient
+		case reply.ShortFor >= MaxClaimWait:
+			return tokenwait.Unsupplied, ErrInsufficient
+		case c.Clock()-startedAt > MaxClaimWait:
+			return tokenwait.Refused, ErrInsufficient
 		}
 		logstore.Pause(ctx, withdrawRetryInterval, nil)
 	}
 }
 
-// withdrawOnce makes one withdrawal; concurrent requests of one budget share it.
-func (c *Controller) withdrawOnce(ctx context.Context, team record.Team, tokens int64) DrawReply {
-	shared, _, _ := c.Peers.inFlight.Do("draw/"+string(team), func() (any, error) {
-		need := c.Accounts.WithdrawalNeed(team, tokens, c.Clock())
-		for _, a := range c.Directory.ListReachable() {
-			if reply, ok := c.withdrawFrom(ctx, a.Key, team, need); ok {
-				return reply, nil
-			}
+// awaitWithdrawal makes one withdrawal; concurrent requests of one budget share it. It returns an
+// empty reply if the withdrawal lasts until the given time, and ok is false if the request should
+// wait no longer.
+func (c *Controller) awaitWithdrawal(ctx context.Context, w *tokenwait.Waiter, until time.Duration) (reply DrawReply, ok bool) {
+	limit := time.NewTimer(until - c.Clock())
+	defer limit.Stop()
+	shared := c.Peers.inFlight.DoChan("draw/"+string(w.Team), func() (any, error) { return c.withdrawOnce(ctx, w), nil })
+	select {
+	case result := <-shared:
+		reply, _ = result.Val.(DrawReply)
+	case <-limit.C:
+	case <-w.Refused():
+		return DrawReply{}, false
+	case <-ctx.Done():
+		return DrawReply{}, false
+	}
+	return reply, true
+}
+
+// withdrawOnce withdraws from the first allocator that answers. The smallest waiting request
+// decides how little helps: it may still fit into what is left.
+func (c *Controller) withdrawOnce(ctx context.Context, w *tokenwait.Waiter) DrawReply {
+	need := c.Accounts.WithdrawalNeed(w.Team, c.waits.Smallest(w.Team, w.Tokens), c.Clock())
+	for _, a := range c.Directory.ListReachable() {
+		if reply, ok := c.withdrawFrom(ctx, a.Key, w.Team, need); ok {
+			return reply
 		}
-		return DrawReply{}, nil
-	})
-	reply, _ := shared.(DrawReply)
-	return reply
+	}
+	return DrawReply{}
 }
 
 // withdrawFrom withdraws tokens from one allocator. The call outlives the request that caused
@@ -268,6 +299,7 @@
 	}
 	c.Accounts.Receive(to, team, reply.Total)
 	c.Accounts.SetHeadroom(team, reply.Lead)
+	c.Accounts.ObserveSpent(team, reply.Spent, c.Clock())
 	return reply, true
 }
 
@@ -280,9 +312,29 @@
 // serveWithdrawal serves a member's withdrawal from spendable tokens, or from what a claim or
 // another process provides within a short time.
 func (c *Controller) serveWithdrawal(from record.InstanceID, team record.Team, need Need) (total int64, ok bool) {
-	if total, ok = c.Accounts.TransferToMember(from, team, need, c.Clock()); ok || !c.Accounts.MayFindTokens(team) {
-		return total, ok
+	if total, ok = c.Accounts.TransferToMember(from, team, need, c.Clock()); ok {
+		c.waits.RecordServed(team, need.Least, c.Clock())
+		return total, true
+	}
+	if !c.Accounts.MayFindTokens(team) {
+		return total, false
 	}
+	w := c.waits.Join(tokenwait.Request{Team: team, Tokens: need.Least, Total: c.Accounts.PrepaidTotal(team)}, c.Clock())
+	if w == nil {
+		c.keepShortfall(team, need.All, memberClaimTimeout+memberRequestTimeout)
+		return total, false
+	}
+	total, ok = c.findForMember(from, team, need)
+	outcome := tokenwait.Served
+	if !ok {
+		outcome = tokenwait.Refused
+	}
+	c.endWait(w, outcome)
+	return total, ok
+}
+
+// findForMember serves a withdrawal from what a claim or another process provides.
+func (c *Controller) findForMember(from record.InstanceID, team record.Team, need Need) (total int64, ok bool) {
 	c.Accounts.AddShortfall(team, need.All)
 	defer c.Accounts.AddShortfall(team, -need.All)
 	if c.isLogReachable() {
--- /dev/null
+++ b/internal/tokenwait/recent_sum.go
@@ -0,0 +1,31 @@
+package tokenwait
+
+import "time"
+
+// recentSum sums up amounts over the last one to two periods.
+type recentSum struct {
+	period            time.Duration
+	current, previous int64
+	startedAt         time.Duration // Start of the current period.
+}
+
+// add adds an amount.
+func (r *recentSum) add(amount int64, now time.Duration) {
+	r.advance(now)
+	r.current += amount
+}
+
+// at returns the sum.
+func (r *recentSum) at(now time.Duration) int64 {
+	r.advance(now)
+	return r.current + r.previous
+}
+
+func (r *recentSum) advance(now time.Duration) {
+	switch elapsed := now - r.startedAt; {
+	case elapsed >= 2*r.period:
+		r.current, r.previous, r.startedAt = 0, 0, now
+	case elapsed >= r.period:
+		r.current, r.previous, r.startedAt = 0, r.current, r.startedAt+r.period
+	}
+}
