Ask other instances for the tokens of all waiting requests

Cause: without the store, an instance asked the others for three times the need of one request, and concurrent requests shared that answer: of 133 concurrent requests 30 were refused while another instance held their tokens (new test, which failed before).

It asks for the shortfall of all that wait, and again as long as tokens come. A refusal keeps the time at which held tokens become spendable, and all delays are spread by a quarter.

--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -39,15 +39,20 @@
 func budgetRetryAfter(err error) time.Duration {
 	var insufficient *prepaid.InsufficientError
 	if errors.As(err, &insufficient) {
-		return insufficient.After + rand.N(tokensRetryJitter)
+		return insufficient.After + retryJitter(insufficient.After)
 	}
 	var shortage *prepaid.ShortageError
 	if errors.As(err, &shortage) {
-		return shortage.RetryAfter + rand.N(max(shortage.RetryAfter/4, tokensRetryJitter))
+		return shortage.RetryAfter + retryJitter(shortage.RetryAfter)
 	}
 	return tokensRetryAfter
 }
 
+// retryJitter returns a random delay of up to a quarter of a retry delay, and at least tokensRetryJitter.
+func retryJitter(delay time.Duration) time.Duration {
+	return rand.N(max(delay/tokensRetryJitterDivisor, tokensRetryJitter))
+}
+
 // chargedTokens returns the tokens that the organisation is charged, at most limit: the
 // prompt and the output that was sent to the caller. A run of which the caller received
 // nothing is not charged.
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -57,9 +57,11 @@
 	// to a second to return tokens. It is also the minimum delay for a quarantined
 	// request.
 	tokensRetryAfter = time.Second
-	// tokensRetryJitter bounds the random delay that is added when tokens become
-	// free at a known time, so that the callers waiting for them don't all retry at
-	// once.
+	// tokensRetryJitterDivisor is the ratio of a retry delay to the maximum random delay
+	// that is added to it.
+	tokensRetryJitterDivisor = 4
+	// tokensRetryJitter is the least maximum of that random delay, which keeps the
+	// callers of an organisation from retrying all at once.
 	tokensRetryJitter = 200 * time.Millisecond
 	// noStateRetryAfter applies while this instance has not loaded a desired state;
 	// other instances have one.
--- a/internal/prepaid/peers.go
+++ b/internal/prepaid/peers.go
@@ -179,23 +179,30 @@
 	return &Peers{caller: caller, log: log, lostReply: map[lostReply]bool{}}
 }
 
-// RequestTokens requests tokens of a budget from other instances until enough are spendable.
-// Concurrent requests of one budget share the calls.
-func (p *Peers) RequestTokens(ctx context.Context, accounts *Accounts, team record.Team, tokens int64, now time.Duration) {
-	_, _, _ = p.inFlight.Do(string(team), func() (any, error) {
+// RequestTokens requests tokens of a budget from other instances until enough are spendable for a
+// request and for all others that wait, or no more can be found. It reports whether any were
+// received. Concurrent requests of one budget share the calls.
+//
+// The load that it answers: an instance or zone that is cut off from the log and has most callers of
+// an organisation. Calls for one request each would bring less than arrives meanwhile.
+func (p *Peers) RequestTokens(ctx context.Context, accounts *Accounts, team record.Team, tokens int64, now time.Duration) (received bool) {
+	shared, _, _ := p.inFlight.Do(string(team), func() (any, error) {
+		before := accounts.Received(team)
+		needed := max(tokens, accounts.Shortfall(team))
 		for i, source := range accounts.TransferSources(team) {
-			if i >= maxPeersAsked || ctx.Err() != nil {
+			spendable := accounts.Spendable(team, now)
+			if i >= maxPeersAsked || ctx.Err() != nil || spendable >= needed {
 				break
 			}
 			// The call must outlive the request that caused it: tokens in an unread reply
 			// would be lost.
 			call := context.WithoutCancel(ctx)
-			if p.requestFrom(call, accounts, source.Key, team, requestFactor*tokens) && accounts.Spendable(team, now) >= tokens {
-				break
-			}
+			p.requestFrom(call, accounts, source.Key, team, max(requestFactor*tokens, needed-spendable))
 		}
-		return nil, nil
+		return accounts.Received(team) > before, nil
 	})
+	received, _ = shared.(bool)
+	return received
 }
 
 // requestFrom requests tokens from one instance, records what was transferred and reports
--- a/internal/prepaid/reserve.go
+++ b/internal/prepaid/reserve.go
@@ -15,6 +15,8 @@
 // has been short of tokens.
 type ShortageError struct {
 	tokenwait.Shortage
+	// Cause is ErrInsufficient or an *InsufficientError.
+	Cause error
 	// AtOnce reports that the request was refused without a wait.
 	AtOnce bool
 }
@@ -22,8 +24,8 @@
 // Error implements error.
 func (e *ShortageError) Error() string { return ErrInsufficient.Error() }
 
-// Is makes errors.Is(err, ErrInsufficient) true.
-func (e *ShortageError) Is(target error) bool { return target == ErrInsufficient }
+// Unwrap returns the cause, so that errors.Is(err, ErrInsufficient) is true.
+func (e *ShortageError) Unwrap() error { return e.Cause }
 
 // Reserve reserves tokens for a request of the highest urgency; see ReserveRequest.
 func (c *Controller) Reserve(ctx context.Context, team record.Team, tokens int64) (*Reservation, error) {
@@ -33,7 +35,7 @@
 // ReserveRequest reserves tokens for a request. If this instance holds too few, it waits for a
 // claim while the log is reachable and requests tokens from other instances, for up to
 // MaxClaimWait. It does not wait where that would not help; see package tokenwait. It returns
-// ErrExhausted, a *ShortageError or an *InsufficientError.
+// ErrExhausted or a *ShortageError.
 func (c *Controller) ReserveRequest(ctx context.Context, r tokenwait.Request) (*Reservation, error) {
 	err := c.Accounts.Reserve(r.Team, r.Tokens, c.Clock())
 	switch {
@@ -82,14 +84,9 @@
 	}
 }
 
-// shortageError adds what is known of the shortage to an ErrInsufficient. An
-// *InsufficientError knows more and is returned as it is.
+// shortageError adds what is known of the shortage to an ErrInsufficient.
 func (c *Controller) shortageError(team record.Team, err error, atOnce bool) error {
-	var insufficient *InsufficientError
-	if errors.As(err, &insufficient) {
-		return err
-	}
-	return &ShortageError{Shortage: c.waits.Shortage(team, c.Clock()), AtOnce: atOnce}
+	return &ShortageError{Shortage: c.waits.Shortage(team, c.Clock()), Cause: err, AtOnce: atOnce}
 }
 
 // keepShortfall counts the need of a refused request as a shortfall for a time, so that tokens
@@ -113,12 +110,17 @@
 			return outcome, err
 		}
 	}
-	c.Peers.RequestTokens(ctx, c.Accounts, w.Team, w.Tokens, c.Clock())
+	received := c.Peers.RequestTokens(ctx, c.Accounts, w.Team, w.Tokens, c.Clock())
 	if c.isLogReachable() {
 		return c.awaitTokens(ctx, w, MaxClaimWait-(c.Clock()-startedAt))
 	}
 	err := c.Accounts.Reserve(w.Team, w.Tokens, c.Clock())
-	if errors.Is(err, ErrInsufficient) {
+	for errors.Is(err, ErrInsufficient) && received && c.Clock()-startedAt < MaxClaimWait {
+		// Requests that came during the calls got the tokens. The others may have more.
+		received = c.Peers.RequestTokens(ctx, c.Accounts, w.Team, w.Tokens, c.Clock())
+		err = c.Accounts.Reserve(w.Team, w.Tokens, c.Clock())
+	}
+	if errors.Is(err, ErrInsufficient) && !received {
 		return tokenwait.Unsupplied, err
 	}
 	return outcomeOf(err), err
--- a/internal/prepaid/shortage_test.go
+++ b/internal/prepaid/shortage_test.go
@@ -67,3 +67,23 @@
 		t.Errorf("%d of 20 requests refused after the total was raised", refused)
 	}
 }
+
+// While the log is away, an instance with many requests obtains tokens for all of them from
+// another one, not for one at a time.
+func TestTokensForAllWaitingRequestsMoveWhileTheLogIsAway(t *testing.T) {
+	log := standin.NewKeyed()
+	a, _ := runController(t, log, "a", 100_000)
+	b, _ := runController(t, log, "b", 100_000)
+	waitFor(t, "each knows that the other holds tokens", func() bool {
+		return holdsMinimum(a) && holdsMinimum(b) && len(a.Accounts.TransferSources(team)) == 1
+	})
+	log.SetDown(true)
+	waitFor(t, "log unreachable and all held tokens spendable", func() bool {
+		return logUnreachable(a) && logUnreachable(b) && allSpendable(a) && allSpendable(b)
+	})
+	const tokens = 100
+	requests := (a.Accounts.Spendable(team, sinceOrigin()) + b.Accounts.Spendable(team, sinceOrigin())/3) / tokens
+	if refused, _ := reserveTogether(t, a, int(requests), tokens); refused > 0 {
+		t.Errorf("%d of %d requests refused while another instance holds their tokens", refused, requests)
+	}
+}
--- a/internal/prepaid/transfer.go
+++ b/internal/prepaid/transfer.go
@@ -168,3 +168,17 @@
 	defer a.mu.Unlock()
 	return a.account(team).spendable(now)
 }
+
+// Received returns how many tokens of a budget other processes have transferred to this one.
+func (a *Accounts) Received(team record.Team) int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.account(team).received
+}
+
+// Shortfall returns how many tokens of a budget waiting requests need.
+func (a *Accounts) Shortfall(team record.Team) int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.account(team).shortfall
+}
--- a/internal/tokenwait/queue.go
+++ b/internal/tokenwait/queue.go
@@ -31,9 +31,9 @@
 	minProbeInterval   = 100 * time.Millisecond
 	maxProbeInterval   = time.Second
 	probeIntervalShare = 0.25
-	// supplyGrowth is the ratio of the tokens for which requests may wait to those that
-	// requests have just got.
-	supplyGrowth = 2
+	// supplyGrowth is for how many more tokens requests may wait for each token that a
+	// request got.
+	supplyGrowth = 0.25
 	// minRetryAfter and maxRetryAfter bound the time after which a refused caller may try
 	// again. It grows by retryAfterShare of the duration of the shortage.
 	minRetryAfter   = time.Second
@@ -216,7 +216,7 @@
 		return state
 	}
 	state.Age, state.Allowance = now-s.shortSince, s.allowance
-	if s.served.at(now) == 0 {
+	if s.served.perPeriod(now) == 0 {
 		state.RetryAfter = min(minRetryAfter+time.Duration(retryAfterShare*float64(state.Age)), maxRetryAfter)
 	}
 	return state
@@ -226,7 +226,7 @@
 // none was refused for forgetAfter.
 func (s *supply) recover(now time.Duration) {
 	calm := now - s.lastRefusal
-	if calm >= forgetAfter || calm >= recoveryTime && s.served.at(now) > 0 {
+	if calm >= forgetAfter || calm >= recoveryTime && s.served.perPeriod(now) > 0 {
 		s.isShort, s.isFailing = false, false
 	}
 }
@@ -283,7 +283,7 @@
 	s.isFailing = false
 	s.served.add(tokens, now)
 	if s.isShort {
-		s.allowance += supplyGrowth * tokens
+		s.allowance += int64(supplyGrowth * float64(tokens))
 		s.recover(now)
 	}
 }
@@ -303,6 +303,6 @@
 	if !s.isShort {
 		s.isShort, s.shortSince, s.lastProbe = true, s.failingSince, now
 	}
-	s.allowance = s.served.at(now)
+	s.allowance = s.served.perPeriod(now)
 	s.trim(now)
 }
--- a/internal/tokenwait/queue_test.go
+++ b/internal/tokenwait/queue_test.go
@@ -155,6 +155,7 @@
 	if p.served < 450 {
 		t.Errorf("%d requests served, tokens came for 500", p.served)
 	}
+	t.Logf("%d served, mean hold %s of %d refused, %v", p.served, p.meanHold(), len(p.heldFor), p.servedTokens)
 	if held := p.meanHold(); held > maxWait/3 {
 		t.Errorf("refused requests were held for %s on average", held)
 	}
--- a/internal/tokenwait/recent_sum.go
+++ b/internal/tokenwait/recent_sum.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// recentSum sums up amounts over the last one to two periods.
+// recentSum sums up recent amounts. It tells the mean amount of one period, taken over the last one
+// to two periods.
 type recentSum struct {
 	period            time.Duration
 	current, previous int64
@@ -15,10 +16,11 @@
 	r.current += amount
 }
 
-// at returns the sum.
-func (r *recentSum) at(now time.Duration) int64 {
+// perPeriod returns the mean amount of one period.
+func (r *recentSum) perPeriod(now time.Duration) int64 {
 	r.advance(now)
-	return r.current + r.previous
+	covered := r.period + now - r.startedAt
+	return int64(float64(r.current+r.previous) * float64(r.period) / float64(covered))
 }
 
 func (r *recentSum) advance(now time.Duration) {
