A slow allocator is not a lost one

Cause: behind a full link a call to an allocator takes longer than the 300 ms (withdrawals) or 120 ms (returns and probes) that it might take.

Returns and probes may take 400 ms.

--- a/internal/prepaid/roles.go
+++ b/internal/prepaid/roles.go
@@ -27,9 +27,9 @@
 	// returnInterval is the pause between two returns to an allocator. Tokens that a
 	// member holds without need are unavailable to others, and lost if it is killed.
 	returnInterval = time.Second
-	// withdrawTimeout limits one withdrawal. The allocator may spend memberClaimTimeout
-	// and memberRequestTimeout on it.
-	withdrawTimeout = 300 * time.Millisecond
+	// returnTimeout limits a return or a probe. It allows for the queue on a congested link,
+	// behind which an allocator must not seem lost.
+	returnTimeout = 400 * time.Millisecond
 	// memberClaimTimeout is how long an allocator waits for a claim during a withdrawal.
 	memberClaimTimeout = claimTimeout
 	// memberRequestTimeout is how long it then requests tokens from other processes.
@@ -38,11 +38,6 @@
 	// longer, the link of this instance is saturated: the allocators may be unreachable
 	// only from here, and this instance would serve the zone no better.
 	slotReadTimeout = 250 * time.Millisecond
-	// withdrawRetryInterval is the pause before a request repeats a withdrawal.
-	withdrawRetryInterval = 30 * time.Millisecond
-	// withdrawalGrace is how long a request waits beyond MaxClaimWait for a withdrawal in
-	// progress.
-	withdrawalGrace = 100 * time.Millisecond
 )
 
 // errNotAllocator reports that the called instance does not serve members as an allocator.
@@ -201,7 +196,7 @@
 // callReturn reports the cumulative amounts returned to an allocator, updates the fleet status
 // from the reply and reports whether the call succeeded.
 func (c *Controller) callReturn(ctx context.Context, to record.InstanceID, totals map[record.Team]int64) bool {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), returnTimeout)
 	defer cancel()
 	var reply HandReply
 	err := c.Peers.caller.Call(ctx, to, ServiceName+".Return", HandArgs{From: c.Accounts.self.Key, Totals: totals}, &reply)
@@ -227,82 +222,6 @@
 	c.Logger.Warn().Err(err).Str("allocator", string(to)).Bool("gone", retired).Msg("prepaid: allocator not reached")
 }
 
-// withdraw obtains tokens from the zone's allocators for a waiting request.
-func (c *Controller) withdraw(ctx context.Context, w *tokenwait.Waiter) (tokenwait.Outcome, error) {
-	c.Accounts.AddShortfall(w.Team, w.Tokens)
-	defer c.Accounts.AddShortfall(w.Team, -w.Tokens)
-	startedAt := c.Clock()
-	for {
-		reply, ok := c.awaitWithdrawal(ctx, w, startedAt+MaxClaimWait+withdrawalGrace)
-		if !ok {
-			return tokenwait.Abandoned, ErrInsufficient
-		}
-		err := c.Accounts.Reserve(w.Team, w.Tokens, c.Clock())
-		switch {
-		case !errors.Is(err, ErrInsufficient):
-			return outcomeOf(err), err
-		case c.Accounts.ExceedsTotal(w.Team, reply.Spent, w.Tokens):
-			return tokenwait.Abandoned, ErrExhausted
-		case reply.None || c.Accounts.Role() != allocator.Member:
-			return tokenwait.Abandoned, ErrInsufficient
-		case reply.ShortFor >= MaxClaimWait:
-			return tokenwait.Unsupplied, ErrInsufficient
-		case c.Clock()-startedAt > MaxClaimWait:
-			return tokenwait.Refused, ErrInsufficient
-		}
-		logstore.Pause(ctx, withdrawRetryInterval, nil)
-	}
-}
-
-// awaitWithdrawal makes one withdrawal; concurrent requests of one budget share it. It returns an
-// empty reply if the withdrawal lasts until the given time, and ok is false if the request should
-// wait no longer.
-func (c *Controller) awaitWithdrawal(ctx context.Context, w *tokenwait.Waiter, until time.Duration) (reply DrawReply, ok bool) {
-	limit := time.NewTimer(until - c.Clock())
-	defer limit.Stop()
-	shared := c.Peers.inFlight.DoChan("draw/"+string(w.Team), func() (any, error) { return c.withdrawOnce(ctx, w), nil })
-	select {
-	case result := <-shared:
-		reply, _ = result.Val.(DrawReply)
-	case <-limit.C:
-	case <-w.Refused():
-		return DrawReply{}, false
-	case <-ctx.Done():
-		return DrawReply{}, false
-	}
-	return reply, true
-}
-
-// withdrawOnce withdraws from the first allocator that answers. The smallest waiting request
-// decides how little helps: it may still fit into what is left.
-func (c *Controller) withdrawOnce(ctx context.Context, w *tokenwait.Waiter) DrawReply {
-	need := c.Accounts.WithdrawalNeed(w.Team, c.waits.Smallest(w.Team, w.Tokens), c.Clock())
-	for _, a := range c.Directory.ListReachable() {
-		if reply, ok := c.withdrawFrom(ctx, a.Key, w.Team, need); ok {
-			return reply
-		}
-	}
-	return DrawReply{}
-}
-
-// withdrawFrom withdraws tokens from one allocator. The call outlives the request that caused
-// it, and ResolveLostReplies makes up for a lost reply.
-func (c *Controller) withdrawFrom(ctx context.Context, to record.InstanceID, team record.Team, need Need) (DrawReply, bool) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), withdrawTimeout)
-	defer cancel()
-	var reply DrawReply
-	err := c.Peers.caller.Call(ctx, to, ServiceName+".Draw", DrawArgs{From: c.Accounts.self.Key, Team: team, Need: need}, &reply)
-	c.Peers.recordOutcome(lostReply{to, team}, err != nil && !errors.Is(err, peer.ErrNotSent))
-	c.recordCall(to, err, reply.Status)
-	if err != nil {
-		return DrawReply{}, false
-	}
-	c.Accounts.Receive(to, team, reply.Total)
-	c.Accounts.SetHeadroom(team, reply.Lead)
-	c.Accounts.ObserveSpent(team, reply.Spent, c.Clock())
-	return reply, true
-}
-
 // servesMembers reports whether members of the zone can withdraw tokens here. A terminating
 // allocator refers them to another one.
 func (c *Controller) servesMembers() bool {
