--- a/internal/prepaid/roles.go
+++ b/internal/prepaid/roles.go
@@ -12,6 +12,7 @@
 	"guavapier/internal/logstore"
 	"guavapier/internal/peer"
 	"guavapier/internal/record"
+	"guavapier/internal/tokenwait"
 )
 
 const (
@@ -26,9 +27,9 @@
 	// returnInterval is the pause between two returns to an allocator. Tokens that a
 	// member holds without need are unavailable to others, and lost if it is killed.
 	returnInterval = time.Second
-	// withdrawTimeout limits one withdrawal. The allocator may spend memberClaimTimeout
-	// and memberRequestTimeout on it.
-	withdrawTimeout = 300 * time.Millisecond
+	// returnTimeout limits a return or a probe. It allows for the queue on a congested link,
+	// behind which an allocator must not seem lost.
+	returnTimeout = 400 * time.Millisecond
 	// memberClaimTimeout is how long an allocator waits for a claim during a withdrawal.
 	memberClaimTimeout = claimTimeout
 	// memberRequestTimeout is how long it then requests tokens from other processes.
@@ -37,8 +38,6 @@
 	// longer, the link of this instance is saturated: the allocators may be unreachable
 	// only from here, and this instance would serve the zone no better.
 	slotReadTimeout = 250 * time.Millisecond
-	// withdrawRetryInterval is the pause before a request repeats a withdrawal.
-	withdrawRetryInterval = 30 * time.Millisecond
 )
 
 // errNotAllocator reports that the called instance does not serve members as an allocator.
@@ -87,6 +86,7 @@
 		if was, is := c.Accounts.Role(), c.Directory.Role(useAllocators, c.Clock()); was != is {
 			c.Logger.Info().Stringer("was", was).Stringer("is", is).Int("instances", c.Accounts.Instances()).Msg("prepaid: part in the zone changed")
 			stop = c.switchRole(ctx, is, stop)
+			c.waits.Reset()
 		}
 		if slot, ok := c.Directory.SlotToTake(useAllocators, c.Clock()); ok && !c.leaving.Load() {
 			c.takeSlot(ctx, slot)
@@ -196,7 +196,7 @@
 // callReturn reports the cumulative amounts returned to an allocator, updates the fleet status
 // from the reply and reports whether the call succeeded.
 func (c *Controller) callReturn(ctx context.Context, to record.InstanceID, totals map[record.Team]int64) bool {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), returnTimeout)
 	defer cancel()
 	var reply HandReply
 	err := c.Peers.caller.Call(ctx, to, ServiceName+".Return", HandArgs{From: c.Accounts.self.Key, Totals: totals}, &reply)
@@ -207,6 +207,9 @@
 // recordCall records the outcome of a call to an allocator.
 func (c *Controller) recordCall(to record.InstanceID, err error, status FleetStatus) {
 	if err == nil {
+		if len(c.Directory.ListReachable()) == 0 {
+			c.waits.Reset()
+		}
 		c.Directory.MarkReachable(to)
 		c.Accounts.ObserveStatus(status, c.Clock())
 		return
@@ -219,58 +222,6 @@
 	c.Logger.Warn().Err(err).Str("allocator", string(to)).Bool("gone", retired).Msg("prepaid: allocator not reached")
 }
 
-// withdraw obtains tokens from the zone's allocators for a waiting request.
-func (c *Controller) withdraw(ctx context.Context, team record.Team, tokens int64) error {
-	c.Accounts.AddShortfall(team, tokens)
-	defer c.Accounts.AddShortfall(team, -tokens)
-	startedAt := c.Clock()
-	for {
-		reply := c.withdrawOnce(ctx, team, tokens)
-		err := c.Accounts.Reserve(team, tokens, c.Clock())
-		switch {
-		case !errors.Is(err, ErrInsufficient):
-			return err
-		case c.Accounts.ExceedsTotal(team, reply.Spent, tokens):
-			return ErrExhausted
-		case reply.None || c.Clock()-startedAt > MaxClaimWait || ctx.Err() != nil || c.Accounts.Role() != allocator.Member:
-			return ErrInsufficient
-		}
-		logstore.Pause(ctx, withdrawRetryInterval, nil)
-	}
-}
-
-// withdrawOnce makes one withdrawal; concurrent requests of one budget share it.
-func (c *Controller) withdrawOnce(ctx context.Context, team record.Team, tokens int64) DrawReply {
-	shared, _, _ := c.Peers.inFlight.Do("draw/"+string(team), func() (any, error) {
-		need := c.Accounts.WithdrawalNeed(team, tokens, c.Clock())
-		for _, a := range c.Directory.ListReachable() {
-			if reply, ok := c.withdrawFrom(ctx, a.Key, team, need); ok {
-				return reply, nil
-			}
-		}
-		return DrawReply{}, nil
-	})
-	reply, _ := shared.(DrawReply)
-	return reply
-}
-
-// withdrawFrom withdraws tokens from one allocator. The call outlives the request that caused
-// it, and ResolveLostReplies makes up for a lost reply.
-func (c *Controller) withdrawFrom(ctx context.Context, to record.InstanceID, team record.Team, need Need) (DrawReply, bool) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), withdrawTimeout)
-	defer cancel()
-	var reply DrawReply
-	err := c.Peers.caller.Call(ctx, to, ServiceName+".Draw", DrawArgs{From: c.Accounts.self.Key, Team: team, Need: need}, &reply)
-	c.Peers.recordOutcome(lostReply{to, team}, err != nil && !errors.Is(err, peer.ErrNotSent))
-	c.recordCall(to, err, reply.Status)
-	if err != nil {
-		return DrawReply{}, false
-	}
-	c.Accounts.Receive(to, team, reply.Total)
-	c.Accounts.SetHeadroom(team, reply.Lead)
-	return reply, true
-}
-
 // servesMembers reports whether members of the zone can withdraw tokens here. A terminating
 // allocator refers them to another one.
 func (c *Controller) servesMembers() bool {
@@ -280,9 +231,29 @@
 // serveWithdrawal serves a member's withdrawal from spendable tokens, or from what a claim or
 // another process provides within a short time.
 func (c *Controller) serveWithdrawal(from record.InstanceID, team record.Team, need Need) (total int64, ok bool) {
-	if total, ok = c.Accounts.TransferToMember(from, team, need, c.Clock()); ok || !c.Accounts.MayFindTokens(team) {
-		return total, ok
+	if total, ok = c.Accounts.TransferToMember(from, team, need, c.Clock()); ok {
+		c.waits.RecordServed(team, need.Least, c.Clock())
+		return total, true
+	}
+	if !c.Accounts.MayFindTokens(team) {
+		return total, false
+	}
+	w := c.waits.Join(tokenwait.Request{Team: team, Tokens: need.Least, Total: c.Accounts.PrepaidTotal(team)}, c.Clock())
+	if w == nil {
+		c.keepShortfall(team, need.All, memberClaimTimeout+memberRequestTimeout)
+		return total, false
 	}
+	total, ok = c.findForMember(from, team, need)
+	outcome := tokenwait.Served
+	if !ok {
+		outcome = tokenwait.Refused
+	}
+	c.endWait(w, outcome)
+	return total, ok
+}
+
+// findForMember serves a withdrawal from what a claim or another process provides.
+func (c *Controller) findForMember(from record.InstanceID, team record.Team, need Need) (total int64, ok bool) {
 	c.Accounts.AddShortfall(team, need.All)
 	defer c.Accounts.AddShortfall(team, -need.All)
 	if c.isLogReachable() {
