Log: lines of refused, late and failed requests are kept before those of good ones

The lines that are thinned are those of the fullest instances, just where operators look: all lines of a level shared one limit a second, so that requests served well displaced late ones, and the details of refusals.

Lines about requests that were answered in time are a kind of their own. The others keep their limits. The line "logging: lines dropped or thinned" says how many of each kind.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -45,8 +45,10 @@
 	g, err := gateway.New(s, gateway.Platform{
 		Store:       platform.NewStore(base.Host, s.Store.Timeout.D()),
 		DecodeState: platform.DecodeState, DecodeEndpoint: platform.DecodeEndpoint, CordonedZone: platform.CordonedZone,
-		Codec: platform.Codec{}, ReadyPath: platform.ReadyPath, LinesDropped: func() int64 { return ring.Dropped() + limiter.Suppressed() },
-		Thin: limiter,
+		Codec: platform.Codec{}, ReadyPath: platform.ReadyPath, LinesDropped: func() gateway.DroppedLines {
+			return gateway.DroppedLines{Unread: ring.Dropped(), Suppressed: limiter.Suppressed()}
+		},
+		Thin: limiter, ThinRoutine: limiter.Routine(),
 	}, log)
 	if err != nil {
 		return err
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -57,6 +57,7 @@
 	// closed by its caller.
 	IsForceClosing func() bool
 	Log            zerolog.Logger
+	RoutineLog     zerolog.Logger // For lines about requests that were served well.
 	// OnRequestEnd is called once for each request when it has ended.
 	OnRequestEnd func(RequestSummary)
 	// OnPlaced is called before each attempt is sent.
--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -105,11 +105,7 @@
 		name = c.route.Name
 	}
 	c.f.OnRequestEnd(RequestSummary{Route: name, Status: status, Reason: c.reason, Attempts: c.attempts, Duration: took, TimeToHeader: c.timeToHeader})
-	level := zerolog.InfoLevel
-	if status == 0 || status >= http.StatusBadRequest {
-		level = zerolog.WarnLevel
-	}
-	line := c.f.Log.WithLevel(level)
+	line := c.endLine(status)
 	if line == nil {
 		return
 	}
@@ -120,6 +116,18 @@
 		Int64("prompt", c.PromptTokens).Int64("state", c.stateVersion()).Msg("forward: request ended")
 }
 
+// endLine begins the line about the ended request: a warning if it got no good answer, else a
+// routine line if the answer was in time.
+func (c *call) endLine(status int) *zerolog.Event {
+	switch {
+	case status == 0 || status >= http.StatusBadRequest:
+		return c.f.Log.Warn()
+	case c.missedLatencyTarget():
+		return c.f.Log.Info()
+	}
+	return c.f.RoutineLog.Info()
+}
+
 // stateVersion returns the version of the desired state that the request was served with,
 // or 0 if there was none.
 func (c *call) stateVersion() int64 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"guavapier/internal/discovery"
 	"guavapier/internal/forward"
 	"guavapier/internal/linkload"
+	"guavapier/internal/logging"
 	"guavapier/internal/logstore"
 	"guavapier/internal/metrics"
 	"guavapier/internal/origin"
@@ -46,15 +47,27 @@
 	Codec        forward.Codec
 	// LinesDropped returns how many log lines were dropped or rate limited since the start.
 	// If nil, they are not reported.
-	LinesDropped func() int64
+	LinesDropped func() DroppedLines
 	// Thin drops log lines that exceed a rate; if nil, none are dropped. Lines about the
 	// instance's own lifecycle and its dependencies are not passed to it.
 	Thin zerolog.Sampler
+	// ThinRoutine does the same for lines about requests that were served well, which are
+	// dropped first.
+	ThinRoutine zerolog.Sampler
 	// ReadyPath is the URL path on which the load balancer asks whether the instance is
 	// ready: 200 if so, else 503.
 	ReadyPath string
 }
 
+// DroppedLines are numbers of log lines that were not written.
+type DroppedLines struct {
+	Unread     int64 // Dropped because nobody read the output in time.
+	Suppressed logging.SuppressedLines
+}
+
+// Sum returns the number of all these lines.
+func (d DroppedLines) Sum() int64 { return d.Unread + d.Suppressed.Sum() }
+
 const (
 	// requestDialTimeout bounds how long a request waits for a connection to an endpoint.
 	// Round trips take under 10 ms; if a connection takes this long, trying another endpoint
@@ -254,7 +267,7 @@
 	handler := &forward.Forwarder{
 		Zone: g.settings.Gateway.Zone, Codec: g.platform.Codec, State: g.config.Load, Budgets: budgetAdapter{g.budgets},
 		Endpoints: g.endpoints.placementTable, Retries: g.retryLimiter, Origins: g.streamOrigins, Quarantine: g.quarantine, Pool: g.upstreamPool, Permits: g.permits, OnStatement: g.statements.onStatement, Clock: g.clock,
-		ClosesConnections: g.closesCallerConns, IsOutdated: g.isOutdated, ShutdownTime: g.requestCutoffTime, IsForceClosing: g.abortingRequests.Load, Log: g.sampledLog, OnRequestEnd: g.requestObserver(), OnPlaced: g.loadReporter.reportPlacement,
+		ClosesConnections: g.closesCallerConns, IsOutdated: g.isOutdated, ShutdownTime: g.requestCutoffTime, IsForceClosing: g.abortingRequests.Load, Log: g.sampledLog, RoutineLog: g.log.Sample(g.platform.ThinRoutine), OnRequestEnd: g.requestObserver(), OnPlaced: g.loadReporter.reportPlacement,
 	}
 	server := &http.Server{Handler: g.countInFlight(handler), MaxHeaderBytes: maxHeaderBytes, ConnState: g.callerConns.ConnState}
 	server.DisableGeneralOptionsHandler = true
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -44,7 +44,7 @@
 	g.metrics.Gauge(metrics.GatewayTunnelsServed, g.tunnels.server.OpenCount)
 	g.registerBudgetGauges()
 	if g.platform.LinesDropped != nil {
-		g.metrics.Gauge(metrics.GatewayLinesDropped, g.platform.LinesDropped)
+		g.metrics.Gauge(metrics.GatewayLinesDropped, func() int64 { return g.platform.LinesDropped().Sum() })
 	}
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -51,7 +51,7 @@
 // runHousekeeping runs the periodic work until ctx ends: log lines about changed conditions,
 // expiry of connections and endpoints, and the instance's share of the retry budget.
 func (g *Gateway) runHousekeeping(ctx context.Context) {
-	droppedLines, outdated := int64(0), false
+	droppedLines, outdated := DroppedLines{}, false
 	reach := &reachLogger{log: g.log, states: map[string]reachState{}}
 	for ctx.Err() == nil {
 		logstore.Pause(ctx, housekeepingInterval, nil)
@@ -107,13 +107,15 @@
 
 // logDroppedLines logs how many more log lines than logged were dropped or rate limited, and
 // returns the new total. The level is error because errors are never rate limited.
-func (g *Gateway) logDroppedLines(logged int64) int64 {
+func (g *Gateway) logDroppedLines(logged DroppedLines) DroppedLines {
 	if g.platform.LinesDropped == nil {
 		return logged
 	}
 	dropped := g.platform.LinesDropped()
-	if dropped > logged {
-		g.log.Error().Int64("lines", dropped-logged).Msg("logging: lines dropped or thinned")
+	if lines := dropped.Sum() - logged.Sum(); lines > 0 {
+		before, now := logged.Suppressed, dropped.Suppressed
+		g.log.Error().Int64("lines", lines).Int64("routine", now.Routine-before.Routine).Int64("info", now.Info-before.Info).
+			Int64("warnings", now.Warning-before.Warning).Int64("unread", dropped.Unread-logged.Unread).Msg("logging: lines dropped or thinned")
 	}
 	return dropped
 }
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -53,7 +53,7 @@
 	// Buffer is the maximum number of lines that wait for a slow reader of standard
 	// output.
 	Buffer int `toml:"buffer"`
-	// Lines is the maximum number of lines per second of each level below error.
+	// Lines is the maximum number of lines per second of each kind below error.
 	Lines int `toml:"lines"`
 }
 
@@ -120,7 +120,7 @@
 		{Name: "log.level", Unit: "level", kind: kindChoice, choices: []string{"debug", "info", "warn", "error"}, Doc: "Lowest level that is logged."},
 		{Name: "log.format", Unit: "format", kind: kindChoice, choices: []string{"json", "console"}, Doc: "JSON for programs, console for people."},
 		{Name: "log.buffer", Unit: "lines", kind: kindCount, min: 16, max: 1 << 20, Doc: "Lines that wait for a slow reader of standard output; beyond that the oldest are dropped and counted."},
-		{Name: "log.lines", Unit: "lines", kind: kindCount, min: 1, max: 1 << 20, Doc: "Lines a second and level that are written; more are thinned and counted, errors and lines of its own life never."},
+		{Name: "log.lines", Unit: "lines", kind: kindCount, min: 1, max: 1 << 20, Doc: "Lines a second and kind (warnings, others, those of requests that were served well) that are written; more are thinned and counted, the last kind first, errors and lines of its own life never."},
 		{Name: "drain.within", Unit: "duration", kind: kindDuration, min: int64(time.Second), max: int64(time.Hour), Doc: "Time from the signal to end until the process is killed."},
 		{Name: "drain.unready", Unit: "duration", kind: kindDuration, min: 0, max: int64(time.Minute), Doc: "How long new connections are still accepted after the signal: until the balancer has seen that the instance is not ready."},
 		{Name: "drain.last_callers", Unit: "duration", kind: kindDuration, min: 0, max: int64(time.Minute), Doc: "The end of drain.unready: a request that comes in it or later and may last longer than the drain is refused, not run."},
