Full links: new connections are turned away unread, and callers asked to leave by share

A large caller's connections all go to one instance; once it is left out of rotation and closes its connections, all go to the next, which is full within half a second. Each gets twice what its link carries for some 3 s, and then reads for 4 s requests whose callers have given up. Processor time is not what binds: 0.05 to 0.19 of 0.192 cores, lowest where the link is fullest.

Change. internal/linkadmission decides on each new connection at a link that is over 80 % full: a share that grows to all at 90 % is closed unread, so that its caller knows that no request has run and tries another instance; at most 80 % while nothing is known of the other links, 30 % where the zone is known to be full. internal/linkload sheds above 65 %, ends at 40 % without a rest, asks a share of callers to leave that grows with the load, and goes on beyond 6 s while other instances take the callers (by the zone's summary, or by the new connections that still come). Where the zone is known to be full it doesn't shed. Both need gateway.link_mbps.

Shedder.ShouldCloseConnections became CloseShare; the tests that play a zone move that share of callers instead of all, with the same bounds.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -18,6 +19,7 @@
 	"guavapier/internal/callers"
 	"guavapier/internal/discovery"
 	"guavapier/internal/forward"
+	"guavapier/internal/linkadmission"
 	"guavapier/internal/linkload"
 	"guavapier/internal/logging"
 	"guavapier/internal/logstore"
@@ -127,6 +129,7 @@
 	registry         *registry.Registry // The fleet's instances.
 	linkMeter        linkload.Meter
 	linkShedder      *linkload.Shedder
+	linkAdmission    *linkadmission.Controller
 	upstreamPool     *upstream.Pool
 	tunnels          *tunnels // Connections to endpoints through other instances.
 	prober           *prober  // Of endpoints that can't be reached.
@@ -150,11 +153,12 @@
 	clock := newBootClock()
 	g := &Gateway{
 		settings: s, platform: p, log: log, sampledLog: log.Sample(p.Thin), clock: clock, metrics: metrics.New(), tables: state.New(),
-		linkShedder: linkload.NewShedder(s.Gateway.LinkMbps),
+		linkAdmission: linkadmission.New(s.Gateway.LinkMbps),
 		retryLimiter: retry.NewLimiter(retry.Budget{
 			Ratio: s.Retries.Ratio, Extra: float64(s.Retries.Extra), Window: s.Retries.Window.D(),
 		}, initialInstanceCount),
 	}
+	g.linkShedder = linkload.NewShedder(s.Gateway.LinkMbps, g.zoneLinks)
 	contact := &storeContact{}
 	g.stateFreshness = newFreshness(s.Store.StateWithin.D(), clock, contact)
 	if err := g.listen(); err != nil {
@@ -170,6 +174,7 @@
 	g.prober = newProber(placementTable, g.upstreamPool, g.tunnels.dialer.DialDirect, clock, g.sampledLog)
 	g.tunnels.dialer.OnOpened = g.prober.onTunnelOpened
 	g.callerConns = callers.New(g.callersListener.(*net.TCPListener), defaultCallerIdleTimeout, &g.linkMeter, g.logExpiry)
+	g.callerConns.Admit = g.admitsConnection
 	p.Store = instrumentedStore{p.Store, g.metrics}
 	g.platform = p
 	g.endpoints = newEndpointTracker(p, s.Store, contact, placementTable, g.upstreamPool, clock, g.sampledLog, log)
@@ -305,7 +310,7 @@
 // closesCallerConns reports whether responses ask callers to close their connections and so
 // to move to another instance.
 func (g *Gateway) closesCallerConns() bool {
-	return g.isDraining.Load() || g.isOutdated() || g.isolation.isIsolated() || g.linkShedder.ShouldCloseConnections(g.clock())
+	return g.isDraining.Load() || g.isOutdated() || g.isolation.isIsolated() || rand.Float64() < g.linkShedder.CloseShare(g.clock())
 }
 
 // isOutdated reports whether this instance's copy of the desired state or of the endpoint
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -33,6 +33,7 @@
 	g.tables.Register("state", func() any {
 		return map[string]int64{"version": g.stateVersion(), "age_ms": g.stateFreshness.age().Milliseconds()}
 	})
+	g.tables.Register("link", func() any { return g.linkView() })
 	g.metrics.Gauge(metrics.GatewayInstances, func() int64 { return int64(g.budgets.Accounts.Instances()) })
 	g.metrics.Gauge(metrics.GatewayStateVersion, g.stateVersion)
 	g.metrics.Gauge(metrics.GatewayStateAge, func() int64 { return g.stateFreshness.age().Milliseconds() })
@@ -105,6 +106,7 @@
 	g.metrics.Gauge(metrics.GatewayBudgetReclaimed, g.budgets.ReclaimedTokens)
 	g.metrics.Gauge(metrics.GatewayRetries, func() int64 { allowed, _ := g.retryLimiter.Counts(); return allowed })
 	g.metrics.Gauge(metrics.GatewayLinkLoad, func() int64 { return int64(100 * g.linkShedder.Load()) })
+	g.metrics.Gauge(metrics.GatewayTurnedAway, func() int64 { return g.linkAdmission.Counts().TurnedAway })
 	g.metrics.Gauge(metrics.GatewayRetriesDenied, func() int64 { _, denied := g.retryLimiter.Counts(); return denied })
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -51,7 +51,7 @@
 // runHousekeeping runs the periodic work until ctx ends: log lines about changed conditions,
 // expiry of connections and endpoints, and the instance's share of the retry budget.
 func (g *Gateway) runHousekeeping(ctx context.Context) {
-	droppedLines, outdated := DroppedLines{}, false
+	droppedLines, outdated, turnedAway := DroppedLines{}, false, int64(0)
 	reach := &reachLogger{log: g.log, states: map[string]reachState{}}
 	for ctx.Err() == nil {
 		logstore.Pause(ctx, housekeepingInterval, nil)
@@ -59,6 +59,7 @@
 		outdated = g.logOutdatedChange(outdated)
 		g.upstreamPool.CloseExpired()
 		g.updateLinkLoad()
+		turnedAway = g.logTurnedAway(turnedAway)
 		g.endpoints.sweep()
 		g.updateReach(reach)
 		g.callerConns.CloseIdle()
--- a/internal/linkload/meter.go
+++ b/internal/linkload/meter.go
@@ -15,7 +15,14 @@
 // value is ready for use, and CountReceived and CountSent do nothing on a nil Meter. It
 // is safe for concurrent use.
 type Meter struct {
-	in, out atomic.Int64
+	in, out, connections atomic.Int64
+}
+
+// CountConnection adds a connection that a caller has made.
+func (m *Meter) CountConnection() {
+	if m != nil {
+		m.connections.Add(1)
+	}
 }
 
 // CountReceived adds n bytes to those received.
@@ -32,12 +39,16 @@
 	}
 }
 
-// Total returns the bytes that have been counted since the process started.
-func (m *Meter) Total() ByteCounts { return ByteCounts{In: m.in.Load(), Out: m.out.Load()} }
+// Total returns what has been counted since the process started.
+func (m *Meter) Total() Counts {
+	return Counts{In: m.in.Load(), Out: m.out.Load(), Connections: m.connections.Load()}
+}
 
-// ByteCounts are numbers of bytes received (In) and sent (Out).
-type ByteCounts struct {
-	In, Out int64
+// Counts are numbers of bytes received (In) and sent (Out), and of connections that callers
+// have made.
+type Counts struct {
+	In, Out     int64
+	Connections int64
 }
 
 // WrapDial returns a dial function that counts the bytes of the connections that next
--- a/internal/linkload/shedder.go
+++ b/internal/linkload/shedder.go
@@ -9,9 +9,16 @@
 	// shedThreshold is the utilisation of the link above which shedding starts.
 	// Traffic that is not counted (packet headers, calls to other instances and to
 	// the store) takes up to a fifth of the link, and queues grow before it is full.
-	shedThreshold = 0.7
-	// clearThreshold is the utilisation at or below which shedding ends.
-	clearThreshold = 0.5
+	shedThreshold = 0.65
+	// clearThreshold is the utilisation at or below which shedding ends. A large caller that
+	// comes back brings half a link within a second.
+	clearThreshold = 0.4
+	// congestedThreshold is the utilisation above which the instance takes on no work for
+	// others.
+	congestedThreshold = 0.5
+	// keptLoad is the utilisation that callers may cause who are not asked to leave their
+	// connections.
+	keptLoad = 0.35
 	// fullThreshold is the counted utilisation at which the link is full, with the
 	// traffic that is not counted.
 	fullThreshold = 0.8
@@ -22,13 +29,14 @@
 	// to stop sending new connections. Callers whose connections are closed before that
 	// would be sent back at once.
 	balancerReactionTime = 2 * time.Second
-	// maxShedDuration bounds a phase of shedding that does not clear the link: if all
-	// instances are equally loaded, callers gain nothing by going elsewhere.
+	// maxShedDuration bounds a phase of shedding in which callers still come: if all
+	// instances are equally loaded, they gain nothing by going elsewhere.
 	maxShedDuration = 6 * time.Second
-	// cooldownAfterClear is the minimum time from the end of a phase of shedding that
-	// cleared the link to the next one, cooldownAfterTimeout after one that did not.
-	cooldownAfterClear   = 2 * time.Second
+	// cooldownAfterTimeout is the minimum time from the end of such a phase to the next one.
 	cooldownAfterTimeout = 12 * time.Second
+	// outOfRotationRatio is the rate of new connections, relative to the one before a phase of
+	// shedding, up to which the load balancer has found other instances for callers.
+	outOfRotationRatio = 0.25
 )
 
 // Shedder decides when callers are sent to other instances because this instance's link
@@ -36,13 +44,19 @@
 // traffic, including the instance's own calls. Shedder does no I/O and has no clock:
 // callers pass the current time as a duration since a fixed origin. It is safe for
 // concurrent use.
+//
+// The share of answers that ask callers to leave grows with the utilisation, so that those who
+// stay fill no more than keptLoad. If all left, the next instance would get them all.
 type Shedder struct {
-	bytesPerSecond float64 // Capacity of the link in each direction; 0 for unknown.
+	bytesPerSecond float64          // Capacity of the link in each direction; 0 for unknown.
+	zone           func() ZoneLinks // What is known of the zone's links.
 
 	mu          sync.Mutex // Guards the fields below.
 	samples     []sample   // Those within rateWindow and the last before it, oldest first.
 	load        float64    // Utilisation of the busier direction; 1 is full.
+	connections float64    // New connections per second within rateWindow.
 	shedding    bool
+	usualRate   float64       // New connections per second at the start of the latest phase.
 	shedStart   time.Duration // Start of the latest phase of shedding.
 	cooldownEnd time.Duration // Earliest start of the next phase of shedding.
 }
@@ -50,19 +64,23 @@
 // sample is a reading of the Meter.
 type sample struct {
 	at    time.Duration
-	total ByteCounts
+	total Counts
 }
 
+// BytesPerMbit converts a link's capacity from Mbit/s to bytes per second.
+const BytesPerMbit = 1e6 / 8
+
 // NewShedder returns a Shedder for a link with this capacity in Mbit/s. 0 stands for an
-// unknown capacity, with which the Shedder never sheds.
-func NewShedder(linkMbps float64) *Shedder {
-	const bytesPerMbit = 1e6 / 8
-	return &Shedder{bytesPerSecond: linkMbps * bytesPerMbit}
+// unknown capacity, with which the Shedder never sheds. zone returns what is known of the
+// zone's links.
+func NewShedder(linkMbps float64, zone func() ZoneLinks) *Shedder {
+	return &Shedder{bytesPerSecond: linkMbps * BytesPerMbit, zone: zone}
 }
 
 // Sample updates the utilisation with a reading of the Meter, and reports whether shedding
 // has started or ended.
-func (s *Shedder) Sample(total ByteCounts, now time.Duration) (changed bool) {
+func (s *Shedder) Sample(total Counts, now time.Duration) (changed bool) {
+	zone := s.zone()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.updateLoad(total, now)
@@ -70,20 +88,29 @@
 	case s.bytesPerSecond <= 0:
 		return false
 	case s.shedding && s.load <= clearThreshold:
-		s.shedding, s.cooldownEnd = false, now+cooldownAfterClear
-	case s.shedding && now-s.shedStart >= maxShedDuration:
+		s.shedding = false
+	case s.shedding && now-s.shedStart >= maxShedDuration && !s.isRelieved(zone):
 		s.shedding, s.cooldownEnd = false, now+cooldownAfterTimeout
-	case !s.shedding && s.load > shedThreshold && now >= s.cooldownEnd:
-		s.shedding, s.shedStart = true, now
+	case !s.shedding && s.load > shedThreshold && now >= s.cooldownEnd && zone.HasRoom():
+		s.shedding, s.shedStart, s.usualRate = true, now, s.connections
 	default:
 		return false
 	}
 	return true
 }
 
+// isRelieved reports whether other instances take this one's callers: by what is known of their
+// links, else by the connections that callers still make here.
+func (s *Shedder) isRelieved(zone ZoneLinks) bool {
+	if zone.Known {
+		return zone.HasRoom()
+	}
+	return s.connections < outOfRotationRatio*s.usualRate
+}
+
 // updateLoad computes the load from the bytes that were transferred within rateWindow.
 // Until the samples cover that time it stays 0.
-func (s *Shedder) updateLoad(total ByteCounts, now time.Duration) {
+func (s *Shedder) updateLoad(total Counts, now time.Duration) {
 	s.samples = append(s.samples, sample{now, total})
 	for len(s.samples) > 2 && now-s.samples[1].at >= rateWindow {
 		s.samples = s.samples[1:]
@@ -92,6 +119,7 @@
 	if elapsed := now - oldest.at; elapsed >= rateWindow && s.bytesPerSecond > 0 {
 		transferred := max(total.In-oldest.total.In, total.Out-oldest.total.Out)
 		s.load = float64(transferred) / elapsed.Seconds() / s.bytesPerSecond
+		s.connections = float64(total.Connections-oldest.total.Connections) / elapsed.Seconds()
 	}
 }
 
@@ -104,7 +132,7 @@
 }
 
 // IsCongested reports whether the utilisation is too high to take on more callers.
-func (s *Shedder) IsCongested() bool { return s.Load() > clearThreshold }
+func (s *Shedder) IsCongested() bool { return s.Load() > congestedThreshold }
 
 // IsFull reports whether the link can carry no more.
 func (s *Shedder) IsFull() bool { return s.Load() >= fullThreshold }
@@ -116,10 +144,13 @@
 	return s.shedding
 }
 
-// ShouldCloseConnections reports whether answers should ask callers to close their
-// connections, which they then open again to another instance.
-func (s *Shedder) ShouldCloseConnections(now time.Duration) bool {
+// CloseShare returns the share of answers that should ask callers to close their connections,
+// which they then open again to another instance.
+func (s *Shedder) CloseShare(now time.Duration) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.shedding && now-s.shedStart >= balancerReactionTime
+	if !s.shedding || now-s.shedStart < balancerReactionTime {
+		return 0
+	}
+	return min(max((s.load-keptLoad)/(fullThreshold-keptLoad), 0), 1)
 }
--- a/internal/linkload/shedder_test.go
+++ b/internal/linkload/shedder_test.go
@@ -24,7 +24,7 @@
 // simulatedInstance is an instance with the traffic of its callers.
 type simulatedInstance struct {
 	shedder      *linkload.Shedder
-	total        linkload.ByteCounts
+	total        linkload.Counts
 	failedChecks int           // Consecutive failed health checks.
 	callerMbps   float64       // Traffic that callers send on open connections, in Mbit/s.
 	shedTime     time.Duration // Total time of shedding.
@@ -36,7 +36,7 @@
 	t.Helper()
 	z := &simulatedZone{t: t, rng: rand.New(rand.NewPCG(1, 2)), linkMbps: linkMbps}
 	for range n {
-		z.instances = append(z.instances, &simulatedInstance{shedder: linkload.NewShedder(linkMbps)})
+		z.instances = append(z.instances, &simulatedInstance{shedder: linkload.NewShedder(linkMbps, func() linkload.ZoneLinks { return linkload.ZoneLinks{Instances: max(n, 2)} })})
 	}
 	return z
 }
@@ -90,16 +90,16 @@
 	if i.callerMbps > 0.9*z.linkMbps {
 		i.fullTime += sampleInterval
 	}
-	if i.shedder.ShouldCloseConnections(z.now) {
-		z.moveCallersFrom(i)
+	if share := i.shedder.CloseShare(z.now); share > 0 {
+		z.moveCallersFrom(i, share)
 	}
 }
 
-// moveCallersFrom moves a quarter of an instance's traffic to instances in rotation, in 16
-// parts that choose at random.
-func (z *simulatedZone) moveCallersFrom(i *simulatedInstance) {
+// moveCallersFrom moves an instance's traffic to instances in rotation, in 16 parts that choose
+// at random: a quarter if all answers ask callers to leave, and less if only this share does.
+func (z *simulatedZone) moveCallersFrom(i *simulatedInstance, share float64) {
 	const parts = 16
-	leaving := i.callerMbps / 4
+	leaving := share * i.callerMbps / 4
 	i.callerMbps -= leaving
 	targets := z.inRotation()
 	for range parts {
@@ -182,3 +182,90 @@
 		t.Errorf("the instance was shedding for %s, want never", z.instances[0].shedTime)
 	}
 }
+
+// A link stays full after the load balancer has left the instance out, because what callers have
+// sent still waits for it. As long as they make few new connections, shedding goes on; if they
+// come on as before, the other instances are as full, and it ends after 6 s.
+func TestSheddingGoesOnWhileCallersGoElsewhere(t *testing.T) {
+	for name, c := range map[string]struct {
+		connectionsLater int64 // New connections a second once the balancer has reacted.
+		wantShedding     bool
+	}{
+		"callers go elsewhere": {5, true},
+		"callers still come":   {90, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := linkload.NewShedder(10, func() linkload.ZoneLinks { return linkload.ZoneLinks{Instances: 10} })
+			var total linkload.Counts
+			for now := time.Duration(0); now < 10*time.Second; now += sampleInterval {
+				connections := int64(100)
+				if now >= 3*time.Second {
+					connections = c.connectionsLater
+				}
+				total.In += int64(0.95 * 10 * linkload.BytesPerMbit * sampleInterval.Seconds())
+				total.Connections += connections / 4
+				s.Sample(total, now)
+			}
+			if got := s.IsShedding(); got != c.wantShedding {
+				t.Errorf("after 10 s of a full link: shedding %t, want %t", got, c.wantShedding)
+			}
+		})
+	}
+}
+
+// Callers aren't sent away if the zone is known to be full, nor if half of it sheds: the load
+// balancer would use all instances then. An instance that sheds ends that when it becomes known.
+func TestNoSheddingInAFullZone(t *testing.T) {
+	for name, full := range map[string]linkload.ZoneLinks{
+		"all full":   {Known: true, Mean: 0.8, Instances: 10},
+		"half sheds": {Known: true, Mean: 0.3, Instances: 10, Shedding: 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			zone := full
+			s := linkload.NewShedder(10, func() linkload.ZoneLinks { return zone })
+			var total linkload.Counts
+			now := time.Duration(0)
+			play := func(d time.Duration) {
+				for end := now + d; now < end; now += sampleInterval {
+					total.In += int64(0.95 * 10 * linkload.BytesPerMbit * sampleInterval.Seconds())
+					s.Sample(total, now)
+				}
+			}
+			play(5 * time.Second)
+			if s.IsShedding() {
+				t.Error("sheds, want not: nobody has room")
+			}
+			zone = linkload.ZoneLinks{Known: true, Mean: 0.2, Instances: 10}
+			play(2 * time.Second)
+			if !s.IsShedding() {
+				t.Error("does not shed once others have room")
+			}
+			zone = full
+			play(6 * time.Second)
+			if s.IsShedding() {
+				t.Error("sheds 6 s after the others have become full")
+			}
+		})
+	}
+}
+
+// The share of callers who are asked to leave grows with the load, from none at 35 % of the
+// link, and nobody is asked before the load balancer sends callers elsewhere.
+func TestMoreCallersAreAskedToLeaveAFullerLink(t *testing.T) {
+	shareAt := func(mbps float64, d time.Duration) float64 {
+		s := linkload.NewShedder(10, func() linkload.ZoneLinks { return linkload.ZoneLinks{Instances: 10} })
+		var total linkload.Counts
+		for now := time.Duration(0); now <= d; now += sampleInterval {
+			total.In += int64(mbps * linkload.BytesPerMbit * sampleInterval.Seconds())
+			s.Sample(total, now)
+		}
+		return s.CloseShare(d)
+	}
+	if early := shareAt(9.5, 2*time.Second); early > 0 {
+		t.Errorf("%.2f of the callers are asked to leave 1 s after the start of shedding, want none", early)
+	}
+	half, all := shareAt(7, 4*time.Second), shareAt(9.5, 4*time.Second)
+	if half < 0.5 || half > 0.9 || all < 1 {
+		t.Errorf("%.2f and %.2f of the callers are asked to leave at 70 and 95 %% of the link, want 0.5 to 0.9 and all", half, all)
+	}
+}
