--- a/internal/linkload/shedder.go
+++ b/internal/linkload/shedder.go
@@ -91,7 +91,7 @@
 		s.shedding = false
 	case s.shedding && now-s.shedStart >= maxShedDuration && !s.isRelieved(zone):
 		s.shedding, s.cooldownEnd = false, now+cooldownAfterTimeout
-	case !s.shedding && s.load > shedThreshold && now >= s.cooldownEnd && zone.HasRoom():
+	case !s.shedding && s.load > shedThreshold && now >= s.cooldownEnd && (!zone.Known || zone.HasRoom()):
 		s.shedding, s.shedStart, s.usualRate = true, now, s.connections
 	default:
 		return false
