--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -70,7 +70,9 @@
 // updateLinkLoad samples the link's load, which decides whether callers are sent to other
 // instances, and logs when that decision changes.
 func (g *Gateway) updateLinkLoad() {
-	if !g.linkShedder.Sample(g.linkMeter.Total(), g.clock()) {
+	total, now := g.linkMeter.Total(), g.clock()
+	g.linkAdmission.Sample(total, now)
+	if !g.linkShedder.Sample(total, now) {
 		return
 	}
 	g.log.Warn().Bool("sheds", g.linkShedder.IsShedding()).Float64("load", g.linkShedder.Load()).
--- a/internal/linkadmission/linkadmission.go
+++ b/internal/linkadmission/linkadmission.go
@@ -62,14 +62,20 @@
 	return &Controller{bytesPerSecond: linkMbps * linkload.BytesPerMbit}
 }
 
+// Sample updates the utilisation with a reading of the link's meter at now. It is to be called
+// periodically, since connections may be seldom.
+func (c *Controller) Sample(total linkload.Counts, now time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.updateLoad(total, now)
+}
+
 // AdmitConnection reports whether a connection is to be taken. total is a reading of the link's
 // meter at now, and draw is a random number from 0 to 1.
 func (c *Controller) AdmitConnection(zone linkload.ZoneLinks, total linkload.Counts, draw float64, now time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.bytesPerSecond > 0 {
-		c.updateLoad(total, now)
-	}
+	c.updateLoad(total, now)
 	if draw < c.share(zone) {
 		c.counts.TurnedAway++
 		return false
@@ -95,6 +101,9 @@
 // updateLoad computes the utilisation over rateWindow. Until the samples cover that time it
 // stays 0.
 func (c *Controller) updateLoad(total linkload.Counts, now time.Duration) {
+	if c.bytesPerSecond <= 0 {
+		return
+	}
 	if n := len(c.samples); n > 0 && now-c.samples[n-1].at < minSampleInterval {
 		return
 	}
--- a/internal/linkadmission/linkadmission_test.go
+++ b/internal/linkadmission/linkadmission_test.go
@@ -129,3 +129,18 @@
 		}
 	}
 }
+
+// No connection is made for two seconds after an overload, in which the link becomes idle. The
+// next one is taken.
+func TestALinkThatBecameIdleUnnoticedTurnsNobodyAway(t *testing.T) {
+	i := newInstance(linkMbps, withRoom)
+	i.play(time.Second, 40, 380)
+	for range 20 {
+		i.play(tick, 0, 0)
+		i.now += 100*time.Millisecond - tick
+		i.controller.Sample(i.total, i.now)
+	}
+	if !i.controller.AdmitConnection(withRoom, i.total, 0, i.now) {
+		t.Error("the connection was turned away, want it taken")
+	}
+}
