Full links: shedding by share; connections are no longer turned away

At most a fifth of the answers now ask callers to leave, so that a large caller's connections don't all come to the next instance at once.

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -19,10 +19,6 @@
 // ConnState hook.
 type Connections struct {
 	*net.TCPListener
-	// Admit, if not nil, decides on each new connection; one that it does not admit is closed
-	// unread. It must be set before the first Accept.
-	Admit func() bool
-
 	meter     *linkload.Meter
 	onExpired func(Expiry)
 
@@ -49,10 +45,6 @@
 // the listener's queue, then http.ErrServerClosed.
 func (cs *Connections) Accept() (net.Conn, error) {
 	accepted, err := cs.AcceptTCP()
-	for err == nil && !cs.admits() {
-		turnAway(accepted)
-		accepted, err = cs.AcceptTCP()
-	}
 	if err != nil && cs.isDraining() {
 		accepted, err = cs.acceptQueued(err)
 	}
@@ -67,18 +59,6 @@
 	return c, nil
 }
 
-// admits reports whether a connection is taken. A drain takes all that are made in it.
-func (cs *Connections) admits() bool {
-	return cs.Admit == nil || cs.isDraining() || cs.Admit()
-}
-
-// turnAway closes a connection of which nothing was read. It is reset, so that its caller learns
-// at once that its request was not read.
-func turnAway(c *net.TCPConn) {
-	_ = c.SetLinger(0) // Fails only if the connection is gone.
-	_ = c.Close()
-}
-
 // Close implements net.Listener.
 func (cs *Connections) Close() error {
 	cs.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,7 +19,6 @@
 	"guavapier/internal/callers"
 	"guavapier/internal/discovery"
 	"guavapier/internal/forward"
-	"guavapier/internal/linkadmission"
 	"guavapier/internal/linkload"
 	"guavapier/internal/logging"
 	"guavapier/internal/logstore"
@@ -129,7 +128,6 @@
 	registry         *registry.Registry // The fleet's instances.
 	linkMeter        linkload.Meter
 	linkShedder      *linkload.Shedder
-	linkAdmission    *linkadmission.Controller
 	upstreamPool     *upstream.Pool
 	tunnels          *tunnels // Connections to endpoints through other instances.
 	prober           *prober  // Of endpoints that can't be reached.
@@ -153,7 +151,6 @@
 	clock := newBootClock()
 	g := &Gateway{
 		settings: s, platform: p, log: log, sampledLog: log.Sample(p.Thin), clock: clock, metrics: metrics.New(), tables: state.New(),
-		linkAdmission: linkadmission.New(s.Gateway.LinkMbps),
 		retryLimiter: retry.NewLimiter(retry.Budget{
 			Ratio: s.Retries.Ratio, Extra: float64(s.Retries.Extra), Window: s.Retries.Window.D(),
 		}, initialInstanceCount),
@@ -174,7 +171,6 @@
 	g.prober = newProber(placementTable, g.upstreamPool, g.tunnels.dialer.DialDirect, clock, g.sampledLog)
 	g.tunnels.dialer.OnOpened = g.prober.onTunnelOpened
 	g.callerConns = callers.New(g.callersListener.(*net.TCPListener), defaultCallerIdleTimeout, &g.linkMeter, g.logExpiry)
-	g.callerConns.Admit = g.admitsConnection
 	p.Store = instrumentedStore{p.Store, g.metrics}
 	g.platform = p
 	g.endpoints = newEndpointTracker(p, s.Store, contact, placementTable, g.upstreamPool, clock, g.sampledLog, log)
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -106,7 +106,6 @@
 	g.metrics.Gauge(metrics.GatewayBudgetReclaimed, g.budgets.ReclaimedTokens)
 	g.metrics.Gauge(metrics.GatewayRetries, func() int64 { allowed, _ := g.retryLimiter.Counts(); return allowed })
 	g.metrics.Gauge(metrics.GatewayLinkLoad, func() int64 { return int64(100 * g.linkShedder.Load()) })
-	g.metrics.Gauge(metrics.GatewayTurnedAway, func() int64 { return g.linkAdmission.Counts().TurnedAway })
 	g.metrics.Gauge(metrics.GatewayRetriesDenied, func() int64 { _, denied := g.retryLimiter.Counts(); return denied })
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -51,7 +51,7 @@
 // runHousekeeping runs the periodic work until ctx ends: log lines about changed conditions,
 // expiry of connections and endpoints, and the instance's share of the retry budget.
 func (g *Gateway) runHousekeeping(ctx context.Context) {
-	droppedLines, outdated, turnedAway := DroppedLines{}, false, int64(0)
+	droppedLines, outdated := DroppedLines{}, false
 	reach := &reachLogger{log: g.log, states: map[string]reachState{}}
 	for ctx.Err() == nil {
 		logstore.Pause(ctx, housekeepingInterval, nil)
@@ -59,7 +59,6 @@
 		outdated = g.logOutdatedChange(outdated)
 		g.upstreamPool.CloseExpired()
 		g.updateLinkLoad()
-		turnedAway = g.logTurnedAway(turnedAway)
 		g.endpoints.sweep()
 		g.updateReach(reach)
 		g.callerConns.CloseIdle()
@@ -70,9 +69,7 @@
 // updateLinkLoad samples the link's load, which decides whether callers are sent to other
 // instances, and logs when that decision changes.
 func (g *Gateway) updateLinkLoad() {
-	total, now := g.linkMeter.Total(), g.clock()
-	g.linkAdmission.Sample(total, now)
-	if !g.linkShedder.Sample(total, now) {
+	if !g.linkShedder.Sample(g.linkMeter.Total(), g.clock()) {
 		return
 	}
 	g.log.Warn().Bool("sheds", g.linkShedder.IsShedding()).Float64("load", g.linkShedder.Load()).
--- a/internal/linkload/shedder.go
+++ b/internal/linkload/shedder.go
@@ -19,6 +19,10 @@
 	// keptLoad is the utilisation that callers may cause who are not asked to leave their
 	// connections.
 	keptLoad = 0.35
+	// maxCloseShare is the largest share of answers that ask callers to leave. If all of a
+	// large caller's connections came to the next instance at once, they would fill its link
+	// before it notices.
+	maxCloseShare = 0.2
 	// fullThreshold is the counted utilisation at which the link is full, with the
 	// traffic that is not counted.
 	fullThreshold = 0.8
@@ -46,7 +50,7 @@
 // concurrent use.
 //
 // The share of answers that ask callers to leave grows with the utilisation, so that those who
-// stay fill no more than keptLoad. If all left, the next instance would get them all.
+// stay fill no more than keptLoad.
 type Shedder struct {
 	bytesPerSecond float64          // Capacity of the link in each direction; 0 for unknown.
 	zone           func() ZoneLinks // What is known of the zone's links.
@@ -152,5 +156,5 @@
 	if !s.shedding || now-s.shedStart < balancerReactionTime {
 		return 0
 	}
-	return min(max((s.load-keptLoad)/(fullThreshold-keptLoad), 0), 1)
+	return maxCloseShare * min(max((s.load-keptLoad)/(fullThreshold-keptLoad), 0), 1)
 }
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -32,7 +32,6 @@
 	GatewayRetries       = "gateway.repeats"
 	GatewayRetriesDenied = "gateway.repeats_denied"
 	GatewayLinkLoad      = "gateway.link_load"
-	GatewayTurnedAway    = "gateway.connections_turned_away"
 	// GatewayEndsPrefix is followed by the reason why a request ended without a
 	// response of an endpoint. Each reason has a counter of its own.
 	GatewayEndsPrefix = "gateway.ends."
@@ -67,7 +66,6 @@
 		{GatewayRetries, KindGauge, "sends", "Sends of a request beyond its first, from the fleet's budget of repeats."},
 		{GatewayRetriesDenied, KindGauge, "sends", "Repeats that this instance's share of that budget did not cover."},
 		{GatewayLinkLoad, KindGauge, "percent", "What callers and endpoints take of the link's speed, in its fuller direction, over the last second."},
-		{GatewayTurnedAway, KindGauge, "connections", "Callers' connections that were closed unread since the start, because the link was nearly full."},
 		{GatewayStoreCallsPrefix, KindCounter, "calls", "Calls to the store, by outcome: ok, unavailable, throttled, trimmed, fenced."},
 		{GatewayEndsPrefix, KindCounter, "requests", "Requests that ended without an endpoint's answer, by reason."},
 	}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -112,7 +112,7 @@
 		{Name: "gateway.operators", Unit: "IP:port", kind: kindAddress, required: true, Doc: "Address for metrics and the state dump. Keep callers away from it."},
 		{Name: "gateway.peers", Unit: "IP:port", kind: kindAddress, required: true, Doc: "Address for the other instances of the fleet."},
 		{Name: "gateway.memory_mb", Unit: "MB", kind: kindCount, min: 64, max: 1 << 20, Doc: "Memory of the instance; above four fifths of it the collector works harder."},
-		{Name: "gateway.link_mbps", Unit: "Mbit/s", kind: kindText, Doc: "Speed of the instance's link. In a large fleet those with the fastest ones claim tokens for their zone; an instance whose link is nearly full sends callers to others and turns new connections away. 0 for unknown, which switches the latter off."},
+		{Name: "gateway.link_mbps", Unit: "Mbit/s", kind: kindText, Doc: "Speed of the instance's link. In a large fleet those with the fastest ones claim tokens for their zone; an instance whose link is nearly full sends callers to others. 0 for unknown, which switches the latter off."},
 		{Name: "store.url", Unit: "URL", kind: kindURL, required: true, Doc: "Base URL of the platform's store."},
 		{Name: "store.timeout", Unit: "duration", kind: kindDuration, min: int64(10 * time.Millisecond), max: int64(maxPlatformTimeout), Doc: "Longest wait for one answer of the store; a long poll may take its own wait more."},
 		{Name: "store.state_within", Unit: "duration", kind: kindDuration, min: int64(time.Second), max: int64(time.Hour), Doc: "Time within which a change of the desired state is to be in force; a longer one makes for fewer calls."},
