--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -51,6 +51,7 @@
 	if err != nil {
 		return nil, err
 	}
+	cs.meter.CountConnection()
 	c := newConn(accepted, cs.meter, cs.remove)
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
--- a/internal/endpointload/table.go
+++ b/internal/endpointload/table.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"guavapier/internal/linkload"
 )
 
 // maxStatementAge is how long an instance may be silent before its load is dropped from the sums.
@@ -48,14 +50,6 @@
 	l.Shedding += other.Shedding
 }
 
-// ZoneLinks is the load of the links of an availability zone's instances.
-type ZoneLinks struct {
-	Mean      float64 `cbor:"1,keyasint"` // Utilisation; 1 is full.
-	Instances int     `cbor:"2,keyasint"` // Those that the figures cover.
-	Shedding  int     `cbor:"3,keyasint"` // Those that send callers to others.
-	Known     bool    `cbor:"4,keyasint"`
-}
-
 // Table sums up the statements of instances. Each collector has one: its members are the
 // instances that tell it their loads themselves, its parts are the sums of the other collectors
 // over their members. Every statement replaces the one before it of the same instance; one that
@@ -237,7 +231,7 @@
 }
 
 // Links returns the load of the links of a zone, which must be that of the members.
-func (t *Table) Links(zone string, now time.Duration) ZoneLinks {
+func (t *Table) Links(zone string, now time.Duration) linkload.ZoneLinks {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sweep(now)
@@ -248,9 +242,9 @@
 		}
 	}
 	if sum.Instances <= 0 {
-		return ZoneLinks{}
+		return linkload.ZoneLinks{}
 	}
-	return ZoneLinks{Mean: sum.Load / float64(sum.Instances), Instances: sum.Instances, Shedding: sum.Shedding, Known: true}
+	return linkload.ZoneLinks{Mean: sum.Load / float64(sum.Instances), Instances: sum.Instances, Shedding: sum.Shedding, Known: true}
 }
 
 // CountInstances returns the number of instances whose loads the table has.
--- a/internal/endpointload/table_test.go
+++ b/internal/endpointload/table_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"guavapier/internal/endpointload"
+	"guavapier/internal/linkload"
 )
 
 // Keys of the tests' endpoints.
@@ -142,7 +143,7 @@
 	table.TellPart("z", two, time.Second)
 	two.Sender.Name = "other"
 	table.TellPart("other zone", two, time.Second)
-	if links := table.Links("z", time.Second); links != (endpointload.ZoneLinks{Mean: 0.5, Instances: 3, Shedding: 1, Known: true}) {
+	if links := table.Links("z", time.Second); links != (linkload.ZoneLinks{Mean: 0.5, Instances: 3, Shedding: 1, Known: true}) {
 		t.Errorf("the zone's links are %+v", links)
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -20,6 +21,7 @@
 	"guavapier/internal/endpointload"
 	"guavapier/internal/forward"
 	"guavapier/internal/linkload"
+	"guavapier/internal/logging"
 	"guavapier/internal/logstore"
 	"guavapier/internal/metrics"
 	"guavapier/internal/origin"
@@ -53,15 +55,27 @@
 	DecodeReport  func(body []byte) (endpointload.Report, error)
 	// LinesDropped returns how many log lines were dropped or rate limited since the start.
 	// If nil, they are not reported.
-	LinesDropped func() int64
+	LinesDropped func() DroppedLines
 	// Thin drops log lines that exceed a rate; if nil, none are dropped. Lines about the
 	// instance's own lifecycle and its dependencies are not passed to it.
 	Thin zerolog.Sampler
+	// ThinRoutine does the same for lines about requests that were served well, which are
+	// dropped first.
+	ThinRoutine zerolog.Sampler
 	// ReadyPath is the URL path on which the load balancer asks whether the instance is
 	// ready: 200 if so, else 503.
 	ReadyPath string
 }
 
+// DroppedLines are numbers of log lines that were not written.
+type DroppedLines struct {
+	Unread     int64 // Dropped because nobody read the output in time.
+	Suppressed logging.SuppressedLines
+}
+
+// Sum returns the number of all these lines.
+func (d DroppedLines) Sum() int64 { return d.Unread + d.Suppressed.Sum() }
+
 const (
 	// requestDialTimeout bounds how long a request waits for a connection to an endpoint.
 	// Round trips take under 10 ms; if a connection takes this long, trying another endpoint
@@ -151,12 +165,12 @@
 	clock := newBootClock()
 	g := &Gateway{
 		settings: s, platform: p, log: log, sampledLog: log.Sample(p.Thin), clock: clock, metrics: metrics.New(), tables: state.New(),
-		linkShedder: linkload.NewShedder(s.Gateway.LinkMbps),
 		slowReaders: spool.NewLimiter(int64(float64(s.Gateway.MemoryMB<<20) * slowReadersRatio)),
 		retryLimiter: retry.NewLimiter(retry.Budget{
 			Ratio: s.Retries.Ratio, Extra: float64(s.Retries.Extra), Window: s.Retries.Window.D(),
 		}, initialInstanceCount),
 	}
+	g.linkShedder = linkload.NewShedder(s.Gateway.LinkMbps, g.zoneLinks)
 	contact := &storeContact{}
 	g.stateFreshness = newFreshness(s.Store.StateWithin.D(), clock, contact)
 	if err := g.listen(); err != nil {
@@ -273,7 +287,7 @@
 	handler := &forward.Forwarder{
 		Zone: g.settings.Gateway.Zone, Codec: g.platform.Codec, State: g.config.Load, Budgets: budgetAdapter{g.budgets},
 		Endpoints: g.endpoints.placementTable, Retries: g.retryLimiter, Origins: g.streamOrigins, Quarantine: g.quarantine, Pool: g.upstreamPool, Permits: g.permits, SlowReaders: g.slowReaders, OnStatement: g.statements.onStatement, Clock: g.clock,
-		ClosesConnections: g.closesCallerConns, IsOutdated: g.isOutdated, ShutdownTime: g.requestCutoffTime, IsForceClosing: g.abortingRequests.Load, Log: g.sampledLog, OnRequestEnd: g.requestObserver(), OnPlaced: g.loadReporter.reportPlacement,
+		ClosesConnections: g.closesCallerConns, IsOutdated: g.isOutdated, ShutdownTime: g.requestCutoffTime, IsForceClosing: g.abortingRequests.Load, Log: g.sampledLog, RoutineLog: g.log.Sample(g.platform.ThinRoutine), OnRequestEnd: g.requestObserver(), OnPlaced: g.loadReporter.reportPlacement,
 	}
 	server := &http.Server{Handler: g.countInFlight(handler), MaxHeaderBytes: MaxHeaderBytes, ConnState: g.callerConns.ConnState}
 	server.DisableGeneralOptionsHandler = true
@@ -311,7 +325,7 @@
 // closesCallerConns reports whether responses ask callers to close their connections and so
 // to move to another instance.
 func (g *Gateway) closesCallerConns() bool {
-	return g.isDraining.Load() || g.isOutdated() || g.isolation.isIsolated() || g.linkShedder.ShouldCloseConnections(g.clock())
+	return g.isDraining.Load() || g.isOutdated() || g.isolation.isIsolated() || rand.Float64() < g.linkShedder.CloseShare(g.clock())
 }
 
 // isOutdated reports whether this instance's copy of the desired state or of the endpoint
--- a/internal/gateway/load_exchange.go
+++ b/internal/gateway/load_exchange.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"guavapier/internal/endpointload"
+	"guavapier/internal/linkload"
 	"guavapier/internal/logstore"
 	"guavapier/internal/peer"
 	"guavapier/internal/placement"
@@ -60,7 +61,7 @@
 	Loads   endpointload.LoadList   `cbor:"1,keyasint"` // Of the other instances.
 	Samples endpointload.SampleList `cbor:"2,keyasint"` // Since After.
 	Reports endpointload.ReportList `cbor:"3,keyasint"`
-	Links   endpointload.ZoneLinks  `cbor:"4,keyasint"` // Of the called instance's zone.
+	Links   linkload.ZoneLinks      `cbor:"4,keyasint"` // Of the called instance's zone.
 	Version uint64                  `cbor:"5,keyasint"`
 	// Instances is how many instances Loads covers, with the one that asks.
 	Instances int `cbor:"6,keyasint"`
@@ -113,7 +114,7 @@
 	updatedAt time.Duration                       // Of the last reply; 0 for none.
 	loads     map[string]endpointload.Load        // Of the other instances, by endpoint.
 	reports   map[string]timedReport              // The newest ones, by endpoint.
-	links     endpointload.ZoneLinks
+	links     linkload.ZoneLinks
 }
 
 // newLoadExchange returns an exchange that does nothing before run. Register its service at a
@@ -316,11 +317,11 @@
 
 // zoneLinks returns the load of the links of the zone's instances; not known if no collector has
 // answered lately.
-func (x *loadExchange) zoneLinks() endpointload.ZoneLinks {
+func (x *loadExchange) zoneLinks() linkload.ZoneLinks {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.updatedAt == 0 || x.clock()-x.updatedAt > maxZoneLinksAge {
-		return endpointload.ZoneLinks{}
+		return linkload.ZoneLinks{}
 	}
 	return x.links
 }
--- a/internal/gateway/load_view.go
+++ b/internal/gateway/load_view.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"guavapier/internal/endpointload"
+	"guavapier/internal/linkload"
 	"guavapier/internal/metrics"
 	"guavapier/internal/state"
 )
@@ -22,7 +23,7 @@
 	AgeMS      int64                        `json:"age_ms"` // Of Others; -1 if nothing was ever told.
 	Collectors []string                     `json:"collectors"`
 	Told       endpointload.Size            `json:"told"` // What this instance was told as a collector.
-	Links      endpointload.ZoneLinks       `json:"links"`
+	Links      linkload.ZoneLinks           `json:"links"`
 	Others     map[string]endpointload.Load `json:"others"` // By endpoint.
 	Reports    map[string]reportView        `json:"reports"`
 }
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -33,6 +33,7 @@
 	g.tables.Register("state", func() any {
 		return map[string]int64{"version": g.stateVersion(), "age_ms": g.stateFreshness.age().Milliseconds()}
 	})
+	g.tables.Register("link", func() any { return g.linkView() })
 	g.metrics.Gauge(metrics.GatewayInstances, func() int64 { return int64(g.budgets.Accounts.Instances()) })
 	g.metrics.Gauge(metrics.GatewayStateVersion, g.stateVersion)
 	g.metrics.Gauge(metrics.GatewayStateAge, func() int64 { return g.stateFreshness.age().Milliseconds() })
@@ -47,7 +48,7 @@
 	g.metrics.Gauge(metrics.GatewayHeldForSlowReaders, g.slowReaders.Held)
 	g.registerBudgetGauges()
 	if g.platform.LinesDropped != nil {
-		g.metrics.Gauge(metrics.GatewayLinesDropped, g.platform.LinesDropped)
+		g.metrics.Gauge(metrics.GatewayLinesDropped, func() int64 { return g.platform.LinesDropped().Sum() })
 	}
 }
 
