quarantine: the exchange between neighbours tells what was cleared

Cause: out of reach of the log the instances of a zone exchange the records of subjects that crash endpoints, but a clear was a record without a value and was not exchanged. A cleared subject came back with the next exchange (every 500 ms) and stayed suspected, and with it all others that were at the same crashes.

On the log the order of the records decides, as before. Records that wait for the log follow what neighbours tell.

--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -34,7 +34,7 @@
 // answered clears the subjects of a request that was answered.
 func (t *Table) answered(c Content) {
 	for _, s := range t.lookup(c) {
-		t.clear(s.fingerprint)
+		t.clear(s.fingerprint, startTime)
 	}
 }
 
--- a/internal/quarantine/syncer.go
+++ b/internal/quarantine/syncer.go
@@ -221,7 +221,7 @@
 	if s.Table.isSuspected(cleared.fingerprint) {
 		delay = maxUrgentDelay
 	}
-	if !s.Table.clear(cleared.fingerprint) {
+	if !s.Table.clear(cleared.fingerprint, time.Now()) {
 		return
 	}
 	s.ThinnedLogger.Info().Stringer("content", cleared.fingerprint).Str("part", cleared.part).Msg("quarantine: request answered, cleared")
@@ -247,22 +247,18 @@
 	}
 }
 
-// observe applies a record of the log, or of another instance, to the table. replayed states
-// that it was on the log before this instance began to follow it.
+// observe applies a record of the log to the table. replayed states that it was on the log before
+// this instance began to follow it.
 func (s *Syncer) observe(record logstore.KeyedRecord, replayed bool) {
-	f, err := parseFingerprint(record.Key)
-	if err != nil {
-		s.Logger.Error().Err(err).Str("key", record.Key).Msg("quarantine: unreadable record skipped")
-		return
-	}
 	if record.Value == nil {
-		s.Table.clear(f)
-		s.dropDelayed(f, true)
+		if f, ok := s.parseKey(record.Key); ok {
+			s.Table.clear(f, time.Now())
+			s.dropDelayed(f, true)
+		}
 		return
 	}
-	r, err := decodeRecord(record.Value)
-	if err != nil {
-		s.Logger.Error().Err(err).Str("key", record.Key).Msg("quarantine: unreadable record skipped")
+	f, r, ok := s.parseRecord(record.Key, record.Value)
+	if !ok {
 		return
 	}
 	if repaired := s.Table.observe(f, r, replayed, time.Now()); repaired != nil {
@@ -272,6 +268,27 @@
 	s.dropDelayed(f, false)
 }
 
+// parseKey returns the fingerprint that is the key of a record. An unreadable one is logged.
+func (s *Syncer) parseKey(key string) (f Fingerprint, ok bool) {
+	f, err := parseFingerprint(key)
+	if err != nil {
+		s.Logger.Error().Err(err).Str("key", key).Msg("quarantine: unreadable record skipped")
+	}
+	return f, err == nil
+}
+
+// parseRecord returns the fingerprint and the content of a record. An unreadable one is logged.
+func (s *Syncer) parseRecord(key string, value []byte) (f Fingerprint, r *entryRecord, ok bool) {
+	if f, ok = s.parseKey(key); !ok {
+		return f, nil, false
+	}
+	r, err := decodeRecord(value)
+	if err != nil {
+		s.Logger.Error().Err(err).Str("key", key).Msg("quarantine: unreadable record skipped")
+	}
+	return f, r, err == nil
+}
+
 // runSweeper removes expired entries and clears them on the log until ctx ends.
 func (s *Syncer) runSweeper(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/quarantine/syncer_test.go
+++ b/internal/quarantine/syncer_test.go
@@ -224,24 +224,32 @@
 	return NewPeerService(c.syncers[to]).Swap(args.(SwapArgs), reply.(*SwapReply))
 }
 
+// startZone runs n instances of one availability zone that share a log, and waits until they have
+// read it. The one named unreachable can't be called.
+func startZone(t *testing.T, log *standin.Keyed, n int, unreachable record.InstanceID) []*Syncer {
+	t.Helper()
+	caller := testCaller{map[record.InstanceID]*Syncer{}, map[record.InstanceID]bool{unreachable: true}}
+	var names []record.InstanceID
+	var syncers []*Syncer
+	for i := range n {
+		s := newTestSyncer(fmt.Sprint("instance-", i), log, refusingProbe)
+		s.Caller, s.Neighbours = caller, func() []record.InstanceID {
+			return slices.DeleteFunc(slices.Clone(names), func(name record.InstanceID) bool { return name == s.Self })
+		}
+		names, syncers = append(names, s.Self), append(syncers, s)
+		caller.syncers[s.Self] = s
+	}
+	for _, s := range syncers {
+		go s.Run(t.Context())
+	}
+	time.Sleep(time.Second)
+	return syncers
+}
+
 func TestInstancesOfAZoneExchangeRecordsWhileTheLogIsUnavailable(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := standin.NewKeyed()
-		caller := testCaller{map[record.InstanceID]*Syncer{}, map[record.InstanceID]bool{"instance-4": true}}
-		var names []record.InstanceID
-		var syncers []*Syncer
-		for i := range 5 {
-			s := newTestSyncer(fmt.Sprint("instance-", i), log, refusingProbe)
-			s.Caller, s.Neighbours = caller, func() []record.InstanceID {
-				return slices.DeleteFunc(slices.Clone(names), func(name record.InstanceID) bool { return name == s.Self })
-			}
-			names, syncers = append(names, s.Self), append(syncers, s)
-			caller.syncers[s.Self] = s
-		}
-		for _, s := range syncers {
-			go s.Run(t.Context())
-		}
-		time.Sleep(time.Second)
+		syncers := startZone(t, log, 5, "instance-4")
 		log.SetDown(true)
 		time.Sleep(10 * time.Second)
 		crashThreeEndpoints(t, syncers[:3])
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -28,6 +28,7 @@
 	countByTeam     map[record.Team]int  // Number of entries.
 	crashes         map[string]*crash    // By the endpoint's incarnation.
 	answers         recentAnswers
+	clears          clears
 }
 
 // crash is the crash of an endpoint.
@@ -38,7 +39,7 @@
 
 // NewTable returns an empty table for the instance self.
 func NewTable(self record.InstanceID) *Table {
-	return &Table{self: self, entries: map[Fingerprint]*entry{}, countByMetadata: map[metadataHash]int{}, countByTeam: map[record.Team]int{}, crashes: map[string]*crash{}}
+	return &Table{self: self, entries: map[Fingerprint]*entry{}, countByMetadata: map[metadataHash]int{}, countByTeam: map[record.Team]int{}, crashes: map[string]*crash{}, clears: newClears()}
 }
 
 // find reports whether the table has an entry for the request, and returns the fingerprint
@@ -61,10 +62,13 @@
 
 // recordCrash records that this instance saw an endpoint crash when a request with the subject
 // had been in progress there for underWay. It returns the record for the other instances; nil
-// if the crash was known.
+// if the crash was known, or the subject was cleared of it.
 func (t *Table) recordCrash(s subject, team record.Team, endpoint string, underWay time.Duration, now time.Time) *entryRecord {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.clears.has(s.fingerprint, endpoint) {
+		return nil
+	}
 	e := t.ensureEntry(s.fingerprint, team)
 	if e.hasEndpoint(endpoint) {
 		return nil
@@ -129,13 +133,31 @@
 	t.crashes[endpoint].entries = append(t.crashes[endpoint].entries, e)
 }
 
-// observe merges a record of another instance or of the log. replayed states that it was on
-// the log before this instance began to follow it: the records of other requests for the
-// same crashes are then there as well. The result is the record that has to replace it, if
+// observe merges a record of the log. What the log says after a clear applies. replayed states
+// that it was on the log before this instance began to follow it: the records of other requests
+// for the same crashes are then there as well. The result is the record that has to replace it, if
 // its writer did not know all that this instance has contributed; else nil.
 func (t *Table) observe(f Fingerprint, r *entryRecord, replayed bool, now time.Time) (repaired *entryRecord) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.clears.revoke(f, r.Endpoints)
+	return t.merge(f, r, replayed, now)
+}
+
+// observeNeighbour is observe for a record of another instance, whose writer may not know that
+// the subject was cleared of some of the crashes. known reports that the table has an entry for
+// the subject afterwards.
+func (t *Table) observeNeighbour(f Fingerprint, r *entryRecord, now time.Time) (repaired *entryRecord, known bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r = t.clears.filter(f, r); r != nil {
+		repaired = t.merge(f, r, false, now)
+	}
+	return repaired, t.entries[f] != nil
+}
+
+// merge merges a record into the subject's entry. Its parameters are those of observe.
+func (t *Table) merge(f Fingerprint, r *entryRecord, replayed bool, now time.Time) (repaired *entryRecord) {
 	e := t.ensureEntry(f, r.Team)
 	e.writer = r.Writer
 	if r.Part != "" {
@@ -173,13 +195,62 @@
 	return b
 }
 
-// clear removes the entry of a subject and reports whether there was one.
-func (t *Table) clear(f Fingerprint) bool {
+// clear removes the entry of a subject and reports whether there was one. None of its crashes
+// speaks against the subject any more.
+func (t *Table) clear(f Fingerprint, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	e := t.entries[f]
+	if e == nil {
+		return false
+	}
+	for _, endpoint := range e.endpoints {
+		t.clears.add(f, endpoint, now, now)
+	}
 	return t.remove(f)
 }
 
+// observeClears applies what another instance knows of the clears of a subject, and reports
+// whether that changed the subject's entry. left is the record of what is left of it, nil for
+// nothing.
+func (t *Table) observeClears(f Fingerprint, cleared []clearRecord, now time.Time) (left *entryRecord, changed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range cleared {
+		t.clears.add(f, r.Endpoint, now.Add(-max(r.Age, 0)), now)
+	}
+	e := t.entries[f]
+	if e == nil {
+		return nil, false
+	}
+	before := len(e.endpoints)
+	t.dropCleared(f, e)
+	switch len(e.endpoints) {
+	case before:
+		return nil, false
+	case 0:
+		t.remove(f)
+		return nil, true
+	}
+	return e.toRecord(), true
+}
+
+// dropCleared removes the crashes from an entry that the subject was cleared of.
+func (t *Table) dropCleared(f Fingerprint, e *entry) {
+	isCleared := func(endpoint string) bool { return t.clears.has(f, endpoint) }
+	for _, endpoint := range e.endpoints {
+		if isCleared(endpoint) {
+			t.unlinkCrash(endpoint, e)
+		}
+	}
+	e.endpoints = slices.DeleteFunc(e.endpoints, isCleared)
+	e.ownEndpoints = slices.DeleteFunc(e.ownEndpoints, isCleared)
+	e.crashes = min(e.crashes, len(e.endpoints))
+	if e.crashes < crashesToQuarantine {
+		e.quarantinedUntil = time.Time{}
+	}
+}
+
 // check returns an error while the content of a request is quarantined, else nil. retestDue
 // reports that the time of the quarantine is over and the request may be retested.
 func (t *Table) check(f Fingerprint, now time.Time) (quarantined *QuarantinedError, retestDue bool) {
@@ -285,6 +356,13 @@
 	return records
 }
 
+// clearRecords returns the clears that the table remembers, by the subject's fingerprint.
+func (t *Table) clearRecords(now time.Time) map[Fingerprint][]clearRecord {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.clears.toRecords(now)
+}
+
 // retestResult reports whether the retest of this round has been acquired by an instance,
 // and whether by this one. A request without an entry has been cleared and may be sent.
 func (t *Table) retestResult(f Fingerprint, round int) (decided, won bool) {
@@ -302,6 +380,7 @@
 func (t *Table) sweep(now time.Time) []Fingerprint {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.clears.expire(now)
 	var cleared []Fingerprint
 	for f, e := range t.entries {
 		stale := e.staleFor(now)
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -217,7 +217,7 @@
 		t.Error("another organisation's entry was evicted")
 	}
 	for f := range table.entries {
-		table.clear(f)
+		table.clear(f, startTime)
 	}
 	if len(table.countByMetadata)+len(table.countByTeam)+len(table.crashes) > 0 {
 		t.Errorf("after clearing all entries %d metadata hashes, %d teams and %d crashes are left", len(table.countByMetadata), len(table.countByTeam), len(table.crashes))
--- a/internal/quarantine/writer.go
+++ b/internal/quarantine/writer.go
@@ -57,6 +57,31 @@
 	}
 }
 
+// replacePending replaces a pending record of a subject, if there is one, by what is left of it;
+// nil for nothing.
+func (s *Syncer) replacePending(f Fingerprint, left *entryRecord) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w := s.pendingWrites[f]
+	switch {
+	case w.record == nil:
+	case left == nil:
+		delete(s.pendingWrites, f)
+	default:
+		w.record = left
+		s.pendingWrites[f] = w
+	}
+}
+
+// dropPendingClear drops a pending record that clears the subject.
+func (s *Syncer) dropPendingClear(f Fingerprint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if w, pending := s.pendingWrites[f]; pending && w.record == nil {
+		delete(s.pendingWrites, f)
+	}
+}
+
 // runWriter writes pending records to the log until ctx ends.
 func (s *Syncer) runWriter(ctx context.Context) {
 	for ctx.Err() == nil {
