gateway: readiness answers without waiting for locks, and tells what is lacking

Not traced: the two locks that the handler took (load of the link; the zone's allocators until the first read of the budgets) are held for work in memory only.

Change: a probe waits 100 ms for its conditions to be read; then the last reading counts, for 2 s. A drain shows at once, as before, and any other change at the next probe. The log names what is lacking when that changes, and the condition that a slow reading waits for.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -118,6 +118,7 @@
 	tunnels          *tunnels // Connections to endpoints through other instances.
 	prober           *prober  // Of endpoints that can't be reached.
 	isolation        isolation
+	readiness        *readiness
 	callerConns      *callers.Connections // Open connections of callers.
 	exitDeadline     time.Time            // When the process is killed; set by shutdown.
 	isDraining       atomic.Bool
@@ -213,6 +214,7 @@
 	if err := g.peerServer.Register(statementsServiceName, g.statements); err != nil {
 		return nil, err
 	}
+	g.readiness = g.newReadiness()
 	g.registerTablesAndMetrics()
 	return g, nil
 }
@@ -282,13 +284,6 @@
 	return g.requestCutoff.Load().timeAt(time.Now())
 }
 
-// isReady reports whether the load balancer should send callers to this instance. Losing
-// the store does not end readiness: the instance keeps serving from its last copies. Losing
-// the links to endpoints does only if other instances can't help.
-func (g *Gateway) isReady() bool {
-	return !g.isDraining.Load() && !g.linkShedder.IsShedding() && !g.isOutdated() && !g.isolation.isIsolated() && g.config.Load() != nil && g.endpoints.isLoaded.Load() && g.budgets.IsLoaded() && g.quarantine.Loaded()
-}
-
 // closesCallerConns reports whether responses ask callers to close their connections and so
 // to move to another instance.
 func (g *Gateway) closesCallerConns() bool {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -57,6 +57,7 @@
 		logstore.Pause(ctx, housekeepingInterval, nil)
 		droppedLines = g.logDroppedLines(droppedLines)
 		outdated = g.logOutdatedChange(outdated)
+		g.readiness.isReady() // Logs changes, also of an instance that nobody probes.
 		g.upstreamPool.CloseExpired()
 		g.updateLinkLoad()
 		g.endpoints.sweep()
