placement: choose endpoints by time where the load of all instances is known

Cause: of 91 instances each knew a ninetieth of an endpoint's load. Endpoints of 0.7 and 1.7 times the usual speed counted as equal up to 1.6, prompts of 50,000 tokens went to slow ones, short ones behind them, and a hot subject to one endpoint of 12 places.

Change: where the others' load is known (SetOthersLoads, at most a second ago), the cost is the time to the first token by the endpoint's queue, places and speed, the caller's loss by lateness, the delay of the requests that run and wait there, its places and its memory (internal/sendcost, pure). internal/prefillspeed estimates the speeds from the answers of all instances: each endpoint by its last 16 in relation to the service's curve, with noise drawn out by their number. A second and third home of a prompt come into use where the first one's wait costs more than reading once more. internal/heldprompts estimates what is held by the endpoint's room instead of 10 s, off unless WeighHeldPrompts is called. Others' answers make an endpoint a source for fetches. With no word from others, costs are as before.

--- /dev/null
+++ b/internal/placement/homes.go
@@ -0,0 +1,99 @@
+package placement
+
+import "time"
+
+const (
+	// maxHomes is the number of endpoints that a prompt may have as homes.
+	maxHomes = 3
+	// furtherHomeCacheProbability is the assumed probability that a home after the first has the
+	// shared parts cached while it is in use, although no send is known.
+	furtherHomeCacheProbability = 0.7
+)
+
+// findHomes sets the endpoints that all instances choose for a prompt without communicating: those
+// with the highest hashes of the prompt's last shared part and the endpoint's ID (rendezvous
+// hashing). The last part of a prompt belongs to the request alone; without a shared part there
+// are none.
+//
+// An endpoint with a request limit is preferred only if all have one: it could take few of
+// its prompts, which move to another endpoint each.
+//
+// If each instance chose for itself, the shared parts would be computed at a
+// different endpoint for each. Instances that a network partition cuts off from an
+// availability zone agree on another endpoint that they can reach.
+func (t *Table) findHomes(q *Query, now time.Duration) {
+	q.isTimed = t.isTimed(q, now)
+	if len(q.Parts) < 2 {
+		return
+	}
+	key := q.keys[len(q.keys)-2]
+	var hashes [maxHomes]uint64
+	limited := false
+	for _, e := range t.byService[q.Service] {
+		if !e.mayBePreferred(now) || e.quota.IsBound() && !limited && q.homes[0] != nil {
+			continue
+		}
+		if limited && !e.quota.IsBound() {
+			q.homes, hashes = [maxHomes]*endpointState{}, [maxHomes]uint64{}
+		}
+		limited = e.quota.IsBound()
+		q.insertHome(&hashes, e, mixHash(key^e.idHash))
+	}
+	q.preferred = q.homes[0]
+	q.activeHomes = 1
+	if q.isTimed {
+		q.countActiveHomes(now)
+	}
+}
+
+// insertHome inserts an endpoint among the homes if its hash is high enough.
+func (q *Query) insertHome(hashes *[maxHomes]uint64, e *endpointState, hash uint64) {
+	for i := range q.homes {
+		if q.homes[i] == nil || hash > hashes[i] {
+			copy(q.homes[i+1:], q.homes[i:maxHomes-1])
+			copy(hashes[i+1:], hashes[i:maxHomes-1])
+			q.homes[i], hashes[i] = e, hash
+			return
+		}
+	}
+}
+
+// countActiveHomes puts a further home into use where the wait at those before it costs more than
+// reading the shared parts once more there. All instances know of about the same load, so they
+// agree, and go back to fewer homes once the load is gone.
+func (q *Query) countActiveHomes(now time.Duration) {
+	shared := 0.0
+	for _, p := range q.Parts[:len(q.Parts)-1] {
+		shared += float64(p.Tokens)
+	}
+	cheapest := q.homes[0]
+	for _, next := range q.homes[1:] {
+		if cheapest == nil || next == nil {
+			return
+		}
+		readMS := shared * next.prompts.speed.MSPerToken(&next.prefillSpeed)
+		if cheapest.occupancyMS(q, now) <= next.occupancyMS(q, now)+readMS {
+			return
+		}
+		q.activeHomes++
+		if next.occupancyMS(q, now) < cheapest.occupancyMS(q, now) {
+			cheapest = next
+		}
+	}
+}
+
+// occupancyMS returns what the load of the endpoint costs any request.
+func (e *endpointState) occupancyMS(q *Query, now time.Duration) float64 {
+	load, _ := e.sharedLoad(q, now)
+	return load.OccupancyMS()
+}
+
+// isHome reports whether the endpoint is a home that is in use.
+func (q *Query) isHome(e *endpointState) bool {
+	for _, home := range q.homes[:q.activeHomes] {
+		if home == e {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/placement/others_load.go
+++ b/internal/placement/others_load.go
@@ -10,6 +10,8 @@
 	// maxLoadAge is the age from which on what other instances have told of their load is
 	// ignored: an endpoint has answered most of those requests by then.
 	maxLoadAge = time.Second
+	// meanPrefillGain is the weight of a load in othersLoad.meanPrefill.
+	meanPrefillGain = 0.1
 	// maxKeptSamples bounds the samples that wait to be told to the other instances.
 	maxKeptSamples = 256
 )
@@ -17,12 +19,15 @@
 // othersLoad is what is known of an endpoint's load from the other instances and from the
 // endpoint itself.
 type othersLoad struct {
-	load     endpointload.Load
-	toldAt   time.Duration
-	told     bool
-	report   endpointload.Report
-	reported bool
-	reportAt time.Duration // When report was made, as far as that is known.
+	load   endpointload.Load
+	toldAt time.Duration
+	// meanPrefill is the average of load.Prefill, in milliseconds: what is sent after toldAt is
+	// not in the load yet.
+	meanPrefill float64
+	told        bool
+	report      endpointload.Report
+	reported    bool
+	reportAt    time.Duration // When report was made, as far as that is known.
 }
 
 // at returns what the other instances have under way at the endpoint; false if that is not known.
@@ -64,6 +69,10 @@
 	defer t.mu.Unlock()
 	for id, e := range t.endpoints {
 		e.others.load, e.others.toldAt, e.others.told = loads[id], now, true
+		e.others.meanPrefill += meanPrefillGain * (milliseconds(loads[id].Prefill) - e.others.meanPrefill)
+	}
+	for _, s := range t.services {
+		s.told, s.wasTold = now, true
 	}
 }
 
@@ -77,6 +86,9 @@
 			continue
 		}
 		e.others.report, e.others.reportAt, e.others.reported = report, now-report.Age, true
+		if t.weighsHeld && report.TotalTokens > 0 {
+			e.held.SetRoom(report.TotalTokens - report.UsedTokens)
+		}
 	}
 }
 
@@ -102,7 +114,9 @@
 	defer t.mu.Unlock()
 	for _, s := range samples {
 		if e := t.endpoints[s.Endpoint]; e != nil && s.Tokens >= 0 && s.TTFT > 0 {
-			e.speed.observe(s.Tokens, s.TTFT)
+			e.observeTTFT(s.Tokens, s.TTFT)
+			e.held.Read(s.Tokens)
+			e.answeredOthersAt = max(e.answeredOthersAt, e.prompts.told)
 		}
 	}
 }
