--- a/internal/placement/held.go
+++ b/internal/placement/held.go
@@ -5,7 +5,7 @@
 // Held explains in logs what was believed of the prompt's parts at the endpoint that was chosen.
 type Held struct {
 	Tokens float64       // Expected number of the prompt's tokens that it holds.
-	Age    time.Duration // Since the last known use of the prompt's shared parts; -1 for none.
+	Age    time.Duration // Since the last known use of the prompt's shared parts; -1 ms for none.
 	Saved  time.Duration // Time for reading them.
 	Wait   time.Duration // For the requests before this one; 0 if unknown.
 }
@@ -20,7 +20,7 @@
 
 // believedHeld returns what is believed of the prompt's parts at the endpoint.
 func (e *endpointState) believedHeld(q *Query, prefill prefillEstimate, now time.Duration) Held {
-	held := Held{Age: -1}
+	held := Held{Age: -time.Millisecond}
 	load, told := e.sharedLoad(q, now)
 	if told {
 		held.Wait = time.Duration(load.WaitMS() * float64(time.Millisecond))
