--- a/internal/placement/assignment.go
+++ b/internal/placement/assignment.go
@@ -71,12 +71,15 @@
 	// Held explains what the endpoint is believed to hold of the prompt.
 	Held Held
 	// PrefillTime is the expected duration of the prefill, including a fetch.
-	PrefillTime   time.Duration
+	PrefillTime time.Duration
+	// UsualPrefill is PrefillTime at an endpoint of usual speed, which tells prompts by their size.
+	UsualPrefill  time.Duration
 	id            uint64
 	placedAt      time.Duration
-	tokens        int64     // Of Query.Tokens.
-	usesShare     bool      // It counts against the share of a cold endpoint.
-	quotaUse      quota.Use // Of the endpoint's request limit.
+	answeredAt    time.Duration // When the answer started; 0 before.
+	tokens        int64         // Of Query.Tokens.
+	usesShare     bool          // It counts against the share of a cold endpoint.
+	quotaUse      quota.Use     // Of the endpoint's request limit.
 	sent          bool
 	endpointState *endpointState
 	table         *Table
@@ -103,7 +106,7 @@
 		a.table.keepSample(endpointload.Sample{Endpoint: a.Endpoint.ID, Tokens: p.missingTokens, TTFT: now - p.sentAt})
 	}
 	a.endpointState.onConnected(a.table.warmUps[a.Endpoint.Service].Duration, now)
-	a.endpointState.lastAnswerAt = now
+	a.endpointState.lastAnswerAt, a.answeredAt = now, now
 }
 
 // OnReply records whether the endpoint has rejected the request for want of room, and what it
@@ -145,7 +148,7 @@
 	switch outcome {
 	case Answered:
 		e.onAnswered()
-		e.prompts.onEnd(now - a.placedAt)
+		e.prompts.onEnd(now - a.answeredAt)
 	case Failed:
 		e.onFailed(now)
 	case Broken:
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -156,11 +156,25 @@
 		out.ms += prefillspeed.Work(out.missingTokens, q.totalTokens) * e.prompts.speed.MSPerToken(&e.prefillSpeed)
 		return out
 	}
-	cachedTokens := q.totalTokens - out.missingTokens
-	out.ms += out.missingTokens/e.normalizedTokensPerMS + prefillMSPerTokenPair*(q.totalTokens*q.totalTokens-cachedTokens*cachedTokens)
+	out.ms += out.computeMS(q, e.normalizedTokensPerMS)
 	return out
 }
 
+// computeMS returns the time for computing the missing tokens at this speed, in milliseconds.
+func (p prefillEstimate) computeMS(q *Query, tokensPerMS float64) float64 {
+	cachedTokens := q.totalTokens - p.missingTokens
+	return p.missingTokens/tokensPerMS + prefillMSPerTokenPair*(q.totalTokens*q.totalTokens-cachedTokens*cachedTokens)
+}
+
+// usualMS returns the prefill time at the default speed, in milliseconds.
+func (p prefillEstimate) usualMS(q *Query) float64 {
+	ms := p.computeMS(q, defaultTokensPerMS)
+	if p.fetchFrom != nil {
+		ms += fetchSetupMS + fetchMSPerToken*p.fetchedTokens
+	}
+	return ms
+}
+
 // mixHash is the finalizer of MurmurHash3. It spreads the bits of a hash, so that
 // for a random key each endpoint is equally likely to have the highest one.
 func mixHash(h uint64) uint64 {
--- a/internal/placement/homes.go
+++ b/internal/placement/homes.go
@@ -1,6 +1,9 @@
 package placement
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// maxHomes is the number of endpoints that a prompt may have as homes.
@@ -21,23 +24,29 @@
 // If each instance chose for itself, the shared parts would be computed at a
 // different endpoint for each. Instances that a network partition cuts off from an
 // availability zone agree on another endpoint that they can reach.
+//
+// Endpoints that are known to be much faster are chosen more often.
 func (t *Table) findHomes(q *Query, now time.Duration) {
 	q.isTimed = t.isTimed(q, now)
 	if len(q.Parts) < 2 {
 		return
 	}
 	key := q.keys[len(q.keys)-2]
-	var hashes [maxHomes]uint64
+	var scores [maxHomes]float64
 	limited := false
 	for _, e := range t.byService[q.Service] {
 		if !e.mayBePreferred(now) || e.quota.IsBound() && !limited && q.homes[0] != nil {
 			continue
 		}
 		if limited && !e.quota.IsBound() {
-			q.homes, hashes = [maxHomes]*endpointState{}, [maxHomes]uint64{}
+			q.homes, scores = [maxHomes]*endpointState{}, [maxHomes]float64{}
 		}
 		limited = e.quota.IsBound()
-		q.insertHome(&hashes, e, mixHash(key^e.idHash))
+		score := float64(mixHash(key^e.idHash)>>11) / (1 << 53)
+		if q.isTimed {
+			score = weightedScore(score, e.prefillSpeed.Weight())
+		}
+		q.insertHome(&scores, e, score)
 	}
 	q.preferred = q.homes[0]
 	q.activeHomes = 1
@@ -46,13 +55,23 @@
 	}
 }
 
-// insertHome inserts an endpoint among the homes if its hash is high enough.
-func (q *Query) insertHome(hashes *[maxHomes]uint64, e *endpointState, hash uint64) {
+// weightedScore returns the score by which an endpoint of this weight is chosen in proportion to it
+// (weighted rendezvous hashing), from a score between 0 and 1 by which all are chosen alike. It
+// keeps the order of endpoints of one weight.
+func weightedScore(score, weight float64) float64 {
+	if weight == 1 {
+		return score
+	}
+	return math.Pow(score, 1/weight)
+}
+
+// insertHome inserts an endpoint among the homes if its score is high enough.
+func (q *Query) insertHome(scores *[maxHomes]float64, e *endpointState, score float64) {
 	for i := range q.homes {
-		if q.homes[i] == nil || hash > hashes[i] {
+		if q.homes[i] == nil || score > scores[i] {
 			copy(q.homes[i+1:], q.homes[i:maxHomes-1])
-			copy(hashes[i+1:], hashes[i:maxHomes-1])
-			q.homes[i], hashes[i] = e, hash
+			copy(scores[i+1:], scores[i:maxHomes-1])
+			q.homes[i], scores[i] = e, score
 			return
 		}
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -218,7 +218,8 @@
 	prefill := best.estimatePrefill(&q, now)
 	a := &Assignment{
 		Endpoint: best.Endpoint, Cost: best.cost(&q, now), MissingTokens: prefill.missingTokens, InFlight: best.inFlight,
-		PrefillTime: time.Duration(prefill.ms * float64(time.Millisecond)), endpointState: best, table: t, placedAt: now, tokens: q.Tokens,
+		PrefillTime:  time.Duration(prefill.ms * float64(time.Millisecond)),
+		UsualPrefill: time.Duration(prefill.usualMS(&q) * float64(time.Millisecond)), endpointState: best, table: t, placedAt: now, tokens: q.Tokens,
 	}
 	if prefill.fetchFrom != nil {
 		a.FetchFrom = prefill.fetchFrom.Address
--- a/internal/placement/shared_load.go
+++ b/internal/placement/shared_load.go
@@ -30,7 +30,7 @@
 	return &promptService{speed: prefillspeed.NewService(), holdMS: defaultHold}
 }
 
-// onEnd records that an answered request has held its place for a time.
+// onEnd records that a request has ended this long after its answer had begun.
 func (s *promptService) onEnd(held time.Duration) {
 	s.holdMS += holdGain * (milliseconds(held) - s.holdMS)
 }
--- a/internal/placement/ways_test.go
+++ b/internal/placement/ways_test.go
@@ -28,6 +28,7 @@
 		d.MaybeScanArgs(t, "burst", &l.burstPercent)
 		d.MaybeScanArgs(t, "memory", &l.memory)
 		d.MaybeScanArgs(t, "slow", &l.slowEndpoints)
+		d.MaybeScanArgs(t, "seconds", &l.length)
 		var out strings.Builder
 		own, timed, held := l.replay("own"), l.replay("time"), l.replay("held")
 		for _, o := range []outcome{own, timed, held} {
--- a/internal/prefillspeed/prefillspeed.go
+++ b/internal/prefillspeed/prefillspeed.go
@@ -59,6 +59,7 @@
 	logRatios [window]float64 // Of the TTFTs to the service's.
 	samples   int
 	ratio     float64 // Of the times; 0 for an unknown one.
+	weight    float64 // See Weight.
 }
 
 // Observe records the TTFT of a prompt of which this many tokens were not cached.
@@ -94,7 +95,9 @@
 	var sorted [window]float64
 	copy(sorted[:n], e.logRatios[:n])
 	slices.Sort(sorted[:n])
-	e.ratio = math.Exp(shrink(sorted[int(quantile*float64(n-1)+0.5)], n))
+	shrunk := shrink(sorted[int(quantile*float64(n-1)+0.5)], n)
+	e.ratio = math.Exp(shrunk)
+	e.weight = math.Exp2(-math.Round(shrunk / math.Ln2))
 }
 
 // shrink draws a logarithm that rests on n answers towards 0: one that is no larger than its
@@ -116,6 +119,15 @@
 	return e.ratio
 }
 
+// Weight returns the endpoint's speed in relation to its service, as a power of 2: instances whose
+// estimates differ a little agree on it.
+func (e *Endpoint) Weight() float64 {
+	if e.weight == 0 {
+		return 1
+	}
+	return e.weight
+}
+
 // MSPerToken returns the time, in milliseconds, that the endpoint takes for a token of work.
 func (s *Service) MSPerToken(e *Endpoint) float64 { return s.msPerToken * e.timeRatio() }
 
