--- a/internal/placement/homes.go
+++ b/internal/placement/homes.go
@@ -8,6 +8,9 @@
 const (
 	// maxHomes is the number of endpoints that a prompt may have as homes.
 	maxHomes = 3
+	// longSharedTokens is the length of shared parts from which on the homes go by speed: reading
+	// that many takes longer than some requests may wait.
+	longSharedTokens = 2000.0
 	// furtherHomeCacheProbability is the assumed probability that a home after the first has the
 	// shared parts cached while it is in use, although no send is known.
 	furtherHomeCacheProbability = 0.7
@@ -25,13 +28,15 @@
 // different endpoint for each. Instances that a network partition cuts off from an
 // availability zone agree on another endpoint that they can reach.
 //
-// Endpoints that are known to be much faster are chosen more often.
+// For prompts with long shared parts, endpoints that are known to be much faster are chosen more
+// often, so that these prompts need not leave a slow home, and short ones seldom wait behind them.
 func (t *Table) findHomes(q *Query, now time.Duration) {
 	q.isTimed = t.isTimed(q, now)
 	if len(q.Parts) < 2 {
 		return
 	}
 	key := q.keys[len(q.keys)-2]
+	isLong := q.isTimed && q.sharedTokens() >= longSharedTokens
 	var scores [maxHomes]float64
 	limited := false
 	for _, e := range t.byService[q.Service] {
@@ -43,8 +48,9 @@
 		}
 		limited = e.quota.IsBound()
 		score := float64(mixHash(key^e.idHash)>>11) / (1 << 53)
-		if q.isTimed {
-			score = weightedScore(score, e.prefillSpeed.Weight())
+		if isLong {
+			weight := e.prefillSpeed.Weight()
+			score = weightedScore(score, weight*weight)
 		}
 		q.insertHome(&scores, e, score)
 	}
@@ -55,6 +61,11 @@
 	}
 }
 
+// sharedTokens returns the tokens of all parts but the last.
+func (q *Query) sharedTokens() float64 {
+	return q.totalTokens - float64(q.Parts[len(q.Parts)-1].Tokens)
+}
+
 // weightedScore returns the score by which an endpoint of this weight is chosen in proportion to it
 // (weighted rendezvous hashing), from a score between 0 and 1 by which all are chosen alike. It
 // keeps the order of endpoints of one weight.
@@ -81,10 +92,7 @@
 // reading the shared parts once more there. All instances know of about the same load, so they
 // agree, and go back to fewer homes once the load is gone.
 func (q *Query) countActiveHomes(now time.Duration) {
-	shared := 0.0
-	for _, p := range q.Parts[:len(q.Parts)-1] {
-		shared += float64(p.Tokens)
-	}
+	shared := q.sharedTokens()
 	cheapest := q.homes[0]
 	for _, next := range q.homes[1:] {
 		if cheapest == nil || next == nil {
--- a/internal/prefillspeed/prefillspeed_test.go
+++ b/internal/prefillspeed/prefillspeed_test.go
@@ -52,6 +52,9 @@
 		if ratio < 0.8 || ratio > 1.25 {
 			wrong++
 		}
+		if want := []float64{1, 1, 2}[i%3]; endpoints[i].Weight() != want {
+			t.Errorf("an endpoint of speed %.1f has weight %.1f, want %.0f", speeds[i], endpoints[i].Weight(), want)
+		}
 	}
 	if wrong > len(speeds)/10 {
 		t.Errorf("the speeds of %d of %d endpoints are wrong by more than a quarter", wrong, len(speeds))
@@ -70,7 +73,7 @@
 		for i := range endpoints {
 			deviation := math.Abs(math.Log(endpoints[i].timeRatio()))
 			sum += deviation
-			if deviation > math.Log(1.35) {
+			if deviation > math.Log(1.35) || endpoints[i].Weight() != 1 {
 				unequal++
 			}
 		}
--- a/internal/sendcost/sendcost.go
+++ b/internal/sendcost/sendcost.go
@@ -51,7 +51,7 @@
 	certainShare, lateShare = 0.4, 1.1
 	// sharedWeight multiplies the time for reading or fetching parts that another endpoint may
 	// hold: it takes room from other cached parts and time from other prompts.
-	sharedWeight = 4.0
+	sharedWeight = 8.0
 	// TooLargeMS is the cost of an endpoint that can't hold the request at all.
 	TooLargeMS = 1e6
 )
@@ -93,8 +93,8 @@
 	return wait
 }
 
-// PlaceMS returns the cost of taking one of the endpoint's places: the time for which the next
-// request would wait for one, times the probability that all are taken by then. That is near 0
+// PlaceMS returns the cost of taking one of the endpoint's places: half of the time for which the
+// next request would be without one, times the probability that all are taken by then. That is near 0
 // until half of them are and then rises steeply.
 func (e Endpoint) PlaceMS() float64 {
 	if e.Slots <= 0 {
@@ -102,7 +102,7 @@
 	}
 	taken := min(1, float64(e.Requests+1)/float64(e.Slots))
 	cubed := taken * taken * taken
-	return e.HoldMS * cubed * cubed
+	return e.HoldMS / 2 * cubed * cubed
 }
 
 // OccupancyMS returns the part of the cost that is the same for all requests.
