--- a/internal/gateway/load_exchange_test.go
+++ b/internal/gateway/load_exchange_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"net"
 	"slices"
 	"strings"
 	"testing"
@@ -14,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"guavapier/internal/discovery"
+	"guavapier/internal/endpointload"
 	"guavapier/internal/peer"
 	"guavapier/internal/placement"
 	"guavapier/internal/record"
@@ -255,3 +257,73 @@
 		}
 	}
 }
+
+// BenchmarkMember measures what one exchange costs the instance that makes it, if the others have
+// requests at all endpoints and it has some at a tenth: its statement, the encoding of both
+// messages, and the sums' way into placement. The collector's part is in there; see
+// endpointload.BenchmarkExchange.
+func BenchmarkMember(b *testing.B) {
+	for _, endpoints := range []int{63, 145, 640} {
+		b.Run(fmt.Sprint(endpoints), func(b *testing.B) {
+			f := &loadFleet{now: time.Second, instances: map[record.InstanceID]*fleetInstance{}, down: map[string]bool{}}
+			f.add("a-0", "a", true, 1)
+			f.add("a-1", "a", true, 1)
+			f.add("a-2", "a", false, 1)
+			f.updateLists()
+			other := endpointload.Statement{Sender: endpointload.Sender{Name: "b-0", Started: 1, Seq: 1}, Links: endpointload.LinkSum{Instances: 20}}
+			for n := range endpoints {
+				id := fmt.Sprint("endpoint-", n)
+				for _, i := range f.instances {
+					i.endpoints.Put(discovery.Endpoint{ID: id, Service: "s", Address: "e:1", Zone: "a", Slots: 4}, 0)
+				}
+				other.Loads = append(other.Loads, endpointload.KeyedLoad{Key: endpointload.KeyOf(id, 0), Load: endpointload.Load{Requests: 30, Waiting: 4, Prefill: 40 * time.Millisecond, Tokens: 200_000}})
+			}
+			for _, i := range f.instances {
+				i.service.table.TellPart("b", other, f.now)
+			}
+			member := f.named("a-2")
+			for range endpoints / 10 {
+				member.endpoints.Place(placement.Query{Service: "s", Tokens: 900}, f.now)
+			}
+			for b.Loop() {
+				member.exchange(context.Background())
+			}
+		})
+	}
+}
+
+// oneAddress is a peer.Addresses with one address for all.
+type oneAddress string
+
+func (a oneAddress) PeerAddr(record.InstanceID) (string, bool) { return string(a), true }
+
+// Both methods of a collector can be called over the network.
+func TestCollectorsAreCalledOverTheNetwork(t *testing.T) {
+	f := newLoadFleet(t, 1, 2)
+	f.send("a-0", 3)
+	f.step()
+	collector := f.named("a-0")
+	server := peer.NewServer(collector.details.Process)
+	if err := server.Register(endpointLoadServiceName, collector.service); err != nil {
+		t.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() { _ = server.Serve(listener); close(done) }()
+	pool := peer.NewPool("asker", oneAddress(listener.Addr().String()), peer.Options{CallTimeout: 20 * time.Second})
+	defer func() { _ = listener.Close(); server.Close(); pool.Close(); <-done }()
+	var reply ExchangeReply
+	if err := pool.Call(context.Background(), collector.details.Process, endpointLoadServiceName+".Exchange", ExchangeArgs{}, &reply); err != nil {
+		t.Fatal(err)
+	}
+	var part PartMessage
+	if err := pool.Call(context.Background(), collector.details.Process, endpointLoadServiceName+".ExchangeParts", PartMessage{}, &part); err != nil {
+		t.Fatal(err)
+	}
+	if len(reply.Loads) != 1 || reply.Loads[0].Requests != 3 || !slices.Equal(part.Statement.Loads, reply.Loads) {
+		t.Errorf("told %+v and the part %+v", reply, part)
+	}
+}
