--- a/internal/placement/held.go
+++ b/internal/placement/held.go
@@ -8,6 +8,9 @@
 	Age    time.Duration // Since the last known use of the prompt's shared parts; -1 ms for none.
 	Saved  time.Duration // Time for reading them.
 	Wait   time.Duration // For the requests before this one; 0 if unknown.
+	// Requests is how many all instances were known to have there, Waiting how many of them
+	// without an answer; 0 if unknown.
+	Requests, Waiting int
 }
 
 // WeighHeldPrompts lets what endpoints hold be estimated from their memory, as far as they report
@@ -23,6 +26,7 @@
 	held := Held{Age: -time.Millisecond}
 	load, told := e.sharedLoad(q, now)
 	if told {
+		held.Requests, held.Waiting = load.Requests, load.Waiting
 		held.Wait = time.Duration(load.WaitMS() * float64(time.Millisecond))
 	}
 	held.Tokens = max(0, q.totalTokens-prefill.missingTokens-prefill.fetchedTokens)
--- a/internal/placement/others_load.go
+++ b/internal/placement/others_load.go
@@ -55,11 +55,22 @@
 // ownLoad returns what this instance has under way at the endpoint.
 func (e *endpointState) ownLoad(now time.Duration) endpointload.Load {
 	load := endpointload.Load{Requests: e.inFlight, Waiting: len(e.unanswered), Tokens: e.reservedTokens}
+	load.Prefill = time.Duration(e.waitingPrefillMS(now) * float64(time.Millisecond))
+	return load
+}
+
+// waitingPrefillMS returns the expected time for this instance's prompts that are not answered. An
+// endpoint reads one prompt after the other: only the oldest one may be read in part.
+func (e *endpointState) waitingPrefillMS(now time.Duration) float64 {
+	if len(e.unanswered) == 0 {
+		return 0
+	}
+	oldest := e.unanswered[0]
+	sum := -min(oldest.prefillMS, milliseconds(now-oldest.sentAt))
 	for _, p := range e.unanswered {
-		left := max(0, p.prefillMS-milliseconds(now-p.sentAt))
-		load.Prefill += time.Duration(left * float64(time.Millisecond))
+		sum += p.prefillMS
 	}
-	return load
+	return sum
 }
 
 // SetOthersLoads sets what the other instances have under way, by the endpoint's ID, as of now.
@@ -114,7 +125,7 @@
 	defer t.mu.Unlock()
 	for _, s := range samples {
 		if e := t.endpoints[s.Endpoint]; e != nil && s.Tokens >= 0 && s.TTFT > 0 {
-			e.observeTTFT(s.Tokens, s.TTFT)
+			e.observeTTFT(s.Tokens, s.TTFT, e.prompts.told)
 			e.held.Read(s.Tokens)
 			e.answeredOthersAt = max(e.answeredOthersAt, e.prompts.told)
 		}
--- a/internal/placement/shared_load.go
+++ b/internal/placement/shared_load.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"guavapier/internal/prefillspeed"
@@ -55,7 +56,8 @@
 		UsedTokens: e.reservedTokens + others.Tokens, MSPerToken: e.prompts.speed.MSPerToken(&e.prefillSpeed),
 	}
 	othersQueue := max(0, others.Prefill-(now-e.others.toldAt), e.busyUntil-now)
-	load.QueueMS = e.ownQueueMS(now) + max(milliseconds(othersQueue), e.others.meanPrefill)
+	load.QueueMS = e.waitingPrefillMS(now) + max(milliseconds(othersQueue), e.others.meanPrefill)
+	load.QueueMS = max(load.QueueMS, delayWeight*e.delay.at(now), e.overdueMS(now))
 	if !e.others.reported {
 		return load, true
 	}
@@ -69,6 +71,45 @@
 	return load, true
 }
 
+// recentDelay is by how much the first tokens of an endpoint have lately come later than expected
+// without a queue: what keeps it busy beside the prompts that are known to wait, as a slowdown.
+type recentDelay struct {
+	ms         float64
+	observedAt time.Duration
+}
+
+const (
+	// delayGain is the weight of a new answer.
+	delayGain = 0.3
+	// delayWeight is the part of it that is expected of the next answer: a slowdown is mostly over
+	// by the time that others hear of it.
+	delayWeight = 0.5
+	// delayDecay is the time in which a delay falls to 1/e without further answers.
+	delayDecay = time.Second
+)
+
+// observe records that an answer has come this much later.
+func (d *recentDelay) observe(ms float64, now time.Duration) {
+	d.ms, d.observedAt = d.at(now)+delayGain*(ms-d.at(now)), now
+}
+
+// at returns the delay to expect now, in milliseconds.
+func (d *recentDelay) at(now time.Duration) float64 {
+	if d.ms == 0 {
+		return 0
+	}
+	return d.ms * math.Exp(-float64(now-d.observedAt)/float64(delayDecay))
+}
+
+// overdueMS returns for how long this instance's oldest request without an answer has been overdue,
+// in milliseconds.
+func (e *endpointState) overdueMS(now time.Duration) float64 {
+	if len(e.unanswered) == 0 {
+		return 0
+	}
+	return max(0, milliseconds(now-e.unanswered[0].sentAt)-e.unanswered[0].prefillMS-e.prompts.speed.BaseMS(&e.prefillSpeed))
+}
+
 // asRequest returns the request as it would run at the endpoint.
 func (e *endpointState) asRequest(q *Query, prefill prefillEstimate) sendcost.Request {
 	return sendcost.Request{
--- a/internal/prefillspeed/prefillspeed.go
+++ b/internal/prefillspeed/prefillspeed.go
@@ -131,5 +131,11 @@
 // MSPerToken returns the time, in milliseconds, that the endpoint takes for a token of work.
 func (s *Service) MSPerToken(e *Endpoint) float64 { return s.msPerToken * e.timeRatio() }
 
+// ExpectedMS returns the endpoint's TTFT, without a queue, for a prompt of which this many tokens are
+// not cached, in milliseconds.
+func (s *Service) ExpectedMS(e *Endpoint, tokens float64) float64 {
+	return s.BaseMS(e) + Work(tokens, tokens)*s.MSPerToken(e)
+}
+
 // BaseMS returns the endpoint's TTFT for a prompt without work, in milliseconds.
 func (s *Service) BaseMS(e *Endpoint) float64 { return s.baseMS * e.timeRatio() }
