--- a/internal/placement/others_load.go
+++ b/internal/placement/others_load.go
@@ -10,8 +10,8 @@
 	// maxLoadAge is the age from which on what other instances have told of their load is
 	// ignored: an endpoint has answered most of those requests by then.
 	maxLoadAge = time.Second
-	// meanPrefillGain is the weight of a load in othersLoad.meanPrefill.
-	meanPrefillGain = 0.1
+	// meanLoadGain is the weight of a load in othersLoad.meanPrefill and meanRequests.
+	meanLoadGain = 0.1
 	// maxKeptSamples bounds the samples that wait to be told to the other instances.
 	maxKeptSamples = 256
 )
@@ -21,13 +21,13 @@
 type othersLoad struct {
 	load   endpointload.Load
 	toldAt time.Duration
-	// meanPrefill is the average of load.Prefill, in milliseconds: what is sent after toldAt is
-	// not in the load yet.
-	meanPrefill float64
-	told        bool
-	report      endpointload.Report
-	reported    bool
-	reportAt    time.Duration // When report was made, as far as that is known.
+	// meanPrefill, in milliseconds, and meanRequests are averages of the load. What is sent after
+	// toldAt is not in the load yet: many instances send to an endpoint that has little to do.
+	meanPrefill, meanRequests float64
+	told                      bool
+	report                    endpointload.Report
+	reported                  bool
+	reportAt                  time.Duration // When report was made, as far as that is known.
 }
 
 // at returns what the other instances have under way at the endpoint; false if that is not known.
@@ -38,6 +38,17 @@
 	return o.load, true
 }
 
+// set sets the load. An endpoint that is new to this instance starts with the averages of its
+// service, so that not all requests go there at once.
+func (o *othersLoad) set(load endpointload.Load, service *promptService, now time.Duration) {
+	if !o.told {
+		o.meanPrefill, o.meanRequests = service.meanPrefill, service.meanRequests
+	}
+	o.load, o.toldAt, o.told = load, now, true
+	o.meanPrefill += meanLoadGain * (milliseconds(load.Prefill) - o.meanPrefill)
+	o.meanRequests += meanLoadGain * (float64(load.Requests) - o.meanRequests)
+}
+
 // OwnLoads returns what this instance has under way, by the endpoint's ID. Endpoints without a
 // request are left out.
 func (t *Table) OwnLoads(now time.Duration) map[string]endpointload.Load {
@@ -78,13 +89,13 @@
 func (t *Table) SetOthersLoads(loads map[string]endpointload.Load, now time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for id, e := range t.endpoints {
-		e.others.load, e.others.toldAt, e.others.told = loads[id], now, true
-		e.others.meanPrefill += meanPrefillGain * (milliseconds(loads[id].Prefill) - e.others.meanPrefill)
-	}
-	for _, s := range t.services {
+	for service, s := range t.services {
+		s.onLoads(loads, t.byService[service])
 		s.told, s.wasTold = now, true
 	}
+	for id, e := range t.endpoints {
+		e.others.set(loads[id], e.prompts, now)
+	}
 }
 
 // SetReports records what endpoints have stated of their load, by ID.
--- a/internal/placement/shared_load.go
+++ b/internal/placement/shared_load.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"guavapier/internal/endpointload"
 	"guavapier/internal/prefillspeed"
 	"guavapier/internal/sendcost"
 )
@@ -25,6 +26,19 @@
 	// false.
 	told    time.Duration
 	wasTold bool
+	// meanPrefill, in milliseconds, and meanRequests are the averages over the endpoints of what
+	// the others have told last.
+	meanPrefill, meanRequests float64
+}
+
+// onLoads averages the loads of the service's endpoints.
+func (s *promptService) onLoads(loads map[string]endpointload.Load, endpoints []*endpointState) {
+	s.meanPrefill, s.meanRequests = 0, 0
+	for _, e := range endpoints {
+		load := loads[e.ID]
+		s.meanPrefill += milliseconds(load.Prefill) / float64(len(endpoints))
+		s.meanRequests += float64(load.Requests) / float64(len(endpoints))
+	}
 }
 
 func newPromptService() *promptService {
@@ -47,16 +61,21 @@
 // the others have told and what the endpoint has reported since, the higher counts: neither
 // contains all.
 func (e *endpointState) sharedLoad(q *Query, now time.Duration) (sendcost.Endpoint, bool) {
-	others, told := e.others.at(now)
-	if !told || !q.isTimed {
+	if !q.isTimed {
 		return sendcost.Endpoint{}, false
 	}
+	others, told := e.others.at(now)
+	meanPrefill, meanRequests := e.others.meanPrefill, e.others.meanRequests
+	if !told {
+		meanPrefill, meanRequests = e.prompts.meanPrefill, e.prompts.meanRequests
+	}
+	requests := max(others.Requests, int(meanRequests+0.5))
 	load := sendcost.Endpoint{
-		Slots: e.Slots, Requests: e.inFlight + others.Requests, Waiting: len(e.unanswered) + others.Waiting, HoldMS: e.prompts.holdMS,
+		Slots: e.Slots, Requests: e.inFlight + requests, Waiting: len(e.unanswered) + others.Waiting, HoldMS: e.prompts.holdMS,
 		UsedTokens: e.reservedTokens + others.Tokens, MSPerToken: e.prompts.speed.MSPerToken(&e.prefillSpeed),
 	}
 	othersQueue := max(0, others.Prefill-(now-e.others.toldAt), e.busyUntil-now)
-	load.QueueMS = e.waitingPrefillMS(now) + max(milliseconds(othersQueue), e.others.meanPrefill)
+	load.QueueMS = e.waitingPrefillMS(now) + max(milliseconds(othersQueue), meanPrefill)
 	load.QueueMS = max(load.QueueMS, delayWeight*e.delay.at(now), e.overdueMS(now))
 	if !e.others.reported {
 		return load, true
