--- a/internal/placement/by_time_test.go
+++ b/internal/placement/by_time_test.go
@@ -146,3 +146,41 @@
 		t.Errorf("a request is placed on %s, which reports a queue", got)
 	}
 }
+
+// An endpoint that has just started looks idle to all instances at once. It counts as loaded as
+// the others on average until they have told of it for a while.
+func TestANewEndpointIsNotRushed(t *testing.T) {
+	loads := map[string]endpointload.Load{}
+	for i := range 8 {
+		loads[fmt.Sprintf("e%d", i)] = endpointload.Load{Requests: 8, Waiting: 1, Prefill: 40 * time.Millisecond}
+	}
+	p := timedTable(8, loads)
+	p.Put(discovery.Endpoint{ID: "new", Address: "new:1", Service: "s", Zone: "z", Slots: 12, Born: 1}, time.Second)
+	p.SetOthersLoads(loads, 1200*time.Millisecond)
+	atNew := 0
+	for i := range 16 {
+		q := Query{Service: "s", Zone: "z", Tokens: 500, Target: 400 * time.Millisecond, Parts: []Part{{ID: fmt.Sprint(i), Tokens: 300}}}
+		if p.Place(q, 1200*time.Millisecond).Endpoint.ID == "new" {
+			atNew++
+		}
+	}
+	if atNew == 0 || atNew > 6 {
+		t.Errorf("%d of 16 requests are placed on the new endpoint, want a few", atNew)
+	}
+}
+
+// An endpoint whose answers have begun late lately, for whatever reason, gets less for a while.
+func TestAnEndpointThatAnswersLateIsAvoided(t *testing.T) {
+	p := timedTable(4, nil)
+	late := []endpointload.Sample{{Endpoint: "e1", Tokens: 500, TTFT: time.Second}, {Endpoint: "e1", Tokens: 500, TTFT: time.Second}}
+	q := Query{Service: "s", Zone: "z", Tokens: 500, Target: 400 * time.Millisecond, Parts: []Part{{ID: "own", Tokens: 300}}}
+	p.ObserveSamples(late)
+	for range 12 {
+		if got := p.Place(q, 1100*time.Millisecond).Endpoint.ID; got == "e1" {
+			t.Error("a request is placed on the endpoint that answers late")
+		}
+	}
+	if now := 6 * time.Second; p.endpoints["e1"].delay.at(now) > 1 {
+		t.Errorf("a delay of %.0f ms is expected 5 s later", p.endpoints["e1"].delay.at(now))
+	}
+}
--- a/internal/placement/others_load.go
+++ b/internal/placement/others_load.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"guavapier/internal/endpointload"
@@ -24,10 +25,12 @@
 	// meanPrefill, in milliseconds, and meanRequests are averages of the load. What is sent after
 	// toldAt is not in the load yet: many instances send to an endpoint that has little to do.
 	meanPrefill, meanRequests float64
-	told                      bool
-	report                    endpointload.Report
-	reported                  bool
-	reportAt                  time.Duration // When report was made, as far as that is known.
+	// requests is load.Requests, or their average if that is higher.
+	requests int
+	told     bool
+	report   endpointload.Report
+	reported bool
+	reportAt time.Duration // When report was made, as far as that is known.
 }
 
 // at returns what the other instances have under way at the endpoint; false if that is not known.
@@ -47,6 +50,7 @@
 	o.load, o.toldAt, o.told = load, now, true
 	o.meanPrefill += meanLoadGain * (milliseconds(load.Prefill) - o.meanPrefill)
 	o.meanRequests += meanLoadGain * (float64(load.Requests) - o.meanRequests)
+	o.requests = max(load.Requests, int(math.Round(o.meanRequests)))
 }
 
 // OwnLoads returns what this instance has under way, by the endpoint's ID. Endpoints without a
--- a/internal/placement/shared_load.go
+++ b/internal/placement/shared_load.go
@@ -65,18 +65,17 @@
 		return sendcost.Endpoint{}, false
 	}
 	others, told := e.others.at(now)
-	meanPrefill, meanRequests := e.others.meanPrefill, e.others.meanRequests
+	meanPrefill, requests := e.others.meanPrefill, e.others.requests
 	if !told {
-		meanPrefill, meanRequests = e.prompts.meanPrefill, e.prompts.meanRequests
+		meanPrefill, requests = e.prompts.meanPrefill, int(math.Round(e.prompts.meanRequests))
 	}
-	requests := max(others.Requests, int(meanRequests+0.5))
 	load := sendcost.Endpoint{
 		Slots: e.Slots, Requests: e.inFlight + requests, Waiting: len(e.unanswered) + others.Waiting, HoldMS: e.prompts.holdMS,
 		UsedTokens: e.reservedTokens + others.Tokens, MSPerToken: e.prompts.speed.MSPerToken(&e.prefillSpeed),
 	}
 	othersQueue := max(0, others.Prefill-(now-e.others.toldAt), e.busyUntil-now)
 	load.QueueMS = e.waitingPrefillMS(now) + max(milliseconds(othersQueue), meanPrefill)
-	load.QueueMS = max(load.QueueMS, delayWeight*e.delay.at(now), e.overdueMS(now))
+	load.QueueMS = max(load.QueueMS, delayWeight*e.delay.at(now))
 	if !e.others.reported {
 		return load, true
 	}
@@ -103,8 +102,8 @@
 	// delayWeight is the part of it that is expected of the next answer: a slowdown is mostly over
 	// by the time that others hear of it.
 	delayWeight = 0.5
-	// delayDecay is the time in which a delay falls to 1/e without further answers.
-	delayDecay = time.Second
+	// delayMemory is the time in which a delay falls to 0 without further answers.
+	delayMemory = time.Second
 )
 
 // observe records that an answer has come this much later.
@@ -114,19 +113,11 @@
 
 // at returns the delay to expect now, in milliseconds.
 func (d *recentDelay) at(now time.Duration) float64 {
-	if d.ms == 0 {
+	age := now - d.observedAt
+	if d.ms == 0 || age >= delayMemory {
 		return 0
 	}
-	return d.ms * math.Exp(-float64(now-d.observedAt)/float64(delayDecay))
-}
-
-// overdueMS returns for how long this instance's oldest request without an answer has been overdue,
-// in milliseconds.
-func (e *endpointState) overdueMS(now time.Duration) float64 {
-	if len(e.unanswered) == 0 {
-		return 0
-	}
-	return max(0, milliseconds(now-e.unanswered[0].sentAt)-e.unanswered[0].prefillMS-e.prompts.speed.BaseMS(&e.prefillSpeed))
+	return d.ms * (1 - float64(age)/float64(delayMemory))
 }
 
 // asRequest returns the request as it would run at the endpoint.
