--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -272,7 +272,14 @@
 	if q.preferred != nil {
 		t.consider(q.preferred, q, &c, wanted, now)
 	}
-	for _, e := range t.byService[q.Service] {
+	list := t.byService[q.Service]
+	if q.isTimed && len(list) > maxCandidates {
+		t.considerSome(q, &c, wanted, now)
+		if c.best != nil {
+			return c.best
+		}
+	}
+	for _, e := range list {
 		if e != q.preferred {
 			t.consider(e, q, &c, wanted, now)
 		}
@@ -280,6 +287,28 @@
 	return c.best
 }
 
+// maxCandidates is the number of endpoints, beside a prompt's homes, that are compared for a request
+// whose costs go by the load of all instances. Of a large fleet all see the same endpoints idle, for as
+// long as it takes until word of the next requests has come: if each compared all, they would all
+// choose the same ones.
+const maxCandidates = 32
+
+// considerSome considers the prompt's homes and maxCandidates other endpoints, on average, by chance.
+func (t *Table) considerSome(q *Query, c *choice, wanted Use, now time.Duration) {
+	for _, home := range q.homes[:q.activeHomes] {
+		if home != q.preferred {
+			t.consider(home, q, c, wanted, now)
+		}
+	}
+	list := t.byService[q.Service]
+	limit := uint32(float64(math.MaxUint32) * maxCandidates / float64(len(list)))
+	for _, e := range list {
+		if t.rng.Uint32() < limit && !q.isHome(e) {
+			t.consider(e, q, c, wanted, now)
+		}
+	}
+}
+
 // choice is the cheapest endpoint of those considered.
 type choice struct {
 	best   *endpointState
