--- a/internal/placement/shared_load.go
+++ b/internal/placement/shared_load.go
@@ -97,8 +97,9 @@
 }
 
 const (
-	// delayGain is the weight of a new answer.
-	delayGain = 0.3
+	// delayRise and delayFall are the weights of a new answer that came later, or earlier, than
+	// the last ones: what an instance or its link adds for itself isn't the endpoint's.
+	delayRise, delayFall = 0.25, 0.6
 	// delayWeight is the part of it that is expected of the next answer: a slowdown is mostly over
 	// by the time that others hear of it.
 	delayWeight = 0.5
@@ -108,7 +109,11 @@
 
 // observe records that an answer has come this much later.
 func (d *recentDelay) observe(ms float64, now time.Duration) {
-	d.ms, d.observedAt = d.at(now)+delayGain*(ms-d.at(now)), now
+	last, gain := d.at(now), delayRise
+	if ms < last {
+		gain = delayFall
+	}
+	d.ms, d.observedAt = last+gain*(ms-last), now
 }
 
 // at returns the delay to expect now, in milliseconds.
