placement: choose endpoints by time where the load of all instances is known

Cause: of 91 instances each knew a ninetieth of an endpoint's load. Endpoints of 0.7 and 1.7 times the usual speed counted as equal up to 1.6, long prompts went to slow ones, short ones behind them, and a hot subject to one endpoint of 12 places. A part of a prompt counted as held for 10 s, whatever the endpoint's memory.

Change: where the others' load is known (at most a second old), the cost is the time to the first token by the endpoint's queue, places and speed, the caller's loss by lateness, the delay of what runs and waits there, its places and its memory (internal/sendcost, pure). internal/prefillspeed estimates speeds from the answers of all instances: each endpoint by its last 16 in relation to the service's curve, without the noise of as many. Homes of long prompts are weighted by speed; a second and third home come into use where the first one's wait costs more than reading once more. Of more than 32 endpoints the homes and 32 by chance are compared. New endpoints begin with the averages of their service. Urgency goes by the usual prefill, as before. internal/heldprompts estimates what is held by the endpoint's room, where placement.held_prompts says so (off in code, on in the template). With no word from others costs are as before. An attempt's line tells what was believed.

A sum over unanswered attempts went in the random order of a map; they are a list now.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -197,7 +197,7 @@
 		Method: c.Method, Target: c.Target, Host: c.Host, Body: c.body,
 		Header: c.f.Codec.Attempt(&c.Request, Attempt{
 			Endpoint: assignment.Endpoint.ID, Organisation: c.team(), Timeout: time.Until(c.deadline),
-			Urgency: c.config.Urgency(c.route, c.org, promptSizeClass(assignment.PrefillTime, c.route.LatencyTarget)), LastEventID: c.resumedAfter, FetchFrom: assignment.FetchFrom,
+			Urgency: c.config.Urgency(c.route, c.org, promptSizeClass(assignment.UsualPrefill, c.route.LatencyTarget)), LastEventID: c.resumedAfter, FetchFrom: assignment.FetchFrom,
 		}),
 		Matches: c.matchesAnswer,
 		OnSend: func(via string) {
--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -39,6 +39,8 @@
 	}
 	line.Str("request", c.ID).Int("attempt", c.attempts).Str("endpoint", assignment.Endpoint.ID).
 		Str("address", assignment.Endpoint.Address).Str("zone", assignment.Endpoint.Zone).Str("version", assignment.Endpoint.Version).Str("after", c.resumedAfter).Str("resumes", c.Resumes).Float64("cost_ms", assignment.Cost).Float64("missing_tokens", assignment.MissingTokens).
+		Float64("held_tokens", assignment.Held.Tokens).Dur("held_age", assignment.Held.Age).Dur("saved", assignment.Held.Saved).Dur("wait", assignment.Held.Wait).
+		Int("requests", assignment.Held.Requests).Int("waiting", assignment.Held.Waiting).
 		Int("in_flight", assignment.InFlight).Str("fetch", assignment.FetchFrom).Str("via", c.via).Int("status", status).Str("reason", string(result.reason)).Bool("may_have_run", c.mayHaveRun).
 		Dur("took", time.Since(start)).AnErr("error", result.err).Msg("forward: attempt ended")
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -157,6 +157,9 @@
 	}
 	instance := record.NewInstanceID(s.Gateway.Name)
 	placementTable := placement.New(uint64(time.Now().UnixNano()), clock())
+	if s.Placement.HeldPrompts {
+		placementTable.WeighHeldPrompts()
+	}
 	g.tunnels = g.newTunnels(instance, &links{Table: placementTable, onSilent: func(endpoint string) { g.upstreamPool.CloseIdle(endpoint) }})
 	g.upstreamPool = upstream.NewPool(upstream.Options{
 		DialWaitTimeout: requestDialTimeout, DialTimeout: maxDialDuration, IdleTimeout: endpointIdleTimeout,
--- a/internal/placement/assignment.go
+++ b/internal/placement/assignment.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"guavapier/internal/discovery"
@@ -29,6 +30,7 @@
 
 // unansweredAttempt is an attempt whose answer has not started.
 type unansweredAttempt struct {
+	id     uint64 // Of the assignment.
 	sentAt time.Duration
 	// prefillMS is the expected prefill time in milliseconds.
 	prefillMS float64
@@ -39,6 +41,18 @@
 	updatesSpeed  bool
 }
 
+// takeUnanswered removes the attempt of this assignment from those whose answer has not started;
+// false if it is not among them.
+func (e *endpointState) takeUnanswered(id uint64) (unansweredAttempt, bool) {
+	i := slices.IndexFunc(e.unanswered, func(p unansweredAttempt) bool { return p.id == id })
+	if i < 0 {
+		return unansweredAttempt{}, false
+	}
+	taken := e.unanswered[i]
+	e.unanswered = slices.Delete(e.unanswered, i, i+1)
+	return taken, true
+}
+
 // Assignment is an attempt at a request that has been placed on an endpoint.
 type Assignment struct {
 	Endpoint discovery.Endpoint
@@ -54,13 +68,18 @@
 	// PartsToAnnounce are the IDs of the shared parts that the other instances should
 	// know the endpoint to have cached; nil if they have been announced.
 	PartsToAnnounce []string
+	// Held explains what the endpoint is believed to hold of the prompt.
+	Held Held
 	// PrefillTime is the expected duration of the prefill, including a fetch.
-	PrefillTime   time.Duration
+	PrefillTime time.Duration
+	// UsualPrefill is PrefillTime at an endpoint of usual speed, which tells prompts by their size.
+	UsualPrefill  time.Duration
 	id            uint64
 	placedAt      time.Duration
-	tokens        int64     // Of Query.Tokens.
-	usesShare     bool      // It counts against the share of a cold endpoint.
-	quotaUse      quota.Use // Of the endpoint's request limit.
+	answeredAt    time.Duration // When the answer started; 0 before.
+	tokens        int64         // Of Query.Tokens.
+	usesShare     bool          // It counts against the share of a cold endpoint.
+	quotaUse      quota.Use     // Of the endpoint's request limit.
 	sent          bool
 	endpointState *endpointState
 	table         *Table
@@ -82,13 +101,12 @@
 func (a *Assignment) OnAnswerStart(now time.Duration, prefilled bool) {
 	a.table.mu.Lock()
 	defer a.table.mu.Unlock()
-	if p, waiting := a.endpointState.unanswered[a.id]; waiting && prefilled && p.updatesSpeed {
-		a.endpointState.speed.observe(p.missingTokens, now-p.sentAt)
+	if p, waiting := a.endpointState.takeUnanswered(a.id); waiting && prefilled && p.updatesSpeed {
+		a.endpointState.observeTTFT(p.missingTokens, now-p.sentAt, now)
 		a.table.keepSample(endpointload.Sample{Endpoint: a.Endpoint.ID, Tokens: p.missingTokens, TTFT: now - p.sentAt})
 	}
-	delete(a.endpointState.unanswered, a.id)
 	a.endpointState.onConnected(a.table.warmUps[a.Endpoint.Service].Duration, now)
-	a.endpointState.lastAnswerAt = now
+	a.endpointState.lastAnswerAt, a.answeredAt = now, now
 }
 
 // OnReply records whether the endpoint has rejected the request for want of room, and what it
@@ -124,13 +142,13 @@
 	if !a.sent {
 		e.quota.GiveBack(a.quotaUse)
 	}
-	if _, unanswered := e.unanswered[a.id]; unanswered && a.sent {
+	if _, unanswered := e.takeUnanswered(a.id); unanswered && a.sent {
 		a.table.recordRejection(e, now) // The answer that was lost may have been one.
 	}
-	delete(e.unanswered, a.id)
 	switch outcome {
 	case Answered:
 		e.onAnswered()
+		e.prompts.onEnd(now - a.answeredAt)
 	case Failed:
 		e.onFailed(now)
 	case Broken:
--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"guavapier/internal/endpointload"
 	"guavapier/internal/placement"
 )
 
@@ -34,3 +35,24 @@
 		})
 	}
 }
+
+// BenchmarkPlaceByTime places requests while the load of all instances is known.
+func BenchmarkPlaceByTime(b *testing.B) {
+	p := newTable(140)
+	loads := map[string]endpointload.Load{}
+	for i := range 140 {
+		loads[fmt.Sprintf("e%d", i)] = endpointload.Load{Requests: i % 12, Waiting: i % 3, Prefill: time.Duration(i%5) * 40 * time.Millisecond, Tokens: 50_000}
+	}
+	now := time.Minute
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now += 10 * time.Millisecond
+		if i%25 == 0 {
+			p.SetOthersLoads(loads, now)
+		}
+		a := p.Place(placement.Query{Service: "s", Zone: "z0", Parts: sharedPrompt(fmt.Sprint(i % 200)), Tokens: 9000, Target: 400 * time.Millisecond}, now)
+		a.OnSend(now)
+		a.OnAnswerStart(now, true)
+		a.Done(placement.Answered, now)
+	}
+}
--- a/internal/placement/condition.go
+++ b/internal/placement/condition.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"guavapier/internal/heldprompts"
+)
 
 // Use is what an endpoint may be used for at a moment.
 type Use uint8
@@ -139,7 +143,7 @@
 // mayBePreferred reports whether prompts may be assigned to the endpoint by its hash. A
 // back-off and most rests are too short, and known to too few instances, to move prompts elsewhere.
 func (c *condition) mayBePreferred(now time.Duration) bool {
-	return !c.isLeaving() && !c.cordoned && !c.replaced && !c.unreachable && !c.isCold(now) && now+cachedPartTTL > c.restsUntil
+	return !c.isLeaving() && !c.cordoned && !c.replaced && !c.unreachable && !c.isCold(now) && now+heldprompts.AssumedRetention > c.restsUntil
 }
 
 // mayBeFetchedFrom reports whether other endpoints may fetch cached parts of prompts from
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -1,9 +1,11 @@
 package placement
 
 import (
+	"math"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"guavapier/internal/prefillspeed"
+	"guavapier/internal/sendcost"
 )
 
 const (
@@ -23,9 +25,6 @@
 	// prompt of 65,000 tokens takes 1.4 s, twice as long as by the linear part
 	// alone.
 	prefillMSPerTokenPair = 1.75e-7
-	// cachedPartTTL is how long a part of a prompt is assumed to stay in an
-	// endpoint's cache after it was last sent there.
-	cachedPartTTL = 10 * time.Second
 	// preferredCacheProbability is the assumed probability that a prompt's
 	// preferred endpoint has the shared parts cached because other instances
 	// sent them there.
@@ -46,10 +45,31 @@
 
 // cost returns the estimated cost of sending the request to the endpoint, in
 // milliseconds.
-func (e *endpointState) cost(q Query, now time.Duration) float64 {
+func (e *endpointState) cost(q *Query, now time.Duration) float64 {
+	return e.costUpTo(math.Inf(1), q, now)
+}
+
+// costUpTo returns the cost, or a lower bound of it if that is above the limit already.
+func (e *endpointState) costUpTo(limit float64, q *Query, now time.Duration) float64 {
+	cost := e.accessCost(q, now)
+	load, told := e.sharedLoad(q, now)
+	if told {
+		bound := cost + load.OccupancyMS() + e.prompts.speed.BaseMS(&e.prefillSpeed) + q.ownWork*load.MSPerToken
+		if bound > limit {
+			return bound
+		}
+		return cost + sendcost.Of(e.asRequest(q, e.estimatePrefill(q, now)), load).Total()
+	}
 	prefill := e.estimatePrefill(q, now)
 	recomputeMS := prefill.sharedTokens/e.normalizedTokensPerMS + prefill.fetchedTokens*fetchMSPerToken
-	cost := costPerInFlight*float64(e.inFlight) + prefill.ms + recomputeWeight*recomputeMS
+	cost += costPerInFlight*float64(e.inFlight) + prefill.ms + recomputeWeight*recomputeMS
+	cost += max(0, milliseconds(e.busyUntil-now))
+	return cost + e.ownQueueMS(now)
+}
+
+// accessCost returns what sending to the endpoint costs apart from its load.
+func (e *endpointState) accessCost(q *Query, now time.Duration) float64 {
+	cost := 0.0
 	if e.Zone != q.Zone {
 		cost += crossZoneCost
 	}
@@ -59,14 +79,21 @@
 	if e.isCold(now) {
 		cost += warmupCost
 	}
-	cost += max(0, milliseconds(e.busyUntil-now))
 	for _, p := range e.unanswered {
-		age := now - p.sentAt
-		cost += max(0, p.prefillMS-milliseconds(age)) + max(0, milliseconds(age-unansweredGracePeriod))
+		cost += max(0, milliseconds(now-p.sentAt-unansweredGracePeriod))
 	}
 	return cost
 }
 
+// ownQueueMS returns the expected time for this instance's prompts that are not answered.
+func (e *endpointState) ownQueueMS(now time.Duration) float64 {
+	queue := 0.0
+	for _, p := range e.unanswered {
+		queue += max(0, p.prefillMS-milliseconds(now-p.sentAt))
+	}
+	return queue
+}
+
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 // prefillEstimate is the estimated prefill of a request's prompt at an endpoint.
@@ -82,36 +109,42 @@
 }
 
 // countMissing counts the prompt's tokens that the endpoint doesn't have cached,
-// judging by the parts it is known to have been sent, and all of its tokens. A
+// judging by the parts that it is believed to hold. A
 // cached part only counts if all parts before it are cached. The last part belongs
 // to the request alone.
-func (e *endpointState) countMissing(q Query, now time.Duration) (out prefillEstimate, totalTokens float64) {
-	inPrefix := true
+func (e *endpointState) countMissing(q *Query, now time.Duration) (out prefillEstimate) {
+	held := 1.0
 	for i, p := range q.Parts {
-		totalTokens += float64(p.Tokens)
-		if inPrefix {
-			sentAt, found := e.partSentAt[p.ID]
-			if inPrefix = found && now-sentAt < cachedPartTTL; inPrefix {
-				continue
-			}
+		if held > 0 {
+			held = min(held, e.held.Probability(q.keys[i], q.isTimed, now))
 		}
-		out.missingTokens += float64(p.Tokens)
+		missing := (1 - held) * float64(p.Tokens)
+		out.missingTokens += missing
 		if i < len(q.Parts)-1 {
-			out.sharedTokens += float64(p.Tokens)
+			out.sharedTokens += missing
 		}
 	}
-	return out, totalTokens
+	return out
 }
 
 // estimatePrefill estimates the prefill at the endpoint. The preferred endpoint is
 // assumed to have missing shared parts with preferredCacheProbability; any other
 // endpoint may fetch them.
-func (e *endpointState) estimatePrefill(q Query, now time.Duration) prefillEstimate {
-	out, totalTokens := e.countMissing(q, now)
+func (e *endpointState) estimatePrefill(q *Query, now time.Duration) prefillEstimate {
+	out := e.countMissing(q, now)
 	availableTokens := 0.0
 	switch src := q.fetchSourceFor(e); {
-	case e == q.preferred:
+	case q.isHome(e):
 		availableTokens = preferredCacheProbability * out.sharedTokens
+		if e != q.preferred {
+			availableTokens = furtherHomeCacheProbability * out.sharedTokens
+		}
+		if q.isTimed && src.endpoint != nil && out.sharedTokens >= minFetchTokens {
+			// What the home holds after all is not transferred.
+			out.fetchFrom, out.fetchedTokens = src.endpoint, src.probability*(out.sharedTokens-availableTokens)
+			out.ms = fetchMSPerToken * out.fetchedTokens
+			availableTokens += out.fetchedTokens
+		}
 	case src.endpoint != nil && out.sharedTokens >= minFetchTokens:
 		availableTokens = src.probability * out.sharedTokens
 		out.fetchFrom, out.fetchedTokens = src.endpoint, availableTokens
@@ -119,39 +152,27 @@
 	}
 	out.missingTokens -= availableTokens
 	out.sharedTokens -= availableTokens
-	cachedTokens := totalTokens - out.missingTokens
-	out.ms += out.missingTokens/e.normalizedTokensPerMS + prefillMSPerTokenPair*(totalTokens*totalTokens-cachedTokens*cachedTokens)
+	if q.isTimed {
+		out.ms += prefillspeed.Work(out.missingTokens, q.totalTokens) * e.prompts.speed.MSPerToken(&e.prefillSpeed)
+		return out
+	}
+	out.ms += out.computeMS(q, e.normalizedTokensPerMS)
 	return out
 }
 
-// preferredEndpoint returns the endpoint that all instances choose first for a
-// prompt without communicating: the one with the highest hash of the prompt's last
-// shared part and the endpoint's ID (rendezvous hashing). The last part of a prompt
-// belongs to the request alone; without a shared part the result is nil.
-//
-// An endpoint with a request limit is preferred only if all have one: it could take few of
-// its prompts, which move to another endpoint each.
-//
-// If each instance chose for itself, the shared parts would be computed at a
-// different endpoint for each. Instances that a network partition cuts off from an
-// availability zone agree on another endpoint that they can reach.
-func (t *Table) preferredEndpoint(q Query, now time.Duration) *endpointState {
-	if len(q.Parts) < 2 {
-		return nil
-	}
-	key := xxhash.Sum64String(q.Parts[len(q.Parts)-2].ID)
-	var preferred *endpointState
-	highest, limited := uint64(0), false
-	for _, e := range t.endpoints {
-		if e.Service != q.Service || !e.mayBePreferred(now) {
-			continue
-		}
-		h := mixHash(key ^ e.idHash)
-		if preferred == nil || limited && !e.quota.IsBound() || limited == e.quota.IsBound() && h > highest {
-			preferred, highest, limited = e, h, e.quota.IsBound()
-		}
+// computeMS returns the time for computing the missing tokens at this speed, in milliseconds.
+func (p prefillEstimate) computeMS(q *Query, tokensPerMS float64) float64 {
+	cachedTokens := q.totalTokens - p.missingTokens
+	return p.missingTokens/tokensPerMS + prefillMSPerTokenPair*(q.totalTokens*q.totalTokens-cachedTokens*cachedTokens)
+}
+
+// usualMS returns the prefill time at the default speed, in milliseconds.
+func (p prefillEstimate) usualMS(q *Query) float64 {
+	ms := p.computeMS(q, defaultTokensPerMS)
+	if p.fetchFrom != nil {
+		ms += fetchSetupMS + fetchMSPerToken*p.fetchedTokens
 	}
-	return preferred
+	return ms
 }
 
 // mixHash is the finalizer of MurmurHash3. It spreads the bits of a hash, so that
--- a/internal/placement/fetch.go
+++ b/internal/placement/fetch.go
@@ -1,6 +1,12 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"guavapier/internal/heldprompts"
+)
 
 // An endpoint can fetch cached parts of a prompt from another endpoint instead of
 // computing them again. A request that can't wait for its preferred endpoint then
@@ -18,8 +24,8 @@
 	// minFetchTokens is the number of missing shared tokens from which a fetch
 	// pays off: computing that many takes 3 ms.
 	minFetchTokens = 256.0 // tokens
-	// sentCacheProbability is the assumed probability that an endpoint still has
-	// parts cached that it was sent within cachedPartTTL,
+	// sentCacheProbability is the assumed probability that an endpoint has parts
+	// cached that it was sent and has not given up since,
 	// unconfirmedCacheProbability that a prompt's preferred endpoint has them
 	// although no send is known.
 	sentCacheProbability, unconfirmedCacheProbability = 0.9, 0.5
@@ -38,7 +44,7 @@
 // preferred endpoint if it was sent them, else any endpoint that was, else the
 // preferred endpoint without a known send. The alternative is for requests that are
 // placed on the best source itself.
-func (t *Table) fetchSources(q Query, now time.Duration) (best, alternative fetchSource) {
+func (t *Table) fetchSources(q *Query, now time.Duration) (best, alternative fetchSource) {
 	if len(q.Parts) < 2 {
 		return fetchSource{}, fetchSource{}
 	}
@@ -51,30 +57,29 @@
 		}
 	}
 	if q.preferred != nil && q.preferred.answeredRecently(now) {
-		if q.preferred.hasSharedParts(q, now) {
-			consider(q.preferred, sentCacheProbability)
-		} else {
-			consider(q.preferred, unconfirmedCacheProbability)
-		}
+		consider(q.preferred, max(sentCacheProbability*q.preferred.holdsSharedParts(q, now), unconfirmedCacheProbability))
 	}
-	for _, e := range t.endpoints {
-		if e != q.preferred && e.Service == q.Service && e.answeredRecently(now) && e.hasSharedParts(q, now) {
-			consider(e, sentCacheProbability)
+	for _, e := range t.byService[q.Service] {
+		if e == q.preferred {
+			continue
+		}
+		if held := e.holdsSharedParts(q, now); held > 0 && e.answeredRecently(now) {
+			consider(e, sentCacheProbability*held)
 		}
 	}
 	return best, alternative
 }
 
-// hasSharedParts reports whether the endpoint was sent the prompt's last shared part
-// within cachedPartTTL. The parts before it were sent along with it.
-func (e *endpointState) hasSharedParts(q Query, now time.Duration) bool {
-	sentAt, found := e.partSentAt[q.Parts[len(q.Parts)-2].ID]
-	return found && now-sentAt < cachedPartTTL
+// holdsSharedParts estimates how likely the endpoint, if it was sent the prompt's last shared
+// part, still holds it. The parts before it were sent along with it.
+func (e *endpointState) holdsSharedParts(q *Query, now time.Duration) float64 {
+	return e.held.Probability(q.keys[len(q.keys)-2], q.isTimed, now)
 }
 
 // answeredRecently reports whether a fetch from the endpoint will hardly have to wait.
 func (e *endpointState) answeredRecently(now time.Duration) bool {
-	return e.mayBeFetchedFrom(now) && !e.quota.IsBound() && now >= e.restsUntil && e.lastAnswerAt > 0 && now-e.lastAnswerAt < recentAnswerWindow
+	answeredAt := max(e.lastAnswerAt, e.answeredOthersAt)
+	return answeredAt > 0 && now-answeredAt < recentAnswerWindow && e.mayBeFetchedFrom(now) && !e.quota.IsBound() && now >= e.restsUntil
 }
 
 // fetchSourceFor returns the source for a request that is placed on e. The source's
@@ -88,18 +93,18 @@
 
 // announceInterval is how long after the last known send of a prompt's shared parts to
 // an endpoint the next one is announced to the other instances. It is shorter than
-// cachedPartTTL, so that they are told before they discard the last announcement. Of
+// heldprompts.AssumedRetention, so that they are told before they discard the last announcement. Of
 // sends that follow each other at shorter intervals only the first is announced.
-const announceInterval = cachedPartTTL / 2
+const announceInterval = heldprompts.AssumedRetention / 2
 
 // partsToAnnounce returns the IDs of the prompt's shared parts for announcement to the
 // other instances; nil if they were sent to the endpoint within announceInterval.
-func (e *endpointState) partsToAnnounce(q Query, now time.Duration) []string {
+func (e *endpointState) partsToAnnounce(q *Query, now time.Duration) []string {
 	if len(q.Parts) < 2 {
 		return nil
 	}
 	shared := q.Parts[:len(q.Parts)-1]
-	if sentAt, found := e.partSentAt[shared[len(shared)-1].ID]; found && now-sentAt < announceInterval {
+	if sentAt, found := e.held.LastUse(q.keys[len(shared)-1]); found && now-sentAt < announceInterval {
 		return nil
 	}
 	ids := make([]string, len(shared))
@@ -116,7 +121,7 @@
 	defer t.mu.Unlock()
 	if e := t.endpoints[endpoint]; e != nil {
 		for _, id := range parts {
-			e.partSentAt[id] = now
+			e.held.Use(xxhash.Sum64String(id), now)
 		}
 	}
 }
--- a/internal/placement/others_load.go
+++ b/internal/placement/others_load.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"guavapier/internal/endpointload"
@@ -10,6 +11,8 @@
 	// maxLoadAge is the age from which on what other instances have told of their load is
 	// ignored: an endpoint has answered most of those requests by then.
 	maxLoadAge = time.Second
+	// meanLoadGain is the weight of a load in othersLoad.meanPrefill and meanRequests.
+	meanLoadGain = 0.1
 	// maxKeptSamples bounds the samples that wait to be told to the other instances.
 	maxKeptSamples = 256
 )
@@ -17,8 +20,13 @@
 // othersLoad is what is known of an endpoint's load from the other instances and from the
 // endpoint itself.
 type othersLoad struct {
-	load     endpointload.Load
-	toldAt   time.Duration
+	load   endpointload.Load
+	toldAt time.Duration
+	// meanPrefill, in milliseconds, and meanRequests are averages of the load. What is sent after
+	// toldAt is not in the load yet: many instances send to an endpoint that has little to do.
+	meanPrefill, meanRequests float64
+	// requests is load.Requests, or their average if that is higher.
+	requests int
 	told     bool
 	report   endpointload.Report
 	reported bool
@@ -33,6 +41,18 @@
 	return o.load, true
 }
 
+// set sets the load. An endpoint that is new to this instance starts with the averages of its
+// service, so that not all requests go there at once.
+func (o *othersLoad) set(load endpointload.Load, service *promptService, now time.Duration) {
+	if !o.told {
+		o.meanPrefill, o.meanRequests = service.meanPrefill, service.meanRequests
+	}
+	o.load, o.toldAt, o.told = load, now, true
+	o.meanPrefill += meanLoadGain * (milliseconds(load.Prefill) - o.meanPrefill)
+	o.meanRequests += meanLoadGain * (float64(load.Requests) - o.meanRequests)
+	o.requests = max(load.Requests, int(math.Round(o.meanRequests)))
+}
+
 // OwnLoads returns what this instance has under way, by the endpoint's ID. Endpoints without a
 // request are left out.
 func (t *Table) OwnLoads(now time.Duration) map[string]endpointload.Load {
@@ -50,11 +70,22 @@
 // ownLoad returns what this instance has under way at the endpoint.
 func (e *endpointState) ownLoad(now time.Duration) endpointload.Load {
 	load := endpointload.Load{Requests: e.inFlight, Waiting: len(e.unanswered), Tokens: e.reservedTokens}
+	load.Prefill = time.Duration(e.waitingPrefillMS(now) * float64(time.Millisecond))
+	return load
+}
+
+// waitingPrefillMS returns the expected time for this instance's prompts that are not answered. An
+// endpoint reads one prompt after the other: only the oldest one may be read in part.
+func (e *endpointState) waitingPrefillMS(now time.Duration) float64 {
+	if len(e.unanswered) == 0 {
+		return 0
+	}
+	oldest := e.unanswered[0]
+	sum := -min(oldest.prefillMS, milliseconds(now-oldest.sentAt))
 	for _, p := range e.unanswered {
-		left := max(0, p.prefillMS-milliseconds(now-p.sentAt))
-		load.Prefill += time.Duration(left * float64(time.Millisecond))
+		sum += p.prefillMS
 	}
-	return load
+	return sum
 }
 
 // SetOthersLoads sets what the other instances have under way, by the endpoint's ID, as of now.
@@ -62,8 +93,12 @@
 func (t *Table) SetOthersLoads(loads map[string]endpointload.Load, now time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	for service, s := range t.services {
+		s.onLoads(loads, t.byService[service])
+		s.told, s.wasTold = now, true
+	}
 	for id, e := range t.endpoints {
-		e.others.load, e.others.toldAt, e.others.told = loads[id], now, true
+		e.others.set(loads[id], e.prompts, now)
 	}
 }
 
@@ -77,6 +112,9 @@
 			continue
 		}
 		e.others.report, e.others.reportAt, e.others.reported = report, now-report.Age, true
+		if t.weighsHeld && report.TotalTokens > 0 {
+			e.held.SetRoom(report.TotalTokens - report.UsedTokens)
+		}
 	}
 }
 
@@ -102,7 +140,9 @@
 	defer t.mu.Unlock()
 	for _, s := range samples {
 		if e := t.endpoints[s.Endpoint]; e != nil && s.Tokens >= 0 && s.TTFT > 0 {
-			e.speed.observe(s.Tokens, s.TTFT)
+			e.observeTTFT(s.Tokens, s.TTFT, e.prompts.told)
+			e.held.Read(s.Tokens)
+			e.answeredOthersAt = max(e.answeredOthersAt, e.prompts.told)
 		}
 	}
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -11,6 +11,8 @@
 package placement
 
 import (
+	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -20,6 +22,8 @@
 
 	"guavapier/internal/discovery"
 	"guavapier/internal/endpointload"
+	"guavapier/internal/heldprompts"
+	"guavapier/internal/prefillspeed"
 )
 
 // Part is a section of a prompt. Prompts that have a section in common use the same ID
@@ -50,9 +54,16 @@
 	Target time.Duration
 
 	// maxDoubt bounds the doubt about an endpoint's version, if VersionOnly.
-	maxDoubt versionDoubt
-	// preferred is the endpoint that all instances choose first for the prompt; see
-	// Table.preferredEndpoint.
+	maxDoubt    versionDoubt
+	keys        []uint64 // Hashes of the IDs of Parts.
+	totalTokens float64  // Of Parts.
+	ownWork     float64  // Of the last part, which no endpoint holds; see prefillspeed.Work.
+	// homes are the endpoints that all instances choose first for the prompt, and preferred the
+	// first of them; see Table.findHomes. Those after the first are in use as far as activeHomes.
+	homes       [maxHomes]*endpointState
+	activeHomes int
+	// isTimed states that costs are computed from the load of all instances.
+	isTimed   bool
 	preferred *endpointState
 	// bestSource is the endpoint from which the prompt's shared parts can most likely be
 	// fetched, alternativeSource the one for a request that is placed on bestSource
@@ -68,17 +79,21 @@
 	requestLimit
 	idHash   uint64 // Hash of the endpoint's ID.
 	inFlight int    // This instance's requests.
-	// unanswered holds the attempts whose answer has not started, by assignment ID.
-	unanswered map[uint64]unansweredAttempt
-	partSentAt map[string]time.Duration // When each part was last sent, by part ID.
+	// unanswered holds the attempts whose answer has not started, in the order of their IDs.
+	unanswered []unansweredAttempt
+	held       heldprompts.Cache
 	// busyUntil is when the endpoint is expected to have finished the prefills that
 	// other instances announced.
 	busyUntil             time.Duration
 	others                othersLoad
 	reservedTokens        int64 // Memory that this instance's requests may take at most.
+	prompts               *promptService
+	prefillSpeed          prefillspeed.Endpoint
+	delay                 recentDelay
 	speed                 speedEstimator
 	normalizedTokensPerMS float64       // Prefill speed for costs; see normalizeSpeeds.
 	lastAnswerAt          time.Duration // When an answer last started; 0 for never.
+	answeredOthersAt      time.Duration // When another instance last told of an answer; 0 for never.
 }
 
 // Table holds the known endpoints and places requests on them. It is safe for
@@ -87,6 +102,8 @@
 	mu        sync.Mutex
 	rng       *rand.Rand
 	endpoints map[string]*endpointState
+	byService map[string][]*endpointState // In the order of IDs.
+	services  map[string]*promptService
 	cordons   map[string]bool // Cordoned availability zones.
 	warmUps   map[string]WarmUp
 	// rejections is by service; services without a rejection limit may be left out.
@@ -100,6 +117,8 @@
 	// request limits.
 	returnsDue map[string]time.Duration
 	samples    []endpointload.Sample // For TakeSamples.
+	keys       []uint64              // Buffer for Query.keys.
+	weighsHeld bool                  // See WeighHeldPrompts.
 }
 
 // New returns an empty table for a process that starts at now. The seed determines how ties
@@ -108,6 +127,8 @@
 	return &Table{
 		rng:           rand.New(rand.NewPCG(seed, seed)),
 		endpoints:     map[string]*endpointState{},
+		byService:     map[string][]*endpointState{},
+		services:      map[string]*promptService{},
 		rejections:    map[string]serviceRejections{},
 		fleet:         fleet{usedFrom: now + warmUpWindow, version: 1},
 		permitsWanted: make(chan struct{}, 1),
@@ -123,11 +144,15 @@
 	state, known := t.endpoints[e.ID]
 	known = known && state.Born == e.Born
 	if !known {
-		state = &endpointState{speed: newSpeedEstimator(), normalizedTokensPerMS: defaultTokensPerMS, idHash: xxhash.Sum64String(e.ID), unanswered: map[uint64]unansweredAttempt{}, partSentAt: map[string]time.Duration{}}
+		state = &endpointState{speed: newSpeedEstimator(), normalizedTokensPerMS: defaultTokensPerMS, idHash: xxhash.Sum64String(e.ID), held: heldprompts.New()}
 		state.lent, state.borrowed = loans{}, loans{}
 		t.endpoints[e.ID] = state
 	}
 	changed := e != state.Endpoint
+	if !known || e.Service != state.Service {
+		t.unlist(e.ID)
+		t.list(state, e)
+	}
 	state.Endpoint = e
 	state.onCordon(t.cordons[e.Zone], 0, now)
 	state.onEntry(e.Leaving, e.Warming, known, changed, now)
@@ -151,6 +176,25 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.endpoints, id)
+	t.unlist(id)
+}
+
+// list adds the state to the endpoints of its service, which are in the order of their IDs.
+func (t *Table) list(state *endpointState, e discovery.Endpoint) {
+	if t.services[e.Service] == nil {
+		t.services[e.Service] = newPromptService()
+	}
+	state.prompts = t.services[e.Service]
+	list := t.byService[e.Service]
+	at, _ := slices.BinarySearchFunc(list, e.ID, func(s *endpointState, id string) int { return cmp.Compare(s.ID, id) })
+	t.byService[e.Service] = slices.Insert(list, at, state)
+}
+
+// unlist removes the endpoint with this ID from the lists by service.
+func (t *Table) unlist(id string) {
+	for service, list := range t.byService {
+		t.byService[service] = slices.DeleteFunc(list, func(s *endpointState) bool { return s.ID == id })
+	}
 }
 
 // Place assigns the request to the cheapest endpoint and counts it as in flight there
@@ -159,29 +203,30 @@
 func (t *Table) Place(q Query, now time.Duration) *Assignment {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if q.VersionOnly && !t.isVersionKnown(q) {
+	if q.VersionOnly && !t.isVersionKnown(&q) {
 		return nil
 	}
-	q.preferred = t.preferredEndpoint(q, now)
-	q.bestSource, q.alternativeSource = t.fetchSources(q, now)
+	t.prepare(&q, now)
 	var best *endpointState
 	for use := UseNormal; use < UseNone && best == nil; use++ {
-		best = t.cheapestByVersion(q, now, use)
+		best = t.cheapestByVersion(&q, now, use)
 	}
-	t.recordWant(q, best, now)
+	t.recordWant(&q, best, now)
 	if best == nil {
 		t.recordShortage(q.Service, now)
 		return nil
 	}
-	prefill := best.estimatePrefill(q, now)
+	prefill := best.estimatePrefill(&q, now)
 	a := &Assignment{
-		Endpoint: best.Endpoint, Cost: best.cost(q, now), MissingTokens: prefill.missingTokens, InFlight: best.inFlight,
-		PrefillTime: time.Duration(prefill.ms * float64(time.Millisecond)), endpointState: best, table: t, placedAt: now, tokens: q.Tokens,
+		Endpoint: best.Endpoint, Cost: best.cost(&q, now), MissingTokens: prefill.missingTokens, InFlight: best.inFlight,
+		PrefillTime:  time.Duration(prefill.ms * float64(time.Millisecond)),
+		UsualPrefill: time.Duration(prefill.usualMS(&q) * float64(time.Millisecond)), endpointState: best, table: t, placedAt: now, tokens: q.Tokens,
 	}
 	if prefill.fetchFrom != nil {
 		a.FetchFrom = prefill.fetchFrom.Address
 	}
-	a.PartsToAnnounce = best.partsToAnnounce(q, now)
+	a.Held = best.believedHeld(&q, prefill, now)
+	a.PartsToAnnounce = best.partsToAnnounce(&q, now)
 	t.lastID++
 	a.id = t.lastID
 	best.inFlight++
@@ -193,40 +238,102 @@
 		a.usesShare = true
 		best.coldSends.pending++
 	}
-	best.unanswered[t.lastID] = unansweredAttempt{
-		sentAt: now, prefillMS: prefill.ms, missingTokens: prefill.missingTokens,
+	best.unanswered = append(best.unanswered, unansweredAttempt{
+		id: t.lastID, sentAt: now, prefillMS: prefill.ms, missingTokens: prefill.missingTokens,
 		updatesSpeed: prefill.fetchFrom == nil && len(q.Parts) > 0,
+	})
+	for _, part := range q.keys {
+		best.held.Use(part, now)
 	}
+	best.held.Read(prefill.missingTokens)
+	return a
+}
+
+// prepare sets what is the same for all endpoints.
+func (t *Table) prepare(q *Query, now time.Duration) {
+	t.keys = t.keys[:0]
 	for _, p := range q.Parts {
-		best.partSentAt[p.ID] = now
+		t.keys = append(t.keys, xxhash.Sum64String(p.ID))
+		q.totalTokens += float64(p.Tokens)
 	}
-	return a
+	q.keys = t.keys
+	if len(q.Parts) > 0 {
+		q.ownWork = prefillspeed.Work(float64(q.Parts[len(q.Parts)-1].Tokens), q.totalTokens)
+	}
+	t.findHomes(q, now)
+	q.bestSource, q.alternativeSource = t.fetchSources(q, now)
 }
 
 // cheapest returns the cheapest of the service's endpoints that are of this use and not
-// excluded, breaking ties at random; nil if there is none.
-func (t *Table) cheapest(q Query, now time.Duration, wanted Use) *endpointState {
-	var best *endpointState
-	lowest, ties := 0.0, 0
-	for _, e := range t.endpoints {
-		if !e.matches(q) || slices.Contains(q.Exclude, e.ID) {
-			continue
+// excluded, breaking ties at random; nil if there is none. The preferred endpoint goes first:
+// it is often the cheapest, and the costs of others need not be known in full then.
+func (t *Table) cheapest(q *Query, now time.Duration, wanted Use) *endpointState {
+	c := choice{lowest: math.Inf(1)}
+	if q.preferred != nil {
+		t.consider(q.preferred, q, &c, wanted, now)
+	}
+	list := t.byService[q.Service]
+	if q.isTimed && len(list) > maxCandidates {
+		t.considerSome(q, &c, wanted, now)
+		if c.best != nil {
+			return c.best
 		}
-		if use, _ := t.useOf(e, now); use != wanted {
-			continue
+	}
+	for _, e := range list {
+		if e != q.preferred {
+			t.consider(e, q, &c, wanted, now)
+		}
+	}
+	return c.best
+}
+
+// maxCandidates is the number of endpoints, beside a prompt's homes, that are compared for a request
+// whose costs go by the load of all instances. Of a large fleet all see the same endpoints idle, for as
+// long as it takes until word of the next requests has come: if each compared all, they would all
+// choose the same ones.
+const maxCandidates = 32
+
+// considerSome considers the prompt's homes and maxCandidates other endpoints, on average, by chance.
+func (t *Table) considerSome(q *Query, c *choice, wanted Use, now time.Duration) {
+	for _, home := range q.homes[:q.activeHomes] {
+		if home != q.preferred {
+			t.consider(home, q, c, wanted, now)
+		}
+	}
+	list := t.byService[q.Service]
+	limit := uint32(float64(math.MaxUint32) * maxCandidates / float64(len(list)))
+	for _, e := range list {
+		if t.rng.Uint32() < limit && !q.isHome(e) {
+			t.consider(e, q, c, wanted, now)
 		}
-		cost := e.cost(q, now)
-		switch {
-		case best == nil || cost < lowest:
-			best, lowest, ties = e, cost, 1
-		case cost == lowest:
-			ties++
-			if t.rng.IntN(ties) == 0 {
-				best = e
-			}
+	}
+}
+
+// choice is the cheapest endpoint of those considered.
+type choice struct {
+	best   *endpointState
+	lowest float64
+	ties   int // Endpoints of this cost.
+}
+
+// consider makes the endpoint the choice if it may be used and is the cheapest.
+func (t *Table) consider(e *endpointState, q *Query, c *choice, wanted Use, now time.Duration) {
+	if !e.matches(q) || slices.Contains(q.Exclude, e.ID) {
+		return
+	}
+	if use, _ := t.useOf(e, now); use != wanted {
+		return
+	}
+	cost := e.costUpTo(c.lowest, q, now)
+	switch {
+	case c.best == nil || cost < c.lowest:
+		c.best, c.lowest, c.ties = e, cost, 1
+	case cost == c.lowest:
+		c.ties++
+		if t.rng.IntN(c.ties) == 0 {
+			c.best = e
 		}
 	}
-	return best
 }
 
 // useOf returns what the endpoint may be used for, and why not for everything.
@@ -272,7 +379,7 @@
 	}
 }
 
-// Sweep discards parts that were sent longer ago than cachedPartTTL, and compares the
+// Sweep discards parts that endpoints hardly hold any more, and compares the
 // endpoints' speeds. It has to be called several times a second.
 func (t *Table) Sweep(now time.Duration) {
 	t.mu.Lock()
@@ -280,11 +387,7 @@
 	services := map[string]bool{}
 	for _, e := range t.endpoints {
 		services[e.Service] = true
-		for id, at := range e.partSentAt {
-			if now-at >= cachedPartTTL {
-				delete(e.partSentAt, id)
-			}
-		}
+		e.held.Sweep(now)
 	}
 	for service := range services {
 		t.normalizeSpeeds(service)
@@ -307,7 +410,7 @@
 	var rows []Row
 	for _, e := range t.endpoints {
 		_, obstacle := t.useOf(e, now)
-		rows = append(rows, Row{Endpoint: e.Endpoint, InFlight: e.inFlight, Failures: e.failureCount(), Parts: len(e.partSentAt), Obstacle: obstacle})
+		rows = append(rows, Row{Endpoint: e.Endpoint, InFlight: e.inFlight, Failures: e.failureCount(), Parts: e.held.Len(), Obstacle: obstacle})
 	}
 	return rows
 }
--- a/internal/placement/request_limits.go
+++ b/internal/placement/request_limits.go
@@ -51,7 +51,7 @@
 
 // recordWant records that a request which is placed on best, nil for none, would have been
 // placed on an endpoint whose request limit is used up.
-func (t *Table) recordWant(q Query, best *endpointState, now time.Duration) {
+func (t *Table) recordWant(q *Query, best *endpointState, now time.Duration) {
 	if !t.limitsKnown {
 		return
 	}
@@ -77,7 +77,7 @@
 
 // mayTake reports whether the request could be placed on the endpoint but for its request
 // limit.
-func (t *Table) mayTake(e *endpointState, q Query, now time.Duration) bool {
+func (t *Table) mayTake(e *endpointState, q *Query, now time.Duration) bool {
 	use, _ := e.use(now)
 	return use < UseNone && !e.wantsNothing(len(e.unanswered), now) && e.matches(q) && !slices.Contains(q.Exclude, e.ID)
 }
@@ -92,7 +92,7 @@
 	defer t.mu.Unlock()
 	q.maxDoubt = versionUncertain
 	for _, e := range t.endpoints {
-		if e.quota.IsBound() && t.mayTake(e, q, now) && (e.quota.HasRoom(now) || e.quota.IsAsking(now)) {
+		if e.quota.IsBound() && t.mayTake(e, &q, now) && (e.quota.HasRoom(now) || e.quota.IsAsking(now)) {
 			return true
 		}
 	}
@@ -203,7 +203,7 @@
 	q.maxDoubt = versionUncertain
 	for _, e := range t.endpoints {
 		t.updateQuota(e, now)
-		if e.quota.IsBound() && t.mayTake(e, q, now) {
+		if e.quota.IsBound() && t.mayTake(e, &q, now) {
 			rate += e.requestRate()
 		}
 	}
--- a/internal/placement/rest.go
+++ b/internal/placement/rest.go
@@ -43,7 +43,7 @@
 	defer t.mu.Unlock()
 	q.maxDoubt = versionUncertain
 	for _, e := range t.endpoints {
-		if !e.matches(q) || !e.mayGetRequests() || e.replaced || e.unreachable {
+		if !e.matches(&q) || !e.mayGetRequests() || e.replaced || e.unreachable {
 			continue
 		}
 		if now >= e.restsUntil {
--- /dev/null
+++ b/internal/placement/shared_load.go
@@ -0,0 +1,134 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"guavapier/internal/endpointload"
+	"guavapier/internal/prefillspeed"
+	"guavapier/internal/sendcost"
+)
+
+const (
+	// defaultHold is the assumed time for which a request holds its place before the first one
+	// has ended, holdGain the weight of each new one in the average.
+	defaultHold = 1000.0 // ms
+	holdGain    = 0.05
+	// reportLag is how old an endpoint's report is when it is sent.
+	reportLag = 100 * time.Millisecond
+)
+
+// promptService is what is known of the endpoints of a service in common.
+type promptService struct {
+	speed  *prefillspeed.Service
+	holdMS float64 // For which a request holds its place on average.
+	// told is when other instances last told of their load; before the first time wasTold is
+	// false.
+	told    time.Duration
+	wasTold bool
+	// meanPrefill, in milliseconds, and meanRequests are the averages over the endpoints of what
+	// the others have told last.
+	meanPrefill, meanRequests float64
+}
+
+// onLoads averages the loads of the service's endpoints.
+func (s *promptService) onLoads(loads map[string]endpointload.Load, endpoints []*endpointState) {
+	s.meanPrefill, s.meanRequests = 0, 0
+	for _, e := range endpoints {
+		load := loads[e.ID]
+		s.meanPrefill += milliseconds(load.Prefill) / float64(len(endpoints))
+		s.meanRequests += float64(load.Requests) / float64(len(endpoints))
+	}
+}
+
+func newPromptService() *promptService {
+	return &promptService{speed: prefillspeed.NewService(), holdMS: defaultHold}
+}
+
+// onEnd records that a request has ended this long after its answer had begun.
+func (s *promptService) onEnd(held time.Duration) {
+	s.holdMS += holdGain * (milliseconds(held) - s.holdMS)
+}
+
+// isTimed reports whether the endpoints' load from all instances is known for the query. Requests
+// without a prompt are over before it is.
+func (t *Table) isTimed(q *Query, now time.Duration) bool {
+	s := t.services[q.Service]
+	return len(q.Parts) > 0 && s != nil && s.wasTold && now-s.told <= maxLoadAge
+}
+
+// sharedLoad returns the endpoint's load from all instances; false if that is not known. Of what
+// the others have told and what the endpoint has reported since, the higher counts: neither
+// contains all.
+func (e *endpointState) sharedLoad(q *Query, now time.Duration) (sendcost.Endpoint, bool) {
+	if !q.isTimed {
+		return sendcost.Endpoint{}, false
+	}
+	others, told := e.others.at(now)
+	meanPrefill, requests := e.others.meanPrefill, e.others.requests
+	if !told {
+		meanPrefill, requests = e.prompts.meanPrefill, int(math.Round(e.prompts.meanRequests))
+	}
+	load := sendcost.Endpoint{
+		Slots: e.Slots, Requests: e.inFlight + requests, Waiting: len(e.unanswered) + others.Waiting, HoldMS: e.prompts.holdMS,
+		UsedTokens: e.reservedTokens + others.Tokens, MSPerToken: e.prompts.speed.MSPerToken(&e.prefillSpeed),
+	}
+	othersQueue := max(0, others.Prefill-(now-e.others.toldAt), e.busyUntil-now)
+	load.QueueMS = e.waitingPrefillMS(now) + max(milliseconds(othersQueue), meanPrefill)
+	load.QueueMS = max(load.QueueMS, delayWeight*e.delay.at(now))
+	if !e.others.reported {
+		return load, true
+	}
+	report := e.others.report
+	load.TotalTokens = report.TotalTokens
+	if e.others.reportAt-reportLag > e.others.toldAt {
+		load.Requests = max(load.Requests, report.Running+report.Waiting)
+		load.Waiting = max(load.Waiting, report.Waiting)
+		load.UsedTokens = max(load.UsedTokens, report.UsedTokens)
+	}
+	return load, true
+}
+
+// recentDelay is by how much the first tokens of an endpoint have lately come later than expected
+// without a queue: what keeps it busy beside the prompts that are known to wait, as a slowdown.
+type recentDelay struct {
+	ms         float64
+	observedAt time.Duration
+}
+
+const (
+	// delayRise and delayFall are the weights of a new answer that came later, or earlier, than
+	// the last ones: what an instance or its link adds for itself isn't the endpoint's.
+	delayRise, delayFall = 0.25, 0.6
+	// delayWeight is the part of it that is expected of the next answer: a slowdown is mostly over
+	// by the time that others hear of it.
+	delayWeight = 0.5
+	// delayMemory is the time in which a delay falls to 0 without further answers.
+	delayMemory = time.Second
+)
+
+// observe records that an answer has come this much later.
+func (d *recentDelay) observe(ms float64, now time.Duration) {
+	last, gain := d.at(now), delayRise
+	if ms < last {
+		gain = delayFall
+	}
+	d.ms, d.observedAt = last+gain*(ms-last), now
+}
+
+// at returns the delay to expect now, in milliseconds.
+func (d *recentDelay) at(now time.Duration) float64 {
+	age := now - d.observedAt
+	if d.ms == 0 || age >= delayMemory {
+		return 0
+	}
+	return d.ms * (1 - float64(age)/float64(delayMemory))
+}
+
+// asRequest returns the request as it would run at the endpoint.
+func (e *endpointState) asRequest(q *Query, prefill prefillEstimate) sendcost.Request {
+	return sendcost.Request{
+		BaseMS: e.prompts.speed.BaseMS(&e.prefillSpeed), PrefillMS: prefill.ms, TargetMS: milliseconds(q.Target), Tokens: q.Tokens,
+		SharedMS: prefill.sharedTokens*e.prompts.speed.MSPerToken(&e.prefillSpeed) + prefill.fetchedTokens*fetchMSPerToken,
+	}
+}
--- a/internal/placement/speed.go
+++ b/internal/placement/speed.go
@@ -87,3 +87,12 @@
 	s.baseMS *= math.Exp(step * (1 - prefillShare))
 	s.baseMS = max(s.baseMS, 1)
 }
+
+// observeTTFT updates the endpoint's estimated speeds with the TTFT of a prompt of which this many
+// tokens were not cached.
+func (e *endpointState) observeTTFT(tokens float64, ttft, now time.Duration) {
+	e.speed.observe(tokens, ttft)
+	excess := milliseconds(ttft) - e.prompts.speed.ExpectedMS(&e.prefillSpeed, tokens)
+	e.delay.observe(max(0, excess), now)
+	e.prompts.speed.Observe(&e.prefillSpeed, tokens, ttft)
+}
--- a/internal/placement/version.go
+++ b/internal/placement/version.go
@@ -16,13 +16,13 @@
 
 // matches reports whether the endpoint is of the service and, if that matters, of the version
 // that the query asks for.
-func (e *endpointState) matches(q Query) bool {
+func (e *endpointState) matches(q *Query) bool {
 	return e.Service == q.Service && (!q.VersionOnly || e.Version == q.Version && e.versionDoubt <= q.maxDoubt)
 }
 
 // isVersionKnown reports whether endpoints of the query's version are known to be of one version.
 // Those that state none are if no endpoint of the service states any.
-func (t *Table) isVersionKnown(q Query) bool {
+func (t *Table) isVersionKnown(q *Query) bool {
 	if q.Version != "" {
 		return true
 	}
@@ -36,16 +36,17 @@
 
 // cheapestByVersion is cheapest, but prefers endpoints whose version is confirmed if the query
 // asks for one.
-func (t *Table) cheapestByVersion(q Query, now time.Duration, wanted Use) *endpointState {
+func (t *Table) cheapestByVersion(q *Query, now time.Duration, wanted Use) *endpointState {
 	if !q.VersionOnly {
 		return t.cheapest(q, now, wanted)
 	}
-	q.maxDoubt = versionConfirmed
-	if confirmed := t.cheapest(q, now, wanted); confirmed != nil {
+	doubting := *q
+	doubting.maxDoubt = versionConfirmed
+	if confirmed := t.cheapest(&doubting, now, wanted); confirmed != nil {
 		return confirmed
 	}
-	q.maxDoubt = versionUncertain
-	return t.cheapest(q, now, wanted)
+	doubting.maxDoubt = versionUncertain
+	return t.cheapest(&doubting, now, wanted)
 }
 
 // HasVersion reports whether an endpoint of the service and version may get requests, now or
@@ -54,11 +55,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	q := Query{Service: service, Version: version, VersionOnly: true, maxDoubt: versionUnknown}
-	if !t.isVersionKnown(q) {
+	if !t.isVersionKnown(&q) {
 		return false
 	}
 	for _, e := range t.endpoints {
-		if e.matches(q) && !e.isLeaving() && !e.replaced {
+		if e.matches(&q) && !e.isLeaving() && !e.replaced {
 			return true
 		}
 	}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -20,6 +20,8 @@
 	Retries Retries         `toml:"retries"`
 	WarmUp  WarmUp          `toml:"warm_up"`
 	Load    EndpointLoad    `toml:"load"`
+
+	Placement Placement `toml:"placement"`
 }
 
 // GatewayInstance identifies the instance and holds its listen addresses
@@ -94,6 +96,12 @@
 	Exchange bool `toml:"exchange"`
 }
 
+// Placement configures how requests are placed on endpoints.
+type Placement struct {
+	// HeldPrompts lets what endpoints hold be estimated from their memory.
+	HeldPrompts bool `toml:"held_prompts"`
+}
+
 // maxWarmUpRatio is the highest allowed WarmUp.Ratio.
 const maxWarmUpRatio = 100
 
@@ -137,6 +145,7 @@
 		{Name: "warm_up.ratio", Unit: "ratio", kind: kindText, Doc: "Requests that the whole fleet may send in any second to an endpoint that is warming up, for each that the desired state allows its service."},
 		{Name: "warm_up.extra", Unit: "requests", kind: kindCount, min: 0, max: 1_000_000, Doc: "Requests beyond that in any second."},
 		{Name: "load.exchange", Unit: "switch", kind: kindSwitch, Doc: "In a large fleet, instances tell each other what they have under way at the endpoints, several times a second, and place requests by the sums."},
+		{Name: "placement.held_prompts", Unit: "switch", kind: kindSwitch, Doc: "Estimate which parts of prompts an endpoint still holds from its memory and what it has read since, where that is known, instead of a time. Needs load.exchange."},
 	}
 }
 
