placement: by the load of all instances where endpoints differ in speed

Samples of other instances changed the costs of before as well.

Change: placement.by_time says where; 'unequal' in the template asks for endpoints whose speeds are found to differ by 1.7 times. Elsewhere costs are those of before, exchanges are made once in 0.8 s and reports are not read.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -179,6 +179,7 @@
 	}
 	instance := record.NewInstanceID(s.Gateway.Name)
 	placementTable := placement.New(uint64(time.Now().UnixNano()), clock())
+	placementTable.SetByTime(byTime(s.Placement))
 	if s.Placement.HeldPrompts {
 		placementTable.WeighHeldPrompts()
 	}
--- a/internal/gateway/load_exchange.go
+++ b/internal/gateway/load_exchange.go
@@ -161,6 +161,7 @@
 			last.isIdle = x.exchange(ctx)
 			last.took = x.clock() - start
 			last.linkLoad, _ = x.linkLoad()
+			last.isUnused = !x.endpoints.UsesOthersLoads()
 		}
 	}
 }
@@ -168,6 +169,7 @@
 // lastExchange is what the pause before the next exchange depends on.
 type lastExchange struct {
 	isIdle   bool // The instance had no requests under way.
+	isUnused bool // No request is placed by the loads of other instances.
 	took     time.Duration
 	linkLoad float64 // Utilisation of the instance's link.
 }
@@ -175,7 +177,7 @@
 // pause returns the pause before the next exchange in a zone of this size. The load that it
 // answers: most callers of a zone come to a few instances, whose links they fill.
 func (l lastExchange) pause(zoneSize int) time.Duration {
-	if l.linkLoad > congestedLink {
+	if l.linkLoad > congestedLink || l.isUnused {
 		return maxExchangeInterval
 	}
 	pause := max(exchangeInterval, time.Duration(zoneSize)*exchangeIntervalPerInstance, l.took*pausePerDuration)
--- a/internal/gateway/load_exchange_test.go
+++ b/internal/gateway/load_exchange_test.go
@@ -306,6 +306,7 @@
 		{20, lastExchange{took: 25 * time.Millisecond, linkLoad: 0.4}, 500 * time.Millisecond},
 		{20, lastExchange{took: 300 * time.Millisecond, isIdle: true}, 800 * time.Millisecond},
 		{20, lastExchange{took: 4 * time.Millisecond, linkLoad: 0.6}, 800 * time.Millisecond},
+		{20, lastExchange{took: 4 * time.Millisecond, isUnused: true}, 800 * time.Millisecond},
 	} {
 		if got := c.last.pause(c.zoneSize); got != c.want {
 			t.Errorf("the pause is %s for %+v", got, c)
--- a/internal/gateway/load_reports.go
+++ b/internal/gateway/load_reports.go
@@ -74,7 +74,7 @@
 
 // due returns the endpoints whose reports this instance is to read now.
 func (r *reportReader) due() []discovery.Endpoint {
-	if r.request == nil || !r.exchange.isNeeded() {
+	if r.request == nil || !r.exchange.isNeeded() || !r.exchange.endpoints.UsesOthersLoads() {
 		return nil
 	}
 	now := r.exchange.clock()
--- a/internal/placement/assignment.go
+++ b/internal/placement/assignment.go
@@ -102,7 +102,7 @@
 	a.table.mu.Lock()
 	defer a.table.mu.Unlock()
 	if p, waiting := a.endpointState.takeUnanswered(a.id); waiting && prefilled && p.updatesSpeed {
-		a.endpointState.observeTTFT(p.missingTokens, now-p.sentAt, now)
+		a.endpointState.observeOwnTTFT(p.missingTokens, now-p.sentAt, now)
 		a.table.keepSample(endpointload.Sample{Endpoint: a.Endpoint.ID, Tokens: p.missingTokens, TTFT: now - p.sentAt})
 	}
 	a.endpointState.onConnected(a.table.warmUps[a.Endpoint.Service].Duration, now)
--- a/internal/placement/others_load.go
+++ b/internal/placement/others_load.go
@@ -142,7 +142,9 @@
 		if e := t.endpoints[s.Endpoint]; e != nil && s.Tokens >= 0 && s.TTFT > 0 {
 			e.observeTTFT(s.Tokens, s.TTFT, e.prompts.told)
 			e.held.Read(s.Tokens)
-			e.answeredOthersAt = max(e.answeredOthersAt, e.prompts.told)
+			if t.placesByTime(e.prompts) {
+				e.answeredOthersAt = max(e.answeredOthersAt, e.prompts.told)
+			}
 		}
 	}
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -119,6 +119,7 @@
 	samples    []endpointload.Sample // For TakeSamples.
 	keys       []uint64              // Buffer for Query.keys.
 	weighsHeld bool                  // See WeighHeldPrompts.
+	byTime     ByTime                // See SetByTime.
 }
 
 // New returns an empty table for a process that starts at now. The seed determines how ties
@@ -391,6 +392,7 @@
 	}
 	for service := range services {
 		t.normalizeSpeeds(service)
+		t.compareSpeeds(service)
 	}
 }
 
--- a/internal/placement/shared_load.go
+++ b/internal/placement/shared_load.go
@@ -50,11 +50,70 @@
 	s.holdMS += holdGain * (milliseconds(held) - s.holdMS)
 }
 
-// isTimed reports whether the endpoints' load from all instances is known for the query. Requests
-// without a prompt are over before it is.
+// ByTime states which services' requests are placed by the load of all instances, as far as that is
+// known.
+type ByTime uint8
+
+// The values of ByTime.
+const (
+	ByTimeAlways ByTime = iota
+	// ByTimeUnequal places so where the service's endpoints differ in speed: equal ones are
+	// chosen as well by the hash of the prompt, without moving it for a short queue.
+	ByTimeUnequal
+	ByTimeNever
+)
+
+// SetByTime sets which services' requests are placed by the load of all instances. It must be
+// called before the first request.
+func (t *Table) SetByTime(when ByTime) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.byTime = when
+}
+
+// isTimed reports whether the query is placed by the load of all instances. Requests without a
+// prompt are over before it is known.
 func (t *Table) isTimed(q *Query, now time.Duration) bool {
 	s := t.services[q.Service]
-	return len(q.Parts) > 0 && s != nil && s.wasTold && now-s.told <= maxLoadAge
+	if len(q.Parts) == 0 || s == nil || !s.wasTold || now-s.told > maxLoadAge {
+		return false
+	}
+	return t.placesByTime(s)
+}
+
+// placesByTime reports whether the service's requests are placed by the load of all instances
+// while that is known.
+func (t *Table) placesByTime(s *promptService) bool {
+	if t.byTime == ByTimeUnequal {
+		return s.speed.IsUnequal()
+	}
+	return t.byTime == ByTimeAlways
+}
+
+// UsesOthersLoads reports whether the loads of other instances decide where requests of any service
+// are placed.
+func (t *Table) UsesOthersLoads() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.services {
+		if t.placesByTime(s) {
+			return true
+		}
+	}
+	return false
+}
+
+// compareSpeeds finds out whether the service's endpoints differ in speed.
+func (t *Table) compareSpeeds(service string) {
+	s := t.services[service]
+	if s == nil {
+		return
+	}
+	list := make([]*prefillspeed.Endpoint, 0, len(t.byService[service]))
+	for _, e := range t.byService[service] {
+		list = append(list, &e.prefillSpeed)
+	}
+	s.speed.CompareEndpoints(list)
 }
 
 // sharedLoad returns the endpoint's load from all instances; false if that is not known. Of what
--- a/internal/placement/speed.go
+++ b/internal/placement/speed.go
@@ -88,10 +88,15 @@
 	s.baseMS = max(s.baseMS, 1)
 }
 
-// observeTTFT updates the endpoint's estimated speeds with the TTFT of a prompt of which this many
-// tokens were not cached.
-func (e *endpointState) observeTTFT(tokens float64, ttft, now time.Duration) {
+// observeOwnTTFT updates the endpoint's estimated speeds with the TTFT of a prompt of this instance
+// of which this many tokens were not cached.
+func (e *endpointState) observeOwnTTFT(tokens float64, ttft, now time.Duration) {
 	e.speed.observe(tokens, ttft)
+	e.observeTTFT(tokens, ttft, now)
+}
+
+// observeTTFT updates what is learned from the TTFTs of all instances.
+func (e *endpointState) observeTTFT(tokens float64, ttft, now time.Duration) {
 	excess := milliseconds(ttft) - e.prompts.speed.ExpectedMS(&e.prefillSpeed, tokens)
 	e.delay.observe(max(0, excess), now)
 	e.prompts.speed.Observe(&e.prefillSpeed, tokens, ttft)
--- a/internal/prefillspeed/prefillspeed.go
+++ b/internal/prefillspeed/prefillspeed.go
@@ -47,6 +47,7 @@
 type Service struct {
 	baseMS, msPerToken float64
 	samples            float64
+	unequal            bool // See IsUnequal.
 }
 
 // NewService returns the curve of a service of which nothing is known.
@@ -111,6 +112,43 @@
 	return min(max(shrunk, -math.Log(maxRatio)), math.Log(maxRatio))
 }
 
+const (
+	// unequalRatio and equalRatio are the ratios of the times of slow and fast endpoints from
+	// which on a service's endpoints count as unequal, and below which as equal again. Estimates
+	// of identical endpoints differ by 10 to 20 %.
+	unequalRatio, equalRatio = 1.7, 1.4
+	// slowQuantile and fastQuantile select the endpoints that are compared.
+	slowQuantile, fastQuantile = 0.85, 0.15
+	// minKnownShare is the share of the endpoints that must be known.
+	minKnownShare = 0.5
+)
+
+// CompareEndpoints finds out whether the endpoints, which are all of the service, are unequal.
+func (s *Service) CompareEndpoints(endpoints []*Endpoint) {
+	var ratios []float64
+	for _, e := range endpoints {
+		if e.ratio > 0 {
+			ratios = append(ratios, e.ratio)
+		}
+	}
+	if len(ratios) == 0 || float64(len(ratios)) < minKnownShare*float64(len(endpoints)) {
+		return
+	}
+	slices.Sort(ratios)
+	last := float64(len(ratios) - 1)
+	spread := ratios[int(slowQuantile*last+0.5)] / ratios[int(fastQuantile*last+0.5)]
+	switch {
+	case spread >= unequalRatio:
+		s.unequal = true
+	case spread < equalRatio:
+		s.unequal = false
+	}
+}
+
+// IsUnequal reports whether the service's endpoints are known to differ in speed by more than the
+// estimates of identical ones.
+func (s *Service) IsUnequal() bool { return s.unequal }
+
 // timeRatio returns how long the endpoint takes in relation to the service.
 func (e *Endpoint) timeRatio() float64 {
 	if e.ratio == 0 {
--- a/internal/prefillspeed/prefillspeed_test.go
+++ b/internal/prefillspeed/prefillspeed_test.go
@@ -113,3 +113,27 @@
 		t.Errorf("%f ms per token", ms)
 	}
 }
+
+// Endpoints of one speed, or of nearly one, stay equal whatever stalls and queues do; those of which
+// a third is 2.4 times as fast are unequal within eight seconds of their load.
+func TestUnequalEndpointsAreNoticed(t *testing.T) {
+	for _, test := range []struct {
+		speeds []float64
+		want   bool
+	}{
+		{[]float64{1, 1, 1}, false}, {[]float64{1, 1, 1.3}, false}, {[]float64{0.7, 0.7, 1.7}, true},
+	} {
+		var speeds []float64
+		for range 40 {
+			speeds = append(speeds, test.speeds...)
+		}
+		s, endpoints := observe(speeds, 30)
+		var all []*Endpoint
+		for i := range endpoints {
+			all = append(all, &endpoints[i])
+		}
+		if s.CompareEndpoints(all); s.IsUnequal() != test.want {
+			t.Errorf("endpoints of speeds %v count as unequal: %t, want %t", test.speeds, s.IsUnequal(), test.want)
+		}
+	}
+}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -96,8 +96,17 @@
 	Exchange bool `toml:"exchange"`
 }
 
+// The values of Placement.ByTime.
+const (
+	PlaceByTimeNever   = "never"
+	PlaceByTimeUnequal = "unequal" // Where endpoints differ in speed.
+	PlaceByTimeAlways  = "always"
+)
+
 // Placement configures how requests are placed on endpoints.
 type Placement struct {
+	// ByTime is for which services requests are placed by the load of all instances.
+	ByTime string `toml:"by_time"`
 	// HeldPrompts lets what endpoints hold be estimated from their memory.
 	HeldPrompts bool `toml:"held_prompts"`
 }
@@ -114,6 +123,8 @@
 		Drain:   Drain{Within: Duration(8 * time.Second), Unready: Duration(3200 * time.Millisecond), LastCallers: Duration(700 * time.Millisecond)},
 		Retries: Retries{Ratio: 0.1, Extra: 20, Window: Duration(10 * time.Second)},
 		WarmUp:  WarmUp{Ratio: 1},
+
+		Placement: Placement{ByTime: PlaceByTimeNever},
 	}
 }
 
@@ -145,6 +156,7 @@
 		{Name: "warm_up.ratio", Unit: "ratio", kind: kindText, Doc: "Requests that the whole fleet may send in any second to an endpoint that is warming up, for each that the desired state allows its service."},
 		{Name: "warm_up.extra", Unit: "requests", kind: kindCount, min: 0, max: 1_000_000, Doc: "Requests beyond that in any second."},
 		{Name: "load.exchange", Unit: "switch", kind: kindSwitch, Doc: "In a large fleet, instances tell each other what they have under way at the endpoints, several times a second, and place requests by the sums."},
+		{Name: "placement.by_time", Unit: "services", kind: kindChoice, choices: []string{PlaceByTimeNever, PlaceByTimeUnequal, PlaceByTimeAlways}, Doc: "For which services requests are placed by the load of all instances: none, those whose endpoints are found to differ in speed, or all. Needs load.exchange."},
 		{Name: "placement.held_prompts", Unit: "switch", kind: kindSwitch, Doc: "Estimate which parts of prompts an endpoint still holds from its memory and what it has read since, where that is known, instead of a time. Needs load.exchange."},
 	}
 }
