--- a/internal/endpointload/news.go
+++ b/internal/endpointload/news.go
@@ -48,7 +48,7 @@
 	}
 }
 
-// samplesSince returns the samples after a version; if there are too many, every so manieth.
+// samplesSince returns the samples after a version; if there are too many, maxToldSamples spread evenly.
 func (n *news) samplesSince(after uint64, asker string, own bool) SampleList {
 	var list SampleList
 	if after == 0 {
--- a/internal/gateway/load_parts.go
+++ b/internal/gateway/load_parts.go
@@ -15,7 +15,7 @@
 
 const (
 	// partInterval is the pause between two exchanges of the collectors of one availability zone,
-	// partIntervalBetweenZones that of collectors of different zones, whose bytes are dear.
+	// partIntervalBetweenZones that of collectors of different zones, between which traffic costs more.
 	partInterval             = 200 * time.Millisecond
 	partIntervalBetweenZones = 400 * time.Millisecond
 	// partTimeout bounds one call.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -294,7 +294,7 @@
 // choose the same ones.
 const maxCandidates = 32
 
-// considerSome considers the prompt's homes and maxCandidates other endpoints, on average, by chance.
+// considerSome considers the prompt's homes and maxCandidates other endpoints, on average, chosen at random.
 func (t *Table) considerSome(q *Query, c *choice, wanted Use, now time.Duration) {
 	for _, home := range q.homes[:q.activeHomes] {
 		if home != q.preferred {
