spool: reading on ends when the caller has caught up

Cause: once a caller had stalled, the rest of its answer passed in pieces of 4 KiB through the queue.

Change: the goroutine that reads on ends when the caller waits for more; then the answer passes without a copy again, until the next stall.

--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -29,7 +29,8 @@
 
 	mu      sync.Mutex
 	reading bool // Read reads from source.
-	pumping bool // source is read by pump, for the rest of the answer.
+	pumping bool // source is read by pump.
+	waiting bool // Read waits for pump.
 	stopped bool
 	queue   [][]byte // Read from source and not by Read yet.
 	held    int64    // Bytes in queue.
@@ -37,7 +38,7 @@
 	err     error // Of source, after queue.
 	changed *sync.Cond
 	stop    chan struct{} // Closed by Stop.
-	ended   chan struct{} // Closed when pump has ended; nil if it was not started.
+	ended   chan struct{} // Closed when the latest pump has ended; nil if none was started.
 }
 
 // New returns a spool of an answer's body.
@@ -49,13 +50,9 @@
 
 // Read implements io.Reader.
 func (s *Spool) Read(into []byte) (int, error) {
-	s.mu.Lock()
-	if s.pumping {
-		defer s.mu.Unlock()
-		return s.readQueue(into)
+	if n, err, done := s.readQueue(into); done {
+		return n, err
 	}
-	s.reading = true
-	s.mu.Unlock()
 	n, err := s.source.Read(into)
 	s.mu.Lock()
 	s.reading = false
@@ -63,21 +60,31 @@
 	return n, err
 }
 
-// readQueue reads from the queue, and waits while it is empty and the answer has not ended.
-func (s *Spool) readQueue(into []byte) (int, error) {
-	for len(s.queue) == 0 && s.err == nil {
+// readQueue reads from the queue, and waits while it is empty and pump reads the answer. If there
+// is no pump either, done is false and the caller has to read from source.
+func (s *Spool) readQueue(into []byte) (n int, err error, done bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting = true
+	for len(s.queue) == 0 && s.err == nil && s.pumping {
 		s.changed.Wait()
 	}
-	if len(s.queue) == 0 {
-		return 0, s.err
+	s.waiting = false
+	switch {
+	case len(s.queue) > 0:
+	case s.err != nil:
+		return 0, s.err, true
+	default:
+		s.reading = true
+		return 0, nil, false
 	}
-	n := copy(into, s.queue[0])
+	n = copy(into, s.queue[0])
 	s.release(int64(n))
 	if s.queue[0] = s.queue[0][n:]; len(s.queue[0]) == 0 {
 		s.queue = s.queue[1:]
 	}
 	s.changed.Broadcast()
-	return n, nil
+	return n, nil, true
 }
 
 // release gives n of the held bytes back to the limiter.
@@ -86,20 +93,20 @@
 	s.held -= n
 }
 
-// OnStall has the answer read on because a write to the caller is blocked.
+// OnStall has the answer read on, until the caller has caught up, because a write to it is blocked.
 func (s *Spool) OnStall() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.reading || s.pumping || s.stopped {
+	if s.reading || s.pumping || s.stopped || s.err != nil {
 		return
 	}
 	s.pumping, s.ended = true, make(chan struct{})
-	go s.pump()
+	go s.pump(s.ended)
 }
 
-// pump reads the answer into the queue until it ends or Stop is called.
-func (s *Spool) pump() {
-	defer close(s.ended)
+// pump reads the answer into the queue until it ends, the caller has caught up, or Stop is called.
+func (s *Spool) pump(ended chan<- struct{}) {
+	defer close(ended)
 	buffer := make([]byte, chunkBytes)
 	for s.awaitRoom() {
 		n, err := s.source.Read(buffer)
@@ -144,9 +151,9 @@
 	return retry, ok
 }
 
-// append copies what was read to the queue, in place of the chunk that was counted, and reports
-// whether the answer has ended.
-func (s *Spool) append(data []byte, err error) (ended bool) {
+// append copies what was read to the queue, in place of the chunk that was counted. It reports
+// whether pump is done: the answer has ended, or the caller waits for more of it.
+func (s *Spool) append(data []byte, err error) (done bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.release(chunkBytes - int64(len(data)))
@@ -157,8 +164,9 @@
 		data = data[n:]
 	}
 	s.err = err
+	s.pumping = err == nil && !s.waiting
 	s.changed.Broadcast()
-	return err != nil
+	return !s.pumping
 }
 
 // lastChunk returns the last chunk of the queue, which is a new one if the one before is full:
@@ -175,12 +183,12 @@
 func (s *Spool) Stop(interrupt func()) (maxHeld int64) {
 	s.mu.Lock()
 	s.stopped = true
-	ended, finished := s.ended, s.err != nil
+	ended, pumping := s.ended, s.pumping
 	s.changed.Broadcast()
 	s.mu.Unlock()
 	close(s.stop)
 	if ended != nil {
-		if !finished {
+		if pumping {
 			interrupt()
 		}
 		<-ended
