placement: in a saturated service prompts move only where much is saved

Cause: where half and more of a service's places are taken, a shorter queue is gone by the time that a prompt has moved there; it is read again, and late all the same.

Change: reading shared parts once more counts 240 times its time in a saturated service, 8 times else.

--- a/internal/placement/shared_load.go
+++ b/internal/placement/shared_load.go
@@ -14,6 +14,10 @@
 	// has ended, holdGain the weight of each new one in the average.
 	defaultHold = 1000.0 // ms
 	holdGain    = 0.05
+	// saturatedShare is the share of a service's places, taken by requests of other instances,
+	// from which on many of its endpoints are full. A shorter queue is gone then by the time that
+	// a prompt has moved there, which is read again and late all the same.
+	saturatedShare = 0.5
 	// reportLag is how old an endpoint's report is when it is sent.
 	reportLag = 100 * time.Millisecond
 )
@@ -29,16 +33,21 @@
 	// meanPrefill, in milliseconds, and meanRequests are the averages over the endpoints of what
 	// the others have told last.
 	meanPrefill, meanRequests float64
+	// saturated reports that so many places are taken that prompts gain nothing by moving.
+	saturated bool
 }
 
 // onLoads averages the loads of the service's endpoints.
 func (s *promptService) onLoads(loads map[string]endpointload.Load, endpoints []*endpointState) {
 	s.meanPrefill, s.meanRequests = 0, 0
+	meanSlots := 0.0
 	for _, e := range endpoints {
 		load := loads[e.ID]
 		s.meanPrefill += milliseconds(load.Prefill) / float64(len(endpoints))
 		s.meanRequests += float64(load.Requests) / float64(len(endpoints))
+		meanSlots += float64(e.Slots) / float64(len(endpoints))
 	}
+	s.saturated = meanSlots > 0 && s.meanRequests >= saturatedShare*meanSlots
 }
 
 func newPromptService() *promptService {
@@ -188,6 +197,7 @@
 func (e *endpointState) asRequest(q *Query, prefill prefillEstimate) sendcost.Request {
 	return sendcost.Request{
 		BaseMS: e.prompts.speed.BaseMS(&e.prefillSpeed), PrefillMS: prefill.ms, TargetMS: milliseconds(q.Target), Tokens: q.Tokens,
-		SharedMS: prefill.sharedTokens*e.prompts.speed.MSPerToken(&e.prefillSpeed) + prefill.fetchedTokens*fetchMSPerToken,
+		SharedMS:  prefill.sharedTokens*e.prompts.speed.MSPerToken(&e.prefillSpeed) + prefill.fetchedTokens*fetchMSPerToken,
+		Saturated: e.prompts.saturated,
 	}
 }
--- a/internal/sendcost/sendcost.go
+++ b/internal/sendcost/sendcost.go
@@ -30,6 +30,8 @@
 	SharedMS float64
 	TargetMS float64 // Time left until the answer is of less use; 0 for none.
 	Tokens   int64   // Memory that it may take at most.
+	// Saturated states that so many places of the service are taken that many endpoints are full.
+	Saturated bool
 }
 
 // Cost is the cost of sending a request to an endpoint.
@@ -52,6 +54,9 @@
 	// sharedWeight multiplies the time for reading or fetching parts that another endpoint may
 	// hold: it takes room from other cached parts and time from other prompts.
 	sharedWeight = 8.0
+	// saturatedSharedWeight replaces sharedWeight in a saturated service, where all requests wait
+	// for the time that such a reading takes.
+	saturatedSharedWeight = 240.0
 	// TooLargeMS is the cost of an endpoint that can't hold the request at all.
 	TooLargeMS = 1e6
 )
@@ -74,6 +79,9 @@
 	c.PlaceMS = e.PlaceMS()
 	c.MemoryMS = memoryMS(r, e)
 	c.SharedMS = sharedWeight * r.SharedMS
+	if r.Saturated {
+		c.SharedMS = saturatedSharedWeight * r.SharedMS
+	}
 	return c
 }
 
