--- a/internal/gateway/load_exchange_test.go
+++ b/internal/gateway/load_exchange_test.go
@@ -125,6 +125,13 @@
 	return err
 }
 
+// steps lets n steps pass.
+func (f *loadFleet) steps(n int) {
+	for range n {
+		f.step()
+	}
+}
+
 // step lets 250 ms pass, in which all living instances make an exchange and collectors exchange
 // parts.
 func (f *loadFleet) step() {
@@ -170,9 +177,7 @@
 	f.send("a-4", 2)
 	f.send("b-0", 1)
 	f.send("c-5", 4)
-	for range 4 {
-		f.step()
-	}
+	f.steps(4)
 	f.expectOthers(10)
 	if links := f.named("b-4").zoneLinks(); !links.Known || links.Instances != 6 {
 		t.Errorf("the links of the zone are %+v, want those of 6 instances", links)
@@ -186,15 +191,11 @@
 	f.send("a-4", 2)
 	f.send("b-5", 4)
 	for _, collector := range []string{"a-0", "a-1"} {
-		for range 6 {
-			f.step()
-		}
+		f.steps(6)
 		f.expectOthers(9)
 		f.down[collector] = true
 	}
-	for range 8 {
-		f.step()
-	}
+	f.steps(8)
 	f.expectOthers(9)
 }
 
@@ -203,22 +204,16 @@
 	f := newLoadFleet(t, 2, 4)
 	f.send("a-3", 3)
 	f.send("b-3", 1)
-	for range 4 {
-		f.step()
-	}
+	f.steps(4)
 	f.down["a-3"] = true
-	for range 8 {
-		f.step()
-	}
+	f.steps(8)
 	f.expectOthers(1)
 	delete(f.instances, f.named("a-3").details.Process)
 	f.down["a-3"] = false
 	f.add("a-3", "a", false, 2)
 	f.updateLists()
 	f.send("a-3", 2)
-	for range 4 {
-		f.step()
-	}
+	f.steps(4)
 	f.expectOthers(3)
 }
 
@@ -228,15 +223,11 @@
 	f := newLoadFleet(t, 2, 4)
 	f.send("a-2", 3)
 	f.send("b-2", 1)
-	for range 4 {
-		f.step()
-	}
-	for name := range map[string]bool{"b-0": true, "b-1": true, "b-2": true, "b-3": true} {
+	f.steps(4)
+	for _, name := range []string{"b-0", "b-1", "b-2", "b-3"} {
 		f.down[name] = true
 	}
-	for range 8 {
-		f.step()
-	}
+	f.steps(8)
 	f.expectOthers(3)
 }
 
@@ -249,9 +240,7 @@
 		for _, i := range f.instances {
 			f.down[i.name] = i.name != alone
 		}
-		for range 16 {
-			f.step()
-		}
+		f.steps(16)
 		if last.ageMS() < 1000 || last.zoneLinks().Known {
 			t.Errorf("the view of %s is %d ms old, the links are %+v", alone, last.ageMS(), last.zoneLinks())
 		}
--- a/internal/placement/by_time_test.go
+++ b/internal/placement/by_time_test.go
@@ -180,7 +180,7 @@
 			t.Error("a request is placed on the endpoint that answers late")
 		}
 	}
-	if now := 6 * time.Second; p.endpoints["e1"].delay.at(now) > 1 {
-		t.Errorf("a delay of %.0f ms is expected 5 s later", p.endpoints["e1"].delay.at(now))
+	if now := 6 * time.Second; p.endpoints["e1"].delay.At(now) > 1 {
+		t.Errorf("a delay of %.0f ms is expected 5 s later", p.endpoints["e1"].delay.At(now))
 	}
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -89,7 +89,7 @@
 	reservedTokens        int64 // Memory that this instance's requests may take at most.
 	prompts               *promptService
 	prefillSpeed          prefillspeed.Endpoint
-	delay                 recentDelay
+	delay                 prefillspeed.Delay
 	speed                 speedEstimator
 	normalizedTokensPerMS float64       // Prefill speed for costs; see normalizeSpeeds.
 	lastAnswerAt          time.Duration // When an answer last started; 0 for never.
--- a/internal/placement/shared_load.go
+++ b/internal/placement/shared_load.go
@@ -18,6 +18,9 @@
 	// from which on many of its endpoints are full. A shorter queue is gone then by the time that
 	// a prompt has moved there, which is read again and late all the same.
 	saturatedShare = 0.5
+	// delayWeight is the part of an endpoint's recent delay that is expected of the next answer: a
+	// slowdown is mostly over by the time that others hear of it.
+	delayWeight = 0.5
 	// reportLag is how old an endpoint's report is when it is sent.
 	reportLag = 100 * time.Millisecond
 )
@@ -143,7 +146,7 @@
 	}
 	othersQueue := max(0, others.Prefill-(now-e.others.toldAt), e.busyUntil-now)
 	load.QueueMS = e.waitingPrefillMS(now) + max(milliseconds(othersQueue), meanPrefill)
-	load.QueueMS = max(load.QueueMS, delayWeight*e.delay.at(now))
+	load.QueueMS = max(load.QueueMS, delayWeight*e.delay.At(now))
 	if !e.others.reported {
 		return load, true
 	}
@@ -157,42 +160,6 @@
 	return load, true
 }
 
-// recentDelay is by how much the first tokens of an endpoint have lately come later than expected
-// without a queue: what keeps it busy beside the prompts that are known to wait, as a slowdown.
-type recentDelay struct {
-	ms         float64
-	observedAt time.Duration
-}
-
-const (
-	// delayRise and delayFall are the weights of a new answer that came later, or earlier, than
-	// the last ones: what an instance or its link adds for itself isn't the endpoint's.
-	delayRise, delayFall = 0.25, 0.6
-	// delayWeight is the part of it that is expected of the next answer: a slowdown is mostly over
-	// by the time that others hear of it.
-	delayWeight = 0.5
-	// delayMemory is the time in which a delay falls to 0 without further answers.
-	delayMemory = time.Second
-)
-
-// observe records that an answer has come this much later.
-func (d *recentDelay) observe(ms float64, now time.Duration) {
-	last, gain := d.at(now), delayRise
-	if ms < last {
-		gain = delayFall
-	}
-	d.ms, d.observedAt = last+gain*(ms-last), now
-}
-
-// at returns the delay to expect now, in milliseconds.
-func (d *recentDelay) at(now time.Duration) float64 {
-	age := now - d.observedAt
-	if d.ms == 0 || age >= delayMemory {
-		return 0
-	}
-	return d.ms * (1 - float64(age)/float64(delayMemory))
-}
-
 // asRequest returns the request as it would run at the endpoint.
 func (e *endpointState) asRequest(q *Query, prefill prefillEstimate) sendcost.Request {
 	return sendcost.Request{
--- a/internal/placement/speed.go
+++ b/internal/placement/speed.go
@@ -98,6 +98,6 @@
 // observeTTFT updates what is learned from the TTFTs of all instances.
 func (e *endpointState) observeTTFT(tokens float64, ttft, now time.Duration) {
 	excess := milliseconds(ttft) - e.prompts.speed.ExpectedMS(&e.prefillSpeed, tokens)
-	e.delay.observe(max(0, excess), now)
+	e.delay.Observe(max(0, excess), now)
 	e.prompts.speed.Observe(&e.prefillSpeed, tokens, ttft)
 }
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -279,72 +279,6 @@
 	return now.Sub(c.knownSince) >= reportGracePeriod
 }
 
-// retestClaim returns the record with which this instance claims the next retest, and nil if
-// no retest is due, since another one has begun or the request has been cleared after the
-// caller last checked it. cleared reports the latter: the request may be sent.
-func (t *Table) retestClaim(f Fingerprint, now time.Time) (claim *entryRecord, cleared bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e := t.entries[f]
-	if e == nil {
-		return nil, true
-	}
-	if now.Before(e.quarantinedUntil) {
-		return nil, false
-	}
-	r := e.toRecord()
-	r.Writer, r.RetestBy = t.self, t.self
-	r.RetestRound++
-	r.Until = now.Add(quarantineDuration(r.RetestRound)).UnixMilli()
-	return r, false
-}
-
-// canaryClaim returns the record with which this instance claims the next canary, and nil if
-// another canary has begun or the subject has been cleared after the caller last checked it.
-// cleared reports the latter: the request may be sent.
-func (t *Table) canaryClaim(f Fingerprint, now time.Time) (claim *entryRecord, cleared bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e := t.entries[f]
-	if e == nil {
-		return nil, true
-	}
-	if now.Before(e.canaryUntil) {
-		return nil, false
-	}
-	r := e.toRecord()
-	r.Writer, r.CanaryBy = t.self, t.self
-	r.CanaryRound++
-	return r, false
-}
-
-// canaryResult is retestResult for a canary.
-func (t *Table) canaryResult(f Fingerprint, round int) (decided, won bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e := t.entries[f]
-	if e == nil {
-		return true, true
-	}
-	return e.canaryRound >= round, e.canaryRound == round && e.canaryBy == t.self
-}
-
-// beginLocalCanary reports whether the request may be sent as a canary that only this instance
-// knows of, and makes others wait for it.
-func (t *Table) beginLocalCanary(f Fingerprint, now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e := t.entries[f]
-	if e == nil {
-		return true
-	}
-	if now.Before(e.canaryUntil) {
-		return false
-	}
-	e.canaryUntil = now.Add(canaryDuration)
-	return true
-}
-
 // records returns the record of each entry.
 func (t *Table) records() map[Fingerprint]*entryRecord {
 	t.mu.Lock()
@@ -363,18 +297,6 @@
 	return t.clears.toRecords(now)
 }
 
-// retestResult reports whether the retest of this round has been acquired by an instance,
-// and whether by this one. A request without an entry has been cleared and may be sent.
-func (t *Table) retestResult(f Fingerprint, round int) (decided, won bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e := t.entries[f]
-	if e == nil {
-		return true, true
-	}
-	return e.retestRound >= round, e.retestRound == round && e.retestBy == t.self
-}
-
 // sweep removes expired entries and returns their fingerprints, to be cleared on the log.
 // An entry that another instance has written is only removed after its orphanGracePeriod.
 func (t *Table) sweep(now time.Time) []Fingerprint {
@@ -408,41 +330,6 @@
 	return e
 }
 
-// evictIfFull removes an entry if the team or the table has reached its bound: the team's
-// least relevant entry or, if the table is full, that of the team with the most entries, so
-// that no organisation can displace another's entries.
-func (t *Table) evictIfFull(team record.Team) {
-	evictFrom := team
-	switch {
-	case t.countByTeam[team] >= maxEntriesPerTeam:
-	case len(t.entries) < maxEntries:
-		return
-	default:
-		for other, n := range t.countByTeam {
-			if n > t.countByTeam[evictFrom] {
-				evictFrom = other
-			}
-		}
-	}
-	var victim Fingerprint
-	var victimEntry *entry
-	for f, e := range t.entries {
-		if e.team == evictFrom && (victimEntry == nil || e.isLessRelevant(victimEntry)) {
-			victim, victimEntry = f, e
-		}
-	}
-	t.remove(victim)
-}
-
-// isLessRelevant reports whether e has fewer crashes than other, or as many and an older
-// last one.
-func (e *entry) isLessRelevant(other *entry) bool {
-	if e.crashes != other.crashes {
-		return e.crashes < other.crashes
-	}
-	return e.lastCrash.Before(other.lastCrash)
-}
-
 // remove removes the entry of a request and reports whether there was one.
 func (t *Table) remove(f Fingerprint) bool {
 	e := t.entries[f]
