prefillspeed: endpoints count as unequal by ten answers each; full links tell no samples

Change: only endpoints with ten answers are compared, and 1.8 is asked for. An instance whose link is over half full tells no samples. The new cases of TestUnequalEndpointsAreNoticed fail with the constants before.

--- a/internal/gateway/load_exchange.go
+++ b/internal/gateway/load_exchange.go
@@ -225,7 +225,11 @@
 			s.Loads = append(s.Loads, endpointload.KeyedLoad{Key: key, Load: load})
 		}
 	}
-	for _, sample := range x.endpoints.TakeSamples() {
+	samples := x.endpoints.TakeSamples()
+	if load > congestedLink {
+		samples = nil // They tell of the own link rather than of the endpoints.
+	}
+	for _, sample := range samples {
 		if key, ok := x.keys.keys[sample.Endpoint]; ok {
 			s.Samples = append(s.Samples, endpointload.KeyedSample{Key: key, Tokens: int64(sample.Tokens), TTFT: sample.TTFT})
 		}
--- a/internal/prefillspeed/prefillspeed.go
+++ b/internal/prefillspeed/prefillspeed.go
@@ -116,7 +116,10 @@
 	// unequalRatio and equalRatio are the ratios of the times of slow and fast endpoints from
 	// which on a service's endpoints count as unequal, and below which as equal again. Estimates
 	// of identical endpoints differ by 10 to 20 %.
-	unequalRatio, equalRatio = 1.7, 1.4
+	unequalRatio, equalRatio = 1.8, 1.5
+	// comparedSamples is the number of answers from which on an endpoint is compared. Estimates
+	// that rest on fewer differ as much between identical endpoints.
+	comparedSamples = 10
 	// slowQuantile and fastQuantile select the endpoints that are compared.
 	slowQuantile, fastQuantile = 0.85, 0.15
 	// minKnownShare is the share of the endpoints that must be known.
@@ -127,8 +130,8 @@
 func (s *Service) CompareEndpoints(endpoints []*Endpoint) {
 	var ratios []float64
 	for _, e := range endpoints {
-		if e.ratio > 0 {
-			ratios = append(ratios, e.ratio)
+		if e.samples >= comparedSamples {
+			ratios = append(ratios, e.timeRatio())
 		}
 	}
 	if len(ratios) == 0 || float64(len(ratios)) < minKnownShare*float64(len(endpoints)) {
--- a/internal/prefillspeed/prefillspeed_test.go
+++ b/internal/prefillspeed/prefillspeed_test.go
@@ -114,26 +114,39 @@
 	}
 }
 
-// Endpoints of one speed, or of nearly one, stay equal whatever stalls and queues do; those of which
-// a third is 2.4 times as fast are unequal within eight seconds of their load.
+// Endpoints of one speed, or of nearly one, stay equal whatever stalls and queues do, also as long as
+// few answers are known and where two fifths of them were delayed on the way; those of which a third is
+// 2.4 times as fast are unequal within eight seconds of their load.
 func TestUnequalEndpointsAreNoticed(t *testing.T) {
 	for _, test := range []struct {
-		speeds []float64
-		want   bool
+		speeds  []float64
+		answers int
+		delayed float64 // Share of the answers.
+		want    bool
 	}{
-		{[]float64{1, 1, 1}, false}, {[]float64{1, 1, 1.3}, false}, {[]float64{0.7, 0.7, 1.7}, true},
+		{[]float64{1, 1, 1}, 30, 0, false}, {[]float64{1, 1, 1.3}, 30, 0, false}, {[]float64{0.7, 0.7, 1.7}, 30, 0, true},
+		{[]float64{1, 1, 1}, 30, 0.4, false}, {[]float64{1, 1, 1.3}, 30, 0.2, false}, {[]float64{0.7, 0.7, 1.7}, 30, 0.4, true},
 	} {
-		var speeds []float64
-		for range 40 {
-			speeds = append(speeds, test.speeds...)
-		}
-		s, endpoints := observe(speeds, 30)
+		rng := rand.New(rand.NewPCG(1, 3))
+		s, endpoints := NewService(), make([]Endpoint, 120)
 		var all []*Endpoint
 		for i := range endpoints {
 			all = append(all, &endpoints[i])
 		}
-		if s.CompareEndpoints(all); s.IsUnequal() != test.want {
-			t.Errorf("endpoints of speeds %v count as unequal: %t, want %t", test.speeds, s.IsUnequal(), test.want)
+		for range test.answers {
+			for i, e := range all {
+				tokens, ttft := answer(rng, test.speeds[i%len(test.speeds)])
+				if rng.Float64() < test.delayed {
+					ttft += time.Duration(400 * rng.ExpFloat64() * float64(time.Millisecond))
+				}
+				s.Observe(e, tokens, ttft)
+			}
+			if s.CompareEndpoints(all); s.IsUnequal() && !test.want {
+				t.Fatalf("endpoints of %+v count as unequal", test)
+			}
+		}
+		if !s.IsUnequal() && test.want {
+			t.Errorf("endpoints of %+v count as equal", test)
 		}
 	}
 }
