--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -40,16 +40,21 @@
 	return fmt.Sprintf("%06x%010x", c.name, c.count)
 }
 
+// setHeader sets the host and the header fields that each request has.
+func (c *client) setHeader(r *http.Request, id string, timeLimit time.Duration) {
+	r.Host = hostOfRoutes
+	r.Header.Set("Request-Id", id)
+	r.Header.Set("X-Api-Key", keyOfTenant)
+	r.Header.Set("Deadline-Ms", fmt.Sprint(timeLimit.Milliseconds()))
+}
+
 // send sends a request and reads the answer.
 func (c *client) send(method, path, id, body string) answer {
 	request, err := http.NewRequest(method, "http://"+c.router.front+path, strings.NewReader(body))
 	if err != nil {
 		return answer{err: err}
 	}
-	request.Host = hostOfRoutes
-	request.Header.Set("Request-Id", id)
-	request.Header.Set("X-Api-Key", keyOfTenant)
-	request.Header.Set("Deadline-Ms", fmt.Sprint(clientTimeLimit.Milliseconds()))
+	c.setHeader(request, id, clientTimeLimit)
 	c.f.record("client: sends %s %s %s to %s", method, path, id, c.router.name)
 	resp, err := c.http.Do(request)
 	if err != nil {
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -271,8 +271,13 @@
 	return nil
 }
 
-// addEngine starts an engine with further arguments and keeps its entry in the store.
+// addEngine starts an engine of a plain service with further arguments.
 func (f *fleet) addEngine(id, service, zone string, args ...string) (*engineProcess, error) {
+	return f.addProcess("engine", id, service, zone, args...)
+}
+
+// addProcess starts an engine of a kind and keeps its entry in the store.
+func (f *fleet) addProcess(kind, id, service, zone string, args ...string) (*engineProcess, error) {
 	address, err := freeAddress()
 	if err != nil {
 		return nil, err
@@ -282,7 +287,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e.cmd = exec.Command(self, append([]string{"engine", "-listen", address, "-id", id}, args...)...)
+	e.cmd = exec.Command(self, append([]string{kind, "-listen", address, "-id", id}, args...)...)
 	if err := f.start(e.cmd, id+".log", func(line string) { f.recordEngine(id, line) }); err != nil {
 		return nil, err
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,11 +20,18 @@
 var cases = map[string]func(*fleet) (broken int, err error){
 	"extra-answer":  playExtraAnswer,
 	"killed-engine": playKilledEngine,
+	"killed-fleet":  playKilledFleet,
+}
+
+// engines are the stand-ins of engines by their names. Each runs until its process is killed.
+var engines = map[string]func(args []string) error{
+	"engine":        runEngine,
+	"stream-engine": runStreamEngine,
 }
 
 func main() {
-	if len(os.Args) > 1 && os.Args[1] == "engine" {
-		fmt.Fprintln(os.Stderr, runEngine(os.Args[2:]))
+	if len(os.Args) > 1 && engines[os.Args[1]] != nil {
+		fmt.Fprintln(os.Stderr, engines[os.Args[1]](os.Args[2:]))
 		os.Exit(exitNotToRun)
 	}
 	os.Exit(run())
--- a/review/standin/state.go
+++ b/review/standin/state.go
@@ -5,7 +5,9 @@
 	keyOfTenant  = "key-of-lab"
 	// serviceName is the plain service of Dala Vibro Lab's sheet.
 	serviceName = "rig-api"
-	bodyBytes   = 800 // Of an answer, as on the sheet.
+	// modelService is its service of model engines.
+	modelService = "guava-llm"
+	bodyBytes    = 800 // Of an answer, as on the sheet.
 )
 
 // route returns a route of the plain service.
--- a/review/standin/traffic.go
+++ b/review/standin/traffic.go
@@ -12,13 +12,33 @@
 	clientsCount = 12
 	clientPause  = 180 * time.Millisecond
 	inTouchTime  = 4 * time.Second // Longer than stable_window_ms.
-	settleTime   = time.Second     // In which engines write what they still run.
+	writeTime    = time.Second     // In which engines write what they still run.
 )
 
+// zones are those of Dala Vibro Lab.
+var zones = []string{"hall-a", "hall-b", "server-room", "annex"}
+
+// startStreamFleet is startSmall with model engines.
+func (f *fleet) startStreamFleet() error {
+	for i, zone := range zones {
+		if _, err := f.addProcess("stream-engine", fmt.Sprintf("i-%d", i), modelService, zone); err != nil {
+			return err
+		}
+		if _, err := f.addRouter("edge-"+zone+"-1", zone); err != nil {
+			return err
+		}
+	}
+	if err := f.awaitReady(); err != nil {
+		return err
+	}
+	time.Sleep(inTouchTime)
+	return nil
+}
+
 // startSmall starts an engine and a router in each of four zones, and waits until the routers are ready
 // and in touch. engineArgs returns further arguments of an engine.
 func (f *fleet) startSmall(engineArgs func(engine int) []string) error {
-	for i, zone := range []string{"hall-a", "hall-b", "server-room", "annex"} {
+	for i, zone := range zones {
 		args := append([]string{"-body", fmt.Sprint(bodyBytes)}, engineArgs(i)...)
 		if _, err := f.addEngine(fmt.Sprintf("i-%d", i), serviceName, zone, args...); err != nil {
 			return err
@@ -50,7 +70,7 @@
 	}
 	return func() {
 		clients.Wait()
-		time.Sleep(settleTime)
+		time.Sleep(writeTime)
 	}
 }
 
