peer: memory for a message is taken as it arrives, and unknown callers are few

What happened: anybody who reaches the address of the other instances could state messages of 2 MiB on 1,280 connections and send none; each took its 2 MiB at once. By reading also: if a connection could not be accepted for lack of descriptors, the listener ended for good. Change: a frame is read into a buffer that grows with it; a hello has 4 KiB at most; of the connections without a hello 128 are kept, a new one closes the oldest; errors of accept that pass are waited out.

--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"io"
 	"net"
@@ -114,20 +115,24 @@
 
 // receive reads one value. It returns ErrTooLarge for a frame larger than MaxMessageBytes, and an
 // error once the connection is closed.
-func (f *framedConn) receive(v any) error {
+func (f *framedConn) receive(v any) error { return f.receiveUpTo(MaxMessageBytes, v) }
+
+// receiveUpTo is receive with another limit. Memory is taken as the frame arrives: its stated size
+// may be that of a message that never comes.
+func (f *framedConn) receiveUpTo(maxBytes uint32, v any) error {
 	var prefix [lengthBytes]byte
 	if _, err := io.ReadFull(f.reader, prefix[:]); err != nil {
 		return err
 	}
 	size := binary.BigEndian.Uint32(prefix[:])
-	if size > MaxMessageBytes {
+	if size > maxBytes {
 		return ErrTooLarge
 	}
-	data := make([]byte, size)
-	if _, err := io.ReadFull(f.reader, data); err != nil {
+	var data bytes.Buffer
+	if _, err := io.CopyN(&data, f.reader, int64(size)); err != nil {
 		return err
 	}
-	return cbor.Unmarshal(data, v)
+	return cbor.Unmarshal(data.Bytes(), v)
 }
 
 // close closes the connection with the error that later calls of send return, and waits for the
--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -9,6 +9,9 @@
 	"guavapier/internal/record"
 )
 
+// maxHelloBytes limits a hello, which anybody can send who reaches the address.
+const maxHelloBytes = 4 << 10
+
 // protocolVersion is increased with each incompatible change of the handshake or the frames.
 const protocolVersion = 1
 
@@ -53,7 +56,7 @@
 func readHello(conn net.Conn, f *framedConn, timeout time.Duration) (hello, error) {
 	_ = conn.SetReadDeadline(time.Now().Add(timeout))
 	var got hello
-	err := f.receive(&got)
+	err := f.receiveUpTo(maxHelloBytes, &got)
 	return got, err
 }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -4,7 +4,9 @@
 	"errors"
 	"net"
 	"net/rpc"
+	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -19,6 +21,12 @@
 	// from each, and two from each while connections are replaced; the rest is for tunnels,
 	// whose number the TunnelHandler limits.
 	MaxConns = 1280
+	// maxUnknownConns limits those of them whose hello has not arrived. A new one closes the
+	// oldest; an instance sends its hello at once.
+	maxUnknownConns = 128
+	// acceptRetryPause is the pause after a connection could not be accepted, such as for lack of
+	// file descriptors.
+	acceptRetryPause = 50 * time.Millisecond
 	// maxCallsPerConn limits the calls of one connection that are served at the same time.
 	// Further calls stay unread on the connection, so that a peer cannot exhaust this
 	// instance's memory.
@@ -49,8 +57,9 @@
 	rpc     *rpc.Server
 	tunnels TunnelHandler // Nil if the server opens no tunnels.
 
-	mu      sync.Mutex // Guards conns and closed.
+	mu      sync.Mutex // Guards conns, unknown and closed.
 	conns   map[net.Conn]struct{}
+	unknown []net.Conn // Those of conns whose hello has not arrived, oldest first.
 	closed  bool
 	running sync.WaitGroup // One for each connection in conns.
 }
@@ -83,6 +92,10 @@
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
+		if isTemporary(err) {
+			time.Sleep(acceptRetryPause)
+			continue
+		}
 		if err != nil {
 			return eris.Wrap(err, "peer: accept connection")
 		}
@@ -94,6 +107,16 @@
 	}
 }
 
+// isTemporary reports whether a later connection may be accepted all the same.
+func isTemporary(err error) bool {
+	for _, temporary := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ECONNABORTED, syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(err, temporary) {
+			return true
+		}
+	}
+	return false
+}
+
 // Close closes all connections and waits until the calls on them have ended. The listener must be
 // closed before.
 func (s *Server) Close() {
@@ -106,18 +129,33 @@
 	s.running.Wait()
 }
 
-// addConn registers a connection. It returns false if the server is closed or has MaxConns.
+// addConn registers a connection. It returns false if the server is closed or has MaxConns. The
+// oldest connection without a hello is closed if there are maxUnknownConns.
 func (s *Server) addConn(conn net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed || len(s.conns) >= MaxConns {
 		return false
 	}
+	if len(s.unknown) >= maxUnknownConns {
+		_ = s.unknown[0].Close()
+		s.unknown = s.unknown[1:]
+	}
 	s.conns[conn] = struct{}{}
+	s.unknown = append(s.unknown, conn)
 	s.running.Add(1)
 	return true
 }
 
+// markKnown records that a connection's hello has arrived, or that none will.
+func (s *Server) markKnown(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if i := slices.Index(s.unknown, conn); i >= 0 {
+		s.unknown = slices.Delete(s.unknown, i, i+1)
+	}
+}
+
 // serveConn does the handshake on a connection and serves its calls, or its tunnel, until it is
 // closed.
 func (s *Server) serveConn(conn net.Conn) {
@@ -129,6 +167,7 @@
 	}()
 	f := newFramedConn(conn, DefaultWriteTimeout)
 	got, err := readHello(conn, f, DefaultDialTimeout)
+	s.markKnown(conn)
 	if err == nil && got.Tunnel != nil && s.tunnels != nil {
 		s.serveTunnel(conn, f, got.From, *got.Tunnel)
 		return
