callers: limits on connections, headers, requests sent ahead and answers that are not read

What callers would see: 400 connections with headers of 60 KiB of short fields end an instance of 144 MB, as do 100 with 900 KiB at the ready address; crowds keep all connections. Cause: net/http parses a header before its size is compared with the desired state's; no bound on connections; no time limit on a write. Change: a connection counts the header's bytes and fields as they are read. A full table of connections ends those that wait longest for a request, those of the address with most first. Requests sent ahead are delayed. A caller that takes nothing of its answer for 30 s loses its connection.

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -21,11 +21,14 @@
 	*net.TCPListener
 	meter     *linkload.Meter
 	onExpired func(Expiry)
+	limits    limits
 
 	mu          sync.Mutex
 	idleTimeout time.Duration
-	conns       map[*conn]struct{}
-	draining    bool
+	// headerTimeout bounds the arrival of a request's header.
+	headerTimeout time.Duration
+	conns         map[*conn]struct{}
+	draining      bool
 	// queueDrainStart is when a drain first tried to accept connections that were already
 	// in the listener's queue; zero before.
 	queueDrainStart time.Time
@@ -38,27 +41,42 @@
 // aren't counted. onExpired, if not nil, is called for each connection that was closed
 // because it had no request.
 func New(listener *net.TCPListener, idleTimeout time.Duration, meter *linkload.Meter, onExpired func(Expiry)) *Connections {
-	return &Connections{TCPListener: listener, meter: meter, onExpired: onExpired, idleTimeout: idleTimeout, conns: map[*conn]struct{}{}}
+	return &Connections{TCPListener: listener, meter: meter, onExpired: onExpired, idleTimeout: idleTimeout, headerTimeout: defaultHeaderTimeout, conns: map[*conn]struct{}{}}
 }
 
 // Accept implements net.Listener. In a drain it returns the connections that are still in
 // the listener's queue, then http.ErrServerClosed.
 func (cs *Connections) Accept() (net.Conn, error) {
-	accepted, err := cs.AcceptTCP()
-	if err != nil && cs.isDraining() {
-		accepted, err = cs.acceptQueued(err)
-	}
+	accepted, err := cs.acceptWithRoom()
 	if err != nil {
 		return nil, err
 	}
 	cs.meter.CountConnection()
-	c := newConn(accepted, cs.meter, cs.remove)
+	c := newConn(accepted, cs.meter, &cs.limits, cs.remove)
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	cs.conns[c] = struct{}{}
 	return c, nil
 }
 
+// acceptWithRoom accepts a connection. It closes those for which there is no room.
+func (cs *Connections) acceptWithRoom() (*net.TCPConn, error) {
+	for {
+		accepted, err := cs.AcceptTCP()
+		if err != nil && cs.isDraining() {
+			accepted, err = cs.acceptQueued(err)
+		}
+		if err != nil {
+			return nil, err
+		}
+		if cs.makeRoom() {
+			return accepted, nil
+		}
+		cs.limits.counts.rejected.Add(1)
+		_ = accepted.Close()
+	}
+}
+
 // Close implements net.Listener.
 func (cs *Connections) Close() error {
 	cs.mu.Lock()
@@ -96,7 +114,7 @@
 	}
 	switch s {
 	case http.StateActive:
-		callerConn.setActive()
+		time.Sleep(callerConn.setActive())
 	case http.StateIdle:
 		callerConn.setIdle(time.Now())
 	}
@@ -113,20 +131,20 @@
 // next request; it has to be called periodically. It is used instead of
 // http.Server.IdleTimeout, which can't be changed after the server has started.
 func (cs *Connections) CloseIdle() {
-	conns, timeout := cs.snapshot()
+	conns, timeout, headerTimeout := cs.snapshot()
 	now := time.Now()
 	for _, c := range conns {
-		c.expireIfIdle(now, timeout)
+		c.expireIfIdle(now, timeout, headerTimeout)
 	}
 }
 
-// snapshot returns the open connections and the idle timeout.
-func (cs *Connections) snapshot() ([]*conn, time.Duration) {
+// snapshot returns the open connections and the timeouts of idle ones and of headers.
+func (cs *Connections) snapshot() (conns []*conn, idleTimeout, headerTimeout time.Duration) {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	conns := make([]*conn, 0, len(cs.conns))
+	conns = make([]*conn, 0, len(cs.conns))
 	for c := range cs.conns {
 		conns = append(conns, c)
 	}
-	return conns, cs.idleTimeout
+	return conns, cs.idleTimeout, cs.headerTimeout
 }
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"guavapier/internal/linkload"
 )
 
@@ -15,9 +17,12 @@
 	// Its caller has just chosen this instance, and on a congested link the request takes more
 	// than a second to arrive.
 	firstRequestTimeout = 1500 * time.Millisecond
-	// headerTimeout bounds the time from the first byte of a request on an idle connection to
-	// the end of its header.
-	headerTimeout = 10 * time.Second
+	// defaultHeaderTimeout bounds the time from the first byte of a request to the end of its
+	// header if no other bound is set.
+	defaultHeaderTimeout = 10 * time.Second
+	// stallTimeout closes the connection of a caller that takes nothing of its answer for so
+	// long, writePieceBytes at a time. No caller waits for an answer for longer without reading.
+	stallTimeout, writePieceBytes = 30 * time.Second, 16 << 10
 	// drainHeaderTimeout is the same bound in a drain, for idle and for new connections: a
 	// caller that stalls in the middle of a header must not delay the drain.
 	drainHeaderTimeout = 2 * time.Second
@@ -47,6 +52,9 @@
 	meter    *linkload.Meter
 	// onClose is called by Close; expiry is nil unless the connection had expired.
 	onClose func(c *conn, expiry *Expiry)
+	limits  *limits
+	host    string        // The caller's IP address.
+	pace    *rate.Limiter // Of its requests.
 
 	mu         sync.Mutex
 	phase      phase
@@ -61,6 +69,15 @@
 	// expiredAt when that was.
 	expired   bool
 	expiredAt time.Time
+	// evicted reports that the connection was ended although a request was arriving.
+	evicted bool
+	closed  bool
+	// hasRead reports that data was read since the last answer.
+	hasRead bool
+	// closingSince is when the sending side was closed, before the connection is, and
+	// writingSince when the pending write began; zero for neither.
+	closingSince, writingSince time.Time
+	head                       head
 }
 
 // Expiry describes a connection that was closed because it had no request.
@@ -74,8 +91,12 @@
 	UnreadBytes int
 }
 
-func newConn(accepted *net.TCPConn, meter *linkload.Meter, onClose func(*conn, *Expiry)) *conn {
-	return &conn{Conn: accepted, tcp: accepted, meter: meter, onClose: onClose, phase: phaseNew, phaseStart: time.Now()}
+func newConn(accepted *net.TCPConn, meter *linkload.Meter, l *limits, onClose func(*conn, *Expiry)) *conn {
+	host, _, _ := net.SplitHostPort(accepted.RemoteAddr().String())
+	return &conn{
+		host: host, Conn: accepted, tcp: accepted, meter: meter, limits: l, onClose: onClose, phase: phaseNew, phaseStart: time.Now(),
+		pace: rate.NewLimiter(maxRequestRate, maxRequestBurst),
+	}
 }
 
 // Read implements net.Conn. Data that has arrived takes precedence over an expiry.
@@ -84,9 +105,15 @@
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isExpired() {
 		n, err = c.readPending(p)
 	}
-	if n > 0 {
-		c.meter.CountReceived(n)
-		c.onRead()
+	if n == 0 {
+		return n, err
+	}
+	c.meter.CountReceived(n)
+	if c.onRead() {
+		return 0, os.ErrDeadlineExceeded
+	}
+	if refused := c.checkHead(p[:n]); refused != nil {
+		return 0, refused
 	}
 	return n, err
 }
@@ -109,9 +136,27 @@
 	c.mu.Lock()
 	c.unansweredSince = time.Time{}
 	c.mu.Unlock()
-	n, err := c.tcp.Write(p)
-	c.meter.CountSent(n)
-	return n, err
+	written := 0
+	for {
+		piece := p[written:min(len(p), written+writePieceBytes)]
+		c.setWriting(time.Now())
+		if err := c.tcp.SetWriteDeadline(time.Now().Add(stallTimeout)); err != nil {
+			return written, err
+		}
+		n, err := c.tcp.Write(piece)
+		c.meter.CountSent(n)
+		if written += n; err != nil || written == len(p) {
+			c.setWriting(time.Time{})
+			return written, err
+		}
+	}
+}
+
+// setWriting records when the pending write began; zero if there is none.
+func (c *conn) setWriting(since time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writingSince = since
 }
 
 // SetReadDeadline implements net.Conn. While the connection is expired, the deadline takes
@@ -129,12 +174,16 @@
 // CloseWrite implements the interface by which net/http closes a connection after an error
 // response so that the caller can still read the response.
 func (c *conn) CloseWrite() error {
+	c.mu.Lock()
+	c.closingSince = time.Now()
+	c.mu.Unlock()
 	return c.tcp.CloseWrite()
 }
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	expiry := c.expiry()
+	c.endHead(true)
 	err := c.tcp.Close()
 	c.onClose(c, expiry)
 	return err
@@ -161,14 +210,20 @@
 	return c.expired
 }
 
-// onRead records that data was read, and cancels an expiry.
-func (c *conn) onRead() {
+// onRead records that data was read, and cancels an expiry. It reports whether the connection has
+// to end all the same.
+func (c *conn) onRead() (evicted bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.evicted {
+		return true
+	}
+	c.hasRead = true
 	if c.unansweredSince.IsZero() {
 		c.unansweredSince = time.Now()
 	}
 	c.cancelExpiry()
+	return false
 }
 
 // cancelExpiry restores the read deadline that net/http set. The caller must hold c.mu.
@@ -180,29 +235,37 @@
 	_ = c.tcp.SetReadDeadline(c.readDeadline) // If this fails, the connection is closed, and so the next read fails.
 }
 
-// setActive records that net/http has read the header of a request, and cancels an expiry.
-func (c *conn) setActive() {
+// setActive records that net/http has read the header of a request, and cancels an expiry. It
+// returns how long the request has to wait, because of those before it.
+func (c *conn) setActive() (delay time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now, cost := time.Now(), 1
+	if !c.hasRead {
+		cost = aheadCost // All of it had arrived together with an earlier request.
+	}
+	delay = c.pace.ReserveN(now, cost).DelayFrom(now)
 	c.phase, c.phaseStart = phaseActive, time.Now()
 	c.cancelExpiry()
+	return delay
 }
 
 // setIdle records that net/http has written the whole answer.
 func (c *conn) setIdle(now time.Time) {
+	c.endHead(false)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase, c.phaseStart = phaseIdle, now
+	c.phase, c.phaseStart, c.hasRead = phaseIdle, now, false
 }
 
 // expireIfIdle ends the connection if it has waited longer than timeout for its next request,
 // or longer than headerTimeout for the rest of a header.
-func (c *conn) expireIfIdle(now time.Time, timeout time.Duration) {
+func (c *conn) expireIfIdle(now time.Time, timeout, headerTimeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case c.phase != phaseIdle || c.expired:
-	case c.unansweredSince.IsZero() && now.Sub(c.phaseStart) > timeout:
+	case c.phase == phaseActive || c.expired:
+	case c.phase == phaseIdle && c.unansweredSince.IsZero() && now.Sub(c.phaseStart) > timeout:
 		c.expire()
 	case !c.unansweredSince.IsZero() && now.Sub(c.unansweredSince) > headerTimeout:
 		c.expire() // No complete request was read, so none is dropped.
--- a/internal/callers/conn_test.go
+++ b/internal/callers/conn_test.go
@@ -115,15 +115,15 @@
 	now := time.Now()
 	for range 3 {
 		server.setActive()
-		server.expireIfIdle(now.Add(time.Hour), timeout)
+		server.expireIfIdle(now.Add(time.Hour), timeout, defaultHeaderTimeout)
 		server.setIdle(now)
 		now = now.Add(timeout)
-		server.expireIfIdle(now, timeout)
+		server.expireIfIdle(now, timeout, defaultHeaderTimeout)
 		if server.isExpired() {
 			t.Fatalf("expired after a pause of %s, which the timeout allows", timeout)
 		}
 	}
-	server.expireIfIdle(now.Add(time.Nanosecond), timeout)
+	server.expireIfIdle(now.Add(time.Nanosecond), timeout, defaultHeaderTimeout)
 	if !server.isExpired() {
 		t.Fatal("not expired after a pause that is longer than the timeout")
 	}
--- a/internal/callers/drain.go
+++ b/internal/callers/drain.go
@@ -57,7 +57,7 @@
 // pollDrain ends the connections without a request and reports whether the drain is complete:
 // no connection is open and the listener is closed.
 func (cs *Connections) pollDrain(now time.Time) bool {
-	conns, _ := cs.snapshot()
+	conns, _, _ := cs.snapshot()
 	for _, c := range conns {
 		c.expireIfNoRequest(now)
 	}
