gateway: one memory budget for what is held of callers' requests and answers

What callers saw: 100 to 150 connections with bodies of legal size, in any form, end an instance within a second; bodies that stop half-way may stay for ever; all who are beside them are not served. Cause: each body was read whole, and each answer up to 256 KiB, without regard to the others; a body had no time limit; the kernel held up to 6 MiB of unread bytes a connection. Change: a quarter of gateway.memory_mb is for bodies, headers and answers together (internal/membudget), with a reserved part each. internal/upload takes a body's memory as it arrives, its first 32 KiB from a part that long bodies can't take. Where the memory is used up, slow bodies lose theirs, then those of the organisation (or address) that holds most, then the newest: 503 with Retry-After, true since nothing is sent before the body is whole. A body may take until its request's deadline (408). Long bodies take half of the link at most, so that the instance stays ready. A receive buffer has 32 KiB. Callers' connections are bounded by memory and descriptors (new setting gateway.max_descriptors). The ready and the operators' address read no bodies and have small headers, time limits and tables of their own. A header counts with the least size that it can have had: the largest legal one of short fields was refused with 431 before.

--- a/internal/callers/head.go
+++ b/internal/callers/head.go
@@ -12,7 +12,7 @@
 	// budget. Nearly all are smaller.
 	freeHeadBytes, freeHeadFields = 4 << 10, 64
 	// fieldBytes is what a field takes besides its text, in the header and its copies.
-	fieldBytes = 512
+	fieldBytes = 256
 	// copiesOfHead is how often the text of a header is held.
 	copiesOfHead = 2
 	// headBufferBytes is the size of net/http's read buffer: as much of a body may be read
--- a/internal/callers/limits_test.go
+++ b/internal/callers/limits_test.go
@@ -45,7 +45,7 @@
 // Guards against headers that take more memory than there is: without room the connection ends, and
 // nothing stays held.
 func TestLargeHeadersTakeMemory(t *testing.T) {
-	heads := membudget.New(64 << 10).NewPart(0)
+	heads := membudget.New(40 << 10).NewPart(0)
 	cs := newLimited(t, Limits{Heads: heads})
 	header := []byte(strings.Repeat("a:\n", 100))
 	first, firstCaller := connect(t, cs)
--- a/internal/cli/reload_test.go
+++ b/internal/cli/reload_test.go
@@ -25,7 +25,7 @@
 	}
 	for name, value := range map[string]string{
 		"{{node_name}}": "entry-1", "{{zone}}": "z", "{{listen.front}}": "127.0.0.1:8101", "{{listen.ready}}": "127.0.0.1:8102",
-		"{{ip}}": "127.0.0.1", "{{port_range.0}}": "8104", "{{limits.memory_mb}}": "256", "{{limits.link_mbps}}": "1000", "{{platform.address}}": "127.0.0.1:8105",
+		"{{ip}}": "127.0.0.1", "{{port_range.0}}": "8104", "{{limits.memory_mb}}": "256", "{{limits.max_fds}}": "4096", "{{limits.link_mbps}}": "1000", "{{platform.address}}": "127.0.0.1:8105",
 		"{{bounds.config_apply_ms}}": "2000", "{{bounds.drain_ms}}": "2000", "{{bounds.grace_s}}": "8", "{{bounds.retry_ratio}}": "0.2", "{{bounds.retry_extra}}": "50", "{{bounds.retry_window_s}}": "10",
 	} {
 		text = bytes.ReplaceAll(text, []byte(name), []byte(value))
--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -15,8 +14,6 @@
 	// defaultCallerTimeout bounds a request whose caller does not state how long it
 	// waits.
 	defaultCallerTimeout = 30 * time.Second
-	// defaultMaxBodyBytes bounds a request body if the desired state sets no limit.
-	defaultMaxBodyBytes = 4 << 20
 )
 
 // admit reads the request and determines its route, organisation, service and deadline.
@@ -54,10 +51,10 @@
 	return c.readBody(r)
 }
 
-// headerBytes returns the approximate size in bytes of a request's first line and header.
-// The server has parsed them, so the exact size is unknown.
+// headerBytes returns the least size in bytes that a request's first line and header can have
+// had. The server has parsed them, so the exact size is unknown.
 func headerBytes(r *http.Request) int {
-	const separators = 4 // ": " and CRLF.
+	const separators = 2 // A colon and a line feed; whatever else there was is not known.
 	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + separators + len("Host") + len(r.Host) + separators
 	for name, values := range r.Header {
 		for _, value := range values {
@@ -80,26 +77,6 @@
 	return timeout
 }
 
-// readBody reads the whole body before the request is sent, so that an attempt can be
-// retried and no endpoint receives an incomplete request.
-func (c *call) readBody(r *http.Request) *refusal {
-	limit := c.config.Limits.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	c.phase = phaseBody
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: ReasonBodyTooLarge}
-	case err != nil:
-		return &refusal{status: http.StatusBadRequest, reason: ReasonBodyIncomplete}
-	}
-	c.body = body
-	return nil
-}
-
 // checkQuarantine returns the refusal of a request that is quarantined, or that has a part which
 // is suspected; nil if it may be sent.
 func (c *call) checkQuarantine(ctx context.Context) *refusal {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -12,6 +12,7 @@
 
 	"guavapier/internal/placement"
 	"guavapier/internal/quarantine"
+	"guavapier/internal/spool"
 	"guavapier/internal/upstream"
 )
 
@@ -265,15 +266,18 @@
 	if c.headerSent {
 		return attemptResult{reason: ReasonAnswerFailed, sent: true} // An error answer can't continue a stream that has begun.
 	}
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedAnswerBytes+1))
+	beginning := spool.NewBuffer(c.f.SlowReaders)
+	defer beginning.Release()
+	whole, err := beginning.Fill(a.Body, maxBufferedAnswerBytes)
 	switch {
 	case err != nil:
 		return attemptResult{reason: ReasonAnswerFailed, sent: true, err: err}
-	case len(body) > maxBufferedAnswerBytes:
-		return c.forwardLong(request, assignment, a, body)
+	case !whole:
+		return c.forwardLong(request, assignment, a, beginning)
 	}
-	buffered := &bufferedAnswer{status: a.Status, header: a.Header, body: body}
+	buffered := &bufferedAnswer{status: a.Status, header: a.Header, body: beginning.Bytes()}
 	if a.Status >= http.StatusInternalServerError {
+		buffered.body = bytes.Clone(buffered.body) // It outlasts the attempt.
 		return attemptResult{reason: ReasonAnswerFailed, sent: true, failure: buffered}
 	}
 	result := c.finish(ctx, assignment, a)
@@ -290,8 +294,6 @@
 
 // writeBuffered sends a complete answer to the caller and returns its status.
 func (c *call) writeBuffered(a *bufferedAnswer) int {
-	c.f.SlowReaders.Count(int64(len(a.body)))
-	defer c.f.SlowReaders.Count(-int64(len(a.body)))
 	c.beginAnswer(a.status, a.header, int64(len(a.body)))
 	_, _ = io.Copy(c.w, bytes.NewReader(a.body))
 	return a.status
@@ -313,18 +315,22 @@
 	c.w.WriteHeader(status)
 }
 
-// forwardLong passes on an answer whose body begins with start as it arrives, until ctx ends: no
+// forwardLong passes on an answer, of which beginning was read, as it arrives, until ctx ends: no
 // other endpoint can be tried after that, so the attempt has no timeout of its own. The result
 // is final only if the endpoint's answer ended properly.
-func (c *call) forwardLong(ctx context.Context, assignment *placement.Assignment, a *upstream.Answer, start []byte) attemptResult {
+func (c *call) forwardLong(ctx context.Context, assignment *placement.Assignment, a *upstream.Answer, beginning *spool.Buffer) attemptResult {
 	if !a.Rebind(ctx) {
 		return attemptResult{reason: ReasonAnswerFailed, sent: true, err: errTimedOutAtStart}
 	}
 	c.beginAnswer(a.Status, a.Header, a.Length)
 	spooled, caller := c.startSpool(a)
 	defer func() { c.endSpool(a, spooled, caller) }()
-	body := &readErrorRecorder{Reader: io.MultiReader(bytes.NewReader(start), spooled)}
-	_, err := io.Copy(caller, body)
+	_, err := caller.Write(beginning.Bytes())
+	beginning.Release()
+	body := &readErrorRecorder{Reader: spooled}
+	if err == nil {
+		_, err = io.Copy(caller, body)
+	}
 	switch {
 	case body.err != nil:
 		return attemptResult{reason: streamErrorReason(ctx), sent: true, err: body.err}
--- a/internal/forward/drain_test.go
+++ b/internal/forward/drain_test.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"guavapier/internal/forward"
+	"guavapier/internal/membudget"
 	"guavapier/internal/placement"
 	"guavapier/internal/prepaid"
 	"guavapier/internal/quarantine"
@@ -20,6 +21,7 @@
 	"guavapier/internal/route"
 	"guavapier/internal/spool"
 	"guavapier/internal/tokenwait"
+	"guavapier/internal/upload"
 	"guavapier/internal/upstream"
 )
 
@@ -85,7 +87,7 @@
 		Codec: stubCodec{}, State: func() *route.Config { return config }, Budgets: slowBudgets{tokensDelay},
 		Endpoints: placement.New(1, 0), Retries: retry.NewLimiter(retry.Budget{}, 1), Quarantine: emptyQuarantine{}, Pool: upstream.NewPool(upstream.Options{}),
 		Clock: func() time.Duration { return time.Since(start) }, ClosesConnections: func() bool { return true }, IsOutdated: func() bool { return false }, ShutdownTime: shutdownTime, IsForceClosing: func() bool { return false },
-		Log: zerolog.Nop(), OnRequestEnd: func(forward.RequestSummary) {}, OnPlaced: func(*placement.Assignment) {}, Permits: noPermits{}, SlowReaders: spool.NewLimiter(1 << 20),
+		Log: zerolog.Nop(), OnRequestEnd: func(forward.RequestSummary) {}, OnPlaced: func(*placement.Assignment) {}, Permits: noPermits{}, SlowReaders: spool.NewLimiter(1 << 20), Uploads: newUploads(),
 	}
 }
 
@@ -114,3 +116,9 @@
 type noPermits struct{}
 
 func (noPermits) Changed() <-chan struct{} { return nil }
+
+// newUploads returns a limiter of 1 MiB for the bodies of requests.
+func newUploads() *upload.Limiter {
+	memory := membudget.New(1 << 20)
+	return upload.NewLimiter(memory.NewPart(0.5), memory.NewPart(0.5), 0, 0)
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -22,6 +22,7 @@
 	"guavapier/internal/retry"
 	"guavapier/internal/route"
 	"guavapier/internal/spool"
+	"guavapier/internal/upload"
 	"guavapier/internal/upstream"
 )
 
@@ -40,6 +41,8 @@
 	Quarantine Quarantine
 	Pool       *upstream.Pool
 	Permits    Permits
+	// Uploads bounds what is held of requests' bodies.
+	Uploads *upload.Limiter
 	// SlowReaders bounds what is held of answers whose callers read slowly.
 	SlowReaders *spool.Limiter
 	// OnStatement is called when an answer has stated something new of an endpoint.
@@ -86,7 +89,8 @@
 	route   *route.Route
 	org     *route.Organisation
 	service string
-	body    []byte
+	body    [][]byte       // In pieces.
+	upload  *upload.Upload // nil before the body is read, or if there is none.
 
 	start        time.Time
 	deadline     time.Time // Earlier of the caller's and the route's timeout.
@@ -121,6 +125,7 @@
 	if f.ClosesConnections() {
 		w.Header().Set("Connection", "close")
 	}
+	defer c.releaseBody()
 	returned := false
 	defer func() {
 		if !returned {
@@ -136,6 +141,7 @@
 func (c *call) serve(r *http.Request) int {
 	refused := c.admit(r)
 	if refused != nil {
+		c.limitRest(r)
 		return c.refuse(refused)
 	}
 	if c.mayOutliveInstance() {
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -22,6 +22,8 @@
 	ReasonHeaderTooLarge     Reason = "head too large"
 	ReasonBodyTooLarge       Reason = "body too large"
 	ReasonBodyIncomplete     Reason = "body not received"
+	ReasonBodyTimeout        Reason = "body not received in time"
+	ReasonNoMemory           Reason = "no memory for the body"
 	ReasonBudgetExhausted    Reason = "budget exhausted"
 	ReasonInsufficientTokens Reason = "budget not at hand"
 	ReasonNoEndpoint         Reason = "no endpoint"
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"guavapier/internal/linkload"
 	"guavapier/internal/logging"
 	"guavapier/internal/logstore"
+	"guavapier/internal/membudget"
 	"guavapier/internal/metrics"
 	"guavapier/internal/origin"
 	"guavapier/internal/peer"
@@ -37,6 +38,7 @@
 	"guavapier/internal/spool"
 	"guavapier/internal/state"
 	"guavapier/internal/tokenwait"
+	"guavapier/internal/upload"
 	"guavapier/internal/upstream"
 )
 
@@ -108,9 +110,6 @@
 	// memoryLimitRatio is the share of gateway.memory_mb that becomes the Go runtime's soft
 	// memory limit; the rest is for buffers outside the heap.
 	memoryLimitRatio = 0.8
-	// slowReadersRatio is the share of gateway.memory_mb that answers may take whose callers
-	// read slowly.
-	slowReadersRatio = 0.25
 )
 
 // Gateway is one instance: its listeners, its connections and its copies of the fleet's
@@ -146,9 +145,13 @@
 	prober           *prober  // Of endpoints that can't be reached.
 	isolation        isolation
 	slowReaders      *spool.Limiter
+	uploads          *upload.Limiter
 	readiness        *readiness
 	callerConns      *callers.Connections // Open connections of callers.
-	exitDeadline     time.Time            // When the process is killed; set by shutdown.
+	readyConns       *callers.Connections // Those of the load balancer.
+	operatorConns    *callers.Connections
+	headMemory       *membudget.Part // For callers' headers.
+	exitDeadline     time.Time       // When the process is killed; set by shutdown.
 	isDraining       atomic.Bool
 	requestCutoff    atomic.Pointer[requestCutoff] // Set at the start of a drain.
 	abortingRequests atomic.Bool                   // Requests in flight are being aborted at the end of the drain.
@@ -166,17 +169,18 @@
 	clock := newBootClock()
 	g := &Gateway{
 		settings: s, platform: p, log: log, sampledLog: log.Sample(p.Thin), clock: clock, metrics: metrics.New(), tables: state.New(),
-		slowReaders: spool.NewLimiter(int64(float64(s.Gateway.MemoryMB<<20) * slowReadersRatio)),
 		retryLimiter: retry.NewLimiter(retry.Budget{
 			Ratio: s.Retries.Ratio, Extra: float64(s.Retries.Extra), Window: s.Retries.Window.D(),
 		}, initialInstanceCount),
 	}
+	g.divideMemory()
 	g.linkShedder = linkload.NewShedder(s.Gateway.LinkMbps, g.zoneLinks)
 	contact := &storeContact{}
 	g.stateFreshness = newFreshness(s.Store.StateWithin.D(), clock, contact)
 	if err := g.listen(); err != nil {
 		return nil, err
 	}
+	g.wrapListeners()
 	instance := record.NewInstanceID(s.Gateway.Name)
 	placementTable := placement.New(uint64(time.Now().UnixNano()), clock())
 	placementTable.SetByTime(byTime(s.Placement))
@@ -190,7 +194,6 @@
 	})
 	g.prober = newProber(placementTable, g.upstreamPool, g.tunnels.dialer.DialDirect, clock, g.sampledLog)
 	g.tunnels.dialer.OnOpened = g.prober.onTunnelOpened
-	g.callerConns = callers.New(g.callersListener.(*net.TCPListener), defaultCallerIdleTimeout, &g.linkMeter, g.logExpiry)
 	p.Store = instrumentedStore{p.Store, g.metrics}
 	g.platform = p
 	g.endpoints = newEndpointTracker(p, s.Store, contact, placementTable, g.upstreamPool, clock, g.sampledLog, log)
@@ -273,6 +276,9 @@
 		listener *net.Listener
 	}{{addresses.Callers, &g.callersListener}, {addresses.Ready, &g.readyListener}, {addresses.Operators, &g.operatorsListener}, {addresses.Peers, &g.peersListener}} {
 		config := net.ListenConfig{KeepAliveConfig: keepAliveConfig}
+		if l.listener != &g.peersListener {
+			config.Control = limitReceiveBuffer
+		}
 		listener, err := config.Listen(context.Background(), "tcp", l.addr)
 		if err != nil {
 			return eris.Wrap(err, "gateway: listen; configure another address if this one is in use")
@@ -292,10 +298,10 @@
 func (g *Gateway) newCallersServer() *http.Server {
 	handler := &forward.Forwarder{
 		Zone: g.settings.Gateway.Zone, Codec: g.platform.Codec, State: g.config.Load, Budgets: budgetAdapter{g.budgets},
-		Endpoints: g.endpoints.placementTable, Retries: g.retryLimiter, Origins: g.streamOrigins, Quarantine: g.quarantine, Pool: g.upstreamPool, Permits: g.permits, SlowReaders: g.slowReaders, OnStatement: g.statements.onStatement, Clock: g.clock,
+		Endpoints: g.endpoints.placementTable, Retries: g.retryLimiter, Origins: g.streamOrigins, Quarantine: g.quarantine, Pool: g.upstreamPool, Permits: g.permits, SlowReaders: g.slowReaders, Uploads: g.uploads, OnStatement: g.statements.onStatement, Clock: g.clock,
 		ClosesConnections: g.closesCallerConns, IsOutdated: g.isOutdated, ShutdownTime: g.requestCutoffTime, IsForceClosing: g.abortingRequests.Load, Log: g.sampledLog, RoutineLog: g.log.Sample(g.platform.ThinRoutine), OnRequestEnd: g.requestObserver(), OnPlaced: g.loadReporter.reportPlacement,
 	}
-	server := &http.Server{Handler: g.countInFlight(handler), MaxHeaderBytes: MaxHeaderBytes, ConnState: g.callerConns.ConnState}
+	server := &http.Server{Handler: g.countInFlight(handler), MaxHeaderBytes: MaxHeaderBytes, ReadHeaderTimeout: headerReadTimeout, ConnState: g.callerConns.ConnState}
 	server.DisableGeneralOptionsHandler = true
 	return server
 }
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -46,6 +46,7 @@
 	g.metrics.Gauge(metrics.GatewayReportsRead, g.reportReader.read.Load)
 	g.metrics.Gauge(metrics.GatewayTunnelsServed, g.tunnels.server.OpenCount)
 	g.metrics.Gauge(metrics.GatewayHeldForSlowReaders, g.slowReaders.Held)
+	g.metrics.Gauge(metrics.GatewayHeldBodies, g.uploads.Held)
 	g.registerBudgetGauges()
 	if g.platform.LinesDropped != nil {
 		g.metrics.Gauge(metrics.GatewayLinesDropped, func() int64 { return g.platform.LinesDropped().Sum() })
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -19,11 +19,10 @@
 	defer stopBackground()
 	ctx, cancelServing := context.WithCancel(ctx)
 	defer cancelServing()
-	servers := []*http.Server{g.newCallersServer(), {Handler: g.readyHandler()}, {Handler: g.operatorsHandler()}}
-	listeners := []net.Listener{g.callerConns, g.readyListener, g.operatorsListener}
+	servers := []*http.Server{g.newCallersServer(), newSmallServer(g.readyHandler(), g.readyConns), newSmallServer(g.operatorsHandler(), g.operatorConns)}
+	listeners := []net.Listener{g.callerConns, g.readyConns, g.operatorConns}
 	var serving, budgetWork, backgroundWork errgroup.Group
 	for i, server := range servers {
-		server.ReadHeaderTimeout = headerReadTimeout
 		serving.Go(func() error {
 			defer cancelServing() // An instance that can't serve one of its addresses shuts down.
 			return ignoreServerClosed(server.Serve(listeners[i]))
@@ -54,18 +53,19 @@
 // runHousekeeping runs the periodic work until ctx ends: log lines about changed conditions,
 // expiry of connections and endpoints, and the instance's share of the retry budget.
 func (g *Gateway) runHousekeeping(ctx context.Context) {
-	droppedLines, outdated := DroppedLines{}, false
+	droppedLines, outdated, limits := DroppedLines{}, false, limitCounts{}
 	reach := &reachLogger{log: g.log, states: map[string]reachState{}}
 	for ctx.Err() == nil {
 		logstore.Pause(ctx, housekeepingInterval, nil)
 		droppedLines = g.logDroppedLines(droppedLines)
 		outdated = g.logOutdatedChange(outdated)
+		limits = g.logLimits(limits)
 		g.readiness.isReady() // Logs changes, also of an instance that nobody probes.
 		g.upstreamPool.CloseExpired()
 		g.updateLinkLoad()
 		g.endpoints.sweep()
 		g.updateReach(reach)
-		g.callerConns.CloseIdle()
+		g.closeIdleConns()
 		g.retryLimiter.SetInstances(g.budgets.Accounts.Instances())
 	}
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -159,6 +159,7 @@
 	config := route.Compile(decoded)
 	g.budgets.Accounts.SetPrepaid(prepaidTotals(decoded))
 	g.callerConns.SetIdleTimeout(callerIdleTimeout(decoded))
+	g.applyLimits(decoded.Limits)
 	g.endpoints.placementTable.SetWarmUps(warmUps(decoded, g.settings.WarmUp))
 	g.config.Store(config)
 	g.log.Info().Int64("state", decoded.Version).Int("routes", len(decoded.Routes)).
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -15,6 +15,7 @@
 	GatewayEndpointsWithoutLink = "gateway.endpoints_without_link"
 	GatewayTunnelsServed        = "gateway.tunnels_served"
 	GatewayHeldForSlowReaders   = "gateway.held_for_slow_readers"
+	GatewayHeldBodies           = "gateway.held_bodies"
 	GatewayStreams              = "gateway.streams"
 	GatewayStreamsNotCopied     = "gateway.streams_not_copied"
 	GatewayQuarantinedRequests  = "gateway.requests_held_back"
@@ -64,6 +65,7 @@
 		{GatewayEndpointsUnreachable, KindGauge, "endpoints", "Those of them to which no connection can be made, not even through other instances."},
 		{GatewayEndpointsWithoutLink, KindGauge, "endpoints", "Those of them to which no connection can be made by the own link. If it is all of them here and none elsewhere, this instance has lost its links."},
 		{GatewayTunnelsServed, KindGauge, "connections", "Connections to endpoints that are open here for other instances."},
+		{GatewayHeldBodies, KindGauge, "bytes", "Bytes of requests' bodies, of those that arrive and those that are being served."},
 		{GatewayHeldForSlowReaders, KindGauge, "bytes", "Bytes of answers that callers have not read yet: whole answers, and those of callers who read slowly."},
 		{GatewayStreams, KindGauge, "streams", "Streams whose origin is recorded here, those of other instances included."},
 		{GatewayStreamsNotCopied, KindGauge, "streams", "Streams whose origin was not copied to other instances, or not kept for them, because of too many."},
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -33,8 +33,8 @@
 	// Organisation is the owner of the caller's API key; "" for none.
 	Organisation record.Team
 	Method, Host string
-	Target       string // Path and query.
-	Body         []byte
+	Target       string   // Path and query.
+	Body         [][]byte // In pieces, whose number makes no difference.
 	// Parts are the IDs of the parts of the prompt that other requests may share. They are not
 	// covered by the fingerprint.
 	Parts []string
@@ -46,7 +46,9 @@
 	h := c.newMetadataHasher()
 	var f Fingerprint
 	copy(f[:metadataHashBytes], h.Sum(nil))
-	h.Write(c.Body)
+	for _, piece := range c.Body {
+		h.Write(piece)
+	}
 	copy(f[metadataHashBytes:], h.Sum(nil))
 	return f
 }
@@ -66,7 +68,11 @@
 		h.Write(encodeLength(len(part)))
 		h.Write([]byte(part))
 	}
-	h.Write(encodeLength(len(c.Body)))
+	bodyBytes := 0
+	for _, piece := range c.Body {
+		bodyBytes += len(piece)
+	}
+	h.Write(encodeLength(bodyBytes))
 	return h
 }
 
--- a/internal/quarantine/fingerprint_test.go
+++ b/internal/quarantine/fingerprint_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"bytes"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -13,14 +14,14 @@
 	text := rapid.StringOfN(rapid.SampledFrom([]rune("ab/")), 0, 3, -1)
 	return Content{
 		Organisation: record.Team(text.Draw(t, name+" organisation")), Method: text.Draw(t, name+" method"),
-		Host: text.Draw(t, name+" host"), Target: text.Draw(t, name+" target"), Body: []byte(text.Draw(t, name+" body")),
+		Host: text.Draw(t, name+" host"), Target: text.Draw(t, name+" target"), Body: [][]byte{[]byte(text.Draw(t, name+" body"))},
 	}
 }
 
 func TestFingerprintsDifferExactlyWhereContentsDo(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		a, b := drawContent(t, "first"), drawContent(t, "second")
-		same := a.Organisation == b.Organisation && a.Method == b.Method && a.Host == b.Host && a.Target == b.Target && string(a.Body) == string(b.Body)
+		same := a.Organisation == b.Organisation && a.Method == b.Method && a.Host == b.Host && a.Target == b.Target && string(bytes.Join(a.Body, nil)) == string(bytes.Join(b.Body, nil))
 		if got := a.Fingerprint() == b.Fingerprint(); got != same {
 			t.Fatalf("contents %+v and %+v: same fingerprint is %v, want the opposite", a, b, got)
 		}
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -16,7 +16,7 @@
 
 // promptContent returns a request with a content of its own and these shared parts.
 func promptContent(n int, parts ...string) Content {
-	return Content{Organisation: "org", Method: "POST", Host: "h", Target: "/x", Body: []byte(fmt.Sprint(n)), Parts: parts}
+	return Content{Organisation: "org", Method: "POST", Host: "h", Target: "/x", Body: [][]byte{[]byte(fmt.Sprint(n))}, Parts: parts}
 }
 
 // recordCrashOf records that an endpoint crashed with the requests in progress.
@@ -109,7 +109,7 @@
 // crashing ones and were under way beside a crashing content, and against that content being sent on.
 func TestAPartBesideTwoSubjectsThatCrashEndpointsIsNotQuarantined(t *testing.T) {
 	table, now := NewTable("me"), startTime
-	content := Content{Organisation: "org", Method: "POST", Host: "h", Target: "/x", Body: []byte("crash")}
+	content := Content{Organisation: "org", Method: "POST", Host: "h", Target: "/x", Body: [][]byte{[]byte("crash")}}
 	for i := range crashesToSuspect {
 		now = now.Add(time.Second)
 		table.recordCrashOf(fmt.Sprint("part ", i), now, promptContent(i, "shared", "bad"))
--- a/internal/quarantine/syncer_test.go
+++ b/internal/quarantine/syncer_test.go
@@ -20,7 +20,7 @@
 )
 
 // crashingContent is the content of a request that crashes endpoints.
-var crashingContent = Content{Organisation: "org", Method: "POST", Host: "h", Target: "/x", Body: []byte("deadly")}
+var crashingContent = Content{Organisation: "org", Method: "POST", Host: "h", Target: "/x", Body: [][]byte{[]byte("deadly")}}
 
 // refusingProbe is the probe of an endpoint that is gone.
 func refusingProbe(context.Context, string, string) error {
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -242,7 +242,7 @@
 
 func TestTheBodyIsHashedOnlyForAKnownMetadataHash(t *testing.T) {
 	table := NewTable("me")
-	c := Content{Organisation: "org", Method: "POST", Host: "h", Target: "/x", Body: []byte("body")}
+	c := Content{Organisation: "org", Method: "POST", Host: "h", Target: "/x", Body: [][]byte{[]byte("body")}}
 	if _, known := table.find(c); known {
 		t.Error("the request is found in an empty table")
 	}
@@ -251,12 +251,12 @@
 		t.Errorf("fingerprint is %s, found %v", f, known)
 	}
 	for _, body := range []string{"ydob", "another"} {
-		c.Body = []byte(body)
+		c.Body = [][]byte{[]byte(body)}
 		if _, known := table.find(c); known {
 			t.Errorf("a request with body %q is found", body)
 		}
 	}
-	if c.metadataHash() == (Content{Organisation: "org", Method: "POST", Host: "h", Target: "/x", Body: []byte("body")}).metadataHash() {
+	if c.metadataHash() == (Content{Organisation: "org", Method: "POST", Host: "h", Target: "/x", Body: [][]byte{[]byte("body")}}).metadataHash() {
 		t.Error("a body of another length has the same metadata hash")
 	}
 }
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -34,6 +34,8 @@
 	Operators string `toml:"operators"`
 	Peers     string `toml:"peers"`
 	MemoryMB  int64  `toml:"memory_mb"`
+	// MaxDescriptors is the number of file descriptors that the process may have.
+	MaxDescriptors int64 `toml:"max_descriptors"`
 	// LinkMbps is the bandwidth of the instance's network link in Mbit/s; 0 if
 	// unknown.
 	LinkMbps float64 `toml:"link_mbps"`
@@ -117,7 +119,7 @@
 // DefaultGateway returns the values of the keys that the file does not set.
 func DefaultGateway() Gateway {
 	return Gateway{
-		Gateway: GatewayInstance{MemoryMB: 256},
+		Gateway: GatewayInstance{MemoryMB: 256, MaxDescriptors: 4096},
 		Store:   Store{Timeout: Duration(time.Second), StateWithin: Duration(2 * time.Second), LeavingWithin: Duration(2 * time.Second)},
 		Log:     GatewayLog{Level: "info", Format: "json", Buffer: 4096, Lines: 100},
 		Drain:   Drain{Within: Duration(8 * time.Second), Unready: Duration(3200 * time.Millisecond), LastCallers: Duration(700 * time.Millisecond)},
@@ -137,7 +139,8 @@
 		{Name: "gateway.ready", Unit: "IP:port", kind: kindAddress, required: true, Doc: "Address on which the balancer asks whether the instance takes callers."},
 		{Name: "gateway.operators", Unit: "IP:port", kind: kindAddress, required: true, Doc: "Address for metrics and the state dump. Keep callers away from it."},
 		{Name: "gateway.peers", Unit: "IP:port", kind: kindAddress, required: true, Doc: "Address for the other instances of the fleet."},
-		{Name: "gateway.memory_mb", Unit: "MB", kind: kindCount, min: 64, max: 1 << 20, Doc: "Memory of the instance; above four fifths of it the collector works harder."},
+		{Name: "gateway.memory_mb", Unit: "MB", kind: kindCount, min: 64, max: 1 << 20, Doc: "Memory of the instance; above four fifths of it the collector works harder. A quarter is for callers' requests and answers, and a connection takes part of a seventh: more connections end those without a request."},
+		{Name: "gateway.max_descriptors", Unit: "descriptors", kind: kindCount, min: 256, max: 1 << 20, Doc: "File descriptors of the process. Callers' connections take at most two fifths."},
 		{Name: "gateway.link_mbps", Unit: "Mbit/s", kind: kindText, Doc: "Speed of the instance's link. In a large fleet those with the fastest ones claim tokens for their zone; an instance whose link is nearly full sends callers to others. 0 for unknown, which switches the latter off."},
 		{Name: "store.url", Unit: "URL", kind: kindURL, required: true, Doc: "Base URL of the platform's store."},
 		{Name: "store.timeout", Unit: "duration", kind: kindDuration, min: int64(10 * time.Millisecond), max: int64(maxPlatformTimeout), Doc: "Longest wait for one answer of the store; a long poll may take its own wait more."},
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -16,7 +16,7 @@
 // placeholders of the deployed template.
 var templateValues = map[string]string{
 	"node_name": "edge-hall-a-1", "zone": "hall-a", "listen.front": "10.1.0.40:8227", "listen.ready": "10.1.0.40:8220",
-	"ip": "10.1.0.40", "port_range.0": "7340", "limits.memory_mb": "284", "limits.link_mbps": "1000.0", "platform.address": "10.200.1.7:8223",
+	"ip": "10.1.0.40", "port_range.0": "7340", "limits.memory_mb": "284", "limits.max_fds": "4100", "limits.link_mbps": "1000.0", "platform.address": "10.200.1.7:8223",
 	"bounds.config_apply_ms": "2000", "bounds.drain_ms": "2000", "bounds.grace_s": "8", "bounds.retry_ratio": "0.2", "bounds.retry_extra": "56", "bounds.retry_window_s": "10",
 }
 
@@ -155,7 +155,7 @@
 // A fraction is valid for every number that the deployed template takes from the
 // platform.
 func TestEveryNumberOfTheTemplateBearsAFraction(t *testing.T) {
-	for _, name := range []string{"limits.memory_mb", "bounds.config_apply_ms", "bounds.drain_ms", "bounds.grace_s", "bounds.retry_ratio", "bounds.retry_extra", "bounds.retry_window_s", "bounds.warmup_overage", "bounds.warmup_slack"} {
+	for _, name := range []string{"limits.memory_mb", "limits.max_fds", "bounds.config_apply_ms", "bounds.drain_ms", "bounds.grace_s", "bounds.retry_ratio", "bounds.retry_extra", "bounds.retry_window_s", "bounds.warmup_overage", "bounds.warmup_slack"} {
 		values := maps.Clone(templateValues)
 		maps.Copy(values, warmUpValues)
 		values[name] += ".158"
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -103,7 +103,7 @@
 	Target string // Path and query, unchanged.
 	Host   string
 	Header http.Header // Without Host and Content-Length, which are added.
-	Body   []byte
+	Body   [][]byte    // In pieces.
 	// Matches reports whether an answer belongs to this request; answers to others are
 	// discarded. Nil accepts every answer.
 	Matches func(status int, h http.Header) bool
@@ -172,11 +172,17 @@
 	w := c.bw
 	_, _ = w.WriteString(out.Method + " " + out.Target + " HTTP/1.1\r\nHost: " + out.Host + "\r\n")
 	_ = out.Header.Write(w)
-	if len(out.Body) > 0 || out.Method != http.MethodGet && out.Method != http.MethodHead {
-		_, _ = w.WriteString("Content-Length: " + strconv.Itoa(len(out.Body)) + "\r\n")
+	bodyBytes := 0
+	for _, piece := range out.Body {
+		bodyBytes += len(piece)
+	}
+	if bodyBytes > 0 || out.Method != http.MethodGet && out.Method != http.MethodHead {
+		_, _ = w.WriteString("Content-Length: " + strconv.Itoa(bodyBytes) + "\r\n")
 	}
 	_, _ = w.WriteString("\r\n")
-	_, _ = w.Write(out.Body)
+	for _, piece := range out.Body {
+		_, _ = w.Write(piece)
+	}
 	return w.Flush() // A bufio.Writer returns its first error from here on.
 }
 
