entry: the memory for bodies of a standalone instance is bounded

What callers saw: 150 bodies of legal size end an instance with built-in stand-ins of 284 MB, as do 100 connections with headers of 900 KiB at its operators' address. Cause: as in the gateway: each body was read whole without regard to the others; the limit of headers for operators was net/http's 1 MiB. Change: bodies go through internal/upload; a refused body is left unread; operators' headers have 16 KiB; callers have 1,024 connections.

--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -12,7 +12,8 @@
 )
 
 func (a *API) handleChat(w http.ResponseWriter, r *http.Request) {
-	body, reqErr := a.readBody(w, r)
+	body, release, reqErr := a.readBody(w, r)
+	defer release()
 	if reqErr != nil {
 		reqErr.write(w)
 		return
--- a/internal/entry/door_test.go
+++ b/internal/entry/door_test.go
@@ -20,11 +20,13 @@
 	"guavapier/internal/endpoint"
 	"guavapier/internal/fold"
 	"guavapier/internal/ledger"
+	"guavapier/internal/membudget"
 	"guavapier/internal/record"
 	"guavapier/internal/replica"
 	"guavapier/internal/run"
 	"guavapier/internal/session"
 	"guavapier/internal/standin"
+	"guavapier/internal/upload"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -123,8 +125,10 @@
 		OnEndpointLeaving: func(string) {}, OnError: func(err error) { t.Error(err) },
 	}
 	s.sessionKeys = session.Keyring{CurrentKeyID: "k1", Keys: map[string][]byte{"k1": []byte(testSigningKey)}}
+	memory := membudget.New(1 << 20)
 	api := &API{
-		Zone: "hall-a", Config: replica.New(record.ConfigStream, f), SessionKeys: s.sessionKeys, Runner: runner,
+		Uploads: upload.NewLimiter(memory.NewPart(0), memory.NewPart(0), 0, 0),
+		Zone:    "hall-a", Config: replica.New(record.ConfigStream, f), SessionKeys: s.sessionKeys, Runner: runner,
 		Limits: Limits{
 			MaxBodyBytes: 1 << 12, MaxAnswerBytes: 3000, MaxTokens: 100_000, MinPromptBytesPerToken: 2, FirstTokenTimeout: 5 * time.Second,
 			ServiceAnswerTimeout: time.Second, BodyReadTimeout: 5 * time.Second, WriteTimeout: 5 * time.Second, HeartbeatInterval: 50 * time.Millisecond,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,6 +17,7 @@
 	"guavapier/internal/replica"
 	"guavapier/internal/run"
 	"guavapier/internal/session"
+	"guavapier/internal/upload"
 )
 
 // Request headers of the API.
@@ -82,7 +83,9 @@
 	SessionRegistry session.Registry
 	// Runner executes chat completions and service calls.
 	Runner *run.Runner
-	Limits Limits
+	// Uploads bounds what is held of requests' bodies.
+	Uploads *upload.Limiter
+	Limits  Limits
 	// IsReady reports whether this instance can take new requests; /readyz answers
 	// accordingly.
 	IsReady func() bool
@@ -121,7 +124,18 @@
 	return r
 }
 
-func handleNotFound(w http.ResponseWriter, _ *http.Request) {
+// leaveBody makes the server close the connection without reading the body of a request that is
+// refused.
+func leaveBody(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength == 0 {
+		return
+	}
+	w.Header().Set("Connection", "close")
+	_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0)) // Fails only if the connection is closed.
+}
+
+func handleNotFound(w http.ResponseWriter, r *http.Request) {
+	leaveBody(w, r)
 	writeProblem(w, http.StatusNotFound, invalidRequest("no_such_path", "There is nothing at this path."))
 }
 
@@ -153,6 +167,7 @@
 		ok := false
 		a.Config.View(func(f *fold.Config) { team, ok = config.Authenticate(f, bearerToken(r)) })
 		if !ok {
+			leaveBody(w, r)
 			w.Header().Set("WWW-Authenticate", "Bearer")
 			writeProblem(w, http.StatusUnauthorized, problem{
 				Type: typeAuthentication, Code: "invalid_api_key", Message: "The API key is missing or not valid.", Outcome: record.OutcomeNotRun,
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -1,9 +1,10 @@
 package entry
 
 import (
+	"bytes"
+	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -15,6 +16,7 @@
 	"guavapier/internal/decide"
 	"guavapier/internal/record"
 	"guavapier/internal/run"
+	"guavapier/internal/upload"
 )
 
 // maxIdempotencyKeyBytes bounds an Idempotency-Key; claims store the key for as long as
@@ -34,23 +36,42 @@
 
 func (e *requestError) write(w http.ResponseWriter) { writeProblem(w, e.status, e.problem) }
 
-// readBody reads the request's body, bounded by MaxBodyBytes and BodyReadTimeout.
-func (a *API) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *requestError) {
-	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(time.Now().Add(a.Limits.BodyReadTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, a.Limits.MaxBodyBytes))
+// memoryRetrySeconds is when a request may come again for whose body there was no memory.
+const memoryRetrySeconds = 1
+
+// readBody reads the request's body, bounded by MaxBodyBytes and BodyReadTimeout. release has to be
+// called when the request has ended.
+func (a *API) readBody(w http.ResponseWriter, r *http.Request) (body []byte, release func(), reqErr *requestError) {
+	deadline := time.Now().Add(a.Limits.BodyReadTimeout)
+	connection := http.NewResponseController(w)
+	_ = connection.SetReadDeadline(deadline)
+	interrupt := func() { _ = connection.SetReadDeadline(time.Unix(1, 0)) }
+	incoming := a.Uploads.Begin(string(authenticatedTeam(r).Name), interrupt)
+	ctx, cancel := context.WithDeadline(r.Context(), deadline)
+	defer cancel()
+	pieces, err := incoming.Receive(ctx, r.Body, r.ContentLength, a.Limits.MaxBodyBytes)
+	if err != nil {
+		leaveBody(w, r)
+		return nil, incoming.End, a.bodyError(err)
+	}
 	// net/http reads the connection from here on to notice if the caller disconnects; a read
 	// deadline would end that.
-	_ = controller.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
+	_ = connection.SetReadDeadline(time.Time{})
+	return bytes.Join(pieces, nil), incoming.End, nil
+}
+
+// bodyError returns the response to a request whose body was not received.
+func (a *API) bodyError(err error) *requestError {
 	switch {
-	case errors.As(err, &tooLarge):
-		text := fmt.Sprintf("The body is larger than %d bytes.", tooLarge.Limit)
-		return nil, &requestError{status: http.StatusRequestEntityTooLarge, problem: invalidRequest("body_too_large", text)}
-	case err != nil:
-		return nil, badRequest("body_unreadable", "The body did not arrive whole in time.")
+	case errors.Is(err, upload.ErrTooLarge):
+		text := fmt.Sprintf("The body is larger than %d bytes.", a.Limits.MaxBodyBytes)
+		return &requestError{status: http.StatusRequestEntityTooLarge, problem: invalidRequest("body_too_large", text)}
+	case errors.Is(err, upload.ErrNoRoom), errors.Is(err, upload.ErrEvicted):
+		return &requestError{status: http.StatusServiceUnavailable, problem: problem{
+			Type: typeServer, Code: "no_memory", Message: "There is no memory for the body at present.", Outcome: record.OutcomeNotRun, RetryAfter: memoryRetrySeconds,
+		}}
 	}
-	return body, nil
+	return badRequest("body_unreadable", "The body did not arrive whole in time.")
 }
 
 // parseCommon parses what chat requests and service calls have in common: session,
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -15,7 +15,8 @@
 // handleService runs a call to a plain service and returns the service's answer with its
 // status, content type and body.
 func (a *API) handleService(w http.ResponseWriter, r *http.Request) {
-	body, reqErr := a.readBody(w, r)
+	body, release, reqErr := a.readBody(w, r)
+	defer release()
 	if reqErr != nil {
 		reqErr.write(w)
 		return
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -21,6 +21,7 @@
 	"guavapier/internal/ledger"
 	"guavapier/internal/logstore"
 	"guavapier/internal/membership"
+	"guavapier/internal/membudget"
 	"guavapier/internal/metrics"
 	"guavapier/internal/peer"
 	"guavapier/internal/record"
@@ -30,6 +31,7 @@
 	"guavapier/internal/session"
 	"guavapier/internal/settings"
 	"guavapier/internal/state"
+	"guavapier/internal/upload"
 )
 
 // Secrets holds the contents of the secret files: the keys that sign sessions and
@@ -134,6 +136,7 @@
 		return eris.Wrap(err, "server: listen for callers; give another address if this one is taken")
 	}
 	s.callers = callers.New(listener.(*net.TCPListener), 0, nil, nil) // http.Server's IdleTimeout closes idle connections.
+	s.callers.SetLimits(callers.Limits{MaxConnections: maxCallerConns})
 	if s.operatorsListener, err = net.Listen("tcp", s.settings.Instance.Operators); err != nil {
 		return eris.Wrap(err, "server: listen for operators; give another address if this one is taken")
 	}
@@ -154,7 +157,7 @@
 	defer stop()
 	callerServer := entry.NewServer(s.callersHandler())
 	callerServer.ConnState = s.callers.ConnState
-	operatorServer := &http.Server{Handler: s.operatorsHandler(), ReadHeaderTimeout: 10 * time.Second}
+	operatorServer := &http.Server{Handler: s.operatorsHandler(), ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: maxOperatorHeaderBytes}
 	var group errgroup.Group
 	group.Go(func() error { return s.followStreams(background) })
 	group.Go(func() error { s.snapshotWriter().Run(background); return nil })
@@ -217,6 +220,7 @@
 	limits := s.settings.Limits
 	c := &entry.API{
 		Zone: record.Zone(s.settings.Instance.Zone), Config: s.config, SessionKeys: s.secrets.Sessions, Runner: s.runner,
+		Uploads:         s.newUploads(),
 		SessionRegistry: session.Registry{Log: s.publisher, Partitions: s.partitions},
 		Limits: entry.Limits{
 			MaxBodyBytes: limits.BodyBytes, MaxAnswerBytes: int(limits.AnswerBytes), MaxTokens: limits.MaxTokens,
@@ -228,6 +232,13 @@
 	return s.metrics.Instrument(metrics.CallersHTTP, s.countInFlight(c.Handler()))
 }
 
+// newUploads returns the limiter of the memory for bodies.
+func (s *Server) newUploads() *upload.Limiter {
+	const shortShare, longShare = 0.25, 0.5
+	memory := membudget.New(max(minBodyMemoryBytes, minLargestBodies*s.settings.Limits.BodyBytes))
+	return upload.NewLimiter(memory.NewPart(shortShare), memory.NewPart(longShare), 0, maxCallerConns/2)
+}
+
 // countInFlight wraps a handler so that InFlight counts its requests.
 func (s *Server) countInFlight(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
