--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -18,10 +18,12 @@
 	// memoryRetryAfter applies when the memory for bodies is used up; a body takes about a
 	// second to arrive and be answered. memoryRetryJitter keeps callers apart.
 	memoryRetryAfter, memoryRetryJitter = time.Second, 500 * time.Millisecond
-	// discardTime bounds the reading of what is left of the body of a refused request. The
-	// connection can be used again only if that ends.
+	// discardTime bounds the reading of the body of a request that is refused before it is read.
+	// The connection can be used again only if that ends.
 	discardTime = 250 * time.Millisecond
-	// maxDiscardBytes is the largest rest that is read for that.
+	// unknownDiscardTime is the same for a body of unknown length: what has arrived is read.
+	unknownDiscardTime = 50 * time.Millisecond
+	// maxDiscardBytes is the largest body that is read for that.
 	maxDiscardBytes = 64 << 10
 )
 
@@ -89,9 +91,12 @@
 		return
 	}
 	until := time.Now().Add(discardTime)
-	if c.upload != nil || r.ContentLength < 0 || r.ContentLength > maxDiscardBytes {
+	switch {
+	case c.upload != nil, r.ContentLength > maxDiscardBytes:
 		c.w.Header().Set("Connection", "close")
 		until = time.Unix(1, 0)
+	case r.ContentLength < 0:
+		until = time.Now().Add(unknownDiscardTime)
 	}
 	_ = http.NewResponseController(c.w).SetReadDeadline(until) // Fails only if the connection is closed.
 }
