upload: long bodies leave a part of the link free, and newcomers wait behind those that wait

Cause: half of the link for long bodies, with what isn't counted, is more than the load from which on callers are sent elsewhere; bodies in chunks were evicted as the newest within milliseconds and came again, a thousand a second, 62 KiB each; an evicted body kept its turn in the pace. Change: 0.35 of the link, 4 MiB at once; a body takes none of the memory for long ones while an older one waits for it; eviction ends the wait for a turn; of a refused body of unknown length 16 KiB are read. A settings value without descriptors no longer gives a negative bound of bodies (a panic in 3 tests of ./platform that set none; the file's minimum is 256).

--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -21,10 +22,11 @@
 	// discardTime bounds the reading of the body of a request that is refused before it is read.
 	// The connection can be used again only if that ends.
 	discardTime = 250 * time.Millisecond
-	// unknownDiscardTime is the same for a body of unknown length: what has arrived is read.
-	unknownDiscardTime = 50 * time.Millisecond
 	// maxDiscardBytes is the largest body that is read for that.
 	maxDiscardBytes = 64 << 10
+	// unknownDiscardTime and maxUnknownDiscardBytes are the same for a body of unknown length: a
+	// short one has arrived with its header.
+	unknownDiscardTime, maxUnknownDiscardBytes = 50 * time.Millisecond, 16 << 10
 )
 
 // readBody reads the whole body before the request is sent, so that an attempt can be
@@ -90,13 +92,17 @@
 	if r.ContentLength == 0 || c.body != nil {
 		return
 	}
+	connection := http.NewResponseController(c.w)
+	if r.ContentLength < 0 && c.upload == nil {
+		_ = connection.SetReadDeadline(time.Now().Add(unknownDiscardTime))
+		if _, err := io.CopyN(io.Discard, r.Body, maxUnknownDiscardBytes); errors.Is(err, io.EOF) {
+			return
+		}
+	}
 	until := time.Now().Add(discardTime)
-	switch {
-	case c.upload != nil, r.ContentLength > maxDiscardBytes:
+	if c.upload != nil || r.ContentLength < 0 || r.ContentLength > maxDiscardBytes {
 		c.w.Header().Set("Connection", "close")
 		until = time.Unix(1, 0)
-	case r.ContentLength < 0:
-		until = time.Now().Add(unknownDiscardTime)
 	}
-	_ = http.NewResponseController(c.w).SetReadDeadline(until) // Fails only if the connection is closed.
+	_ = connection.SetReadDeadline(until) // Fails only if the connection is closed.
 }
--- a/internal/gateway/caller_limits.go
+++ b/internal/gateway/caller_limits.go
@@ -24,9 +24,9 @@
 	// shortBodiesShare, longBodiesShare, headsShare and answersShare are the parts of that
 	// memory that are reserved for one use.
 	shortBodiesShare, longBodiesShare, headsShare, answersShare = 0.15, 0.25, 0.1, 0.25
-	// longBodiesLinkRatio is the share of the link that long bodies may take; above two thirds the
-	// instance sends its callers elsewhere.
-	longBodiesLinkRatio = 0.5
+	// longBodiesLinkRatio is the share of the link that long bodies may take. With what is not
+	// counted of them it stays below the load from which on callers are sent elsewhere.
+	longBodiesLinkRatio = 0.35
 
 	// connectionMemoryRatio is the share of gateway.memory_mb for callers' connections, and
 	// connectionBytes what one takes: its buffers and the stacks of its goroutines.
@@ -34,6 +34,8 @@
 	// reservedDescriptors are set aside for files, and callerDescriptorRatio is the share of the
 	// others for callers' connections. Endpoints, the store and other instances need the rest.
 	reservedDescriptors, callerDescriptorRatio = 200, 0.4
+	// minCallerConns is the least bound of callers' connections.
+	minCallerConns = 16
 	// maxReadyConns and maxOperatorConns bound the connections to the other two addresses.
 	maxReadyConns, maxOperatorConns = 512, 64
 	// maxSmallHeaderBytes bounds the header of a request to the other two addresses.
@@ -60,9 +62,11 @@
 // descriptors of the instance.
 func (g *Gateway) maxCallerConns() int {
 	instance := g.settings.Gateway
-	byMemory := float64(instance.MemoryMB<<20) * connectionMemoryRatio / connectionBytes
-	byDescriptors := float64(instance.MaxDescriptors-reservedDescriptors) * callerDescriptorRatio
-	return int(min(byMemory, byDescriptors))
+	limit := float64(instance.MemoryMB<<20) * connectionMemoryRatio / connectionBytes
+	if instance.MaxDescriptors > 0 {
+		limit = min(limit, float64(instance.MaxDescriptors-reservedDescriptors)*callerDescriptorRatio)
+	}
+	return max(minCallerConns, int(limit))
 }
 
 // wrapListeners limits what callers can take through the listeners for HTTP.
--- a/internal/upload/limiter.go
+++ b/internal/upload/limiter.go
@@ -39,6 +39,8 @@
 	// Only where memory is used up does a slow body lose any.
 	slowBytesPerSecond = 16 << 10
 	rateWindow         = time.Second
+	// paceBurstBytes is what long bodies may have at once: one of usual largest size is not delayed.
+	paceBurstBytes = 4 << 20
 	// recheckInterval is how often a waiting body looks for slow ones.
 	recheckInterval = 50 * time.Millisecond
 )
@@ -59,15 +61,15 @@
 // NewLimiter returns a Limiter that takes the first smallBodyBytes of each body from small, and
 // the rest from large.
 //
-// Bodies that are longer arrive at bytesPerSecond together, beyond a burst of one second: they must
-// not fill the link of the instance. 0 stands for no limit.
+// Bodies that are longer arrive at bytesPerSecond together, beyond a burst of paceBurstBytes: they
+// must not fill the link of the instance. 0 stands for no limit.
 //
 // If more than maxArriving bodies arrive at the same time, a slow one or else the oldest is
 // evicted. 0 stands for no limit.
 func NewLimiter(small, large *membudget.Part, bytesPerSecond float64, maxArriving int) *Limiter {
 	l := &Limiter{small: small, large: large, maxArriving: maxArriving, pace: rate.NewLimiter(rate.Inf, 0), uploads: map[*Upload]struct{}{}}
 	if bytesPerSecond > 0 {
-		l.pace = rate.NewLimiter(rate.Limit(bytesPerSecond), max(maxPieceBytes, int(bytesPerSecond)))
+		l.pace = rate.NewLimiter(rate.Limit(bytesPerSecond), paceBurstBytes)
 	}
 	return l
 }
@@ -96,12 +98,14 @@
 	limiter   *Limiter
 	owner     string
 	interrupt func()
-	number    uint64 // In the order in which uploads have begun.
+	number    uint64        // In the order in which uploads have begun.
+	gone      chan struct{} // Closed when it is evicted.
 
 	// Guarded by limiter.mu.
 	small, large int64 // Bytes that it holds of each part.
 	isComplete   bool
 	evicted      bool
+	awaitsLarge  bool // It waits for bytes of the large part.
 	arrival      arrivalRate
 }
 
@@ -112,7 +116,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.begun++
-	u := &Upload{limiter: l, owner: owner, interrupt: interrupt, number: l.begun, arrival: arrivalRate{since: now}}
+	u := &Upload{limiter: l, owner: owner, interrupt: interrupt, number: l.begun, gone: make(chan struct{}), arrival: arrivalRate{since: now}}
 	l.boundArriving(now)
 	l.uploads[u] = struct{}{}
 	return u
@@ -174,6 +178,8 @@
 		select {
 		case <-changed:
 		case <-time.After(min(left, recheckInterval)):
+		case <-u.gone:
+			return ErrEvicted
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -194,6 +200,9 @@
 	case <-timer.C:
 		u.pause()
 		return nil
+	case <-u.gone:
+		reservation.Cancel()
+		return ErrEvicted
 	case <-ctx.Done():
 		reservation.Cancel()
 		return ctx.Err()
@@ -217,8 +226,10 @@
 		return false, ErrEvicted
 	}
 	if u.take(n) {
+		u.awaitsLarge = false
 		return true, nil
 	}
+	u.awaitsLarge = u.held()+n > smallBodyBytes
 	if l.evicting > 0 {
 		return false, nil
 	}
@@ -231,6 +242,7 @@
 // evict takes the memory from an upload. The caller must hold l.mu.
 func (l *Limiter) evict(u *Upload) {
 	u.evicted = true
+	close(u.gone)
 	l.evicting++
 	l.refused++
 	u.interrupt()
@@ -239,7 +251,7 @@
 // boundArriving evicts an upload if there are too many that have not arrived. The caller must hold
 // l.mu.
 func (l *Limiter) boundArriving(now time.Time) {
-	if l.maxArriving == 0 || len(l.uploads) < l.maxArriving {
+	if l.maxArriving <= 0 || len(l.uploads) < l.maxArriving {
 		return
 	}
 	arriving := 0
@@ -271,13 +283,24 @@
 	if u.held()+n <= smallBodyBytes {
 		part, own = u.limiter.small, &u.small
 	}
-	if !part.TryTake(n) {
+	if part == u.limiter.large && u.large == 0 && u.limiter.isAwaitedBefore(u) || !part.TryTake(n) {
 		return false
 	}
 	*own += n
 	return true
 }
 
+// isAwaitedBefore reports whether an older upload than u waits for bytes of the large part. The
+// caller must hold l.mu.
+func (l *Limiter) isAwaitedBefore(u *Upload) bool {
+	for other := range l.uploads {
+		if other.awaitsLarge && !other.evicted && other.number < u.number {
+			return true
+		}
+	}
+	return false
+}
+
 // held returns the bytes that the upload holds. The caller must hold limiter.mu.
 func (u *Upload) held() int64 { return u.small + u.large }
 
