callers: more connections before any is ended, and no more ended than needed

Change: three fifths of the descriptors (2,340 there), and 0.3 of the memory; connections that are ending count as ended.

--- a/internal/callers/limits.go
+++ b/internal/callers/limits.go
@@ -87,14 +87,16 @@
 	}
 	conns, _, _ := cs.snapshot()
 	now := time.Now()
-	candidates := evictable(conns, now)
+	candidates, ending := evictable(conns, now)
+	if len(conns)-ending < limit {
+		return true // Those that are ending are closed by the goroutines that serve them.
+	}
 	batch := max(1, limit/evictedShare)
 	for _, candidate := range candidates[:min(batch, len(candidates))] {
 		candidate.evict()
 		cs.limits.counts.evicted.Add(1)
 	}
-	// Evicted connections are closed by the goroutines that serve them.
-	return len(candidates) > 0 || len(conns) < limit+batch
+	return len(candidates) > 0
 }
 
 // evictionCandidate is a connection that may be evicted.
@@ -118,11 +120,14 @@
 )
 
 // evictable returns the connections that may be evicted, those first that are to be evicted first:
-// of each rank those whose address has most, and of these the oldest.
-func evictable(conns []*conn, now time.Time) []evictionCandidate {
+// of each rank those whose address has most, and of these the oldest. ending is the number of
+// connections that were ended and are not closed yet.
+func evictable(conns []*conn, now time.Time) (candidates []evictionCandidate, ending int) {
 	fromAddress := map[string]int{}
-	var candidates []evictionCandidate
 	for _, c := range conns {
+		if c.isEnding() {
+			ending++
+		}
 		fromAddress[c.host]++
 		if candidate, ok := c.evictionCandidate(now); ok {
 			candidates = append(candidates, candidate)
@@ -134,7 +139,14 @@
 	slices.SortFunc(candidates, func(a, b evictionCandidate) int {
 		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(b.fromSame, a.fromSame), a.since.Compare(b.since))
 	})
-	return candidates
+	return candidates, ending
+}
+
+// isEnding reports whether the connection was ended and nothing was read since.
+func (c *conn) isEnding() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.expired || c.evicted
 }
 
 // evictionCandidate returns the connection as a candidate; false if it must not be evicted.
--- a/internal/gateway/caller_limits.go
+++ b/internal/gateway/caller_limits.go
@@ -30,14 +30,14 @@
 
 	// connectionMemoryRatio is the share of gateway.memory_mb for callers' connections, and
 	// connectionBytes what one takes: its buffers and the stacks of its goroutines.
-	connectionMemoryRatio, connectionBytes = 0.15, 24 << 10
+	connectionMemoryRatio, connectionBytes = 0.3, 24 << 10
 	// reservedDescriptors are set aside for files, and callerDescriptorRatio is the share of the
 	// others for callers' connections. Endpoints, the store and other instances need the rest.
-	reservedDescriptors, callerDescriptorRatio = 200, 0.4
+	reservedDescriptors, callerDescriptorRatio = 200, 0.6
 	// minCallerConns is the least bound of callers' connections.
 	minCallerConns = 16
 	// maxReadyConns and maxOperatorConns bound the connections to the other two addresses.
-	maxReadyConns, maxOperatorConns = 512, 64
+	maxReadyConns, maxOperatorConns = 256, 64
 	// maxSmallHeaderBytes bounds the header of a request to the other two addresses.
 	maxSmallHeaderBytes = 4 << 10
 	// smallRequestTimeout bounds the arrival of a request there, with its body, and
