--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -54,7 +54,7 @@
 	onClose func(c *conn, expiry *Expiry)
 	limits  *limits
 	host    string        // The caller's IP address.
-	pace    *rate.Limiter // Of its requests.
+	pace    *rate.Limiter // Of requests that were sent ahead.
 
 	mu         sync.Mutex
 	phase      phase
@@ -95,7 +95,7 @@
 	host, _, _ := net.SplitHostPort(accepted.RemoteAddr().String())
 	return &conn{
 		host: host, Conn: accepted, tcp: accepted, meter: meter, limits: l, onClose: onClose, phase: phaseNew, phaseStart: time.Now(),
-		pace: rate.NewLimiter(maxRequestRate, maxRequestBurst),
+		pace: rate.NewLimiter(maxAheadRate, maxAheadBurst),
 	}
 }
 
@@ -240,11 +240,9 @@
 func (c *conn) setActive() (delay time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now, cost := time.Now(), 1
-	if !c.hasRead {
-		cost = aheadCost // All of it had arrived together with an earlier request.
+	if !c.hasRead { // All of it had arrived together with an earlier request.
+		delay = c.pace.Reserve().Delay()
 	}
-	delay = c.pace.ReserveN(now, cost).DelayFrom(now)
 	c.phase, c.phaseStart = phaseActive, time.Now()
 	c.cancelExpiry()
 	return delay
--- a/internal/callers/limits.go
+++ b/internal/callers/limits.go
@@ -10,12 +10,9 @@
 )
 
 const (
-	// maxRequestRate and maxRequestBurst bound the requests a second of one connection; more
-	// are delayed. A caller that waits for its answers sends fewer: each takes the way to an
-	// endpoint and back.
-	maxRequestRate, maxRequestBurst = 100, 50
-	// aheadCost is as how many a request counts that was sent before the answer to the last one.
-	aheadCost = 5
+	// maxAheadRate and maxAheadBurst bound the requests a second of one connection that were sent
+	// before the answer to the last one; more are delayed. Callers wait for their answers.
+	maxAheadRate, maxAheadBurst = 20, 10
 	// evictedShare is the part of all connections that is evicted at a time, so that the table
 	// is searched seldom.
 	evictedShare = 32
