--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -54,7 +54,7 @@
 	onClose func(c *conn, expiry *Expiry)
 	limits  *limits
 	host    string        // The caller's IP address.
-	pace    *rate.Limiter // Of requests that were sent ahead.
+	pace    *rate.Limiter // Of pipelined requests.
 
 	mu         sync.Mutex
 	phase      phase
@@ -95,7 +95,7 @@
 	host, _, _ := net.SplitHostPort(accepted.RemoteAddr().String())
 	return &conn{
 		host: host, Conn: accepted, tcp: accepted, meter: meter, limits: l, onClose: onClose, phase: phaseNew, phaseStart: time.Now(),
-		pace: rate.NewLimiter(maxAheadRate, maxAheadBurst),
+		pace: rate.NewLimiter(maxPipelinedRate, maxPipelinedBurst),
 	}
 }
 
--- a/internal/callers/limits.go
+++ b/internal/callers/limits.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// maxAheadRate and maxAheadBurst bound the requests a second of one connection that were sent
-	// before the answer to the last one; more are delayed. Callers wait for their answers.
-	maxAheadRate, maxAheadBurst = 20, 10
+	// maxPipelinedRate and maxPipelinedBurst bound the pipelined requests a second of one connection;
+	// more are delayed. Callers wait for their answers.
+	maxPipelinedRate, maxPipelinedBurst = 20, 10
 	// evictedShare is the part of all connections that is evicted at a time, so that the table
 	// is searched seldom.
 	evictedShare = 32
--- a/internal/callers/limits_test.go
+++ b/internal/callers/limits_test.go
@@ -89,9 +89,9 @@
 	}
 }
 
-// Guards against requests that are sent ahead without end: they are served at a bounded rate, and
+// Guards against pipelined requests without end: they are served at a bounded rate, and
 // those of a caller who waits for each answer are not delayed.
-func TestRequestsThatAreSentAheadAreDelayed(t *testing.T) {
+func TestPipelinedRequestsAreDelayed(t *testing.T) {
 	c, _ := connect(t, newConnections(t))
 	delay := time.Duration(0)
 	const requests = 50
@@ -108,6 +108,6 @@
 		c.setIdle(time.Now())
 	}
 	if delay < time.Second {
-		t.Errorf("the last of %d requests sent ahead is delayed by %s, want more than a second", requests, delay)
+		t.Errorf("the last of %d pipelined requests is delayed by %s, want more than a second", requests, delay)
 	}
 }
