--- a/review/standin2/case7.go
+++ b/review/standin2/case7.go
@@ -19,8 +19,9 @@
 	graceBefore7, graceAfter7 = 8, 16
 	// streams7 are sent before the SIGTERM, one each streamPause7.
 	streams7, streamPause7 = 10, 100 * time.Millisecond
-	// work7 is how long a stream lasts: 64 events, as on the sheet for the longest kind of request.
-	work7 = 64 * eventPause
+	// work7 is how long a stream lasts, events7 its events, as on the sheet for the longest kind of
+	// request.
+	work7, events7 = 12800 * time.Millisecond, 64
 	// deadline7 is the time limit of the clients, and the timeout of the route.
 	deadline7 = 15 * time.Second
 	// settle7 is the time between the change of the settings and the first stream. It is longer than
@@ -39,7 +40,7 @@
 func runCase7(s *scene) (broken bool, err error) {
 	s.setState(state7)
 	for n, zone := range []string{"hall-a", "hall-b"} {
-		if _, err := s.startEngine("guava-llm", zone, fmt.Sprintf("i-%d", n), kindStream, work7); err != nil {
+		if _, err := s.startEngine("guava-llm", zone, fmt.Sprintf("i-%d", n), answer{work7, events7}); err != nil {
 			return false, err
 		}
 	}
@@ -101,7 +102,7 @@
 	lastSixth := sigterm.Add(graceAfter7 * time.Second * 5 / 6)
 	for _, r := range results {
 		switch {
-		case r.err == nil && r.status == http.StatusOK && r.events == int(work7/eventPause):
+		case r.err == nil && r.status == http.StatusOK && r.events == events7:
 			whole++
 		case r.err != nil && r.events > 0 && r.at.Before(lastSixth):
 			cut++
@@ -118,7 +119,7 @@
 func (s *scene) readStream(address, id string) (r ended7) {
 	defer func() {
 		r.at = time.Now()
-		s.record("client's stream %s ends: status %d, %d events of %d, error %v", id, r.status, r.events, int(work7/eventPause), r.err)
+		s.record("client's stream %s ends: status %d, %d events of %d, error %v", id, r.status, r.events, events7, r.err)
 	}()
 	conn, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
--- a/review/standin2/engine.go
+++ b/review/standin2/engine.go
@@ -15,41 +15,26 @@
 	"guavapier/internal/logstore"
 )
 
-// Kinds of answers of an engine.
-const (
-	// kindUnframed: the answer has no length and ends with its connection. Its first half is
-	// sent at once, the rest when the work is done.
-	kindUnframed = "unframed"
-	// kindStream: a series of events in chunks, one each eventPause.
-	kindStream = "stream"
-)
-
-// eventPause is the pause between two events of a stream.
-const eventPause = 200 * time.Millisecond
-
-// answerBytes is the size of an answer that is no stream.
-const answerBytes = 800
-
-// wholeBody returns the body that an engine gives to a request: it follows from its identity, so
-// that a client knows it.
-func wholeBody(request string) string {
-	body := strings.Builder{}
-	for n := 0; body.Len() < answerBytes; n++ {
-		fmt.Fprintf(&body, "%s:%d;", request, n)
-	}
-	return body.String()[:answerBytes-4] + "END\n"
+// answer is how an engine answers.
+type answer struct {
+	work   time.Duration // How long it takes.
+	events int           // Spread evenly over the work.
 }
 
 // runEngine serves requests as an engine does, until the process is killed. It writes what it does to
-// standard output. Its arguments are its ID, its address, the kind of its answers, and the time that
-// an answer takes in milliseconds.
+// standard output. Its arguments are its ID, the time that an answer takes in milliseconds, and
+// its events.
 func runEngine(args []string) {
-	id, address, kind := args[0], args[1], args[2]
-	workMS, err := strconv.Atoi(args[3])
+	id := args[0]
+	workMS, err := strconv.Atoi(args[1])
+	if err != nil {
+		os.Exit(exitNotRun)
+	}
+	events, err := strconv.Atoi(args[2])
 	if err != nil {
 		os.Exit(exitNotRun)
 	}
-	listener, err := net.Listen("tcp", address)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		fmt.Println("error", err)
 		os.Exit(exitNotRun)
@@ -60,12 +45,12 @@
 		if err != nil {
 			return
 		}
-		go serveConn(conn, id, kind, time.Duration(workMS)*time.Millisecond)
+		go serveConn(conn, id, answer{time.Duration(workMS) * time.Millisecond, events})
 	}
 }
 
 // serveConn serves the requests of one connection.
-func serveConn(conn net.Conn, id, kind string, work time.Duration) {
+func serveConn(conn net.Conn, id string, a answer) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	for {
@@ -82,34 +67,20 @@
 			continue
 		}
 		fmt.Println("runs", request)
-		if kind == kindStream {
-			stream(conn, request, work)
-			continue
-		}
-		unframed(conn, request, work)
-		return
+		a.stream(conn, request)
 	}
 }
 
-// unframed answers without a length.
-func unframed(conn net.Conn, request string, work time.Duration) {
-	body := wholeBody(request)
-	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: %s\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n%s", request, "sig."+request, body[:answerBytes/2])
-	time.Sleep(work)
-	fmt.Fprint(conn, body[answerBytes/2:])
-	fmt.Println("ends", request)
-}
-
-// stream answers with events, in chunks, for the time that the work takes.
-func stream(conn net.Conn, request string, work time.Duration) {
+// stream answers with events, in chunks.
+func (a answer) stream(conn net.Conn, request string) {
 	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", request, "sig."+request)
-	for n := range int(work / eventPause) {
+	for n := range a.events {
 		event := fmt.Sprintf("id: %d\ndata: %s %d\n\n", n+1, request, n+1)
 		if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event); err != nil {
 			fmt.Println("cut", request, "after", n)
 			return
 		}
-		time.Sleep(eventPause)
+		time.Sleep(a.work / time.Duration(a.events))
 	}
 	fmt.Fprint(conn, "0\r\n\r\n")
 	fmt.Println("ends", request)
@@ -122,13 +93,13 @@
 }
 
 // startEngine starts an engine of the service and lists it in the store.
-func (s *scene) startEngine(service, zone, id, kind string, work time.Duration) (*engine, error) {
+func (s *scene) startEngine(service, zone, id string, a answer) (*engine, error) {
 	self, err := os.Executable()
 	if err != nil {
 		return nil, err
 	}
 	listening := make(chan string, 1)
-	cmd := exec.Command(self, "engine", id, "127.0.0.1:0", kind, strconv.FormatInt(work.Milliseconds(), 10))
+	cmd := exec.Command(self, "engine", id, strconv.FormatInt(a.work.Milliseconds(), 10), strconv.Itoa(a.events))
 	p, err := s.run(id, cmd, func(line string) {
 		if address, ok := strings.CutPrefix(line, "listens "); ok {
 			listening <- address
@@ -154,6 +125,3 @@
 	s.keyed.Set(logstore.TopicEndpoints, id, []byte(fmt.Sprintf(
 		`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":6,"state":"ready","warmup_left_ms":0,"born":%d,"sequence":1}`, service, address, zone, time.Now().UnixMilli())))
 }
-
-// unlistEngine removes the entry of an engine, as the platform does after three pings without one.
-func (s *scene) unlistEngine(id string) { s.keyed.Set(logstore.TopicEndpoints, id, nil) }
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -2,7 +2,7 @@
 // program under review as separate processes on loopback addresses, with a stand-in of the
 // platform's store, engines and clients, and judges what these see.
 //
-// Usage: standin2 case6|case7 RECORD. It exits with 1 if the rule was broken, 0 if it held and
+// Usage: standin2 case7|case8 RECORD. It exits with 1 if the rule was broken, 0 if it held and
 // 2 if the case could not run. With TROUBLE=0 in the environment the disruption is left out.
 package main
 
@@ -24,7 +24,7 @@
 		return
 	}
 	if len(os.Args) != 3 {
-		fmt.Fprintln(os.Stderr, "usage: standin2 case6|case7 RECORD")
+		fmt.Fprintln(os.Stderr, "usage: standin2 case7|case8 RECORD")
 		os.Exit(exitNotRun)
 	}
 	cases := map[string]func(*scene) (broken bool, err error){"case6": runCase6, "case7": runCase7}
@@ -44,6 +44,7 @@
 		return exitNotRun
 	}
 	defer s.close()
+	s.closeOnSignal()
 	broken, err := play(s)
 	switch {
 	case err != nil:
--- a/review/standin2/scene.go
+++ b/review/standin2/scene.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -11,9 +10,11 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -44,12 +45,12 @@
 	keyed    *standin.Keyed
 	server   *http.Server
 	start    time.Time
+	refusals atomic.Int64 // Lines about refusals for the budget.
 
 	mu        sync.Mutex // Guards the fields below.
 	out       *os.File
 	processes []*process
 	hosts     map[string]bool
-	ends      map[string]string // The line that an instance writes as a request ends, by its identity.
 }
 
 // newScene starts the store.
@@ -68,7 +69,7 @@
 	}
 	keyed := standin.NewKeyed()
 	s := &scene{
-		trouble: os.Getenv("TROUBLE") != "0", dir: dir, storeURL: "http://" + listener.Addr().String(), keyed: keyed, start: time.Now(), out: out, hosts: map[string]bool{}, ends: map[string]string{},
+		trouble: os.Getenv("TROUBLE") != "0", dir: dir, storeURL: "http://" + listener.Addr().String(), keyed: keyed, start: time.Now(), out: out, hosts: map[string]bool{},
 		server: &http.Server{Handler: storetest.Handler{Log: func(logstore.Topic) *standin.Keyed { return keyed }, PageSize: 500}},
 	}
 	go func() { _ = s.server.Serve(listener) }()
@@ -89,6 +90,18 @@
 	_ = s.out.Close()
 }
 
+// closeOnSignal ends all processes if this one is ended before the case is over.
+func (s *scene) closeOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-signals
+		s.record("the case was ended before it was over")
+		s.close()
+		os.Exit(exitNotRun)
+	}()
+}
+
 // record writes a line with the time since the start to the record.
 func (s *scene) record(format string, args ...any) {
 	s.mu.Lock()
@@ -138,7 +151,7 @@
 }
 
 // signal sends a signal to the process.
-func (p *process) signal(signal syscall.Signal) error { return p.cmd.Process.Signal(signal) }
+func (p *process) signal(number syscall.Signal) error { return p.cmd.Process.Signal(number) }
 
 // hasEnded reports whether the process has ended.
 func (p *process) hasEnded() bool {
@@ -242,16 +255,21 @@
 	if err := s.writeSettings(i.settings, name, zone, host, graceSeconds); err != nil {
 		return nil, err
 	}
-	cmd := exec.Command(program, "serve")
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "GUAVAPIER_CONFIG=" + i.settings}
-	i.process, err = s.run(name, cmd, func(line string) { s.keepLine(name, line) })
-	if err != nil {
+	s.record("%s starts at %s, grace_s %d", name, host, graceSeconds)
+	if err := s.startProcess(i, name); err != nil {
 		return nil, err
 	}
-	s.record("%s started at %s, grace_s %d", name, host, graceSeconds)
 	return i, i.awaitReady()
 }
 
+// startProcess starts the process of an instance, with the settings in effect.
+func (s *scene) startProcess(i *instance, name string) (err error) {
+	cmd := exec.Command(program, "serve")
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "GUAVAPIER_CONFIG=" + i.settings}
+	i.process, err = s.run(name, cmd, func(line string) { s.keepLine(name, line) })
+	return err
+}
+
 // awaitReady waits until the instance answers the platform's question with 200.
 func (i *instance) awaitReady() error {
 	client := http.Client{Timeout: time.Second}
@@ -276,28 +294,14 @@
 	s.keyed.Set(logstore.TopicState, logstore.StateKey, []byte(state))
 }
 
-// keepLine records what an instance writes of its own life, and keeps what it writes as a request
-// ends.
+// maxRefusals is the number of lines about refusals for the budget that are recorded.
+const maxRefusals = 10
+
+// keepLine records what an instance writes of its own life and of budgets.
 func (s *scene) keepLine(name, line string) {
-	if strings.Contains(line, `"gateway: `) {
-		s.record("%s writes %s", name, line)
-		return
-	}
-	var ended struct{ Request, Message string }
-	if json.Unmarshal([]byte(line), &ended) != nil || ended.Message != "forward: request ended" {
+	isRefusal := strings.Contains(line, `"forward: budget refused"`)
+	if isRefusal && s.refusals.Add(1) > maxRefusals || !isRefusal && !strings.Contains(line, `"gateway: `) && !strings.Contains(line, `"prepaid: `) {
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.ends[ended.Request] = fmt.Sprintf("%s wrote %s", name, line)
-}
-
-// recordEnd records what an instance has written as a request ended.
-func (s *scene) recordEnd(id string) {
-	s.mu.Lock()
-	line := s.ends[id]
-	s.mu.Unlock()
-	if line != "" {
-		s.record("of %s %s", id, line)
-	}
+	s.record("%s writes %s", name, line)
 }
